--- /dev/null
+++ b/src/main/java/io/indigoreach/api/FrontDoor.java
@@ -0,0 +1,170 @@
+package io.indigoreach.api;
+
+import io.indigoreach.net.Endpoint;
+import io.indigoreach.net.Wire;
+import io.indigoreach.net.WireException;
+import io.indigoreach.worker.ReportDesk;
+import io.vertx.core.Future;
+import io.vertx.core.Vertx;
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.http.HttpMethod;
+import io.vertx.core.http.HttpServer;
+import io.vertx.core.http.HttpServerOptions;
+import io.vertx.core.http.HttpServerRequest;
+import io.vertx.core.http.HttpServerResponse;
+import java.util.function.BooleanSupplier;
+import java.util.function.Function;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/** The listener for users, workers and health checks. */
+public final class FrontDoor {
+    private static final Logger LOG = LoggerFactory.getLogger(FrontDoor.class);
+    private static final int MOST_BODY = 64 * 1024;
+    private static final int IDLE_S = 75;
+    private static final String JOBS = "/api/jobs";
+    /** Requests of users that wait for the state service at once; more are told to come back. */
+    private static final int MOST_WAITING = 100;
+
+    private final Endpoint endpoint;
+    private final JobDesk jobs;
+    private final ReportDesk reports;
+    private final BooleanSupplier ready;
+    private final HttpServer server;
+    private int waiting;
+
+    public FrontDoor(Vertx vertx, Endpoint endpoint, JobDesk jobs, ReportDesk reports, BooleanSupplier ready) {
+        this.endpoint = endpoint;
+        this.jobs = jobs;
+        this.reports = reports;
+        this.ready = ready;
+        this.server = vertx.createHttpServer(new HttpServerOptions().setIdleTimeout(IDLE_S).setTcpNoDelay(true)
+                .setMaxInitialLineLength(2048).setMaxHeaderSize(8192).setAcceptBacklog(512)
+                .setHandle100ContinueAutomatically(true));
+        server.requestHandler(this::handle);
+        server.invalidRequestHandler(r -> r.connection().close());
+    }
+
+    public Future<Void> open() {
+        return server.listen(endpoint.port(), endpoint.host()).map(s -> {
+            LOG.info("serving on {}", endpoint);
+            return null;
+        });
+    }
+
+    public Future<Void> close() {
+        return server.close();
+    }
+
+    private void handle(HttpServerRequest request) {
+        String path = request.path();
+        if ("/checkin".equals(path)) {
+            withBody(request, HttpMethod.POST, body -> Future.succeededFuture(reports.report(body)));
+        } else if ("/ready".equals(path)) {
+            if (allows(request, HttpMethod.GET)) {
+                write(request, ready.getAsBoolean() ? Answer.ok(java.util.Map.of()) : Answer.later("starting"));
+            }
+        } else if (JOBS.equals(path)) {
+            withBody(request, HttpMethod.POST, body -> limited(() -> jobs.submit(body)));
+        } else if (path != null && path.startsWith(JOBS + "/")) {
+            String rest = path.substring(JOBS.length() + 1);
+            if (rest.endsWith("/cancel")) {
+                String id = rest.substring(0, rest.length() - "/cancel".length());
+                withBody(request, HttpMethod.POST, body -> limited(() -> jobs.cancel(id)));
+            } else if (rest.indexOf('/') >= 0) {
+                write(request, Answer.error(404, "no such path"));
+            } else if (allows(request, HttpMethod.GET)) {
+                answer(request, b -> limited(() -> jobs.query(rest)), null);
+            }
+        } else {
+            write(request, Answer.error(404, "no such path"));
+        }
+    }
+
+    private Future<Answer> limited(java.util.function.Supplier<Future<Answer>> work) {
+        if (waiting >= MOST_WAITING) {
+            return Future.succeededFuture(Answer.later("too many requests at this node"));
+        }
+        waiting++;
+        Future<Answer> result;
+        try {
+            result = work.get();
+        } catch (RuntimeException e) {
+            waiting--;
+            throw e;
+        }
+        return result.onComplete(r -> waiting--);
+    }
+
+    private boolean allows(HttpServerRequest request, HttpMethod method) {
+        if (request.method().equals(method)) {
+            return true;
+        }
+        request.response().putHeader("Allow", method.name());
+        write(request, Answer.error(405, "method not allowed"));
+        return false;
+    }
+
+    /** Gathers the body up to its limit; a longer one is refused without being kept. */
+    private void withBody(HttpServerRequest request, HttpMethod method, Function<Buffer, Future<Answer>> work) {
+        if (!allows(request, method)) {
+            return;
+        }
+        String length = request.getHeader("Content-Length");
+        if (length != null && length.length() > 9 || length != null && Long.parseLong(length) > MOST_BODY) {
+            refuseLong(request);
+            return;
+        }
+        Buffer body = Buffer.buffer();
+        request.handler(chunk -> {
+            if (body.length() + chunk.length() > MOST_BODY) {
+                if (!request.response().ended()) {
+                    refuseLong(request);
+                }
+                return;
+            }
+            body.appendBuffer(chunk);
+        });
+        request.endHandler(end -> {
+            if (!request.response().ended()) {
+                answer(request, work, body);
+            }
+        });
+    }
+
+    private void refuseLong(HttpServerRequest request) {
+        request.response().putHeader("Connection", "close");
+        write(request, Answer.error(413, "a body may have 64 KiB"));
+        request.response().endHandler(e -> request.connection().close());
+    }
+
+    private void answer(HttpServerRequest request, Function<Buffer, Future<Answer>> work, Buffer body) {
+        Future<Answer> result;
+        try {
+            result = work.apply(body);
+        } catch (WireException e) {
+            write(request, Answer.error(400, e.getMessage()));
+            return;
+        }
+        result.onComplete(done -> {
+            if (done.failed()) {
+                LOG.debug("{} {}: {}", request.method(), request.path(), done.cause().toString());
+                write(request, Answer.later("the state service does not answer"));
+            } else {
+                write(request, done.result());
+            }
+        });
+    }
+
+    private void write(HttpServerRequest request, Answer answer) {
+        HttpServerResponse response = request.response();
+        if (response.closed() || response.ended()) {
+            return;
+        }
+        response.setStatusCode(answer.status()).putHeader("Content-Type", "application/msgpack");
+        if (answer.retryAfterS() > 0) {
+            response.putHeader("Retry-After", Integer.toString(answer.retryAfterS()));
+        }
+        response.end(Wire.write(answer.body()));
+    }
+}
--- /dev/null
+++ b/src/main/java/io/indigoreach/api/JobCodec.java
@@ -0,0 +1,116 @@
+package io.indigoreach.api;
+
+import io.indigoreach.core.Demand;
+import io.indigoreach.core.JobId;
+import io.indigoreach.core.JobSpec;
+import io.indigoreach.core.JobStatus;
+import io.indigoreach.core.Shape;
+import io.indigoreach.core.Span;
+import io.indigoreach.core.Urgency;
+import io.indigoreach.net.Fields;
+import io.indigoreach.net.Wire;
+import io.indigoreach.net.WireException;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+
+/** The users' words for jobs. */
+public final class JobCodec {
+    private static final int MOST_TASKS = 100_000;
+    private static final int LONGEST_NAME = 200;
+    private static final int MOST_TYPES = 64;
+    private static final double LARGEST = 1e9;
+
+    private JobCodec() {
+    }
+
+    /** Reads a job; throws {@link WireException} with a short reason if it is malformed. */
+    public static JobSpec read(Fields f) {
+        String id = f.text("id");
+        if (!JobId.isValid(id)) {
+            throw Fields.invalid("id");
+        }
+        long tasks = f.whole("pieces");
+        if (tasks < 1 || tasks > MOST_TASKS) {
+            throw Fields.invalid("pieces");
+        }
+        List<String> types = f.optionalTexts("boxkinds");
+        if (types != null) {
+            if (types.size() > MOST_TYPES) {
+                throw Fields.invalid("boxkinds");
+            }
+            types.forEach(t -> checkName("boxkinds", t));
+        }
+        String zone = f.optionalText("hall");
+        if (zone != null) {
+            checkName("hall", zone);
+        }
+        Span due = null;
+        if (f.has("due_s")) {
+            due = Span.seconds(amount(f, "due_s"));
+        }
+        return new JobSpec(new JobId(id), name(f, "jobclass"), name(f, "owner"), shape(f.text("shape")),
+                urgency(f.text("urgency")), (int) tasks,
+                new Demand(amount(f, "cores"), amount(f, "gpus"), amount(f, "ram_gb")), name(f, "bundle"),
+                amount(f, "pull_gb"), types, zone, flag(f, "one_zone"), flag(f, "spread"), flag(f, "loaners"),
+                Span.seconds(amount(f, "expected_s")), Span.seconds(amount(f, "snapshot_every_s")),
+                Span.seconds(amount(f, "snapshot_s")), due);
+    }
+
+    private static Shape shape(String word) {
+        return switch (word) {
+            case "array" -> Shape.ARRAY;
+            case "service" -> Shape.SERVICE;
+            default -> throw Fields.invalid("shape");
+        };
+    }
+
+    private static Urgency urgency(String word) {
+        return switch (word) {
+            case "production" -> Urgency.PRODUCTION;
+            case "high" -> Urgency.HIGH;
+            case "standard" -> Urgency.STANDARD;
+            case "best_effort" -> Urgency.BEST_EFFORT;
+            default -> throw Fields.invalid("urgency");
+        };
+    }
+
+    private static double amount(Fields f, String name) {
+        double value = f.number(name);
+        if (value < 0 || value > LARGEST) {
+            throw Fields.invalid(name);
+        }
+        return value;
+    }
+
+    private static boolean flag(Fields f, String name) {
+        if (!f.has(name)) {
+            throw new WireException("missing field " + name);
+        }
+        return f.flag(name, false);
+    }
+
+    private static String name(Fields f, String field) {
+        String value = f.text(field);
+        checkName(field, value);
+        return value;
+    }
+
+    private static void checkName(String field, String value) {
+        if (value.isEmpty() || value.length() > LONGEST_NAME) {
+            throw Fields.invalid(field);
+        }
+    }
+
+    static Map<String, Object> accepted(JobId id, JobStatus status) {
+        return Wire.map("id", id.text(), "status", word(status));
+    }
+
+    static Map<String, Object> progress(JobId id, JobStatus status, int done, int running) {
+        return Wire.map("id", id.text(), "status", word(status), "done", done, "running", running);
+    }
+
+    private static String word(JobStatus status) {
+        return status.name().toLowerCase(Locale.ROOT);
+    }
+}
--- /dev/null
+++ b/src/main/java/io/indigoreach/api/JobDesk.java
@@ -0,0 +1,167 @@
+package io.indigoreach.api;
+
+import io.indigoreach.cloud.Catalogue;
+import io.indigoreach.core.Admission;
+import io.indigoreach.core.JobId;
+import io.indigoreach.core.JobSpec;
+import io.indigoreach.core.JobStatus;
+import io.indigoreach.core.Stamp;
+import io.indigoreach.core.Team;
+import io.indigoreach.net.SteadyClock;
+import io.indigoreach.net.Wire;
+import io.indigoreach.state.FinalRecord;
+import io.indigoreach.state.JobRecord;
+import io.indigoreach.state.RecordCodec;
+import io.indigoreach.state.StateClient;
+import io.vertx.core.Future;
+import io.vertx.core.buffer.Buffer;
+import java.util.BitSet;
+import java.util.Collection;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * Serves the users at any node: each answer rests on the state service, except that a job once seen to be over stays
+ * so and is answered from memory. Nobody is given an older answer by one node than by another.
+ */
+public final class JobDesk {
+    private static final Logger LOG = LoggerFactory.getLogger(JobDesk.class);
+    private static final int REMEMBERED = 20_000;
+    private static final int MOST_TRIES = 3;
+
+    private final StateClient state;
+    private final Catalogue catalogue;
+    private final Collection<Team> teams;
+    private final SteadyClock clock;
+    private final int valueBytes;
+    private final Map<JobId, FinalRecord> over = new LinkedHashMap<>() {
+        @Override
+        protected boolean removeEldestEntry(Map.Entry<JobId, FinalRecord> eldest) {
+            return size() > REMEMBERED;
+        }
+    };
+
+    /** A job's state: open, over, or both null if it was never accepted. */
+    private record Found(JobRecord open, FinalRecord over) {
+    }
+
+    public JobDesk(StateClient state, Catalogue catalogue, Collection<Team> teams, SteadyClock clock, int valueBytes) {
+        this.state = state;
+        this.catalogue = catalogue;
+        this.teams = teams;
+        this.clock = clock;
+        this.valueBytes = valueBytes;
+    }
+
+    /** Throws {@link io.indigoreach.net.WireException} if the job is malformed. */
+    public Future<Answer> submit(Buffer body) {
+        JobSpec spec = JobCodec.read(Wire.readMap(body));
+        FinalRecord known = over.get(spec.id());
+        if (known != null) {
+            return Future.succeededFuture(Answer.ok(JobCodec.accepted(spec.id(), known.status())));
+        }
+        if (!catalogue.isKnown()) {
+            return Future.succeededFuture(Answer.later("the machine types are not known yet"));
+        }
+        String refusal = Admission.refusal(spec, teams, catalogue.types());
+        Map<String, Object> record = RecordCodec.writeJob(spec, clock.timeOfDay(), JobStatus.PENDING, new BitSet(), 0);
+        if (refusal == null && Wire.write(record).length() > valueBytes / 2) {
+            refusal = "the description is too long";
+        }
+        if (refusal != null) {
+            // Whatever was accepted once stays accepted, even under limits that have become stricter since.
+            String reason = refusal;
+            return find(spec.id()).map(found -> found.open == null && found.over == null
+                    ? Answer.error(422, reason) : current(spec.id(), found));
+        }
+        StateClient.Txn txn = new StateClient.Txn().when(RecordCodec.open(spec.id()), Stamp.ABSENT)
+                .when(RecordCodec.over(spec.id()), Stamp.ABSENT).put(RecordCodec.open(spec.id()), record);
+        return state.commit(txn).compose(outcome -> {
+            if (outcome.done()) {
+                return Future.succeededFuture(
+                        new Answer(201, JobCodec.accepted(spec.id(), JobStatus.PENDING), 0));
+            }
+            return find(spec.id()).map(found -> found.open == null && found.over == null
+                    ? Answer.later("try again") : current(spec.id(), found));
+        });
+    }
+
+    private static Answer current(JobId id, Found found) {
+        return Answer.ok(JobCodec.accepted(id, found.open != null ? found.open.status() : found.over.status()));
+    }
+
+    public Future<Answer> query(String text) {
+        if (!JobId.isValid(text)) {
+            return Future.succeededFuture(Answer.error(404, "no such job"));
+        }
+        JobId id = new JobId(text);
+        return find(id).map(found -> {
+            if (found.open != null) {
+                JobRecord r = found.open;
+                return Answer.ok(JobCodec.progress(id, r.status(), r.doneCount(), r.running()));
+            }
+            return found.over == null ? Answer.error(404, "no such job")
+                    : Answer.ok(JobCodec.progress(id, found.over.status(), found.over.done(), 0));
+        });
+    }
+
+    public Future<Answer> cancel(String text) {
+        if (!JobId.isValid(text)) {
+            return Future.succeededFuture(Answer.error(404, "no such job"));
+        }
+        return cancel(new JobId(text), 1);
+    }
+
+    private Future<Answer> cancel(JobId id, int attempt) {
+        return find(id).compose(found -> {
+            if (found.over != null) {
+                return Future.succeededFuture(Answer.ok(JobCodec.accepted(id, found.over.status())));
+            }
+            if (found.open == null) {
+                return Future.succeededFuture(Answer.error(404, "no such job"));
+            }
+            StateClient.Txn txn = new StateClient.Txn().when(RecordCodec.open(id), found.open.stamp())
+                    .delete(RecordCodec.open(id))
+                    .put(RecordCodec.over(id), RecordCodec.writeFinal(JobStatus.CANCELLED, found.open.doneCount()));
+            for (int n = 0; n < RecordCodec.blocks(found.open.spec().tasks()); n++) {
+                txn.delete(RecordCodec.block(id, n));
+            }
+            return state.commit(txn).compose(outcome -> {
+                if (outcome.done()) {
+                    LOG.info("job {} cancelled by its user", id);
+                    remember(new FinalRecord(id, JobStatus.CANCELLED, found.open.doneCount()));
+                    return Future.succeededFuture(Answer.ok(JobCodec.accepted(id, JobStatus.CANCELLED)));
+                }
+                // The leader wrote the job's progress in between.
+                return attempt < MOST_TRIES ? cancel(id, attempt + 1)
+                        : Future.succeededFuture(Answer.later("the job changes at this moment"));
+            });
+        });
+    }
+
+    /** Reads the open key first: a job moves from there to the other, never back. */
+    private Future<Found> find(JobId id) {
+        FinalRecord known = over.get(id);
+        if (known != null) {
+            return Future.succeededFuture(new Found(null, known));
+        }
+        return state.get(RecordCodec.open(id)).compose(open -> {
+            if (open != null) {
+                return Future.succeededFuture(new Found(RecordCodec.readJob(id, open.value(), open.stamp()), null));
+            }
+            return state.get(RecordCodec.over(id)).map(ended -> {
+                if (ended == null) {
+                    return new Found(null, null);
+                }
+                return new Found(null, remember(RecordCodec.readFinal(id, ended.value())));
+            });
+        });
+    }
+
+    private FinalRecord remember(FinalRecord record) {
+        over.put(record.id(), record);
+        return record;
+    }
+}
--- /dev/null
+++ b/src/main/java/io/indigoreach/cli/Logging.java
@@ -0,0 +1,24 @@
+package io.indigoreach.cli;
+
+/** Sets up the log on standard error; must run before the first logger is made. */
+final class Logging {
+    private Logging() {
+    }
+
+    /** Takes {@code error}, {@code info} or {@code debug}; anything else counts as {@code info}. */
+    static void configure(String level) {
+        String known = "error".equals(level) || "debug".equals(level) ? level : "info";
+        set("defaultLogLevel", "error");
+        set("log.io.indigoreach", known);
+        set("logFile", "System.err");
+        set("showThreadName", "false");
+        set("showShortLogName", "true");
+        set("showDateTime", "false");
+        System.setProperty("vertx.logger-delegate-factory-class-name",
+                "io.vertx.core.logging.SLF4JLogDelegateFactory");
+    }
+
+    private static void set(String name, String value) {
+        System.setProperty("org.slf4j.simpleLogger." + name, value);
+    }
+}
--- /dev/null
+++ b/src/main/java/io/indigoreach/cli/RehearseCommand.java
@@ -0,0 +1,136 @@
+package io.indigoreach.cli;
+
+import io.indigoreach.cluster.Node;
+import io.indigoreach.config.PlatformConfig;
+import io.indigoreach.config.Settings;
+import io.indigoreach.net.Caller;
+import io.indigoreach.net.Endpoint;
+import io.indigoreach.net.Wire;
+import io.indigoreach.core.Span;
+import io.vertx.core.Future;
+import io.vertx.core.Vertx;
+import io.vertx.core.http.HttpServer;
+import io.vertx.core.http.HttpServerRequest;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.Callable;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import picocli.CommandLine.Command;
+
+/**
+ * Runs a node for a moment against a stand-in on loopback, so that the build can put the classes that serving loads
+ * into the class-data archive.
+ */
+@Command(name = "rehearse", hidden = true, description = "Used by the build.")
+final class RehearseCommand implements Callable<Integer> {
+    private static final String PLATFORM = """
+            node = "a"
+            domain = "z"
+            serve_on = "127.0.0.1:%d"
+            cluster_listen = "127.0.0.1:0"
+            [[peers]]
+            node = "b"
+            domain = "z"
+            endpoint = "127.0.0.1:1"
+            [endpoints]
+            cloud = "127.0.0.1:%d"
+            state = "127.0.0.1:%d"
+            [settings]
+            size = 1
+            zones = ["z"]
+            skew_ms = 100.0
+            [[settings.teams]]
+            name = "t"
+            [settings.workers]
+            report_s = 2.0
+            lease_s = 12.0
+            cancel_s = 32.0
+            [settings.state]
+            rps = 100.0
+            write_rps = 100.0
+            value_kb = 8.0
+            txn_ops = 16
+            [settings.cloud]
+            rps = 4.0
+            list_lag_s = 3.0
+            """;
+    private long revision = 1;
+
+    @Override
+    public Integer call() throws Exception {
+        Vertx vertx = Runtime.vertx();
+        HttpServer standIn = vertx.createHttpServer().requestHandler(this::answer);
+        CountDownLatch over = new CountDownLatch(1);
+        standIn.listen(0, "127.0.0.1").compose(s -> serve(vertx, s.actualPort())).onComplete(r -> over.countDown());
+        over.await(20, TimeUnit.SECONDS);
+        return 0;
+    }
+
+    private Future<Void> serve(Vertx vertx, int port) {
+        try (java.net.ServerSocket free = new java.net.ServerSocket(0)) {
+            int own = free.getLocalPort();
+            free.close();
+            PlatformConfig config = PlatformConfig.parse("rehearsal", String.format(PLATFORM, own, port, port));
+            Caller user = new Caller(vertx, new Endpoint("127.0.0.1", own), 2);
+            Span wait = Span.seconds(3);
+            return new Node(vertx, config, Settings.standard()).start()
+                    .compose(v -> vertx.timer(700, TimeUnit.MILLISECONDS))
+                    .compose(v -> user.get("/ready", wait))
+                    .compose(v -> user.post("/api/jobs", job(), wait))
+                    .compose(v -> user.get("/api/jobs/run-1", wait))
+                    .compose(v -> vertx.timer(400, TimeUnit.MILLISECONDS))
+                    .compose(v -> user.post("/checkin", report(1), wait))
+                    .compose(v -> user.post("/checkin", report(2), wait))
+                    .compose(v -> user.post("/api/jobs/run-1/cancel", Map.of(), wait))
+                    .compose(v -> vertx.timer(700, TimeUnit.MILLISECONDS))
+                    .mapEmpty();
+        } catch (Exception e) {
+            return Future.failedFuture(e);
+        }
+    }
+
+    private void answer(HttpServerRequest request) {
+        String path = request.path();
+        request.body().onSuccess(body -> {
+            if (path.equals("/store")) {
+                reply(request, 200, Wire.map("items", List.of(), "truncated", false, "ledger_rev", revision));
+            } else if (path.startsWith("/store/")) {
+                reply(request, 404, Wire.map("ledger_rev", revision));
+            } else if (path.equals("/catalog")) {
+                reply(request, 200, Wire.map("boxkinds", List.of(Wire.map("label", "k", "cores", 4, "gpus", 0,
+                        "ram_gb", 16, "cache_gb", 40, "fetch_gb_per_s", 0.3, "price", 0.2, "low_price", 0.05,
+                        "boot_s", 20, "halls", List.of("z")))));
+            } else if (path.equals("/machines")) {
+                reply(request, 200, request.method().name().equals("GET")
+                        ? Wire.map("boxes", List.of(), "truncated", false) : Wire.map("boxes", List.of("vm-1")));
+            } else if (path.equals("/grants")) {
+                reply(request, 200, Wire.map("permit", 1L));
+            } else if (path.equals("/changes") && request.getParam("starts").equals("j/")) {
+                request.getParam("wait_ms");
+                Map<String, Object> event = Wire.map("write", "j/run-1", "data", io.indigoreach.state.RecordCodec
+                        .writeJob(io.indigoreach.api.JobCodec.read(Wire.readMap(Wire.write(job()))), 1L,
+                                io.indigoreach.core.JobStatus.PENDING, new java.util.BitSet(), 0), "stamp", ++revision);
+                reply(request, 200, Wire.map("ledger_rev", revision, "events", List.of(event)));
+            } else {
+                reply(request, 200, Wire.map("ledger_rev", ++revision));
+            }
+        });
+    }
+
+    private static void reply(HttpServerRequest request, int status, Map<String, Object> body) {
+        request.response().setStatusCode(status).end(Wire.write(body));
+    }
+
+    private static Map<String, Object> job() {
+        return Wire.map("id", "run-1", "jobclass", "c", "owner", "t", "shape", "array", "urgency", "high", "pieces", 4,
+                "cores", 1.0, "gpus", 0.0, "ram_gb", 1.0, "bundle", "i", "pull_gb", 1.0, "one_zone", false, "spread",
+                false, "loaners", true, "expected_s", 10.0, "snapshot_every_s", 0.0, "snapshot_s", 0.0);
+    }
+
+    private static Map<String, Object> report(int serial) {
+        return Wire.map("box", "vm-1", "endpoint", "127.0.0.1:9", "boxkind", "k", "hall", "z", "loaners", true, "shift",
+                1, "serial", serial, "baton", 1L, "warning_s", null, "pieces",
+                List.of(Wire.map("piece", "run-1/0", "try", 1, "status", "exited", "cause", "done")));
+    }
+}
--- /dev/null
+++ b/src/main/java/io/indigoreach/cluster/Controller.java
@@ -0,0 +1,79 @@
+package io.indigoreach.cluster;
+
+import io.indigoreach.core.Order;
+import io.indigoreach.core.Stamp;
+import io.indigoreach.core.Token;
+import io.indigoreach.core.WorkerReport;
+import io.indigoreach.state.Leadership;
+import java.util.List;
+import java.util.concurrent.ThreadLocalRandom;
+
+/** This node's part among the controllers: it leads, or knows who does. */
+public final class Controller implements Leadership.Listener {
+    /** The answer to a worker: orders under a token, or where to go. */
+    public record Answer(boolean accepted, Token token, List<Order> orders, String leader) {
+        static Answer elsewhere(String leader) {
+            return new Answer(false, null, List.of(), leader);
+        }
+    }
+
+    private final Reign.Surroundings env;
+    private final Leadership leadership;
+    private Reign reign;
+
+    Controller(Reign.Surroundings env) {
+        this.env = env;
+        String process = Long.toHexString(ThreadLocalRandom.current().nextLong()) + "-" + env.clock().timeOfDay();
+        this.leadership = new Leadership(env.vertx(), env.state(), env.clock(), env.config().node(), process,
+                env.lease(), this);
+    }
+
+    public void start() {
+        leadership.start();
+    }
+
+    public void stop() {
+        leadership.stop();
+        if (reign != null) {
+            reign.close();
+            reign = null;
+        }
+    }
+
+    /** Takes a worker's report, if this node may act for the controllers at this moment. */
+    public Answer onReport(WorkerReport report) {
+        if (reign == null || !mayAnswer()) {
+            return Answer.elsewhere(otherLeader());
+        }
+        List<Order> orders = reign.onReport(report);
+        if (orders == null) {
+            leadership.deposed();
+            return Answer.elsewhere(null);
+        }
+        return new Answer(true, reign.token(), orders, null);
+    }
+
+    /** Checked once more as each answer to a worker is written. */
+    public boolean mayAnswer() {
+        return reign != null && leadership.isValid() && reign.hearsCancellations();
+    }
+
+    private String otherLeader() {
+        String leader = leadership.leader();
+        return env.config().node().equals(leader) ? null : leader;
+    }
+
+    @Override
+    public void took(Token token, Stamp key) {
+        reign = new Reign(env, token, key, leadership::deposed);
+        reign.start();
+    }
+
+    @Override
+    public void lost(String reason) {
+        if (reign != null) {
+            reign.close();
+            reign = null;
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/io/indigoreach/cluster/Node.java
@@ -0,0 +1,47 @@
+package io.indigoreach.cluster;
+
+import io.indigoreach.api.FrontDoor;
+import io.indigoreach.api.JobDesk;
+import io.indigoreach.cloud.Catalogue;
+import io.indigoreach.cloud.CloudClient;
+import io.indigoreach.config.ConfigException;
+import io.indigoreach.config.PlatformConfig;
+import io.indigoreach.config.Settings;
+import io.indigoreach.net.Caller;
+import io.indigoreach.net.SteadyClock;
+import io.indigoreach.state.StateClient;
+import io.indigoreach.worker.ReportDesk;
+import io.vertx.core.Future;
+import io.vertx.core.Vertx;
+
+/** Puts a controller node together from its parts. */
+public final class Node {
+    private final Catalogue catalogue;
+    private final Controller controller;
+    private final FrontDoor door;
+
+    public Node(Vertx vertx, PlatformConfig config, Settings settings) throws ConfigException {
+        SteadyClock clock = new SteadyClock();
+        StateClient state = new StateClient(new Caller(vertx, config.state(), 12),
+                new Caller(vertx, config.state(), 2));
+        CloudClient cloud = new CloudClient(new Caller(vertx, config.cloud(), 3));
+        this.catalogue = new Catalogue(vertx, state, cloud);
+        this.controller = new Controller(new Reign.Surroundings(vertx, clock, state, cloud, catalogue, config, settings,
+                settings.leaderLease(config.rules())));
+        JobDesk jobs = new JobDesk(state, catalogue, config.teams(), clock, config.stateLimits().valueBytes());
+        this.door = new FrontDoor(vertx, config.listen(), jobs, new ReportDesk(controller), catalogue::isKnown);
+    }
+
+    public Future<Void> start() {
+        catalogue.start();
+        return door.open().map(v -> {
+            controller.start();
+            return null;
+        });
+    }
+
+    public Future<Void> stop() {
+        controller.stop();
+        return door.close();
+    }
+}
--- /dev/null
+++ b/src/main/java/io/indigoreach/cluster/Reign.java
@@ -0,0 +1,120 @@
+package io.indigoreach.cluster;
+
+import io.indigoreach.cloud.Catalogue;
+import io.indigoreach.cloud.CloudClient;
+import io.indigoreach.config.PlatformConfig;
+import io.indigoreach.config.Settings;
+import io.indigoreach.core.Job;
+import io.indigoreach.core.LeaderCore;
+import io.indigoreach.core.Moment;
+import io.indigoreach.core.Notes;
+import io.indigoreach.core.Order;
+import io.indigoreach.core.Span;
+import io.indigoreach.core.Stamp;
+import io.indigoreach.core.Token;
+import io.indigoreach.core.WorkerReport;
+import io.indigoreach.net.Duty;
+import io.indigoreach.net.SteadyClock;
+import io.indigoreach.state.RecordCodec;
+import io.indigoreach.state.StateClient;
+import io.vertx.core.Future;
+import io.vertx.core.Vertx;
+import java.util.List;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/** One leadership of this node, from taking the key to losing it: the core and the duties that serve it. */
+final class Reign implements Notes {
+    private static final Logger LOG = LoggerFactory.getLogger(Reign.class);
+    private static final Span TICK = Span.seconds(0.5);
+    private static final Span SUMMARY = Span.seconds(10);
+
+    /** What a reign works with. */
+    record Surroundings(Vertx vertx, SteadyClock clock, StateClient state, CloudClient cloud, Catalogue catalogue,
+                        PlatformConfig config, Settings settings, Span lease) {
+    }
+
+    private final Surroundings env;
+    private final Token token;
+    private final LeaderCore core;
+    private final Ledger ledger;
+    private final Fleet fleet;
+    private final JobWatch watch;
+    private final Duty opening;
+    private final Duty tick;
+    private Moment summarised = Moment.NEVER;
+
+    Reign(Surroundings env, Token token, Stamp key, Runnable deposed) {
+        this.env = env;
+        this.token = token;
+        this.core = new LeaderCore(token, env.config().rules(), env.settings().tuning(), env.config().teams(), this);
+        this.ledger = new Ledger(env, core, key, deposed);
+        this.fleet = new Fleet(env, core, token);
+        this.watch = new JobWatch(env, ledger);
+        this.opening = new Duty(env.vertx(), "opening", Span.seconds(0.3), this::open);
+        this.tick = new Duty(env.vertx(), "tick", TICK, this::tick);
+    }
+
+    void start() {
+        opening.start();
+    }
+
+    void close() {
+        opening.cancel();
+        tick.cancel();
+        watch.cancel();
+        ledger.cancel();
+        fleet.cancel();
+    }
+
+    Token token() {
+        return token;
+    }
+
+    /** The longest that this leader may not have heard of cancellations; beyond it, workers get no answer. */
+    boolean hearsCancellations() {
+        return env.clock().now().since(watch.freshAt()).compareTo(env.lease()) < 0;
+    }
+
+    /** The orders for a worker; null if a newer leader exists. */
+    List<Order> onReport(WorkerReport report) {
+        return core.onReport(report, env.clock().now());
+    }
+
+    private Future<Span> open() {
+        if (!env.catalogue().isKnown()) {
+            return Future.succeededFuture(Span.seconds(0.2));
+        }
+        core.setTypes(env.catalogue().types());
+        return ledger.load().map(revision -> {
+            core.loaded();
+            LOG.info("records read: {} open jobs, {} machines", core.jobs().size(), core.machineCount());
+            watch.start(revision);
+            ledger.start();
+            fleet.start();
+            tick.start();
+            opening.cancel();
+            return TICK;
+        });
+    }
+
+    private Future<Span> tick() {
+        Moment now = env.clock().now();
+        core.expireLeases(now);
+        if (now.since(summarised).compareTo(SUMMARY) >= 0) {
+            summarised = now;
+            LOG.info("{}", core.summary(now));
+        }
+        return Future.succeededFuture(TICK);
+    }
+
+    @Override
+    public void progress(Job job) {
+        ledger.touch(job);
+    }
+
+    @Override
+    public void say(String line) {
+        LOG.info("{}", line);
+    }
+}
--- /dev/null
+++ b/src/main/java/io/indigoreach/config/Settings.java
@@ -0,0 +1,98 @@
+package io.indigoreach.config;
+
+import io.indigoreach.core.Rules;
+import io.indigoreach.core.Span;
+import io.indigoreach.core.Tuning;
+import java.util.EnumMap;
+import java.util.Map;
+
+/** The operators' own settings: each with its unit, default, range and meaning. */
+public final class Settings {
+    /** One setting; its name in the file is the constant's in lower case. */
+    public enum Knob {
+        WAIT_LIMIT_S(45, 0, 3600, "s", "predicted wait of a queue's top job above which machines are rented"),
+        SHORT_JOB_S(60, 0, 86400, "s", "estimated run time below which a job counts as short when renting"),
+        TERM_S(60, 1, 86400, "s", "paid term of a machine; idle machines are returned at its end"),
+        CHECK_S(5, 0.5, 600, "s", "period of the check that rents and returns machines"),
+        BOOT_PATIENCE(2, 1, 100, "boot times", "a machine not up after this long is no longer counted on"),
+        BOOT_LIMIT(4, 1, 100, "boot times", "a machine not up after this long is returned"),
+        SPOT_PATIENCE_S(60, 0, 3600, "s", "how long a job waits for spot capacity before ordinary machines are rented"),
+        REFUSED_FOR_S(10, 0, 3600, "s", "how long a pool without capacity is not asked again"),
+        LEADER_LEASE_S(10, 1, 120, "s", "length of the leader's lease in the state service"),
+        LIST_EVERY_S(3, 0.5, 600, "s", "period of reading the cloud's list of machines");
+
+        final double standard;
+        final double least;
+        final double most;
+        final String unit;
+        final String meaning;
+
+        Knob(double standard, double least, double most, String unit, String meaning) {
+            this.standard = standard;
+            this.least = least;
+            this.most = most;
+            this.unit = unit;
+            this.meaning = meaning;
+        }
+
+        public String field() {
+            return name().toLowerCase(java.util.Locale.ROOT);
+        }
+
+        /** A line for help texts. */
+        public String help() {
+            return String.format(java.util.Locale.ROOT, "%-18s %s, in %s (default %s, %s to %s)", field(), meaning, unit,
+                    plain(standard), plain(least), plain(most));
+        }
+
+        private static String plain(double d) {
+            return d == Math.rint(d) ? Long.toString((long) d) : Double.toString(d);
+        }
+    }
+
+    private final Map<Knob, Double> values = new EnumMap<>(Knob.class);
+
+    /** Every setting at its default. */
+    public static Settings standard() {
+        Settings settings = new Settings();
+        for (Knob knob : Knob.values()) {
+            settings.values.put(knob, knob.standard);
+        }
+        return settings;
+    }
+
+    void set(Knob knob, double value) throws ConfigException {
+        if (!(value >= knob.least && value <= knob.most)) {
+            throw new ConfigException(knob.field() + ": must be from " + Knob.plain(knob.least) + " to "
+                    + Knob.plain(knob.most) + " " + knob.unit);
+        }
+        values.put(knob, value);
+    }
+
+    public double get(Knob knob) {
+        return values.get(knob);
+    }
+
+    public Span span(Knob knob) {
+        return Span.seconds(get(knob));
+    }
+
+    public Tuning tuning() {
+        return new Tuning(span(Knob.WAIT_LIMIT_S), span(Knob.SHORT_JOB_S), span(Knob.TERM_S), span(Knob.CHECK_S),
+                get(Knob.BOOT_PATIENCE), get(Knob.BOOT_LIMIT), span(Knob.SPOT_PATIENCE_S), span(Knob.REFUSED_FOR_S));
+    }
+
+    /**
+     * The leader's lease: as set, but short enough that a leader cut off from the state service, which cannot hear of
+     * cancellations, has no task left on a worker when a cancelled job's time is over.
+     */
+    public Span leaderLease(Rules rules) throws ConfigException {
+        Span margin = Span.seconds(4);
+        Span most = rules.cancel().minus(rules.leaseBound()).minus(margin);
+        if (most.compareTo(Span.seconds(1)) < 0) {
+            throw new ConfigException("settings.workers.cancel_s: too short beside lease_s for any leader's lease");
+        }
+        Span wanted = span(Knob.LEADER_LEASE_S);
+        return wanted.compareTo(most) > 0 ? most : wanted;
+    }
+}
--- /dev/null
+++ b/src/main/java/io/indigoreach/config/SettingsFile.java
@@ -0,0 +1,65 @@
+package io.indigoreach.config;
+
+import com.google.protobuf.DescriptorProtos.DescriptorProto;
+import com.google.protobuf.DescriptorProtos.FieldDescriptorProto;
+import com.google.protobuf.DescriptorProtos.FileDescriptorProto;
+import com.google.protobuf.Descriptors;
+import com.google.protobuf.DynamicMessage;
+import com.google.protobuf.TextFormat;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+
+/**
+ * Reads the operators' settings in protobuf text format. The message's descriptor is made from {@link Settings.Knob},
+ * so that each setting is declared in one place. Loaded only when there is such a file.
+ */
+public final class SettingsFile {
+    private SettingsFile() {
+    }
+
+    public static Settings read(Path file) throws ConfigException {
+        String text;
+        try {
+            text = Files.readString(file);
+        } catch (IOException e) {
+            throw new ConfigException(file + ": cannot be read: " + e.getClass().getSimpleName());
+        }
+        return parse(file.toString(), text);
+    }
+
+    public static Settings parse(String name, String text) throws ConfigException {
+        Settings settings = Settings.standard();
+        try {
+            Descriptors.Descriptor descriptor = descriptor();
+            DynamicMessage.Builder message = DynamicMessage.newBuilder(descriptor);
+            TextFormat.merge(text, message);
+            for (Settings.Knob knob : Settings.Knob.values()) {
+                Descriptors.FieldDescriptor field = descriptor.findFieldByName(knob.field());
+                if (message.hasField(field)) {
+                    settings.set(knob, (Double) message.getField(field));
+                }
+            }
+            return settings;
+        } catch (TextFormat.ParseException e) {
+            throw new ConfigException(name + ": " + e.getMessage().lines().findFirst().orElse("not readable"));
+        } catch (ConfigException e) {
+            throw new ConfigException(name + ": " + e.getMessage());
+        } catch (Descriptors.DescriptorValidationException e) {
+            throw new IllegalStateException(e);
+        }
+    }
+
+    private static Descriptors.Descriptor descriptor() throws Descriptors.DescriptorValidationException {
+        DescriptorProto.Builder message = DescriptorProto.newBuilder().setName("Settings");
+        for (Settings.Knob knob : Settings.Knob.values()) {
+            message.addField(FieldDescriptorProto.newBuilder().setName(knob.field()).setNumber(knob.ordinal() + 1)
+                    .setType(FieldDescriptorProto.Type.TYPE_DOUBLE)
+                    .setLabel(FieldDescriptorProto.Label.LABEL_OPTIONAL));
+        }
+        FileDescriptorProto file = FileDescriptorProto.newBuilder().setName("settings.proto")
+                .setPackage("io.indigoreach").addMessageType(message).build();
+        return Descriptors.FileDescriptor.buildFrom(file, new Descriptors.FileDescriptor[0])
+                .findMessageTypeByName("Settings");
+    }
+}
--- /dev/null
+++ b/src/main/java/io/indigoreach/core/Admission.java
@@ -0,0 +1,30 @@
+package io.indigoreach.core;
+
+import java.util.Collection;
+
+/** Whether a well-formed job can ever run here. */
+public final class Admission {
+    private Admission() {
+    }
+
+    /** Why the job can never run, or null if it can. */
+    public static String refusal(JobSpec spec, Collection<Team> teams, Collection<MachineType> types) {
+        Team team = teams.stream().filter(t -> t.name().equals(spec.team())).findFirst().orElse(null);
+        if (team == null) {
+            return "unknown team " + spec.team();
+        }
+        if (types.stream().noneMatch(t -> fits(spec, t))) {
+            return "a task fits no allowed machine type";
+        }
+        int atOnce = spec.shape() == Shape.SERVICE ? spec.tasks() : 1;
+        if (!team.allows(spec.demand().cores() * atOnce, spec.demand().gpus() * atOnce)) {
+            return "more than the limit of team " + spec.team();
+        }
+        return null;
+    }
+
+    private static boolean fits(JobSpec spec, MachineType type) {
+        return spec.allowsType(type.name()) && spec.demand().fitsIn(type.capacity())
+                && type.zones().stream().anyMatch(spec::allowsZone);
+    }
+}
--- /dev/null
+++ b/src/main/java/io/indigoreach/core/Cluster.java
@@ -0,0 +1,93 @@
+package io.indigoreach.core;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+
+/** The leader's picture of jobs, machines and what may be where. Every placement is entered and taken out here. */
+final class Cluster {
+    final Map<JobId, Job> jobs = new HashMap<>();
+    final TreeMap<MachineId, Machine> machines = new TreeMap<>();
+    final Map<String, MachineType> types = new LinkedHashMap<>();
+    private final Map<String, Share> shares = new LinkedHashMap<>();
+    /** Rises with every change that can alter a reservation. */
+    long version;
+
+    Cluster(Collection<Team> teams) {
+        for (Team team : teams) {
+            shares.put(team.name(), new Share(team));
+        }
+    }
+
+    Collection<Share> shares() {
+        return shares.values();
+    }
+
+    /** The share of a team; a team that the settings no longer name keeps its jobs, without guarantee or limit. */
+    Share share(String team) {
+        return shares.computeIfAbsent(team, t -> new Share(new Team(t, 0, 0, 0, 0)));
+    }
+
+    Share share(Job job) {
+        return share(job.spec.team());
+    }
+
+    void add(Job job) {
+        jobs.put(job.id(), job);
+        share(job).queue.add(job);
+        version++;
+    }
+
+    /** Takes a job off the queue; its placements stay until they surely are gone. */
+    void remove(Job job) {
+        jobs.remove(job.id(), job);
+        share(job).queue.remove(job);
+        version++;
+    }
+
+    void place(Placement p) {
+        p.job.place(p);
+        p.machine.put(p);
+        p.machine.touchImage(p.job.spec.image());
+        share(p.job).used(p.demand(), 1);
+        version++;
+    }
+
+    /** The task surely is not on its machine any more. */
+    void lift(Placement p, Moment now) {
+        p.job.remove(p);
+        p.machine.remove(p);
+        share(p.job).used(p.demand(), -1);
+        if (p.machine.isIdle()) {
+            p.machine.idleSince = now;
+        }
+        version++;
+    }
+
+    void liftAll(Machine m, Moment now) {
+        for (Placement p : m.tasksCopy()) {
+            lift(p, now);
+        }
+    }
+
+    /** The machine is gone for good, and everything on it. */
+    void forget(Machine m, Moment now) {
+        liftAll(m, now);
+        machines.remove(m.id);
+        version++;
+    }
+
+    List<Machine> serving(Share share) {
+        List<Machine> out = new ArrayList<>();
+        for (Machine m : machines.values()) {
+            if (m.share == null || m.share.equals(share.team.name())) {
+                out.add(m);
+            }
+        }
+        return out;
+    }
+}
--- /dev/null
+++ b/src/main/java/io/indigoreach/core/Dispatcher.java
@@ -0,0 +1,145 @@
+package io.indigoreach.core;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+
+/**
+ * Fills a machine that has just reported from the queue of its share: the top job first, others backfilled where they
+ * do not delay it.
+ */
+final class Dispatcher {
+    /** How long a reservation is kept when nothing it rests on has changed much. */
+    private static final Span RESERVATION_LIFE = Span.seconds(1);
+
+    private record Reserved(Reservation reservation, Moment made) {
+    }
+
+    private final Cluster cluster;
+    private final Estimates estimates;
+    private final TakeOver takeOver;
+    private final Token token;
+    private final Map<String, Reserved> reservations = new HashMap<>();
+    private long attempts;
+
+    Dispatcher(Cluster cluster, Estimates estimates, TakeOver takeOver, Token token) {
+        this.cluster = cluster;
+        this.estimates = estimates;
+        this.takeOver = takeOver;
+        this.token = token;
+    }
+
+    /** Starts for {@code m}, to be put into the answer to its report {@code number}. */
+    List<Order> fill(Machine m, ReportNumber number, Moment now) {
+        List<Order> orders = new ArrayList<>();
+        if (!m.isUsable()) {
+            return orders;
+        }
+        for (Share share : candidates(m)) {
+            int before = orders.size();
+            fillFrom(share, m, number, now, orders);
+            if (orders.size() > before) {
+                m.share = share.team.name();
+            }
+            if (!m.isIdle()) {
+                break;
+            }
+        }
+        return orders;
+    }
+
+    /** The machine's own share; an idle machine may pass to the share that has the least of what it is due. */
+    private List<Share> candidates(Machine m) {
+        List<Share> out = new ArrayList<>(cluster.shares());
+        out.sort(Comparator.<Share>comparingInt(s -> s.isWithinGuarantee(Demand.NOTHING) && s.team.cores() > 0 ? 0 : 1)
+                .thenComparingInt(s -> s.team.name().equals(m.share) ? 0 : 1)
+                .thenComparingDouble(s -> s.cores() - s.team.cores()));
+        return out;
+    }
+
+    private void fillFrom(Share share, Machine m, ReportNumber number, Moment now, List<Order> orders) {
+        Job top = null;
+        for (Job job : share.queue) {
+            if (m.free().cores() <= 1e-6) {
+                return;
+            }
+            if (!job.hasWaiting() || !mayStart(job, now)) {
+                continue;
+            }
+            boolean suits = m.allows(job.spec) && FaultJudge.allows(job, m, now);
+            Reservation reservation = top == null ? null : reservation(share, top, now);
+            Span time = estimates.onMachine(job, m);
+            while (suits && job.hasWaiting() && job.spec.demand().fitsIn(m.free()) && placeable(share, job, m)
+                    && (reservation == null || reservation.allows(m, job.spec.demand(), time, estimates, now))) {
+                Placement p = new Placement(job, job.nextWaiting(), m, token.attempt(++attempts), TaskState.ORDERED,
+                        number, now);
+                cluster.place(p);
+                orders.add(new Order.Start(p.task(), p.attempt));
+                suits = !job.isSuspect();
+            }
+            if (top == null && job.hasWaiting()) {
+                top = job;
+            }
+        }
+    }
+
+    /** Nothing of a job that an earlier leader may have started can be started before that leader's tasks are known. */
+    boolean mayStart(Job job, Moment now) {
+        if (now.isBefore(job.retryAt)) {
+            return false;
+        }
+        return takeOver.isSettled() || !job.inherited && !cluster.share(job).team.isLimited();
+    }
+
+    private static boolean placeable(Share share, Job job, Machine m) {
+        String zone = m.pool.zone();
+        if (!share.hasRoomFor(job.spec.demand())) {
+            return false;
+        }
+        if (job.spec.oneZone()) {
+            String bound = job.boundZone();
+            if (bound != null && !bound.equals(zone)) {
+                return false;
+            }
+        }
+        return !job.spec.spread() || job.activeIn(zone) < job.spec.zoneLimit();
+    }
+
+    /** The top job: the first in the queue that has tasks waiting and may start. */
+    Job top(Share share, Moment now) {
+        for (Job job : share.queue) {
+            if (job.hasWaiting() && mayStart(job, now) && !job.isSuspect()) {
+                return job;
+            }
+        }
+        return null;
+    }
+
+    Reservation reservation(Share share, Job top, Moment now) {
+        Reserved kept = reservations.get(share.team.name());
+        if (kept != null && kept.reservation.top() == top && now.isBefore(kept.made.plus(RESERVATION_LIFE))) {
+            return kept.reservation;
+        }
+        Reservation made = Reservation.of(top, cluster.serving(share), estimates, now);
+        reservations.put(share.team.name(), new Reserved(made, now));
+        return made;
+    }
+
+    /** Whether an idle machine can be used by a job that waits in its share. */
+    boolean isWanted(Machine m, Moment now) {
+        for (Share share : cluster.shares()) {
+            if (m.share != null && !m.share.equals(share.team.name())) {
+                continue;
+            }
+            for (Job job : share.queue) {
+                if (job.hasWaiting() && !job.isSuspect() && m.allows(job.spec) && job.spec.demand().fitsIn(m.free())
+                        && !job.failedOn.contains(m.id) && placeable(share, job, m)) {
+                    return true;
+                }
+            }
+        }
+        return false;
+    }
+}
--- /dev/null
+++ b/src/main/java/io/indigoreach/core/Estimates.java
@@ -0,0 +1,49 @@
+package io.indigoreach.core;
+
+import java.util.HashMap;
+import java.util.Map;
+
+/**
+ * Run-time estimates, corrected by what was seen. Owners' estimates are often wrong by half, and on some days mostly
+ * in one direction, which would make the top job look stuck (a weak point the design names).
+ */
+final class Estimates {
+    private static final double WEIGHT = 0.1;
+    private static final int ENOUGH = 3;
+    private final Map<String, Double> logFactor = new HashMap<>();
+
+    /** A task's expected run time, without the image fetch. */
+    Span run(Job job) {
+        if (job.observed() >= ENOUGH) {
+            return job.observedMean();
+        }
+        double factor = Math.exp(logFactor.getOrDefault(job.spec.jobClass(), 0.0));
+        return job.spec.estimate().times(Math.min(3, Math.max(0.33, factor)));
+    }
+
+    /** The expected time a task takes on a machine, image fetch included when it has to be fetched. */
+    Span onMachine(Job job, Machine machine) {
+        Span run = run(job);
+        return machine.images.contains(job.spec.image()) ? run : run.plus(fetch(job, machine.type));
+    }
+
+    static Span fetch(Job job, MachineType type) {
+        return Span.seconds(type.fetchGbPerS() > 0 ? job.spec.imageGb() / type.fetchGbPerS() : 0);
+    }
+
+    void observe(Job job, Span run) {
+        job.observe(run);
+        if (job.spec.estimate().ms() > 0) {
+            double ratio = Math.log(Math.max(0.05, run.seconds()) / job.spec.estimate().seconds());
+            logFactor.merge(job.spec.jobClass(), ratio * WEIGHT, (old, add) -> old * (1 - WEIGHT) + add);
+        }
+    }
+
+    /** When a task that may be on a machine is expected to be gone; a task over its time counts as soon over. */
+    Moment end(Placement p, Moment now) {
+        Span run = p.state == TaskState.RUNNING ? run(p.job) : onMachine(p.job, p.machine);
+        Moment end = p.since.plus(run);
+        Moment soonest = now.plus(run.times(0.1));
+        return end.isBefore(soonest) ? soonest : end;
+    }
+}
--- /dev/null
+++ b/src/main/java/io/indigoreach/core/Job.java
@@ -0,0 +1,199 @@
+package io.indigoreach.core;
+
+import java.util.ArrayList;
+import java.util.BitSet;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+
+/** An open job as the leader knows it: which tasks are done, which may be on a machine, which wait. */
+public final class Job {
+    final JobSpec spec;
+    /** When it was submitted, on this process's clock. */
+    final Moment arrived;
+    /** Submission by the time of day: the order in the queue, the same for every leader. */
+    final long submittedMs;
+    /** It was there before this leader took over, so its tasks may be on machines that have not reported yet. */
+    final boolean inherited;
+    private final BitSet done;
+    private final BitSet durable;
+    private final BitSet busy;
+    private final Map<Integer, Placement> active = new HashMap<>();
+    private final Map<String, Integer> byZone = new HashMap<>();
+    private int doneCount;
+    private int durableCount;
+    Stamp stamp;
+    boolean cancelled;
+    /** Machines on which one of its tasks has failed since one last completed there. */
+    final Set<MachineId> failedOn = new HashSet<>();
+    int failures;
+    Moment retryAt = Moment.NEVER;
+    private long observedMs;
+    private int observed;
+
+    public Job(JobSpec spec, long submittedMs, Moment arrived, Stamp stamp, BitSet done, boolean inherited) {
+        this.spec = spec;
+        this.submittedMs = submittedMs;
+        this.arrived = arrived;
+        this.stamp = stamp;
+        this.inherited = inherited;
+        this.done = (BitSet) done.clone();
+        this.durable = (BitSet) done.clone();
+        this.busy = (BitSet) done.clone();
+        this.doneCount = done.cardinality();
+        this.durableCount = doneCount;
+    }
+
+    public JobId id() {
+        return spec.id();
+    }
+
+    public JobSpec spec() {
+        return spec;
+    }
+
+    public Stamp stamp() {
+        return stamp;
+    }
+
+    public long submittedMs() {
+        return submittedMs;
+    }
+
+    public boolean isCancelled() {
+        return cancelled;
+    }
+
+    public int doneCount() {
+        return doneCount;
+    }
+
+    public boolean isDone(int index) {
+        return done.get(index);
+    }
+
+    boolean isDurable(int index) {
+        return durable.get(index);
+    }
+
+    /** Every task has completed; a service never does. */
+    public boolean isComplete() {
+        return doneCount == spec.tasks() && spec.shape() == Shape.ARRAY;
+    }
+
+    public boolean hasUnrecorded() {
+        return doneCount > durableCount;
+    }
+
+    public BitSet doneTasks() {
+        return (BitSet) done.clone();
+    }
+
+    /** The tasks in {@code recorded} are in the state service. */
+    public void recorded(BitSet recorded) {
+        durable.or(recorded);
+        durableCount = durable.cardinality();
+    }
+
+    public int running() {
+        int n = 0;
+        for (Placement p : active.values()) {
+            if (p.state == TaskState.RUNNING || p.state == TaskState.SAVING) {
+                n++;
+            }
+        }
+        return n;
+    }
+
+    public JobStatus status() {
+        if (cancelled) {
+            return JobStatus.CANCELLED;
+        }
+        return isComplete() ? JobStatus.DONE : running() > 0 ? JobStatus.RUNNING : JobStatus.PENDING;
+    }
+
+    int waiting() {
+        return cancelled ? 0 : spec.tasks() - busy.cardinality();
+    }
+
+    boolean hasWaiting() {
+        return !cancelled && busy.nextClearBit(0) < spec.tasks();
+    }
+
+    int nextWaiting() {
+        return busy.nextClearBit(0);
+    }
+
+    Collection<Placement> active() {
+        return active.values();
+    }
+
+    List<Placement> activeCopy() {
+        return new ArrayList<>(active.values());
+    }
+
+    Placement active(int index) {
+        return active.get(index);
+    }
+
+    int activeIn(String zone) {
+        return byZone.getOrDefault(zone, 0);
+    }
+
+    /** The zone that a one-zone job is bound to by tasks that may be on machines, or null. */
+    String boundZone() {
+        for (Map.Entry<String, Integer> e : byZone.entrySet()) {
+            if (e.getValue() > 0) {
+                return e.getKey();
+            }
+        }
+        return null;
+    }
+
+    void place(Placement p) {
+        active.put(p.index, p);
+        busy.set(p.index);
+        byZone.merge(p.machine.pool.zone(), 1, Integer::sum);
+    }
+
+    void remove(Placement p) {
+        if (active.remove(p.index, p)) {
+            byZone.merge(p.machine.pool.zone(), -1, Integer::sum);
+            if (!done.get(p.index)) {
+                busy.clear(p.index);
+            }
+        }
+    }
+
+    /** Returns false if the task was known to be done already. */
+    boolean complete(int index) {
+        if (done.get(index)) {
+            return false;
+        }
+        done.set(index);
+        busy.set(index);
+        doneCount++;
+        return true;
+    }
+
+    void observe(Span run) {
+        observedMs += Math.max(1, run.ms());
+        observed++;
+    }
+
+    int observed() {
+        return observed;
+    }
+
+    Span observedMean() {
+        return new Span(observedMs / Math.max(1, observed));
+    }
+
+    /** It failed on several machines and never completed a task: most likely submitted with a mistake. */
+    boolean isSuspect() {
+        return doneCount == 0 && failedOn.size() >= 3;
+    }
+}
--- /dev/null
+++ b/src/main/java/io/indigoreach/core/LeaderCore.java
@@ -0,0 +1,356 @@
+package io.indigoreach.core;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+
+/**
+ * The decisions of one leadership: events go in, orders, rents and returns come out. It does no input or output and
+ * has no clock; every call says what time it is.
+ */
+public final class LeaderCore {
+    private final Token token;
+    private final Rules rules;
+    private final Cluster cluster;
+    private final Estimates estimates = new Estimates();
+    private final TakeOver takeOver;
+    private final Dispatcher dispatcher;
+    private final Reconciler reconciler;
+    private final BestSize bestSize;
+    private final ReleaseCheck releaseCheck;
+    private final Notes notes;
+    private boolean rentDue = true;
+    private boolean loaded;
+
+    public LeaderCore(Token token, Rules rules, Tuning tuning, Collection<Team> teams, Notes notes) {
+        this.token = token;
+        this.rules = rules;
+        this.notes = notes;
+        this.cluster = new Cluster(teams);
+        this.takeOver = new TakeOver();
+        this.dispatcher = new Dispatcher(cluster, estimates, takeOver, token);
+        this.reconciler = new Reconciler(cluster, estimates, notes);
+        this.bestSize = new BestSize(cluster, dispatcher, estimates, tuning);
+        this.releaseCheck = new ReleaseCheck(cluster, dispatcher, rules, tuning);
+    }
+
+    public void setTypes(Collection<MachineType> types) {
+        for (MachineType type : types) {
+            cluster.types.put(type.name(), type);
+        }
+    }
+
+    /** A machine that an earlier leader recorded: it may hold any inherited task. */
+    public void inherit(MachineId id, Pool pool, Moment rented, Moment now) {
+        MachineType type = cluster.types.get(pool.type());
+        if (type == null) {
+            return;
+        }
+        Machine m = new Machine(id, pool, type, rented);
+        m.recorded = true;
+        m.heard = now;
+        cluster.machines.put(id, m);
+        takeOver.expect(id);
+    }
+
+    /** Every record has been read: from now on task lists are taken and orders given. */
+    public void loaded() {
+        loaded = true;
+    }
+
+    public boolean isLoaded() {
+        return loaded;
+    }
+
+    public void addJob(Job job) {
+        if (!cluster.jobs.containsKey(job.id())) {
+            cluster.add(job);
+            rentDue = true;
+        }
+    }
+
+    public Job job(JobId id) {
+        return cluster.jobs.get(id);
+    }
+
+    public Collection<Job> jobs() {
+        return cluster.jobs.values();
+    }
+
+    /** The job's user has cancelled it: nothing of it may start, and what is on machines is stopped. */
+    public void cancelJob(JobId id) {
+        Job job = cluster.jobs.get(id);
+        if (job != null) {
+            job.cancelled = true;
+            cluster.remove(job);
+            rentDue = true;
+        }
+    }
+
+    /** The job's end is recorded: its workers may forget its tasks. */
+    public void closeJob(JobId id) {
+        Job job = cluster.jobs.get(id);
+        if (job != null) {
+            cluster.remove(job);
+            rentDue = true;
+        }
+    }
+
+    public void stamped(Job job, Stamp stamp) {
+        if (stamp.isAfter(job.stamp)) {
+            job.stamp = stamp;
+        }
+    }
+
+    /** The answer's orders; null if this report shows that a newer leader exists. */
+    public List<Order> onReport(WorkerReport report, Moment now) {
+        if (report.token().value() > token.value()) {
+            return null;
+        }
+        if (!loaded) {
+            return List.of();
+        }
+        Machine m = cluster.machines.get(report.machine());
+        if (m == null) {
+            m = adopt(report, now);
+            if (m == null) {
+                return List.of();
+            }
+        }
+        if (report.number().compareTo(m.last) <= 0) {
+            return List.of();
+        }
+        m.heard = now;
+        if (report.token().value() < token.value()) {
+            return List.of();
+        }
+        if (m.last.session() != 0 && report.number().session() > m.last.session()) {
+            cluster.liftAll(m, now);
+        }
+        m.last = report.number();
+        if (m.phase == Machine.Phase.BOOTING || m.phase == Machine.Phase.LOST) {
+            m.phase = Machine.Phase.UP;
+            m.idleSince = now;
+            cluster.version++;
+        }
+        m.notice = report.notice() == null ? null : now.plus(report.notice());
+        m.accounted = true;
+        int before = m.taskCount();
+        List<Order> orders = reconciler.reconcile(m, report, now);
+        takeOver.accounted(m.id);
+        rentDue |= m.taskCount() < before;
+        if (m.phase == Machine.Phase.UP) {
+            orders.addAll(dispatcher.fill(m, report.number(), now));
+        }
+        return orders;
+    }
+
+    private Machine adopt(WorkerReport report, Moment now) {
+        MachineType type = cluster.types.get(report.pool().type());
+        if (type == null) {
+            return null;
+        }
+        notes.say("machine " + report.machine() + " reports and is not known: taken on");
+        Machine m = new Machine(report.machine(), report.pool(), type, now);
+        cluster.machines.put(m.id, m);
+        return m;
+    }
+
+    /** Machines that the cloud has just rented to this leader. */
+    public void rented(Pool pool, List<MachineId> ids, Moment asked) {
+        for (MachineId id : ids) {
+            Machine known = cluster.machines.get(id);
+            if (known != null) {
+                known.rented = asked;
+                continue;
+            }
+            MachineType type = cluster.types.get(pool.type());
+            if (type != null) {
+                cluster.machines.put(id, new Machine(id, pool, type, asked));
+            }
+        }
+        cluster.version++;
+    }
+
+    public void refused(Pool pool, Moment now) {
+        bestSize.refused(pool, now);
+        rentDue = true;
+    }
+
+    /** Machines that the state service does not know yet. */
+    public List<Machine> unrecorded() {
+        List<Machine> out = new ArrayList<>();
+        for (Machine m : cluster.machines.values()) {
+            if (!m.recorded && m.phase != Machine.Phase.LEAVING) {
+                out.add(m);
+            }
+        }
+        return out;
+    }
+
+    public void recorded(MachineId id) {
+        Machine m = cluster.machines.get(id);
+        if (m != null) {
+            m.recorded = true;
+        }
+    }
+
+    /** A whole list from the cloud. Lists lag, so absence shows nothing by itself. Returns machines that are gone. */
+    public List<MachineId> onList(List<ListedMachine> list, Moment now) {
+        Set<MachineId> present = new HashSet<>();
+        List<MachineId> gone = new ArrayList<>();
+        for (ListedMachine listed : list) {
+            present.add(listed.id());
+            Machine m = cluster.machines.get(listed.id());
+            if (listed.status() == ListedMachine.Status.FAILED) {
+                if (m == null || m.phase != Machine.Phase.LEAVING) {
+                    failed(m, listed, now);
+                }
+                continue;
+            }
+            if (m == null && cluster.types.containsKey(listed.pool().type())) {
+                notes.say("machine " + listed.id() + " is listed and not known: taken on");
+                m = new Machine(listed.id(), listed.pool(), cluster.types.get(listed.pool().type()),
+                        now.minus(listed.held()));
+                m.heard = now;
+                cluster.machines.put(m.id, m);
+            }
+            if (m != null) {
+                m.listed = true;
+                m.missing = 0;
+            }
+        }
+        for (Machine m : new ArrayList<>(cluster.machines.values())) {
+            if (present.contains(m.id)) {
+                continue;
+            }
+            m.missing++;
+            boolean silent = now.since(m.heard).compareTo(rules.leaseBound()) > 0;
+            if (m.listed && m.missing >= 2 && silent && m.phase != Machine.Phase.LEAVING) {
+                notes.say("machine " + m.id + " is gone from the cloud's list and silent");
+                cluster.forget(m, now);
+                takeOver.accounted(m.id);
+                gone.add(m.id);
+                rentDue = true;
+            }
+        }
+        return gone;
+    }
+
+    private void failed(Machine known, ListedMachine listed, Moment now) {
+        Machine m = known;
+        if (m == null) {
+            MachineType type = cluster.types.get(listed.pool().type());
+            if (type == null) {
+                return;
+            }
+            m = new Machine(listed.id(), listed.pool(), type, now);
+            cluster.machines.put(m.id, m);
+        }
+        notes.say("machine " + m.id + " stopped by itself with " + m.taskCount() + " tasks");
+        cluster.liftAll(m, now);
+        takeOver.accounted(m.id);
+        m.phase = Machine.Phase.LEAVING;
+        m.leavingSince = now;
+        rentDue = true;
+    }
+
+    /** Machines whose lease ran out: their tasks are free again. */
+    public void expireLeases(Moment now) {
+        for (Machine m : cluster.machines.values()) {
+            if (now.since(m.heard).compareTo(rules.leaseBound()) <= 0) {
+                continue;
+            }
+            takeOver.accounted(m.id);
+            if (m.phase == Machine.Phase.UP || m.phase == Machine.Phase.LEAVING && !m.isIdle()) {
+                notes.say("machine " + m.id + " is silent: its lease has run out with " + m.taskCount() + " tasks");
+                cluster.liftAll(m, now);
+                rentDue = true;
+            }
+            if (m.phase == Machine.Phase.UP) {
+                m.phase = Machine.Phase.LOST;
+                cluster.version++;
+            }
+        }
+    }
+
+    /** What to rent now: asked after an arrival or a completion, and once each check. */
+    public List<RentWish> wishes(Moment now, boolean checkDue) {
+        if (!loaded || !rentDue && !checkDue) {
+            return List.of();
+        }
+        rentDue = false;
+        return bestSize.wishes(now);
+    }
+
+    public boolean isRentDue() {
+        return rentDue;
+    }
+
+    /** Marks what is to be returned. */
+    public void check(Moment now) {
+        if (loaded) {
+            for (String reason : releaseCheck.check(now, takeOver.isSettled())) {
+                notes.say("returning machine " + reason);
+            }
+        }
+    }
+
+    /** Machines to ask the cloud to take back, until it has said that they are gone. */
+    public List<MachineId> leaving(int most) {
+        List<MachineId> out = new ArrayList<>();
+        for (Machine m : cluster.machines.values()) {
+            if (m.phase == Machine.Phase.LEAVING && out.size() < most) {
+                out.add(m.id);
+            }
+        }
+        return out;
+    }
+
+    /** The cloud has answered that these machines are gone. */
+    public void returned(List<MachineId> ids, Moment now) {
+        for (MachineId id : ids) {
+            Machine m = cluster.machines.get(id);
+            if (m != null) {
+                cluster.forget(m, now);
+            }
+            takeOver.accounted(id);
+        }
+        rentDue = true;
+    }
+
+    public boolean knows(MachineId id) {
+        return cluster.machines.containsKey(id);
+    }
+
+    public int machineCount() {
+        return cluster.machines.size();
+    }
+
+    public int outstanding() {
+        return takeOver.outstanding();
+    }
+
+    /** One line for the log: what there is and what waits. */
+    public String summary(Moment now) {
+        int up = 0;
+        int idle = 0;
+        int booting = 0;
+        int active = 0;
+        for (Machine m : cluster.machines.values()) {
+            up += m.phase == Machine.Phase.UP ? 1 : 0;
+            idle += m.phase == Machine.Phase.UP && m.isIdle() ? 1 : 0;
+            booting += m.phase == Machine.Phase.BOOTING ? 1 : 0;
+            active += m.taskCount();
+        }
+        int waiting = 0;
+        for (Job job : cluster.jobs.values()) {
+            waiting += job.waiting();
+        }
+        return cluster.jobs.size() + " jobs, " + waiting + " tasks waiting, " + active + " placed; machines: " + up
+                + " up (" + idle + " idle), " + booting + " booting, " + (cluster.machines.size() - up - booting)
+                + " other" + (takeOver.isSettled() ? "" : "; take-over: " + takeOver.outstanding() + " to report");
+    }
+}
--- /dev/null
+++ b/src/main/java/io/indigoreach/core/Machine.java
@@ -0,0 +1,123 @@
+package io.indigoreach.core;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+
+/** A rented machine as the leader knows it. */
+public final class Machine {
+    /** BOOTING: no report yet. LOST: its lease ran out unanswered. LEAVING: being returned, never used again. */
+    public enum Phase {
+        BOOTING, UP, LOST, LEAVING
+    }
+
+    final MachineId id;
+    final Pool pool;
+    final MachineType type;
+    Phase phase = Phase.BOOTING;
+    /** When it was asked for: its paid terms count from here. */
+    Moment rented;
+    /** Known in the state service; only then may it get tasks, so that a later leader knows to wait for its report. */
+    boolean recorded;
+    ReportNumber last = ReportNumber.NONE;
+    /** When its last answered report came; its lease cannot outlast this by more than the lease bound. */
+    Moment heard;
+    /** Its task list has been taken from a report under the present token. */
+    boolean accounted;
+    /** When the cloud is to take it away, or null. */
+    Moment notice;
+    Moment idleSince;
+    String share;
+    final Set<String> images = new LinkedHashSet<>();
+    final Set<JobId> failedJobs = new HashSet<>();
+    boolean condemned;
+    /** Seen in the cloud's list, and how often it has been missing there since. */
+    boolean listed;
+    int missing;
+    Moment leavingSince;
+    private final Map<TaskId, Placement> tasks = new HashMap<>();
+    private Demand used = Demand.NOTHING;
+
+    Machine(MachineId id, Pool pool, MachineType type, Moment rented) {
+        this.id = id;
+        this.pool = pool;
+        this.type = type;
+        this.rented = rented;
+        this.heard = rented;
+        this.idleSince = rented;
+    }
+
+    public MachineId id() {
+        return id;
+    }
+
+    public Pool pool() {
+        return pool;
+    }
+
+    public Phase phase() {
+        return phase;
+    }
+
+    public Moment rented() {
+        return rented;
+    }
+
+    public boolean isRecorded() {
+        return recorded;
+    }
+
+    public int taskCount() {
+        return tasks.size();
+    }
+
+    Demand free() {
+        return type.capacity().minus(used);
+    }
+
+    Demand used() {
+        return used;
+    }
+
+    Map<TaskId, Placement> tasks() {
+        return tasks;
+    }
+
+    List<Placement> tasksCopy() {
+        return new ArrayList<>(tasks.values());
+    }
+
+    void put(Placement p) {
+        tasks.put(p.task(), p);
+        used = used.plus(p.demand());
+    }
+
+    void remove(Placement p) {
+        if (tasks.remove(p.task(), p)) {
+            used = tasks.isEmpty() ? Demand.NOTHING : used.minus(p.demand());
+        }
+    }
+
+    boolean isIdle() {
+        return tasks.isEmpty();
+    }
+
+    /** Takes new tasks: up, known to later leaders, not about to go. */
+    boolean isUsable() {
+        return phase == Phase.UP && recorded && notice == null && !condemned;
+    }
+
+    /** Remembers an image as cached, forgetting the least recently used beyond a handful. */
+    void touchImage(String image) {
+        images.remove(image);
+        images.add(image);
+    }
+
+    boolean allows(JobSpec spec) {
+        return spec.allowsType(pool.type()) && spec.allowsZone(pool.zone()) && spec.allowsKind(pool.spot());
+    }
+}
--- /dev/null
+++ b/src/main/java/io/indigoreach/core/Moment.java
@@ -0,0 +1,32 @@
+package io.indigoreach.core;
+
+/** A point on this process's steady clock, in milliseconds from an arbitrary start. */
+public record Moment(long ms) implements Comparable<Moment> {
+    public static final Moment NEVER = new Moment(Long.MIN_VALUE / 4);
+
+    public Moment plus(Span span) {
+        return new Moment(ms + span.ms());
+    }
+
+    public Moment minus(Span span) {
+        return new Moment(ms - span.ms());
+    }
+
+    /** The time from {@code earlier} until this moment. */
+    public Span since(Moment earlier) {
+        return new Span(ms - earlier.ms);
+    }
+
+    public boolean isBefore(Moment other) {
+        return ms < other.ms;
+    }
+
+    public boolean isAfter(Moment other) {
+        return ms > other.ms;
+    }
+
+    @Override
+    public int compareTo(Moment other) {
+        return Long.compare(ms, other.ms);
+    }
+}
--- /dev/null
+++ b/src/main/java/io/indigoreach/core/Placement.java
@@ -0,0 +1,34 @@
+package io.indigoreach.core;
+
+/** A task that may be on a machine. It counts against the machine, the job and the team until it surely is not. */
+public final class Placement {
+    final Job job;
+    final int index;
+    final Machine machine;
+    final Attempt attempt;
+    TaskState state;
+    /** The report whose answer carried the start; a newer report without the task shows it was never executed. */
+    final ReportNumber orderedIn;
+    /** When the task was ordered or first seen; once it runs, when that was first reported. */
+    Moment since;
+    boolean stopping;
+
+    Placement(Job job, int index, Machine machine, Attempt attempt, TaskState state, ReportNumber orderedIn,
+              Moment since) {
+        this.job = job;
+        this.index = index;
+        this.machine = machine;
+        this.attempt = attempt;
+        this.state = state;
+        this.orderedIn = orderedIn;
+        this.since = since;
+    }
+
+    TaskId task() {
+        return new TaskId(job.id(), index);
+    }
+
+    Demand demand() {
+        return job.spec.demand();
+    }
+}
--- /dev/null
+++ b/src/main/java/io/indigoreach/core/Reconciler.java
@@ -0,0 +1,128 @@
+package io.indigoreach.core;
+
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+
+/** Brings the leader's picture of one machine in line with a trusted, newest report, and answers with tidying orders. */
+final class Reconciler {
+    private final Cluster cluster;
+    private final Estimates estimates;
+    private final Notes notes;
+
+    Reconciler(Cluster cluster, Estimates estimates, Notes notes) {
+        this.cluster = cluster;
+        this.estimates = estimates;
+        this.notes = notes;
+    }
+
+    List<Order> reconcile(Machine m, WorkerReport report, Moment now) {
+        List<Order> orders = new ArrayList<>();
+        Set<Placement> seen = new HashSet<>();
+        for (TaskReport t : report.tasks()) {
+            Job job = cluster.jobs.get(t.task().job());
+            if (job == null || t.task().index() >= job.spec.tasks()) {
+                // Cancelled or over. It counts against machine and team until a report shows it gone.
+                Placement p = m.tasks().get(t.task());
+                if (p != null && p.attempt.equals(t.attempt()) && t.state() != TaskState.EXITED) {
+                    seen.add(p);
+                }
+                orders.add(ending(t));
+            } else if (t.state() == TaskState.EXITED) {
+                exited(m, job, t, now, orders);
+            } else {
+                alive(m, job, t, now, orders, seen);
+            }
+        }
+        // What is missing from a newer report was refused, lost with an answer, or killed with its session.
+        for (Placement p : m.tasksCopy()) {
+            if (!seen.contains(p)) {
+                cluster.lift(p, now);
+            }
+        }
+        return orders;
+    }
+
+    private static Order ending(TaskReport t) {
+        return t.state() == TaskState.EXITED ? new Order.Forget(t.task(), t.attempt())
+                : new Order.Stop(t.task(), t.attempt(), Span.ZERO);
+    }
+
+    private void exited(Machine m, Job job, TaskReport t, Moment now, List<Order> orders) {
+        int index = t.task().index();
+        Placement p = job.active(index);
+        boolean here = p != null && p.machine == m && p.attempt.equals(t.attempt());
+        switch (t.cause()) {
+            case DONE -> {
+                if (here) {
+                    if (p.state == TaskState.RUNNING) {
+                        estimates.observe(job, now.since(p.since));
+                    }
+                    FaultJudge.completed(p);
+                    cluster.lift(p, now);
+                }
+                if (job.complete(index)) {
+                    notes.progress(job);
+                }
+                if (job.isDurable(index)) {
+                    orders.add(new Order.Forget(t.task(), t.attempt()));
+                }
+                return;
+            }
+            case ERROR -> {
+                if (here) {
+                    FaultJudge.failed(p, now);
+                    notes.failed(p);
+                    cluster.lift(p, now);
+                }
+            }
+            case FULL, IN_USE, UNKNOWN -> {
+                if (here) {
+                    notes.refused(p, t.cause());
+                    job.retryAt = now.plus(Span.seconds(1));
+                    cluster.lift(p, now);
+                }
+            }
+            default -> {
+                if (here) {
+                    cluster.lift(p, now);
+                }
+            }
+        }
+        orders.add(new Order.Forget(t.task(), t.attempt()));
+    }
+
+    private void alive(Machine m, Job job, TaskReport t, Moment now, List<Order> orders, Set<Placement> seen) {
+        int index = t.task().index();
+        Placement p = job.active(index);
+        if (p == null || p.machine == m && !p.attempt.equals(t.attempt())) {
+            if (p != null) {
+                cluster.lift(p, now);
+            }
+            // Started by an earlier leader, or kept by a machine that was given up: it counts from now on.
+            p = new Placement(job, index, m, t.attempt(), t.state(), ReportNumber.NONE, now);
+            cluster.place(p);
+        } else if (p.machine != m) {
+            // Possibly in two places: never let the second go on.
+            notes.conflict(t.task(), m, p.machine);
+            orders.add(new Order.Stop(t.task(), t.attempt(), Span.ZERO));
+            return;
+        }
+        seen.add(p);
+        if (p.state != t.state()) {
+            if (t.state() == TaskState.RUNNING) {
+                p.since = now;
+            }
+            p.state = t.state();
+            cluster.version++;
+        }
+        if (job.cancelled || job.isDone(index)) {
+            orders.add(new Order.Stop(t.task(), t.attempt(), Span.ZERO));
+        } else if (m.condemned) {
+            orders.add(new Order.Stop(t.task(), t.attempt(), job.spec.checkpointTime()));
+        } else if (m.notice != null && job.spec.savesProgress() && p.state == TaskState.RUNNING) {
+            orders.add(new Order.Stop(t.task(), t.attempt(), m.notice.since(now)));
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/io/indigoreach/core/ReleaseCheck.java
@@ -0,0 +1,78 @@
+package io.indigoreach.core;
+
+import java.util.ArrayList;
+import java.util.List;
+
+/**
+ * Which machines to return. The design's part: an idle machine whose paid term ends before the next check, unless a
+ * waiting job of its share can use it. Added to it: machines that will never be of use.
+ */
+final class ReleaseCheck {
+    private final Cluster cluster;
+    private final Dispatcher dispatcher;
+    private final Rules rules;
+    private final Tuning tuning;
+
+    ReleaseCheck(Cluster cluster, Dispatcher dispatcher, Rules rules, Tuning tuning) {
+        this.cluster = cluster;
+        this.dispatcher = dispatcher;
+        this.rules = rules;
+        this.tuning = tuning;
+    }
+
+    /** The machines to return, each with the reason; they are LEAVING from now on. */
+    List<String> check(Moment now, boolean settled) {
+        List<String> reasons = new ArrayList<>();
+        int up = 0;
+        int lost = 0;
+        for (Machine m : cluster.machines.values()) {
+            up += m.phase == Machine.Phase.UP ? 1 : 0;
+            lost += m.phase == Machine.Phase.LOST ? 1 : 0;
+        }
+        boolean mostAreLost = lost > up;
+        for (Machine m : cluster.machines.values()) {
+            String reason = m.phase == Machine.Phase.LEAVING ? null : reason(m, now, settled, mostAreLost);
+            if (reason != null) {
+                m.phase = Machine.Phase.LEAVING;
+                m.leavingSince = now;
+                cluster.version++;
+                reasons.add(m.id + " " + reason);
+            }
+        }
+        return reasons;
+    }
+
+    private String reason(Machine m, Moment now, boolean settled, boolean mostAreLost) {
+        switch (m.phase) {
+            case BOOTING:
+                if (now.since(m.rented).compareTo(m.type.boot().times(tuning.bootLimit())) > 0
+                        && now.since(m.heard).compareTo(rules.leaseBound()) > 0) {
+                    return "never came up";
+                }
+                return null;
+            case LOST:
+                // When most are silent the fault is likely between them and this leader: then keep them.
+                return !mostAreLost && now.since(m.heard).compareTo(rules.leaseBound().times(1.5)) > 0
+                        ? "silent since its lease ran out" : null;
+            default:
+                if (!m.accounted || !m.isIdle()) {
+                    return null;
+                }
+                if (m.condemned) {
+                    return "fails what it is given";
+                }
+                if (!settled) {
+                    return null;
+                }
+                boolean termEnds = residual(m, now).compareTo(tuning.check()) <= 0;
+                return termEnds && !dispatcher.isWanted(m, now) ? "idle at the end of its term" : null;
+        }
+    }
+
+    /** What is left of the paid term. */
+    private Span residual(Machine m, Moment now) {
+        long term = Math.max(1, tuning.term().ms());
+        long held = Math.max(0, now.since(m.rented).ms());
+        return new Span(term - held % term);
+    }
+}
--- /dev/null
+++ b/src/main/java/io/indigoreach/core/Span.java
@@ -0,0 +1,36 @@
+package io.indigoreach.core;
+
+/** A length of time in milliseconds. */
+public record Span(long ms) implements Comparable<Span> {
+    public static final Span ZERO = new Span(0);
+
+    public static Span seconds(double seconds) {
+        return new Span(Math.round(seconds * 1000));
+    }
+
+    public double seconds() {
+        return ms / 1000.0;
+    }
+
+    public Span plus(Span other) {
+        return new Span(ms + other.ms);
+    }
+
+    public Span minus(Span other) {
+        return new Span(ms - other.ms);
+    }
+
+    public Span times(double factor) {
+        return new Span(Math.round(ms * factor));
+    }
+
+    /** This length on a clock that may run fast by {@code 0.05%}, rounded up: what another machine's clock may need. */
+    public Span withDrift() {
+        return new Span(ms + (ms + 999) / 1000);
+    }
+
+    @Override
+    public int compareTo(Span other) {
+        return Long.compare(ms, other.ms);
+    }
+}
--- /dev/null
+++ b/src/main/java/io/indigoreach/net/Budget.java
@@ -0,0 +1,29 @@
+package io.indigoreach.net;
+
+import io.indigoreach.core.Moment;
+
+/** A rate that is not to be exceeded, with a burst of up to one second's worth. */
+public final class Budget {
+    private final double perSecond;
+    private final double most;
+    private double left;
+    private Moment at;
+
+    public Budget(double perSecond, Moment now) {
+        this.perSecond = perSecond;
+        this.most = Math.max(1, perSecond);
+        this.left = most;
+        this.at = now;
+    }
+
+    /** Takes {@code n} from the budget, or nothing if that much is not there (a full budget serves any amount). */
+    public boolean take(double n, Moment now) {
+        left = Math.min(most, left + perSecond * now.since(at).seconds());
+        at = now;
+        if (left < Math.min(n, most)) {
+            return false;
+        }
+        left -= n;
+        return true;
+    }
+}
--- /dev/null
+++ b/src/main/java/io/indigoreach/net/Wire.java
@@ -0,0 +1,138 @@
+package io.indigoreach.net;
+
+import io.vertx.core.buffer.Buffer;
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import org.msgpack.core.MessageBufferPacker;
+import org.msgpack.core.MessagePack;
+import org.msgpack.core.MessageUnpacker;
+
+/**
+ * MessagePack bodies as maps, lists, text, numbers, booleans and null. Integers become {@link Long}, other numbers
+ * {@link Double}. Depth and element counts are bounded, so that no body can claim more than it brings.
+ */
+public final class Wire {
+    private static final int MAX_DEPTH = 16;
+
+    private Wire() {
+    }
+
+    /** The body's map; throws {@link WireException} if it is anything else. */
+    public static Fields readMap(Buffer body) {
+        return new Fields(asMap(read(body)));
+    }
+
+    static Object read(Buffer body) {
+        byte[] bytes = body.getBytes();
+        try (MessageUnpacker in = MessagePack.newDefaultUnpacker(bytes)) {
+            Object value = read(in, 0, bytes.length);
+            if (in.hasNext()) {
+                throw new WireException("bytes after the end of the message");
+            }
+            return value;
+        } catch (IOException | RuntimeException e) {
+            throw e instanceof WireException w ? w : new WireException("not MessagePack");
+        }
+    }
+
+    private static Object read(MessageUnpacker in, int depth, int size) throws IOException {
+        if (depth > MAX_DEPTH) {
+            throw new WireException("nested too deeply");
+        }
+        switch (in.getNextFormat().getValueType()) {
+            case NIL:
+                in.unpackNil();
+                return null;
+            case BOOLEAN:
+                return in.unpackBoolean();
+            case INTEGER:
+                return in.unpackBigInteger().longValue();
+            case FLOAT:
+                return in.unpackDouble();
+            case STRING:
+                return in.unpackString();
+            case ARRAY: {
+                int n = in.unpackArrayHeader();
+                if (n > size) {
+                    throw new WireException("a list longer than its message");
+                }
+                List<Object> list = new ArrayList<>(n);
+                for (int i = 0; i < n; i++) {
+                    list.add(read(in, depth + 1, size));
+                }
+                return list;
+            }
+            case MAP: {
+                int n = in.unpackMapHeader();
+                Map<String, Object> map = new LinkedHashMap<>();
+                for (int i = 0; i < n; i++) {
+                    if (!in.getNextFormat().getValueType().isStringType()) {
+                        throw new WireException("a key that is not text");
+                    }
+                    map.put(in.unpackString(), read(in, depth + 1, size));
+                }
+                return map;
+            }
+            default:
+                throw new WireException("a value of an unexpected kind");
+        }
+    }
+
+    public static Buffer write(Object value) {
+        try (MessageBufferPacker out = MessagePack.newDefaultBufferPacker()) {
+            write(out, value);
+            return Buffer.buffer(out.toByteArray());
+        } catch (IOException e) {
+            throw new IllegalStateException(e);
+        }
+    }
+
+    private static void write(MessageBufferPacker out, Object value) throws IOException {
+        if (value == null) {
+            out.packNil();
+        } else if (value instanceof String s) {
+            out.packString(s);
+        } else if (value instanceof Boolean b) {
+            out.packBoolean(b);
+        } else if (value instanceof Integer i) {
+            out.packInt(i);
+        } else if (value instanceof Long l) {
+            out.packLong(l);
+        } else if (value instanceof Double d) {
+            out.packDouble(d);
+        } else if (value instanceof Map<?, ?> map) {
+            out.packMapHeader(map.size());
+            for (Map.Entry<?, ?> e : map.entrySet()) {
+                out.packString((String) e.getKey());
+                write(out, e.getValue());
+            }
+        } else if (value instanceof List<?> list) {
+            out.packArrayHeader(list.size());
+            for (Object o : list) {
+                write(out, o);
+            }
+        } else {
+            throw new IllegalArgumentException("cannot be sent: " + value.getClass());
+        }
+    }
+
+    /** A map from alternating keys and values, in this order. */
+    public static Map<String, Object> map(Object... keysAndValues) {
+        Map<String, Object> map = new LinkedHashMap<>();
+        for (int i = 0; i < keysAndValues.length; i += 2) {
+            map.put((String) keysAndValues[i], keysAndValues[i + 1]);
+        }
+        return map;
+    }
+
+    @SuppressWarnings("unchecked")
+    static Map<String, Object> asMap(Object value) {
+        if (!(value instanceof Map)) {
+            throw new WireException("not a map");
+        }
+        return (Map<String, Object>) value;
+    }
+}
--- /dev/null
+++ b/src/main/java/io/indigoreach/state/JobRecord.java
@@ -0,0 +1,21 @@
+package io.indigoreach.state;
+
+import io.indigoreach.core.JobId;
+import io.indigoreach.core.JobSpec;
+import io.indigoreach.core.JobStatus;
+import io.indigoreach.core.Stamp;
+import java.util.BitSet;
+
+/**
+ * An open job as the state service keeps it.
+ *
+ * @param done which tasks are done; for large jobs these bits are kept beside the record
+ * @param doneCount how many are done, the bits beside the record included
+ * @param running how many ran when it was last written, for display
+ */
+public record JobRecord(JobSpec spec, long submittedMs, JobStatus status, BitSet done, int doneCount, int running,
+                        Stamp stamp) {
+    public JobId id() {
+        return spec.id();
+    }
+}
--- /dev/null
+++ b/src/main/java/io/indigoreach/state/RecordCodec.java
@@ -0,0 +1,170 @@
+package io.indigoreach.state;
+
+import io.indigoreach.core.Demand;
+import io.indigoreach.core.JobId;
+import io.indigoreach.core.JobSpec;
+import io.indigoreach.core.JobStatus;
+import io.indigoreach.core.MachineId;
+import io.indigoreach.core.MachineType;
+import io.indigoreach.core.Pool;
+import io.indigoreach.core.Shape;
+import io.indigoreach.core.Span;
+import io.indigoreach.core.Stamp;
+import io.indigoreach.core.Urgency;
+import io.indigoreach.net.Fields;
+import io.indigoreach.net.Wire;
+import java.util.ArrayList;
+import java.util.Base64;
+import java.util.BitSet;
+import java.util.List;
+import java.util.Map;
+
+/**
+ * The records in the state service and their keys. Open jobs stand under {@code j/}, jobs that are over under
+ * {@code f/}, so that a new leader reads only what is open. A key moves from the first to the second in one
+ * transaction and never back, so reading them in this order finds every accepted job.
+ */
+public final class RecordCodec {
+    public static final String LEADER = "leader";
+    public static final String COUNTER = "counter";
+    public static final String CATALOGUE = "catalogue";
+    public static final String OPEN = "j/";
+    public static final String BITS = "p/";
+    public static final String MACHINES = "m/";
+    private static final String FINAL = "f/";
+
+    /** Up to this many tasks, the bits fit into the job's own record; a block beside it holds as many as {@link #BLOCK}. */
+    static final int IN_RECORD = 8192;
+    static final int BLOCK = 32768;
+
+    private RecordCodec() {
+    }
+
+    public static String open(JobId id) {
+        return OPEN + id.text();
+    }
+
+    public static String over(JobId id) {
+        return FINAL + id.text();
+    }
+
+    public static String machine(MachineId id) {
+        return MACHINES + id.text();
+    }
+
+    public static JobId jobOf(String key) {
+        return new JobId(key.substring(OPEN.length()));
+    }
+
+    /** How many blocks of bits stand beside the record of a job. */
+    public static int blocks(int tasks) {
+        return tasks <= IN_RECORD ? 0 : (tasks + BLOCK - 1) / BLOCK;
+    }
+
+    public static String block(JobId id, int n) {
+        return BITS + id.text() + "/" + n;
+    }
+
+    public static Map<String, Object> writeBlock(BitSet done, int n) {
+        return Wire.map("bits", bits(done.get(n * BLOCK, (n + 1) * BLOCK)));
+    }
+
+    /** Adds a block's bits to {@code into}; returns the job it belongs to by its key. */
+    public static JobId jobOfBlock(String key) {
+        return new JobId(key.substring(BITS.length(), key.lastIndexOf('/')));
+    }
+
+    public static void readBlock(String key, Fields value, BitSet into) {
+        int n = Integer.parseInt(key.substring(key.lastIndexOf('/') + 1));
+        BitSet block = bits(value.optionalText("bits"));
+        for (int i = block.nextSetBit(0); i >= 0; i = block.nextSetBit(i + 1)) {
+            into.set(n * BLOCK + i);
+        }
+    }
+
+    public static Map<String, Object> writeJob(JobSpec s, long submittedMs, JobStatus status, BitSet done, int running) {
+        Map<String, Object> map = Wire.map("class", s.jobClass(), "team", s.team(), "shape", s.shape().name(),
+                "urgency", s.urgency().name(), "tasks", s.tasks(), "cores", s.demand().cores(),
+                "gpus", s.demand().gpus(), "ram", s.demand().ramGb(), "image", s.image(), "gb", s.imageGb(),
+                "est", s.estimate().ms(), "at", submittedMs, "status", status.name(), "done", done.cardinality(),
+                "running", running);
+        putIf(map, "types", s.types(), s.types() != null);
+        putIf(map, "zone", s.zone(), s.zone() != null);
+        putIf(map, "one_zone", true, s.oneZone());
+        putIf(map, "spread", true, s.spread());
+        putIf(map, "spot", true, s.spotAllowed());
+        putIf(map, "save_every", s.checkpointEvery().ms(), s.checkpointEvery().ms() > 0);
+        putIf(map, "save", s.checkpointTime().ms(), s.checkpointTime().ms() > 0);
+        putIf(map, "due", s.due() == null ? null : s.due().ms(), s.due() != null);
+        putIf(map, "bits", s.tasks() <= IN_RECORD ? bits(done) : null, s.tasks() <= IN_RECORD && !done.isEmpty());
+        return map;
+    }
+
+    private static void putIf(Map<String, Object> map, String key, Object value, boolean present) {
+        if (present) {
+            map.put(key, value);
+        }
+    }
+
+    public static JobRecord readJob(JobId id, Fields f, Stamp stamp) {
+        JobSpec spec = new JobSpec(id, f.text("class"), f.text("team"), Shape.valueOf(f.text("shape")),
+                Urgency.valueOf(f.text("urgency")), (int) f.whole("tasks"),
+                new Demand(f.number("cores"), f.number("gpus"), f.number("ram")), f.text("image"), f.number("gb"),
+                f.optionalTexts("types"), f.optionalText("zone"), f.flag("one_zone", false), f.flag("spread", false),
+                f.flag("spot", false), new Span(f.whole("est")), new Span(f.whole("save_every", 0)),
+                new Span(f.whole("save", 0)), f.has("due") ? new Span(f.whole("due")) : null);
+        return new JobRecord(spec, f.whole("at"), JobStatus.valueOf(f.text("status")), bits(f.optionalText("bits")),
+                (int) f.whole("done", 0), (int) f.whole("running", 0), stamp);
+    }
+
+    public static Map<String, Object> writeFinal(JobStatus status, int done) {
+        return Wire.map("status", status.name(), "done", done);
+    }
+
+    public static FinalRecord readFinal(JobId id, Fields f) {
+        JobStatus status = JobStatus.valueOf(f.text("status"));
+        return new FinalRecord(id, status, (int) f.whole("done", 0));
+    }
+
+    /** The machine and when it was asked for, by the time of day. */
+    public static Map<String, Object> writeMachine(Pool pool, long rentedMs) {
+        return Wire.map("type", pool.type(), "zone", pool.zone(), "spot", pool.spot(), "at", rentedMs);
+    }
+
+    public static MachineId machineOf(String key) {
+        return new MachineId(key.substring(MACHINES.length()));
+    }
+
+    public static Pool readPool(Fields f) {
+        return new Pool(f.text("type"), f.text("zone"), f.flag("spot", false));
+    }
+
+    public static Map<String, Object> writeCatalogue(List<MachineType> types) {
+        List<Object> list = new ArrayList<>();
+        for (MachineType t : types) {
+            list.add(Wire.map("name", t.name(), "cores", t.capacity().cores(), "gpus", t.capacity().gpus(),
+                    "ram", t.capacity().ramGb(), "cache", t.cacheGb(), "fetch", t.fetchGbPerS(), "price", t.price(),
+                    "spot", t.spotPrice(), "boot", t.boot().ms(), "zones", t.zones()));
+        }
+        return Wire.map("types", list);
+    }
+
+    public static List<MachineType> readCatalogue(Fields f) {
+        List<MachineType> types = new ArrayList<>();
+        for (Fields t : f.children("types")) {
+            types.add(new MachineType(t.text("name"),
+                    new Demand(t.number("cores"), t.number("gpus"), t.number("ram")), t.number("cache"),
+                    t.number("fetch"), t.number("price"), t.number("spot"), new Span(t.whole("boot")),
+                    t.optionalTexts("zones")));
+        }
+        return types;
+    }
+
+    private static String bits(BitSet set) {
+        return Base64.getEncoder().withoutPadding().encodeToString(set.toByteArray());
+    }
+
+    private static BitSet bits(String text) {
+        return text == null ? new BitSet() : BitSet.valueOf(Base64.getDecoder().decode(text));
+    }
+}
