--- a/src/main/java/io/indigoreach/cluster/Node.java
+++ b/src/main/java/io/indigoreach/cluster/Node.java
@@ -33,8 +33,8 @@
     }
 
     public Future<Void> start() {
-        catalogue.start();
         return door.open().map(v -> {
+            catalogue.start();
             controller.start();
             return null;
         });
--- a/src/main/java/io/indigoreach/config/Settings.java
+++ b/src/main/java/io/indigoreach/config/Settings.java
@@ -10,10 +10,10 @@
 public final class Settings {
     /** One setting; its name in the file is the constant's in lower case. */
     public enum Knob {
-        WAIT_LIMIT_S(45, 0, 3600, "s", "predicted wait of a queue's top job above which machines are rented"),
-        SHORT_JOB_S(60, 0, 86400, "s", "estimated run time below which a job counts as short when renting"),
+        WAIT_LIMIT_S(10, 0, 3600, "s", "predicted wait of a queue's top job above which machines are rented"),
+        SHORT_JOB_S(15, 0, 86400, "s", "estimated run time below which a job counts as short when renting"),
         TERM_S(60, 1, 86400, "s", "paid term of a machine; idle machines are returned at its end"),
-        CHECK_S(5, 0.5, 600, "s", "period of the check that rents and returns machines"),
+        CHECK_S(2, 0.5, 600, "s", "period of the check that rents and returns machines"),
         BOOT_PATIENCE(2, 1, 100, "boot times", "a machine not up after this long is no longer counted on"),
         BOOT_LIMIT(4, 1, 100, "boot times", "a machine not up after this long is returned"),
         SPOT_PATIENCE_S(60, 0, 3600, "s", "how long a job waits for spot capacity before ordinary machines are rented"),
