--- a/src/main/java/io/indigoreach/config/Settings.java
+++ b/src/main/java/io/indigoreach/config/Settings.java
@@ -12,11 +12,13 @@
     public enum Knob {
         WAIT_LIMIT_S(10, 0, 3600, "s", "predicted wait of a queue's top job above which machines are rented"),
         SHORT_JOB_S(15, 0, 86400, "s", "estimated run time below which a job counts as short when renting"),
-        TERM_S(60, 1, 86400, "s", "paid term of a machine; idle machines are returned at its end"),
+        LEAST_PAID_S(60, 1, 86400, "s", "what a machine costs at least; no machine is returned idle before"),
+        TERM_S(15, 1, 86400, "s", "paid terms after that; idle machines are returned at the end of one"),
         CHECK_S(2, 0.5, 600, "s", "period of the check that rents and returns machines"),
         BOOT_PATIENCE(2, 1, 100, "boot times", "a machine not up after this long is no longer counted on"),
         BOOT_LIMIT(4, 1, 100, "boot times", "a machine not up after this long is returned"),
         SPOT_PATIENCE_S(60, 0, 3600, "s", "how long a job waits for spot capacity before ordinary machines are rented"),
+        URGENT_SPOT_PATIENCE_S(15, 0, 3600, "s", "the same for jobs of urgency high or production"),
         REFUSED_FOR_S(10, 0, 3600, "s", "how long a pool without capacity is not asked again"),
         LEADER_LEASE_S(10, 1, 120, "s", "length of the leader's lease in the state service"),
         LIST_EVERY_S(3, 0.5, 600, "s", "period of reading the cloud's list of machines");
@@ -41,7 +43,7 @@
 
         /** A line for help texts. */
         public String help() {
-            return String.format(java.util.Locale.ROOT, "%-18s %s, in %s (default %s, %s to %s)", field(), meaning, unit,
+            return String.format(java.util.Locale.ROOT, "%-22s %s, in %s (default %s, %s to %s)", field(), meaning, unit,
                     plain(standard), plain(least), plain(most));
         }
 
@@ -78,8 +80,9 @@
     }
 
     public Tuning tuning() {
-        return new Tuning(span(Knob.WAIT_LIMIT_S), span(Knob.SHORT_JOB_S), span(Knob.TERM_S), span(Knob.CHECK_S),
-                get(Knob.BOOT_PATIENCE), get(Knob.BOOT_LIMIT), span(Knob.SPOT_PATIENCE_S), span(Knob.REFUSED_FOR_S));
+        return new Tuning(span(Knob.WAIT_LIMIT_S), span(Knob.SHORT_JOB_S), span(Knob.LEAST_PAID_S),
+                span(Knob.TERM_S), span(Knob.CHECK_S), get(Knob.BOOT_PATIENCE), get(Knob.BOOT_LIMIT),
+                span(Knob.SPOT_PATIENCE_S), span(Knob.URGENT_SPOT_PATIENCE_S), span(Knob.REFUSED_FOR_S));
     }
 
     /**
--- a/src/main/java/io/indigoreach/core/BestSize.java
+++ b/src/main/java/io/indigoreach/core/BestSize.java
@@ -45,8 +45,7 @@
         if (top == null || !isDue(share, top, now)) {
             return;
         }
-        Map<String, Double> machines = new HashMap<>();
-        Map<String, Job> first = new HashMap<>();
+        Map<String, Need> needs = new HashMap<>();
         boolean shortTaken = false;
         double teamCores = share.cores();
         for (Job job : share.queue) {
@@ -67,17 +66,41 @@
             if (type == null || waiting <= 0) {
                 continue;
             }
-            machines.merge(type.name(), machinesFor(job, type, waiting), Double::sum);
-            first.putIfAbsent(type.name(), job);
+            double more = machinesFor(job, type, waiting);
+            needs.computeIfAbsent(type.name(), t -> new Need(job)).add(more, mayTakeOrdinary(job, now) ? more : 0);
         }
-        machines.forEach((type, need) -> {
-            int n = (int) Math.ceil(need - 1e-6) - atHand(share, type, now);
+        needs.forEach((type, need) -> {
+            int atHand = atHand(share, type, now);
+            int n = (int) Math.ceil(need.machines - 1e-6) - atHand;
+            int ordinary = Math.min(n, (int) Math.ceil(need.ordinary - 1e-6) - atHand);
             if (n > 0) {
-                choosePools(first.get(type), cluster.types.get(type), n, now, wanted);
+                choosePools(need.first, cluster.types.get(type), n, ordinary, now, wanted);
             }
         });
     }
 
+    /** What one share needs of a machine type; {@code ordinary}: the part that does not wait for spot capacity. */
+    private static final class Need {
+        final Job first;
+        double machines;
+        double ordinary;
+
+        Need(Job first) {
+            this.first = first;
+        }
+
+        void add(double more, double ofThatOrdinary) {
+            machines += more;
+            ordinary += ofThatOrdinary;
+        }
+    }
+
+    private boolean mayTakeOrdinary(Job job, Moment now) {
+        Span patience = job.spec.urgency().isMoreUrgentThan(Urgency.STANDARD) ? tuning.urgentSpotPatience()
+                : tuning.spotPatience();
+        return !job.spec.spotAllowed() || now.since(job.arrived).compareTo(patience) >= 0;
+    }
+
     private boolean isDue(Share share, Job top, Moment now) {
         Moment start = dispatcher.reservation(share, top, now).lastStart();
         return start == null || start.since(top.arrived).compareTo(tuning.waitLimit()) > 0;
@@ -86,7 +109,7 @@
     private double machinesFor(Job job, MachineType type, int waiting) {
         int perMachine = Math.max(1, job.spec.demand().timesIn(type.capacity()));
         double run = estimates.run(job).seconds();
-        double share = job.spec.shape() == Shape.SERVICE ? 1 : Math.min(1, run / tuning.term().seconds());
+        double share = job.spec.shape() == Shape.SERVICE ? 1 : Math.min(1, run / tuning.leastPaid().seconds());
         return waiting * share / perMachine;
     }
 
@@ -124,20 +147,18 @@
     }
 
     /** Spot before ordinary, the zone with fewer of our machines first; pools that just refused are left alone. */
-    private void choosePools(Job job, MachineType type, int count, Moment now, Map<Pool, Integer> wanted) {
+    private void choosePools(Job job, MachineType type, int count, int ofThatOrdinary, Moment now,
+                             Map<Pool, Integer> wanted) {
         if (job.spec.spotAllowed() && type.spotPrice() > 0) {
             Pool spot = choose(job, type, true, now);
             if (spot != null) {
                 wanted.merge(spot, count, Integer::sum);
                 return;
             }
-            if (now.since(job.arrived).compareTo(tuning.spotPatience()) < 0) {
-                return;
-            }
         }
-        Pool ordinary = choose(job, type, false, now);
+        Pool ordinary = ofThatOrdinary > 0 ? choose(job, type, false, now) : null;
         if (ordinary != null) {
-            wanted.merge(ordinary, count, Integer::sum);
+            wanted.merge(ordinary, ofThatOrdinary, Integer::sum);
         }
     }
 
--- a/src/main/java/io/indigoreach/core/Dispatcher.java
+++ b/src/main/java/io/indigoreach/core/Dispatcher.java
@@ -14,6 +14,11 @@
     /** How long a reservation is kept when nothing it rests on has changed much. */
     private static final Span RESERVATION_LIFE = Span.seconds(1);
 
+    /** A task that has run for less is not stopped for a more urgent one: its start would have been for nothing. */
+    private static final Span LEAST_RUN = Span.seconds(32);
+    /** A place that comes free within this time is waited for. */
+    private static final Span SOON = Span.seconds(6);
+
     private record Reserved(Reservation reservation, Moment made) {
     }
 
@@ -50,6 +55,62 @@
         return orders;
     }
 
+    /**
+     * Stops for {@code m} that make room for the top job where it is more urgent than what runs there. Only tasks that
+     * keep their progress are stopped, and only when the top job would otherwise wait for longer than that takes.
+     */
+    List<Order> makeRoom(Machine m, Moment now) {
+        List<Order> orders = new ArrayList<>();
+        Share share = m.share == null ? null : cluster.share(m.share);
+        Job top = share == null || !m.isUsable() ? null : top(share, now);
+        if (top == null || !top.spec.urgency().isMoreUrgentThan(Urgency.STANDARD) || !m.allows(top.spec)
+                || !FaultJudge.allows(top, m, now) || !placeable(share, top, m)) {
+            return orders;
+        }
+        int wanted = top.waiting() - comingPlaces(share, top, now);
+        List<Placement> victims = m.tasksCopy();
+        victims.removeIf(p -> !mayYield(p, top, now));
+        victims.sort(Comparator.comparing((Placement p) -> p.job.spec.urgency()).reversed());
+        Demand room = m.free();
+        for (Placement p : victims) {
+            int before = top.spec.demand().timesIn(room);
+            room = room.plus(p.demand());
+            if (wanted <= 0) {
+                break;
+            }
+            p.stopping = true;
+            orders.add(new Order.Stop(p.task(), p.attempt, p.job.spec.checkpointTime().times(2)));
+            wanted -= top.spec.demand().timesIn(room) - before;
+        }
+        return orders;
+    }
+
+    private boolean mayYield(Placement p, Job top, Moment now) {
+        return p.state == TaskState.RUNNING && !p.stopping && p.job.spec.savesProgress()
+                && top.spec.urgency().isMoreUrgentThan(p.job.spec.urgency())
+                && now.since(p.since).compareTo(LEAST_RUN) >= 0
+                && estimates.end(p, now).since(now).compareTo(p.job.spec.checkpointTime().times(2)) > 0;
+    }
+
+    /** Places for the top job that come free soon by themselves, or because room is being made already. */
+    private int comingPlaces(Share share, Job top, Moment now) {
+        int places = 0;
+        for (Machine m : cluster.serving(share)) {
+            if (!m.isUsable() || !m.allows(top.spec)) {
+                continue;
+            }
+            Demand room = m.free();
+            for (Placement p : m.tasks().values()) {
+                if (p.stopping || p.state == TaskState.SAVING
+                        || estimates.end(p, now).since(now).compareTo(SOON) <= 0) {
+                    room = room.plus(p.demand());
+                }
+            }
+            places += top.spec.demand().timesIn(room);
+        }
+        return places;
+    }
+
     /** The machine's own share; an idle machine may pass to the share that has the least of what it is due. */
     private List<Share> candidates(Machine m) {
         List<Share> out = new ArrayList<>(cluster.shares());
--- a/src/main/java/io/indigoreach/core/LeaderCore.java
+++ b/src/main/java/io/indigoreach/core/LeaderCore.java
@@ -157,6 +157,7 @@
         rentDue |= m.taskCount() < before;
         if (m.phase == Machine.Phase.UP) {
             orders.addAll(dispatcher.fill(m, report.number(), now));
+            orders.addAll(dispatcher.makeRoom(m, now));
         }
         return orders;
     }
--- a/src/main/java/io/indigoreach/core/ReleaseCheck.java
+++ b/src/main/java/io/indigoreach/core/ReleaseCheck.java
@@ -71,8 +71,8 @@
 
     /** What is left of the paid term. */
     private Span residual(Machine m, Moment now) {
+        long beyond = now.since(m.rented).ms() - tuning.leastPaid().ms();
         long term = Math.max(1, tuning.term().ms());
-        long held = Math.max(0, now.since(m.rented).ms());
-        return new Span(term - held % term);
+        return new Span(beyond < 0 ? -beyond : term - beyond % term);
     }
 }
--- a/src/main/java/io/indigoreach/core/Tuning.java
+++ b/src/main/java/io/indigoreach/core/Tuning.java
@@ -5,15 +5,15 @@
  *
  * @param waitLimit predicted wait of the top job above which machines are rented
  * @param shortJob estimate below which a job counts as short
- * @param term the paid term at whose end an idle machine is returned
+ * @param leastPaid what a machine costs at least; its first paid term
+ * @param term the length of the paid terms after the first, at whose ends an idle machine is returned
  * @param check period of the release check, and of renting
  * @param bootPatience a machine not up after this many of its type's boot times is no longer counted on
  * @param bootLimit a machine not up after this many boot times is returned
- * @param spotPatience how long work waits for spot capacity before ordinary machines are rented
+ * @param spotPatience how long a job waits for spot capacity before ordinary machines are rented
+ * @param urgentSpotPatience the same for jobs of high urgency
  * @param refusedFor how long a pool that had no capacity is left alone
  */
-public record Tuning(Span waitLimit, Span shortJob, Span term, Span check, double bootPatience, double bootLimit,
-                     Span spotPatience, Span refusedFor) {
-    public static final Tuning DEFAULT = new Tuning(Span.seconds(45), Span.seconds(60), Span.seconds(60),
-            Span.seconds(5), 2.0, 4.0, Span.seconds(60), Span.seconds(10));
+public record Tuning(Span waitLimit, Span shortJob, Span leastPaid, Span term, Span check, double bootPatience,
+                     double bootLimit, Span spotPatience, Span urgentSpotPatience, Span refusedFor) {
 }
