--- a/src/main/java/io/indigoreach/cluster/Controller.java
+++ b/src/main/java/io/indigoreach/cluster/Controller.java
@@ -65,7 +65,7 @@
 
     @Override
     public void took(Token token, Stamp key) {
-        reign = new Reign(env, token, key, leadership::deposed);
+        reign = new Reign(env, token, key, leadership);
         reign.start();
     }
 
--- a/src/main/java/io/indigoreach/cluster/Fleet.java
+++ b/src/main/java/io/indigoreach/cluster/Fleet.java
@@ -13,6 +13,7 @@
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.List;
+import java.util.function.BooleanSupplier;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -28,6 +29,7 @@
     private final Reign.Surroundings env;
     private final LeaderCore core;
     private final Token token;
+    private final BooleanSupplier mayAct;
     private final Duty renting;
     private final Duty returning;
     private final Duty listing;
@@ -35,8 +37,10 @@
     private int requests;
     private Moment checked = Moment.NEVER;
 
-    Fleet(Reign.Surroundings env, LeaderCore core, Token token) {
+    /** {@code mayAct}: whether this node surely leads; otherwise another may be using the machines already. */
+    Fleet(Reign.Surroundings env, LeaderCore core, Token token, BooleanSupplier mayAct) {
         this.env = env;
+        this.mayAct = mayAct;
         this.core = core;
         this.token = token;
         this.renting = new Duty(env.vertx(), "renting", PAUSE, this::rent);
@@ -57,6 +61,9 @@
     }
 
     private Future<Span> rent() {
+        if (!mayAct.getAsBoolean()) {
+            return Future.succeededFuture(PAUSE);
+        }
         Moment now = env.clock().now();
         if (open.isEmpty()) {
             Span check = env.settings().tuning().check();
@@ -85,7 +92,7 @@
                     checked = Moment.NEVER;
                 }
             }
-            core.rented(request.wish.pool(), rental.machines(), request.asked);
+            core.rented(request.wish.pool(), rental.machines(), request.asked, env.clock().now());
             return Span.seconds(0.1);
         }).recover(e -> {
             // Without an answer the machines may be rented all the same: the same name gets the same answer.
@@ -99,6 +106,9 @@
 
     private Future<Span> giveBack() {
         Span period = env.settings().tuning().check();
+        if (!mayAct.getAsBoolean()) {
+            return Future.succeededFuture(PAUSE);
+        }
         core.check(env.clock().now());
         List<MachineId> leaving = core.leaving(CloudClient.mostReturned());
         if (leaving.isEmpty()) {
@@ -114,9 +124,10 @@
     }
 
     private Future<Span> list() {
+        Moment asked = env.clock().now();
         return env.cloud().list().map(list -> {
             if (!listing.isCancelled()) {
-                core.onList(list, env.clock().now());
+                core.onList(list, asked, env.clock().now());
             }
             return env.settings().span(Settings.Knob.LIST_EVERY_S);
         });
--- a/src/main/java/io/indigoreach/cluster/Reign.java
+++ b/src/main/java/io/indigoreach/cluster/Reign.java
@@ -15,7 +15,7 @@
 import io.indigoreach.core.WorkerReport;
 import io.indigoreach.net.Duty;
 import io.indigoreach.net.SteadyClock;
-import io.indigoreach.state.RecordCodec;
+import io.indigoreach.state.Leadership;
 import io.indigoreach.state.StateClient;
 import io.vertx.core.Future;
 import io.vertx.core.Vertx;
@@ -44,12 +44,12 @@
     private final Duty tick;
     private Moment summarised = Moment.NEVER;
 
-    Reign(Surroundings env, Token token, Stamp key, Runnable deposed) {
+    Reign(Surroundings env, Token token, Stamp key, Leadership leadership) {
         this.env = env;
         this.token = token;
         this.core = new LeaderCore(token, env.config().rules(), env.settings().tuning(), env.config().teams(), this);
-        this.ledger = new Ledger(env, core, key, deposed);
-        this.fleet = new Fleet(env, core, token);
+        this.ledger = new Ledger(env, core, key, leadership::deposed);
+        this.fleet = new Fleet(env, core, token, leadership::isValid);
         this.watch = new JobWatch(env, ledger);
         this.opening = new Duty(env.vertx(), "opening", Span.seconds(0.3), this::open);
         this.tick = new Duty(env.vertx(), "tick", TICK, this::tick);
--- a/src/main/java/io/indigoreach/config/PlatformConfig.java
+++ b/src/main/java/io/indigoreach/config/PlatformConfig.java
@@ -75,7 +75,8 @@
             objectives.add(new Objective(o.text("kind"), o.text("class"), Span.seconds(o.amount("within_s", 0)),
                     o.amount("share", 0)));
         }
-        Rules rules = new Rules(workers.span("lease_s"), workers.span("report_s"), workers.span("cancel_s"));
+        Rules rules = new Rules(workers.span("lease_s"), workers.span("report_s"), workers.span("cancel_s"),
+                Span.seconds(cloud.amount("list_lag_s", 0)));
         Section endpoints = root.section("endpoints");
         return new PlatformConfig(root.text("node"), root.text("domain"), root.endpoint("serve_on"),
                 root.endpoint("cluster_listen"), List.copyOf(peers), endpoints.endpoint("cloud"),
--- a/src/main/java/io/indigoreach/core/LeaderCore.java
+++ b/src/main/java/io/indigoreach/core/LeaderCore.java
@@ -14,6 +14,8 @@
  */
 public final class LeaderCore {
     private static final int GONE_KEPT = 1000;
+    /** One list would do by the cloud's word; a second one costs little. */
+    private static final int SURELY_MISSING = 2;
 
     private final Token token;
     private final Rules rules;
@@ -62,6 +64,7 @@
         Machine m = new Machine(id, pool, type, rented);
         m.recorded = true;
         m.heard = now;
+        m.existed = now;
         cluster.machines.put(id, m);
         takeOver.expect(id);
     }
@@ -170,12 +173,16 @@
         notes.say("machine " + report.machine() + " reports and is not known: taken on");
         Machine m = new Machine(report.machine(), report.pool(), type, now);
         cluster.machines.put(m.id, m);
+        rentDue = true;
         return m;
     }
 
     /** Machines that the cloud has just rented to this leader. */
-    public void rented(Pool pool, List<MachineId> ids, Moment asked) {
+    public void rented(Pool pool, List<MachineId> ids, Moment asked, Moment now) {
         for (MachineId id : ids) {
+            if (gone.containsKey(id)) {
+                continue;
+            }
             Machine known = cluster.machines.get(id);
             if (known != null) {
                 known.rented = asked;
@@ -183,7 +190,9 @@
             }
             MachineType type = cluster.types.get(pool.type());
             if (type != null) {
-                cluster.machines.put(id, new Machine(id, pool, type, asked));
+                Machine m = new Machine(id, pool, type, asked);
+                m.existed = now;
+                cluster.machines.put(id, m);
             }
         }
         cluster.version++;
@@ -212,8 +221,12 @@
         }
     }
 
-    /** A whole list from the cloud. Lists lag, so absence shows nothing by itself. */
-    public void onList(List<ListedMachine> list, Moment now) {
+    /**
+     * A whole list from the cloud, asked for at {@code asked}. Lists lag, so absence shows nothing by itself. But once
+     * listed, a machine stays listed until it is gone, and the lag is bounded: a machine that surely existed before
+     * the oldest moment this list can describe, and is not in it, is gone with everything on it.
+     */
+    public void onList(List<ListedMachine> list, Moment asked, Moment now) {
         Set<MachineId> present = new HashSet<>();
         for (ListedMachine listed : list) {
             if (gone.containsKey(listed.id())) {
@@ -235,7 +248,6 @@
                 cluster.machines.put(m.id, m);
             }
             if (m != null) {
-                m.listed = true;
                 m.missing = 0;
             }
         }
@@ -243,12 +255,14 @@
             if (present.contains(m.id)) {
                 continue;
             }
-            m.missing++;
-            boolean silent = now.since(m.heard).compareTo(rules.leaseBound()) > 0;
-            if (m.listed && m.missing >= 2 && silent && m.phase != Machine.Phase.LEAVING) {
-                notes.say("machine " + m.id + " is gone from the cloud's list and silent");
+            if (m.existed.isBefore(asked.minus(rules.oldestList()))) {
+                m.missing++;
+            }
+            if (m.missing >= SURELY_MISSING) {
+                notes.say("machine " + m.id + " is gone with " + m.taskCount() + " tasks: the cloud lists it no more");
                 cluster.forget(m, now);
                 takeOver.accounted(m.id);
+                gone.put(m.id, true);
                 rentDue = true;
             }
         }
--- a/src/main/java/io/indigoreach/core/Machine.java
+++ b/src/main/java/io/indigoreach/core/Machine.java
@@ -35,8 +35,9 @@
     final Set<String> images = new LinkedHashSet<>();
     final Set<JobId> failedJobs = new HashSet<>();
     boolean condemned;
-    /** Seen in the cloud's list, and how often it has been missing there since. */
-    boolean listed;
+    /** It surely existed at this moment: a list that describes a later one and lacks it shows that it is gone. */
+    Moment existed;
+    /** In how many lists in a row it was missing. */
     int missing;
     Moment leavingSince;
     private final Map<TaskId, Placement> tasks = new HashMap<>();
@@ -49,6 +50,7 @@
         this.rented = rented;
         this.heard = rented;
         this.idleSince = rented;
+        this.existed = rented;
     }
 
     public MachineId id() {
--- a/src/main/java/io/indigoreach/core/Rules.java
+++ b/src/main/java/io/indigoreach/core/Rules.java
@@ -6,12 +6,18 @@
  * @param workerLease a worker without an answer for this long has killed its tasks
  * @param report period of the workers' reports
  * @param cancel a cancelled job's tasks must be gone after this long
+ * @param listLag by how much the cloud's list of machines lags, sometimes up to twice that
  */
-public record Rules(Span workerLease, Span report, Span cancel) {
+public record Rules(Span workerLease, Span report, Span cancel, Span listLag) {
     private static final Span MARGIN = Span.seconds(0.3);
 
     /** After this long without an answered report, nothing runs on a machine: its lease, drift and a margin. */
     public Span leaseBound() {
         return workerLease.withDrift().plus(MARGIN);
     }
+
+    /** A list asked for now describes a moment that is at most this long ago. */
+    public Span oldestList() {
+        return listLag.times(2).withDrift().plus(Span.seconds(1));
+    }
 }
