--- a/src/main/java/io/indigoreach/config/SettingsFile.java
+++ b/src/main/java/io/indigoreach/config/SettingsFile.java
@@ -42,7 +42,7 @@
             }
             return settings;
         } catch (TextFormat.ParseException e) {
-            throw new ConfigException(name + ": " + e.getMessage().lines().findFirst().orElse("not readable"));
+            throw new ConfigException(name + ": " + e.getMessage().replaceAll("\\s+", " "));
         } catch (ConfigException e) {
             throw new ConfigException(name + ": " + e.getMessage());
         } catch (Descriptors.DescriptorValidationException e) {
--- /dev/null
+++ b/src/test/java/io/indigoreach/api/JobCodecTest.java
@@ -0,0 +1,109 @@
+package io.indigoreach.api;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+
+import io.indigoreach.core.Admission;
+import io.indigoreach.core.Demand;
+import io.indigoreach.core.JobSpec;
+import io.indigoreach.core.MachineType;
+import io.indigoreach.core.Span;
+import io.indigoreach.core.Team;
+import io.indigoreach.net.Wire;
+import io.indigoreach.net.WireException;
+import io.vertx.core.buffer.Buffer;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.MethodSource;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** What users may send, what is malformed, and what can never run. */
+class JobCodecTest {
+    static Map<String, Object> job() {
+        return Wire.map("id", "run-000412", "jobclass", "c", "owner", "t", "shape", "array", "urgency", "high", "pieces",
+                16, "cores", 4.0, "gpus", 0.0, "ram_gb", 6.0, "bundle", "i", "pull_gb", 6.2, "boxkinds",
+                List.of("quad"), "hall", null, "one_zone", true, "spread", false, "loaners", true, "expected_s", 240.0,
+                "snapshot_every_s", 30.0, "snapshot_s", 4.0, "due_s", 900.0, "unheard_of", 1);
+    }
+
+    static List<Object[]> malformed() {
+        List<Object[]> cases = new ArrayList<>();
+        for (String field : job().keySet()) {
+            if (!List.of("boxkinds", "hall", "due_s", "unheard_of").contains(field)) {
+                cases.add(new Object[] {field, null});
+            }
+        }
+        for (Object bad : new Object[] {0, -1, 100_001, 1.5, "3", true}) {
+            cases.add(new Object[] {"pieces", bad});
+        }
+        for (String amount : List.of("cores", "gpus", "ram_gb", "pull_gb", "expected_s", "snapshot_every_s", "due_s")) {
+            for (Object bad : new Object[] {-1.0, Double.NaN, Double.POSITIVE_INFINITY, "1", 1e300}) {
+                cases.add(new Object[] {amount, bad});
+            }
+        }
+        for (Object bad : new Object[] {"", "run-", "run-1x", "job-1", "run-1/2", 7, "run-" + "1".repeat(30)}) {
+            cases.add(new Object[] {"id", bad});
+        }
+        cases.add(new Object[] {"shape", "gang"});
+        cases.add(new Object[] {"urgency", "normal"});
+        cases.add(new Object[] {"one_zone", 1});
+        cases.add(new Object[] {"boxkinds", "quad"});
+        cases.add(new Object[] {"boxkinds", List.of(1)});
+        cases.add(new Object[] {"bundle", "x".repeat(5000)});
+        return cases;
+    }
+
+    @ParameterizedTest
+    @MethodSource("malformed")
+    void malformedJobsAreToldWhichField(String field, Object value) {
+        Map<String, Object> job = job();
+        job.put(field, value);
+        WireException e = assertThrows(WireException.class, () -> JobCodec.read(Wire.readMap(Wire.write(job))));
+        assertEquals(field, e.getMessage().substring(e.getMessage().lastIndexOf(' ') + 1));
+    }
+
+    @Test
+    void nullIsTheSameAsAbsent() {
+        Map<String, Object> with = job();
+        with.put("boxkinds", null);
+        with.put("due_s", null);
+        Map<String, Object> lacking = job();
+        lacking.keySet().removeAll(List.of("boxkinds", "due_s", "hall"));
+        assertEquals(JobCodec.read(Wire.readMap(Wire.write(with))), JobCodec.read(Wire.readMap(Wire.write(lacking))));
+    }
+
+    @ParameterizedTest
+    @CsvSource(nullValues = "-", value = {
+        "owner, other, unknown team other",
+        "cores, 4.5, a task fits no allowed machine type",
+        "ram_gb, 17, a task fits no allowed machine type",
+        "hall, nowhere, a task fits no allowed machine type",
+        "shape, service, more than the limit of team t",
+        "pieces, 20, -"})
+    void whatCanNeverRunIsRefused(String field, String value, String reason) {
+        Map<String, Object> job = job();
+        job.put(field, value.matches("[0-9.]+") ? (Object) (field.equals("pieces") ? (Object) 20
+                : (Object) Double.valueOf(value)) : value);
+        JobSpec spec = JobCodec.read(Wire.readMap(Wire.write(job)));
+        MachineType type = new MachineType("quad", new Demand(4, 0, 16), 40, 1, 1, 1, Span.seconds(20), List.of("a"));
+        String refusal = Admission.refusal(spec, List.of(new Team("t", 0, 8, 0, 0)), List.of(type));
+        if (reason == null) {
+            assertNull(refusal);
+        } else {
+            assertEquals(reason, refusal);
+        }
+    }
+
+    /** Empty, cut short, bytes left over, not a map, a key that is no text, a list that claims to be huge, binary. */
+    @ParameterizedTest
+    @ValueSource(strings = {"", "81", "80c0", "93010203", "8101c0", "ddffffffff", "81a161dd7fffffff", "81a161c403010203",
+        "c1", "dfffffffff", "81a161dbffffffff"})
+    void bodiesThatAreNotMessagePackMaps(String hex) {
+        assertThrows(WireException.class, () -> Wire.readMap(Buffer.buffer(java.util.HexFormat.of().parseHex(hex))));
+    }
+}
--- /dev/null
+++ b/src/test/java/io/indigoreach/config/ConfigTest.java
@@ -0,0 +1,109 @@
+package io.indigoreach.config;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.indigoreach.core.Span;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+/** Both files: what is read, and the one line that a wrong one gets. */
+class ConfigTest {
+    private static final String PLATFORM = """
+            node = "n0"
+            domain = "east"
+            serve_on = "10.0.0.1:8080"
+            cluster_listen = "10.0.0.1:8081"
+            some_new_field = [1, 2]
+            [[peers]]
+            node = "n1"
+            domain = "west"
+            endpoint = "10.0.0.2:8081"
+            [endpoints]
+            cloud = "10.2.0.2:8443"
+            state = "10.2.0.1:2379"
+            [settings]
+            size = 2
+            zones = ["east", "west"]
+            skew_ms = 100.0
+            [[settings.teams]]
+            name = "t"
+            cpus = 4.0
+            cpus_max = 0.0
+            [settings.workers]
+            report_s = 2.0
+            lease_s = 12.0
+            cancel_s = 32.0
+            [settings.state]
+            rps = 150.0
+            write_rps = 20.0
+            value_kb = 8.0
+            txn_ops = 16
+            [settings.cloud]
+            rps = 4.0
+            list_lag_s = 3.0
+            """;
+
+    @Test
+    void thePlatformsFileIsReadAndUnknownFieldsAreIgnored() throws ConfigException {
+        PlatformConfig config = PlatformConfig.parse("f", PLATFORM);
+        assertEquals("n0", config.node());
+        assertEquals(8192, config.stateLimits().valueBytes());
+        assertEquals(Span.seconds(12), config.rules().workerLease());
+        assertEquals("10.0.0.2:8081", config.peers().get(0).endpoint().toString());
+    }
+
+    @ParameterizedTest
+    @CsvSource(delimiter = '|', value = {
+        "node = \"n0\"               |                    | f: node: missing",
+        "serve_on = \"10.0.0.1:8080\" | serve_on = \"here\" | f: serve_on: not an address with a port",
+        "write_rps = 20.0           | write_rps = 0      | f: settings.state.write_rps: must be above 0",
+        "lease_s = 12.0             | lease_s = \"long\" | f: settings.workers.lease_s: not a number of at least 0",
+        "name = \"t\"               | name = 3           | f: settings.teams[0].name: not a text",
+        "[settings.cloud]           | [settings.cloudy]  | f: settings.cloud: missing"})
+    void aWrongPlatformFileNamesItsField(String line, String instead, String message) {
+        String text = PLATFORM.replace(line.strip(), instead == null ? "" : instead.strip());
+        assertEquals(message, assertThrows(ConfigException.class, () -> PlatformConfig.parse("f", text)).getMessage());
+    }
+
+    @Test
+    void textThatIsNotTomlIsOneLine() {
+        String message = assertThrows(ConfigException.class, () -> PlatformConfig.parse("f", "node = = 3")).getMessage();
+        assertTrue(message.startsWith("f: not TOML") && message.lines().count() == 1, message);
+    }
+
+    @Test
+    void theOperatorsSettingsAreReadOverTheirDefaults() throws ConfigException {
+        Settings settings = SettingsFile.parse("s", "wait_limit_s: 20 # a remark\nspot_patience_s: 90.5");
+        assertEquals(Span.seconds(20), settings.tuning().waitLimit());
+        assertEquals(Span.seconds(90.5), settings.tuning().spotPatience());
+        assertEquals(Settings.standard().tuning().term(), settings.tuning().term());
+    }
+
+    @ParameterizedTest
+    @CsvSource({"no_such_setting: 3, no_such_setting", "wait_limit_s: -1, wait_limit_s", "term_s: 'x', s:",
+        "check_s 5, s:", "check_s: nan, check_s"})
+    void wrongOperatorsSettingsNameFileAndField(String text, String named) {
+        String message = assertThrows(ConfigException.class, () -> SettingsFile.parse("s", text)).getMessage();
+        assertTrue(message.startsWith("s: ") && message.contains(named) && message.lines().count() == 1, message);
+    }
+
+    /** An isolated leader cannot hear of cancellations: its lease, the workers' and a margin must fit into cancel_s. */
+    @ParameterizedTest
+    @CsvSource({"12, 32, 5, 5", "12, 32, 60, 15.688", "22, 42, 60, 15.678"})
+    void theLeadersLeaseLeavesTimeForCancellations(double lease, double cancel, double wanted, double length)
+            throws ConfigException {
+        PlatformConfig config = PlatformConfig.parse("f", PLATFORM.replace("lease_s = 12.0", "lease_s = " + lease)
+                .replace("cancel_s = 32.0", "cancel_s = " + cancel));
+        Settings settings = SettingsFile.parse("s", "leader_lease_s: " + wanted);
+        assertEquals(Span.seconds(length), settings.leaderLease(config.rules()));
+    }
+
+    @Test
+    void aPlatformThatLeavesNoRoomForALeadersLeaseIsRefused() throws ConfigException {
+        PlatformConfig config = PlatformConfig.parse("f", PLATFORM.replace("cancel_s = 32.0", "cancel_s = 15.0"));
+        assertThrows(ConfigException.class, () -> Settings.standard().leaderLease(config.rules()));
+    }
+}
--- /dev/null
+++ b/src/test/java/io/indigoreach/core/PlacementTest.java
@@ -0,0 +1,154 @@
+package io.indigoreach.core;
+
+import static io.indigoreach.core.World.at;
+import static io.indigoreach.core.World.exited;
+import static io.indigoreach.core.World.running;
+import static io.indigoreach.core.World.spec;
+import static io.indigoreach.core.World.starts;
+import static io.indigoreach.core.World.stops;
+import static io.indigoreach.core.World.with;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+/** Which task goes where, and which does not. */
+class PlacementTest {
+    /** Two spot machines, one in each zone: how many of six one-core tasks start at once. */
+    @ParameterizedTest
+    @CsvSource({
+        "plain,    false, false, true,  ,     4, 2",
+        "one zone, true,  false, true,  ,     4, 0",
+        "spread,   false, true,  true,  ,     3, 3",
+        "a zone,   false, false, true,  west, 0, 4",
+        "ordinary, false, false, false, ,     0, 0"})
+    void placementRules(String name, boolean oneZone, boolean spread, boolean spot, String zone, int east, int west) {
+        World w = new World();
+        w.core.loaded();
+        w.up("e", "east", 0);
+        w.up("w", "west", 0);
+        w.submit(with(spec(1, 6, 1, 50), Urgency.STANDARD, oneZone, spread, spot, zone, 0), 0);
+        assertEquals(east, starts(w.core.onReport(w.report("e", "east", 1, World.TOKEN), at(1))).size(), name);
+        assertEquals(west, starts(w.core.onReport(w.report("w", "west", 1, World.TOKEN), at(1))).size(), name);
+    }
+
+    @ParameterizedTest
+    @CsvSource({"0, 4", "3, 3", "2.5, 2", "0.5, 0"})
+    void aTeamsLimitHolds(double coresMax, int started) {
+        World w = new World(World.team(coresMax));
+        w.core.loaded();
+        w.up("a", "east", 0);
+        w.submit(spec(1, 9, 1, 50), 0);
+        assertEquals(started, starts(w.hear("a", 1)).size());
+    }
+
+    @Test
+    void urgentJobsComeFirstThenTheOrderOfArrival() {
+        World w = new World();
+        w.core.loaded();
+        w.submit(spec(3, 1, 1, 50), 0);
+        w.submit(spec(1, 1, 1, 50), 1);
+        w.submit(with(spec(2, 1, 1, 50), Urgency.HIGH, false, false, true, null, 0), 2);
+        w.up("a", "east", 0);
+        assertEquals(List.of("run-2/0", "run-3/0", "run-1/0"), starts(w.hear("a", 3)));
+    }
+
+    /** A machine with one two-core task that ends at 60 s; the top job needs all four cores. */
+    @ParameterizedTest
+    @CsvSource({"20, 1, short enough to end before the top job's start", "200, 0, would delay the top job"})
+    void backfillDoesNotDelayTheReservedTopJob(double estimate, int started, String why) {
+        World w = new World();
+        w.core.loaded();
+        w.up("a", "east", 0);
+        w.submit(spec(1, 1, 2, 60), 0);
+        Order first = w.hear("a", 1).get(0);
+        w.submit(spec(2, 1, 4, 50), 2);
+        w.submit(spec(3, 1, 1, estimate), 3);
+        assertEquals(started, starts(w.hear("a", 4, running(first))).size(), why);
+    }
+
+    @Test
+    void roomIsMadeForUrgentJobsByTasksThatKeepTheirProgressOnly() {
+        World w = new World();
+        w.core.loaded();
+        w.up("a", "east", 0);
+        w.up("b", "east", 0);
+        w.submit(with(spec(1, 1, 4, 500), Urgency.BEST_EFFORT, false, false, true, null, 30), 0);
+        w.submit(with(spec(2, 1, 4, 500), Urgency.BEST_EFFORT, false, false, true, null, 0), 0);
+        Order saving = w.hear("a", 1).get(0);
+        Order losing = w.hear("b", 1).get(0);
+        w.hear("a", 2, running(saving));
+        w.hear("b", 2, running(losing));
+        w.submit(with(spec(3, 2, 1, 30), Urgency.HIGH, false, false, true, null, 0), 40);
+        assertEquals(List.of(), stops(w.hear("b", 41, running(losing))));
+        assertEquals(List.of("run-1/0"), stops(w.hear("a", 41, running(saving))));
+        assertEquals(List.of(), stops(w.hear("a", 42, running(saving))), "asked once is enough");
+    }
+
+    @Test
+    void aMachineThatFailsWhateverItGetsIsGivenUp() {
+        World w = new World();
+        w.core.loaded();
+        w.up("a", "east", 0);
+        w.submit(spec(1, 1, 2, 50), 0);
+        w.submit(spec(2, 1, 2, 50), 0);
+        List<TaskReport> failed = new ArrayList<>();
+        w.hear("a", 1).forEach(o -> failed.add(exited(o, ExitCause.ERROR)));
+        assertEquals(List.of(), starts(w.hear("a", 2, failed.toArray(TaskReport[]::new))));
+        w.core.check(at(3));
+        assertEquals(List.of(new MachineId("a")), w.core.leaving(9));
+    }
+
+    /** A job with a mistake fails everywhere: good machines are kept, and it is tried ever more rarely. */
+    @Test
+    void aJobThatFailsEverywhereCondemnsNoMachine() {
+        World w = new World();
+        w.core.loaded();
+        w.submit(spec(1, 9, 4, 50), 0);
+        int tries = 0;
+        List<List<TaskReport>> pending = new ArrayList<>(List.of(List.of(), List.of(), List.of(), List.of()));
+        for (int m = 0; m < 4; m++) {
+            w.up("m" + m, "east", 0);
+        }
+        for (double t = 1; t < 100; t += 1) {
+            for (int m = 0; m < 4; m++) {
+                List<Order> orders = w.hear("m" + m, t, pending.get(m).toArray(TaskReport[]::new));
+                List<TaskReport> next = new ArrayList<>();
+                for (Order o : orders) {
+                    if (o instanceof Order.Start) {
+                        tries++;
+                        next.add(exited(o, ExitCause.ERROR));
+                    }
+                }
+                pending.set(m, next);
+            }
+        }
+        assertTrue(tries >= 5 && tries < 20, "tries: " + tries);
+        w.submit(spec(2, 4, 4, 50), 100);
+        int started = 0;
+        for (int m = 0; m < 4; m++) {
+            started += starts(w.hear("m" + m, 101, pending.get(m).toArray(TaskReport[]::new))).stream()
+                    .filter(s -> s.startsWith("run-2")).count();
+        }
+        assertTrue(started >= 3, "started: " + started);
+    }
+
+    @Test
+    void aSpotNoticeEndsNewStartsAndSavesWhatCanBeSaved() {
+        World w = new World();
+        w.core.loaded();
+        w.up("a", "east", 0);
+        w.submit(with(spec(1, 1, 1, 500), Urgency.STANDARD, false, false, true, null, 30), 0);
+        Order start = w.hear("a", 1).get(0);
+        w.submit(spec(2, 1, 1, 50), 2);
+        WorkerReport r = w.report("a", "east", 1, World.TOKEN, running(start));
+        List<Order> orders = w.core.onReport(new WorkerReport(r.machine(), r.address(), r.pool(), r.number(), r.token(),
+                Span.seconds(12), r.tasks()), at(40));
+        assertEquals(List.of(), starts(orders));
+        assertEquals(List.of("run-1/0"), stops(orders));
+    }
+}
--- /dev/null
+++ b/src/test/java/io/indigoreach/core/RandomRun.java
@@ -0,0 +1,322 @@
+package io.indigoreach.core;
+
+import java.util.ArrayList;
+import java.util.BitSet;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.Set;
+import java.util.TreeMap;
+
+/**
+ * A seeded random run of the core among stand-ins for workers, cloud and state service: answers are lost, reports
+ * come late, machines die or hang, leaders end at any moment. After every step the protocol's rules are checked.
+ */
+final class RandomRun {
+    private static final double LEASE_S = World.RULES.workerLease().seconds();
+    private static final double CORES_MAX = 24;
+
+    /** A guard that a run can do without, to see that the rules then break. */
+    enum Without {
+        NOTHING, TAKE_OVER, LEASE_BOUND, TEAM_LIMIT
+    }
+
+    private static final class Worker {
+        final String name;
+        final String zone;
+        long session = 1;
+        long serial;
+        long token;
+        double answered;
+        boolean dead;
+        double hangsUntil;
+        final Map<TaskId, TaskReport> tasks = new LinkedHashMap<>();
+        final Map<TaskId, Double> ends = new HashMap<>();
+
+        Worker(String name, String zone, double now) {
+            this.name = name;
+            this.zone = zone;
+            this.answered = now;
+        }
+    }
+
+    private static final class Stored {
+        final JobSpec spec;
+        final BitSet done = new BitSet();
+        long at;
+        double cancelledAt = -1;
+        boolean closed;
+
+        Stored(JobSpec spec, long at) {
+            this.spec = spec;
+            this.at = at;
+        }
+    }
+
+    private final Random random;
+    private final Without without;
+    private final Map<String, Worker> workers = new TreeMap<>();
+    private final Set<String> recorded = new LinkedHashSet<>();
+    private final Map<JobId, Stored> store = new TreeMap<>();
+    private final List<String> broken = new ArrayList<>();
+    private final List<Runnable> late = new ArrayList<>();
+    private double now;
+    private long token;
+    private LeaderCore leader;
+    private int machines;
+    private int jobs;
+    private int starts;
+
+    RandomRun(long seed, Without without) {
+        this.random = new Random(seed);
+        this.without = without;
+    }
+
+    List<String> broken() {
+        return broken;
+    }
+
+    int starts() {
+        return starts;
+    }
+
+    long completedJobs() {
+        return store.values().stream().filter(s -> s.closed).count();
+    }
+
+    private Moment at() {
+        return World.at(now);
+    }
+
+    void play() {
+        takeOver();
+        for (int step = 0; step < 4000; step++) {
+            now += 0.1;
+            if (random.nextInt(60) == 0) {
+                submit();
+            }
+            if (random.nextInt(200) == 0) {
+                cancel();
+            }
+            if (random.nextInt(250) == 0) {
+                takeOver();
+            }
+            if (machines < 8 + now / 20 && random.nextInt(20) == 0) {
+                rent();
+            }
+            for (Worker w : new ArrayList<>(workers.values())) {
+                live(w);
+            }
+            if (!late.isEmpty() && random.nextInt(5) == 0) {
+                late.remove(random.nextInt(late.size())).run();
+            }
+            tend();
+            checkRules();
+        }
+    }
+
+    /** A new leader reads the records; the old one is simply gone, whatever it was doing. */
+    private void takeOver() {
+        Team team = new Team("t", 0, without == Without.TEAM_LIMIT ? 0 : CORES_MAX, 0, 0);
+        Rules rules = without == Without.LEASE_BOUND ? new Rules(Span.seconds(3), World.RULES.report(),
+                World.RULES.cancel(), World.RULES.listLag()) : World.RULES;
+        leader = new LeaderCore(new Token(++token), rules, World.TUNING, List.of(team), new Notes() {
+            @Override
+            public void progress(Job job) {
+            }
+
+            @Override
+            public void say(String line) {
+            }
+        });
+        leader.setTypes(List.of(World.TYPE));
+        for (String name : recorded) {
+            if (without != Without.TAKE_OVER) {
+                leader.inherit(new MachineId(name), pool(name), World.at(0), at());
+            }
+        }
+        for (Stored s : store.values()) {
+            if (!s.closed && s.cancelledAt < 0) {
+                leader.addJob(new Job(s.spec, s.at, at(), Stamp.ABSENT, s.done, true));
+            }
+        }
+        leader.loaded();
+    }
+
+    private static Pool pool(String name) {
+        return new Pool("quad", name.hashCode() % 2 == 0 ? "east" : "west", true);
+    }
+
+    private void rent() {
+        String name = "m" + ++machines;
+        workers.put(name, new Worker(name, pool(name).zone(), now));
+        if (random.nextInt(4) > 0) {
+            leader.rented(pool(name), List.of(new MachineId(name)), at(), at());
+        }
+    }
+
+    private void submit() {
+        JobSpec s = World.spec(++jobs, 1 + random.nextInt(12), 1 + random.nextInt(4), 3 + random.nextInt(20));
+        boolean oneZone = random.nextInt(4) == 0;
+        s = World.with(s, Urgency.values()[random.nextInt(4)], oneZone, !oneZone && random.nextInt(4) == 0, true,
+                random.nextInt(6) == 0 ? "east" : null, random.nextInt(2) * 5);
+        store.put(s.id(), new Stored(s, jobs));
+        leader.addJob(new Job(s, jobs, at(), Stamp.ABSENT, new BitSet(), false));
+    }
+
+    private void cancel() {
+        List<Stored> open = store.values().stream().filter(s -> !s.closed && s.cancelledAt < 0).toList();
+        if (!open.isEmpty()) {
+            Stored s = open.get(random.nextInt(open.size()));
+            s.cancelledAt = now;
+            leader.cancelJob(s.spec.id());
+        }
+    }
+
+    /** What the leader's duties do: leases, records, ends of jobs. */
+    private void tend() {
+        leader.expireLeases(at());
+        if (random.nextInt(3) == 0) {
+            for (Machine m : leader.unrecorded()) {
+                recorded.add(m.id().text());
+                leader.recorded(m.id());
+            }
+        }
+        if (random.nextInt(5) == 0) {
+            for (Job job : new ArrayList<>(leader.jobs())) {
+                Stored s = store.get(job.id());
+                if (s.cancelledAt < 0) {
+                    s.done.or(job.doneTasks());
+                    job.recorded(job.doneTasks());
+                    if (job.isComplete()) {
+                        s.closed = true;
+                        leader.closeJob(job.id());
+                    }
+                }
+            }
+        }
+    }
+
+    private void live(Worker w) {
+        if (w.dead || now < w.hangsUntil) {
+            return;
+        }
+        if (now - w.answered > LEASE_S) {
+            w.tasks.clear();
+            w.ends.clear();
+            w.session++;
+            w.answered = now;
+        }
+        int fate = random.nextInt(4000);
+        if (fate == 0) {
+            w.dead = true;
+            w.tasks.clear();
+            return;
+        } else if (fate < 4) {
+            w.hangsUntil = now + random.nextInt(20);
+            return;
+        }
+        for (Map.Entry<TaskId, Double> end : new ArrayList<>(w.ends.entrySet())) {
+            TaskReport t = w.tasks.get(end.getKey());
+            if (now >= end.getValue() && t.state() != TaskState.EXITED) {
+                exit(w, t, random.nextInt(30) == 0 ? ExitCause.ERROR : ExitCause.DONE);
+            }
+        }
+        if (random.nextInt(15) == 0) {
+            report(w);
+        }
+    }
+
+    private void exit(Worker w, TaskReport t, ExitCause cause) {
+        w.tasks.put(t.task(), new TaskReport(t.task(), t.attempt(), TaskState.EXITED, cause, false));
+        w.ends.remove(t.task());
+    }
+
+    /** A report may be lost, come late, or its answer be lost; a late one is answered to nobody. */
+    private void report(Worker w) {
+        double sent = now;
+        WorkerReport r = new WorkerReport(new MachineId(w.name), "x:1", pool(w.name),
+                new ReportNumber(w.session, ++w.serial), new Token(w.token), null, new ArrayList<>(w.tasks.values()));
+        int fate = random.nextInt(12);
+        if (fate == 0) {
+            late.add(() -> leader.onReport(r, at()));
+            return;
+        }
+        long answering = token;
+        List<Order> orders = leader.onReport(r, at());
+        if (orders == null || fate == 1) {
+            return;
+        }
+        w.token = Math.max(w.token, answering);
+        w.answered = sent;
+        orders.forEach(o -> execute(w, o));
+    }
+
+    private void execute(Worker w, Order o) {
+        TaskReport t = w.tasks.get(o.task());
+        if (o instanceof Order.Start) {
+            if (t != null && (t.state() != TaskState.EXITED || t.attempt().equals(o.attempt()))) {
+                return;
+            }
+            starts++;
+            checkStart(w, o.task());
+            w.tasks.put(o.task(), new TaskReport(o.task(), o.attempt(), TaskState.RUNNING, null, false));
+            w.ends.put(o.task(), now + 1 + random.nextInt(20));
+        } else if (t != null && t.attempt().equals(o.attempt())) {
+            if (o instanceof Order.Stop && t.state() != TaskState.EXITED) {
+                exit(w, t, ExitCause.STOPPED);
+            } else if (o instanceof Order.Forget && t.state() == TaskState.EXITED) {
+                w.tasks.remove(o.task());
+            }
+        }
+    }
+
+    /** On its machine: until it exits, is killed with its session, or the machine is gone. */
+    private boolean isOn(Worker w, TaskId task) {
+        TaskReport t = w.tasks.get(task);
+        boolean killed = w.hangsUntil > now && now - w.answered > LEASE_S;
+        return !w.dead && !killed && t != null && t.state() != TaskState.EXITED;
+    }
+
+    private void checkStart(Worker here, TaskId task) {
+        Stored s = store.get(task.job());
+        int inZone = 1;
+        Set<String> zones = new HashSet<>(Set.of(here.zone));
+        for (Worker w : workers.values()) {
+            if (isOn(w, task)) {
+                broken.add(now + ": ran_twice " + task + " on " + here.name + " and " + w.name);
+            }
+            for (TaskId other : w.tasks.keySet()) {
+                if (other.job().equals(task.job()) && isOn(w, other)) {
+                    zones.add(w.zone);
+                    inZone += w.zone.equals(here.zone) ? 1 : 0;
+                }
+            }
+        }
+        if (s.spec.oneZone() && zones.size() > 1 || inZone > s.spec.zoneLimit() || !s.spec.allowsZone(here.zone)) {
+            broken.add(now + ": wrong_place " + task);
+        }
+    }
+
+    private void checkRules() {
+        double cores = 0;
+        for (Worker w : workers.values()) {
+            for (TaskId task : w.tasks.keySet()) {
+                if (isOn(w, task)) {
+                    Stored s = store.get(task.job());
+                    cores += s.spec.demand().cores();
+                    if (s.cancelledAt >= 0 && now - s.cancelledAt > World.RULES.cancel().seconds()) {
+                        broken.add(now + ": ran_cancelled " + task);
+                    }
+                }
+            }
+        }
+        if (cores > CORES_MAX + 1e-6) {
+            broken.add(now + ": quota " + cores);
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/io/indigoreach/core/SizingTest.java
@@ -0,0 +1,114 @@
+package io.indigoreach.core;
+
+import static io.indigoreach.core.World.at;
+import static io.indigoreach.core.World.running;
+import static io.indigoreach.core.World.spec;
+import static io.indigoreach.core.World.with;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+/** The design's two decisions about money: how much to rent, and what to return. */
+class SizingTest {
+    /** Jobs as "tasks x estimate", one core each, four to a machine: BestSize with a short cut of 60 s. */
+    @ParameterizedTest
+    @CsvSource({
+        "8x100,               2",
+        "8x100 8x100,         4",
+        "8x100 8x30,          3",
+        "8x30 8x30,           1",
+        "8x30 8x30 8x100,     3",
+        "1x100,               1"})
+    void bestSize(String jobs, int machines) {
+        World w = new World();
+        w.core.loaded();
+        int id = 0;
+        for (String job : jobs.split(" ")) {
+            String[] parts = job.split("x");
+            w.submit(spec(++id, Integer.parseInt(parts[0]), 1, Double.parseDouble(parts[1])), 0);
+        }
+        assertEquals(machines, w.core.wishes(at(1), true).stream().mapToInt(RentWish::count).sum());
+    }
+
+    @Test
+    void machinesOnOrderAreNotAskedForAgainUntilOverdue() {
+        World w = new World();
+        w.core.loaded();
+        w.submit(spec(1, 8, 1, 100), 0);
+        w.core.rented(new Pool("quad", "east", true), List.of(new MachineId("a"), new MachineId("b")), at(1), at(1));
+        assertEquals(List.of(), w.core.wishes(at(30), true));
+        assertEquals(2, w.core.wishes(at(60), true).get(0).count());
+    }
+
+    @Test
+    void nothingIsRentedWhileTheTopJobIsPredictedToStartSoon() {
+        World w = new World();
+        w.core.loaded();
+        w.up("a", "east", 0);
+        w.submit(spec(1, 4, 1, 20), 0);
+        List<TaskReport> tasks = new ArrayList<>();
+        w.hear("a", 1).forEach(o -> tasks.add(running(o)));
+        w.hear("a", 2, tasks.toArray(TaskReport[]::new));
+        w.submit(spec(2, 4, 1, 20), 3);
+        assertEquals(List.of(), w.core.wishes(at(4), true));
+        w.submit(with(spec(3, 4, 1, 200), Urgency.HIGH, true, false, true, "west", 0), 5);
+        assertEquals("west", w.core.wishes(at(6), true).get(0).pool().zone(), "no machine can ever take the top job");
+    }
+
+    @Test
+    void spotFirstThenTheOtherZoneThenOrdinaryOnceThePatienceIsOver() {
+        World w = new World();
+        w.core.loaded();
+        w.submit(spec(1, 4, 1, 100), 0);
+        Pool first = w.core.wishes(at(1), true).get(0).pool();
+        w.core.refused(first, at(1));
+        Pool second = w.core.wishes(at(2), true).get(0).pool();
+        w.core.refused(second, at(2));
+        assertEquals(List.of(true, true), List.of(first.spot(), second.spot()));
+        assertEquals(List.of(), w.core.wishes(at(3), true));
+        w.core.refused(first, at(61));
+        w.core.refused(second, at(61));
+        assertEquals(false, w.core.wishes(at(62), true).get(0).pool().spot());
+    }
+
+    /** A machine rented at 0 with terms of 60 s, checked every 5 s. */
+    @ParameterizedTest
+    @CsvSource({"30, false, 0", "54, false, 0", "56, false, 1", "90, false, 0", "116, false, 1", "56, true, 0"})
+    void idleMachinesGoAtTheEndOfTheirTermUnlessAWaitingJobCanUseThem(double at, boolean waiting, int returned) {
+        World w = new World();
+        w.core.loaded();
+        w.up("a", "east", 0);
+        w.hear("a", 20);
+        if (waiting) {
+            w.submit(spec(1, 1, 1, 50), at);
+        }
+        w.core.check(at(at));
+        assertEquals(returned, w.core.leaving(9).size());
+    }
+
+    @Test
+    void aMachineThatNeverComesUpIsReturned() {
+        World w = new World();
+        w.core.loaded();
+        w.up("a", "east", 0);
+        w.core.check(at(79));
+        assertEquals(0, w.core.leaving(9).size());
+        w.core.check(at(81));
+        assertEquals(1, w.core.leaving(9).size());
+    }
+
+    @Test
+    void aJobKnownToFailRentsNothing() {
+        World w = new World();
+        w.core.loaded();
+        Job job = w.submit(spec(1, 8, 1, 100), 0);
+        for (int i = 0; i < 3; i++) {
+            job.failedOn.add(new MachineId("m" + i));
+        }
+        assertEquals(List.of(), w.core.wishes(at(100), true));
+    }
+}
--- /dev/null
+++ b/src/test/java/io/indigoreach/core/TakeOverTest.java
@@ -0,0 +1,186 @@
+package io.indigoreach.core;
+
+import static io.indigoreach.core.World.at;
+import static io.indigoreach.core.World.exited;
+import static io.indigoreach.core.World.foreign;
+import static io.indigoreach.core.World.running;
+import static io.indigoreach.core.World.spec;
+import static io.indigoreach.core.World.starts;
+import static io.indigoreach.core.World.stops;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.List;
+import org.junit.jupiter.api.Test;
+
+/** What a leader may believe and order, and when: each case is a way in which a task could come to run twice. */
+class TakeOverTest {
+    private final World w = new World();
+
+    private void inheritMachine(String name) {
+        w.core.inherit(new MachineId(name), new Pool("quad", "east", true), at(-100), at(0));
+    }
+
+    @Test
+    void nothingInheritedStartsBeforeEveryRecordedMachineHasReported() {
+        inheritMachine("a");
+        inheritMachine("b");
+        w.inherited(spec(1, 2, 1, 50));
+        w.core.loaded();
+        assertEquals(List.of(), starts(w.hear("a", 1)), "b may hold both tasks");
+        assertEquals(List.of(), starts(w.core.onReport(w.report("b", "east", 1, new Token(4)), at(2))),
+                "a list from before the token was seen can be overtaken by a late order of the old leader");
+        assertEquals(List.of("run-1/1"), starts(w.hear("b", 3, foreign("run-1/0", 7))));
+    }
+
+    @Test
+    void aSilentMachineHoldsTasksUntilItsLeaseHasSurelyRunOut() {
+        inheritMachine("a");
+        inheritMachine("b");
+        w.inherited(spec(1, 1, 1, 50));
+        w.core.loaded();
+        w.hear("a", 1);
+        w.core.expireLeases(at(12.1));
+        assertEquals(List.of(), starts(w.hear("a", 12.1)));
+        w.core.expireLeases(at(12.5));
+        assertEquals(List.of("run-1/0"), starts(w.hear("a", 12.6)));
+    }
+
+    @Test
+    void aJobAcceptedAfterTheTakeOverNeedNotWait() {
+        inheritMachine("a");
+        inheritMachine("b");
+        w.core.loaded();
+        w.submit(spec(1, 1, 1, 50), 1);
+        assertEquals(List.of("run-1/0"), starts(w.hear("a", 2)));
+    }
+
+    @Test
+    void underALimitEvenNewJobsWaitForTheWholePicture() {
+        World limited = new World(World.team(4));
+        limited.core.inherit(new MachineId("a"), new Pool("quad", "east", true), at(-100), at(0));
+        limited.core.inherit(new MachineId("b"), new Pool("quad", "east", true), at(-100), at(0));
+        limited.core.loaded();
+        limited.submit(spec(1, 1, 1, 50), 1);
+        assertEquals(List.of(), starts(limited.hear("a", 2)));
+    }
+
+    @Test
+    void noOrdersBeforeTheRecordsAreRead() {
+        inheritMachine("a");
+        w.submit(spec(1, 1, 1, 50), 0);
+        assertEquals(List.of(), w.hear("a", 1));
+    }
+
+    @Test
+    void aMachineThatIsNotRecordedGetsNoTasks() {
+        w.core.loaded();
+        w.submit(spec(1, 1, 1, 50), 0);
+        assertEquals(List.of(), starts(w.hear("x", 1)), "a later leader would not wait for its report");
+        w.core.recorded(new MachineId("x"));
+        assertEquals(List.of("run-1/0"), starts(w.hear("x", 2)));
+    }
+
+    @Test
+    void aStartWhoseAnswerWasLostIsGivenAgainOnlyAfterANewerReport() {
+        w.core.loaded();
+        w.up("a", "east", 0);
+        w.up("b", "east", 0);
+        w.submit(spec(1, 1, 4, 50), 0);
+        WorkerReport stale = w.report("a", "east", 1, World.TOKEN);
+        List<Order> first = w.hear("a", 1);
+        assertEquals(List.of("run-1/0"), starts(first));
+        assertEquals(List.of(), w.core.onReport(stale, at(1.5)), "an older report shows nothing");
+        assertEquals(List.of(), starts(w.hear("b", 2)));
+        List<Order> second = w.hear("a", 3);
+        assertEquals(List.of("run-1/0"), starts(second));
+        assertTrue(second.get(0).attempt().value() != first.get(0).attempt().value(), "an attempt is used once");
+    }
+
+    @Test
+    void aNewSessionHasNoneOfTheOldTasks() {
+        w.core.loaded();
+        w.up("a", "east", 0);
+        w.up("b", "east", 0);
+        w.submit(spec(1, 1, 4, 50), 0);
+        Order start = w.hear("a", 1).get(0);
+        w.hear("a", 2, running(start));
+        assertEquals(List.of("run-1/0"), starts(w.core.onReport(w.report("a", "east", 2, World.TOKEN), at(9))));
+    }
+
+    @Test
+    void aNewerLeadersTokenEndsThisLeadership() {
+        w.core.loaded();
+        assertNull(w.core.onReport(w.report("a", "east", 1, new Token(6)), at(1)));
+    }
+
+    @Test
+    void aResultIsForgottenByTheWorkerOnlyOnceRecorded() {
+        w.core.loaded();
+        w.up("a", "east", 0);
+        Job job = w.submit(spec(1, 2, 1, 50), 0);
+        List<Order> orders = w.hear("a", 1);
+        List<Order> before = w.hear("a", 2, exited(orders.get(0), ExitCause.DONE), running(orders.get(1)));
+        assertEquals(List.of(), before);
+        assertEquals(List.of(job), w.progressed);
+        job.recorded(job.doneTasks());
+        assertTrue(w.hear("a", 3, exited(orders.get(0), ExitCause.DONE), running(orders.get(1)))
+                .get(0) instanceof Order.Forget);
+    }
+
+    @Test
+    void aTaskReportedFromTwoMachinesIsStoppedOnTheSecond() {
+        w.core.loaded();
+        w.up("a", "east", 0);
+        w.up("b", "east", 0);
+        w.submit(spec(1, 1, 4, 50), 0);
+        Order start = w.hear("a", 1).get(0);
+        w.hear("a", 2, running(start));
+        assertEquals(List.of("run-1/0"), stops(w.hear("b", 3, foreign("run-1/0", 9))));
+    }
+
+    @Test
+    void tasksOfACancelledJobAreStoppedAndCountUntilTheyAreGone() {
+        w.core.loaded();
+        w.up("a", "east", 0);
+        Job job = w.submit(spec(1, 1, 4, 50), 0);
+        Order start = w.hear("a", 1).get(0);
+        w.hear("a", 2, running(start));
+        w.core.cancelJob(job.id());
+        w.submit(spec(2, 1, 4, 50), 2);
+        List<Order> orders = w.hear("a", 3, running(start));
+        assertEquals(List.of("run-1/0"), stops(orders));
+        assertEquals(List.of(), starts(orders));
+        assertEquals(List.of("run-2/0"), starts(w.hear("a", 4, exited(start, ExitCause.STOPPED))));
+    }
+
+    @Test
+    void absenceFromListsShowsAMachineGoneOnlyBeyondTheirLag() {
+        inheritMachine("a");
+        inheritMachine("b");
+        w.inherited(spec(1, 1, 1, 50));
+        w.core.loaded();
+        w.hear("a", 1);
+        List<ListedMachine> list = List.of(new ListedMachine(new MachineId("a"), new Pool("quad", "east", true),
+                ListedMachine.Status.RUNNING, Span.seconds(100)));
+        w.core.onList(list, at(2), at(2));
+        w.core.onList(list, at(6), at(6));
+        assertEquals(List.of(), starts(w.hear("a", 6.5)), "these lists may describe a time before b was rented");
+        w.core.onList(list, at(7.5), at(7.5));
+        w.core.onList(list, at(9), at(9));
+        assertEquals(List.of("run-1/0"), starts(w.hear("a", 9.5)));
+    }
+
+    @Test
+    void aReturnedMachineIsNotTakenOnAgainFromALateReportOrList() {
+        w.core.loaded();
+        w.up("a", "east", 0);
+        w.hear("a", 1);
+        w.core.returned(List.of(new MachineId("a")), at(2));
+        w.hear("a", 3);
+        w.core.onList(List.of(new ListedMachine(new MachineId("a"), new Pool("quad", "east", true),
+                ListedMachine.Status.RUNNING, Span.seconds(3))), at(3), at(3));
+        assertEquals(0, w.core.machineCount());
+    }
+}
--- /dev/null
+++ b/src/test/java/io/indigoreach/state/RecordCodecTest.java
@@ -0,0 +1,57 @@
+package io.indigoreach.state;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.indigoreach.core.Demand;
+import io.indigoreach.core.JobId;
+import io.indigoreach.core.JobSpec;
+import io.indigoreach.core.JobStatus;
+import io.indigoreach.core.Shape;
+import io.indigoreach.core.Span;
+import io.indigoreach.core.Stamp;
+import io.indigoreach.core.Urgency;
+import io.indigoreach.net.Wire;
+import java.util.BitSet;
+import java.util.List;
+import java.util.Map;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** Records come back as they were, and fit the smaller of the deployments' limits at their largest. */
+class RecordCodecTest {
+    private static final int VALUE_BYTES = 8 * 1024;
+    private static final int TXN_OPS = 12;
+
+    private static JobSpec spec(int tasks) {
+        return new JobSpec(new JobId("run-000000000000000001"), "c".repeat(100), "t", Shape.SERVICE,
+                Urgency.PRODUCTION, tasks, new Demand(1.5, 2, 3.25), "i".repeat(200), 1.5, List.of("k1", "k2"), "z",
+                true, true, true, Span.seconds(12.5), Span.seconds(30), Span.seconds(4), Span.seconds(900));
+    }
+
+    @ParameterizedTest
+    @ValueSource(ints = {1, 8192, 8193, 32768, 100_000})
+    void jobsOfEverySizeComeBackAndFit(int tasks) {
+        BitSet done = new BitSet();
+        for (int i = 0; i < tasks; i += 2) {
+            done.set(i);
+        }
+        done.set(tasks - 1);
+        Map<String, Object> record = RecordCodec.writeJob(spec(tasks), 42, JobStatus.RUNNING, done, 7);
+        assertTrue(Wire.write(record).length() <= VALUE_BYTES);
+        JobRecord back = RecordCodec.readJob(spec(tasks).id(), Wire.readMap(Wire.write(record)), new Stamp(9));
+        BitSet bits = back.done();
+        int blocks = RecordCodec.blocks(tasks);
+        assertTrue(blocks + 2 <= TXN_OPS);
+        for (int n = 0; n < blocks; n++) {
+            Map<String, Object> block = RecordCodec.writeBlock(done, n);
+            assertTrue(Wire.write(block).length() <= VALUE_BYTES);
+            String key = RecordCodec.block(back.id(), n);
+            assertEquals(back.id(), RecordCodec.jobOfBlock(key));
+            RecordCodec.readBlock(key, Wire.readMap(Wire.write(block)), bits);
+        }
+        assertEquals(done, bits);
+        assertEquals(new JobRecord(spec(tasks), 42, JobStatus.RUNNING, bits, done.cardinality(), 7, new Stamp(9)),
+                back);
+    }
+}
