--- a/src/main/java/io/indigoreach/cluster/Controller.java
+++ b/src/main/java/io/indigoreach/cluster/Controller.java
@@ -25,7 +25,7 @@
         this.env = env;
         String process = Long.toHexString(ThreadLocalRandom.current().nextLong()) + "-" + env.clock().timeOfDay();
         this.leadership = new Leadership(env.vertx(), env.state(), env.clock(), env.config().node(), process,
-                env.lease(), this);
+                env.config().peers().size(), env.lease(), this);
     }
 
     public void start() {
--- a/src/main/java/io/indigoreach/cluster/Fleet.java
+++ b/src/main/java/io/indigoreach/cluster/Fleet.java
@@ -129,7 +129,9 @@
             if (!listing.isCancelled()) {
                 core.onList(list, asked, env.clock().now());
             }
-            return env.settings().span(Settings.Knob.LIST_EVERY_S);
+            // After a take-over the list tells which silent machines are gone, and work waits for that.
+            Span usual = env.settings().span(Settings.Knob.LIST_EVERY_S);
+            return core.isSettled() || usual.compareTo(PAUSE) < 0 ? usual : PAUSE;
         });
     }
 }
--- a/src/main/java/io/indigoreach/cluster/Ledger.java
+++ b/src/main/java/io/indigoreach/cluster/Ledger.java
@@ -96,7 +96,9 @@
                 .compose(r -> pages(RecordCodec.MACHINES, e -> {
                     MachineId id = RecordCodec.machineOf(e.key());
                     recorded.add(id);
-                    core.inherit(id, RecordCodec.readPool(e.value()), steady(e.value().whole("at")), now);
+                    // Another node wrote this time, by a clock that may be off as far the other way as this one's.
+                    Moment existed = steady(e.value().whole("existed")).plus(env.config().clockOff().times(2));
+                    core.inherit(id, RecordCodec.readPool(e.value()), steady(e.value().whole("at")), existed, now);
                 }))
                 .compose(r -> pages(RecordCodec.OPEN, e -> {
                     JobRecord record = RecordCodec.readJob(RecordCodec.jobOf(e.key()), e.value(), e.stamp());
@@ -307,9 +309,9 @@
         List<MachineId> removed = new ArrayList<>();
         for (Machine m : core.unrecorded()) {
             if (txn.size() < most) {
-                long ago = now.since(m.rented()).ms();
-                txn.put(RecordCodec.machine(m.id()),
-                        RecordCodec.writeMachine(m.pool(), env.clock().timeOfDay() - ago));
+                long today = env.clock().timeOfDay();
+                txn.put(RecordCodec.machine(m.id()), RecordCodec.writeMachine(m.pool(),
+                        today - now.since(m.rented()).ms(), today - now.since(m.existed()).ms()));
                 added.add(m.id());
             }
         }
--- a/src/main/java/io/indigoreach/core/LeaderCore.java
+++ b/src/main/java/io/indigoreach/core/LeaderCore.java
@@ -56,7 +56,7 @@
     }
 
     /** A machine that an earlier leader recorded: it may hold any inherited task. */
-    public void inherit(MachineId id, Pool pool, Moment rented, Moment now) {
+    public void inherit(MachineId id, Pool pool, Moment rented, Moment existed, Moment now) {
         MachineType type = cluster.types.get(pool.type());
         if (type == null) {
             return;
@@ -64,7 +64,7 @@
         Machine m = new Machine(id, pool, type, rented);
         m.recorded = true;
         m.heard = now;
-        m.existed = now;
+        m.existed = existed;
         cluster.machines.put(id, m);
         takeOver.expect(id);
     }
@@ -359,8 +359,9 @@
         return cluster.machines.size();
     }
 
-    public int outstanding() {
-        return takeOver.outstanding();
+    /** Every task that an earlier leader may have started is known. */
+    public boolean isSettled() {
+        return takeOver.isSettled();
     }
 
     /** One line for the log: what there is and what waits. */
--- a/src/main/java/io/indigoreach/core/Machine.java
+++ b/src/main/java/io/indigoreach/core/Machine.java
@@ -69,6 +69,10 @@
         return rented;
     }
 
+    public Moment existed() {
+        return existed;
+    }
+
     public boolean isRecorded() {
         return recorded;
     }
--- a/src/main/java/io/indigoreach/state/Leadership.java
+++ b/src/main/java/io/indigoreach/state/Leadership.java
@@ -29,6 +29,8 @@
 
     private static final Logger LOG = LoggerFactory.getLogger(Leadership.class);
     private static final Span RETRY = Span.seconds(0.5);
+    /** What the other nodes are given to take a key that was let go. */
+    private static final Span GRACE = Span.seconds(0.6);
 
     private final StateClient state;
     private final SteadyClock clock;
@@ -39,6 +41,8 @@
     private final Duty duty;
     private final Duty renewal;
 
+    private final int peers;
+    private boolean hasLetGo;
     private LeaderKey current;
     private long watchedTo = -1;
     private boolean leading;
@@ -46,12 +50,13 @@
     private Moment validUntil = Moment.NEVER;
     private Moment standAsideUntil = Moment.NEVER;
 
-    public Leadership(Vertx vertx, StateClient state, SteadyClock clock, String node, String process, Span life,
-                      Listener listener) {
+    public Leadership(Vertx vertx, StateClient state, SteadyClock clock, String node, String process, int peers,
+                      Span life, Listener listener) {
         this.state = state;
         this.clock = clock;
         this.node = node;
         this.process = process;
+        this.peers = peers;
         this.life = life;
         this.listener = listener;
         this.duty = new Duty(vertx, "leadership", RETRY, this::step);
@@ -109,6 +114,9 @@
                 current = entry == null ? null : LeaderKey.read(entry.value(), entry.stamp());
                 // A key of this very node is that of a predecessor, which has ended, or comes from an attempt of this
                 // process whose answer was lost: nobody acts under it, so its lease need not be waited for.
+                if (current != null && current.node().equals(node) && !hasLetGo && peers > 0) {
+                    return letGo();
+                }
                 if (current == null || current.node().equals(node)) {
                     return clock.now().isBefore(standAsideUntil) ? Future.succeededFuture(RETRY) : campaign();
                 }
@@ -129,6 +137,17 @@
                 });
     }
 
+    /**
+     * This process has just started and its predecessor led. A node that has been up all along leads sooner and better
+     * than one that is still warming up, so the key is removed, and taken only if nobody else does.
+     */
+    private Future<Span> letGo() {
+        hasLetGo = true;
+        LOG.info("removing the leadership key of the process before this one");
+        return state.commit(new StateClient.Txn().when(RecordCodec.LEADER, current.stamp()).delete(RecordCodec.LEADER))
+                .map(GRACE);
+    }
+
     private Future<Span> campaign() {
         Stamp before = current == null ? Stamp.ABSENT : current.stamp();
         return state.get(RecordCodec.COUNTER).compose(counter -> {
@@ -140,6 +159,7 @@
                     .put(RecordCodec.LEADER, LeaderKey.write(node, process, token), granted)
                     .put(RecordCodec.COUNTER, Wire.map("value", token.value()))).map(outcome -> {
                         watchedTo = -1;
+                        hasLetGo = true;
                         if (outcome.done()) {
                             take(granted, token, outcome.stamp(), sent);
                         }
--- a/src/main/java/io/indigoreach/state/RecordCodec.java
+++ b/src/main/java/io/indigoreach/state/RecordCodec.java
@@ -126,9 +126,10 @@
         return new FinalRecord(id, status, (int) f.whole("done", 0));
     }
 
-    /** The machine and when it was asked for, by the time of day. */
-    public static Map<String, Object> writeMachine(Pool pool, long rentedMs) {
-        return Wire.map("type", pool.type(), "zone", pool.zone(), "spot", pool.spot(), "at", rentedMs);
+    /** The machine, when it was asked for, and a moment at which it surely existed, both by the time of day. */
+    public static Map<String, Object> writeMachine(Pool pool, long rentedMs, long existedMs) {
+        return Wire.map("type", pool.type(), "zone", pool.zone(), "spot", pool.spot(), "at", rentedMs, "existed",
+                existedMs);
     }
 
     public static MachineId machineOf(String key) {
--- a/src/test/java/io/indigoreach/core/RandomRun.java
+++ b/src/test/java/io/indigoreach/core/RandomRun.java
@@ -136,7 +136,7 @@
         leader.setTypes(List.of(World.TYPE));
         for (String name : recorded) {
             if (without != Without.TAKE_OVER) {
-                leader.inherit(new MachineId(name), pool(name), World.at(0), at());
+                leader.inherit(new MachineId(name), pool(name), World.at(0), at(), at());
             }
         }
         for (Stored s : store.values()) {
--- a/src/test/java/io/indigoreach/core/TakeOverTest.java
+++ b/src/test/java/io/indigoreach/core/TakeOverTest.java
@@ -19,7 +19,7 @@
     private final World w = new World();
 
     private void inheritMachine(String name) {
-        w.core.inherit(new MachineId(name), new Pool("quad", "east", true), at(-100), at(0));
+        w.core.inherit(new MachineId(name), new Pool("quad", "east", true), at(-100), at(0), at(0));
     }
 
     @Test
@@ -59,8 +59,8 @@
     @Test
     void underALimitEvenNewJobsWaitForTheWholePicture() {
         World limited = new World(World.team(4));
-        limited.core.inherit(new MachineId("a"), new Pool("quad", "east", true), at(-100), at(0));
-        limited.core.inherit(new MachineId("b"), new Pool("quad", "east", true), at(-100), at(0));
+        limited.core.inherit(new MachineId("a"), new Pool("quad", "east", true), at(-100), at(0), at(0));
+        limited.core.inherit(new MachineId("b"), new Pool("quad", "east", true), at(-100), at(0), at(0));
         limited.core.loaded();
         limited.submit(spec(1, 1, 1, 50), 1);
         assertEquals(List.of(), starts(limited.hear("a", 2)));
