--- a/src/main/java/io/indigoreach/core/BestSize.java
+++ b/src/main/java/io/indigoreach/core/BestSize.java
@@ -96,11 +96,8 @@
     }
 
     private boolean mayTakeOrdinary(Job job, Moment now) {
-        Span patience = switch (job.spec.urgency()) {
-            case PRODUCTION, HIGH -> tuning.urgentSpotPatience();
-            case STANDARD -> tuning.standardSpotPatience();
-            case BEST_EFFORT -> tuning.spotPatience();
-        };
+        Span patience = job.spec.urgency().isMoreUrgentThan(Urgency.STANDARD) ? tuning.urgentSpotPatience()
+                : tuning.spotPatience();
         return !job.spec.spotAllowed() || now.since(job.arrived).compareTo(patience) >= 0;
     }
 
