--- a/src/main/java/io/indigoreach/cluster/Reign.java
+++ b/src/main/java/io/indigoreach/cluster/Reign.java
@@ -4,6 +4,7 @@
 import io.indigoreach.cloud.CloudClient;
 import io.indigoreach.config.PlatformConfig;
 import io.indigoreach.config.Settings;
+import io.indigoreach.core.Aims;
 import io.indigoreach.core.Job;
 import io.indigoreach.core.LeaderCore;
 import io.indigoreach.core.Moment;
@@ -47,7 +48,8 @@
     Reign(Surroundings env, Token token, Stamp key, Leadership leadership) {
         this.env = env;
         this.token = token;
-        this.core = new LeaderCore(token, env.config().rules(), env.settings().tuning(), env.config().teams(), this);
+        this.core = new LeaderCore(token, env.config().rules(), env.settings().tuning(), aims(env.config()),
+                env.config().teams(), this);
         this.ledger = new Ledger(env, core, key, leadership::deposed);
         this.fleet = new Fleet(env, core, token, leadership::isValid);
         this.watch = new JobWatch(env, ledger);
@@ -55,6 +57,11 @@
         this.tick = new Duty(env.vertx(), "tick", TICK, this::tick);
     }
 
+    private static Aims aims(PlatformConfig config) {
+        return new Aims(config.objectives().stream().filter(o -> o.within().ms() > 0)
+                .map(o -> new Aims.Aim(o.jobClass(), "wait".equals(o.kind()), o.within())).toList());
+    }
+
     void start() {
         opening.start();
     }
--- /dev/null
+++ b/src/main/java/io/indigoreach/core/Aims.java
@@ -0,0 +1,39 @@
+package io.indigoreach.core;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+
+/** What the users expect of each class of jobs: tasks started, or jobs finished, within a time. */
+public final class Aims {
+    /** One expectation; {@code start}: of each task's start, else of the whole job's end. */
+    public record Aim(String jobClass, boolean start, Span within) {
+    }
+
+    /** A job without an aim, or past all of them, counts as expected this long after its arrival. */
+    private static final Span SOMETIME = Span.seconds(600);
+    private final Map<String, List<Aim>> byClass = new HashMap<>();
+
+    public Aims(List<Aim> aims) {
+        for (Aim aim : aims) {
+            byClass.computeIfAbsent(aim.jobClass(), c -> new ArrayList<>()).add(aim);
+        }
+    }
+
+    /** The next moment by which the job's waiting tasks should have started, for an aim that can still be met. */
+    Moment latestStart(Job job, Span run, Moment now) {
+        Moment next = job.arrived.plus(SOMETIME);
+        for (Aim aim : byClass.getOrDefault(job.spec.jobClass(), List.of())) {
+            next = earlier(next, job.arrived.plus(aim.start() ? aim.within() : aim.within().minus(run)), now);
+        }
+        if (job.spec.due() != null) {
+            next = earlier(next, job.arrived.plus(job.spec.due().minus(run)), now);
+        }
+        return next;
+    }
+
+    private static Moment earlier(Moment next, Moment latest, Moment now) {
+        return !latest.isBefore(now) && latest.isBefore(next) ? latest : next;
+    }
+}
--- a/src/main/java/io/indigoreach/core/BestSize.java
+++ b/src/main/java/io/indigoreach/core/BestSize.java
@@ -48,7 +48,7 @@
         Map<String, Need> needs = new HashMap<>();
         boolean shortTaken = false;
         double teamCores = share.cores();
-        for (Job job : share.queue) {
+        for (Job job : dispatcher.queue(share, now)) {
             int waiting = job.waiting();
             if (waiting == 0 || job.isSuspect() || !dispatcher.mayStart(job, now)) {
                 continue;
--- a/src/main/java/io/indigoreach/core/Cluster.java
+++ b/src/main/java/io/indigoreach/core/Cluster.java
@@ -38,14 +38,14 @@
 
     void add(Job job) {
         jobs.put(job.id(), job);
-        share(job).queue.add(job);
+        share(job).add(job);
         version++;
     }
 
     /** Takes a job off the queue; its placements stay until they surely are gone. */
     void remove(Job job) {
         jobs.remove(job.id(), job);
-        share(job).queue.remove(job);
+        share(job).remove(job);
         version++;
     }
 
--- a/src/main/java/io/indigoreach/core/Dispatcher.java
+++ b/src/main/java/io/indigoreach/core/Dispatcher.java
@@ -23,14 +23,16 @@
     }
 
     private final Cluster cluster;
+    private final Aims aims;
     private final Estimates estimates;
     private final TakeOver takeOver;
     private final Token token;
     private final Map<String, Reserved> reservations = new HashMap<>();
     private long attempts;
 
-    Dispatcher(Cluster cluster, Estimates estimates, TakeOver takeOver, Token token) {
+    Dispatcher(Cluster cluster, Aims aims, Estimates estimates, TakeOver takeOver, Token token) {
         this.cluster = cluster;
+        this.aims = aims;
         this.estimates = estimates;
         this.takeOver = takeOver;
         this.token = token;
@@ -122,7 +124,7 @@
 
     private void fillFrom(Share share, Machine m, ReportNumber number, Moment now, List<Order> orders) {
         Job top = null;
-        for (Job job : share.queue) {
+        for (Job job : queue(share, now)) {
             if (m.free().cores() <= 1e-6) {
                 return;
             }
@@ -146,6 +148,10 @@
         }
     }
 
+    List<Job> queue(Share share, Moment now) {
+        return share.queue(job -> aims.latestStart(job, estimates.run(job), now), now);
+    }
+
     /** Nothing of a job that an earlier leader may have started can be started before that leader's tasks are known. */
     boolean mayStart(Job job, Moment now) {
         if (now.isBefore(job.retryAt)) {
@@ -170,7 +176,7 @@
 
     /** The top job: the first in the queue that has tasks waiting and may start. */
     Job top(Share share, Moment now) {
-        for (Job job : share.queue) {
+        for (Job job : queue(share, now)) {
             if (job.hasWaiting() && mayStart(job, now) && !job.isSuspect()) {
                 return job;
             }
@@ -194,7 +200,7 @@
             if (m.share != null && !m.share.equals(share.team.name())) {
                 continue;
             }
-            for (Job job : share.queue) {
+            for (Job job : share.jobs()) {
                 if (job.hasWaiting() && !job.isSuspect() && m.allows(job.spec) && job.spec.demand().fitsIn(m.free())
                         && !job.failedOn.contains(m.id) && placeable(share, job, m)) {
                     return true;
--- a/src/main/java/io/indigoreach/core/LeaderCore.java
+++ b/src/main/java/io/indigoreach/core/LeaderCore.java
@@ -37,13 +37,14 @@
     };
     private boolean loaded;
 
-    public LeaderCore(Token token, Rules rules, Tuning tuning, Collection<Team> teams, Notes notes) {
+    public LeaderCore(Token token, Rules rules, Tuning tuning, Aims aims, Collection<Team> teams,
+                      Notes notes) {
         this.token = token;
         this.rules = rules;
         this.notes = notes;
         this.cluster = new Cluster(teams);
         this.takeOver = new TakeOver();
-        this.dispatcher = new Dispatcher(cluster, estimates, takeOver, token);
+        this.dispatcher = new Dispatcher(cluster, aims, estimates, takeOver, token);
         this.reconciler = new Reconciler(cluster, estimates, notes);
         this.bestSize = new BestSize(cluster, dispatcher, estimates, tuning);
         this.releaseCheck = new ReleaseCheck(cluster, dispatcher, rules, tuning);
--- a/src/main/java/io/indigoreach/core/Share.java
+++ b/src/main/java/io/indigoreach/core/Share.java
@@ -1,16 +1,31 @@
 package io.indigoreach.core;
 
+import java.util.ArrayList;
 import java.util.Comparator;
-import java.util.TreeSet;
+import java.util.List;
+import java.util.function.Function;
 
 /** A team's queue of open jobs. Machines name the share that they serve; the leader moves idle ones. */
 final class Share {
-    /** Urgency first, then the order of arrival: the paper's priority queue. */
-    private static final Comparator<Job> ORDER = Comparator.<Job, Urgency>comparing(j -> j.spec.urgency())
-            .thenComparingLong(j -> j.submittedMs).thenComparing(Job::id);
+    /** How long an order of the queue is kept while no job comes or goes. */
+    private static final Span ORDER_LIFE = Span.seconds(1);
+
+    /** A job with what its place in the queue depends on. */
+    private record Ranked(Job job, Urgency urgency, Moment latestStart) {
+    }
+
+    /**
+     * The paper's priority queue, its priority from urgency and time: urgent jobs first, the others mixed, each by the
+     * latest start that still meets an aim; then the order of arrival.
+     */
+    private static final Comparator<Ranked> ORDER = Comparator.<Ranked, Urgency>comparing(r -> r.urgency)
+            .thenComparing(r -> r.latestStart).thenComparingLong(r -> r.job.submittedMs)
+            .thenComparing(r -> r.job.id());
 
     final Team team;
-    final TreeSet<Job> queue = new TreeSet<>(ORDER);
+    private final List<Job> jobs = new ArrayList<>();
+    private List<Job> ordered = List.of();
+    private Moment orderedAt = Moment.NEVER;
     private double cores;
     private double gpus;
 
@@ -18,6 +33,35 @@
         this.team = team;
     }
 
+    void add(Job job) {
+        jobs.add(job);
+        orderedAt = Moment.NEVER;
+    }
+
+    void remove(Job job) {
+        jobs.remove(job);
+        orderedAt = Moment.NEVER;
+    }
+
+    List<Job> jobs() {
+        return jobs;
+    }
+
+    /** The queue in the order in which it is served. */
+    List<Job> queue(Function<Job, Moment> latestStart, Moment now) {
+        if (!now.isBefore(orderedAt.plus(ORDER_LIFE))) {
+            List<Ranked> ranked = new ArrayList<>(jobs.size());
+            for (Job job : jobs) {
+                Urgency urgency = job.spec.urgency() == Urgency.BEST_EFFORT ? Urgency.STANDARD : job.spec.urgency();
+                ranked.add(new Ranked(job, urgency, latestStart.apply(job)));
+            }
+            ranked.sort(ORDER);
+            ordered = ranked.stream().map(Ranked::job).toList();
+            orderedAt = now;
+        }
+        return ordered;
+    }
+
     void used(Demand demand, int sign) {
         cores += sign * demand.cores();
         gpus += sign * demand.gpus();
--- a/src/test/java/io/indigoreach/core/RandomRun.java
+++ b/src/test/java/io/indigoreach/core/RandomRun.java
@@ -124,7 +124,7 @@
         Team team = new Team("t", 0, without == Without.TEAM_LIMIT ? 0 : CORES_MAX, 0, 0);
         Rules rules = without == Without.LEASE_BOUND ? new Rules(Span.seconds(3), World.RULES.report(),
                 World.RULES.cancel(), World.RULES.listLag()) : World.RULES;
-        leader = new LeaderCore(new Token(++token), rules, World.TUNING, List.of(team), new Notes() {
+        leader = new LeaderCore(new Token(++token), rules, World.TUNING, World.NO_AIMS, List.of(team), new Notes() {
             @Override
             public void progress(Job job) {
             }
--- a/src/test/java/io/indigoreach/core/World.java
+++ b/src/test/java/io/indigoreach/core/World.java
@@ -11,6 +11,7 @@
     static final Rules RULES = new Rules(Span.seconds(12), Span.seconds(2), Span.seconds(32), Span.seconds(3));
     static final Tuning TUNING = new Tuning(Span.seconds(45), Span.seconds(60), Span.seconds(60), Span.seconds(60),
             Span.seconds(5), 2, 4, Span.seconds(60), Span.seconds(60), Span.seconds(10));
+    static final Aims NO_AIMS = new Aims(List.of());
     static final Token TOKEN = new Token(5);
 
     final List<String> said = new ArrayList<>();
@@ -24,7 +25,7 @@
     }
 
     World(Tuning tuning, Team... teams) {
-        core = new LeaderCore(TOKEN, RULES, tuning, teams.length == 0 ? List.of(team(0)) : List.of(teams), this);
+        core = new LeaderCore(TOKEN, RULES, tuning, NO_AIMS, teams.length == 0 ? List.of(team(0)) : List.of(teams), this);
         core.setTypes(List.of(TYPE));
     }
 
