--- /dev/null
+++ b/src/test/java/io/indigoreach/api/JobDeskTest.java
@@ -0,0 +1,147 @@
+package io.indigoreach.api;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.indigoreach.cloud.Catalogue;
+import io.indigoreach.cloud.CloudClient;
+import io.indigoreach.core.Demand;
+import io.indigoreach.core.MachineType;
+import io.indigoreach.core.Span;
+import io.indigoreach.core.Stamp;
+import io.indigoreach.core.Team;
+import io.indigoreach.net.Caller;
+import io.indigoreach.net.Endpoint;
+import io.indigoreach.net.Reply;
+import io.indigoreach.net.SteadyClock;
+import io.indigoreach.state.RecordCodec;
+import io.indigoreach.state.StateClient;
+import io.indigoreach.state.StateStandIn;
+import io.vertx.core.Future;
+import io.vertx.core.Promise;
+import io.vertx.core.Vertx;
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.http.HttpMethod;
+import java.net.ServerSocket;
+import java.util.List;
+import java.util.Map;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+/** The users' interface over HTTP, two nodes on one stand-in for the state service. */
+class JobDeskTest {
+    private static final Span WAIT = Span.seconds(10);
+    private final Vertx vertx = Vertx.vertx();
+    private StateStandIn service;
+    private Endpoint first;
+    private Endpoint second;
+
+    @BeforeEach
+    void serve() throws Exception {
+        service = await(new StateStandIn().listen(vertx));
+        MachineType type = new MachineType("quad", new Demand(4, 0, 16), 40, 1, 1, 1, Span.seconds(20), List.of("a"));
+        await(client().commit(new StateClient.Txn().when(RecordCodec.CATALOGUE, Stamp.ABSENT)
+                .put(RecordCodec.CATALOGUE, RecordCodec.writeCatalogue(List.of(type)))));
+        first = node();
+        second = node();
+    }
+
+    @AfterEach
+    void close() throws Exception {
+        await(vertx.close());
+    }
+
+    private StateClient client() {
+        return new StateClient(new Caller(vertx, service.endpoint(), 4), new Caller(vertx, service.endpoint(), 1));
+    }
+
+    private Endpoint node() throws Exception {
+        Endpoint endpoint;
+        try (ServerSocket free = new ServerSocket(0)) {
+            endpoint = new Endpoint("127.0.0.1", free.getLocalPort());
+        }
+        Catalogue catalogue = new Catalogue(vertx, client(), new CloudClient(new Caller(vertx, endpoint, 1))).start();
+        JobDesk desk = new JobDesk(client(), catalogue, List.of(new Team("t", 0, 0, 0, 0)), new SteadyClock(), 8192);
+        await(new FrontDoor(vertx, endpoint, desk, null, catalogue::isKnown).open());
+        while (call(endpoint, HttpMethod.GET, "/ready", null).status() != 200) {
+            Thread.onSpinWait();
+        }
+        return endpoint;
+    }
+
+    private static <T> T await(Future<T> future) throws Exception {
+        return future.toCompletionStage().toCompletableFuture().get();
+    }
+
+    private Reply call(Endpoint at, HttpMethod method, String path, Map<String, Object> body) throws Exception {
+        Caller caller = new Caller(vertx, at, 1);
+        return await(method == HttpMethod.GET ? caller.get(path, WAIT) : method == HttpMethod.DELETE
+                ? caller.delete(path, WAIT) : caller.post(path, body, WAIT));
+    }
+
+    private String status(Reply reply) {
+        return reply.status() + " " + reply.body().optionalText("status");
+    }
+
+    @Test
+    void aJobIsTheSameAtEveryNode() throws Exception {
+        assertEquals("404 null", status(call(second, HttpMethod.GET, "/api/jobs/run-000412", null)));
+        assertEquals("201 pending", status(call(first, HttpMethod.POST, "/api/jobs", JobCodecTest.job())));
+        assertEquals("200 pending", status(call(second, HttpMethod.POST, "/api/jobs", JobCodecTest.job())));
+        assertEquals("200 pending", status(call(second, HttpMethod.GET, "/api/jobs/run-000412", null)));
+        assertEquals("200 cancelled", status(call(second, HttpMethod.POST, "/api/jobs/run-000412/cancel", Map.of())));
+        assertEquals("200 cancelled", status(call(first, HttpMethod.GET, "/api/jobs/run-000412", null)));
+        assertEquals("200 cancelled", status(call(first, HttpMethod.POST, "/api/jobs", JobCodecTest.job())));
+    }
+
+    @Test
+    void aLostAnswerIsNoAcceptanceAndNoSecondJob() throws Exception {
+        service.losingAnswers = 1;
+        assertEquals(503, call(first, HttpMethod.POST, "/api/jobs", JobCodecTest.job()).status());
+        assertEquals("200 pending", status(call(first, HttpMethod.POST, "/api/jobs", JobCodecTest.job())));
+    }
+
+    @Test
+    void withoutTheStateServiceOnlyWhatIsOverIsAnswered() throws Exception {
+        call(first, HttpMethod.POST, "/api/jobs", JobCodecTest.job());
+        Map<String, Object> other = JobCodecTest.job();
+        other.put("id", "run-5");
+        call(first, HttpMethod.POST, "/api/jobs", other);
+        call(first, HttpMethod.POST, "/api/jobs/run-5/cancel", Map.of());
+        service.refusing = true;
+        assertEquals(503, call(first, HttpMethod.GET, "/api/jobs/run-000412", null).status());
+        assertEquals(503, call(second, HttpMethod.GET, "/api/jobs/run-5", null).status());
+        assertEquals(503, call(first, HttpMethod.GET, "/api/jobs/run-404", null).status(), "404 only on its word");
+        assertEquals("200 cancelled", status(call(first, HttpMethod.GET, "/api/jobs/run-5", null)));
+    }
+
+    @ParameterizedTest
+    @CsvSource({"GET, /nowhere, 404", "GET, /api/jobs, 405", "DELETE, /api/jobs/run-1, 405", "POST, /ready, 405",
+        "GET, /api/jobs/run-1/cancel, 405", "GET, /api/jobs/strange, 404", "GET, /api/jobs/a/b, 404",
+        "POST, /api/jobs, 400"})
+    void wrongPathsAndMethods(String method, String path, int status) throws Exception {
+        assertEquals(status, call(first, HttpMethod.valueOf(method), path, Map.of()).status());
+    }
+
+    /** A long body is refused, announced or not, and others are served meanwhile. */
+    @ParameterizedTest
+    @CsvSource({"true", "false"})
+    void aLongBodyIsRefused(boolean announced) throws Exception {
+        Promise<Integer> status = Promise.promise();
+        vertx.createHttpClient().request(HttpMethod.POST, first.port(), first.host(), "/api/jobs").onSuccess(request -> {
+            request.response().onSuccess(r -> status.tryComplete(r.statusCode())).onFailure(status::tryFail);
+            if (announced) {
+                request.putHeader("Content-Length", "70000");
+                request.write(Buffer.buffer(new byte[10]));
+            } else {
+                request.setChunked(true);
+                request.write(Buffer.buffer(new byte[70_000]));
+            }
+        });
+        assertEquals(413, await(status.future()));
+        assertTrue(call(first, HttpMethod.GET, "/ready", null).isOk());
+    }
+}
--- /dev/null
+++ b/src/test/java/io/indigoreach/state/LeadershipTest.java
@@ -0,0 +1,112 @@
+package io.indigoreach.state;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.indigoreach.core.Span;
+import io.indigoreach.core.Stamp;
+import io.indigoreach.core.Token;
+import io.indigoreach.net.Caller;
+import io.indigoreach.net.SteadyClock;
+import io.vertx.core.Vertx;
+import java.util.concurrent.ArrayBlockingQueue;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+/** Taking, keeping and losing leadership, against a stand-in for the state service. Waits are for events, not times. */
+class LeadershipTest {
+    private final Vertx vertx = Vertx.vertx();
+    private final BlockingQueue<String> events = new ArrayBlockingQueue<>(100);
+    private StateStandIn service;
+
+    @BeforeEach
+    void listen() throws Exception {
+        service = new StateStandIn().listen(vertx).toCompletionStage().toCompletableFuture().get();
+    }
+
+    @AfterEach
+    void close() throws Exception {
+        vertx.close().toCompletionStage().toCompletableFuture().get();
+    }
+
+    private Leadership node(String node, String process, int peers) {
+        StateClient client = new StateClient(new Caller(vertx, service.endpoint(), 4),
+                new Caller(vertx, service.endpoint(), 2));
+        Leadership leadership = new Leadership(vertx, client, new SteadyClock(), node, process, peers, Span.seconds(10),
+                new Leadership.Listener() {
+                    @Override
+                    public void took(Token token, Stamp key) {
+                        events.add(process + " took " + token);
+                    }
+
+                    @Override
+                    public void lost(String reason) {
+                        events.add(process + " lost");
+                    }
+                });
+        vertx.runOnContext(v -> leadership.start());
+        return leadership;
+    }
+
+    private String next() throws InterruptedException {
+        return events.poll(20, TimeUnit.SECONDS);
+    }
+
+    @Test
+    void theNextLeadersTokenIsHigherAndTheFirstIsNotValidAnyMore() throws Exception {
+        Leadership a = node("a", "a1", 0);
+        assertEquals("a1 took 1", next());
+        assertTrue(a.isValid());
+        vertx.runOnContext(v -> a.stop());
+        node("b", "b1", 0);
+        service.endLeases();
+        assertEquals("b1 took 2", next());
+    }
+
+    /** Guards against waiting a whole lease for a process that surely has ended. */
+    @Test
+    void aRestartedNodeTakesItsPredecessorsPlace() throws Exception {
+        Leadership a = node("a", "a1", 0);
+        assertEquals("a1 took 1", next());
+        vertx.runOnContext(v -> a.stop());
+        node("a", "a2", 0);
+        assertEquals("a2 took 2", next());
+    }
+
+    @Test
+    void aRestartedNodeLetsANodeThatIsUpLeadFirst() throws Exception {
+        Leadership a = node("a", "a1", 2);
+        assertEquals("a1 took 1", next());
+        vertx.runOnContext(v -> a.stop());
+        node("b", "b1", 2);
+        while (service.transactions < 1) {
+            Thread.onSpinWait();
+        }
+        node("a", "a2", 2);
+        assertTrue(next().endsWith("took 2"));
+    }
+
+    /** The key was written but the answer lost: this process may take it again, under a higher token. */
+    @Test
+    void aLostAnswerToTheCampaignDoesNotBlockLeadership() throws Exception {
+        service.losingAnswers = 1;
+        node("a", "a1", 0);
+        assertEquals("a1 took 2", next());
+    }
+
+    @Test
+    void aLeaderWhoseLeaseHasEndedSaysSo() throws Exception {
+        Leadership a = node("a", "a1", 0);
+        assertEquals("a1 took 1", next());
+        service.endLeases();
+        assertEquals("a1 lost", next());
+        assertEquals("a1 took 2", next());
+        vertx.runOnContext(v -> a.deposed());
+        assertEquals("a1 lost", next());
+        assertFalse(a.isValid() && events.isEmpty());
+    }
+}
--- /dev/null
+++ b/src/test/java/io/indigoreach/state/StateStandIn.java
@@ -0,0 +1,175 @@
+package io.indigoreach.state;
+
+import io.indigoreach.net.Endpoint;
+import io.indigoreach.net.Fields;
+import io.indigoreach.net.Wire;
+import io.vertx.core.Future;
+import io.vertx.core.Promise;
+import io.vertx.core.Vertx;
+import io.vertx.core.http.HttpMethod;
+import io.vertx.core.http.HttpServerRequest;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+
+/** A stand-in for the state service that speaks its protocol; it can refuse requests, or execute them and not answer. */
+public final class StateStandIn {
+    private record Item(Map<String, Object> data, long stamp, long lease) {
+    }
+
+    private final TreeMap<String, Item> items = new TreeMap<>();
+    private final Map<Long, Boolean> leases = new HashMap<>();
+    private final List<Promise<Void>> watchers = new ArrayList<>();
+    private final List<Map<String, Object>> changes = new ArrayList<>();
+    private long revision = 10;
+    private long lastLease;
+    public boolean refusing;
+    /** The answers to the next transactions are lost after these were executed. */
+    public int losingAnswers;
+    public int transactions;
+    private Endpoint endpoint;
+
+    public Future<StateStandIn> listen(Vertx vertx) {
+        return vertx.createHttpServer().requestHandler(this::handle).listen(0, "127.0.0.1").map(s -> {
+            endpoint = new Endpoint("127.0.0.1", s.actualPort());
+            return this;
+        });
+    }
+
+    public Endpoint endpoint() {
+        return endpoint;
+    }
+
+    public boolean has(String key) {
+        return items.containsKey(key);
+    }
+
+    public Fields value(String key) {
+        return new Fields(items.get(key).data);
+    }
+
+    /** Ends every lease, with the keys attached to it. */
+    public void endLeases() {
+        leases.clear();
+        List<String> gone = items.entrySet().stream().filter(e -> e.getValue().lease > 0).map(Map.Entry::getKey).toList();
+        gone.forEach(this::delete);
+        wakeWatchers();
+    }
+
+    private void handle(HttpServerRequest request) {
+        String path = request.path();
+        request.body().onSuccess(body -> {
+            if (refusing) {
+                reply(request, 503, Map.of());
+            } else if (path.equals("/txn")) {
+                commit(request, Wire.readMap(body));
+            } else if (path.equals("/store")) {
+                list(request);
+            } else if (path.startsWith("/store/")) {
+                Item item = items.get(path.substring(7));
+                reply(request, item == null ? 404 : 200, item == null ? Wire.map("ledger_rev", revision)
+                        : Wire.map("path", path.substring(7), "data", item.data, "stamp", item.stamp));
+            } else if (path.equals("/grants")) {
+                leases.put(++lastLease, true);
+                reply(request, 200, Wire.map("permit", lastLease));
+            } else if (path.startsWith("/grants/")) {
+                long lease = Long.parseLong(path.split("/")[2]);
+                if (request.method() == HttpMethod.DELETE) {
+                    endLeases();
+                }
+                reply(request, leases.containsKey(lease) ? 200 : 404, Map.of());
+            } else if (path.equals("/changes")) {
+                watch(request, request.getParam("starts"), Long.parseLong(request.getParam("since")));
+            }
+        });
+    }
+
+    private void commit(HttpServerRequest request, Fields txn) {
+        transactions++;
+        List<String> failed = new ArrayList<>();
+        for (Fields when : txn.children("when")) {
+            Item item = items.get(when.text("path"));
+            if ((item == null ? 0 : item.stamp) != when.whole("stamp")) {
+                failed.add(when.text("path"));
+            }
+        }
+        for (Fields write : txn.children("writes")) {
+            if (write.has("permit") && !leases.containsKey(write.whole("permit"))) {
+                reply(request, 400, Wire.map("error", "no such lease"));
+                return;
+            }
+        }
+        if (!failed.isEmpty()) {
+            reply(request, 409, Wire.map("failed", failed, "ledger_rev", revision));
+            return;
+        }
+        revision++;
+        for (Fields write : txn.children("writes")) {
+            if (write.has("delete")) {
+                revision--;
+                delete(write.text("delete"));
+            } else {
+                Map<String, Object> data = write.child("data").map();
+                items.put(write.text("write"), new Item(data, revision, write.whole("permit", 0)));
+                changes.add(Wire.map("write", write.text("write"), "data", data, "stamp", revision));
+            }
+        }
+        wakeWatchers();
+        if (losingAnswers > 0) {
+            losingAnswers--;
+            request.connection().close();
+            return;
+        }
+        reply(request, 200, Wire.map("ledger_rev", revision));
+    }
+
+    private void delete(String key) {
+        if (items.remove(key) != null) {
+            changes.add(Wire.map("delete", key, "stamp", ++revision));
+        } else {
+            revision++;
+        }
+    }
+
+    private void list(HttpServerRequest request) {
+        List<Object> out = new ArrayList<>();
+        items.forEach((key, item) -> {
+            if (key.startsWith(request.getParam("starts"))) {
+                out.add(Wire.map("path", key, "data", item.data, "stamp", item.stamp));
+            }
+        });
+        reply(request, 200, Wire.map("items", out, "truncated", false, "ledger_rev", revision));
+    }
+
+    private void watch(HttpServerRequest request, String prefix, long since) {
+        List<Object> events = new ArrayList<>();
+        for (Map<String, Object> change : changes) {
+            String key = (String) (change.containsKey("write") ? change.get("write") : change.get("delete"));
+            if (key.startsWith(prefix) && (Long) change.get("stamp") > since) {
+                events.add(new LinkedHashMap<>(change));
+            }
+        }
+        if (!events.isEmpty()) {
+            reply(request, 200, Wire.map("ledger_rev", revision, "events", events));
+            return;
+        }
+        Promise<Void> change = Promise.promise();
+        watchers.add(change);
+        change.future().onSuccess(v -> watch(request, prefix, since));
+    }
+
+    private void wakeWatchers() {
+        List<Promise<Void>> waiting = new ArrayList<>(watchers);
+        watchers.clear();
+        waiting.forEach(Promise::complete);
+    }
+
+    private static void reply(HttpServerRequest request, int status, Map<String, Object> body) {
+        if (!request.response().ended() && !request.response().closed()) {
+            request.response().setStatusCode(status).end(Wire.write(body));
+        }
+    }
+}
