--- a/src/main/java/io/indigoreach/cluster/Controller.java
+++ b/src/main/java/io/indigoreach/cluster/Controller.java
@@ -5,7 +5,6 @@
 import io.indigoreach.core.Token;
 import io.indigoreach.core.WorkerReport;
 import io.indigoreach.state.Leadership;
-import io.vertx.core.Future;
 import java.util.List;
 import java.util.concurrent.ThreadLocalRandom;
 
@@ -29,9 +28,8 @@
                 env.config().peers().size(), env.lease(), this);
     }
 
-    /** Completes once this node knows how it stands with leadership, or could not learn it. */
-    public Future<Void> start() {
-        return leadership.start();
+    public void start() {
+        leadership.start();
     }
 
     public void stop() {
--- a/src/main/java/io/indigoreach/cluster/Node.java
+++ b/src/main/java/io/indigoreach/cluster/Node.java
@@ -7,26 +7,20 @@
 import io.indigoreach.config.ConfigException;
 import io.indigoreach.config.PlatformConfig;
 import io.indigoreach.config.Settings;
-import io.indigoreach.core.Span;
 import io.indigoreach.net.Caller;
 import io.indigoreach.net.SteadyClock;
 import io.indigoreach.state.StateClient;
 import io.indigoreach.worker.ReportDesk;
 import io.vertx.core.Future;
 import io.vertx.core.Vertx;
-import java.util.concurrent.TimeUnit;
 
 /** Puts a controller node together from its parts. */
 public final class Node {
-    private static final Span MOST_DELAY = Span.seconds(1.5);
-
-    private final Vertx vertx;
     private final Catalogue catalogue;
     private final Controller controller;
     private final FrontDoor door;
 
     public Node(Vertx vertx, PlatformConfig config, Settings settings) throws ConfigException {
-        this.vertx = vertx;
         SteadyClock clock = new SteadyClock();
         StateClient state = new StateClient(new Caller(vertx, config.state(), 12),
                 new Caller(vertx, config.state(), 2));
@@ -38,15 +32,11 @@
         this.door = new FrontDoor(vertx, config.listen(), jobs, new ReportDesk(controller), catalogue::isKnown);
     }
 
-    /**
-     * Leadership comes first: if the process before this one led, the others wait for its key to be let go, while a
-     * fresh process at a tenth of a core needs seconds to open its listener. A silent state service delays that little.
-     */
     public Future<Void> start() {
-        Future<Void> standing = Future.future(started -> vertx.runOnContext(v -> controller.start().onComplete(started)));
-        return Future.any(standing, vertx.timer(MOST_DELAY.ms(), TimeUnit.MILLISECONDS)).compose(v -> {
+        return door.open().map(v -> {
             catalogue.start();
-            return door.open();
+            controller.start();
+            return null;
         });
     }
 
--- a/src/main/java/io/indigoreach/state/Leadership.java
+++ b/src/main/java/io/indigoreach/state/Leadership.java
@@ -8,7 +8,6 @@
 import io.indigoreach.net.SteadyClock;
 import io.indigoreach.net.Wire;
 import io.vertx.core.Future;
-import io.vertx.core.Promise;
 import io.vertx.core.Vertx;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -43,7 +42,6 @@
     private final Duty renewal;
 
     private final int peers;
-    private final Promise<Void> firstStep = Promise.promise();
     private boolean hasLetGo;
     private LeaderKey current;
     private long watchedTo = -1;
@@ -61,15 +59,13 @@
         this.peers = peers;
         this.life = life;
         this.listener = listener;
-        this.duty = new Duty(vertx, "leadership", RETRY, () -> step().onComplete(r -> firstStep.tryComplete()));
+        this.duty = new Duty(vertx, "leadership", RETRY, this::step);
         this.renewal = new Duty(vertx, "lease renewal", RETRY, this::renew);
     }
 
-    /** Completes once the first step is over: whether a predecessor's key was there is known, and it is let go. */
-    public Future<Void> start() {
+    public void start() {
         duty.start();
         renewal.start();
-        return firstStep.future();
     }
 
     public void stop() {
