--- a/src/main/java/io/indigoreach/cluster/JobWatch.java
+++ b/src/main/java/io/indigoreach/cluster/JobWatch.java
@@ -13,7 +13,7 @@
 /** Tells the leader of jobs that any node has accepted or cancelled. */
 final class JobWatch {
     private static final Logger LOG = LoggerFactory.getLogger(JobWatch.class);
-    private static final Span WAIT = Span.seconds(2);
+    private static final Span LONGEST_WAIT = Span.seconds(2);
     private static final Span PAUSE = Span.seconds(0.3);
 
     private final Reign.Surroundings env;
@@ -55,7 +55,7 @@
                 return Span.ZERO;
             });
         }
-        return env.state().watch(RecordCodec.OPEN, since, WAIT).map(changes -> {
+        return env.state().watch(RecordCodec.OPEN, since, waitFor(env.lease())).map(changes -> {
             if (duty.isCancelled()) {
                 return PAUSE;
             }
@@ -72,6 +72,15 @@
         });
     }
 
+    /**
+     * How long one watch may stay open. The leader answers workers only while its last finished watch is younger than
+     * its lease, so under a short lease watches must end often, or a quiet service would look like a deaf one.
+     */
+    static Span waitFor(Span lease) {
+        Span part = lease.times(0.25);
+        return part.compareTo(LONGEST_WAIT) < 0 ? part : LONGEST_WAIT;
+    }
+
     private void apply(StateClient.Change change) {
         JobId id = RecordCodec.jobOf(change.key());
         if (change.value() != null) {
