Record a machine when it first reports, and wait at a take-over for recorded ones only

Nothing can be on a machine that has never reported, so it needs no record. Its first report is answered once the record is written. Ruled out: the cloud's outage, the queue's order. The random run's own model of a hung worker was wrong by a step; listeners in tests take port 0.

--- a/src/main/java/io/indigoreach/api/FrontDoor.java
+++ b/src/main/java/io/indigoreach/api/FrontDoor.java
@@ -45,10 +45,11 @@
         server.invalidRequestHandler(r -> r.connection().close());
     }
 
-    public Future<Void> open() {
+    /** Opens the listener; the result is its port, chosen by the system if the endpoint's port is 0. */
+    public Future<Integer> open() {
         return server.listen(endpoint.port(), endpoint.host()).map(s -> {
             LOG.info("serving on {}", endpoint);
-            return null;
+            return s.actualPort();
         });
     }
 
@@ -59,7 +60,7 @@
     private void handle(HttpServerRequest request) {
         String path = request.path();
         if ("/checkin".equals(path)) {
-            withBody(request, HttpMethod.POST, body -> Future.succeededFuture(reports.report(body)));
+            withBody(request, HttpMethod.POST, reports::report);
         } else if ("/ready".equals(path)) {
             if (allows(request, HttpMethod.GET)) {
                 write(request, ready.getAsBoolean() ? Answer.ok(java.util.Map.of()) : Answer.later("starting"));
--- a/src/main/java/io/indigoreach/cli/Rehearsal.java
+++ b/src/main/java/io/indigoreach/cli/Rehearsal.java
@@ -1,6 +1,7 @@
 package io.indigoreach.cli;
 
 import io.indigoreach.cluster.Node;
+import io.indigoreach.config.ConfigException;
 import io.indigoreach.config.PlatformConfig;
 import io.indigoreach.config.Settings;
 import io.indigoreach.net.Caller;
@@ -24,7 +25,7 @@
     private static final String PLATFORM = """
             node = "a"
             domain = "z"
-            serve_on = "127.0.0.1:%d"
+            serve_on = "127.0.0.1:0"
             cluster_listen = "127.0.0.1:0"
             [[peers]]
             node = "b"
@@ -72,24 +73,22 @@
     }
 
     private Future<Void> serve(Vertx vertx, int port) {
-        try (java.net.ServerSocket free = new java.net.ServerSocket(0)) {
-            int own = free.getLocalPort();
-            free.close();
-            PlatformConfig config = PlatformConfig.parse("rehearsal", String.format(PLATFORM, own, port, port));
-            Caller user = new Caller(vertx, new Endpoint("127.0.0.1", own), 2);
-            Span wait = Span.seconds(3);
-            return new Node(vertx, config, Settings.standard()).start()
-                    .compose(v -> vertx.timer(700, TimeUnit.MILLISECONDS))
-                    .compose(v -> user.get("/ready", wait))
-                    .compose(v -> user.post("/api/jobs", job(), wait))
-                    .compose(v -> user.get("/api/jobs/run-1", wait))
-                    .compose(v -> vertx.timer(400, TimeUnit.MILLISECONDS))
-                    .compose(v -> user.post("/checkin", report(1), wait))
-                    .compose(v -> user.post("/checkin", report(2), wait))
-                    .compose(v -> user.post("/api/jobs/run-1/cancel", Map.of(), wait))
-                    .compose(v -> vertx.timer(700, TimeUnit.MILLISECONDS))
-                    .mapEmpty();
-        } catch (Exception e) {
+        Span wait = Span.seconds(3);
+        try {
+            PlatformConfig config = PlatformConfig.parse("rehearsal", String.format(PLATFORM, port, port));
+            return new Node(vertx, config, Settings.standard()).start().compose(own -> {
+                Caller user = new Caller(vertx, new Endpoint("127.0.0.1", own), 2);
+                return vertx.timer(700, TimeUnit.MILLISECONDS)
+                        .compose(v -> user.get("/ready", wait))
+                        .compose(v -> user.post("/api/jobs", job(), wait))
+                        .compose(v -> user.get("/api/jobs/run-1", wait))
+                        .compose(v -> vertx.timer(400, TimeUnit.MILLISECONDS))
+                        .compose(v -> user.post("/checkin", report(1), wait))
+                        .compose(v -> user.post("/checkin", report(2), wait))
+                        .compose(v -> user.post("/api/jobs/run-1/cancel", Map.of(), wait))
+                        .compose(v -> vertx.timer(700, TimeUnit.MILLISECONDS));
+            }).mapEmpty();
+        } catch (ConfigException e) {
             return Future.failedFuture(e);
         }
     }
--- a/src/main/java/io/indigoreach/cluster/Controller.java
+++ b/src/main/java/io/indigoreach/cluster/Controller.java
@@ -5,6 +5,7 @@
 import io.indigoreach.core.Token;
 import io.indigoreach.core.WorkerReport;
 import io.indigoreach.state.Leadership;
+import io.vertx.core.Future;
 import java.util.List;
 import java.util.concurrent.ThreadLocalRandom;
 
@@ -41,20 +42,23 @@
     }
 
     /** Takes a worker's report, if this node may act for the controllers at this moment. */
-    public Answer onReport(WorkerReport report) {
-        if (reign == null || !mayAnswer()) {
-            return Answer.elsewhere(otherLeader());
+    public Future<Answer> onReport(WorkerReport report) {
+        if (!mayAnswer()) {
+            return Future.succeededFuture(Answer.elsewhere(otherLeader()));
         }
-        List<Order> orders = reign.onReport(report);
-        if (orders == null) {
-            leadership.deposed();
-            return Answer.elsewhere(null);
-        }
-        return new Answer(true, reign.token(), orders, null);
+        Reign asked = reign;
+        return asked.onReport(report).map(orders -> {
+            if (orders == null) {
+                leadership.deposed();
+                return Answer.elsewhere(null);
+            }
+            // Checked as the answer is written: the leadership may have ended while a record was waited for.
+            return asked == reign && mayAnswer() ? new Answer(true, asked.token(), orders, null)
+                    : Answer.elsewhere(otherLeader());
+        });
     }
 
-    /** Checked once more as each answer to a worker is written. */
-    public boolean mayAnswer() {
+    private boolean mayAnswer() {
         return reign != null && leadership.isValid() && reign.hearsCancellations();
     }
 
--- a/src/main/java/io/indigoreach/cluster/Ledger.java
+++ b/src/main/java/io/indigoreach/cluster/Ledger.java
@@ -298,6 +298,31 @@
         }).onComplete(r -> writing.remove(id));
     }
 
+    /** Records one machine at once, so that its first report can be answered with tasks; false if that must wait. */
+    Future<Boolean> record(Machine m) {
+        Moment now = env.clock().now();
+        if (writingMachines || !budget.take(1, now)) {
+            return Future.succeededFuture(false);
+        }
+        StateClient.Txn txn = new StateClient.Txn().when(RecordCodec.LEADER, key);
+        put(txn, m, now);
+        return env.state().commit(txn).map(outcome -> {
+            if (!duty.isCancelled() && outcome.done()) {
+                core.recorded(m.id());
+                recorded.add(m.id());
+            } else if (!duty.isCancelled()) {
+                deposed.run();
+            }
+            return outcome.done();
+        });
+    }
+
+    private void put(StateClient.Txn txn, Machine m, Moment now) {
+        long today = env.clock().timeOfDay();
+        txn.put(RecordCodec.machine(m.id()), RecordCodec.writeMachine(m.pool(), today - now.since(m.rented()).ms(),
+                today - now.since(m.existed()).ms()));
+    }
+
     /** Machines must be known to later leaders before they get tasks, and are forgotten once they are gone. */
     private void writeMachines(Moment now) {
         if (writingMachines) {
@@ -309,9 +334,7 @@
         List<MachineId> removed = new ArrayList<>();
         for (Machine m : core.unrecorded()) {
             if (txn.size() < most) {
-                long today = env.clock().timeOfDay();
-                txn.put(RecordCodec.machine(m.id()), RecordCodec.writeMachine(m.pool(),
-                        today - now.since(m.rented()).ms(), today - now.since(m.existed()).ms()));
+                put(txn, m, now);
                 added.add(m.id());
             }
         }
--- a/src/main/java/io/indigoreach/cluster/Node.java
+++ b/src/main/java/io/indigoreach/cluster/Node.java
@@ -32,11 +32,12 @@
         this.door = new FrontDoor(vertx, config.listen(), jobs, new ReportDesk(controller), catalogue::isKnown);
     }
 
-    public Future<Void> start() {
-        return door.open().map(v -> {
+    /** Starts serving; the result is the port. */
+    public Future<Integer> start() {
+        return door.open().map(port -> {
             catalogue.start();
             controller.start();
-            return null;
+            return port;
         });
     }
 
--- a/src/main/java/io/indigoreach/cluster/Reign.java
+++ b/src/main/java/io/indigoreach/cluster/Reign.java
@@ -7,6 +7,7 @@
 import io.indigoreach.core.Aims;
 import io.indigoreach.core.Job;
 import io.indigoreach.core.LeaderCore;
+import io.indigoreach.core.Machine;
 import io.indigoreach.core.Moment;
 import io.indigoreach.core.Notes;
 import io.indigoreach.core.Order;
@@ -20,6 +21,7 @@
 import io.indigoreach.state.StateClient;
 import io.vertx.core.Future;
 import io.vertx.core.Vertx;
+import java.util.ArrayList;
 import java.util.List;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -83,9 +85,20 @@
         return env.clock().now().since(watch.freshAt()).compareTo(env.lease()) < 0;
     }
 
-    /** The orders for a worker; null if a newer leader exists. */
-    List<Order> onReport(WorkerReport report) {
-        return core.onReport(report, env.clock().now());
+    /** The orders for a worker; null if a newer leader exists. A machine's first report waits for its record. */
+    Future<List<Order>> onReport(WorkerReport report) {
+        List<Order> orders = core.onReport(report, env.clock().now());
+        Machine unrecorded = orders == null || !core.isLoaded() ? null : core.unrecorded(report.machine());
+        if (unrecorded == null) {
+            return Future.succeededFuture(orders);
+        }
+        return ledger.record(unrecorded).otherwise(false).map(done -> {
+            List<Order> all = new ArrayList<>(orders);
+            if (done) {
+                all.addAll(core.fill(report.machine(), report.number(), env.clock().now()));
+            }
+            return all;
+        });
     }
 
     private Future<Span> open() {
--- a/src/main/java/io/indigoreach/core/LeaderCore.java
+++ b/src/main/java/io/indigoreach/core/LeaderCore.java
@@ -204,17 +204,36 @@
         rentDue = true;
     }
 
-    /** Machines that the state service does not know yet. */
+    /**
+     * Machines that have reported and are not known to the state service yet. One that never reported can hold no
+     * task, so a later leader need not wait for it and it needs no record.
+     */
     public List<Machine> unrecorded() {
         List<Machine> out = new ArrayList<>();
         for (Machine m : cluster.machines.values()) {
-            if (!m.recorded && m.phase != Machine.Phase.LEAVING) {
+            if (needsRecord(m)) {
                 out.add(m);
             }
         }
         return out;
     }
 
+    private static boolean needsRecord(Machine m) {
+        return !m.recorded && m.phase == Machine.Phase.UP;
+    }
+
+    /** The machine, if it must be recorded before it can get tasks; else null. */
+    public Machine unrecorded(MachineId id) {
+        Machine m = cluster.machines.get(id);
+        return m != null && needsRecord(m) ? m : null;
+    }
+
+    /** Starts for a machine that was recorded after its report came, if that is still its newest. */
+    public List<Order> fill(MachineId id, ReportNumber number, Moment now) {
+        Machine m = cluster.machines.get(id);
+        return m != null && m.last.equals(number) ? dispatcher.fill(m, number, now) : List.of();
+    }
+
     public void recorded(MachineId id) {
         Machine m = cluster.machines.get(id);
         if (m != null) {
--- a/src/main/java/io/indigoreach/worker/ReportDesk.java
+++ b/src/main/java/io/indigoreach/worker/ReportDesk.java
@@ -3,6 +3,7 @@
 import io.indigoreach.api.Answer;
 import io.indigoreach.cluster.Controller;
 import io.indigoreach.net.Wire;
+import io.vertx.core.Future;
 import io.vertx.core.buffer.Buffer;
 
 /** Takes the workers' reports. */
@@ -14,16 +15,9 @@
     }
 
     /** The answer to a report; throws {@link io.indigoreach.net.WireException} if it cannot be read. */
-    public Answer report(Buffer body) {
-        Controller.Answer answer = controller.onReport(WorkerCodec.read(Wire.readMap(body)));
-        if (!answer.accepted()) {
-            return new Answer(421, WorkerCodec.elsewhere(answer.leader()), 0);
-        }
-        return new Answer(200, WorkerCodec.answer(answer.token(), answer.orders()), 0);
-    }
-
-    /** Whether an answer made a moment ago may still be written. */
-    public boolean mayAnswer() {
-        return controller.mayAnswer();
+    public Future<Answer> report(Buffer body) {
+        return controller.onReport(WorkerCodec.read(Wire.readMap(body))).map(answer -> answer.accepted()
+                ? new Answer(200, WorkerCodec.answer(answer.token(), answer.orders()), 0)
+                : new Answer(421, WorkerCodec.elsewhere(answer.leader()), 0));
     }
 }
--- a/src/test/java/io/indigoreach/api/JobDeskTest.java
+++ b/src/test/java/io/indigoreach/api/JobDeskTest.java
@@ -22,7 +22,6 @@
 import io.vertx.core.Vertx;
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpMethod;
-import java.net.ServerSocket;
 import java.util.List;
 import java.util.Map;
 import org.junit.jupiter.api.AfterEach;
@@ -59,13 +58,12 @@
     }
 
     private Endpoint node() throws Exception {
-        Endpoint endpoint;
-        try (ServerSocket free = new ServerSocket(0)) {
-            endpoint = new Endpoint("127.0.0.1", free.getLocalPort());
-        }
-        Catalogue catalogue = new Catalogue(vertx, client(), new CloudClient(new Caller(vertx, endpoint, 1))).start();
+        Catalogue catalogue = new Catalogue(vertx, client(), new CloudClient(new Caller(vertx, service.endpoint(), 1)));
         JobDesk desk = new JobDesk(client(), catalogue, List.of(new Team("t", 0, 0, 0, 0)), new SteadyClock(), 8192);
-        await(new FrontDoor(vertx, endpoint, desk, null, catalogue::isKnown).open());
+        Endpoint any = new Endpoint("127.0.0.1", 0);
+        Endpoint endpoint = new Endpoint("127.0.0.1",
+                await(new FrontDoor(vertx, any, desk, null, catalogue::isKnown).open()));
+        catalogue.start();
         while (call(endpoint, HttpMethod.GET, "/ready", null).status() != 200) {
             Thread.onSpinWait();
         }
--- a/src/test/java/io/indigoreach/core/RandomRun.java
+++ b/src/test/java/io/indigoreach/core/RandomRun.java
@@ -278,7 +278,7 @@
     /** On its machine: until it exits, is killed with its session, or the machine is gone. */
     private boolean isOn(Worker w, TaskId task) {
         TaskReport t = w.tasks.get(task);
-        boolean killed = w.hangsUntil > now && now - w.answered > LEASE_S;
+        boolean killed = now - w.answered > LEASE_S;
         return !w.dead && !killed && t != null && t.state() != TaskState.EXITED;
     }
 
--- a/src/test/java/io/indigoreach/core/TakeOverTest.java
+++ b/src/test/java/io/indigoreach/core/TakeOverTest.java
@@ -82,6 +82,31 @@
         assertEquals(List.of("run-1/0"), starts(w.hear("x", 2)));
     }
 
+    /** Two machines that never came up held a whole queue back for 24 s (incident inc-e504): they need no record. */
+    @Test
+    void onlyAMachineThatHasReportedIsToBeRecorded() {
+        w.core.loaded();
+        w.core.rented(new Pool("quad", "east", true), List.of(new MachineId("a"), new MachineId("b")), at(0), at(0));
+        w.submit(spec(1, 1, 1, 50), 0);
+        assertEquals(List.of(), w.core.unrecorded());
+        WorkerReport first = w.report("a", "east", 1, World.TOKEN);
+        assertEquals(List.of(), starts(w.core.onReport(first, at(20))));
+        assertEquals(List.of(new MachineId("a")), w.core.unrecorded().stream().map(Machine::id).toList());
+        w.core.recorded(new MachineId("a"));
+        assertEquals(List.of("run-1/0"), starts(w.core.fill(new MachineId("a"), first.number(), at(20))));
+    }
+
+    @Test
+    void aRecordThatCameTooLateGivesNoOrdersToAnOldReport() {
+        w.core.loaded();
+        w.submit(spec(1, 1, 1, 50), 0);
+        WorkerReport first = w.report("a", "east", 1, World.TOKEN);
+        w.core.onReport(first, at(20));
+        w.hear("a", 22);
+        w.core.recorded(new MachineId("a"));
+        assertEquals(List.of(), w.core.fill(new MachineId("a"), first.number(), at(23)));
+    }
+
     @Test
     void aStartWhoseAnswerWasLostIsGivenAgainOnlyAfterANewerReport() {
         w.core.loaded();
