--- a/src/main/java/io/indigoreach/api/FrontDoor.java
+++ b/src/main/java/io/indigoreach/api/FrontDoor.java
@@ -135,8 +135,7 @@
 
     private void refuseLong(HttpServerRequest request) {
         request.response().putHeader("Connection", "close");
-        write(request, Answer.error(413, "a body may have 64 KiB"));
-        request.response().endHandler(e -> request.connection().close());
+        write(request, Answer.error(413, "a body may have 64 KiB")).onComplete(e -> request.connection().close());
     }
 
     private void answer(HttpServerRequest request, Function<Buffer, Future<Answer>> work, Buffer body) {
@@ -157,15 +156,15 @@
         });
     }
 
-    private void write(HttpServerRequest request, Answer answer) {
+    private Future<Void> write(HttpServerRequest request, Answer answer) {
         HttpServerResponse response = request.response();
         if (response.closed() || response.ended()) {
-            return;
+            return Future.succeededFuture();
         }
         response.setStatusCode(answer.status()).putHeader("Content-Type", "application/msgpack");
         if (answer.retryAfterS() > 0) {
             response.putHeader("Retry-After", Integer.toString(answer.retryAfterS()));
         }
-        response.end(Wire.write(answer.body()));
+        return response.end(Wire.write(answer.body()));
     }
 }
