--- a/src/main/java/io/indigoreach/cluster/Node.java
+++ b/src/main/java/io/indigoreach/cluster/Node.java
@@ -18,6 +18,7 @@
 public final class Node {
     private final Catalogue catalogue;
     private final Controller controller;
+    private final Standing standing;
     private final FrontDoor door;
 
     public Node(Vertx vertx, PlatformConfig config, Settings settings) throws ConfigException {
@@ -28,8 +29,10 @@
         this.catalogue = new Catalogue(vertx, state, cloud);
         this.controller = new Controller(new Reign.Surroundings(vertx, clock, state, cloud, catalogue, config, settings,
                 settings.leaderLease(config.rules())));
+        this.standing = new Standing(vertx, clock, state, config);
         JobDesk jobs = new JobDesk(state, catalogue, config.teams(), clock, config.stateLimits().valueBytes());
-        this.door = new FrontDoor(vertx, config.listen(), jobs, new ReportDesk(controller), catalogue::isKnown);
+        this.door = new FrontDoor(vertx, config.listen(), jobs, new ReportDesk(controller),
+                () -> catalogue.isKnown() && !standing.isRefusedAlone());
     }
 
     /** Starts serving; the result is the port. */
@@ -37,12 +40,13 @@
         return door.open().map(port -> {
             catalogue.start();
             controller.start();
+            standing.start();
             return port;
         });
     }
 
     public Future<Void> stop() {
         controller.stop();
-        return door.close();
+        return standing.stop().eventually(door::close);
     }
 }
--- a/src/main/java/io/indigoreach/cluster/Reign.java
+++ b/src/main/java/io/indigoreach/cluster/Reign.java
@@ -39,6 +39,7 @@
 
     private final Surroundings env;
     private final Token token;
+    private final Leadership leadership;
     private final LeaderCore core;
     private final Ledger ledger;
     private final Fleet fleet;
@@ -50,6 +51,7 @@
     Reign(Surroundings env, Token token, Stamp key, Leadership leadership) {
         this.env = env;
         this.token = token;
+        this.leadership = leadership;
         this.core = new LeaderCore(token, env.config().rules(), env.settings().tuning(), aims(env.config()),
                 env.config().teams(), this);
         this.ledger = new Ledger(env, core, key, leadership::deposed);
@@ -121,6 +123,10 @@
     private Future<Span> tick() {
         Moment now = env.clock().now();
         core.expireLeases(now);
+        if (leadership.isValid() && !env.config().peers().isEmpty() && core.isDeaf(now)) {
+            leadership.abdicate("no worker's report reaches this node");
+            return Future.succeededFuture(TICK);
+        }
         if (now.since(summarised).compareTo(SUMMARY) >= 0) {
             summarised = now;
             LOG.info("{}", core.summary(now));
--- /dev/null
+++ b/src/main/java/io/indigoreach/cluster/Standing.java
@@ -0,0 +1,103 @@
+package io.indigoreach.cluster;
+
+import io.indigoreach.config.PlatformConfig;
+import io.indigoreach.core.Moment;
+import io.indigoreach.core.Span;
+import io.indigoreach.net.Caller;
+import io.indigoreach.net.Duty;
+import io.indigoreach.net.SteadyClock;
+import io.indigoreach.net.Wire;
+import io.indigoreach.net.WireException;
+import io.indigoreach.state.StateClient;
+import io.vertx.core.Future;
+import io.vertx.core.Vertx;
+import io.vertx.core.http.HttpServer;
+import io.vertx.core.http.HttpServerOptions;
+import java.util.ArrayList;
+import java.util.List;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * Whether this node alone is without the state service. A node cannot tell an outage from a refusal that only it gets,
+ * so it asks the others. Refused alone, it is not ready and users are sent elsewhere; in an outage it stays ready, as
+ * being taken out and back in would cost more than the outage does.
+ */
+final class Standing {
+    private static final Logger LOG = LoggerFactory.getLogger(Standing.class);
+    private static final Span PERIOD = Span.seconds(1);
+    private static final Span PATIENCE = Span.seconds(2);
+    private static final String PATH = "/standing";
+
+    private final SteadyClock clock;
+    private final StateClient state;
+    private final PlatformConfig config;
+    private final List<Caller> peers = new ArrayList<>();
+    private final HttpServer server;
+    private final Duty duty;
+    private Moment served;
+    private boolean refusedAlone;
+
+    Standing(Vertx vertx, SteadyClock clock, StateClient state, PlatformConfig config) {
+        this.clock = clock;
+        this.state = state;
+        this.config = config;
+        this.served = clock.now();
+        for (PlatformConfig.Peer peer : config.peers()) {
+            peers.add(new Caller(vertx, peer.endpoint(), 1));
+        }
+        this.server = vertx.createHttpServer(new HttpServerOptions().setIdleTimeout(30));
+        server.requestHandler(r -> r.response().setStatusCode(PATH.equals(r.path()) ? 200 : 404)
+                .end(Wire.write(Wire.map("served", isServed()))));
+        this.duty = new Duty(vertx, "standing", PERIOD, this::step);
+    }
+
+    void start() {
+        server.listen(config.peerListen().port(), config.peerListen().host())
+                .onFailure(e -> LOG.error("cannot listen for the other nodes on {}: {}", config.peerListen(),
+                        e.getMessage()));
+        duty.start();
+    }
+
+    Future<Void> stop() {
+        duty.cancel();
+        return server.close();
+    }
+
+    /** Others are served by the state service while this node is not. */
+    boolean isRefusedAlone() {
+        return refusedAlone;
+    }
+
+    private boolean isServed() {
+        return clock.now().since(served).compareTo(PATIENCE) < 0;
+    }
+
+    private Future<Span> step() {
+        return state.check().map(v -> {
+            served = clock.now();
+            return false;
+        }).recover(e -> isServed() ? Future.succeededFuture(false) : othersAreServed()).map(alone -> {
+            if (alone != refusedAlone) {
+                LOG.info(alone ? "the state service serves others but not this node: not ready"
+                        : "not refused alone any more");
+            }
+            refusedAlone = alone;
+            return PERIOD;
+        });
+    }
+
+    private Future<Boolean> othersAreServed() {
+        List<Future<Boolean>> answers = new ArrayList<>();
+        for (Caller peer : peers) {
+            answers.add(peer.get(PATH, PERIOD).map(r -> {
+                if (!r.isOk()) {
+                    throw new WireException("status " + r.status());
+                }
+                return r.body().flag("served", false);
+            }).otherwise(false));
+        }
+        return answers.isEmpty() ? Future.succeededFuture(false)
+                : Future.all(answers).map(all -> all.<Boolean>list().contains(true));
+    }
+}
--- a/src/main/java/io/indigoreach/core/LeaderCore.java
+++ b/src/main/java/io/indigoreach/core/LeaderCore.java
@@ -13,6 +13,7 @@
  * has no clock; every call says what time it is.
  */
 public final class LeaderCore {
+    private static final int DEAF_TO = 3;
     private static final int GONE_KEPT = 1000;
     /** One list would do by the cloud's word; a second one costs little. */
     private static final int SURELY_MISSING = 2;
@@ -375,6 +376,26 @@
         return cluster.machines.containsKey(id);
     }
 
+    /**
+     * Nothing is heard of any of several machines, for half the workers' lease and some reports: more likely this node
+     * is cut off from them than that all have ended at once.
+     */
+    public boolean isDeaf(Moment now) {
+        Span patience = rules.workerLease().times(0.5);
+        Span reports = rules.report().times(3);
+        Moment since = now.minus(patience.compareTo(reports) > 0 ? patience : reports);
+        int silent = 0;
+        for (Machine m : cluster.machines.values()) {
+            if (m.recorded && m.phase != Machine.Phase.LEAVING) {
+                if (m.heard.isAfter(since)) {
+                    return false;
+                }
+                silent++;
+            }
+        }
+        return silent >= DEAF_TO;
+    }
+
     public int machineCount() {
         return cluster.machines.size();
     }
--- a/src/main/java/io/indigoreach/state/Leadership.java
+++ b/src/main/java/io/indigoreach/state/Leadership.java
@@ -196,7 +196,8 @@
                 return RETRY;
             }
             validUntil = sent.plus(usable());
-            return life.times(0.2);
+            // Often: how long an outage is bridged counts from the last renewal before it.
+            return Span.seconds(Math.min(1, life.seconds() * 0.2));
         });
     }
 
--- a/src/main/java/io/indigoreach/state/StateClient.java
+++ b/src/main/java/io/indigoreach/state/StateClient.java
@@ -87,6 +87,16 @@
         this.watcher = watcher;
     }
 
+    /** Succeeds if the service answers requests of this node. */
+    public Future<Void> check() {
+        return caller.get("/store/" + RecordCodec.LEADER, Span.seconds(1)).map(r -> {
+            if (r.status() != 404 && r.status() != 429) {
+                ok(r);
+            }
+            return null;
+        });
+    }
+
     /** The entry of a key; null if there is none. */
     public Future<Entry> get(String key) {
         return caller.get("/store/" + key, TIMEOUT).map(r -> {
--- a/src/test/java/io/indigoreach/core/TakeOverTest.java
+++ b/src/test/java/io/indigoreach/core/TakeOverTest.java
@@ -197,6 +197,20 @@
         assertEquals(List.of("run-1/0"), starts(w.hear("a", 9.5)));
     }
 
+    /** A leader that only the workers cannot reach keeps its lease: it has to notice by itself, and hand over. */
+    @Test
+    void aLeaderThatHearsNoneOfSeveralMachinesIsDeaf() {
+        w.core.loaded();
+        for (String name : List.of("a", "b", "c")) {
+            w.up(name, "east", 0);
+            w.hear(name, 20);
+        }
+        assertEquals(false, w.core.isDeaf(at(25)));
+        assertEquals(true, w.core.isDeaf(at(26.5)));
+        w.hear("b", 26);
+        assertEquals(false, w.core.isDeaf(at(26.5)));
+    }
+
     @Test
     void aReturnedMachineIsNotTakenOnAgainFromALateReportOrList() {
         w.core.loaded();
