--- a/src/main/java/io/indigoreach/cluster/Standing.java
+++ b/src/main/java/io/indigoreach/cluster/Standing.java
@@ -73,11 +73,16 @@
         return clock.now().since(served).compareTo(PATIENCE) < 0;
     }
 
+    /** Long enough that in an outage the other nodes know of it too. */
+    private boolean isSurelyUnserved() {
+        return clock.now().since(served).compareTo(PATIENCE.times(2)) >= 0;
+    }
+
     private Future<Span> step() {
         return state.check().map(v -> {
             served = clock.now();
             return false;
-        }).recover(e -> isServed() ? Future.succeededFuture(false) : othersAreServed()).map(alone -> {
+        }).recover(e -> isSurelyUnserved() ? othersAreServed() : Future.succeededFuture(false)).map(alone -> {
             if (alone != refusedAlone) {
                 LOG.info(alone ? "the state service serves others but not this node: not ready"
                         : "not refused alone any more");
--- a/src/main/java/io/indigoreach/core/BestSize.java
+++ b/src/main/java/io/indigoreach/core/BestSize.java
@@ -69,6 +69,7 @@
             double more = machinesFor(job, type, waiting);
             needs.computeIfAbsent(type.name(), t -> new Need(job)).add(more, mayTakeOrdinary(job, now) ? more : 0);
         }
+        addBacklog(share, needs, now);
         needs.forEach((type, need) -> {
             int atHand = atHand(share, type, now);
             int n = (int) Math.ceil(need.machines - 1e-6) - atHand;
@@ -95,6 +96,27 @@
         }
     }
 
+    /**
+     * Ordinary machines for a queue too long for the spot machines that can be had: as many as drain it in the time
+     * that the settings allow. Without this, a day's work ends late for the sake of a price that nobody asked for.
+     */
+    private void addBacklog(Share share, Map<String, Need> needs, Moment now) {
+        Map<String, Double> seconds = new HashMap<>();
+        for (Job job : share.jobs()) {
+            MachineType type = cheapest(job.spec);
+            if (type != null && job.hasWaiting() && !job.isSuspect() && job.spec.shape() == Shape.ARRAY) {
+                double perMachine = Math.max(1, job.spec.demand().timesIn(type.capacity()));
+                seconds.merge(type.name(), job.waiting() * estimates.run(job).seconds() / perMachine, Double::sum);
+            }
+        }
+        needs.forEach((type, need) -> {
+            long serving = cluster.serving(share).stream().filter(m -> m.pool.type().equals(type)
+                    && (m.isUsable() || isComing(m, now))).count();
+            double missing = seconds.getOrDefault(type, 0.0) / tuning.backlogLimit().seconds() - serving;
+            need.ordinary = Math.max(need.ordinary, missing + atHand(share, type, now));
+        });
+    }
+
     private boolean mayTakeOrdinary(Job job, Moment now) {
         Span patience = job.spec.urgency().isMoreUrgentThan(Urgency.STANDARD) ? tuning.urgentSpotPatience()
                 : tuning.spotPatience();
@@ -120,15 +142,18 @@
             if (!m.pool.type().equals(type)) {
                 continue;
             }
-            boolean coming = m.phase == Machine.Phase.BOOTING
-                    && now.isBefore(m.rented.plus(m.type.boot().times(tuning.bootPatience())));
-            if (coming || m.phase == Machine.Phase.UP && m.isIdle() && m.notice == null && !m.condemned) {
+            if (isComing(m, now) || m.phase == Machine.Phase.UP && m.isIdle() && m.notice == null && !m.condemned) {
                 n++;
             }
         }
         return n;
     }
 
+    private boolean isComing(Machine m, Moment now) {
+        return m.phase == Machine.Phase.BOOTING
+                && now.isBefore(m.rented.plus(m.type.boot().times(tuning.bootPatience())));
+    }
+
     private MachineType cheapest(JobSpec spec) {
         MachineType best = null;
         double bestPrice = Double.MAX_VALUE;
--- a/src/main/java/io/indigoreach/core/Tuning.java
+++ b/src/main/java/io/indigoreach/core/Tuning.java
@@ -12,8 +12,10 @@
  * @param bootLimit a machine not up after this many boot times is returned
  * @param spotPatience how long a job waits for spot capacity before ordinary machines are rented
  * @param urgentSpotPatience the same for jobs of high urgency
+ * @param backlogLimit ordinary machines are rented when the queue would take longer than this to drain
  * @param refusedFor how long a pool that had no capacity is left alone
  */
 public record Tuning(Span waitLimit, Span shortJob, Span leastPaid, Span term, Span check, double bootPatience,
-                     double bootLimit, Span spotPatience, Span urgentSpotPatience, Span refusedFor) {
+                     double bootLimit, Span spotPatience, Span urgentSpotPatience,
+                     Span backlogLimit, Span refusedFor) {
 }
--- a/src/test/java/io/indigoreach/core/SizingTest.java
+++ b/src/test/java/io/indigoreach/core/SizingTest.java
@@ -75,6 +75,19 @@
         assertEquals(false, w.core.wishes(at(62), true).get(0).pool().spot());
     }
 
+    /** A queue that spot machines cannot drain in 300 s gets ordinary ones at once (incident inc-5d96). */
+    @ParameterizedTest
+    @CsvSource({"24, 0", "48, 0", "80, 4"})
+    void aLongBacklogTakesOrdinaryMachines(int tasks, int ordinary) {
+        World w = new World();
+        w.core.loaded();
+        w.up("a", "east", 0);
+        w.submit(spec(1, tasks, 1, 75), 0);
+        w.core.refused(new Pool("quad", "east", true), at(1));
+        w.core.refused(new Pool("quad", "west", true), at(1));
+        assertEquals(ordinary, w.core.wishes(at(2), true).stream().mapToInt(RentWish::count).sum());
+    }
+
     /** A machine rented at 0 with terms of 60 s, checked every 5 s. */
     @ParameterizedTest
     @CsvSource({"30, false, 0", "54, false, 0", "56, false, 1", "90, false, 0", "116, false, 1", "56, true, 0"})
