--- a/src/main/java/io/indigoreach/core/Dispatcher.java
+++ b/src/main/java/io/indigoreach/core/Dispatcher.java
@@ -157,7 +157,10 @@
         if (now.isBefore(job.retryAt)) {
             return false;
         }
-        return takeOver.isSettled() || !job.inherited && !cluster.share(job).team.isLimited();
+        if (cluster.share(job).team.isLimited()) {
+            return takeOver.isSettled() && cluster.machines.values().stream().allMatch(m -> m.strangers == 0);
+        }
+        return takeOver.isSettled() || !job.inherited;
     }
 
     private static boolean placeable(Share share, Job job, Machine m) {
--- a/src/main/java/io/indigoreach/core/Reconciler.java
+++ b/src/main/java/io/indigoreach/core/Reconciler.java
@@ -20,6 +20,7 @@
     List<Order> reconcile(Machine m, WorkerReport report, Moment now) {
         List<Order> orders = new ArrayList<>();
         Set<Placement> seen = new HashSet<>();
+        m.strangers = 0;
         for (TaskReport t : report.tasks()) {
             Job job = cluster.jobs.get(t.task().job());
             if (job == null || t.task().index() >= job.spec.tasks()) {
@@ -27,6 +28,8 @@
                 Placement p = m.tasks().get(t.task());
                 if (p != null && p.attempt.equals(t.attempt()) && t.state() != TaskState.EXITED) {
                     seen.add(p);
+                } else if (t.state() != TaskState.EXITED) {
+                    m.strangers++;
                 }
                 orders.add(ending(t));
             } else if (t.state() == TaskState.EXITED) {
@@ -110,6 +113,8 @@
             return;
         }
         seen.add(p);
+        // A newer report that still shows it running: the stop was lost with its answer.
+        p.stopping &= t.state() != TaskState.RUNNING;
         if (p.state != t.state()) {
             if (t.state() == TaskState.RUNNING) {
                 p.since = now;
--- a/src/test/java/io/indigoreach/core/TakeOverTest.java
+++ b/src/test/java/io/indigoreach/core/TakeOverTest.java
@@ -66,6 +66,17 @@
         assertEquals(List.of(), starts(limited.hear("a", 2)));
     }
 
+    /** Tasks of a job that was cancelled before the take-over still use their team's limit until they are gone. */
+    @Test
+    void underALimitNothingStartsBesideTasksOfUnknownJobs() {
+        World limited = new World(World.team(4));
+        limited.core.loaded();
+        limited.up("a", "east", 0);
+        limited.submit(spec(1, 1, 1, 50), 1);
+        assertEquals(List.of(), starts(limited.hear("a", 2, foreign("run-9/0", 7))));
+        assertEquals(List.of("run-1/0"), starts(limited.hear("a", 3)));
+    }
+
     @Test
     void noOrdersBeforeTheRecordsAreRead() {
         inheritMachine("a");
