--- a/src/main/java/io/indigoreach/config/Settings.java
+++ b/src/main/java/io/indigoreach/config/Settings.java
@@ -19,7 +19,7 @@
         BOOT_LIMIT(4, 1, 100, "boot times", "a machine not up after this long is returned"),
         SPOT_PATIENCE_S(600, 0, 3600, "s", "how long a job waits for spot capacity before ordinary machines are rented"),
         URGENT_SPOT_PATIENCE_S(15, 0, 3600, "s", "the same for jobs of urgency high or production"),
-        BACKLOG_LIMIT_S(200, 1, 86400, "s", "a queue that takes longer to drain gets ordinary machines too"),
+        BACKLOG_LIMIT_S(350, 1, 86400, "s", "a queue that takes longer to drain gets ordinary machines too"),
         REFUSED_FOR_S(10, 0, 3600, "s", "how long a pool without capacity is not asked again"),
         LEADER_LEASE_S(16, 1, 120, "s", "length of the leader's lease in the state service"),
         LIST_EVERY_S(3, 0.5, 600, "s", "period of reading the cloud's list of machines");
