--- a/src/main/java/io/indigoreach/cluster/Fleet.java
+++ b/src/main/java/io/indigoreach/cluster/Fleet.java
@@ -70,7 +70,7 @@
             boolean due = now.since(checked).compareTo(check) >= 0;
             if (due) {
                 checked = now;
-                for (RentWish wish : core.wishes(now, true)) {
+                for (RentWish wish : core.wishes(now)) {
                     open.add(new Request("t" + token + "-" + ++requests, wish, now, 0));
                 }
             }
--- a/src/main/java/io/indigoreach/core/LeaderCore.java
+++ b/src/main/java/io/indigoreach/core/LeaderCore.java
@@ -28,7 +28,6 @@
     private final BestSize bestSize;
     private final ReleaseCheck releaseCheck;
     private final Notes notes;
-    private boolean rentDue = true;
     /** Returned machines still appear in lists and late reports for a while; they are not taken on again. */
     private final Map<MachineId, Boolean> gone = new LinkedHashMap<>() {
         @Override
@@ -83,7 +82,6 @@
     public void addJob(Job job) {
         if (!cluster.jobs.containsKey(job.id())) {
             cluster.add(job);
-            rentDue = true;
         }
     }
 
@@ -101,7 +99,6 @@
         if (job != null) {
             job.cancelled = true;
             cluster.remove(job);
-            rentDue = true;
         }
     }
 
@@ -110,7 +107,6 @@
         Job job = cluster.jobs.get(id);
         if (job != null) {
             cluster.remove(job);
-            rentDue = true;
         }
     }
 
@@ -156,10 +152,8 @@
         }
         m.notice = report.notice() == null ? null : now.plus(report.notice());
         m.accounted = true;
-        int before = m.taskCount();
         List<Order> orders = reconciler.reconcile(m, report, now);
         takeOver.accounted(m.id);
-        rentDue |= m.taskCount() < before;
         if (m.phase == Machine.Phase.UP) {
             orders.addAll(dispatcher.fill(m, report.number(), now));
             orders.addAll(dispatcher.makeRoom(m, now));
@@ -175,7 +169,6 @@
         notes.say("machine " + report.machine() + " reports and is not known: taken on");
         Machine m = new Machine(report.machine(), report.pool(), type, now);
         cluster.machines.put(m.id, m);
-        rentDue = true;
         return m;
     }
 
@@ -202,7 +195,6 @@
 
     public void refused(Pool pool, Moment now) {
         bestSize.refused(pool, now);
-        rentDue = true;
     }
 
     /**
@@ -284,7 +276,6 @@
                 cluster.forget(m, now);
                 takeOver.accounted(m.id);
                 gone.put(m.id, true);
-                rentDue = true;
             }
         }
     }
@@ -304,7 +295,6 @@
         takeOver.accounted(m.id);
         m.phase = Machine.Phase.LEAVING;
         m.leavingSince = now;
-        rentDue = true;
     }
 
     /** Machines whose lease ran out: their tasks are free again. */
@@ -317,7 +307,6 @@
             if (m.phase == Machine.Phase.UP || m.phase == Machine.Phase.LEAVING && !m.isIdle()) {
                 notes.say("machine " + m.id + " is silent: its lease has run out with " + m.taskCount() + " tasks");
                 cluster.liftAll(m, now);
-                rentDue = true;
             }
             if (m.phase == Machine.Phase.UP) {
                 m.phase = Machine.Phase.LOST;
@@ -326,17 +315,9 @@
         }
     }
 
-    /** What to rent now: asked after an arrival or a completion, and once each check. */
-    public List<RentWish> wishes(Moment now, boolean checkDue) {
-        if (!loaded || !rentDue && !checkDue) {
-            return List.of();
-        }
-        rentDue = false;
-        return bestSize.wishes(now);
-    }
-
-    public boolean isRentDue() {
-        return rentDue;
+    /** What to rent now: asked once each check, so that the wishes of several arrivals and completions are one. */
+    public List<RentWish> wishes(Moment now) {
+        return loaded ? bestSize.wishes(now) : List.of();
     }
 
     /** Marks what is to be returned. */
@@ -369,7 +350,6 @@
             takeOver.accounted(id);
             gone.put(id, true);
         }
-        rentDue = true;
     }
 
     public boolean knows(MachineId id) {
--- a/src/test/java/io/indigoreach/core/SizingTest.java
+++ b/src/test/java/io/indigoreach/core/SizingTest.java
@@ -31,7 +31,7 @@
             String[] parts = job.split("x");
             w.submit(spec(++id, Integer.parseInt(parts[0]), 1, Double.parseDouble(parts[1])), 0);
         }
-        assertEquals(machines, w.core.wishes(at(1), true).stream().mapToInt(RentWish::count).sum());
+        assertEquals(machines, w.core.wishes(at(1)).stream().mapToInt(RentWish::count).sum());
     }
 
     @Test
@@ -40,8 +40,8 @@
         w.core.loaded();
         w.submit(spec(1, 8, 1, 100), 0);
         w.core.rented(new Pool("quad", "east", true), List.of(new MachineId("a"), new MachineId("b")), at(1), at(1));
-        assertEquals(List.of(), w.core.wishes(at(30), true));
-        assertEquals(2, w.core.wishes(at(60), true).get(0).count());
+        assertEquals(List.of(), w.core.wishes(at(30)));
+        assertEquals(2, w.core.wishes(at(60)).get(0).count());
     }
 
     @Test
@@ -54,9 +54,9 @@
         w.hear("a", 1).forEach(o -> tasks.add(running(o)));
         w.hear("a", 2, tasks.toArray(TaskReport[]::new));
         w.submit(spec(2, 4, 1, 20), 3);
-        assertEquals(List.of(), w.core.wishes(at(4), true));
+        assertEquals(List.of(), w.core.wishes(at(4)));
         w.submit(with(spec(3, 4, 1, 200), Urgency.HIGH, true, false, true, "west", 0), 5);
-        assertEquals("west", w.core.wishes(at(6), true).get(0).pool().zone(), "no machine can ever take the top job");
+        assertEquals("west", w.core.wishes(at(6)).get(0).pool().zone(), "no machine can ever take the top job");
     }
 
     @Test
@@ -64,15 +64,15 @@
         World w = new World();
         w.core.loaded();
         w.submit(spec(1, 4, 1, 100), 0);
-        Pool first = w.core.wishes(at(1), true).get(0).pool();
+        Pool first = w.core.wishes(at(1)).get(0).pool();
         w.core.refused(first, at(1));
-        Pool second = w.core.wishes(at(2), true).get(0).pool();
+        Pool second = w.core.wishes(at(2)).get(0).pool();
         w.core.refused(second, at(2));
         assertEquals(List.of(true, true), List.of(first.spot(), second.spot()));
-        assertEquals(List.of(), w.core.wishes(at(3), true));
+        assertEquals(List.of(), w.core.wishes(at(3)));
         w.core.refused(first, at(61));
         w.core.refused(second, at(61));
-        assertEquals(false, w.core.wishes(at(62), true).get(0).pool().spot());
+        assertEquals(false, w.core.wishes(at(62)).get(0).pool().spot());
     }
 
     /** A queue that spot machines cannot drain in 300 s gets ordinary ones at once (incident inc-5d96). */
@@ -85,7 +85,7 @@
         w.submit(spec(1, tasks, 1, 75), 0);
         w.core.refused(new Pool("quad", "east", true), at(1));
         w.core.refused(new Pool("quad", "west", true), at(1));
-        assertEquals(ordinary, w.core.wishes(at(2), true).stream().mapToInt(RentWish::count).sum());
+        assertEquals(ordinary, w.core.wishes(at(2)).stream().mapToInt(RentWish::count).sum());
     }
 
     /** A machine rented at 0 with terms of 60 s, checked every 5 s. */
@@ -122,6 +122,6 @@
         for (int i = 0; i < 3; i++) {
             job.failedOn.add(new MachineId("m" + i));
         }
-        assertEquals(List.of(), w.core.wishes(at(100), true));
+        assertEquals(List.of(), w.core.wishes(at(100)));
     }
 }
