--- a/src/main/java/io/indigoreach/core/Aims.java
+++ b/src/main/java/io/indigoreach/core/Aims.java
@@ -21,11 +21,18 @@
         }
     }
 
-    /** The next moment by which the job's waiting tasks should have started, for an aim that can still be met. */
-    Moment latestStart(Job job, Span run, Moment now) {
+    /**
+     * The next moment by which the job's waiting tasks should have started, for an aim that can still be met.
+     *
+     * @param rounds how many rounds its waiting tasks would take with every place there is: an aim that is out of
+     *     reach even so is no reason to go before others
+     */
+    Moment latestStart(Job job, Span run, int rounds, Moment now) {
         Moment next = job.arrived.plus(SOMETIME);
+        Moment lastRound = now.plus(run.times(Math.max(0, rounds - 1)));
         for (Aim aim : byClass.getOrDefault(job.spec.jobClass(), List.of())) {
-            next = earlier(next, job.arrived.plus(aim.start() ? aim.within() : aim.within().minus(run)), now);
+            Moment latest = job.arrived.plus(aim.start() ? aim.within() : aim.within().minus(run));
+            next = earlier(next, latest, aim.start() ? now : lastRound);
         }
         if (job.spec.due() != null) {
             next = earlier(next, job.arrived.plus(job.spec.due().minus(run)), now);
@@ -33,7 +40,7 @@
         return next;
     }
 
-    private static Moment earlier(Moment next, Moment latest, Moment now) {
-        return !latest.isBefore(now) && latest.isBefore(next) ? latest : next;
+    private static Moment earlier(Moment next, Moment latest, Moment soonest) {
+        return !latest.isBefore(soonest) && latest.isBefore(next) ? latest : next;
     }
 }
--- a/src/main/java/io/indigoreach/core/Dispatcher.java
+++ b/src/main/java/io/indigoreach/core/Dispatcher.java
@@ -149,7 +149,17 @@
     }
 
     List<Job> queue(Share share, Moment now) {
-        return share.queue(job -> aims.latestStart(job, estimates.run(job), now), now);
+        return share.queue(job -> aims.latestStart(job, estimates.run(job), rounds(share, job), now), now);
+    }
+
+    private int rounds(Share share, Job job) {
+        int places = 0;
+        for (Machine m : cluster.serving(share)) {
+            if (m.isUsable() && m.allows(job.spec)) {
+                places += job.spec.demand().timesIn(m.type.capacity());
+            }
+        }
+        return places == 0 ? 1 : (job.waiting() + places - 1) / places;
     }
 
     /** Nothing of a job that an earlier leader may have started can be started before that leader's tasks are known. */
