--- a/src/main/java/io/indigoreach/core/Dispatcher.java
+++ b/src/main/java/io/indigoreach/core/Dispatcher.java
@@ -62,14 +62,17 @@
      * keep their progress are stopped, and only when the top job would otherwise wait for longer than that takes.
      */
     List<Order> makeRoom(Machine m, Moment now) {
-        List<Order> orders = new ArrayList<>();
+        List<Order> orders = giveBack(m, now);
+        if (!orders.isEmpty()) {
+            return orders;
+        }
         Share share = m.share == null ? null : cluster.share(m.share);
         Job top = share == null || !m.isUsable() ? null : top(share, now);
         if (top == null || !top.spec.urgency().isMoreUrgentThan(Urgency.STANDARD) || !m.allows(top.spec)
                 || !FaultJudge.allows(top, m, now) || !placeable(share, top, m)) {
             return orders;
         }
-        int wanted = top.waiting() - comingPlaces(share, top, now);
+        int wanted = top.waiting() - comingPlaces(cluster.serving(share), top, now);
         List<Placement> victims = m.tasksCopy();
         victims.removeIf(p -> !mayYield(p, top, now));
         victims.sort(Comparator.comparing((Placement p) -> p.job.spec.urgency()).reversed());
@@ -87,6 +90,32 @@
         return orders;
     }
 
+    /** Stops work that its team runs beyond its guarantee where another team waits for its own. */
+    private List<Order> giveBack(Machine m, Moment now) {
+        List<Order> orders = new ArrayList<>();
+        for (Share due : cluster.shares()) {
+            Job top = due.team.cores() > 0 || due.team.gpus() > 0 ? top(due, now) : null;
+            if (top == null || !m.isUsable() || !due.isWithinGuarantee(top.spec.demand()) || !m.allows(top.spec)
+                    || !FaultJudge.allows(top, m, now) || !placeable(due, top, m) || comingPlaces(cluster.machines.values(), top, now) >= top.waiting()) {
+                continue;
+            }
+            Demand room = m.free();
+            for (Placement p : m.tasksCopy()) {
+                Share borrower = cluster.share(p.job);
+                if (top.spec.demand().fitsIn(room)) {
+                    return orders;
+                }
+                if (borrower != due && !p.stopping && p.state == TaskState.RUNNING
+                        && !borrower.isWithinGuarantee(Demand.NOTHING)) {
+                    room = room.plus(p.demand());
+                    p.stopping = true;
+                    orders.add(new Order.Stop(p.task(), p.attempt, p.job.spec.checkpointTime().times(2)));
+                }
+            }
+        }
+        return orders;
+    }
+
     private boolean mayYield(Placement p, Job top, Moment now) {
         return p.state == TaskState.RUNNING && !p.stopping && p.job.spec.savesProgress()
                 && top.spec.urgency().isMoreUrgentThan(p.job.spec.urgency())
@@ -95,9 +124,9 @@
     }
 
     /** Places for the top job that come free soon by themselves, or because room is being made already. */
-    private int comingPlaces(Share share, Job top, Moment now) {
+    private int comingPlaces(Iterable<Machine> machines, Job top, Moment now) {
         int places = 0;
-        for (Machine m : cluster.serving(share)) {
+        for (Machine m : machines) {
             if (!m.isUsable() || !m.allows(top.spec)) {
                 continue;
             }
--- a/src/test/java/io/indigoreach/core/PlacementTest.java
+++ b/src/test/java/io/indigoreach/core/PlacementTest.java
@@ -91,6 +91,24 @@
                 null, false))));
     }
 
+    @ParameterizedTest
+    @CsvSource({"4, 1, the borrower is beyond its guarantee of none", "0, 0, nothing is guaranteed"})
+    void borrowedMachinesGoBackToATeamWithinItsGuarantee(double guarantee, int stopped, String why) {
+        World w = new World(World.team(0), new Team("owner", guarantee, 0, 0, 0));
+        w.core.loaded();
+        w.up("a", "east", 0);
+        w.submit(spec(1, 1, 4, 500), 0);
+        Order borrowed = w.hear("a", 1).get(0);
+        w.hear("a", 2, running(borrowed));
+        JobSpec s = spec(2, 1, 4, 50);
+        w.submit(new JobSpec(s.id(), "c", "owner", s.shape(), s.urgency(), 1, s.demand(), "i", 0, null, null, false,
+                false, true, s.estimate(), Span.ZERO, Span.ZERO, null), 3);
+        assertEquals(stopped, stops(w.hear("a", 4, running(borrowed))).size(), why);
+        if (stopped > 0) {
+            assertEquals(List.of("run-2/0"), starts(w.hear("a", 5, exited(borrowed, ExitCause.STOPPED))));
+        }
+    }
+
     @Test
     void aMachineThatFailsWhateverItGetsIsGivenUp() {
         World w = new World();
