--- a/src/main/java/io/indigoreach/core/BestSize.java
+++ b/src/main/java/io/indigoreach/core/BestSize.java
@@ -1,6 +1,7 @@
 package io.indigoreach.core;
 
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -19,15 +20,13 @@
     private final Cluster cluster;
     private final Dispatcher dispatcher;
     private final Estimates estimates;
-    private final Aims aims;
     private final Tuning tuning;
     private final Map<Pool, Moment> refusedUntil = new HashMap<>();
 
-    BestSize(Cluster cluster, Dispatcher dispatcher, Estimates estimates, Aims aims, Tuning tuning) {
+    BestSize(Cluster cluster, Dispatcher dispatcher, Estimates estimates, Tuning tuning) {
         this.cluster = cluster;
         this.dispatcher = dispatcher;
         this.estimates = estimates;
-        this.aims = aims;
         this.tuning = tuning;
     }
 
@@ -50,11 +49,13 @@
     }
 
     private void size(Share share, Moment now, Map<Pool, Integer> wanted) {
+        Map<String, Need> needs = new HashMap<>();
+        Map<String, Backlog> backlogs = backlogs(share, now);
         Job top = dispatcher.top(share, now);
         if (top == null || !isDue(share, top, now)) {
+            spare(share, backlogs, needs);
             return;
         }
-        Map<String, Need> needs = new HashMap<>();
         boolean shortTaken = false;
         double teamCores = share.cores();
         for (Job job : dispatcher.queue(share, now)) {
@@ -78,11 +79,13 @@
             double more = machinesFor(job, type, waiting);
             needs.computeIfAbsent(type.name(), t -> new Need(job)).add(more, mayTakeOrdinary(job, now) ? more : 0);
         }
-        addBacklog(share, needs, now);
+        spare(share, backlogs, needs);
         needs.forEach((type, need) -> {
             int atHand = atHand(share, type, now);
             int n = (int) Math.ceil(need.machines - 1e-6) - atHand;
-            int ordinary = Math.min(n, (int) Math.ceil(need.ordinary - 1e-6) - atHand);
+            Backlog backlog = backlogs.get(type);
+            int missing = backlog == null ? 0 : (int) Math.floor(backlog.needed) - backlog.ordinary.machines();
+            int ordinary = Math.min(n, Math.max(missing, (int) Math.ceil(need.ordinary - 1e-6) - atHand));
             if (n > 0) {
                 choosePools(need.first, cluster.types.get(type), n, ordinary, now, wanted);
             }
@@ -107,48 +110,84 @@
 
     /** The work of one machine type's queue, added up in the order of the queue, in seconds of a whole machine. */
     private static final class Backlog {
+        final Capacity spot;
+        final Capacity ordinary;
         double work;
-        /** Machines beyond those that serve, so that everything added so far starts in time for its aims. */
-        double missing;
+        /** Ordinary machines that are needed so that everything added so far starts in time for its aims. */
+        double needed;
+
+        Backlog(Capacity spot, Capacity ordinary) {
+            this.spot = spot;
+            this.ordinary = ordinary;
+        }
+
+        /** {@code left} seconds until the work added so far should have started; a machine takes {@code boot} to come. */
+        void mustStartWithin(double left, double boot, double leastPaid) {
+            double useful = left - boot;
+            double missing = work - spot.until(left);
+            if (useful <= 0 || missing <= 0) {
+                return;
+            }
+            double there = ordinary.until(left);
+            // A machine is worth renting if it finds work for the time that is paid in any case.
+            double more = Math.max(0, missing - there) / Math.max(useful, leastPaid);
+            needed = Math.max(needed, more + ordinary.machines() * (there > 0 ? Math.min(1, missing / there) : 1));
+        }
     }
 
     /**
      * Ordinary machines for a queue that the spot machines which can be had do not serve in time: for each job, the
      * work before and including it must fit into what the machines that serve can do until the job's latest start that
-     * still meets an aim, and all of it into the time that the settings allow for any queue.
+     * still meets an aim, and all of it into the time that the settings allow for any queue. Those that are more than
+     * that get no new tasks, and so come to be idle at the end of a term.
      */
-    private void addBacklog(Share share, Map<String, Need> needs, Moment now) {
-        Map<String, Capacity> capacities = new HashMap<>();
+    private Map<String, Backlog> backlogs(Share share, Moment now) {
         Map<String, Backlog> backlogs = new HashMap<>();
         for (Job job : dispatcher.queue(share, now)) {
             MachineType type = cheapest(job.spec);
             if (type == null || !job.hasWaiting() || job.isSuspect() || job.spec.shape() != Shape.ARRAY) {
                 continue;
             }
-            Capacity capacity = capacities.computeIfAbsent(type.name(), t -> capacity(share, type, now));
-            Backlog backlog = backlogs.computeIfAbsent(type.name(), t -> new Backlog());
+            Backlog backlog = backlogs.computeIfAbsent(type.name(),
+                    t -> new Backlog(capacity(share, type, true, now), capacity(share, type, false, now)));
             Span run = estimates.run(job);
             backlog.work += job.waiting() * run.seconds() / Math.max(1, job.spec.demand().timesIn(type.capacity()));
-            Span boot = type.boot();
-            Moment latest = aims.latestStart(job, run, 1, now.plus(boot.times(AIM_REACH)));
-            double left = latest.since(now).seconds() * tuning.aimShare();
-            double useful = left - boot.seconds();
-            if (useful > 0) {
-                backlog.missing = Math.max(backlog.missing, (backlog.work - capacity.until(left)) / useful);
+            Moment latest = dispatcher.latestStart(job, now.plus(type.boot().times(AIM_REACH)));
+            backlog.mustStartWithin(latest.since(now).seconds() * tuning.aimShare(), type.boot().seconds(),
+                    tuning.leastPaid().seconds());
+        }
+        for (Backlog backlog : backlogs.values()) {
+            double whole = Math.floor(backlog.work / tuning.backlogLimit().seconds()) - backlog.spot.machines();
+            backlog.needed = Math.max(backlog.needed, whole);
+        }
+        return backlogs;
+    }
+
+    /** Ordinary machines beyond those needed take no new tasks, those with the least to do first. */
+    private void spare(Share share, Map<String, Backlog> backlogs, Map<String, Need> needs) {
+        Map<String, List<Machine>> ordinary = new HashMap<>();
+        for (Machine m : cluster.serving(share)) {
+            if (!m.pool.spot() && m.phase == Machine.Phase.UP) {
+                ordinary.computeIfAbsent(m.pool.type(), t -> new ArrayList<>()).add(m);
             }
         }
-        needs.forEach((type, need) -> {
+        boolean ordinaryOnly = share.jobs().stream().anyMatch(j -> j.hasWaiting() && !j.spec.spotAllowed());
+        ordinary.forEach((type, machines) -> {
             Backlog backlog = backlogs.get(type);
-            if (backlog != null) {
-                double limit = tuning.backlogLimit().seconds();
-                double beyond = Math.floor(backlog.work / limit) - capacities.get(type).machines();
-                double missing = Math.max(beyond, Math.floor(backlog.missing));
-                need.ordinary = Math.max(need.ordinary, missing + atHand(share, type, now));
+            Need need = needs.get(type);
+            double keep = (backlog == null ? 0 : backlog.needed) + (need == null ? 0 : need.ordinary);
+            if (ordinaryOnly || cluster.types.get(type).spotPrice() <= 0) {
+                keep = machines.size();
+            }
+            machines.sort(Comparator.comparingInt(Machine::taskCount));
+            double surplus = machines.size() - Math.ceil(keep);
+            for (Machine m : machines) {
+                m.spare = surplus-- >= 1;
             }
         });
     }
 
-    /** What the machines that serve a share can do: those up, less what runs on them, and those that are coming. */
+    /** What machines can do: those up, less what runs on them, and those that are coming. */
     private record Capacity(int up, double busy, int coming, double untilUp) {
         int machines() {
             return up + coming;
@@ -161,13 +200,13 @@
         }
     }
 
-    private Capacity capacity(Share share, MachineType type, Moment now) {
+    private Capacity capacity(Share share, MachineType type, boolean spot, Moment now) {
         int up = 0;
         int coming = 0;
         double busy = 0;
         double untilUp = 0;
         for (Machine m : cluster.serving(share)) {
-            if (!m.pool.type().equals(type.name())) {
+            if (!m.pool.type().equals(type.name()) || m.pool.spot() != spot) {
                 continue;
             }
             if (m.phase == Machine.Phase.UP && m.notice == null && !m.condemned) {
--- a/src/main/java/io/indigoreach/core/Cluster.java
+++ b/src/main/java/io/indigoreach/core/Cluster.java
@@ -14,6 +14,8 @@
     final TreeMap<MachineId, Machine> machines = new TreeMap<>();
     final Map<String, MachineType> types = new LinkedHashMap<>();
     private final Map<String, Share> shares = new LinkedHashMap<>();
+    /** How many jobs of each class there have been: an aim counts the part of them that meets it. */
+    private final Map<String, Integer> seen = new HashMap<>();
     /** Rises with every change that can alter a reservation. */
     long version;
 
@@ -39,9 +41,14 @@
     void add(Job job) {
         jobs.put(job.id(), job);
         share(job).add(job);
+        seen.merge(job.spec.jobClass(), 1, Integer::sum);
         version++;
     }
 
+    int seen(String jobClass) {
+        return seen.getOrDefault(jobClass, 1);
+    }
+
     /** Takes a job off the queue; its placements stay until they surely are gone. */
     void remove(Job job) {
         jobs.remove(job.id(), job);
--- a/src/main/java/io/indigoreach/core/Dispatcher.java
+++ b/src/main/java/io/indigoreach/core/Dispatcher.java
@@ -19,20 +19,27 @@
     /** A place that comes free within this time is waited for. */
     private static final Span SOON = Span.seconds(6);
 
+    private static final Span SHORTAGE_LIFE = Span.seconds(0.5);
+
+    /** Places that the top job lacks, less those for which room is being made since they were counted. */
+    private record Shortage(Job top, Moment counted, int places) {
+    }
+
     private record Reserved(Reservation reservation, Moment made) {
     }
 
     private final Cluster cluster;
-    private final Aims aims;
+    private final QueueOrder order;
     private final Estimates estimates;
     private final TakeOver takeOver;
     private final Token token;
     private final Map<String, Reserved> reservations = new HashMap<>();
+    private Shortage shortage;
     private long attempts;
 
     Dispatcher(Cluster cluster, Aims aims, Estimates estimates, TakeOver takeOver, Token token) {
         this.cluster = cluster;
-        this.aims = aims;
+        this.order = new QueueOrder(cluster, aims, estimates);
         this.estimates = estimates;
         this.takeOver = takeOver;
         this.token = token;
@@ -41,7 +48,7 @@
     /** Starts for {@code m}, to be put into the answer to its report {@code number}. */
     List<Order> fill(Machine m, ReportNumber number, Moment now) {
         List<Order> orders = new ArrayList<>();
-        if (!m.isUsable()) {
+        if (!m.isUsable() || m.spare) {
             return orders;
         }
         for (Share share : candidates(m)) {
@@ -72,9 +79,12 @@
                 || !FaultJudge.allows(top, m, now) || !placeable(share, top, m)) {
             return orders;
         }
-        int wanted = top.waiting() - comingPlaces(cluster.serving(share), top, now);
         List<Placement> victims = m.tasksCopy();
         victims.removeIf(p -> !mayYield(p, top, now));
+        if (victims.isEmpty()) {
+            return orders;
+        }
+        int wanted = wanted(share, top, now);
         victims.sort(Comparator.comparing((Placement p) -> p.job.spec.urgency()).reversed());
         Demand room = m.free();
         for (Placement p : victims) {
@@ -87,9 +97,18 @@
             orders.add(new Order.Stop(p.task(), p.attempt, p.job.spec.checkpointTime().times(2)));
             wanted -= top.spec.demand().timesIn(room) - before;
         }
+        shortage = new Shortage(top, shortage.counted, wanted);
         return orders;
     }
 
+    /** How many places the top job lacks: counted over all machines once in a while, not for every report. */
+    private int wanted(Share share, Job top, Moment now) {
+        if (shortage == null || shortage.top != top || !now.isBefore(shortage.counted.plus(SHORTAGE_LIFE))) {
+            shortage = new Shortage(top, now, top.waiting() - comingPlaces(cluster.serving(share), top, now));
+        }
+        return shortage.places;
+    }
+
     /** Stops work that its team runs beyond its guarantee where another team waits for its own. */
     private List<Order> giveBack(Machine m, Moment now) {
         List<Order> orders = new ArrayList<>();
@@ -153,7 +172,10 @@
 
     private void fillFrom(Share share, Machine m, ReportNumber number, Moment now, List<Order> orders) {
         Job top = null;
-        for (Job job : queue(share, now)) {
+        if (m.free().cores() <= 1e-6) {
+            return;
+        }
+        for (Job job : share.queueFor(m, order, now)) {
             if (m.free().cores() <= 1e-6) {
                 return;
             }
@@ -178,17 +200,12 @@
     }
 
     List<Job> queue(Share share, Moment now) {
-        return share.queue(job -> aims.latestStart(job, estimates.run(job), rounds(share, job), now), now);
+        return share.queue(order, now);
     }
 
-    private int rounds(Share share, Job job) {
-        int places = 0;
-        for (Machine m : cluster.serving(share)) {
-            if (m.isUsable() && m.allows(job.spec)) {
-                places += job.spec.demand().timesIn(m.type.capacity());
-            }
-        }
-        return places == 0 ? 1 : (job.waiting() + places - 1) / places;
+    /** By when the job's waiting tasks should have started for an aim whose latest start is not before {@code from}. */
+    Moment latestStart(Job job, Moment from) {
+        return order.latestStart(job, from);
     }
 
     /** Nothing of a job that an earlier leader may have started can be started before that leader's tasks are known. */
@@ -238,6 +255,9 @@
 
     /** Whether an idle machine can be used by a job that waits in its share. */
     boolean isWanted(Machine m, Moment now) {
+        if (m.spare) {
+            return false;
+        }
         for (Share share : cluster.shares()) {
             if (m.share != null && !m.share.equals(share.team.name())) {
                 continue;
--- a/src/main/java/io/indigoreach/core/LeaderCore.java
+++ b/src/main/java/io/indigoreach/core/LeaderCore.java
@@ -46,7 +46,7 @@
         this.takeOver = new TakeOver();
         this.dispatcher = new Dispatcher(cluster, aims, estimates, takeOver, token);
         this.reconciler = new Reconciler(cluster, estimates, notes);
-        this.bestSize = new BestSize(cluster, dispatcher, estimates, aims, tuning);
+        this.bestSize = new BestSize(cluster, dispatcher, estimates, tuning);
         this.releaseCheck = new ReleaseCheck(cluster, dispatcher, rules, tuning);
     }
 
--- a/src/main/java/io/indigoreach/core/Machine.java
+++ b/src/main/java/io/indigoreach/core/Machine.java
@@ -35,6 +35,8 @@
     final Set<String> images = new LinkedHashSet<>();
     final Set<JobId> failedJobs = new HashSet<>();
     boolean condemned;
+    /** More than is needed at its price: it gets no new tasks for now. */
+    boolean spare;
     /** Tasks on it of jobs that are over, about which nothing else is known: they still count against their teams. */
     int strangers;
     /** It surely existed at this moment: a list that describes a later one and lacks it shows that it is gone. */
