Bulky jobs first only up to their part of the work; a predecessor's key removed before listening

A node that had restarted removed the key of its predecessor 7.2 s after it listened: some 400 workers without a leader took its processor meanwhile. Ruled out: the cloud (nothing refused), the state service (answers in milliseconds).

--- a/src/main/java/io/indigoreach/cluster/Controller.java
+++ b/src/main/java/io/indigoreach/cluster/Controller.java
@@ -29,6 +29,11 @@
                 env.config().peers().size(), env.lease(), this);
     }
 
+    /** Removes what a predecessor of this process left behind; never fails. */
+    public Future<Void> clear() {
+        return leadership.clear();
+    }
+
     public void start() {
         leadership.start();
     }
--- a/src/main/java/io/indigoreach/cluster/Node.java
+++ b/src/main/java/io/indigoreach/cluster/Node.java
@@ -37,7 +37,7 @@
 
     /** Starts serving; the result is the port. */
     public Future<Integer> start() {
-        return door.open().map(port -> {
+        return controller.clear().compose(v -> door.open()).map(port -> {
             catalogue.start();
             controller.start();
             standing.start();
--- a/src/main/java/io/indigoreach/core/Dispatcher.java
+++ b/src/main/java/io/indigoreach/core/Dispatcher.java
@@ -33,7 +33,7 @@
     private final Estimates estimates;
     private final TakeOver takeOver;
     private final Token token;
-    private final Map<String, Reserved> reservations = new HashMap<>();
+    private final Map<JobId, Reserved> reservations = new HashMap<>();
     private Shortage shortage;
     private long attempts;
 
@@ -171,34 +171,39 @@
     }
 
     private void fillFrom(Share share, Machine m, ReportNumber number, Moment now, List<Order> orders) {
-        Job top = null;
         if (m.free().cores() <= 1e-6) {
             return;
         }
-        for (Job job : share.queueFor(m, order, now)) {
+        List<Job> queue = share.queueFor(m, order, now);
+        Job top = null;
+        for (Job job : queue) {
             if (m.free().cores() <= 1e-6) {
                 return;
             }
             if (!job.hasWaiting() || !mayStart(job, now)) {
                 continue;
             }
-            boolean suits = m.allows(job.spec) && FaultJudge.allows(job, m, now);
-            Reservation reservation = top == null ? null : reservation(share, top, now);
-            Span time = estimates.onMachine(job, m);
-            while (suits && job.hasWaiting() && job.spec.demand().fitsIn(m.free()) && placeable(share, job, m)
-                    && (reservation == null || reservation.allows(m, job.spec.demand(), time, estimates, now))) {
-                Placement p = new Placement(job, job.nextWaiting(), m, token.attempt(++attempts), TaskState.ORDERED,
-                        number, now);
-                cluster.place(p);
-                orders.add(new Order.Start(p.task(), p.attempt));
-                suits = !job.isSuspect();
-            }
+            start(share, job, m, top == null ? null : reservation(share, top, now), number, now, orders);
             if (top == null && job.hasWaiting()) {
                 top = job;
             }
         }
     }
 
+    private void start(Share share, Job job, Machine m, Reservation reservation, ReportNumber number, Moment now,
+                       List<Order> orders) {
+        boolean suits = m.allows(job.spec) && FaultJudge.allows(job, m, now);
+        Span time = estimates.onMachine(job, m);
+        while (suits && job.hasWaiting() && job.spec.demand().fitsIn(m.free()) && placeable(share, job, m)
+                && (reservation == null || reservation.allows(m, job.spec.demand(), time, estimates, now))) {
+            Placement p = new Placement(job, job.nextWaiting(), m, token.attempt(++attempts), TaskState.ORDERED,
+                    number, now);
+            cluster.place(p);
+            orders.add(new Order.Start(p.task(), p.attempt));
+            suits = !job.isSuspect();
+        }
+    }
+
     List<Job> queue(Share share, Moment now) {
         return share.queue(order, now);
     }
@@ -244,12 +249,13 @@
     }
 
     Reservation reservation(Share share, Job top, Moment now) {
-        Reserved kept = reservations.get(share.team.name());
+        Reserved kept = reservations.get(top.id());
         if (kept != null && kept.reservation.top() == top && now.isBefore(kept.made.plus(RESERVATION_LIFE))) {
             return kept.reservation;
         }
+        reservations.values().removeIf(r -> !now.isBefore(r.made.plus(RESERVATION_LIFE)));
         Reservation made = Reservation.of(top, cluster.serving(share), estimates, now);
-        reservations.put(share.team.name(), new Reserved(made, now));
+        reservations.put(top.id(), new Reserved(made, now));
         return made;
     }
 
--- a/src/main/java/io/indigoreach/core/QueueOrder.java
+++ b/src/main/java/io/indigoreach/core/QueueOrder.java
@@ -21,9 +21,13 @@
     /** Part of the machines' time that is counted on: images are fetched in the rest, and room is left in pieces. */
     private static final double RELIABLE = 0.9;
 
-    /** The queue, its bulky jobs, and the queue with those counted as due some time sooner. */
-    record Ordered(List<Job> jobs, List<Job> bulky, List<Job> bulkyFirst) {
-        static final Ordered EMPTY = new Ordered(List.of(), List.of(), List.of());
+    /**
+     * The queue, its bulky jobs, and the queue with those counted as due some time sooner.
+     *
+     * @param bulkyPlaces machines' worth of bulky tasks beyond which they have no precedence: their part of the work
+     */
+    record Ordered(List<Job> jobs, List<Job> bulky, List<Job> bulkyFirst, double bulkyPlaces) {
+        static final Ordered EMPTY = new Ordered(List.of(), List.of(), List.of(), 0);
     }
 
     /** A job with what its place in the queue depends on. */
@@ -92,7 +96,7 @@
         List<Job> jobs = jobs(all);
         List<Job> bulky = all.stream().filter(r -> r.bulky).map(r -> r.job).toList();
         if (bulky.isEmpty()) {
-            return new Ordered(jobs, bulky, jobs);
+            return new Ordered(jobs, bulky, jobs, 0);
         }
         for (Ranked r : all) {
             if (r.bulky) {
@@ -100,7 +104,19 @@
             }
         }
         all.sort(SERVED);
-        return new Ordered(jobs, bulky, jobs(all));
+        double work = 0;
+        double bulkyWork = 0;
+        for (Ranked r : all) {
+            double whole = r.work + running(r.job);
+            work += whole;
+            bulkyWork += r.bulky ? whole : 0;
+        }
+        return new Ordered(jobs, bulky, jobs(all), work > 0 ? machines.count * bulkyWork / work : 0);
+    }
+
+    /** Half of what its running tasks take in all: what is left of them, on average. */
+    private double running(Job job) {
+        return job.active().size() * estimates.run(job).seconds() / perMachine(job) / 2;
     }
 
     private static List<Job> jobs(List<Ranked> ranked) {
@@ -139,7 +155,8 @@
         return aims.latestStart(job, estimates.longest(job, fetch), from);
     }
 
-    private int perMachine(Job job) {
+    /** How many of a job's tasks a machine takes. */
+    int perMachine(Job job) {
         int most = 1;
         for (MachineType type : cluster.types.values()) {
             if (job.spec.allowsType(type.name())) {
--- a/src/main/java/io/indigoreach/core/Share.java
+++ b/src/main/java/io/indigoreach/core/Share.java
@@ -41,10 +41,18 @@
     /**
      * The queue for a machine with so much room. Room for a bulky job is worth more than the same room in pieces: once
      * it is filled with small tasks, a bulky one has to wait until they have all ended, with cores idle meanwhile. So
-     * where one fits, the bulky jobs count as due some time sooner.
+     * where one fits, the bulky jobs count as due some time sooner, until they have the part of the machines that is
+     * their part of the work: where all machines come free at once, the others must get theirs.
      */
     List<Job> queueFor(Machine m, QueueOrder order, Moment now) {
         QueueOrder.Ordered queue = ordered(order, now);
+        double taken = 0;
+        for (Job job : queue.bulky()) {
+            taken += job.active().size() / (double) order.perMachine(job);
+        }
+        if (taken >= queue.bulkyPlaces()) {
+            return queue.jobs();
+        }
         for (Job job : queue.bulky()) {
             if (job.hasWaiting() && job.spec.demand().fitsIn(m.free()) && m.allows(job.spec)) {
                 return queue.bulkyFirst();
--- a/src/main/java/io/indigoreach/state/Leadership.java
+++ b/src/main/java/io/indigoreach/state/Leadership.java
@@ -105,6 +105,18 @@
         return state.drop(held);
     }
 
+    /**
+     * Removes the key of a predecessor of this process, before anything else is done: a node that is warmed up can then
+     * lead at once. Done later, it competes for the processor with hundreds of workers looking for a leader.
+     */
+    public Future<Void> clear() {
+        return state.get(RecordCodec.LEADER).compose(entry -> {
+            current = entry == null ? null : LeaderKey.read(entry.value(), entry.stamp());
+            boolean predecessor = current != null && current.node().equals(node) && peers > 0;
+            return predecessor ? letGo().<Void>mapEmpty() : Future.<Void>succeededFuture();
+        }).otherwiseEmpty();
+    }
+
     private Future<Span> step() {
         if (leading) {
             return Future.succeededFuture(RETRY);
