--- a/src/main/java/io/indigoreach/core/BestSize.java
+++ b/src/main/java/io/indigoreach/core/BestSize.java
@@ -16,11 +16,15 @@
     private static final int MOST_PER_REQUEST = 50;
     /** An aim nearer than this many boot times is not met by renting. */
     private static final double AIM_REACH = 1.2;
+    /** Seconds in which the number of ordinary machines kept goes down by half. */
+    private static final double HALVES = 20;
 
     private final Cluster cluster;
     private final Dispatcher dispatcher;
     private final Estimates estimates;
     private final Tuning tuning;
+    /** Ordinary machines kept, per share and type: it follows the need up at once, and down over some time. */
+    private final Map<String, Kept> kept = new HashMap<>();
     private final Map<Pool, Moment> refusedUntil = new HashMap<>();
 
     BestSize(Cluster cluster, Dispatcher dispatcher, Estimates estimates, Tuning tuning) {
@@ -53,7 +57,7 @@
         Map<String, Backlog> backlogs = backlogs(share, now);
         Job top = dispatcher.top(share, now);
         if (top == null || !isDue(share, top, now)) {
-            spare(share, backlogs, needs);
+            spare(share, backlogs, needs, now);
             return;
         }
         boolean shortTaken = false;
@@ -79,7 +83,7 @@
             double more = machinesFor(job, type, waiting);
             needs.computeIfAbsent(type.name(), t -> new Need(job)).add(more, mayTakeOrdinary(job, now) ? more : 0);
         }
-        spare(share, backlogs, needs);
+        spare(share, backlogs, needs, now);
         needs.forEach((type, need) -> {
             int atHand = atHand(share, type, now);
             int n = (int) Math.ceil(need.machines - 1e-6) - atHand;
@@ -163,8 +167,23 @@
         return backlogs;
     }
 
+    private record Kept(double machines, Moment at) {
+    }
+
+    /**
+     * What to keep for a need. One let go and rented again costs a boot and the least that a machine costs, so the
+     * number goes down by no more than half in that time.
+     */
+    private double kept(String what, double need, Moment now) {
+        Kept old = kept.getOrDefault(what, new Kept(0, now));
+        double halves = now.since(old.at).seconds() / HALVES;
+        double keep = Math.max(need, old.machines * Math.pow(0.5, halves));
+        kept.put(what, new Kept(keep, now));
+        return keep;
+    }
+
     /** Ordinary machines beyond those needed take no new tasks, those with the least to do first. */
-    private void spare(Share share, Map<String, Backlog> backlogs, Map<String, Need> needs) {
+    private void spare(Share share, Map<String, Backlog> backlogs, Map<String, Need> needs, Moment now) {
         Map<String, List<Machine>> ordinary = new HashMap<>();
         for (Machine m : cluster.serving(share)) {
             if (!m.pool.spot() && m.phase == Machine.Phase.UP) {
@@ -175,7 +194,8 @@
         ordinary.forEach((type, machines) -> {
             Backlog backlog = backlogs.get(type);
             Need need = needs.get(type);
-            double keep = (backlog == null ? 0 : backlog.needed) + (need == null ? 0 : need.ordinary);
+            double needed = (backlog == null ? 0 : backlog.needed) + (need == null ? 0 : need.ordinary);
+            double keep = kept(share.team.name() + " " + type, needed, now);
             if (ordinaryOnly || cluster.types.get(type).spotPrice() <= 0) {
                 keep = machines.size();
             }
--- a/src/main/java/io/indigoreach/core/Cluster.java
+++ b/src/main/java/io/indigoreach/core/Cluster.java
@@ -14,6 +14,8 @@
     final TreeMap<MachineId, Machine> machines = new TreeMap<>();
     final Map<String, MachineType> types = new LinkedHashMap<>();
     private final Map<String, Share> shares = new LinkedHashMap<>();
+    private int strangers;
+    private long visits;
     /** How many jobs of each class there have been: an aim counts the part of them that meets it. */
     private final Map<String, Integer> seen = new HashMap<>();
     /** Rises with every change that can alter a reservation. */
@@ -45,6 +47,21 @@
         version++;
     }
 
+    /** Tasks of jobs that are over, on any machine. */
+    boolean hasStrangers() {
+        return strangers > 0;
+    }
+
+    void setStrangers(Machine m, int n) {
+        strangers += n - m.strangers;
+        m.strangers = n;
+    }
+
+    /** How many machines were looked at by walks over a share's machines: what decisions cost. */
+    long visits() {
+        return visits;
+    }
+
     int seen(String jobClass) {
         return seen.getOrDefault(jobClass, 1);
     }
@@ -79,6 +96,7 @@
         for (Placement p : m.tasksCopy()) {
             lift(p, now);
         }
+        setStrangers(m, 0);
     }
 
     /** The machine is gone for good, and everything on it. */
@@ -90,6 +108,7 @@
 
     List<Machine> serving(Share share) {
         List<Machine> out = new ArrayList<>();
+        visits += machines.size();
         for (Machine m : machines.values()) {
             if (m.share == null || m.share.equals(share.team.name())) {
                 out.add(m);
--- a/src/main/java/io/indigoreach/core/Dispatcher.java
+++ b/src/main/java/io/indigoreach/core/Dispatcher.java
@@ -219,7 +219,7 @@
             return false;
         }
         if (cluster.share(job).team.isLimited()) {
-            return takeOver.isSettled() && cluster.machines.values().stream().allMatch(m -> m.strangers == 0);
+            return takeOver.isSettled() && !cluster.hasStrangers();
         }
         return takeOver.isSettled() || !job.inherited;
     }
--- a/src/main/java/io/indigoreach/core/Job.java
+++ b/src/main/java/io/indigoreach/core/Job.java
@@ -101,9 +101,7 @@
     public int running() {
         int n = 0;
         for (Placement p : active.values()) {
-            if (p.state == TaskState.RUNNING || p.state == TaskState.SAVING) {
-                n++;
-            }
+            n += p.isRunning() ? 1 : 0;
         }
         return n;
     }
@@ -112,7 +110,15 @@
         if (cancelled) {
             return JobStatus.CANCELLED;
         }
-        return isComplete() ? JobStatus.DONE : running() > 0 ? JobStatus.RUNNING : JobStatus.PENDING;
+        if (isComplete()) {
+            return JobStatus.DONE;
+        }
+        for (Placement p : active.values()) {
+            if (p.isRunning()) {
+                return JobStatus.RUNNING;
+            }
+        }
+        return JobStatus.PENDING;
     }
 
     int waiting() {
--- a/src/main/java/io/indigoreach/core/LeaderCore.java
+++ b/src/main/java/io/indigoreach/core/LeaderCore.java
@@ -15,6 +15,7 @@
 public final class LeaderCore {
     private static final int DEAF_TO = 3;
     private static final int GONE_KEPT = 1000;
+    private static final int GONE_PER_MACHINE = 8;
     /** One list would do by the cloud's word; a second one costs little. */
     private static final int SURELY_MISSING = 2;
 
@@ -32,7 +33,7 @@
     private final Map<MachineId, Boolean> gone = new LinkedHashMap<>() {
         @Override
         protected boolean removeEldestEntry(Map.Entry<MachineId, Boolean> eldest) {
-            return size() > GONE_KEPT;
+            return size() > Math.max(GONE_KEPT, GONE_PER_MACHINE * cluster.machines.size());
         }
     };
     private boolean loaded;
@@ -341,6 +342,11 @@
         }
     }
 
+    /** How many machines decisions have looked at so far. */
+    long visits() {
+        return cluster.visits();
+    }
+
     public boolean knows(MachineId id) {
         return cluster.machines.containsKey(id);
     }
--- a/src/main/java/io/indigoreach/core/Placement.java
+++ b/src/main/java/io/indigoreach/core/Placement.java
@@ -28,6 +28,10 @@
         return new TaskId(job.id(), index);
     }
 
+    boolean isRunning() {
+        return state == TaskState.RUNNING || state == TaskState.SAVING;
+    }
+
     Demand demand() {
         return job.spec.demand();
     }
--- a/src/main/java/io/indigoreach/core/Reconciler.java
+++ b/src/main/java/io/indigoreach/core/Reconciler.java
@@ -20,7 +20,7 @@
     List<Order> reconcile(Machine m, WorkerReport report, Moment now) {
         List<Order> orders = new ArrayList<>();
         Set<Placement> seen = new HashSet<>();
-        m.strangers = 0;
+        int strangers = 0;
         for (TaskReport t : report.tasks()) {
             Job job = cluster.jobs.get(t.task().job());
             if (job == null || t.task().index() >= job.spec.tasks()) {
@@ -29,7 +29,7 @@
                 if (p != null && p.attempt.equals(t.attempt()) && t.state() != TaskState.EXITED) {
                     seen.add(p);
                 } else if (t.state() != TaskState.EXITED) {
-                    m.strangers++;
+                    strangers++;
                 }
                 orders.add(ending(t));
             } else if (t.state() == TaskState.EXITED) {
@@ -38,6 +38,7 @@
                 alive(m, job, t, now, orders, seen);
             }
         }
+        cluster.setStrangers(m, strangers);
         // What is missing from a newer report was refused, lost with an answer, or killed with its session.
         for (Placement p : m.tasksCopy()) {
             if (!seen.contains(p)) {
--- a/src/test/java/io/indigoreach/api/JobDeskTest.java
+++ b/src/test/java/io/indigoreach/api/JobDeskTest.java
@@ -22,6 +22,7 @@
 import io.vertx.core.Vertx;
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpMethod;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
 import org.junit.jupiter.api.AfterEach;
@@ -34,6 +35,8 @@
 class JobDeskTest {
     private static final Span WAIT = Span.seconds(10);
     private final Vertx vertx = Vertx.vertx();
+    /** Vert.x closes a client that nothing refers to any more, in the middle of a call too: so all are kept. */
+    private final List<Object> kept = new ArrayList<>();
     private StateStandIn service;
     private Endpoint first;
     private Endpoint second;
@@ -54,7 +57,13 @@
     }
 
     private StateClient client() {
-        return new StateClient(new Caller(vertx, service.endpoint(), 4), new Caller(vertx, service.endpoint(), 1));
+        return keep(new StateClient(new Caller(vertx, service.endpoint(), 4),
+                new Caller(vertx, service.endpoint(), 1)));
+    }
+
+    private <T> T keep(T client) {
+        kept.add(client);
+        return client;
     }
 
     private Endpoint node() throws Exception {
@@ -62,7 +71,7 @@
         JobDesk desk = new JobDesk(client(), catalogue, List.of(new Team("t", 0, 0, 0, 0)), new SteadyClock(), 8192);
         Endpoint any = new Endpoint("127.0.0.1", 0);
         Endpoint endpoint = new Endpoint("127.0.0.1",
-                await(new FrontDoor(vertx, any, desk, null, catalogue::isKnown).open()));
+                await(keep(new FrontDoor(vertx, any, desk, null, catalogue::isKnown)).open()));
         catalogue.start();
         while (call(endpoint, HttpMethod.GET, "/ready", null).status() != 200) {
             Thread.onSpinWait();
@@ -75,7 +84,7 @@
     }
 
     private Reply call(Endpoint at, HttpMethod method, String path, Map<String, Object> body) throws Exception {
-        Caller caller = new Caller(vertx, at, 1);
+        Caller caller = keep(new Caller(vertx, at, 1));
         return await(method == HttpMethod.GET ? caller.get(path, WAIT) : method == HttpMethod.DELETE
                 ? caller.delete(path, WAIT) : caller.post(path, body, WAIT));
     }
--- /dev/null
+++ b/src/test/java/io/indigoreach/core/FleetCostTest.java
@@ -0,0 +1,68 @@
+package io.indigoreach.core;
+
+import static io.indigoreach.core.World.at;
+import static io.indigoreach.core.World.running;
+import static io.indigoreach.core.World.spec;
+import static io.indigoreach.core.World.with;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/**
+ * What a second of reports costs, counted in machines looked at. Guards against decisions that walk the whole fleet
+ * for each report: at 450 machines and a tenth of a core that is all the processor there is.
+ */
+class FleetCostTest {
+    @ParameterizedTest
+    @ValueSource(ints = {50, 500})
+    void reportsDoNotWalkTheFleet(int machines) {
+        World w = new World();
+        Map<String, TaskReport[]> tasks = busy(w, machines);
+        long before = w.core.visits();
+        int stops = 0;
+        for (int i = 0; i < machines; i++) {
+            stops += World.stops(w.hear("m" + i, 40 + 0.9 * i / machines, tasks.get("m" + i))).size();
+        }
+        assertTrue(stops > machines / 2, stops + " tasks make room");
+        assertTrue(w.core.visits() - before <= 10L * machines, (w.core.visits() - before) + " machines looked at");
+    }
+
+    /** The fleet runs tasks that keep their progress, and urgent work waits that could take their place. */
+    private static Map<String, TaskReport[]> busy(World w, int machines) {
+        Map<String, TaskReport[]> all = new HashMap<>();
+        w.core.loaded();
+        w.submit(with(spec(1, 2 * machines, 2, 100), Urgency.BEST_EFFORT, false, false, true, null, 5), 0);
+        for (int i = 0; i < machines; i++) {
+            w.up("m" + i, "east", 0);
+            List<TaskReport> tasks = new ArrayList<>();
+            w.hear("m" + i, 1).forEach(o -> tasks.add(running(o)));
+            all.put("m" + i, tasks.toArray(TaskReport[]::new));
+            w.hear("m" + i, 2, all.get("m" + i));
+        }
+        w.submit(with(spec(2, 4 * machines, 1, 20), Urgency.HIGH, false, false, true, null, 0), 3);
+        return all;
+    }
+
+    /** A new leader starts nothing inherited before the last of 500 machines has reported, and everything after it. */
+    @Test
+    void aTakeOverOfAWholeFleetSettlesWithItsLastReport() {
+        World w = new World();
+        for (int i = 0; i < 500; i++) {
+            w.core.inherit(new MachineId("m" + i), new Pool("quad", "east", true), at(0), at(0), at(0));
+        }
+        w.inherited(spec(1, 3000, 1, 20));
+        w.core.loaded();
+        for (int i = 0; i < 499; i++) {
+            assertEquals(0, World.starts(w.hear("m" + i, 1)).size());
+        }
+        assertEquals(4, World.starts(w.hear("m499", 2)).size());
+        assertEquals(4, World.starts(w.hear("m0", 2.5)).size());
+    }
+}
