--- a/src/main/java/io/indigoreach/core/BestSize.java
+++ b/src/main/java/io/indigoreach/core/BestSize.java
@@ -200,7 +200,7 @@
                 keep = machines.size();
             }
             machines.sort(Comparator.comparingInt(Machine::taskCount));
-            double surplus = machines.size() - Math.ceil(keep);
+            double surplus = machines.size() - Math.round(keep);
             for (Machine m : machines) {
                 m.spare = surplus-- >= 1;
             }
--- a/src/test/java/io/indigoreach/core/SizingTest.java
+++ b/src/test/java/io/indigoreach/core/SizingTest.java
@@ -124,4 +124,35 @@
         }
         assertEquals(List.of(), w.core.wishes(at(100)));
     }
+
+    /**
+     * An ordinary machine beyond the need gets no new tasks, but not at once (incident inc-bdad): after a need of two
+     * that is over, seconds later, one is still filled.
+     */
+    @ParameterizedTest
+    @CsvSource({"0, 2", "15, 1", "30, 1", "120, 0"})
+    void ordinaryMachinesAreLetGoSlowly(double later, int filled) {
+        World w = new World();
+        w.core.loaded();
+        w.up("s", "east", 0);
+        w.hear("s", 1);
+        for (String name : List.of("a", "b")) {
+            w.core.rented(new Pool("quad", "east", false), List.of(new MachineId(name)), at(0), at(0));
+            w.core.recorded(new MachineId(name));
+            hearOrdinary(w, name, 1);
+        }
+        Job large = w.submit(spec(1, 48, 1, 75), 2);
+        w.core.wishes(at(3));
+        w.core.cancelJob(large.id());
+        w.submit(spec(2, 8, 1, 20), 3 + later);
+        w.core.wishes(at(3 + later));
+        assertEquals(filled, List.of("a", "b").stream()
+                .filter(name -> !World.starts(hearOrdinary(w, name, 3 + later)).isEmpty()).count());
+    }
+
+    private static List<Order> hearOrdinary(World w, String name, double at) {
+        WorkerReport r = w.report(name, "east", 1, World.TOKEN);
+        return w.core.onReport(new WorkerReport(r.machine(), r.address(), new Pool("quad", "east", false), r.number(),
+                r.token(), null, r.tasks()), at(at));
+    }
 }
