--- a/src/main/java/io/indigoreach/config/Settings.java
+++ b/src/main/java/io/indigoreach/config/Settings.java
@@ -20,7 +20,7 @@
         SPOT_PATIENCE_S(600, 0, 3600, "s", "how long a job waits for spot capacity before ordinary machines are rented"),
         URGENT_SPOT_PATIENCE_S(15, 0, 3600, "s", "the same for jobs of urgency high or production"),
         BACKLOG_LIMIT_S(350, 1, 86400, "s", "a queue that takes longer to drain gets ordinary machines too"),
-        AIM_SHARE(2, 0, 10, "of the time left until an aim",
+        AIM_SHARE(1.4, 0, 10, "of the time left until an aim",
                 "a queue that does not fit into this part gets ordinary machines too"),
         REFUSED_FOR_S(10, 0, 3600, "s", "how long a pool without capacity is not asked again"),
         LEADER_LEASE_S(16, 1, 120, "s", "length of the leader's lease in the state service"),
--- a/src/main/java/io/indigoreach/core/BestSize.java
+++ b/src/main/java/io/indigoreach/core/BestSize.java
@@ -14,10 +14,10 @@
  */
 final class BestSize {
     private static final int MOST_PER_REQUEST = 50;
-    /** An aim nearer than this many boot times is not met by renting. */
+    /** An aim nearer than this many boot times and half of what is paid in any case is no reason to rent. */
     private static final double AIM_REACH = 1.2;
     /** Seconds in which the number of ordinary machines kept goes down by half. */
-    private static final double HALVES = 20;
+    private static final double HALVES = 60;
 
     private final Cluster cluster;
     private final Dispatcher dispatcher;
@@ -156,7 +156,8 @@
                     t -> new Backlog(capacity(share, type, true, now), capacity(share, type, false, now)));
             Span run = estimates.run(job);
             backlog.work += job.waiting() * run.seconds() / Math.max(1, job.spec.demand().timesIn(type.capacity()));
-            Moment latest = dispatcher.latestStart(job, now.plus(type.boot().times(AIM_REACH)));
+            Moment latest = dispatcher.latestStart(job, now.plus(type.boot().times(AIM_REACH))
+                    .plus(tuning.leastPaid().times(0.5)));
             backlog.mustStartWithin(latest.since(now).seconds() * tuning.aimShare(), type.boot().seconds(),
                     tuning.leastPaid().seconds());
         }
