Replicas have no end: held places count as held in capacity, reservation and spare machines

A replica that exits as done was entered as done and never started again. Ruled out: the pools (950 machines, 380 used), the state service (no request refused), the processor (0.09 of 0.33). No rule broken.

--- a/src/main/java/io/indigoreach/core/BestSize.java
+++ b/src/main/java/io/indigoreach/core/BestSize.java
@@ -88,7 +88,7 @@
             int atHand = atHand(share, type, now);
             int n = (int) Math.ceil(need.machines - 1e-6) - atHand;
             Backlog backlog = backlogs.get(type);
-            int missing = backlog == null ? 0 : (int) Math.floor(backlog.needed) - backlog.ordinary.machines();
+            int missing = backlog == null ? 0 : (int) Math.floor(backlog.needed - backlog.ordinary.machines());
             int ordinary = Math.min(n, Math.max(missing, (int) Math.ceil(need.ordinary - 1e-6) - atHand));
             if (n > 0) {
                 choosePools(need.first, cluster.types.get(type), n, ordinary, now, wanted);
@@ -149,7 +149,7 @@
         Map<String, Backlog> backlogs = new HashMap<>();
         for (Job job : dispatcher.queue(share, now)) {
             MachineType type = cheapest(job.spec);
-            if (type == null || !job.hasWaiting() || job.isSuspect() || job.spec.shape() != Shape.ARRAY) {
+            if (type == null || !job.hasWaiting() || job.isSuspect() || job.spec.isService()) {
                 continue;
             }
             Backlog backlog = backlogs.computeIfAbsent(type.name(),
@@ -201,16 +201,18 @@
                 keep = machines.size();
             }
             machines.sort(Comparator.comparingInt(Machine::taskCount));
-            double surplus = machines.size() - Math.round(keep);
+            double surplus = machines.stream().mapToDouble(m -> 1 - heldByReplicas(m)).sum() - Math.round(keep);
             for (Machine m : machines) {
-                m.spare = surplus-- >= 1;
+                // One that holds replicas is paid for in any case, so the rest of it is used.
+                m.spare = heldByReplicas(m) == 0 && surplus >= 1;
+                surplus -= m.spare ? 1 : 0;
             }
         });
     }
 
-    /** What machines can do: those up, less what runs on them, and those that are coming. */
-    private record Capacity(int up, double busy, int coming, double untilUp) {
-        int machines() {
+    /** What machines can do: those up, less what runs on them, and those that are coming. A replica takes its part. */
+    private record Capacity(double up, double busy, int coming, double untilUp) {
+        double machines() {
             return up + coming;
         }
 
@@ -222,7 +224,7 @@
     }
 
     private Capacity capacity(Share share, MachineType type, boolean spot, Moment now) {
-        int up = 0;
+        double up = 0;
         int coming = 0;
         double busy = 0;
         double untilUp = 0;
@@ -231,9 +233,9 @@
                 continue;
             }
             if (m.phase == Machine.Phase.UP && m.notice == null && !m.condemned) {
-                up++;
+                up += 1 - heldByReplicas(m);
                 for (Placement p : m.tasks().values()) {
-                    busy += estimates.end(p, now).since(now).seconds()
+                    busy += p.job.spec.isService() ? 0 : estimates.end(p, now).since(now).seconds()
                             / Math.max(1, p.demand().timesIn(type.capacity()));
                 }
             } else if (isComing(m, now)) {
@@ -244,6 +246,15 @@
         return new Capacity(up, busy, coming, untilUp);
     }
 
+    /** The part of a machine that replicas hold: it does not come free by itself. */
+    private static double heldByReplicas(Machine m) {
+        double held = 0;
+        for (Placement p : m.tasks().values()) {
+            held += p.job.spec.isService() ? p.demand().shareOf(m.type.capacity()) : 0;
+        }
+        return Math.min(1, held);
+    }
+
     private boolean mayTakeOrdinary(Job job, Moment now) {
         Span patience = job.spec.urgency().isMoreUrgentThan(Urgency.STANDARD) ? tuning.urgentSpotPatience()
                 : tuning.spotPatience();
@@ -258,7 +269,7 @@
     private double machinesFor(Job job, MachineType type, int waiting) {
         int perMachine = Math.max(1, job.spec.demand().timesIn(type.capacity()));
         double run = estimates.run(job).seconds();
-        double share = job.spec.shape() == Shape.SERVICE ? 1 : Math.min(1, run / tuning.leastPaid().seconds());
+        double share = job.spec.isService() ? 1 : Math.min(1, run / tuning.leastPaid().seconds());
         return waiting * share / perMachine;
     }
 
--- a/src/main/java/io/indigoreach/core/Demand.java
+++ b/src/main/java/io/indigoreach/core/Demand.java
@@ -17,6 +17,15 @@
         return cores <= room.cores + EPS && gpus <= room.gpus + EPS && ramGb <= room.ramGb + EPS;
     }
 
+    /** The part of {@code whole} that this takes, of what it takes most of. */
+    public double shareOf(Demand whole) {
+        return Math.max(part(cores, whole.cores), Math.max(part(gpus, whole.gpus), part(ramGb, whole.ramGb)));
+    }
+
+    private static double part(double taken, double whole) {
+        return taken <= EPS ? 0 : taken / whole;
+    }
+
     /** How many times this fits into {@code room}. */
     public int timesIn(Demand room) {
         double n = 1e6;
--- a/src/main/java/io/indigoreach/core/Estimates.java
+++ b/src/main/java/io/indigoreach/core/Estimates.java
@@ -10,10 +10,15 @@
 final class Estimates {
     private static final double WEIGHT = 0.1;
     private static final int ENOUGH = 3;
+    /** A replica has no end of its own: longer than anything that is waited for. */
+    private static final Span UNTIL_CANCELLED = Span.seconds(1e8);
     private final Map<String, Double> logFactor = new HashMap<>();
 
     /** A task's expected run time, without the image fetch. */
     Span run(Job job) {
+        if (job.spec.isService()) {
+            return UNTIL_CANCELLED;
+        }
         if (job.observed() >= ENOUGH) {
             return job.observedMean();
         }
--- a/src/main/java/io/indigoreach/core/JobSpec.java
+++ b/src/main/java/io/indigoreach/core/JobSpec.java
@@ -19,6 +19,11 @@
         types = types == null ? null : List.copyOf(types);
     }
 
+    /** Its tasks run until the job is cancelled. */
+    public boolean isService() {
+        return shape == Shape.SERVICE;
+    }
+
     public boolean savesProgress() {
         return checkpointEvery.ms() > 0;
     }
--- a/src/main/java/io/indigoreach/core/Reconciler.java
+++ b/src/main/java/io/indigoreach/core/Reconciler.java
@@ -7,6 +7,9 @@
 
 /** Brings the leader's picture of one machine in line with a trusted, newest report, and answers with tidying orders. */
 final class Reconciler {
+    /** Before a job's task is tried again that was refused, or a replica that ended by itself. */
+    private static final Span RETRY = Span.seconds(1);
+
     private final Cluster cluster;
     private final Estimates estimates;
     private final Notes notes;
@@ -59,6 +62,14 @@
         boolean here = p != null && p.machine == m && p.attempt.equals(t.attempt());
         switch (t.cause()) {
             case DONE -> {
+                if (job.spec.isService()) {
+                    // A replica runs until its job is cancelled: one that ended is started again, not at once.
+                    if (here) {
+                        job.retryAt = now.plus(RETRY);
+                        cluster.lift(p, now);
+                    }
+                    break;
+                }
                 if (here) {
                     if (p.state == TaskState.RUNNING) {
                         estimates.observe(job, now.since(p.since));
@@ -84,7 +95,7 @@
             case FULL, IN_USE, UNKNOWN -> {
                 if (here) {
                     notes.refused(p, t.cause());
-                    job.retryAt = now.plus(Span.seconds(1));
+                    job.retryAt = now.plus(RETRY);
                     cluster.lift(p, now);
                 }
             }
--- a/src/main/java/io/indigoreach/core/Reservation.java
+++ b/src/main/java/io/indigoreach/core/Reservation.java
@@ -56,6 +56,7 @@
             }
             Demand room = m.free();
             List<Placement> running = m.tasksCopy();
+            running.removeIf(p -> p.job.spec.isService());
             Map<Placement, Moment> ends = new HashMap<>();
             for (Placement p : running) {
                 ends.put(p, estimates.end(p, now));
