--- a/src/main/java/io/indigoreach/core/BestSize.java
+++ b/src/main/java/io/indigoreach/core/BestSize.java
@@ -88,7 +88,7 @@
             int atHand = atHand(share, type, now);
             int n = (int) Math.ceil(need.machines - 1e-6) - atHand;
             Backlog backlog = backlogs.get(type);
-            int missing = backlog == null ? 0 : (int) Math.floor(backlog.needed - backlog.ordinary.machines());
+            int missing = (int) Math.floor(backlog.needed - backlog.ordinary.machines());
             int ordinary = Math.min(n, Math.max(missing, (int) Math.ceil(need.ordinary - 1e-6) - atHand));
             if (n > 0) {
                 choosePools(need.first, cluster.types.get(type), n, ordinary, now, wanted);
@@ -116,19 +116,25 @@
     private static final class Backlog {
         final Capacity spot;
         final Capacity ordinary;
+        /** Machines busy all the time with the work of jobs whose aims are too near to rent for them. */
+        final double flow;
         double work;
         /** Ordinary machines that are needed so that everything added so far starts in time for its aims. */
         double needed;
 
-        Backlog(Capacity spot, Capacity ordinary) {
+        Backlog(Capacity spot, Capacity ordinary, double flow) {
             this.spot = spot;
             this.ordinary = ordinary;
+            this.flow = flow;
         }
 
-        /** {@code left} seconds until the work added so far should have started; a machine takes {@code boot} to come. */
-        void mustStartWithin(double left, double boot, double leastPaid) {
+        /**
+         * {@code left} seconds until the work added so far should have started; a machine takes {@code boot} to come,
+         * and {@code before} machines are kept busy by what comes later and goes before it.
+         */
+        void mustStartWithin(double left, double boot, double leastPaid, double before) {
             double useful = left - boot;
-            double missing = work - spot.until(left);
+            double missing = work + before * left - spot.until(left);
             if (useful <= 0 || missing <= 0) {
                 return;
             }
@@ -147,27 +153,48 @@
      */
     private Map<String, Backlog> backlogs(Share share, Moment now) {
         Map<String, Backlog> backlogs = new HashMap<>();
+        for (MachineType type : cluster.types.values()) {
+            backlogs.put(type.name(), new Backlog(capacity(share, type, true, now), capacity(share, type, false, now),
+                    flow(share, type, now)));
+        }
         for (Job job : dispatcher.queue(share, now)) {
             MachineType type = cheapest(job.spec);
             if (type == null || !job.hasWaiting() || job.isSuspect() || job.spec.isService()) {
                 continue;
             }
-            Backlog backlog = backlogs.computeIfAbsent(type.name(),
-                    t -> new Backlog(capacity(share, type, true, now), capacity(share, type, false, now)));
-            Span run = estimates.run(job);
-            backlog.work += job.waiting() * run.seconds() / Math.max(1, job.spec.demand().timesIn(type.capacity()));
-            Moment latest = dispatcher.latestStart(job, now.plus(type.boot().times(AIM_REACH))
-                    .plus(tuning.leastPaid().times(0.5)));
+            Backlog backlog = backlogs.get(type.name());
+            backlog.work += job.waiting() * run(job, type);
+            Moment latest = dispatcher.latestStart(job, now.plus(reach(type)));
             backlog.mustStartWithin(latest.since(now).seconds() * tuning.aimShare(), type.boot().seconds(),
-                    tuning.leastPaid().seconds());
+                    tuning.leastPaid().seconds(), isNear(job, type) ? 0 : backlog.flow);
         }
         for (Backlog backlog : backlogs.values()) {
             double whole = Math.floor(backlog.work / tuning.backlogLimit().seconds()) - backlog.spot.machines();
-            backlog.needed = Math.max(backlog.needed, whole);
+            backlog.needed = Math.max(backlog.needed, Math.max(whole, backlog.flow - backlog.spot.machines()));
         }
         return backlogs;
     }
 
+    /** An aim nearer than this cannot be met by renting for what waits. */
+    private Span reach(MachineType type) {
+        return type.boot().times(AIM_REACH).plus(tuning.leastPaid().times(0.5));
+    }
+
+    /** Whether the job had an aim, as it came, that is too near to be met by renting for it. */
+    private boolean isNear(Job job, MachineType type) {
+        return dispatcher.latestStart(job, job.arrived).isBefore(job.arrived.plus(reach(type)));
+    }
+
+    private double flow(Share share, MachineType type, Moment now) {
+        return share.inflow().perSecond(job -> !job.spec.isService() && cheapest(job.spec) == type && isNear(job, type),
+                job -> job.spec.tasks() * run(job, type), tuning.leastPaid(), now);
+    }
+
+    /** A task's run time in seconds of a whole machine. */
+    private double run(Job job, MachineType type) {
+        return estimates.run(job).seconds() / Math.max(1, job.spec.demand().timesIn(type.capacity()));
+    }
+
     private record Kept(double machines, Moment at) {
     }
 
@@ -195,7 +222,7 @@
         ordinary.forEach((type, machines) -> {
             Backlog backlog = backlogs.get(type);
             Need need = needs.get(type);
-            double needed = (backlog == null ? 0 : backlog.needed) + (need == null ? 0 : need.ordinary);
+            double needed = backlog.needed + (need == null ? 0 : need.ordinary);
             double keep = kept(share.team.name() + " " + type, needed, now);
             if (ordinaryOnly || cluster.types.get(type).spotPrice() <= 0) {
                 keep = machines.size();
--- a/src/main/java/io/indigoreach/core/Share.java
+++ b/src/main/java/io/indigoreach/core/Share.java
@@ -24,6 +24,7 @@
 
     final Team team;
     private final List<Job> jobs = new ArrayList<>();
+    private final Inflow inflow = new Inflow();
     private List<Job> ordered = List.of();
     private Moment orderedAt = Moment.NEVER;
     private double cores;
@@ -35,6 +36,7 @@
 
     void add(Job job) {
         jobs.add(job);
+        inflow.add(job);
         orderedAt = Moment.NEVER;
     }
 
@@ -47,6 +49,10 @@
         return jobs;
     }
 
+    Inflow inflow() {
+        return inflow;
+    }
+
     /** The queue in the order in which it is served. */
     List<Job> queue(Function<Job, Moment> latestStart, Moment now) {
         if (!now.isBefore(orderedAt.plus(ORDER_LIFE))) {
