Ordinary machines for the flow of jobs whose aims are nearer than a boot

BestSize rents for what waits, and an aim nearer than 1.2 boots and half a paid minute is no reason to rent, so the 42 tasks a second that come all the time rented nothing until they were late. A new leader begins by keeping the ordinary machines that are there. Ruled out: the order of the queue (meter-rollup already goes first), the pools.

--- a/src/main/java/io/indigoreach/core/BestSize.java
+++ b/src/main/java/io/indigoreach/core/BestSize.java
@@ -200,10 +200,11 @@
 
     /**
      * What to keep for a need. One let go and rented again costs a boot and the least that a machine costs, so the
-     * number goes down by no more than half in that time.
+     * number goes down by no more than half in that time. A new leader does not know what the machines that are there
+     * have been kept for, and begins with all of them.
      */
-    private double kept(String what, double need, Moment now) {
-        Kept old = kept.getOrDefault(what, new Kept(0, now));
+    private double kept(String what, double need, double there, Moment now) {
+        Kept old = kept.getOrDefault(what, new Kept(there, now));
         double halves = now.since(old.at).seconds() / HALVES;
         double keep = Math.max(need, old.machines * Math.pow(0.5, halves));
         kept.put(what, new Kept(keep, now));
@@ -223,12 +224,13 @@
             Backlog backlog = backlogs.get(type);
             Need need = needs.get(type);
             double needed = backlog.needed + (need == null ? 0 : need.ordinary);
-            double keep = kept(share.team.name() + " " + type, needed, now);
+            double there = machines.stream().mapToDouble(m -> 1 - heldByReplicas(m)).sum();
+            double keep = kept(share.team.name() + " " + type, needed, there, now);
             if (ordinaryOnly || cluster.types.get(type).spotPrice() <= 0) {
-                keep = machines.size();
+                keep = there;
             }
             machines.sort(Comparator.comparingInt(Machine::taskCount));
-            double surplus = machines.stream().mapToDouble(m -> 1 - heldByReplicas(m)).sum() - Math.round(keep);
+            double surplus = there - Math.round(keep);
             for (Machine m : machines) {
                 // One that holds replicas is paid for in any case, so the rest of it is used.
                 m.spare = heldByReplicas(m) == 0 && surplus >= 1;
