Machines silent for two reports are returned, so that their tasks start elsewhere sooner

Once the cloud has answered a return, everything on the machine is gone by its word, so a machine from which nothing is heard for two reports at their longest interval is returned if a quarter of its zone at most is silent (more: the fault is likely on the way) and it has reported to this very leader.

--- a/src/main/java/io/indigoreach/core/ReleaseCheck.java
+++ b/src/main/java/io/indigoreach/core/ReleaseCheck.java
@@ -1,17 +1,26 @@
 package io.indigoreach.core;
 
 import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
+import java.util.Map;
+import java.util.Set;
 
 /**
  * Which machines to return. The design's part: an idle machine whose paid term ends before the next check, unless a
  * waiting job of its share can use it. Added to it: machines that will never be of use.
  */
 final class ReleaseCheck {
+    /** Part of a zone's machines that may fall silent together by their own fault. */
+    private static final double MOST_SILENT = 0.25;
+
     private final Cluster cluster;
     private final Dispatcher dispatcher;
     private final Rules rules;
     private final Tuning tuning;
+    /** Zones of which too many machines are silent for it to be the machines' fault. */
+    private Set<String> deafZones = Set.of();
 
     ReleaseCheck(Cluster cluster, Dispatcher dispatcher, Rules rules, Tuning tuning) {
         this.cluster = cluster;
@@ -30,6 +39,7 @@
             lost += m.phase == Machine.Phase.LOST ? 1 : 0;
         }
         boolean mostAreLost = lost > up;
+        deafZones = deafZones(now);
         for (Machine m : cluster.machines.values()) {
             String reason = m.phase == Machine.Phase.LEAVING ? null : reason(m, now, settled, mostAreLost);
             if (reason != null) {
@@ -55,6 +65,9 @@
                 return !mostAreLost && now.since(m.heard).compareTo(rules.leaseBound().times(1.5)) > 0
                         ? "silent since its lease ran out" : null;
             default:
+                if (isSilent(m, now) && !m.isIdle() && !deafZones.contains(m.pool.zone())) {
+                    return "silent with " + m.taskCount() + " tasks";
+                }
                 if (!m.accounted || !m.isIdle()) {
                     return null;
                 }
@@ -69,6 +82,34 @@
         }
     }
 
+    /** It has reported to this leader, and then fell silent long before its lease runs out. */
+    private boolean isSilent(Machine m, Moment now) {
+        return m.phase == Machine.Phase.UP && m.accounted && now.since(m.heard).compareTo(rules.silence()) > 0;
+    }
+
+    /**
+     * A machine that hangs or is dead holds its tasks until its lease has run out, unless the cloud has taken it back
+     * before: once the return is answered, everything on it is gone. But where many are silent at once the fault is
+     * more likely on the way to them, and they work on.
+     */
+    private Set<String> deafZones(Moment now) {
+        Map<String, int[]> counts = new HashMap<>();
+        for (Machine m : cluster.machines.values()) {
+            if (m.phase == Machine.Phase.UP) {
+                int[] count = counts.computeIfAbsent(m.pool.zone(), z -> new int[2]);
+                count[0]++;
+                count[1] += isSilent(m, now) ? 1 : 0;
+            }
+        }
+        Set<String> deaf = new HashSet<>();
+        counts.forEach((zone, count) -> {
+            if (count[1] > Math.max(1, count[0] * MOST_SILENT)) {
+                deaf.add(zone);
+            }
+        });
+        return deaf;
+    }
+
     /** What is left of the paid term. */
     private Span residual(Machine m, Moment now) {
         long beyond = now.since(m.rented).ms() - tuning.leastPaid().ms();
--- a/src/main/java/io/indigoreach/core/Rules.java
+++ b/src/main/java/io/indigoreach/core/Rules.java
@@ -16,6 +16,14 @@
         return workerLease.withDrift().plus(MARGIN);
     }
 
+    /**
+     * After this long without a report a machine is most likely hanging or dead: two reports at their longest interval
+     * and a second for the way.
+     */
+    public Span silence() {
+        return report.times(2 * 1.25).withDrift().plus(Span.seconds(1));
+    }
+
     /** A list asked for now describes a moment that is at most this long ago. */
     public Span oldestList() {
         return listLag.times(2).withDrift().plus(Span.seconds(1));
