--- a/src/main/java/io/indigoreach/core/Inflow.java
+++ b/src/main/java/io/indigoreach/core/Inflow.java
@@ -12,6 +12,9 @@
  */
 final class Inflow {
     private static final int PARTS = 6;
+    /** Of the time looked at: before that much has passed, nothing is known. */
+    private static final double LEAST = 0.25;
+    private Moment began;
     private final Deque<Job> jobs = new ArrayDeque<>();
 
     void add(Job job) {
@@ -19,10 +22,18 @@
     }
 
     /**
-     * What comes in a second, over the last {@code window}, of jobs that count, each as large as {@code size} says. The
-     * part of the window in which most came is left out: jobs that come all at once are no flow.
+     * What comes in a second, over the last {@code most}, of jobs that count, each as large as {@code size} says. The
+     * part of that time in which most came is left out: jobs that come all at once are no flow. Jobs that came before
+     * the first question are not all known, as those that are over are not, so time counts from then.
      */
-    double perSecond(Predicate<Job> counts, ToDoubleFunction<Job> size, Span window, Moment now) {
+    double perSecond(Predicate<Job> counts, ToDoubleFunction<Job> size, Span most, Moment now) {
+        if (began == null) {
+            began = now;
+        }
+        Span window = now.since(began).compareTo(most) < 0 ? now.since(began) : most;
+        if (window.compareTo(most.times(LEAST)) < 0) {
+            return 0;
+        }
         Moment from = now.minus(window);
         jobs.removeIf(job -> !job.arrived.isAfter(from));
         double[] parts = new double[PARTS];
@@ -32,7 +43,7 @@
                 parts[(int) (age * PARTS / window.ms())] += size.applyAsDouble(job);
             }
         }
-        double most = Arrays.stream(parts).max().orElse(0);
-        return (Arrays.stream(parts).sum() - most) / (window.seconds() * (PARTS - 1) / PARTS);
+        double all = Arrays.stream(parts).sum() - Arrays.stream(parts).max().orElse(0);
+        return all / (window.seconds() * (PARTS - 1) / PARTS);
     }
 }
