Spot machines are asked for beside ordinary ones though a service is first in the queue

What may not use spot machines is now asked for by itself, and idle or coming spot machines no longer count as at hand for it.

--- a/src/main/java/io/indigoreach/core/BestSize.java
+++ b/src/main/java/io/indigoreach/core/BestSize.java
@@ -81,34 +81,53 @@
                 continue;
             }
             double more = machinesFor(job, type, waiting);
-            needs.computeIfAbsent(type.name(), t -> new Need(job)).add(more, mayTakeOrdinary(job, now) ? more : 0);
+            needs.computeIfAbsent(type.name(), t -> new Need()).add(job, more, mayTakeOrdinary(job, now));
         }
         spare(share, backlogs, needs, now);
-        needs.forEach((type, need) -> {
-            int atHand = atHand(share, type, now);
-            int n = (int) Math.ceil(need.machines - 1e-6) - atHand;
-            Backlog backlog = backlogs.get(type);
-            int missing = (int) Math.floor(backlog.needed - backlog.ordinary.machines());
-            int ordinary = Math.min(n, Math.max(missing, (int) Math.ceil(need.ordinary - 1e-6) - atHand));
-            if (n > 0) {
-                choosePools(need.first, cluster.types.get(type), n, ordinary, now, wanted);
+        needs.forEach((name, need) -> {
+            MachineType type = cluster.types.get(name);
+            int atHand = atHand(share, name, false, now);
+            int only = need.firstOrdinary == null ? 0
+                    : Math.max(0, whole(need.ordinaryOnly) - atHand(share, name, true, now));
+            if (only > 0) {
+                spread(need.firstOrdinary, type, false, only, now, wanted);
             }
+            int rest = whole(need.machines) - atHand - only;
+            Job job = need.firstSpot;
+            if (rest <= 0 || job == null || type.spotPrice() > 0 && spread(job, type, true, rest, now, wanted)) {
+                return;
+            }
+            Backlog backlog = backlogs.get(name);
+            int missing = (int) Math.floor(backlog.needed - backlog.ordinary.machines());
+            spread(job, type, false, Math.min(rest, Math.max(missing, whole(need.ordinary) - atHand) - only), now,
+                    wanted);
         });
     }
 
-    /** What one share needs of a machine type; {@code ordinary}: the part that does not wait for spot capacity. */
+    private static int whole(double machines) {
+        return (int) Math.ceil(machines - 1e-6);
+    }
+
+    /**
+     * What one share needs of a machine type; {@code ordinary}: the part that does not wait for spot capacity, and
+     * {@code ordinaryOnly} of it the part that may not use it.
+     */
     private static final class Need {
-        final Job first;
+        Job firstSpot;
+        Job firstOrdinary;
         double machines;
         double ordinary;
+        double ordinaryOnly;
 
-        Need(Job first) {
-            this.first = first;
-        }
-
-        void add(double more, double ofThatOrdinary) {
+        void add(Job job, double more, boolean mayTakeOrdinary) {
             machines += more;
-            ordinary += ofThatOrdinary;
+            ordinary += mayTakeOrdinary ? more : 0;
+            if (job.spec.spotAllowed()) {
+                firstSpot = firstSpot == null ? job : firstSpot;
+            } else {
+                firstOrdinary = firstOrdinary == null ? job : firstOrdinary;
+                ordinaryOnly += more;
+            }
         }
     }
 
@@ -303,10 +322,10 @@
     }
 
     /** Machines idle or on order; one that is long overdue is not counted on. */
-    private int atHand(Share share, String type, Moment now) {
+    private int atHand(Share share, String type, boolean ordinaryOnly, Moment now) {
         int n = 0;
         for (Machine m : cluster.serving(share)) {
-            if (!m.pool.type().equals(type)) {
+            if (!m.pool.type().equals(type) || ordinaryOnly && m.pool.spot()) {
                 continue;
             }
             if (isComing(m, now) || m.phase == Machine.Phase.UP && m.isIdle() && m.notice == null && !m.condemned) {
@@ -338,16 +357,10 @@
         return best;
     }
 
-    /** Spot before ordinary, the zone with fewer of our machines first; pools that just refused are left alone. */
-    private void choosePools(Job job, MachineType type, int count, int ofThatOrdinary, Moment now,
-                             Map<Pool, Integer> wanted) {
-        if (job.spec.spotAllowed() && type.spotPrice() > 0 && spread(job, type, true, count, now, wanted)) {
-            return;
-        }
-        spread(job, type, false, ofThatOrdinary, now, wanted);
-    }
-
-    /** Shares the machines out among the zones, a request at a time; false if no pool can be asked. */
+    /**
+     * Shares the machines out among the zones, a request at a time, the zone with fewer of our machines first; pools
+     * that just refused are left alone. False if no pool can be asked.
+     */
     private boolean spread(Job job, MachineType type, boolean spot, int count, Moment now, Map<Pool, Integer> wanted) {
         Map<Pool, Integer> have = new LinkedHashMap<>();
         String bound = job.spec.oneZone() ? job.boundZone() : null;
