A start that would miss its aim by the image's fetch is left to machines that have the image

A submission is known to the leader within 20 ms, the next report of a machine with room comes within 0.3 s, but half of the images take longer than 1.4 s to fetch at 0.5 GB/s. Where the fetch would end too late for an aim on starts and some machine has the image, that machine is waited for until the aim is lost; then any will do. Nothing is lost by it: the start would have been late in any case.

--- a/src/main/java/io/indigoreach/core/Aims.java
+++ b/src/main/java/io/indigoreach/core/Aims.java
@@ -40,6 +40,12 @@
         return next;
     }
 
+    /** The moment by which the job's tasks should have started by its users' nearest word on starts, or null. */
+    Moment startBy(Job job) {
+        return byClass.getOrDefault(job.spec.jobClass(), List.of()).stream().filter(Aim::start)
+                .map(aim -> job.arrived.plus(aim.within())).min(Moment::compareTo).orElse(null);
+    }
+
     private static Moment earlier(Moment next, Moment latest, Moment soonest) {
         return !latest.isBefore(soonest) && latest.isBefore(next) ? latest : next;
     }
--- a/src/main/java/io/indigoreach/core/Cluster.java
+++ b/src/main/java/io/indigoreach/core/Cluster.java
@@ -14,6 +14,8 @@
     final TreeMap<MachineId, Machine> machines = new TreeMap<>();
     final Map<String, MachineType> types = new LinkedHashMap<>();
     private final Map<String, Share> shares = new LinkedHashMap<>();
+    /** On how many machines each image is. */
+    private final Map<String, Integer> holders = new HashMap<>();
     private int strangers;
     private long visits;
     /** Rises with every change that can alter a reservation. */
@@ -69,7 +71,9 @@
     void place(Placement p) {
         p.job.place(p);
         p.machine.put(p);
-        p.machine.touchImage(p.job.spec.image());
+        if (p.machine.touchImage(p.job.spec.image())) {
+            holders.merge(p.job.spec.image(), 1, Integer::sum);
+        }
         share(p.job).used(p.demand(), 1);
         version++;
     }
@@ -96,9 +100,14 @@
     void forget(Machine m, Moment now) {
         liftAll(m, now);
         machines.remove(m.id);
+        m.images.forEach(image -> holders.computeIfPresent(image, (i, n) -> n > 1 ? n - 1 : null));
         version++;
     }
 
+    boolean isHeld(String image) {
+        return holders.containsKey(image);
+    }
+
     List<Machine> serving(Share share) {
         List<Machine> out = new ArrayList<>();
         visits += machines.size();
--- a/src/main/java/io/indigoreach/core/Dispatcher.java
+++ b/src/main/java/io/indigoreach/core/Dispatcher.java
@@ -195,7 +195,7 @@
 
     private void start(Share share, Job job, Machine m, Reservation reservation, ReportNumber number, Moment now,
                        List<Order> orders) {
-        boolean suits = m.allows(job.spec) && FaultJudge.allows(job, m, now);
+        boolean suits = m.allows(job.spec) && FaultJudge.allows(job, m, now) && !isLeftToHolders(job, m, now);
         Span time = estimates.onMachine(job, m);
         while (suits && job.hasWaiting() && job.spec.demand().fitsIn(m.free()) && placeable(share, job, m)
                 && (reservation == null || reservation.allows(m, job.spec.demand(), time, estimates, now))) {
@@ -207,6 +207,16 @@
         }
     }
 
+    /**
+     * Fetching its image here would make the task start too late for an aim that it can still meet on a machine which
+     * has the image. Such a machine is waited for until the aim is lost; then any will do.
+     */
+    private boolean isLeftToHolders(Job job, Machine m, Moment now) {
+        Moment due = m.images.contains(job.spec.image()) ? null : aims.startBy(job);
+        return due != null && now.plus(Estimates.fetch(job, m.type)).isAfter(due) && now.isBefore(due)
+                && cluster.isHeld(job.spec.image());
+    }
+
     List<Job> queue(Share share, Moment now) {
         return share.queue(job -> aims.latestStart(job, estimates.run(job), rounds(job, now), now), now);
     }
--- a/src/main/java/io/indigoreach/core/Machine.java
+++ b/src/main/java/io/indigoreach/core/Machine.java
@@ -3,7 +3,6 @@
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
-import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -32,7 +31,7 @@
     Moment notice;
     Moment idleSince;
     String share;
-    final Set<String> images = new LinkedHashSet<>();
+    final Set<String> images = new HashSet<>();
     final Set<JobId> failedJobs = new HashSet<>();
     boolean condemned;
     /** More than is needed at its price: it gets no new tasks for now. */
@@ -121,10 +120,9 @@
         return phase == Phase.UP && recorded && notice == null && !condemned;
     }
 
-    /** Remembers an image as cached, forgetting the least recently used beyond a handful. */
-    void touchImage(String image) {
-        images.remove(image);
-        images.add(image);
+    /** Remembers an image as cached; false if it was known to be. */
+    boolean touchImage(String image) {
+        return images.add(image);
     }
 
     boolean allows(JobSpec spec) {
