--- a/src/main/java/io/indigoreach/core/ReleaseCheck.java
+++ b/src/main/java/io/indigoreach/core/ReleaseCheck.java
@@ -12,8 +12,8 @@
  * waiting job of its share can use it. Added to it: machines that will never be of use.
  */
 final class ReleaseCheck {
-    /** Part of a zone's machines that may fall silent together by their own fault. */
-    private static final double MOST_SILENT = 0.25;
+    /** Part of a zone's machines whose reports may be overdue together by their own fault. */
+    private static final double MOST_OVERDUE = 0.25;
 
     private final Cluster cluster;
     private final Dispatcher dispatcher;
@@ -89,8 +89,8 @@
 
     /**
      * A machine that hangs or is dead holds its tasks until its lease has run out, unless the cloud has taken it back
-     * before: once the return is answered, everything on it is gone. But where many are silent at once the fault is
-     * more likely on the way to them, and they work on.
+     * before: once the return is answered, everything on it is gone. But where the reports of many are overdue at once
+     * the fault is more likely on the way to them, and they work on.
      */
     private Set<String> deafZones(Moment now) {
         Map<String, int[]> counts = new HashMap<>();
@@ -98,12 +98,12 @@
             if (m.phase == Machine.Phase.UP) {
                 int[] count = counts.computeIfAbsent(m.pool.zone(), z -> new int[2]);
                 count[0]++;
-                count[1] += isSilent(m, now) ? 1 : 0;
+                count[1] += now.since(m.heard).compareTo(rules.overdue()) > 0 ? 1 : 0;
             }
         }
         Set<String> deaf = new HashSet<>();
         counts.forEach((zone, count) -> {
-            if (count[1] > Math.max(1, count[0] * MOST_SILENT)) {
+            if (count[1] > Math.max(1, count[0] * MOST_OVERDUE)) {
                 deaf.add(zone);
             }
         });
--- a/src/main/java/io/indigoreach/core/Rules.java
+++ b/src/main/java/io/indigoreach/core/Rules.java
@@ -16,6 +16,11 @@
         return workerLease.withDrift().plus(MARGIN);
     }
 
+    /** A report that has not come this long after the one before it is late: its longest interval, and the way. */
+    public Span overdue() {
+        return report.times(1.25).withDrift().plus(Span.seconds(1));
+    }
+
     /**
      * After this long without a report a machine is most likely hanging or dead: two reports at their longest interval
      * and a second for the way.
