Low jobs that keep their progress make room for jobs whose aims are too near to rent for

Making room was kept to urgent jobs; now it is also for a job that is more urgent than what runs there and whose aim was, as it came, nearer than a boot.

--- a/src/main/java/io/indigoreach/core/BestSize.java
+++ b/src/main/java/io/indigoreach/core/BestSize.java
@@ -14,8 +14,6 @@
  */
 final class BestSize {
     private static final int MOST_PER_REQUEST = 50;
-    /** An aim nearer than this many boot times and half of what is paid in any case is no reason to rent. */
-    private static final double AIM_REACH = 1.2;
     /** Seconds in which the number of ordinary machines kept goes down by half. */
     private static final double HALVES = 60;
 
@@ -183,9 +181,9 @@
             }
             Backlog backlog = backlogs.get(type.name());
             backlog.work += job.waiting() * run(job, type);
-            Moment latest = dispatcher.latestStart(job, now.plus(reach(type)));
+            Moment latest = dispatcher.latestStart(job, now.plus(dispatcher.reach(type)));
             backlog.mustStartWithin(latest.since(now).seconds() * tuning.aimShare(), type.boot().seconds(),
-                    tuning.leastPaid().seconds(), isNear(job, type) ? 0 : backlog.flow);
+                    tuning.leastPaid().seconds(), dispatcher.isNear(job, type) ? 0 : backlog.flow);
         }
         for (Backlog backlog : backlogs.values()) {
             double whole = Math.floor(backlog.work / tuning.backlogLimit().seconds()) - backlog.spot.machines();
@@ -194,18 +192,8 @@
         return backlogs;
     }
 
-    /** An aim nearer than this cannot be met by renting for what waits. */
-    private Span reach(MachineType type) {
-        return type.boot().times(AIM_REACH).plus(tuning.leastPaid().times(0.5));
-    }
-
-    /** Whether the job had an aim, as it came, that is too near to be met by renting for it. */
-    private boolean isNear(Job job, MachineType type) {
-        return dispatcher.latestStart(job, job.arrived).isBefore(job.arrived.plus(reach(type)));
-    }
-
     private double flow(Share share, MachineType type, Moment now) {
-        return share.inflow().perSecond(job -> !job.spec.isService() && cheapest(job.spec) == type && isNear(job, type),
+        return share.inflow().perSecond(job -> cheapest(job.spec) == type && dispatcher.isNear(job, type),
                 job -> job.spec.tasks() * run(job, type), tuning.leastPaid(), now);
     }
 
--- a/src/main/java/io/indigoreach/core/Dispatcher.java
+++ b/src/main/java/io/indigoreach/core/Dispatcher.java
@@ -19,6 +19,9 @@
     /** A place that comes free within this time is waited for. */
     private static final Span SOON = Span.seconds(6);
 
+    /** An aim nearer than this many boot times and half of what is paid in any case is no reason to rent. */
+    private static final double AIM_REACH = 1.2;
+
     private static final Span SHORTAGE_LIFE = Span.seconds(0.5);
 
     /** Places that the top job lacks, less those for which room is being made since they were counted. */
@@ -33,6 +36,7 @@
     private final Estimates estimates;
     private final TakeOver takeOver;
     private final Token token;
+    private final Span leastPaid;
     private final Map<JobId, Reserved> reservations = new HashMap<>();
     private Shortage shortage;
     /** Usable machines of each pool, counted once in a while. */
@@ -40,12 +44,13 @@
     private Moment usableAt = Moment.NEVER;
     private long attempts;
 
-    Dispatcher(Cluster cluster, Aims aims, Estimates estimates, TakeOver takeOver, Token token) {
+    Dispatcher(Cluster cluster, Aims aims, Estimates estimates, TakeOver takeOver, Token token, Span leastPaid) {
         this.cluster = cluster;
         this.aims = aims;
         this.estimates = estimates;
         this.takeOver = takeOver;
         this.token = token;
+        this.leastPaid = leastPaid;
     }
 
     /** Starts for {@code m}, to be put into the answer to its report {@code number}. */
@@ -78,7 +83,7 @@
         }
         Share share = m.share == null ? null : cluster.share(m.share);
         Job top = share == null || !m.isUsable() ? null : top(share, now);
-        if (top == null || !top.spec.urgency().isMoreUrgentThan(Urgency.STANDARD) || !m.allows(top.spec)
+        if (top == null || !mayAskForRoom(top, m.type) || !m.allows(top.spec)
                 || !FaultJudge.allows(top, m, now) || !placeable(share, top, m)) {
             return orders;
         }
@@ -104,6 +109,11 @@
         return orders;
     }
 
+    /** Urgent jobs, and those whose aim is too near to rent machines for them. */
+    private boolean mayAskForRoom(Job top, MachineType type) {
+        return top.spec.urgency().isMoreUrgentThan(Urgency.STANDARD) || isNear(top, type);
+    }
+
     /** How many places the top job lacks: counted over all machines once in a while, not for every report. */
     private int wanted(Share share, Job top, Moment now) {
         if (shortage == null || shortage.top != top || !now.isBefore(shortage.counted.plus(SHORTAGE_LIFE))) {
@@ -248,6 +258,16 @@
         return aims.latestStart(job, estimates.run(job), 1, from);
     }
 
+    /** An aim nearer than this cannot be met by renting for what waits. */
+    Span reach(MachineType type) {
+        return type.boot().times(AIM_REACH).plus(leastPaid.times(0.5));
+    }
+
+    /** Whether the job had an aim, as it came, that is too near to be met by renting for it. */
+    boolean isNear(Job job, MachineType type) {
+        return !job.spec.isService() && latestStart(job, job.arrived).isBefore(job.arrived.plus(reach(type)));
+    }
+
     /** Nothing of a job that an earlier leader may have started can be started before that leader's tasks are known. */
     boolean mayStart(Job job, Moment now) {
         if (now.isBefore(job.retryAt)) {
--- a/src/main/java/io/indigoreach/core/LeaderCore.java
+++ b/src/main/java/io/indigoreach/core/LeaderCore.java
@@ -45,7 +45,7 @@
         this.notes = notes;
         this.cluster = new Cluster(teams);
         this.takeOver = new TakeOver();
-        this.dispatcher = new Dispatcher(cluster, aims, estimates, takeOver, token);
+        this.dispatcher = new Dispatcher(cluster, aims, estimates, takeOver, token, tuning.leastPaid());
         this.reconciler = new Reconciler(cluster, estimates, notes);
         this.bestSize = new BestSize(cluster, dispatcher, estimates, tuning);
         this.releaseCheck = new ReleaseCheck(cluster, dispatcher, rules, tuning);
