--- a/src/main/java/io/indigoreach/core/Inflow.java
+++ b/src/main/java/io/indigoreach/core/Inflow.java
@@ -12,8 +12,10 @@
  */
 final class Inflow {
     private static final int PARTS = 6;
-    /** Of the time looked at: before that much has passed, nothing is known. */
-    private static final double LEAST = 0.25;
+    /** Of the time looked at: what came in less counts as if it had come in that much. */
+    private static final double LEAST = 0.67;
+    /** How many times that long jobs are remembered for their usual size: sizes differ far more than numbers do. */
+    private static final double MEMORY = 5;
     private Moment began;
     private final Deque<Job> jobs = new ArrayDeque<>();
 
@@ -22,28 +24,30 @@
     }
 
     /**
-     * What comes in a second, over the last {@code most}, of jobs that count, each as large as {@code size} says. The
-     * part of that time in which most came is left out: jobs that come all at once are no flow. Jobs that came before
-     * the first question are not all known, as those that are over are not, so time counts from then.
+     * What comes in a second of jobs that count: how many came in the last {@code most}, times their usual size. The
+     * part of that time in which most came is left out: jobs that come all at once are no flow. Of those that came
+     * before the first question not all are known, as some are over, so time counts from then.
      */
     double perSecond(Predicate<Job> counts, ToDoubleFunction<Job> size, Span most, Moment now) {
-        if (began == null) {
-            began = now;
-        }
-        Span window = now.since(began).compareTo(most) < 0 ? now.since(began) : most;
-        if (window.compareTo(most.times(LEAST)) < 0) {
-            return 0;
-        }
-        Moment from = now.minus(window);
-        jobs.removeIf(job -> !job.arrived.isAfter(from));
-        double[] parts = new double[PARTS];
+        began = began == null ? now : began;
+        Span since = now.since(began).compareTo(most) < 0 ? now.since(began) : most;
+        Span window = since.compareTo(most.times(LEAST)) < 0 ? most.times(LEAST) : since;
+        Moment from = now.minus(since);
+        jobs.removeIf(job -> job.arrived.isBefore(now.minus(most.times(MEMORY))));
+        int[] parts = new int[PARTS];
+        int known = 0;
+        double sizes = 0;
         for (Job job : jobs) {
-            if (!job.cancelled && counts.test(job)) {
-                long age = Math.max(0, now.since(job.arrived).ms());
-                parts[(int) (age * PARTS / window.ms())] += size.applyAsDouble(job);
+            if (!counts.test(job)) {
+                continue;
+            }
+            known++;
+            sizes += size.applyAsDouble(job);
+            if (job.arrived.isAfter(from)) {
+                parts[(int) (Math.max(0, now.since(job.arrived).ms()) * PARTS / window.ms())]++;
             }
         }
-        double all = Arrays.stream(parts).sum() - Arrays.stream(parts).max().orElse(0);
-        return all / (window.seconds() * (PARTS - 1) / PARTS);
+        double came = Arrays.stream(parts).sum() - Arrays.stream(parts).max().orElse(0);
+        return known == 0 ? 0 : came * sizes / known / (window.seconds() * (PARTS - 1) / PARTS);
     }
 }
