Machines silent since a take-over are returned after two reports and a worker's patience

The new leader (237 s) waited for 29 of them until their lease had surely run out at 259: no inherited job was started and nothing rented for 22 s, with 3,581 tasks waiting and lost replicas among them. A recorded machine that has not found the new leader in the time a worker needs for that, while three quarters of its zone have, is now returned like any silent one.

--- a/src/main/java/io/indigoreach/core/ReleaseCheck.java
+++ b/src/main/java/io/indigoreach/core/ReleaseCheck.java
@@ -59,7 +59,7 @@
                         && now.since(m.heard).compareTo(rules.leaseBound()) > 0) {
                     return "never came up";
                 }
-                return null;
+                return isSilent(m, now) && !deafZones.contains(m.pool.zone()) ? "silent since the take-over" : null;
             case LOST:
                 // When most are silent the fault is likely between them and this leader: then keep them.
                 return !mostAreLost && now.since(m.heard).compareTo(rules.leaseBound().times(1.5)) > 0
@@ -82,9 +82,15 @@
         }
     }
 
-    /** It has reported to this leader, and then fell silent long before its lease runs out. */
+    /** It has reported to this leader, or should have found it since, and is silent long before its lease runs out. */
     private boolean isSilent(Machine m, Moment now) {
-        return m.phase == Machine.Phase.UP && m.accounted && now.since(m.heard).compareTo(rules.silence()) > 0;
+        Span patience = m.accounted ? rules.silence() : rules.silence().plus(rules.workerPatience());
+        return mayHoldTasks(m) && now.since(m.heard).compareTo(patience) > 0;
+    }
+
+    /** Up, or recorded by an earlier leader and not heard of yet. */
+    private static boolean mayHoldTasks(Machine m) {
+        return m.phase == Machine.Phase.UP || m.phase == Machine.Phase.BOOTING && m.recorded;
     }
 
     /**
@@ -95,7 +101,7 @@
     private Set<String> deafZones(Moment now) {
         Map<String, int[]> counts = new HashMap<>();
         for (Machine m : cluster.machines.values()) {
-            if (m.phase == Machine.Phase.UP) {
+            if (mayHoldTasks(m)) {
                 int[] count = counts.computeIfAbsent(m.pool.zone(), z -> new int[2]);
                 count[0]++;
                 count[1] += now.since(m.heard).compareTo(rules.overdue()) > 0 ? 1 : 0;
--- a/src/main/java/io/indigoreach/core/Rules.java
+++ b/src/main/java/io/indigoreach/core/Rules.java
@@ -16,6 +16,11 @@
         return workerLease.withDrift().plus(MARGIN);
     }
 
+    /** A worker without an answer tries the next node after this long. */
+    public Span workerPatience() {
+        return Span.seconds(4);
+    }
+
     /** A report that has not come this long after the one before it is late: its longest interval, and the way. */
     public Span overdue() {
         return report.times(1.25).withDrift().plus(Span.seconds(1));
