Machines are given up after 8 s of silence in place of 11

Cause: what hangs is down until its machine is returned; a report comes every 5 s at the longest, so one that is 3 s overdue is missing rather than late (8 s by this site's settings, 4.5 s and 6.25 s by the others').

--- a/src/main/java/io/indigoreach/core/Rules.java
+++ b/src/main/java/io/indigoreach/core/Rules.java
@@ -27,11 +27,11 @@
     }
 
     /**
-     * After this long without a report a machine is most likely hanging or dead: two reports at their longest interval
-     * and a second for the way.
+     * After this long without a report a machine is most likely hanging or dead: a report at its longest interval, half a
+     * usual one more, and a second for the way.
      */
     public Span silence() {
-        return report.times(2 * 1.25).withDrift().plus(Span.seconds(1));
+        return report.times(1.25 + 0.5).withDrift().plus(Span.seconds(1));
     }
 
     /** A list asked for now describes a moment that is at most this long ago. */
