--- a/src/main/java/io/indigoreach/core/Dispatcher.java
+++ b/src/main/java/io/indigoreach/core/Dispatcher.java
@@ -228,7 +228,15 @@
     }
 
     List<Job> queue(Share share, Moment now) {
-        return share.queue(job -> aims.latestStart(job, estimates.run(job), rounds(job, now), now), now);
+        return share.queue(job -> aims.latestStart(job, estimates.run(job), rounds(job, now), now)
+                .minus(clearing(job)), now);
+    }
+
+    /** A task that takes a whole machine starts only when everything else on one has ended. */
+    private Span clearing(Job job) {
+        boolean whole = cluster.types.values().stream()
+                .allMatch(type -> job.spec.demand().timesIn(type.capacity()) <= 1);
+        return whole ? leastPaid : Span.ZERO;
     }
 
     /** How many rounds the job's waiting tasks would take with every place there is. */
