Tests: replicas, near aims, silent machines; the seeded random run holds services and early returns

The random run's leaders return silent and idle machines, whose requests may be answered, executed late or lost; a run that believes an answered return without the machine being gone must break a rule, like the other guards taken out on purpose.

--- /dev/null
+++ b/src/test/java/io/indigoreach/core/NearAimTest.java
@@ -0,0 +1,64 @@
+package io.indigoreach.core;
+
+import static io.indigoreach.core.World.at;
+import static io.indigoreach.core.World.running;
+import static io.indigoreach.core.World.spec;
+import static io.indigoreach.core.World.with;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import java.util.BitSet;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+/** Jobs whose aim is nearer than a boot: machines for their flow, room made for them, and room kept for bulky ones. */
+class NearAimTest {
+    private static Job job(int id, double arrived) {
+        return new Job(spec(id, 1, 1, 10), id, at(arrived), Stamp.ABSENT, new BitSet(), false);
+    }
+
+    /** Jobs that arrive at these seconds, one unit each, asked about at 60 (a minute after the first question). */
+    @ParameterizedTest
+    @CsvSource({
+        "5 15 25 35 45 55,             0.1",
+        "31 32 33 34 35 36 37 38 39,   0",
+        "5 15 25 35 45 55 56 57 58,    0.1",
+        "'',                           0"})
+    void aBurstIsNoFlow(String arrivals, double perSecond) {
+        Inflow inflow = new Inflow();
+        inflow.perSecond(j -> true, j -> 1, Span.seconds(60), at(0));
+        int id = 0;
+        for (String second : arrivals.isEmpty() ? new String[0] : arrivals.split(" ")) {
+            inflow.add(job(++id, Double.parseDouble(second)));
+        }
+        assertEquals(perSecond, inflow.perSecond(j -> true, j -> 1, Span.seconds(60), at(60)), 1e-9);
+    }
+
+    /** Five seconds after a take-over one large job is no proof of a flow (334 machines were rented for such). */
+    @Test
+    void littleTimeTellsLittle() {
+        Inflow inflow = new Inflow();
+        inflow.perSecond(j -> true, j -> 100, Span.seconds(60), at(0));
+        inflow.add(job(1, 1));
+        inflow.add(job(2, 3));
+        assertEquals(true, inflow.perSecond(j -> true, j -> 100, Span.seconds(60), at(5)) <= 3);
+    }
+
+    /** A job due in {@code within} seconds that runs 20: low tasks that save are stopped for it only if it is near. */
+    @ParameterizedTest
+    @CsvSource({"60, STANDARD, 2", "60, BEST_EFFORT, 0", "300, STANDARD, 0"})
+    void lowTasksMakeRoomForNearAims(double within, Urgency urgency, int stopped) {
+        World w = new World(World.TUNING, new Aims(List.of(new Aims.Aim("c", false, Span.seconds(within)))));
+        w.core.loaded();
+        JobSpec low = spec(1, 2, 2, 300);
+        w.submit(with(new JobSpec(low.id(), "low", "t", low.shape(), low.urgency(), 2, low.demand(), "img", 0, null,
+                null, false, false, true, low.estimate(), Span.ZERO, Span.ZERO, null), Urgency.BEST_EFFORT, false,
+                false, true, null, 5), 0);
+        w.up("a", "east", 0);
+        List<Order> orders = w.hear("a", 1);
+        w.hear("a", 2, running(orders));
+        w.submit(with(spec(2, 4, 1, 20), urgency, false, false, true, null, 0), 40);
+        assertEquals(stopped, World.stops(w.hear("a", 41, running(orders))).size());
+    }
+}
--- a/src/test/java/io/indigoreach/core/RandomRun.java
+++ b/src/test/java/io/indigoreach/core/RandomRun.java
@@ -22,7 +22,7 @@
 
     /** A guard that a run can do without, to see that the rules then break. */
     enum Without {
-        NOTHING, TAKE_OVER, LEASE_BOUND, TEAM_LIMIT
+        NOTHING, TAKE_OVER, LEASE_BOUND, TEAM_LIMIT, ANSWERED_RETURN
     }
 
     private static final class Worker {
@@ -70,6 +70,7 @@
     private int machines;
     private int jobs;
     private int starts;
+    private int replicaStarts;
 
     RandomRun(long seed, Without without) {
         this.random = new Random(seed);
@@ -84,6 +85,10 @@
         return starts;
     }
 
+    int replicaStarts() {
+        return replicaStarts;
+    }
+
     long completedJobs() {
         return store.values().stream().filter(s -> s.closed).count();
     }
@@ -164,6 +169,11 @@
         boolean oneZone = random.nextInt(4) == 0;
         s = World.with(s, Urgency.values()[random.nextInt(4)], oneZone, !oneZone && random.nextInt(4) == 0, true,
                 random.nextInt(6) == 0 ? "east" : null, random.nextInt(2) * 5);
+        if (jobs % 4 == 0) {
+            s = new JobSpec(s.id(), s.jobClass(), s.team(), Shape.SERVICE, s.urgency(), 1 + random.nextInt(3),
+                    new Demand(1, 0, 1), s.image(), 0, null, s.zone(), oneZone, false, true, Span.ZERO, Span.ZERO,
+                    Span.ZERO, null);
+        }
         store.put(s.id(), new Stored(s, jobs));
         leader.addJob(new Job(s, jobs, at(), Stamp.ABSENT, new BitSet(), false));
     }
@@ -180,6 +190,7 @@
     /** What the leader's duties do: leases, records, ends of jobs. */
     private void tend() {
         leader.expireLeases(at());
+        giveBack();
         if (random.nextInt(3) == 0) {
             for (String name : workers.keySet()) {
                 if (leader.unrecorded(new MachineId(name)) != null) {
@@ -203,6 +214,32 @@
         }
     }
 
+    /** Silent and idle machines are returned; a request without an answer is executed, now or later, or never. */
+    private void giveBack() {
+        if (random.nextInt(20) != 0) {
+            return;
+        }
+        leader.check(at());
+        List<MachineId> leaving = leader.leaving(100);
+        int fate = random.nextInt(6);
+        if (fate == 0) {
+            late.add(() -> leaving.forEach(this::destroy));
+        } else if (fate > 1) {
+            if (without != Without.ANSWERED_RETURN) {
+                leaving.forEach(this::destroy);
+            }
+            leader.returned(leaving, at());
+        }
+    }
+
+    private void destroy(MachineId id) {
+        Worker w = workers.get(id.toString());
+        if (w != null) {
+            w.dead = true;
+            w.tasks.clear();
+        }
+    }
+
     private void live(Worker w) {
         if (w.dead || now < w.hangsUntil) {
             return;
@@ -265,9 +302,11 @@
                 return;
             }
             starts++;
+            replicaStarts += store.get(o.task().job()).spec.isService() ? 1 : 0;
             checkStart(w, o.task());
             w.tasks.put(o.task(), new TaskReport(o.task(), o.attempt(), TaskState.RUNNING, null, false));
-            w.ends.put(o.task(), now + 1 + random.nextInt(20));
+            boolean replica = store.get(o.task().job()).spec.isService();
+            w.ends.put(o.task(), now + 1 + random.nextInt(replica ? 300 : 20));
         } else if (t != null && t.attempt().equals(o.attempt())) {
             if (o instanceof Order.Stop && t.state() != TaskState.EXITED) {
                 exit(w, t, ExitCause.STOPPED);
--- a/src/test/java/io/indigoreach/core/RandomRunTest.java
+++ b/src/test/java/io/indigoreach/core/RandomRunTest.java
@@ -18,6 +18,7 @@
         run.play();
         assertEquals(List.of(), run.broken());
         assertTrue(run.starts() > 100, "too little happened: " + run.starts());
+        assertTrue(run.replicaStarts() > 5, "too few replicas: " + run.replicaStarts());
         assertTrue(run.completedJobs() > 0, "no job was completed");
     }
 
--- /dev/null
+++ b/src/test/java/io/indigoreach/core/SilenceTest.java
@@ -0,0 +1,71 @@
+package io.indigoreach.core;
+
+import static io.indigoreach.core.World.at;
+import static io.indigoreach.core.World.running;
+import static io.indigoreach.core.World.service;
+import static io.indigoreach.core.World.starts;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+/** Machines that hang or are dead are returned before their lease ends; a cut must not look like that. */
+class SilenceTest {
+    /** Of eight machines with a replica each, so many fall silent for so long; reports come every 2 s. */
+    @ParameterizedTest
+    @CsvSource({"1, 4, 0", "1, 5, 1", "2, 5, 2", "3, 5, 0", "8, 5, 0"})
+    void silentMachinesAreReturnedUnlessManyAre(int silent, double seconds, int returned) {
+        World w = new World();
+        w.core.loaded();
+        List<TaskReport[]> tasks = fleet(w);
+        for (int i = silent; i < 8; i++) {
+            w.hearOrdinary("m" + i, 10 + seconds, tasks.get(i));
+        }
+        w.core.check(at(10 + seconds));
+        assertEquals(returned, w.core.leaving(9).size());
+    }
+
+    private static List<TaskReport[]> fleet(World w) {
+        List<TaskReport[]> tasks = new ArrayList<>();
+        for (int i = 0; i < 8; i++) {
+            w.submit(service(i, 1), 0);
+            tasks.add(running(w.ordinary("m" + i, 1)));
+            w.hearOrdinary("m" + i, 10, tasks.get(i));
+        }
+        return tasks;
+    }
+
+    /** What was on it starts elsewhere once the return is answered, not before: it may still be running. */
+    @Test
+    void aReplicaStartsElsewhereOnlyOnceTheReturnIsAnswered() {
+        World w = new World();
+        w.core.loaded();
+        List<TaskReport[]> tasks = fleet(w);
+        for (int i = 1; i < 8; i++) {
+            w.hearOrdinary("m" + i, 15, tasks.get(i));
+        }
+        w.core.check(at(15));
+        assertEquals(0, starts(w.hearOrdinary("m1", 15.5, tasks.get(1))).size());
+        w.core.returned(w.core.leaving(9), at(16));
+        assertEquals(List.of("run-0/0"), starts(w.hearOrdinary("m1", 16.5, tasks.get(1))));
+    }
+
+    /** Machines dead before a take-over held back every inherited job until their lease had surely run out. */
+    @ParameterizedTest
+    @CsvSource({"1, 8, 0", "1, 9, 1", "4, 9, 0"})
+    void machinesSilentSinceATakeOverAreReturned(int dead, double seconds, int returned) {
+        World w = new World();
+        for (int i = 0; i < 8; i++) {
+            w.core.inherit(new MachineId("m" + i), new Pool("quad", "east", true), at(0), at(0), at(0));
+        }
+        w.core.loaded();
+        for (int i = dead; i < 8; i++) {
+            w.hear("m" + i, seconds);
+        }
+        w.core.check(at(seconds));
+        assertEquals(returned, w.core.leaving(9).size());
+    }
+}
--- a/src/test/java/io/indigoreach/core/SizingTest.java
+++ b/src/test/java/io/indigoreach/core/SizingTest.java
@@ -107,7 +107,7 @@
     void aMachineThatNeverComesUpIsReturned() {
         World w = new World();
         w.core.loaded();
-        w.up("a", "east", 0);
+        w.core.rented(new Pool("quad", "east", true), List.of(new MachineId("a")), at(0), at(0));
         w.core.check(at(79));
         assertEquals(0, w.core.leaving(9).size());
         w.core.check(at(81));
@@ -137,9 +137,7 @@
         w.up("s", "east", 0);
         w.hear("s", 1);
         for (String name : List.of("a", "b")) {
-            w.core.rented(new Pool("quad", "east", false), List.of(new MachineId(name)), at(0), at(0));
-            w.core.recorded(new MachineId(name));
-            hearOrdinary(w, name, 1);
+            w.ordinary(name, 0);
         }
         Job large = w.submit(spec(1, 48, 1, 75), 2);
         w.core.wishes(at(3));
@@ -147,12 +145,6 @@
         w.submit(spec(2, 8, 1, 20), 3 + later);
         w.core.wishes(at(3 + later));
         assertEquals(filled, List.of("a", "b").stream()
-                .filter(name -> !World.starts(hearOrdinary(w, name, 3 + later)).isEmpty()).count());
-    }
-
-    private static List<Order> hearOrdinary(World w, String name, double at) {
-        WorkerReport r = w.report(name, "east", 1, World.TOKEN);
-        return w.core.onReport(new WorkerReport(r.machine(), r.address(), new Pool("quad", "east", false), r.number(),
-                r.token(), null, r.tasks()), at(at));
+                .filter(name -> !World.starts(w.hearOrdinary(name, 3 + later)).isEmpty()).count());
     }
 }
--- a/src/test/java/io/indigoreach/core/World.java
+++ b/src/test/java/io/indigoreach/core/World.java
@@ -26,7 +26,11 @@
     }
 
     World(Tuning tuning, Team... teams) {
-        core = new LeaderCore(TOKEN, RULES, tuning, NO_AIMS, teams.length == 0 ? List.of(team(0)) : List.of(teams), this);
+        this(tuning, NO_AIMS, teams);
+    }
+
+    World(Tuning tuning, Aims aims, Team... teams) {
+        core = new LeaderCore(TOKEN, RULES, tuning, aims, teams.length == 0 ? List.of(team(0)) : List.of(teams), this);
         core.setTypes(List.of(TYPE));
     }
 
@@ -51,6 +55,13 @@
                 Span.seconds(saveEvery > 0 ? 2 : 0), s.due());
     }
 
+    /** A service: replicas of one core on ordinary machines, until it is cancelled. */
+    static JobSpec service(int id, int replicas) {
+        return new JobSpec(new JobId("run-" + id), "s", "t", Shape.SERVICE, Urgency.PRODUCTION, replicas,
+                new Demand(1, 0, 1), "img-" + id, 1, null, null, false, false, false, Span.ZERO, Span.ZERO, Span.ZERO,
+                null);
+    }
+
     Job submit(JobSpec spec, double at) {
         Job job = new Job(spec, Math.round(at * 1000) + ++jobs, at(at), new Stamp(100 + jobs), new BitSet(), false);
         core.addJob(job);
@@ -74,6 +85,23 @@
                 new ReportNumber(session, ++serial), token, null, List.of(tasks));
     }
 
+    /** An ordinary machine that is rented, recorded, and has made its first report. */
+    List<Order> ordinary(String name, double at) {
+        core.rented(new Pool("quad", "east", false), List.of(new MachineId(name)), at(at), at(at));
+        core.recorded(new MachineId(name));
+        return hearOrdinary(name, at);
+    }
+
+    List<Order> hearOrdinary(String name, double at, TaskReport... tasks) {
+        WorkerReport r = report(name, "east", 1, TOKEN, tasks);
+        return core.onReport(new WorkerReport(r.machine(), r.address(), new Pool("quad", "east", false), r.number(),
+                r.token(), null, r.tasks()), at(at));
+    }
+
+    static TaskReport[] running(List<Order> orders) {
+        return orders.stream().filter(o -> o instanceof Order.Start).map(World::running).toArray(TaskReport[]::new);
+    }
+
     List<Order> hear(String name, double at, TaskReport... tasks) {
         return core.onReport(report(name, "east", 1, TOKEN, tasks), at(at));
     }
