--- a/src/main/java/io/indigoreach/core/Dispatcher.java
+++ b/src/main/java/io/indigoreach/core/Dispatcher.java
@@ -271,9 +271,12 @@
         return type.boot().times(AIM_REACH).plus(leastPaid.times(0.5));
     }
 
-    /** Whether the job had an aim, as it came, that is too near to be met by renting for it. */
+    /**
+     * Whether the job had an aim, as it came, that is too near to be met by renting for it. Urgent jobs are not meant:
+     * they go first, have room made for them and wait less for spot machines in any case.
+     */
     boolean isNear(Job job, MachineType type) {
-        return !job.spec.isService() && latestStart(job, job.arrived).isBefore(job.arrived.plus(reach(type)));
+        return !job.spec.urgency().isMoreUrgentThan(Urgency.STANDARD) && latestStart(job, job.arrived).isBefore(job.arrived.plus(reach(type)));
     }
 
     /** Nothing of a job that an earlier leader may have started can be started before that leader's tasks are known. */
