A leader that the state service refuses alone hands over through another node

The leader cannot remove its key itself. Now it stops leading and then asks another node to remove the key, conditional on the key's version, so that a late request harms no later leader (table test against the stand-in, which keeps the lease).

--- a/src/main/java/io/indigoreach/cluster/Controller.java
+++ b/src/main/java/io/indigoreach/cluster/Controller.java
@@ -46,6 +46,16 @@
         }
     }
 
+    /** Gives leadership up where this node alone is without the state service; null if it does not lead. */
+    Stamp standAside() {
+        return leadership.standAside("the state service serves others but not this node");
+    }
+
+    /** Removes the key of a leader that has stood aside. */
+    Future<Void> release(Stamp key) {
+        return leadership.release(key);
+    }
+
     /** Takes a worker's report, if this node may act for the controllers at this moment. */
     public Future<Answer> onReport(WorkerReport report) {
         if (!mayAnswer()) {
--- a/src/main/java/io/indigoreach/cluster/Node.java
+++ b/src/main/java/io/indigoreach/cluster/Node.java
@@ -29,7 +29,7 @@
         this.catalogue = new Catalogue(vertx, state, cloud);
         this.controller = new Controller(new Reign.Surroundings(vertx, clock, state, cloud, catalogue, config, settings,
                 settings.leaderLease(config.rules())));
-        this.standing = new Standing(vertx, clock, state, config);
+        this.standing = new Standing(vertx, clock, state, config, controller);
         JobDesk jobs = new JobDesk(state, catalogue, config.teams(), clock, config.stateLimits().valueBytes());
         this.door = new FrontDoor(vertx, config.listen(), jobs, new ReportDesk(controller),
                 () -> catalogue.isKnown() && !standing.isRefusedAlone());
--- a/src/main/java/io/indigoreach/cluster/Standing.java
+++ b/src/main/java/io/indigoreach/cluster/Standing.java
@@ -3,8 +3,10 @@
 import io.indigoreach.config.PlatformConfig;
 import io.indigoreach.core.Moment;
 import io.indigoreach.core.Span;
+import io.indigoreach.core.Stamp;
 import io.indigoreach.net.Caller;
 import io.indigoreach.net.Duty;
+import io.indigoreach.net.Reply;
 import io.indigoreach.net.SteadyClock;
 import io.indigoreach.net.Wire;
 import io.indigoreach.net.WireException;
@@ -13,33 +15,39 @@
 import io.vertx.core.Vertx;
 import io.vertx.core.http.HttpServer;
 import io.vertx.core.http.HttpServerOptions;
+import io.vertx.core.http.HttpServerRequest;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
 /**
  * Whether this node alone is without the state service. A node cannot tell an outage from a refusal that only it gets,
  * so it asks the others. Refused alone, it is not ready and users are sent elsewhere; in an outage it stays ready, as
- * being taken out and back in would cost more than the outage does.
+ * being taken out and back in would cost more than the outage does. A leader that is refused alone stands aside, and
+ * asks another node to remove its key, so that its lease need not run out first.
  */
 final class Standing {
     private static final Logger LOG = LoggerFactory.getLogger(Standing.class);
     private static final Span PERIOD = Span.seconds(1);
     private static final Span PATIENCE = Span.seconds(2);
     private static final String PATH = "/standing";
+    private static final String HAND_OVER = "/handover";
 
     private final SteadyClock clock;
     private final StateClient state;
     private final PlatformConfig config;
+    private final Controller controller;
     private final List<Caller> peers = new ArrayList<>();
     private final HttpServer server;
     private final Duty duty;
     private Moment served;
     private boolean refusedAlone;
 
-    Standing(Vertx vertx, SteadyClock clock, StateClient state, PlatformConfig config) {
+    Standing(Vertx vertx, SteadyClock clock, StateClient state, PlatformConfig config, Controller controller) {
         this.clock = clock;
+        this.controller = controller;
         this.state = state;
         this.config = config;
         this.served = clock.now();
@@ -47,8 +55,7 @@
             peers.add(new Caller(vertx, peer.endpoint(), 1));
         }
         this.server = vertx.createHttpServer(new HttpServerOptions().setIdleTimeout(30));
-        server.requestHandler(r -> r.response().setStatusCode(PATH.equals(r.path()) ? 200 : 404)
-                .end(Wire.write(Wire.map("served", isServed()))));
+        server.requestHandler(this::answer);
         this.duty = new Duty(vertx, "standing", PERIOD, this::step);
     }
 
@@ -69,6 +76,17 @@
         return refusedAlone;
     }
 
+    private void answer(HttpServerRequest request) {
+        if (HAND_OVER.equals(request.path())) {
+            request.body().map(body -> new Stamp(Wire.readMap(body).whole("stamp"))).compose(controller::release)
+                    .onComplete(done -> request.response().setStatusCode(done.succeeded() ? 200 : 503)
+                            .end(Wire.write(Map.of())));
+        } else {
+            request.response().setStatusCode(PATH.equals(request.path()) ? 200 : 404)
+                    .end(Wire.write(Wire.map("served", isServed())));
+        }
+    }
+
     private boolean isServed() {
         return clock.now().since(served).compareTo(PATIENCE) < 0;
     }
@@ -88,10 +106,26 @@
                         : "not refused alone any more");
             }
             refusedAlone = alone;
+            Stamp key = alone ? controller.standAside() : null;
+            if (key != null) {
+                handOver(key, 0);
+            }
             return PERIOD;
         });
     }
 
+    /** Asks the others, one after the other, to remove this node's key; failing that, its lease runs out. */
+    private void handOver(Stamp key, int asked) {
+        if (asked < peers.size()) {
+            peers.get(asked).post(HAND_OVER, Wire.map("stamp", key.value()), PATIENCE)
+                    .map(Reply::isOk).otherwise(false).onSuccess(done -> {
+                        if (!done) {
+                            handOver(key, asked + 1);
+                        }
+                    });
+        }
+    }
+
     private Future<Boolean> othersAreServed() {
         List<Future<Boolean>> answers = new ArrayList<>();
         for (Caller peer : peers) {
--- a/src/main/java/io/indigoreach/state/Leadership.java
+++ b/src/main/java/io/indigoreach/state/Leadership.java
@@ -105,6 +105,27 @@
         return state.drop(held);
     }
 
+    /**
+     * Gives leadership up for a node that cannot reach the state service itself: the version of its key, which another
+     * node may now {@link #release}; null if this node does not lead.
+     */
+    public Stamp standAside(String reason) {
+        if (!leading) {
+            return null;
+        }
+        Stamp key = current.stamp();
+        abdicate(reason);
+        return key;
+    }
+
+    /**
+     * Removes the key of a leader that has given up and cannot say so itself. A request that comes late does no harm:
+     * the key of a later leadership has another version.
+     */
+    public Future<Void> release(Stamp key) {
+        return state.commit(new StateClient.Txn().when(RecordCodec.LEADER, key).delete(RecordCodec.LEADER)).mapEmpty();
+    }
+
     /**
      * Removes the key of a predecessor of this process, before anything else is done: a node that is warmed up can then
      * lead at once. Done later, it competes for the processor with hundreds of workers looking for a leader.
--- a/src/test/java/io/indigoreach/state/LeadershipTest.java
+++ b/src/test/java/io/indigoreach/state/LeadershipTest.java
@@ -12,6 +12,7 @@
 import io.vertx.core.Vertx;
 import java.util.concurrent.ArrayBlockingQueue;
 import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
@@ -109,4 +110,23 @@
         assertEquals("a1 lost", next());
         assertFalse(a.isValid() && events.isEmpty());
     }
+
+    /** A leader that alone is refused by the state service held its key for a whole lease (water kiosks, apart). */
+    @Test
+    void anotherNodeRemovesTheKeyOfALeaderThatStoodAside() throws Exception {
+        Leadership a = node("a", "a1", 2);
+        assertEquals("a1 took 1", next());
+        Leadership b = node("b", "b1", 2);
+        service.keepingLeases = true;
+        CompletableFuture<Stamp> key = new CompletableFuture<>();
+        vertx.runOnContext(v -> {
+            key.complete(a.standAside("refused alone"));
+            a.stop();
+        });
+        assertEquals("a1 lost", next());
+        vertx.runOnContext(v -> key.thenAccept(b::release));
+        assertEquals("b1 took 2", next());
+        b.release(key.get()).toCompletionStage().toCompletableFuture().get();
+        assertTrue(service.has(RecordCodec.LEADER), "a late request leaves a later leader's key alone");
+    }
 }
--- a/src/test/java/io/indigoreach/state/StateStandIn.java
+++ b/src/test/java/io/indigoreach/state/StateStandIn.java
@@ -29,6 +29,8 @@
     public boolean refusing;
     /** The answers to the next transactions are lost after these were executed. */
     public int losingAnswers;
+    /** Leases are not ended on request: as if it came from a node that is refused. */
+    public boolean keepingLeases;
     public int transactions;
     private Endpoint endpoint;
 
@@ -81,7 +83,7 @@
                 reply(request, 200, Wire.map("permit", lastLease));
             } else if (path.startsWith("/grants/")) {
                 long lease = Long.parseLong(path.split("/")[2]);
-                if (request.method() == HttpMethod.DELETE) {
+                if (request.method() == HttpMethod.DELETE && !keepingLeases) {
                     endLeases();
                 }
                 reply(request, leases.containsKey(lease) ? 200 : 404, Map.of());
