Tasks that have hardly begun make room where an aim on starts is about to be lost

A task of lower urgency that does not save and has run for 6 s at most now gives its place, on machines where the start can still be in time, if too few places come free by themselves.

--- a/src/main/java/io/indigoreach/core/Dispatcher.java
+++ b/src/main/java/io/indigoreach/core/Dispatcher.java
@@ -22,6 +22,9 @@
     /** An aim nearer than this many boot times and half of what is paid in any case is no reason to rent. */
     private static final double AIM_REACH = 1.2;
 
+    /** A task that has run for no longer loses little when it is stopped without saving. */
+    private static final Span HARDLY_BEGUN = Span.seconds(6);
+
     private static final Span SHORTAGE_LIFE = Span.seconds(0.5);
 
     /** Places that the top job lacks, less those for which room is being made since they were counted. */
@@ -73,8 +76,9 @@
     }
 
     /**
-     * Stops for {@code m} that make room for the top job where it is more urgent than what runs there. Only tasks that
-     * keep their progress are stopped, and only when the top job would otherwise wait for longer than that takes.
+     * Stops for {@code m} that make room for the top job where it is more urgent than what runs there, when the top job
+     * would otherwise wait for longer than that takes. Stopped are tasks that keep their progress and, where an aim on
+     * the top job's starts is about to be lost, tasks that have hardly begun.
      */
     List<Order> makeRoom(Machine m, Moment now) {
         List<Order> orders = giveBack(m, now);
@@ -84,7 +88,7 @@
         Share share = m.share == null ? null : cluster.share(m.share);
         Job top = share == null || !m.isUsable() ? null : top(share, now);
         if (top == null || !mayAskForRoom(top, m.type) || !m.allows(top.spec)
-                || !FaultJudge.allows(top, m, now) || !placeable(share, top, m)) {
+                || !FaultJudge.allows(top, m, now) || !placeable(share, top, m) || isLeftToHolders(top, m, now)) {
             return orders;
         }
         List<Placement> victims = m.tasksCopy();
@@ -149,23 +153,38 @@
     }
 
     private boolean mayYield(Placement p, Job top, Moment now) {
-        return p.state == TaskState.RUNNING && !p.stopping && p.job.spec.savesProgress()
-                && top.spec.urgency().isMoreUrgentThan(p.job.spec.urgency())
-                && now.since(p.since).compareTo(LEAST_RUN) >= 0
+        if (p.state != TaskState.RUNNING || p.stopping
+                || !top.spec.urgency().isMoreUrgentThan(p.job.spec.urgency())) {
+            return false;
+        }
+        if (!p.job.spec.savesProgress()) {
+            return timeToStart(top, now).ms() > 0 && now.since(p.since).compareTo(HARDLY_BEGUN) <= 0
+                    && aims.startBy(p.job) == null && !p.job.spec.isService();
+        }
+        return now.since(p.since).compareTo(LEAST_RUN) >= 0
                 && estimates.end(p, now).since(now).compareTo(p.job.spec.checkpointTime().times(2)) > 0;
     }
 
+    /** What is left until an aim on the job's starts is lost, if that is soon; else zero. */
+    private Span timeToStart(Job top, Moment now) {
+        Moment due = aims.startBy(top);
+        Span left = due == null ? Span.ZERO : due.since(now);
+        return left.ms() < 0 || left.compareTo(SOON) > 0 ? Span.ZERO : left;
+    }
+
     /** Places for the top job that come free soon by themselves, or because room is being made already. */
     private int comingPlaces(Iterable<Machine> machines, Job top, Moment now) {
         int places = 0;
+        Span left = timeToStart(top, now);
+        Span soon = left.ms() > 0 ? left : SOON;
         for (Machine m : machines) {
-            if (!m.isUsable() || !m.allows(top.spec)) {
+            if (!m.isUsable() || !m.allows(top.spec) || isLeftToHolders(top, m, now)) {
                 continue;
             }
             Demand room = m.free();
             for (Placement p : m.tasks().values()) {
                 if (p.stopping || p.state == TaskState.SAVING
-                        || estimates.end(p, now).since(now).compareTo(SOON) <= 0) {
+                        || estimates.end(p, now).since(now).compareTo(soon) <= 0) {
                     room = room.plus(p.demand());
                 }
             }
--- a/src/test/java/io/indigoreach/core/NearAimTest.java
+++ b/src/test/java/io/indigoreach/core/NearAimTest.java
@@ -61,4 +61,20 @@
         w.submit(with(spec(2, 4, 1, 20), urgency, false, false, true, null, 0), 40);
         assertEquals(stopped, World.stops(w.hear("a", 41, running(orders))).size());
     }
+
+    /**
+     * A replica due to start within 2 s found every machine with its image busy. Tasks that do not save make room for it
+     * if they have hardly begun, and only while its aim can be met.
+     */
+    @ParameterizedTest
+    @CsvSource({"1, 1, 1", "10, 1, 0", "1, 3, 0"})
+    void tasksThatHaveHardlyBegunMakeRoomForAStartThatIsDue(double begun, double waited, int stopped) {
+        World w = new World(World.TUNING, new Aims(List.of(new Aims.Aim("s", true, Span.seconds(2)))));
+        w.core.loaded();
+        w.submit(spec(1, 4, 1, 60), 0);
+        TaskReport[] tasks = running(w.ordinary("a", 20));
+        w.hearOrdinary("a", 20, tasks);
+        w.submit(World.service(2, 1), 20 + begun - waited);
+        assertEquals(stopped, World.stops(w.hearOrdinary("a", 20 + begun, tasks)).size());
+    }
 }
