--- a/src/main/java/io/indigoreach/core/ReleaseCheck.java
+++ b/src/main/java/io/indigoreach/core/ReleaseCheck.java
@@ -2,10 +2,8 @@
 
 import java.util.ArrayList;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
-import java.util.Set;
 
 /**
  * Which machines to return. The design's part: an idle machine whose paid term ends before the next check, unless a
@@ -14,13 +12,14 @@
 final class ReleaseCheck {
     /** Part of a zone's machines whose reports may be overdue together by their own fault. */
     private static final double MOST_OVERDUE = 0.25;
+    private static final double NEARLY_NONE_OVERDUE = 0.1;
 
     private final Cluster cluster;
     private final Dispatcher dispatcher;
     private final Rules rules;
     private final Tuning tuning;
-    /** Zones of which too many machines are silent for it to be the machines' fault. */
-    private Set<String> deafZones = Set.of();
+    /** Part of each zone's machines whose reports are overdue. */
+    private Map<String, Double> overdue = Map.of();
 
     ReleaseCheck(Cluster cluster, Dispatcher dispatcher, Rules rules, Tuning tuning) {
         this.cluster = cluster;
@@ -39,7 +38,7 @@
             lost += m.phase == Machine.Phase.LOST ? 1 : 0;
         }
         boolean mostAreLost = lost > up;
-        deafZones = deafZones(now);
+        overdue = overdue(now);
         for (Machine m : cluster.machines.values()) {
             String reason = m.phase == Machine.Phase.LEAVING ? null : reason(m, now, settled, mostAreLost);
             if (reason != null) {
@@ -59,13 +58,13 @@
                         && now.since(m.heard).compareTo(rules.leaseBound()) > 0) {
                     return "never came up";
                 }
-                return isSilent(m, now) && !deafZones.contains(m.pool.zone()) ? "silent since the take-over" : null;
+                return isSilent(m, now) ? "silent since the take-over" : null;
             case LOST:
                 // When most are silent the fault is likely between them and this leader: then keep them.
                 return !mostAreLost && now.since(m.heard).compareTo(rules.leaseBound().times(1.5)) > 0
                         ? "silent since its lease ran out" : null;
             default:
-                if (isSilent(m, now) && !m.isIdle() && !deafZones.contains(m.pool.zone())) {
+                if (isSilent(m, now) && !m.isIdle()) {
                     return "silent with " + m.taskCount() + " tasks";
                 }
                 if (!m.accounted || !m.isIdle()) {
@@ -82,10 +81,20 @@
         }
     }
 
-    /** It has reported to this leader, or should have found it since, and is silent long before its lease runs out. */
+    /**
+     * A machine that hangs or is dead holds its tasks until its lease has run out, unless the cloud has taken it back
+     * before: once the return is answered, everything on it is gone. But where the reports of many are overdue at once
+     * the fault is more likely on the way to them, and they work on. One that has not reported to this leader yet is
+     * given more time to find it, unless nearly all others have.
+     */
     private boolean isSilent(Machine m, Moment now) {
-        Span patience = m.accounted ? rules.silence() : rules.silence().plus(rules.workerPatience());
-        return mayHoldTasks(m) && now.since(m.heard).compareTo(patience) > 0;
+        if (!mayHoldTasks(m)) {
+            return false;
+        }
+        double part = overdue.getOrDefault(m.pool.zone(), 0.0);
+        boolean soon = m.accounted || part <= NEARLY_NONE_OVERDUE;
+        Span patience = soon ? rules.silence() : rules.silence().plus(rules.workerPatience());
+        return part <= MOST_OVERDUE && now.since(m.heard).compareTo(patience) > 0;
     }
 
     /** Up, or recorded by an earlier leader and not heard of yet. */
@@ -93,12 +102,8 @@
         return m.phase == Machine.Phase.UP || m.phase == Machine.Phase.BOOTING && m.recorded;
     }
 
-    /**
-     * A machine that hangs or is dead holds its tasks until its lease has run out, unless the cloud has taken it back
-     * before: once the return is answered, everything on it is gone. But where the reports of many are overdue at once
-     * the fault is more likely on the way to them, and they work on.
-     */
-    private Set<String> deafZones(Moment now) {
+    /** A single machine's silence is never put down to the way, however few there are in its zone. */
+    private Map<String, Double> overdue(Moment now) {
         Map<String, int[]> counts = new HashMap<>();
         for (Machine m : cluster.machines.values()) {
             if (mayHoldTasks(m)) {
@@ -107,13 +112,10 @@
                 count[1] += now.since(m.heard).compareTo(rules.overdue()) > 0 ? 1 : 0;
             }
         }
-        Set<String> deaf = new HashSet<>();
-        counts.forEach((zone, count) -> {
-            if (count[1] > Math.max(1, count[0] * MOST_OVERDUE)) {
-                deaf.add(zone);
-            }
-        });
-        return deaf;
+        Map<String, Double> parts = new HashMap<>();
+        counts.forEach((zone, count) -> parts.put(zone,
+                count[1] == 1 ? Math.min(MOST_OVERDUE, 1.0 / count[0]) : (double) count[1] / count[0]));
+        return parts;
     }
 
     /** What is left of the paid term. */
--- a/src/test/java/io/indigoreach/core/SilenceTest.java
+++ b/src/test/java/io/indigoreach/core/SilenceTest.java
@@ -55,14 +55,14 @@
 
     /** Machines dead before a take-over held back every inherited job until their lease had surely run out. */
     @ParameterizedTest
-    @CsvSource({"1, 8, 0", "1, 9, 1", "4, 9, 0"})
-    void machinesSilentSinceATakeOverAreReturned(int dead, double seconds, int returned) {
+    @CsvSource({"8, 1, 8, 0", "8, 1, 9, 1", "8, 4, 9, 0", "40, 2, 4, 0", "40, 2, 5, 2", "40, 6, 5, 0", "40, 6, 9, 6"})
+    void machinesSilentSinceATakeOverAreReturned(int machines, int dead, double seconds, int returned) {
         World w = new World();
-        for (int i = 0; i < 8; i++) {
+        for (int i = 0; i < machines; i++) {
             w.core.inherit(new MachineId("m" + i), new Pool("quad", "east", true), at(0), at(0), at(0));
         }
         w.core.loaded();
-        for (int i = dead; i < 8; i++) {
+        for (int i = dead; i < machines; i++) {
             w.hear("m" + i, seconds);
         }
         w.core.check(at(seconds));
