--- a/src/main/java/io/indigoreach/core/Dispatcher.java
+++ b/src/main/java/io/indigoreach/core/Dispatcher.java
@@ -295,7 +295,8 @@
      * they go first, have room made for them and wait less for spot machines in any case.
      */
     boolean isNear(Job job, MachineType type) {
-        return !job.spec.urgency().isMoreUrgentThan(Urgency.STANDARD) && latestStart(job, job.arrived).isBefore(job.arrived.plus(reach(type)));
+        return !job.spec.urgency().isMoreUrgentThan(Urgency.STANDARD)
+                && latestStart(job, job.arrived).isBefore(job.arrived.plus(reach(type)));
     }
 
     /** Nothing of a job that an earlier leader may have started can be started before that leader's tasks are known. */
--- a/src/test/java/io/indigoreach/core/ServiceTest.java
+++ b/src/test/java/io/indigoreach/core/ServiceTest.java
@@ -95,4 +95,64 @@
                 null, false, false, false, s.estimate(), s.checkpointEvery(), s.checkpointTime(), null), 100);
         assertEquals(started, starts(w.ordinary("b", 100 + waited)).size());
     }
+
+    /** How a machine with a replica was lost, and from when on (seconds) the replica may start on another one. */
+    @ParameterizedTest
+    @CsvSource({"listed as failed, 3", "lease run out, 14", "gone from two lists, 22"})
+    void aLostReplicaStartsElsewhereOnceItSurelyIsGone(String loss, double from) {
+        World w = loaded();
+        w.submit(service(1, 1), 0);
+        TaskReport[] replica = running(w.ordinary("a", 1));
+        w.hearOrdinary("a", 1.5, replica);
+        w.ordinary("b", 1.5);
+        lose(w, loss, from - 1);
+        assertEquals(0, starts(w.hearOrdinary("b", from - 0.5)).size());
+        lose(w, loss, from);
+        assertEquals(1, starts(w.hearOrdinary("b", from + 0.1)).size());
+    }
+
+    /** What the leader's duties see at {@code now}: the machine fails at 2.5 s, or is never heard or listed again. */
+    private static void lose(World w, String loss, double now) {
+        ListedMachine b = listed("b", ListedMachine.Status.RUNNING);
+        switch (loss) {
+            case "listed as failed" -> w.core.onList(List.of(listed("a", now < 2.5 ? ListedMachine.Status.RUNNING
+                    : ListedMachine.Status.FAILED), b), at(now), at(now));
+            case "lease run out" -> w.core.expireLeases(at(now));
+            default -> w.core.onList(List.of(b), at(now), at(now));
+        }
+    }
+
+    private static ListedMachine listed(String name, ListedMachine.Status status) {
+        return new ListedMachine(new MachineId(name), new Pool("quad", "east", false), status, Span.seconds(1));
+    }
+
+    /** A new leader starts no replica that a machine may still hold, and takes on those that are reported. */
+    @ParameterizedTest
+    @CsvSource({"true, 2, 1", "false, 2, 0", "false, 13, 2"})
+    void afterAChangeOfLeaderReplicasAreTakenOnOrWaitedFor(boolean reported, double at, int started) {
+        World w = new World();
+        w.inherited(service(1, 2));
+        for (String name : List.of("a", "b")) {
+            w.core.inherit(new MachineId(name), new Pool("quad", "east", false), at(0), at(0), at(0));
+        }
+        w.core.loaded();
+        if (reported) {
+            w.hearOrdinary("a", 1, World.foreign("run-1/0", 7));
+        }
+        w.core.expireLeases(at(at));
+        assertEquals(started, starts(w.hearOrdinary("b", at)).size());
+    }
+
+    /** A start ordered just before the user cancelled is answered with a stop as soon as it shows, and not repeated. */
+    @Test
+    void aReplicaOrderedBeforeTheCancellationIsStopped() {
+        World w = loaded();
+        Job job = w.submit(service(1, 1), 0);
+        List<Order> late = w.ordinary("a", 1);
+        w.core.cancelJob(job.id());
+        assertEquals(0, starts(w.ordinary("b", 2)).size());
+        List<Order> answer = w.hearOrdinary("a", 3, running(late));
+        assertEquals(List.of("run-1/0"), World.stops(answer));
+        assertEquals(0, starts(w.hearOrdinary("a", 4)).size());
+    }
 }
