--- a/src/main/java/io/indigoreach/core/ReleaseCheck.java
+++ b/src/main/java/io/indigoreach/core/ReleaseCheck.java
@@ -92,11 +92,15 @@
             return false;
         }
         double part = overdue.getOrDefault(m.pool.zone(), 0.0);
-        boolean soon = m.accounted || part <= NEARLY_NONE_OVERDUE;
-        Span patience = soon ? rules.silence() : rules.silence().plus(rules.workerPatience());
+        Span patience = m.accounted ? rules.silence() : part > NEARLY_NONE_OVERDUE
+                ? rules.silence().plus(rules.workerPatience()) : longer(rules.silence(), rules.findsLeader());
         return part <= MOST_OVERDUE && now.since(m.heard).compareTo(patience) > 0;
     }
 
+    private static Span longer(Span a, Span b) {
+        return a.compareTo(b) > 0 ? a : b;
+    }
+
     /** Up, or recorded by an earlier leader and not heard of yet. */
     private static boolean mayHoldTasks(Machine m) {
         return m.phase == Machine.Phase.UP || m.phase == Machine.Phase.BOOTING && m.recorded;
--- a/src/main/java/io/indigoreach/core/Rules.java
+++ b/src/main/java/io/indigoreach/core/Rules.java
@@ -21,6 +21,11 @@
         return Span.seconds(4);
     }
 
+    /** A worker whose node is gone finds the leader in its patience, a second to the next node, half to move, and the way. */
+    public Span findsLeader() {
+        return workerPatience().plus(Span.seconds(2.5));
+    }
+
     /** A report that has not come this long after the one before it is late: its longest interval, and the way. */
     public Span overdue() {
         return report.times(1.25).withDrift().plus(Span.seconds(1));
