The protocol's words are written and read in one place each

Need: an emulator of state service, cloud and workers must not have field names and codecs of its own, or the two sides come to differ.

--- a/src/main/java/io/indigoreach/api/FrontDoor.java
+++ b/src/main/java/io/indigoreach/api/FrontDoor.java
@@ -1,9 +1,11 @@
 package io.indigoreach.api;
 
+import io.indigoreach.net.Body;
 import io.indigoreach.net.Endpoint;
 import io.indigoreach.net.Wire;
 import io.indigoreach.net.WireException;
 import io.indigoreach.worker.ReportDesk;
+import io.indigoreach.worker.WorkerCodec;
 import io.vertx.core.Future;
 import io.vertx.core.Vertx;
 import io.vertx.core.buffer.Buffer;
@@ -20,9 +22,7 @@
 /** The listener for users, workers and health checks. */
 public final class FrontDoor {
     private static final Logger LOG = LoggerFactory.getLogger(FrontDoor.class);
-    private static final int MOST_BODY = 64 * 1024;
     private static final int IDLE_S = 75;
-    private static final String JOBS = "/api/jobs";
     /** Requests of users that wait for the state service at once; more are told to come back. */
     private static final int MOST_WAITING = 100;
 
@@ -59,18 +59,18 @@
 
     private void handle(HttpServerRequest request) {
         String path = request.path();
-        if ("/checkin".equals(path)) {
+        if (WorkerCodec.REPORT.equals(path)) {
             withBody(request, HttpMethod.POST, reports::report);
-        } else if ("/ready".equals(path)) {
+        } else if (JobCodec.READY.equals(path)) {
             if (allows(request, HttpMethod.GET)) {
                 write(request, ready.getAsBoolean() ? Answer.ok(java.util.Map.of()) : Answer.later("starting"));
             }
-        } else if (JOBS.equals(path)) {
+        } else if (JobCodec.JOBS.equals(path)) {
             withBody(request, HttpMethod.POST, body -> limited(() -> jobs.submit(body)));
-        } else if (path != null && path.startsWith(JOBS + "/")) {
-            String rest = path.substring(JOBS.length() + 1);
-            if (rest.endsWith("/cancel")) {
-                String id = rest.substring(0, rest.length() - "/cancel".length());
+        } else if (path != null && path.startsWith(JobCodec.JOBS + "/")) {
+            String rest = path.substring(JobCodec.JOBS.length() + 1);
+            if (rest.endsWith(JobCodec.CANCEL)) {
+                String id = rest.substring(0, rest.length() - JobCodec.CANCEL.length());
                 withBody(request, HttpMethod.POST, body -> limited(() -> jobs.cancel(id)));
             } else if (rest.indexOf('/') >= 0) {
                 write(request, Answer.error(404, "no such path"));
@@ -106,31 +106,12 @@
         return false;
     }
 
-    /** Gathers the body up to its limit; a longer one is refused without being kept. */
+    /** Hands the body to the work; one that is too long is refused. */
     private void withBody(HttpServerRequest request, HttpMethod method, Function<Buffer, Future<Answer>> work) {
         if (!allows(request, method)) {
             return;
         }
-        String length = request.getHeader("Content-Length");
-        if (length != null && length.length() > 9 || length != null && Long.parseLong(length) > MOST_BODY) {
-            refuseLong(request);
-            return;
-        }
-        Buffer body = Buffer.buffer();
-        request.handler(chunk -> {
-            if (body.length() + chunk.length() > MOST_BODY) {
-                if (!request.response().ended()) {
-                    refuseLong(request);
-                }
-                return;
-            }
-            body.appendBuffer(chunk);
-        });
-        request.endHandler(end -> {
-            if (!request.response().ended()) {
-                answer(request, work, body);
-            }
-        });
+        Body.gather(request, body -> answer(request, work, body), () -> refuseLong(request));
     }
 
     private void refuseLong(HttpServerRequest request) {
--- a/src/main/java/io/indigoreach/api/JobCodec.java
+++ b/src/main/java/io/indigoreach/api/JobCodec.java
@@ -21,9 +21,33 @@
     private static final int MOST_TYPES = 64;
     private static final double LARGEST = 1e9;
 
+    public static final String JOBS = "/api/jobs";
+    public static final String CANCEL = "/cancel";
+    public static final String READY = "/ready";
+
+    /** How a job stands, as its user is told. */
+    public record Progress(JobId id, JobStatus status, int done, int running) {
+    }
+
     private JobCodec() {
     }
 
+    /** A submission, as users write it. */
+    public static Map<String, Object> write(JobSpec s) {
+        return Wire.map("id", s.id().text(), "jobclass", s.jobClass(), "owner", s.team(), "shape",
+                s.shape().name().toLowerCase(Locale.ROOT), "urgency", s.urgency().name().toLowerCase(Locale.ROOT),
+                "pieces", s.tasks(), "cores", s.demand().cores(), "gpus", s.demand().gpus(), "ram_gb",
+                s.demand().ramGb(), "bundle", s.image(), "pull_gb", s.imageGb(), "boxkinds", s.types(), "hall", s.zone(),
+                "one_zone", s.oneZone(), "spread", s.spread(), "loaners", s.spotAllowed(), "expected_s",
+                s.estimate().seconds(), "snapshot_every_s", s.checkpointEvery().seconds(), "snapshot_s",
+                s.checkpointTime().seconds(), "due_s", s.due() == null ? null : s.due().seconds());
+    }
+
+    public static Progress readProgress(Fields f) {
+        return new Progress(new JobId(f.text("id")), JobStatus.valueOf(f.text("status").toUpperCase(Locale.ROOT)),
+                (int) f.whole("done", 0), (int) f.whole("running", 0));
+    }
+
     /** Reads a job; throws {@link WireException} with a short reason if it is malformed. */
     public static JobSpec read(Fields f) {
         String id = f.text("id");
--- a/src/main/java/io/indigoreach/config/PlatformConfig.java
+++ b/src/main/java/io/indigoreach/config/PlatformConfig.java
@@ -1,8 +1,11 @@
 package io.indigoreach.config;
 
+import com.electronwill.nightconfig.core.Config;
+import com.electronwill.nightconfig.core.InMemoryFormat;
 import com.electronwill.nightconfig.core.UnmodifiableConfig;
 import com.electronwill.nightconfig.core.io.ParsingException;
 import com.electronwill.nightconfig.toml.TomlParser;
+import com.electronwill.nightconfig.toml.TomlWriter;
 import io.indigoreach.core.Rules;
 import io.indigoreach.core.Span;
 import io.indigoreach.core.Team;
@@ -11,6 +14,7 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
+import java.util.LinkedHashMap;
 import java.util.List;
 
 /**
@@ -88,6 +92,39 @@
                 (int) settings.optionalSection("machine_limits").amount("max_connections", 1000));
     }
 
+    /** The file that {@link #parse} reads this from. */
+    public String toText() {
+        Config root = table();
+        root.set("node", node);
+        root.set("domain", zone);
+        root.set("serve_on", listen.toString());
+        root.set("cluster_listen", peerListen.toString());
+        root.set("peers", peers.stream().map(p -> table("node", p.node, "domain", p.zone, "endpoint",
+                p.endpoint.toString())).toList());
+        root.set("endpoints", table("cloud", cloud.toString(), "state", state.toString()));
+        Config settings = table("size", peers.size() + 1, "zones", zones, "skew_ms", (double) clockOff.ms());
+        settings.set("teams", teams.stream().map(t -> table("name", t.name(), "cpus", t.cores(), "cpus_max", t.coresMax(),
+                "gpus", t.gpus(), "gpus_max", t.gpusMax())).toList());
+        settings.set("objectives", objectives.stream().map(o -> table("kind", o.kind, "class", o.jobClass, "within_s",
+                o.within.seconds(), "share", o.share)).toList());
+        settings.set("workers", table("report_s", rules.report().seconds(), "lease_s",
+                rules.workerLease().seconds(), "cancel_s", rules.cancel().seconds()));
+        settings.set("state", table("rps", stateLimits.requestsPerS, "write_rps", stateLimits.writesPerS, "value_kb",
+                stateLimits.valueBytes / 1024.0, "txn_ops", stateLimits.txnOps));
+        settings.set("cloud", table("rps", cloudLimits.requestsPerS, "list_lag_s", cloudLimits.listLag.seconds()));
+        settings.set("machine_limits", table("max_connections", maxConnections));
+        root.set("settings", settings);
+        return new TomlWriter().writeToString(root);
+    }
+
+    private static Config table(Object... keysAndValues) {
+        Config table = Config.of(LinkedHashMap::new, InMemoryFormat.defaultInstance());
+        for (int i = 0; i < keysAndValues.length; i += 2) {
+            table.set((String) keysAndValues[i], keysAndValues[i + 1]);
+        }
+        return table;
+    }
+
     /** A table of the file, read with checks that name the field at fault. */
     private record Section(String file, String path, UnmodifiableConfig config) {
         private ConfigException fault(String field, String what) {
@@ -104,7 +141,7 @@
 
         Section optionalSection(String field) throws ConfigException {
             return config.get(List.of(field)) == null
-                    ? new Section(file, field, com.electronwill.nightconfig.core.Config.inMemory())
+                    ? new Section(file, field, Config.inMemory())
                     : section(field);
         }
 
--- a/src/main/java/io/indigoreach/net/Budget.java
+++ b/src/main/java/io/indigoreach/net/Budget.java
@@ -2,7 +2,7 @@
 
 import io.indigoreach.core.Moment;
 
-/** A rate that is not to be exceeded, with a burst of up to one second's worth. */
+/** A rate that is not to be exceeded, with a burst of up to one second's worth unless it says otherwise. */
 public final class Budget {
     private final double perSecond;
     private final double most;
@@ -10,8 +10,13 @@
     private Moment at;
 
     public Budget(double perSecond, Moment now) {
+        this(perSecond, 1, now);
+    }
+
+    /** With a burst of {@code burstS} seconds' worth. */
+    public Budget(double perSecond, double burstS, Moment now) {
         this.perSecond = perSecond;
-        this.most = Math.max(1, perSecond);
+        this.most = Math.max(1, perSecond * burstS);
         this.left = most;
         this.at = now;
     }
--- a/src/main/java/io/indigoreach/state/Leadership.java
+++ b/src/main/java/io/indigoreach/state/Leadership.java
@@ -6,7 +6,6 @@
 import io.indigoreach.core.Token;
 import io.indigoreach.net.Duty;
 import io.indigoreach.net.SteadyClock;
-import io.indigoreach.net.Wire;
 import io.vertx.core.Future;
 import io.vertx.core.Vertx;
 import org.slf4j.Logger;
@@ -184,13 +183,13 @@
     private Future<Span> campaign() {
         Stamp before = current == null ? Stamp.ABSENT : current.stamp();
         return state.get(RecordCodec.COUNTER).compose(counter -> {
-            Token token = counter == null ? new Token(1) : new Token(counter.value().whole("value")).next();
+            Token token = counter == null ? new Token(1) : new Token(RecordCodec.counted(counter.value().map())).next();
             Stamp counted = counter == null ? Stamp.ABSENT : counter.stamp();
             Moment sent = clock.now();
             return state.grant(life).compose(granted -> state.commit(new StateClient.Txn()
                     .when(RecordCodec.LEADER, before).when(RecordCodec.COUNTER, counted)
                     .put(RecordCodec.LEADER, LeaderKey.write(node, process, token), granted)
-                    .put(RecordCodec.COUNTER, Wire.map("value", token.value()))).map(outcome -> {
+                    .put(RecordCodec.COUNTER, RecordCodec.writeCounter(token))).map(outcome -> {
                         watchedTo = -1;
                         hasLetGo = true;
                         if (outcome.done()) {
--- a/src/main/java/io/indigoreach/state/RecordCodec.java
+++ b/src/main/java/io/indigoreach/state/RecordCodec.java
@@ -55,6 +55,34 @@
         return MACHINES + token + "-" + n;
     }
 
+    /**
+     * The key whose version guards a write of {@code key} besides that key's own: the open job's for what belongs to a
+     * job, the leader's for what only a leader writes; null if there is none.
+     */
+    public static String guardOf(String key) {
+        if (key.startsWith(FINAL)) {
+            return OPEN + key.substring(FINAL.length());
+        }
+        if (key.startsWith(BITS)) {
+            return open(jobOfBlock(key));
+        }
+        return key.startsWith(MACHINES) ? LEADER : null;
+    }
+
+    /** The token in a value of {@link #LEADER}. */
+    public static long token(Map<String, Object> leader) {
+        return new Fields(leader).whole("token");
+    }
+
+    /** The highest token so far, in a value of {@link #COUNTER}. */
+    public static long counted(Map<String, Object> counter) {
+        return new Fields(counter).whole("value");
+    }
+
+    public static Map<String, Object> writeCounter(Token token) {
+        return Wire.map("value", token.value());
+    }
+
     public static JobId jobOf(String key) {
         return new JobId(key.substring(OPEN.length()));
     }
--- a/src/main/java/io/indigoreach/state/StateClient.java
+++ b/src/main/java/io/indigoreach/state/StateClient.java
@@ -5,9 +5,9 @@
 import io.indigoreach.net.Caller;
 import io.indigoreach.net.Fields;
 import io.indigoreach.net.Reply;
-import io.indigoreach.net.Wire;
 import io.vertx.core.Future;
 import java.util.ArrayList;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 
@@ -23,8 +23,8 @@
         }
     }
 
-    /** A key with its value and version. */
-    public record Entry(String key, Fields value, Stamp stamp) {
+    /** A key with its value, its version and the lease that it is attached to, or 0. */
+    public record Entry(String key, Fields value, Stamp stamp, long lease) {
     }
 
     /** A page of a listing. */
@@ -46,31 +46,45 @@
         }
     }
 
-    /** A transaction being put together. */
+    /** One change of a transaction: a new value, attached to a lease unless that is 0, or null to delete the key. */
+    public record Write(String key, Map<String, Object> value, long lease) {
+        public boolean isDelete() {
+            return value == null;
+        }
+    }
+
+    /** A transaction being put together: versions that keys must have, and what is then written. */
     public static final class Txn {
-        private final List<Object> when = new ArrayList<>();
-        private final List<Object> writes = new ArrayList<>();
+        private final Map<String, Stamp> conditions = new LinkedHashMap<>();
+        private final List<Write> writes = new ArrayList<>();
 
         public Txn when(String key, Stamp stamp) {
-            when.add(Wire.map("path", key, "stamp", stamp.value()));
+            conditions.put(key, stamp);
             return this;
         }
 
         public Txn put(String key, Map<String, Object> value) {
-            writes.add(Wire.map("write", key, "data", value));
-            return this;
+            return put(key, value, 0);
         }
 
         public Txn put(String key, Map<String, Object> value, long lease) {
-            writes.add(Wire.map("write", key, "data", value, "permit", lease));
+            writes.add(new Write(key, value, lease));
             return this;
         }
 
         public Txn delete(String key) {
-            writes.add(Wire.map("delete", key));
+            writes.add(new Write(key, null, 0));
             return this;
         }
 
+        public Map<String, Stamp> conditions() {
+            return conditions;
+        }
+
+        public List<Write> writes() {
+            return writes;
+        }
+
         public int size() {
             return writes.size();
         }
@@ -80,6 +94,7 @@
 
     private final Caller caller;
     private final Caller watcher;
+    private final Freshness freshness = new Freshness();
 
     /** Watches stay open, so they have connections of their own. */
     public StateClient(Caller caller, Caller watcher) {
@@ -89,7 +104,7 @@
 
     /** Succeeds if the service answers requests of this node. */
     public Future<Void> check() {
-        return caller.get("/store/" + RecordCodec.LEADER, Span.seconds(1)).map(r -> {
+        return caller.get(StateCodec.keyPath(RecordCodec.LEADER), Span.seconds(1)).map(r -> {
             if (r.status() != 404 && r.status() != 429) {
                 ok(r);
             }
@@ -99,38 +114,56 @@
 
     /** The entry of a key; null if there is none. */
     public Future<Entry> get(String key) {
-        return caller.get("/store/" + key, TIMEOUT).map(r -> {
+        long known = freshness.highest();
+        return caller.get(StateCodec.keyPath(key), TIMEOUT).map(r -> {
             if (r.status() == 404) {
+                freshness.told(known, StateCodec.readRevision(r.body()));
                 return null;
             }
-            Fields body = ok(r);
-            return new Entry(key, body.child("data"), new Stamp(body.whole("stamp")));
+            return StateCodec.readEntry(ok(r));
         });
     }
 
     public Future<Page> list(String prefix, String after, int most) {
-        String path = "/store?starts=" + prefix + (after == null ? "" : "&since=" + after) + "&most=" + most;
-        return caller.get(path, Span.seconds(4)).map(r -> {
-            Fields body = ok(r);
-            List<Entry> items = new ArrayList<>();
-            for (Fields item : body.children("items")) {
-                items.add(new Entry(item.text("path"), item.child("data"), new Stamp(item.whole("stamp"))));
+        long known = freshness.highest();
+        return caller.get(StateCodec.listPath(prefix, after, most), Span.seconds(4)).map(r -> {
+            Page page = StateCodec.readPage(ok(r));
+            freshness.told(known, page.revision());
+            return page;
+        });
+    }
+
+    /** Whether the service has lately answered with what was there before something it had told already. */
+    public boolean isDoubted() {
+        return freshness.isDoubted();
+    }
+
+    /**
+     * Whether these keys have these versions at this moment: by a transaction that only compares, which unlike a read
+     * cannot be answered with the past. A failed comparison is a sign that a read was.
+     */
+    public Future<Boolean> confirm(Txn comparison) {
+        return commit(comparison).map(outcome -> {
+            if (!outcome.done()) {
+                freshness.doubt();
             }
-            return new Page(items, body.flag("truncated", false), body.whole("ledger_rev"));
+            return outcome.done();
         });
     }
 
     public Future<Outcome> commit(Txn txn) {
-        Map<String, Object> body = Wire.map("when", txn.when, "writes", txn.writes);
-        return caller.post("/txn", body, TIMEOUT).map(r -> {
+        return caller.post(StateCodec.TXN, StateCodec.writeTxn(txn), TIMEOUT).map(r -> {
             if (r.status() == 200) {
-                return new Outcome(true, r.body().whole("ledger_rev"), List.of(), false);
+                Outcome done = new Outcome(true, StateCodec.readRevision(r.body()), List.of(), false);
+                freshness.told(0, done.revision());
+                return done;
             }
             if (r.status() == 409) {
-                List<String> failed = r.body().optionalTexts("failed");
-                return new Outcome(false, r.body().whole("ledger_rev", 0), failed == null ? List.of() : failed, false);
+                Outcome failed = StateCodec.readConflict(r.body());
+                freshness.told(0, failed.revision());
+                return failed;
             }
-            if (r.status() == 400 && "no such lease".equals(r.body().optionalText("error"))) {
+            if (r.status() == 400 && StateCodec.NO_SUCH_LEASE.equals(r.body().optionalText("error"))) {
                 return new Outcome(false, 0, List.of(), true);
             }
             throw new Refused(r.status());
@@ -138,12 +171,12 @@
     }
 
     public Future<Long> grant(Span life) {
-        return caller.post("/grants", Wire.map("life_ms", life.ms()), TIMEOUT).map(r -> ok(r).whole("permit"));
+        return caller.post(StateCodec.LEASES, StateCodec.writeLife(life), TIMEOUT).map(r -> StateCodec.readLease(ok(r)));
     }
 
     /** Whether the lease goes on; false if it has ended. */
     public Future<Boolean> renew(long lease) {
-        return caller.post("/grants/" + lease + "/renew", Map.of(), TIMEOUT).map(r -> {
+        return caller.post(StateCodec.leasePath(lease) + StateCodec.RENEW, Map.of(), TIMEOUT).map(r -> {
             if (r.status() == 404) {
                 return false;
             }
@@ -153,24 +186,12 @@
     }
 
     public Future<Void> drop(long lease) {
-        return caller.delete("/grants/" + lease, TIMEOUT).mapEmpty();
+        return caller.delete(StateCodec.leasePath(lease), TIMEOUT).mapEmpty();
     }
 
     public Future<Changes> watch(String prefix, long since, Span wait) {
-        String path = "/changes?starts=" + prefix + "&since=" + since + "&wait_ms=" + wait.ms();
-        return watcher.get(path, wait.plus(TIMEOUT)).map(r -> {
-            if (r.status() == 410) {
-                return new Changes(List.of(), 0, true);
-            }
-            Fields body = ok(r);
-            List<Change> changes = new ArrayList<>();
-            for (Fields event : body.children("events")) {
-                Stamp stamp = new Stamp(event.whole("stamp"));
-                changes.add(event.has("write") ? new Change(event.text("write"), event.child("data"), stamp)
-                        : new Change(event.text("delete"), null, stamp));
-            }
-            return new Changes(changes, body.whole("ledger_rev"), false);
-        });
+        return watcher.get(StateCodec.watchPath(prefix, since, wait), wait.plus(TIMEOUT)).map(r -> r.status() == 410
+                ? new Changes(List.of(), 0, true) : StateCodec.readChanges(ok(r)));
     }
 
     private static Fields ok(Reply reply) {
