A state service that answers with the past is noticed and not believed

Change: that a job is nowhere is confirmed by a transaction that only compares; so is an open job while answers have lately told a lower revision than was known. Lists read at a take-over must not be older than the leadership, and the oldest page counts for the watch. While the service keeps its word this costs one request for an unknown job.

--- a/src/main/java/io/indigoreach/api/JobDesk.java
+++ b/src/main/java/io/indigoreach/api/JobDesk.java
@@ -9,6 +9,7 @@
 import io.indigoreach.core.Team;
 import io.indigoreach.net.SteadyClock;
 import io.indigoreach.net.Wire;
+import io.indigoreach.net.WireException;
 import io.indigoreach.state.FinalRecord;
 import io.indigoreach.state.JobRecord;
 import io.indigoreach.state.RecordCodec;
@@ -141,25 +142,37 @@
         });
     }
 
-    /** Reads the open key first: a job moves from there to the other, never back. */
     private Future<Found> find(JobId id) {
+        return find(id, 1);
+    }
+
+    /**
+     * Reads the open key first: a job moves from there to the other, never back. That a job is nowhere is confirmed by
+     * comparing, as a read may come from before it was accepted; so is what is read while the service is in doubt.
+     */
+    private Future<Found> find(JobId id, int attempt) {
         FinalRecord known = over.get(id);
         if (known != null) {
             return Future.succeededFuture(new Found(null, known));
         }
         return state.get(RecordCodec.open(id)).compose(open -> {
             if (open != null) {
-                return Future.succeededFuture(new Found(RecordCodec.readJob(id, open.value(), open.stamp()), null));
+                Found found = new Found(RecordCodec.readJob(id, open.value(), open.stamp()), null);
+                return state.isDoubted() ? confirmed(id, found, open.stamp(), attempt) : Future.succeededFuture(found);
             }
-            return state.get(RecordCodec.over(id)).map(ended -> {
-                if (ended == null) {
-                    return new Found(null, null);
-                }
-                return new Found(null, remember(RecordCodec.readFinal(id, ended.value())));
-            });
+            return state.get(RecordCodec.over(id)).compose(ended -> ended == null
+                    ? confirmed(id, new Found(null, null), Stamp.ABSENT, attempt)
+                    : Future.succeededFuture(new Found(null, remember(RecordCodec.readFinal(id, ended.value())))));
         });
     }
 
+    private Future<Found> confirmed(JobId id, Found found, Stamp open, int attempt) {
+        return state.confirm(new StateClient.Txn().when(RecordCodec.open(id), open)
+                .when(RecordCodec.over(id), Stamp.ABSENT)).compose(holds -> holds ? Future.succeededFuture(found)
+                        : attempt < MOST_TRIES ? find(id, attempt + 1)
+                        : Future.failedFuture(new WireException("the state service answers with the past")));
+    }
+
     private FinalRecord remember(FinalRecord record) {
         over.put(record.id(), record);
         return record;
--- a/src/main/java/io/indigoreach/cluster/Ledger.java
+++ b/src/main/java/io/indigoreach/cluster/Ledger.java
@@ -10,6 +10,7 @@
 import io.indigoreach.net.Budget;
 import io.indigoreach.net.Duty;
 import io.indigoreach.net.Fields;
+import io.indigoreach.net.WireException;
 import io.indigoreach.state.JobRecord;
 import io.indigoreach.state.MachineRecord;
 import io.indigoreach.state.RecordCodec;
@@ -128,8 +129,14 @@
     private Future<Long> page(String prefix, String after, long first,
                               java.util.function.Consumer<StateClient.Entry> each) {
         return env.state().list(prefix, after, PAGE).compose(page -> {
+            if (page.revision() < key.value()) {
+                // What an earlier leader recorded last could be missing: machines that hold tasks, above all.
+                return Future.failedFuture(new WireException("the state service lists what was there before this "
+                        + "leadership"));
+            }
             page.items().forEach(each);
-            long revision = first < 0 ? page.revision() : first;
+            // The oldest page counts: the watch then tells whatever a page does not have yet.
+            long revision = first < 0 ? page.revision() : Math.min(first, page.revision());
             if (page.more() && !page.items().isEmpty()) {
                 return page(prefix, page.items().get(page.items().size() - 1).key(), revision, each);
             }
--- /dev/null
+++ b/src/main/java/io/indigoreach/state/Freshness.java
@@ -0,0 +1,35 @@
+package io.indigoreach.state;
+
+/**
+ * Whether the state service keeps its word that no answer is older than one before. Its revision only grows; an answer
+ * with a lower one than this node knew when it asked comes from the past, and then reads are doubted for a while.
+ */
+final class Freshness {
+    /** So many reads are confirmed after a sign that the service answers with the past. */
+    static final int DOUBTED_READS = 1000;
+
+    private long highest;
+    private int doubted;
+
+    /** The highest revision told so far, to be taken note of as a request is sent. */
+    long highest() {
+        return highest;
+    }
+
+    /** An answer told its revision; {@code known} is what {@link #highest} was as its request was sent. */
+    void told(long known, long revision) {
+        if (revision < known) {
+            doubt();
+        }
+        highest = Math.max(highest, revision);
+    }
+
+    void doubt() {
+        doubted = DOUBTED_READS;
+    }
+
+    /** Counts a read: true if it is to be confirmed. */
+    boolean isDoubted() {
+        return doubted > 0 && doubted-- > 0;
+    }
+}
