Emulator of cloud, state service and workers; experiments; a command line

Change: packages emulator (a model without I/O, sockets round it), scenario (one file form with line and field in each fault), checker (the protocol's rules from a history), load, experiment (real controllers, report with plots), store (a write-ahead file and its bases), tools (picocli).

--- /dev/null
+++ b/src/main/java/io/indigoreach/emulator/CloudServer.java
@@ -0,0 +1,86 @@
+package io.indigoreach.emulator;
+
+import io.indigoreach.cloud.CloudCodec;
+import io.indigoreach.core.MachineId;
+import io.indigoreach.core.Moment;
+import io.indigoreach.emulator.model.CloudModel;
+import io.indigoreach.emulator.model.Gate;
+import io.indigoreach.net.Fields;
+import io.indigoreach.net.Reply;
+import io.indigoreach.net.SteadyClock;
+import io.indigoreach.net.Wire;
+import io.indigoreach.scenario.Deployment;
+import io.vertx.core.Future;
+import io.vertx.core.Vertx;
+import io.vertx.core.http.HttpMethod;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.function.Consumer;
+import java.util.random.RandomGenerator;
+
+/** The cloud on sockets: a listener for each node. What happens to its machines goes to {@code events}. */
+public final class CloudServer {
+    public static final String PARTY = "cloud";
+    private static final long TICK_MS = 20;
+
+    private final Vertx vertx;
+    private final SteadyClock clock;
+    private final Gate gate;
+    private final CloudModel model;
+    private final Consumer<CloudModel.Event> events;
+    private final List<GatedListener> listeners = new ArrayList<>();
+    private final long ticks;
+
+    /** To be made on the event loop that is to serve. */
+    public CloudServer(Vertx vertx, SteadyClock clock, Deployment deployment, Gate gate, RandomGenerator random,
+                       Consumer<CloudModel.Event> events) {
+        this.vertx = vertx;
+        this.clock = clock;
+        this.gate = gate;
+        this.events = events;
+        this.model = new CloudModel(deployment, random, clock.now());
+        this.ticks = vertx.setPeriodic(TICK_MS, t -> advance());
+    }
+
+    public CloudModel model() {
+        return model;
+    }
+
+    /** Lets happen what is due, and tells of it. */
+    void advance() {
+        model.advance(clock.now());
+        model.drain().forEach(events);
+    }
+
+    public Future<Integer> listen(String node, String host, int port) {
+        GatedListener listener = new GatedListener(vertx, clock, gate, node, PARTY, this::serve);
+        listeners.add(listener);
+        return listener.listen(host, port);
+    }
+
+    public Future<Void> close() {
+        vertx.cancelTimer(ticks);
+        return Future.join(listeners.stream().map(GatedListener::close).toList()).mapEmpty();
+    }
+
+    private void serve(GatedListener.Request r, Consumer<Reply> reply) {
+        Moment now = clock.now();
+        boolean post = r.is(HttpMethod.POST);
+        Reply answer;
+        try {
+            answer = switch (r.path()) {
+                case CloudCodec.TYPES -> model.types(now);
+                case CloudCodec.RETURN -> model.giveBack(now, CloudCodec.readNames(r.body()));
+                case CloudCodec.MACHINES -> post ? model.rent(now, CloudCodec.readRental(r.body()))
+                        : model.list(now, r.text(CloudCodec.AFTER) == null ? null
+                                : new MachineId(r.text(CloudCodec.AFTER)), (int) r.number(CloudCodec.MOST, 500));
+                default -> new Reply(404, new Fields(Wire.map("error", "no such path")));
+            };
+        } catch (IllegalArgumentException e) {
+            answer = new Reply(400, new Fields(Wire.map("error", e.getMessage())));
+        }
+        // A return is answered once the machines' workers are gone.
+        advance();
+        reply.accept(answer);
+    }
+}
--- /dev/null
+++ b/src/main/java/io/indigoreach/emulator/model/CloudModel.java
@@ -0,0 +1,361 @@
+package io.indigoreach.emulator.model;
+
+import io.indigoreach.cloud.CloudCodec;
+import io.indigoreach.core.ListedMachine;
+import io.indigoreach.core.MachineId;
+import io.indigoreach.core.MachineType;
+import io.indigoreach.core.Moment;
+import io.indigoreach.core.Pool;
+import io.indigoreach.core.Span;
+import io.indigoreach.net.Budget;
+import io.indigoreach.net.Fields;
+import io.indigoreach.net.Reply;
+import io.indigoreach.net.Wire;
+import io.indigoreach.scenario.Deployment;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.random.RandomGenerator;
+
+/** The cloud of the protocol without input or output: requests and the time go in, replies and what happens come out. */
+public final class CloudModel {
+    private static final Span LEAST_PAID = Span.seconds(60);
+    private static final Span PRICE_MOVES = Span.seconds(10);
+    private static final Span STILL_LISTED = Span.seconds(30);
+    private static final double BURST_S = 2;
+    private static final double HOUR_S = 3600;
+
+    /** Something that happens to a machine. */
+    public sealed interface Event {
+        Machine machine();
+
+        /** It is up: its worker starts. */
+        record Up(Machine machine) implements Event {
+        }
+
+        /** It is taken away at a time. */
+        record Notice(Machine machine, Moment until) implements Event {
+        }
+
+        /** It is gone with all that was on it. */
+        record Gone(Machine machine, String why) implements Event {
+        }
+    }
+
+    /** A rented machine. */
+    public static final class Machine {
+        private final MachineId id;
+        private final MachineType type;
+        private final Pool pool;
+        private final Moment rented;
+        private final double meterAtStart;
+        private final double speed;
+        private Moment up;
+        private Moment notice;
+        private Moment taken;
+        private Moment failed;
+        private Moment gone;
+        private boolean isUp;
+        private boolean warned;
+        private boolean listed;
+        private double cost;
+        private String address;
+
+        private Machine(MachineId id, MachineType type, Pool pool, Moment rented, double meter, double speed) {
+            this.id = id;
+            this.type = type;
+            this.pool = pool;
+            this.rented = rented;
+            this.meterAtStart = meter;
+            this.speed = speed;
+        }
+
+        public MachineId id() {
+            return id;
+        }
+
+        public MachineType type() {
+            return type;
+        }
+
+        public Pool pool() {
+            return pool;
+        }
+
+        /** How fast its tasks run, 1 being usual. */
+        public double speed() {
+            return speed;
+        }
+
+        /** Where its worker listens, once it is up. */
+        public void address(String at) {
+            address = at;
+        }
+
+        /** Empty while it is not known. */
+        public String address() {
+            return address == null ? "" : address;
+        }
+
+        public boolean isUp() {
+            return isUp && gone == null && failed == null;
+        }
+
+        private Moment chargedUntil(Moment now) {
+            return failed != null ? failed : gone != null ? gone : now;
+        }
+    }
+
+    private final Deployment deployment;
+    private final List<MachineType> types;
+    private final RandomGenerator random;
+    private final Budget requests;
+    private final TreeMap<MachineId, Machine> machines = new TreeMap<>();
+    private final Map<String, List<MachineId>> answered = new HashMap<>();
+    private final Map<String, Double> price = new HashMap<>();
+    private final Map<String, Double> meter = new HashMap<>();
+    private final List<Event> events = new ArrayList<>();
+    private Moment metered;
+    private Moment priceMoves;
+    private long names;
+    private boolean noBoot;
+
+    public CloudModel(Deployment deployment, RandomGenerator random, Moment now) {
+        this.deployment = deployment;
+        this.types = deployment.types();
+        this.random = random;
+        this.requests = new Budget(deployment.cloud().rps(), BURST_S, now);
+        this.metered = now;
+        this.priceMoves = now;
+        types.forEach(t -> price.put(t.name(), t.spotPrice()));
+    }
+
+    /** Machines asked for while this holds never come up. */
+    public void noBoot(boolean holds) {
+        noBoot = holds;
+    }
+
+    public Reply types(Moment now) {
+        advance(now);
+        if (!requests.take(1, now)) {
+            return tooMany();
+        }
+        return ok(CloudCodec.writeTypes(types.stream().map(t -> new MachineType(t.name(), t.capacity(), t.cacheGb(),
+                t.fetchGbPerS(), t.price(), price.get(t.name()), t.boot(), t.zones())).toList()));
+    }
+
+    public Reply rent(Moment now, CloudCodec.Rental r) {
+        advance(now);
+        if (!requests.take(1, now)) {
+            return tooMany();
+        }
+        MachineType type = types.stream().filter(t -> t.name().equals(r.pool().type())).findFirst().orElse(null);
+        if (type == null || !deployment.zones().contains(r.pool().zone()) || r.count() < 1
+                || r.count() > CloudCodec.MOST_RENTED || r.name().isEmpty()) {
+            return new Reply(400, new Fields(Wire.map("error", "no such type or zone, or not 1 to 50 machines")));
+        }
+        List<MachineId> known = answered.get(r.name());
+        if (known != null) {
+            return ok(CloudCodec.writeNames(known));
+        }
+        long used = machines.values().stream().filter(m -> m.gone == null && m.pool.equals(r.pool())).count();
+        long there = deployment.capacity().stream()
+                .filter(c -> c.type().equals(r.pool().type()) && c.zone().equals(r.pool().zone()))
+                .mapToLong(c -> r.pool().spot() ? c.spot() : c.count()).sum();
+        int n = (int) Math.min(r.count(), there - used);
+        if (n <= 0) {
+            return new Reply(503, new Fields(Wire.map("error", CloudCodec.NO_CAPACITY)));
+        }
+        List<MachineId> names = new ArrayList<>();
+        for (int i = 0; i < n; i++) {
+            names.add(create(now, type, r.pool()).id);
+        }
+        answered.put(r.name(), names);
+        return ok(CloudCodec.writeNames(names));
+    }
+
+    private Machine create(Moment now, MachineType type, Pool pool) {
+        MachineId id = new MachineId(String.format("vm-%06d", ++names));
+        Machine m = new Machine(id, type, pool, now, meter(pool), 0.95 + 0.1 * random.nextDouble());
+        double boots = random.nextDouble();
+        boolean never = noBoot || random.nextDouble() < deployment.cloud().bootNever();
+        double factor = boots < deployment.cloud().bootLate() ? 3 + 3 * random.nextDouble()
+                : 0.6 + 0.9 * random.nextDouble();
+        m.up = never ? null : now.plus(type.boot().times(factor));
+        double perHour = deployment.spot().perHour();
+        if (pool.spot() && perHour > 0) {
+            plan(m, now.plus(Span.seconds(random.nextExponential() * HOUR_S / perHour)),
+                    random.nextDouble() < deployment.spot().silent() ? 0 : deployment.spot().noticeS());
+        }
+        machines.put(id, m);
+        return m;
+    }
+
+    private void plan(Machine m, Moment taken, double noticeS) {
+        m.taken = taken;
+        m.notice = noticeS <= 0 ? null : taken.minus(Span.seconds(noticeS * (0.5 + random.nextDouble())));
+    }
+
+    public Reply giveBack(Moment now, List<MachineId> given) {
+        advance(now);
+        if (!requests.take(1, now)) {
+            return tooMany();
+        }
+        if (given.size() > CloudCodec.MOST_RETURNED) {
+            return new Reply(400, new Fields(Wire.map("error", "100 machines at most")));
+        }
+        for (MachineId id : given) {
+            Machine m = machines.get(id);
+            if (m != null && m.gone == null) {
+                end(m, now, "returned");
+            }
+        }
+        return ok(Map.of());
+    }
+
+    /** The list as it was a while ago, and now and then as it was before the list given last. */
+    public Reply list(Moment now, MachineId after, int most) {
+        advance(now);
+        if (!requests.take(1, now)) {
+            return tooMany();
+        }
+        double lag = deployment.cloud().listLagS();
+        Moment then = now.minus(Span.seconds(lag * (random.nextInt(6) == 0 ? 1 + random.nextDouble()
+                : 0.3 + 0.7 * random.nextDouble())));
+        List<CloudCodec.Listed> page = new ArrayList<>();
+        boolean more = false;
+        for (Machine m : (after == null ? machines : machines.tailMap(after, false)).values()) {
+            boolean there = (m.listed || !m.rented.isAfter(then)) && (m.gone == null || m.gone.isAfter(then));
+            if (!there) {
+                continue;
+            }
+            if (page.size() >= Math.min(Math.max(1, most), CloudCodec.MOST_LISTED)) {
+                more = true;
+                break;
+            }
+            m.listed = true;
+            boolean booted = m.isUp && !m.up.isAfter(then);
+            boolean stopped = m.failed != null && !m.failed.plus(STILL_LISTED).isAfter(then);
+            page.add(new CloudCodec.Listed(new ListedMachine(m.id, m.pool, stopped ? ListedMachine.Status.FAILED
+                    : booted ? ListedMachine.Status.RUNNING : ListedMachine.Status.STARTING,
+                    then.isBefore(m.rented) ? Span.ZERO : then.since(m.rented)), m.address()));
+        }
+        return ok(CloudCodec.writePage(new CloudCodec.Page(page, more)));
+    }
+
+    /** Spot machines are taken back: each with this chance, after {@code noticeS} or without notice. */
+    public void take(Moment now, double share, double noticeS) {
+        machines.values().stream().filter(m -> m.isUp() && m.pool.spot() && random.nextDouble() < share)
+                .forEach(m -> {
+                    plan(m, now.plus(Span.seconds(noticeS)), noticeS);
+                    m.notice = noticeS > 0 ? now : null;
+                });
+        advance(now);
+    }
+
+    /** Machines stop by themselves: each with this chance. */
+    public void die(Moment now, double share) {
+        for (Machine m : machines.values()) {
+            if (m.isUp() && random.nextDouble() < share) {
+                m.failed = now;
+                m.cost = cost(m, now);
+                events.add(new Event.Gone(m, "failed"));
+            }
+        }
+    }
+
+    /** Lets happen what is due. */
+    public void advance(Moment now) {
+        for (; !now.isBefore(priceMoves.plus(PRICE_MOVES)); priceMoves = priceMoves.plus(PRICE_MOVES)) {
+            meterTo(priceMoves.plus(PRICE_MOVES));
+            for (MachineType t : types) {
+                double moved = price.get(t.name()) * (0.93 + 0.14 * random.nextDouble());
+                price.put(t.name(), Math.max(t.spotPrice() * 2 / 3, Math.min(t.spotPrice() * 4 / 3, moved)));
+            }
+        }
+        meterTo(now);
+        for (Machine m : machines.values()) {
+            if (m.gone != null) {
+                continue;
+            }
+            if (!m.isUp && m.failed == null && m.up != null && !now.isBefore(m.up)) {
+                m.isUp = true;
+                events.add(new Event.Up(m));
+            }
+            if (m.isUp && !m.warned && m.notice != null && !now.isBefore(m.notice)) {
+                m.warned = true;
+                events.add(new Event.Notice(m, m.taken));
+            }
+            if (m.taken != null && !now.isBefore(m.taken)) {
+                end(m, now, "taken");
+            }
+        }
+    }
+
+    /** What happened since this was asked last. */
+    public List<Event> drain() {
+        List<Event> out = List.copyOf(events);
+        events.clear();
+        return out;
+    }
+
+    private void end(Machine m, Moment now, String why) {
+        if (m.failed == null) {
+            double least = why.equals("returned") ? Math.max(0, LEAST_PAID.minus(now.since(m.rented)).seconds()) : 0;
+            m.cost = cost(m, now) + least / HOUR_S * (m.pool.spot() ? price.get(m.type.name()) : m.type.price());
+            events.add(new Event.Gone(m, why));
+        }
+        m.gone = now;
+    }
+
+    /** The money spent so far, on all machines. */
+    public double spent(Moment now) {
+        advance(now);
+        return machines.values().stream().mapToDouble(m -> m.gone != null || m.failed != null ? m.cost : cost(m, now))
+                .sum();
+    }
+
+    /** How many machines there are: booting, up, failed. */
+    public int[] counts() {
+        int[] n = new int[3];
+        for (Machine m : machines.values()) {
+            if (m.gone == null) {
+                n[m.failed != null ? 2 : m.isUp ? 1 : 0]++;
+            }
+        }
+        return n;
+    }
+
+    /** All machines that ever were, by name. */
+    public List<Machine> machines() {
+        return List.copyOf(machines.values());
+    }
+
+    private double cost(Machine m, Moment now) {
+        return m.pool.spot() ? meter(m.pool) - m.meterAtStart
+                : m.type.price() * m.chargedUntil(now).since(m.rented).seconds() / HOUR_S;
+    }
+
+    /** What one spot machine of the type would have cost so far; each price counts while it holds. */
+    private double meter(Pool pool) {
+        return meter.getOrDefault(pool.type(), 0.0);
+    }
+
+    private void meterTo(Moment now) {
+        double s = now.since(metered).seconds();
+        if (s > 0) {
+            types.forEach(t -> meter.merge(t.name(), price.get(t.name()) * s / HOUR_S, Double::sum));
+            metered = now;
+        }
+    }
+
+    private static Reply ok(Map<String, Object> body) {
+        return new Reply(200, new Fields(body));
+    }
+
+    private static Reply tooMany() {
+        return new Reply(429, new Fields(Wire.map("error", "too many requests")));
+    }
+}
--- /dev/null
+++ b/src/main/java/io/indigoreach/experiment/Figures.java
@@ -0,0 +1,144 @@
+package io.indigoreach.experiment;
+
+import io.indigoreach.checker.Event;
+import io.indigoreach.core.JobId;
+import io.indigoreach.core.JobSpec;
+import io.indigoreach.core.Moment;
+import io.indigoreach.core.TaskId;
+import io.indigoreach.load.Users;
+import io.indigoreach.scenario.Deployment;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.HdrHistogram.Histogram;
+
+/** What an experiment's history comes to: latencies, the queue over time, work done for the money, aims. */
+final class Figures {
+    private static final long LONGEST_MS = 24L * 3600 * 1000;
+    private static final int DIGITS = 3;
+
+    /** Tasks that wait and run at a time in seconds. */
+    record Point(double atS, int waiting, int running) {
+    }
+
+    /** How an aim was met: the share that did. */
+    record AimResult(String text, double wanted, double met, int of) {
+        boolean isMet() {
+            return of == 0 || met >= wanted;
+        }
+    }
+
+    final Map<String, Histogram> latencies = new LinkedHashMap<>();
+    final List<Point> queue = new ArrayList<>();
+    final List<AimResult> aims = new ArrayList<>();
+    final Map<String, Integer> causes = new LinkedHashMap<>();
+    int starts;
+    int tasksDone;
+    double usefulCoreS;
+    double lostCoreS;
+
+    private final Experiment.Outcome outcome;
+    private final Map<TaskId, Moment> firstRun = new HashMap<>();
+
+    Figures(Experiment.Outcome outcome) {
+        this.outcome = outcome;
+        for (String name : List.of("submission accepted", "task waits", "job over", "poll answered")) {
+            latencies.put(name, new Histogram(LONGEST_MS, DIGITS));
+        }
+        walk();
+        for (Users.Mine m : outcome.jobs()) {
+            record("submission accepted", m.acceptedAfter() == null ? -1 : m.acceptedAfter().ms());
+            record("job over", m.overAfter() == null ? -1 : m.overAfter().ms());
+        }
+        outcome.scenario().deployment().aim().forEach(a -> aims.add(judge(a)));
+    }
+
+    private void record(String name, long ms) {
+        if (ms >= 0) {
+            latencies.get(name).recordValue(Math.min(ms, LONGEST_MS));
+        }
+    }
+
+    private void walk() {
+        Map<JobId, JobSpec> specs = new HashMap<>();
+        Map<JobId, Moment> submitted = new HashMap<>();
+        Map<String, Moment> running = new HashMap<>();
+        Set<TaskId> done = new HashSet<>();
+        Set<JobId> gone = new HashSet<>();
+        int[] waiting = {0};
+        List<Event> events = new ArrayList<>(outcome.history().events());
+        events.sort(java.util.Comparator.comparing(Event::at));
+        for (Event e : events) {
+            if (e instanceof Event.Submitted s && specs.putIfAbsent(s.spec().id(), s.spec()) == null) {
+                submitted.put(s.spec().id(), s.at());
+                waiting[0] += s.spec().tasks();
+            } else if (e instanceof Event.Running r) {
+                starts++;
+                running.put(r.machine() + " " + r.task() + " " + r.attempt(), r.at());
+                waiting[0]--;
+                if (firstRun.putIfAbsent(r.task(), r.at()) == null && submitted.containsKey(r.task().job())) {
+                    record("task waits", r.at().since(submitted.get(r.task().job())).ms());
+                }
+            } else if (e instanceof Event.Off off) {
+                Moment from = running.remove(off.machine() + " " + off.task() + " " + off.attempt());
+                JobSpec spec = specs.get(off.task().job());
+                causes.merge(off.why(), 1, Integer::sum);
+                boolean isDone = off.why().equals("done");
+                if (isDone && done.add(off.task())) {
+                    tasksDone++;
+                } else if (!isDone && !gone.contains(off.task().job())) {
+                    waiting[0]++;
+                }
+                if (from != null && spec != null) {
+                    double coreS = off.at().since(from).seconds() * spec.demand().cores();
+                    usefulCoreS += isDone || spec.isService() ? coreS : 0;
+                    lostCoreS += isDone || spec.isService() ? 0 : coreS;
+                }
+            } else if (e instanceof Event.CancelAsked c && specs.containsKey(c.job()) && gone.add(c.job())) {
+                int over = 0;
+                for (int i = 0; i < specs.get(c.job()).tasks(); i++) {
+                    over += done.contains(new TaskId(c.job(), i)) ? 1 : 0;
+                }
+                int runs = (int) running.keySet().stream().filter(k -> k.contains(" " + c.job() + "/")).count();
+                waiting[0] -= specs.get(c.job()).tasks() - over - runs;
+            } else if (e instanceof Event.Answered a && a.question() == Event.Question.POLL && a.status() != null) {
+                record("poll answered", a.at().since(a.asked()).ms());
+            }
+            double at = e.at().since(outcome.start()).seconds();
+            if (queue.isEmpty() || at - queue.get(queue.size() - 1).atS >= 0.25) {
+                queue.add(new Point(at, Math.max(0, waiting[0]), running.size()));
+            }
+        }
+    }
+
+    private AimResult judge(Deployment.Aim aim) {
+        int of = 0;
+        int met = 0;
+        for (Users.Mine m : outcome.jobs()) {
+            JobSpec spec = m.spec();
+            if (!spec.jobClass().equals(aim.jobClass()) || m.isRefused()
+                    || m.status() == io.indigoreach.core.JobStatus.CANCELLED) {
+                continue;
+            }
+            if (aim.kind().equals("wait")) {
+                of += spec.tasks();
+                for (int i = 0; i < spec.tasks(); i++) {
+                    Moment ran = firstRun.get(new TaskId(spec.id(), i));
+                    met += ran != null && ran.since(m.asked()).seconds() <= aim.withinS() ? 1 : 0;
+                }
+            } else {
+                double within = aim.kind().equals("deadline") ? spec.due() == null ? Double.MAX_VALUE
+                        : spec.due().seconds() : aim.withinS();
+                of++;
+                met += m.overAfter() != null && m.overAfter().seconds() <= within ? 1 : 0;
+            }
+        }
+        String text = aim.kind() + " " + aim.jobClass() + (aim.kind().equals("deadline") ? "" : " within "
+                + aim.withinS() + " s");
+        return new AimResult(text, aim.share(), of == 0 ? 1 : (double) met / of, of);
+    }
+}
--- /dev/null
+++ b/src/main/java/io/indigoreach/scenario/Fault.java
@@ -0,0 +1,76 @@
+package io.indigoreach.scenario;
+
+/** Something that goes wrong for a while. Parties are {@code node-0}…, {@code state}, {@code cloud}, {@code workers}, {@code users}. */
+public record Fault(
+        @Setting("what goes wrong") Kind kind,
+        @Setting(value = "when, s from the start") double atS,
+        @Setting(value = "for how long, s", standard = "0") double forS,
+        @Setting(value = "who calls; empty: anyone", standard = "") String from,
+        @Setting(value = "who is called; empty: anyone", standard = "") String to,
+        @Setting(value = "share of the messages or machines hit", standard = "1", most = 1) double share,
+        @Setting(value = "refuse: the status", standard = "503", least = 400, most = 599) int status,
+        @Setting(value = "slow, late, repeat: by how much, s", standard = "1", most = 600) double delayS,
+        @Setting(value = "stale: how many revisions old", standard = "3", least = 1, most = 10_000) int behind,
+        @Setting(value = "only requests that change something", standard = "false") boolean writes,
+        @Setting(value = "take: notice, s; 0: none", standard = "0") double noticeS) {
+
+    /** The kinds of faults. */
+    public enum Kind {
+        /** Answers take {@code delay_s} longer, give or take half. */
+        SLOW,
+        /** Refused with {@code status}, not executed. */
+        REFUSE,
+        /** Neither executed nor answered. */
+        LOSE_REQUEST,
+        /** Executed, but not answered. */
+        LOSE_ANSWER,
+        /** Not answered, and executed {@code delay_s} later. */
+        LATE,
+        /** Executed and answered, and executed once more {@code delay_s} later. */
+        REPEAT,
+        /** Reads answer with what was there some revisions ago. */
+        STALE,
+        /** Packets are held back and delivered when it is over. */
+        HOLD,
+        /** Connections are reset. */
+        RESET,
+        /** The state service (or the cloud, by {@code to}) is down for everyone. */
+        OUTAGE,
+        /** A controller, named by {@code to}, is killed; it comes back after {@code for_s}. */
+        KILL,
+        /** A controller, named by {@code to}, is stopped for a while and goes on as if nothing had been. */
+        PAUSE,
+        /** Machines are taken back, with {@code notice_s} or without notice. */
+        TAKE,
+        /** Machines stop by themselves. */
+        DIE,
+        /** Machines hang and go on when it is over. */
+        HANG,
+        /** Machines fail every task that they start. */
+        SPOIL,
+        /** Machines asked for meanwhile never come up. */
+        NO_BOOT;
+
+        boolean isOnMessages() {
+            return ordinal() <= RESET.ordinal();
+        }
+    }
+
+    public Fault {
+        if ((kind == Kind.KILL || kind == Kind.PAUSE) && !to.startsWith("node-")) {
+            throw new IllegalArgumentException("to: names the controller, such as node-0");
+        }
+        if (kind == Kind.OUTAGE && !to.equals("state") && !to.equals("cloud")) {
+            throw new IllegalArgumentException("to: an outage is of state or cloud");
+        }
+    }
+
+    public double endsS() {
+        return atS + forS;
+    }
+
+    /** Whether it hits messages, by chance; other faults happen to a party or to machines. */
+    public boolean isOnMessages() {
+        return kind.isOnMessages();
+    }
+}
--- /dev/null
+++ b/src/main/java/io/indigoreach/scenario/JobFile.java
@@ -0,0 +1,50 @@
+package io.indigoreach.scenario;
+
+import io.indigoreach.core.Demand;
+import io.indigoreach.core.JobId;
+import io.indigoreach.core.JobSpec;
+import io.indigoreach.core.Shape;
+import io.indigoreach.core.Span;
+import io.indigoreach.core.Urgency;
+import java.util.List;
+
+/** A job as people write it down to submit it. */
+public record JobFile(
+        @Setting(value = "id, run- and digits; empty: one is made up", standard = "") String id,
+        @Setting("class of jobs it belongs to, for which aims are set") String jobClass,
+        @Setting("team that it counts for") String team,
+        @Setting(value = "array: each task runs to its end; service: until it is cancelled", standard = "array")
+        Shape shape,
+        @Setting(value = "priority", standard = "standard") Urgency urgency,
+        @Setting(value = "tasks", standard = "1", least = 1, most = 100_000) int tasks,
+        @Setting(value = "cores of a task", standard = "1") double cores,
+        @Setting(value = "accelerators of a task", standard = "0") double gpus,
+        @Setting(value = "memory of a task, GB", standard = "1") double ramGb,
+        @Setting("image that a task needs") String image,
+        @Setting(value = "size of the image, GB", standard = "0") double imageGb,
+        @Setting("allowed machine types; none: any") List<String> machineType,
+        @Setting(value = "the only allowed zone; empty: any", standard = "") String zone,
+        @Setting(value = "all tasks in one zone", standard = "false") boolean oneZone,
+        @Setting(value = "at most half of the tasks in one zone", standard = "false") boolean spread,
+        @Setting(value = "may use spot machines", standard = "true") boolean spot,
+        @Setting(value = "estimated run time of a task, s; 0 for services", standard = "0") double estimateS,
+        @Setting(value = "a checkpoint every, s of progress; 0: none", standard = "0") double checkpointEveryS,
+        @Setting(value = "time to save when stopped, s", standard = "0") double checkpointS,
+        @Setting(value = "complete within, s of the submission; 0: no deadline", standard = "0") double dueS,
+        @Setting(value = "emulator only: what a task really takes, s; 0: as estimated", standard = "0") double emulatedS,
+        @Setting(value = "emulator only: every task fails", standard = "false") boolean emulatedFails) {
+
+    public JobFile {
+        if (!id.isEmpty() && !JobId.isValid(id)) {
+            throw new IllegalArgumentException("id: must be run- and up to 18 digits");
+        }
+    }
+
+    /** The job, with {@code made} as its id if the file names none. */
+    public JobSpec spec(JobId made) {
+        return new JobSpec(id.isEmpty() ? made : new JobId(id), jobClass, team, shape, urgency, tasks,
+                new Demand(cores, gpus, ramGb), image, imageGb, machineType.isEmpty() ? null : machineType,
+                zone.isEmpty() ? null : zone, oneZone, spread, spot, Span.seconds(estimateS),
+                Span.seconds(checkpointEveryS), Span.seconds(checkpointS), dueS <= 0 ? null : Span.seconds(dueS));
+    }
+}
--- /dev/null
+++ b/src/main/java/io/indigoreach/tools/Cluster.java
@@ -0,0 +1,168 @@
+package io.indigoreach.tools;
+
+import io.indigoreach.api.JobCodec;
+import io.indigoreach.cloud.CloudClient;
+import io.indigoreach.config.ConfigException;
+import io.indigoreach.core.JobId;
+import io.indigoreach.core.JobSpec;
+import io.indigoreach.core.ListedMachine;
+import io.indigoreach.core.Moment;
+import io.indigoreach.core.Span;
+import io.indigoreach.emulator.DepotCodec;
+import io.indigoreach.emulator.model.Depot;
+import io.indigoreach.net.Caller;
+import io.indigoreach.net.Endpoint;
+import io.indigoreach.net.Reply;
+import io.indigoreach.net.SteadyClock;
+import io.indigoreach.state.RecordCodec;
+import io.indigoreach.state.StateClient;
+import io.vertx.core.Future;
+import io.vertx.core.Vertx;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
+import picocli.CommandLine.Option;
+
+/** A cluster as the verbs see it: asks its nodes in turn until one answers. Calls wait for their answers. */
+final class Cluster implements AutoCloseable {
+    private static final Span PATIENCE = Span.seconds(5);
+    private static final Span TRIES_FOR = Span.seconds(60);
+    private static final Span RETRY = Span.seconds(1);
+    private static final int PAGE = 500;
+
+    /** The option that names the cluster. */
+    static final class Choice {
+        @Option(names = "--cluster", paramLabel = "FILE", defaultValue = "${env:INDIGOREACH_CLUSTER:-.indigoreach/"
+                + ClusterFile.NAME + "}", description = "where the cluster is reached; default: $INDIGOREACH_CLUSTER, or "
+                + ".indigoreach/" + ClusterFile.NAME)
+        private Path file;
+
+        @Option(names = "--json", description = "print JSON")
+        boolean json;
+
+        Cluster open() throws ConfigException {
+            return new Cluster(ClusterFile.read(file));
+        }
+    }
+
+    private final Vertx vertx = Vertx.vertx();
+    private final SteadyClock clock = new SteadyClock();
+    private final ClusterFile file;
+    private final List<Caller> nodes = new ArrayList<>();
+    private int turn;
+
+    Cluster(ClusterFile file) {
+        this.file = file;
+        file.node().forEach(n -> nodes.add(new Caller(vertx, Endpoint.parse(n), 2)));
+    }
+
+    /** Submits a job; with an emulator, uploads first what its tasks do. */
+    JobCodec.Progress submit(JobSpec spec, Depot.Conduct conduct) {
+        if (!file.depot().isEmpty()) {
+            Caller depot = new Caller(vertx, Endpoint.parse(file.depot()), 1);
+            Reply r = await(depot.post(DepotCodec.UPLOAD, DepotCodec.write(new DepotCodec.Upload(spec, conduct)), PATIENCE));
+            if (!r.isOk()) {
+                throw new Failure(Tool.WRONG, "the depot refuses the job: " + r.body().optionalText("error"));
+            }
+        }
+        return JobCodec.readProgress(ask(JobCodec.JOBS, JobCodec.write(spec)).body());
+    }
+
+    /** How a job stands; null if there is none. */
+    JobCodec.Progress status(JobId id) {
+        Reply r = ask(JobCodec.JOBS + "/" + id, null);
+        return r.status() == 404 ? null : JobCodec.readProgress(r.body());
+    }
+
+    /** The state after cancelling; null if there is no such job. */
+    JobCodec.Progress cancel(JobId id) {
+        Reply r = ask(JobCodec.JOBS + "/" + id + JobCodec.CANCEL, Map.of());
+        return r.status() == 404 ? null : JobCodec.readProgress(r.body());
+    }
+
+    /** Every open job as recorded, read page by page from the state service. */
+    List<io.indigoreach.state.JobRecord> openJobs() {
+        StateClient state = state();
+        List<io.indigoreach.state.JobRecord> jobs = new ArrayList<>();
+        String after = null;
+        for (boolean more = true; more;) {
+            StateClient.Page page = await(state.list(RecordCodec.OPEN, after, PAGE));
+            for (StateClient.Entry e : page.items()) {
+                jobs.add(RecordCodec.readJob(RecordCodec.jobOf(e.key()), e.value(), e.stamp()));
+                after = e.key();
+            }
+            more = page.more();
+        }
+        return jobs;
+    }
+
+    List<ListedMachine> machines() {
+        if (file.cloud().isEmpty()) {
+            throw new Failure(Tool.WRONG, "the cluster's file names no cloud");
+        }
+        return await(new CloudClient(new Caller(vertx, Endpoint.parse(file.cloud()), 1)).list());
+    }
+
+    private StateClient state() {
+        if (file.state().isEmpty()) {
+            throw new Failure(Tool.WRONG, "the cluster's file names no state service");
+        }
+        Caller caller = new Caller(vertx, Endpoint.parse(file.state()), 1);
+        return new StateClient(caller, caller);
+    }
+
+    /** Tries the nodes in turn for a minute; a refusal for good is a {@link Failure}. */
+    private Reply ask(String path, Map<String, Object> body) {
+        Moment until = clock.now().plus(TRIES_FOR);
+        String last = "no node answers";
+        while (clock.now().isBefore(until)) {
+            Caller node = nodes.get(turn % nodes.size());
+            try {
+                Reply r = await(body == null ? node.get(path, PATIENCE) : node.post(path, body, PATIENCE));
+                if (r.status() == 200 || r.status() == 201 || r.status() == 404) {
+                    return r;
+                }
+                last = r.status() + " " + r.body().optionalText("error");
+                if (r.status() == 400 || r.status() == 422) {
+                    throw new Failure(Tool.WRONG, "refused: " + last);
+                }
+            } catch (Failure e) {
+                if (e.code() != Tool.UNREACHABLE) {
+                    throw e;
+                }
+                last = e.getMessage();
+            }
+            turn++;
+            pause();
+        }
+        throw new Failure(Tool.UNREACHABLE, "not answered for " + (int) TRIES_FOR.seconds() + " s: " + last);
+    }
+
+    private static void pause() {
+        try {
+            Thread.sleep(RETRY.ms());
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            throw new Failure(Tool.WRONG, "interrupted");
+        }
+    }
+
+    private static <T> T await(Future<T> future) {
+        try {
+            return future.toCompletionStage().toCompletableFuture().get(PATIENCE.ms() * 2, TimeUnit.MILLISECONDS);
+        } catch (ExecutionException e) {
+            throw new Failure(Tool.UNREACHABLE, e.getCause().getMessage());
+        } catch (TimeoutException | InterruptedException e) {
+            throw new Failure(Tool.UNREACHABLE, "no answer in time");
+        }
+    }
+
+    @Override
+    public void close() {
+        vertx.close();
+    }
+}
--- /dev/null
+++ b/src/main/java/io/indigoreach/tools/JobsVerb.java
@@ -0,0 +1,34 @@
+package io.indigoreach.tools;
+
+import io.indigoreach.config.ConfigException;
+import io.indigoreach.state.JobRecord;
+import io.vertx.core.json.JsonObject;
+import java.util.Locale;
+import java.util.concurrent.Callable;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Mixin;
+
+/** Lists the open jobs. */
+@Command(name = "jobs", mixinStandardHelpOptions = true,
+        description = "Lists the open jobs as the state service has them; their counts lag by some seconds.")
+final class JobsVerb implements Callable<Integer> {
+    @Mixin
+    private Cluster.Choice cluster;
+
+    @Override
+    public Integer call() throws ConfigException {
+        try (Cluster c = cluster.open()) {
+            for (JobRecord r : c.openJobs()) {
+                String status = r.status().name().toLowerCase(Locale.ROOT);
+                System.out.println(cluster.json
+                        ? new JsonObject().put("id", r.id().text()).put("class", r.spec().jobClass())
+                                .put("team", r.spec().team()).put("status", status).put("tasks", r.spec().tasks())
+                                .put("done", r.doneCount()).put("running", r.running()).encode()
+                        : String.format(Locale.ROOT, "%-24s %-20s %-14s %-8s %6d tasks %6d done %6d running", r.id(),
+                                r.spec().jobClass(), r.spec().team(), status, r.spec().tasks(), r.doneCount(),
+                                r.running()));
+            }
+        }
+        return Tool.DONE;
+    }
+}
--- /dev/null
+++ b/src/test/java/io/indigoreach/emulator/LocalCluster.java
@@ -0,0 +1,168 @@
+package io.indigoreach.emulator;
+
+import io.indigoreach.checker.Breach;
+import io.indigoreach.checker.Checker;
+import io.indigoreach.checker.Event;
+import io.indigoreach.checker.History;
+import io.indigoreach.cluster.Node;
+import io.indigoreach.config.ConfigException;
+import io.indigoreach.config.PlatformConfig;
+import io.indigoreach.config.Settings;
+import io.indigoreach.core.Demand;
+import io.indigoreach.core.JobId;
+import io.indigoreach.core.JobSpec;
+import io.indigoreach.core.Shape;
+import io.indigoreach.core.Span;
+import io.indigoreach.core.Urgency;
+import io.indigoreach.emulator.model.Depot;
+import io.indigoreach.load.Users;
+import io.indigoreach.net.Endpoint;
+import io.indigoreach.net.SteadyClock;
+import io.indigoreach.scenario.Deployment;
+import io.indigoreach.scenario.Scenario;
+import io.indigoreach.scenario.TextForm;
+import io.vertx.core.Future;
+import io.vertx.core.Promise;
+import io.vertx.core.Vertx;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.SplittableRandom;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Predicate;
+import java.util.function.UnaryOperator;
+
+/** The emulator with controllers and users in this process, for tests; times are short, but proportioned as usual. */
+final class LocalCluster implements AutoCloseable {
+    static final long PATIENCE_S = 60;
+    private static final String SCENARIO = """
+            name: "test"
+            seed: 5
+            deployment {
+              controllers: %d
+              zones: "a"
+              zones: "b"
+              state { rps: 400 write_rps: 200 value_kb: 8 }
+              cloud { rps: 20 list_lag_s: 0.3 boot_never: 0 boot_late: 0 }
+              workers { report_s: 0.5 lease_s: 3 cancel_s: 9 }
+              spot { per_hour: 0 }
+              machine_type { name: "quad" cores: 4 ram_gb: 16 price: 1 spot_price: 0.3 boot_s: 0.4 fetch_gb_per_s: 10 }
+              capacity { type: "quad" zone: "a" count: 6 spot: 6 }
+              capacity { type: "quad" zone: "b" count: 6 spot: 6 }
+              team { name: "t" }
+            }
+            %s
+            """;
+
+    final Vertx vertx = Vertx.vertx();
+    final SteadyClock clock = new SteadyClock();
+    final History history = new History();
+    final Scenario scenario;
+    final Emulator emulator;
+    private final List<Node> nodes = new ArrayList<>();
+    private final List<Vertx> runtimes = new ArrayList<>();
+    private Users users;
+
+    LocalCluster(int controllers, String faults) throws Exception {
+        scenario = TextForm.parse("test", SCENARIO.formatted(controllers, faults), Scenario.class);
+        emulator = await(Emulator.start(vertx, scenario, Emulator.Place.LOOPBACK, history));
+    }
+
+    static <T> T await(Future<T> future) throws Exception {
+        return future.toCompletionStage().toCompletableFuture().get(PATIENCE_S, TimeUnit.SECONDS);
+    }
+
+    /** Starts every controller as it is. */
+    LocalCluster start() throws Exception {
+        for (PlatformConfig c : emulator.nodes()) {
+            start(c);
+        }
+        return this;
+    }
+
+    /** Starts a controller with settings of the test's; the result is its port. */
+    int start(PlatformConfig config) throws Exception {
+        Vertx runtime = Vertx.vertx();
+        Promise<Integer> port = Promise.promise();
+        history.add(new Event.Process(clock.now(), config.node(), true));
+        runtime.runOnContext(v -> {
+            try {
+                Node node = new Node(runtime, config, Settings.standard());
+                nodes.add(node);
+                runtimes.add(runtime);
+                node.start().onComplete(port);
+            } catch (ConfigException e) {
+                port.fail(e);
+            }
+        });
+        return await(port.future());
+    }
+
+    /** Ends the n-th controller that was started, connections and all. */
+    void stop(int n) throws Exception {
+        await(runtimes.get(n).close());
+    }
+
+    Users users() {
+        if (users == null) {
+            users = new Users(vertx, clock, emulator.gate(), new SplittableRandom(3), history,
+                    emulator.nodes().stream().map(PlatformConfig::node).toList(),
+                    emulator.nodes().stream().map(PlatformConfig::listen).toList());
+        }
+        return users;
+    }
+
+    static JobSpec job(int n, int tasks, double runS) {
+        return job(n, tasks, runS, spec -> spec);
+    }
+
+    static JobSpec job(int n, int tasks, double runS, UnaryOperator<JobSpec> change) {
+        return change.apply(new JobSpec(new JobId("run-" + n), "c", "t", Shape.ARRAY, Urgency.STANDARD, tasks,
+                new Demand(1, 0, 1), "image", 0.5, null, null, false, false, true, Span.seconds(runS), Span.ZERO, Span.ZERO,
+                null));
+    }
+
+    /** Runs a job to its end, with polls of every half second. */
+    Future<Users.Mine> run(JobSpec spec, double cancelAfterS) {
+        Promise<Users.Mine> over = Promise.promise();
+        emulator.upload(new DepotCodec.Upload(spec, new Depot.Conduct(spec.estimate(), 0.1, false)))
+                .onSuccess(v -> vertx.runOnContext(c -> users().run(spec, cancelAfterS <= 0 ? null
+                        : Span.seconds(cancelAfterS), Span.seconds(0.5)).onComplete(over)));
+        return over.future();
+    }
+
+    /** Waits until so many events of a kind were seen. */
+    void awaitEvents(Predicate<Event> kind, int count) throws Exception {
+        Promise<Void> seen = Promise.promise();
+        vertx.setPeriodic(50, t -> {
+            if (history.events().stream().filter(kind).count() >= count) {
+                vertx.cancelTimer(t);
+                seen.tryComplete();
+            }
+        });
+        await(seen.future());
+    }
+
+    List<Breach> breaches() {
+        Deployment d = scenario.deployment();
+        return Checker.check(history, emulator.startedAt(), Span.seconds(d.workers().cancelS()),
+                d.team().stream().map(Deployment.Team::rules).toList());
+    }
+
+    /** The same settings with other addresses: where it listens for users and workers, and of its state service. */
+    static PlatformConfig with(PlatformConfig c, Endpoint listen, Endpoint state) {
+        return new PlatformConfig(c.node(), c.zone(), listen, c.peerListen(), c.peers(), c.cloud(), state, c.zones(),
+                c.clockOff(), c.teams(), c.objectives(), c.rules(), c.stateLimits(), c.cloudLimits(), c.maxConnections());
+    }
+
+    @Override
+    public void close() throws Exception {
+        for (Vertx runtime : runtimes) {
+            await(runtime.close());
+        }
+        if (users != null) {
+            await(users.close());
+        }
+        await(emulator.close());
+        await(vertx.close());
+    }
+}
--- /dev/null
+++ b/src/test/java/io/indigoreach/emulator/StateServerTest.java
@@ -0,0 +1,208 @@
+package io.indigoreach.emulator;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.indigoreach.api.Answer;
+import io.indigoreach.api.JobDesk;
+import io.indigoreach.checker.History;
+import io.indigoreach.config.ConfigException;
+import io.indigoreach.config.PlatformConfig.StateLimits;
+import io.indigoreach.core.JobId;
+import io.indigoreach.core.JobStatus;
+import io.indigoreach.core.Span;
+import io.indigoreach.core.Stamp;
+import io.indigoreach.emulator.model.Gate;
+import io.indigoreach.net.Caller;
+import io.indigoreach.net.Endpoint;
+import io.indigoreach.net.Reply;
+import io.indigoreach.net.SteadyClock;
+import io.indigoreach.net.Wire;
+import io.indigoreach.scenario.Fault;
+import io.indigoreach.scenario.TextForm;
+import io.indigoreach.state.RecordCodec;
+import io.indigoreach.state.StateClient;
+import io.vertx.core.Future;
+import io.vertx.core.Promise;
+import io.vertx.core.Vertx;
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.http.HttpMethod;
+import io.vertx.core.net.NetSocket;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.BitSet;
+import java.util.List;
+import java.util.SplittableRandom;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+/** The state service over sockets, as its clients meet it. */
+class StateServerTest {
+    private static final int SILENT = 2000;
+    private final Vertx vertx = Vertx.vertx();
+    private final SteadyClock clock = new SteadyClock();
+    @TempDir
+    private Path data;
+    private StateServer server;
+    private int port;
+
+    @AfterEach
+    void close() throws Exception {
+        LocalCluster.await(server.close());
+        LocalCluster.await(vertx.close());
+    }
+
+    private StateClient open(Path directory, int at, String... faults) throws Exception {
+        Promise<Integer> listening = Promise.promise();
+        vertx.runOnContext(v -> {
+            try {
+                server = new StateServer(vertx, clock, new StateLimits(1e6, 1e6, 8192, 16), gate(faults),
+                        new SplittableRandom(1), new History(), directory, e -> {
+                        });
+                server.listen("node-0", "127.0.0.1", at).onComplete(listening);
+            } catch (Exception e) {
+                listening.fail(e);
+            }
+        });
+        port = LocalCluster.await(listening.future());
+        return client();
+    }
+
+    private Gate gate(String... faults) throws ConfigException {
+        List<Fault> list = new ArrayList<>();
+        for (String f : faults) {
+            list.add(TextForm.parse("f", f, Fault.class));
+        }
+        return new Gate(list, new SplittableRandom(1), clock.now());
+    }
+
+    private StateClient client() {
+        Endpoint e = new Endpoint("127.0.0.1", port);
+        return new StateClient(new Caller(vertx, e, 4), new Caller(vertx, e, 2));
+    }
+
+    private static boolean fails(Future<?> future) throws Exception {
+        return LocalCluster.await(future.map(v -> false).otherwise(true));
+    }
+
+    private static StateClient.Txn put(String key, long n) {
+        return new StateClient.Txn().put(key, Wire.map("n", n));
+    }
+
+    /** Ended in the middle and started again on the same address, with clients connected: all that was answered is there. */
+    @Test
+    void isDurableWithClientsConnected() throws Exception {
+        StateClient client = open(data, 0);
+        long lease = LocalCluster.await(client.grant(Span.seconds(30)));
+        List<Future<StateClient.Outcome>> writes = new ArrayList<>();
+        for (int i = 0; i < 150; i++) {
+            writes.add(client.commit(put("k/" + i, i)));
+        }
+        LocalCluster.await(Future.all(writes));
+        LocalCluster.await(client.commit(new StateClient.Txn().put("leased", Wire.map("n", 1), lease).delete("k/0")));
+        Future<StateClient.Changes> watch = client.watch("k/", server.model().revision(), Span.seconds(30));
+        // What is on the disk at this moment is what a process that is killed now leaves.
+        Path copy = data.resolveSibling("copy");
+        Files.createDirectories(copy);
+        try (var files = Files.list(data)) {
+            for (Path p : files.toList()) {
+                Files.copy(p, copy.resolve(p.getFileName()));
+            }
+        }
+        LocalCluster.await(server.close());
+        assertTrue(fails(watch));
+        open(copy, port);
+        assertEquals(149, LocalCluster.await(client.list("k/", null, 1000).recover(e -> client.list("k/", null, 1000)))
+                .items().size());
+        assertTrue(LocalCluster.await(client.renew(lease)));
+        assertEquals(1, LocalCluster.await(client.get("leased")).value().whole("n"));
+        assertEquals(152, LocalCluster.await(client.commit(put("k/0", 1))).revision());
+    }
+
+    /** A transaction that is executed late, after its client gave up and repeated it, fails on its condition. */
+    @Test
+    void executesLate() throws Exception {
+        StateClient client = open(null, 0, "kind: late at_s: 0 for_s: 0.5 writes: true delay_s: 0.6");
+        Future<StateClient.Outcome> first = client.commit(put("a", 1).when("a", Stamp.ABSENT));
+        Promise<Void> later = Promise.promise();
+        vertx.setTimer(510, t -> later.complete());
+        LocalCluster.await(later.future());
+        assertTrue(LocalCluster.await(client.commit(put("a", 2).when("a", Stamp.ABSENT))).done());
+        assertTrue(fails(first), "it got no answer");
+        assertEquals(2, LocalCluster.await(client.get("a")).value().whole("n"));
+        assertEquals(1, server.model().revision());
+    }
+
+    /** A lost answer: executed all the same, so that the repeated one finds its key written. */
+    @Test
+    void losesAnswers() throws Exception {
+        StateClient client = open(null, 0, "kind: lose_answer at_s: 0 for_s: 0.5 writes: true");
+        Future<StateClient.Outcome> lost = client.commit(put("a", 1).when("a", Stamp.ABSENT));
+        assertTrue(fails(lost));
+        StateClient.Outcome again = LocalCluster.await(client.commit(put("a", 2).when("a", Stamp.ABSENT)));
+        assertEquals(List.of("a"), again.failed());
+    }
+
+    /** Reads from the past: the client notices, confirms by comparing, and no user is told 404 or an older state. */
+    @Test
+    void isCaughtAnsweringWithThePast() throws Exception {
+        StateClient client = open(null, 0, "kind: stale at_s: 0 for_s: 600 behind: 3");
+        JobDesk desk = new JobDesk(client, null, List.of(), clock, 8192);
+        JobId id = new JobId("run-1");
+        assertTrue(LocalCluster.await(client.commit(new StateClient.Txn().when(RecordCodec.open(id), Stamp.ABSENT)
+                .put(RecordCodec.open(id), RecordCodec.writeJob(LocalCluster.job(1, 1, 1), 1, JobStatus.PENDING,
+                        new BitSet(), 0)))).done());
+        assertNull(LocalCluster.await(client.get(RecordCodec.open(id))), "the read comes from before");
+        assertTrue(client.isDoubted());
+        assertTrue(fails(desk.query(id.text())),
+                "neither 404 nor anything else is known");
+        for (int i = 0; i < 3; i++) {
+            LocalCluster.await(client.commit(put("other", i)));
+        }
+        assertEquals(200, LocalCluster.await(desk.query(id.text())).status(), "three changes later the read is right");
+        StateClient.Entry open = LocalCluster.await(client.get(RecordCodec.open(id)));
+        assertTrue(LocalCluster.await(client.commit(new StateClient.Txn().when(RecordCodec.open(id), open.stamp())
+                .delete(RecordCodec.open(id)).put(RecordCodec.over(id), RecordCodec.writeFinal(JobStatus.CANCELLED, 0))))
+                .done());
+        assertTrue(fails(desk.query(id.text())),
+                "not told that it is open once it is cancelled");
+        for (int i = 0; i < 3; i++) {
+            LocalCluster.await(client.commit(put("other", i)));
+        }
+        Answer over = LocalCluster.await(desk.query(id.text()));
+        assertEquals("cancelled", over.body().get("status"));
+        assertEquals(404, LocalCluster.await(desk.query("run-2")).status(), "confirmed to be nowhere");
+    }
+
+    /** Silent connections by the thousand and bodies that are no messages leave others served. */
+    @Test
+    void standsSilenceAndNonsense() throws Exception {
+        StateClient client = open(null, 0);
+        List<Future<NetSocket>> silent = new ArrayList<>();
+        for (int i = 0; i < SILENT; i++) {
+            silent.add(vertx.createNetClient().connect(port, "127.0.0.1"));
+            if (i % 100 == 99) {
+                LocalCluster.await(Future.all(silent));
+            }
+        }
+        Caller caller = new Caller(vertx, new Endpoint("127.0.0.1", port), 1);
+        Buffer[] nonsense = {Buffer.buffer("hello"), Buffer.buffer(new byte[] {(byte) 0xdf, -1, -1, -1, -1}),
+            Buffer.buffer(new byte[] {(byte) 0xc1}), Buffer.buffer(new byte[] {(byte) 0x91, (byte) 0xa1, 'x'}),
+            Wire.write(Wire.map("writes", "no list")), Wire.write(Wire.map("writes", List.of(1L))),
+            Wire.write(Wire.map("when", List.of(Wire.map("path", "a"))))};
+        for (Buffer body : nonsense) {
+            Reply r = LocalCluster.await(vertx.createHttpClient().request(HttpMethod.POST, port, "127.0.0.1", "/txn")
+                    .compose(q -> q.send(body)).map(a -> new Reply(a.statusCode(), null)));
+            assertEquals(400, r.status());
+        }
+        for (String path : List.of("/changes?starts=a&since=x", "/changes", "/store", "/grants/x/renew", "/nowhere")) {
+            int status = LocalCluster.await(caller.get(path, Span.seconds(2))).status();
+            assertTrue(status >= 400 && status < 500, path + " " + status);
+        }
+        assertTrue(LocalCluster.await(client.commit(put("a", 1))).done());
+        assertTrue(silent.stream().allMatch(Future::succeeded));
+    }
+}
