--- a/src/main/java/io/indigoreach/tools/Logs.java
+++ b/src/main/java/io/indigoreach/tools/Logs.java
@@ -11,6 +11,7 @@
     static void configure(String format, String level, String... args) {
         boolean serves = args.length > 0 && List.of("serve", "emulate").contains(args[0]);
         String wanted = level != null ? level : serves ? "info" : "error";
+        System.setProperty("slf4j.internal.verbosity", "WARN");
         if ("json".equals(format)) {
             System.setProperty("slf4j.provider", "ch.qos.logback.classic.spi.LogbackServiceProvider");
             System.setProperty("logback.configurationFile", "io/indigoreach/tools/logback-json.xml");
--- a/src/main/java/io/indigoreach/tools/Tool.java
+++ b/src/main/java/io/indigoreach/tools/Tool.java
@@ -12,7 +12,7 @@
         description = "A cluster scheduler on rented machines, and the tools to try, test and use it.",
         synopsisSubcommandLabel = "VERB",
         subcommands = {DemoVerb.class, ServeVerb.class, CheckVerb.class, EmulateVerb.class, ExperimentVerb.class,
-            SubmitVerb.class, StatusVerb.class, CancelVerb.class, JobsVerb.class, MachinesVerb.class, WatchVerb.class,
+            SubmitVerb.class, StatusVerb.class, CancelVerb.class, JobsVerb.class, MachinesVerb.class, WatchVerb.class, MeasureVerb.class,
             GenerateCompletion.class},
         exitCodeListHeading = "%nExit codes:%n",
         exitCodeList = {"0:done", "1:a wrong file, or it could not be done", "2:a wrong command line",
--- a/src/test/java/io/indigoreach/cluster/MachineBookTest.java
+++ b/src/test/java/io/indigoreach/cluster/MachineBookTest.java
@@ -54,6 +54,7 @@
     private StateClient client;
     private LeaderCore core;
     private MachineBook book;
+    private Reign.Surroundings env;
 
     @BeforeEach
     void start() throws Exception {
@@ -98,7 +99,7 @@
                 List.of(POOL.zone()))));
         core.loaded();
         CloudClient cloud = new CloudClient(new Caller(vertx, state.endpoint(), 1));
-        Reign.Surroundings env = new Reign.Surroundings(vertx, clock, client, cloud, new Catalogue(vertx, client, cloud),
+        env = new Reign.Surroundings(vertx, clock, client, cloud, new Catalogue(vertx, client, cloud),
                 config, settings, Span.seconds(10));
         book = new MachineBook(env, core, new Token(3), NOBODY, () -> { }, new Budget(12, clock.now()));
         onLoop(() -> {
@@ -167,4 +168,17 @@
         assertEquals(List.of(1, 2), written().stream().map(m -> Integer.parseInt(m.id().text().substring(3))).toList());
         assertEquals(1, state.keys(RecordCodec.MACHINES).size());
     }
+
+    /**
+     * Lists that are older than the leadership are not believed: a machine that the leader before recorded last could be
+     * missing, and its tasks would be started elsewhere while it has them.
+     */
+    @Test
+    void recordsOlderThanTheLeadershipAreNotBelieved() throws Exception {
+        long revision = await(client.commit(new StateClient.Txn().put("leader", Wire.map("n", 1L)))).revision();
+        for (long key : new long[] {revision, revision + 1}) {
+            Ledger ledger = new Ledger(env, core, book, new Stamp(key), () -> { }, new Budget(12, clock.now()));
+            assertEquals(key == revision, onLoop(() -> ledger.load().map(r -> true).otherwise(false)));
+        }
+    }
 }
--- a/src/test/java/io/indigoreach/config/ConfigTest.java
+++ b/src/test/java/io/indigoreach/config/ConfigTest.java
@@ -55,6 +55,13 @@
         assertEquals("10.0.0.2:8081", config.peers().get(0).endpoint().toString());
     }
 
+    /** Tools write the file that a node reads. */
+    @Test
+    void thePlatformsFileIsWrittenAsItIsRead() throws ConfigException {
+        PlatformConfig config = PlatformConfig.parse("f", PLATFORM);
+        assertEquals(config, PlatformConfig.parse("g", config.toText()));
+    }
+
     @ParameterizedTest
     @CsvSource(delimiter = '|', value = {
         "node = \"n0\"               |                    | f: node: missing",
