--- a/src/main/java/io/indigoreach/emulator/CloudServer.java
+++ b/src/main/java/io/indigoreach/emulator/CloudServer.java
@@ -31,14 +31,14 @@
     private final List<GatedListener> listeners = new ArrayList<>();
     private final long ticks;
 
-    /** To be made on the event loop that is to serve. */
-    public CloudServer(Vertx vertx, SteadyClock clock, Deployment deployment, Gate gate, RandomGenerator random,
+    /** To be made on the event loop that is to serve; machine names go on after {@code names}. */
+    public CloudServer(Vertx vertx, SteadyClock clock, Deployment deployment, Gate gate, RandomGenerator random, long names,
                        Consumer<CloudModel.Event> events) {
         this.vertx = vertx;
         this.clock = clock;
         this.gate = gate;
         this.events = events;
-        this.model = new CloudModel(deployment, random, clock.now());
+        this.model = new CloudModel(deployment, random, clock.now(), names);
         this.ticks = vertx.setPeriodic(TICK_MS, t -> advance());
     }
 
--- a/src/main/java/io/indigoreach/emulator/Emulator.java
+++ b/src/main/java/io/indigoreach/emulator/Emulator.java
@@ -38,13 +38,15 @@
      * Where things are to listen, and where the state service keeps its contents.
      *
      * @param firstPort the first of the ports in a row that are used, or 0 for free ones
-     * @param data a directory, or null to keep the state service's contents in memory only
+     * @param data a directory, or null to keep the contents of state service and depot in memory only
      */
     public record Place(String host, int firstPort, Path data) {
         public static final Place LOOPBACK = new Place("127.0.0.1", 0, null);
     }
 
     private static final int CONNECTIONS = 10_000;
+    /** Machines of one start, at most: the next start names its own after these. */
+    private static final long NAMES = 1_000_000;
 
     private final Vertx vertx;
     private final Scenario scenario;
@@ -63,6 +65,7 @@
     private CloudServer cloud;
     private WorkerPool workers;
     private GatedListener depotListener;
+    private DepotBook book;
     private Endpoint depotEndpoint;
 
     private Emulator(Vertx vertx, Scenario scenario, Place place, History history) {
@@ -163,6 +166,7 @@
         int[] ports;
         try {
             ports = ports(4 * n + 1);
+            book = place.data() == null ? null : new DepotBook(vertx, place.data().resolve("depot"), depot);
         } catch (IOException e) {
             return Future.failedFuture(e);
         }
@@ -178,7 +182,7 @@
         return deploy(context -> {
             try {
                 state = new StateServer(vertx, clock, scenario.deployment().state().limits(), gate, random.split(),
-                        history, place.data(), broken::tryFail);
+                        history, place.data() == null ? null : place.data().resolve("state"), broken::tryFail);
             } catch (IOException e) {
                 throw new UncheckedIOException(e);
             }
@@ -195,7 +199,8 @@
             }
             workers = new WorkerPool(vertx, clock, gate, scenario.deployment().workers(), depot, random.split(), history,
                     place.host(), known);
-            cloud = new CloudServer(vertx, clock, scenario.deployment(), gate, random.split(), workers::on);
+            cloud = new CloudServer(vertx, clock, scenario.deployment(), gate, random.split(),
+                    book == null ? 0 : book.startsBefore() * NAMES, workers::on);
             depotListener = new GatedListener(vertx, clock, gate, "users", "depot", this::serveDepot);
             scenario.fault().forEach(this::plan);
             return depotListener.listen(place.host(), ports[ports.length - 1])
@@ -270,7 +275,8 @@
         if (request.path().equals(DepotCodec.UPLOAD)) {
             DepotCodec.Upload upload = DepotCodec.read(request.body());
             depot.upload(upload.spec(), upload.conduct());
-            reply.accept(new Reply(200, new Fields(Wire.map())));
+            Future<Void> kept = book == null ? Future.succeededFuture() : book.keep(upload);
+            kept.onSuccess(v -> reply.accept(new Reply(200, new Fields(Wire.map())))).onFailure(broken::tryFail);
         } else if (request.path().equals(DepotCodec.SUMMARY)) {
             reply.accept(new Reply(200, new Fields(DepotCodec.write(summaryNow()))));
         } else {
@@ -312,6 +318,7 @@
         return on(cloudContext, () -> workers.close()).compose(f -> f)
                 .compose(v -> cloud.close()).compose(v -> depotListener.close())
                 .compose(v -> Future.join(relays.stream().map(Relay::close).toList()).<Void>mapEmpty())
+                .compose(v -> book == null ? Future.succeededFuture() : book.close())
                 .compose(v -> state.close());
     }
 }
--- a/src/main/java/io/indigoreach/emulator/Measurements.java
+++ b/src/main/java/io/indigoreach/emulator/Measurements.java
@@ -151,7 +151,7 @@
             on(vertx, () -> {
                 pool[0] = new WorkerPool(vertx, clock, open(clock), d.workers(), new Depot(1), new SplittableRandom(2),
                         new History.Discarded(), HOST, List.of(new WorkerPool.Node("node-0", new Endpoint(HOST, port))));
-                cloud[0] = new CloudServer(vertx, clock, d, open(clock), new SplittableRandom(3), pool[0]::on);
+                cloud[0] = new CloudServer(vertx, clock, d, open(clock), new SplittableRandom(3), 0, pool[0]::on);
                 for (int rented = 0; rented < count; rented += CloudCodec.MOST_RENTED) {
                     cloud[0].model().rent(clock.now(), new CloudCodec.Rental("r-" + rented, new Pool("m", "z", false),
                             CloudCodec.MOST_RENTED));
--- a/src/main/java/io/indigoreach/emulator/model/CloudModel.java
+++ b/src/main/java/io/indigoreach/emulator/model/CloudModel.java
@@ -122,7 +122,9 @@
     private long names;
     private boolean noBoot;
 
-    public CloudModel(Deployment deployment, RandomGenerator random, Moment now) {
+    /** Machine names go on after {@code names}, as none is ever given twice. */
+    public CloudModel(Deployment deployment, RandomGenerator random, Moment now, long names) {
+        this.names = names;
         this.deployment = deployment;
         this.types = deployment.types();
         this.random = random;
--- a/src/test/java/io/indigoreach/emulator/StateServerTest.java
+++ b/src/test/java/io/indigoreach/emulator/StateServerTest.java
@@ -95,7 +95,8 @@
     /** Ended in the middle and started again on the same address, with clients connected: all that was answered is there. */
     @Test
     void isDurableWithClientsConnected() throws Exception {
-        StateClient client = open(data, 0);
+        Path first = data.resolve("first");
+        StateClient client = open(first, 0);
         long lease = LocalCluster.await(client.grant(Span.seconds(30)));
         List<Future<StateClient.Outcome>> writes = new ArrayList<>();
         for (int i = 0; i < 150; i++) {
@@ -105,9 +106,9 @@
         LocalCluster.await(client.commit(new StateClient.Txn().put("leased", Wire.map("n", 1), lease).delete("k/0")));
         Future<StateClient.Changes> watch = client.watch("k/", server.model().revision(), Span.seconds(30));
         // What is on the disk at this moment is what a process that is killed now leaves.
-        Path copy = data.resolveSibling("copy");
+        Path copy = data.resolve("copy");
         Files.createDirectories(copy);
-        try (var files = Files.list(data)) {
+        try (var files = Files.list(first)) {
             for (Path p : files.toList()) {
                 Files.copy(p, copy.resolve(p.getFileName()));
             }
--- a/src/test/java/io/indigoreach/emulator/model/CloudModelTest.java
+++ b/src/test/java/io/indigoreach/emulator/model/CloudModelTest.java
@@ -38,7 +38,7 @@
                 machine_type { name: "m" cores: 2 ram_gb: 4 price: 3.6 spot_price: 0.9 boot_s: 10 }
                 capacity { type: "m" zone: "z" count: 5 spot: 60 }
                 team { name: "t" }
-                """.formatted(cloud, spot), Deployment.class), new SplittableRandom(1), T);
+                """.formatted(cloud, spot), Deployment.class), new SplittableRandom(1), T, 0);
     }
 
     private static Moment at(double s) {
--- a/src/test/java/io/indigoreach/emulator/model/WorkerModelTest.java
+++ b/src/test/java/io/indigoreach/emulator/model/WorkerModelTest.java
@@ -61,7 +61,7 @@
                 machine_type { name: "m" cores: 4 ram_gb: 16 price: 1 boot_s: 0 fetch_gb_per_s: 1 cache_gb: 2 }
                 capacity { type: "m" zone: "z" count: 1 }
                 team { name: "t" }
-                """, Deployment.class), new SplittableRandom(1), T);
+                """, Deployment.class), new SplittableRandom(1), T, 0);
         cloud.rent(T, new CloudCodec.Rental("r", new Pool("m", "z", false), 1));
         for (int n = 1; n <= 5; n++) {
             depot.upload(job(n, n == 5 ? 3 : 1, n == 4 ? 2 : 0), new Depot.Conduct(Span.seconds(10), 0, n == 3));
