--- a/src/main/java/io/indigoreach/emulator/Measurements.java
+++ b/src/main/java/io/indigoreach/emulator/Measurements.java
@@ -32,6 +32,8 @@
 import io.vertx.core.http.HttpClientOptions;
 import io.vertx.core.http.HttpMethod;
 import io.vertx.core.http.PoolOptions;
+import io.vertx.core.net.NetClient;
+import io.vertx.core.net.NetSocket;
 import java.io.IOException;
 import java.lang.management.ManagementFactory;
 import java.nio.file.Files;
@@ -108,6 +110,33 @@
         }
     }
 
+    /** Transactions a second of a few connections while very many others are open and silent. */
+    public static String silent(int count, int seconds) throws Exception {
+        SteadyClock clock = new SteadyClock();
+        Vertx vertx = Vertx.vertx();
+        Vertx others = Vertx.vertx();
+        try {
+            int port = on(vertx, () -> new StateServer(vertx, clock, UNLIMITED, open(clock), new SplittableRandom(1),
+                    new History.Discarded(), null, e -> {
+                    }).listen("node-0", HOST, 0));
+            double before = rate(others, port, 8, seconds);
+            NetClient client = others.createNetClient();
+            int open = 0;
+            for (; open < count; open += 100) {
+                List<Future<NetSocket>> some = new ArrayList<>();
+                for (int i = 0; i < 100; i++) {
+                    some.add(client.connect(port, HOST));
+                }
+                await(Future.all(some));
+            }
+            return String.format(Locale.ROOT, "%.0f transactions a second over 8 connections; %.0f with %d silent ones "
+                    + "besides", before, rate(others, port, 8, seconds), open);
+        } finally {
+            await(others.close());
+            await(vertx.close());
+        }
+    }
+
     private static double rate(Vertx vertx, int port, int connections, int seconds) throws Exception {
         AtomicLong done = new AtomicLong();
         long end = System.nanoTime() + seconds * 1_000_000_000L;
--- a/src/main/java/io/indigoreach/tools/Logs.java
+++ b/src/main/java/io/indigoreach/tools/Logs.java
@@ -20,6 +20,8 @@
             System.setProperty("slf4j.provider", "org.slf4j.simple.SimpleServiceProvider");
             System.setProperty("org.slf4j.simpleLogger.defaultLogLevel", "error");
             System.setProperty("org.slf4j.simpleLogger.log.io.indigoreach", wanted);
+            // Connections that are cut are what an emulator is for, no error of it.
+            System.setProperty("org.slf4j.simpleLogger.log.io.vertx", "off");
             System.setProperty("org.slf4j.simpleLogger.showThreadName", "false");
             System.setProperty("org.slf4j.simpleLogger.showShortLogName", "true");
         }
--- a/src/main/java/io/indigoreach/tools/MeasureVerb.java
+++ b/src/main/java/io/indigoreach/tools/MeasureVerb.java
@@ -22,6 +22,13 @@
         return Tool.DONE;
     }
 
+    @Command(name = "silent", description = "Transactions beside very many silent connections.")
+    int silent(@Option(names = "--count", defaultValue = "10000") int count,
+               @Option(names = "--seconds", defaultValue = "5") int seconds) throws Exception {
+        System.out.println(Measurements.silent(count, seconds));
+        return Tool.DONE;
+    }
+
     @Command(name = "workers", description = "Reports of many workers in one process.")
     int workers(@Option(names = "--count", defaultValue = "2000") int count,
                 @Option(names = "--seconds", defaultValue = "20") int seconds) throws Exception {
