--- a/src/test/java/io/indigoreach/emulator/StateServerTest.java
+++ b/src/test/java/io/indigoreach/emulator/StateServerTest.java
@@ -184,6 +184,30 @@
         assertEquals(404, LocalCluster.await(desk.query("run-2")).status(), "confirmed to be nowhere");
     }
 
+    /** A stale read between the failure of a compare-and-set and its retry: it fails again, and nothing is written over. */
+    @Test
+    void readsThePastBetweenAFailureAndItsRetry() throws Exception {
+        StateClient client = open(null, 0, "kind: stale at_s: 0 for_s: 600 behind: 1");
+        JobDesk desk = new JobDesk(client, null, List.of(), clock, 8192);
+        JobId id = new JobId("run-1");
+        BitSet done = new BitSet();
+        for (int progress = 0; progress < 2; progress++) {
+            LocalCluster.await(client.commit(new StateClient.Txn().put(RecordCodec.open(id),
+                    RecordCodec.writeJob(LocalCluster.job(1, 4, 1), 1, JobStatus.RUNNING, done, 1))));
+            done.set(progress);
+        }
+        assertEquals(503, status(desk.cancel(id.text())), "three times the version of before");
+        assertEquals(2, server.model().revision());
+        LocalCluster.await(client.commit(put("other", 1)));
+        assertEquals(200, status(desk.cancel(id.text())));
+        assertEquals(4, server.model().revision());
+    }
+
+    /** What the user is told; a failure is told as 503. */
+    private static int status(Future<Answer> answer) throws Exception {
+        return LocalCluster.await(answer.map(Answer::status).otherwise(503));
+    }
+
     /** Silent connections by the thousand and bodies that are no messages leave others served. */
     @Test
     void standsSilenceAndNonsense() throws Exception {
