--- a/src/main/java/io/indigoreach/core/BestSize.java
+++ b/src/main/java/io/indigoreach/core/BestSize.java
@@ -316,13 +316,20 @@
             if (!m.pool.type().equals(type) || ordinaryOnly && m.pool.spot()) {
                 continue;
             }
-            if (isComing(m, now) || m.phase == Machine.Phase.UP && m.isIdle() && m.notice == null && !m.condemned) {
+            if (isComing(m, now) || m.phase == Machine.Phase.UP && m.isIdle() && m.notice == null && !m.condemned
+                    && isOfUse(share, m)) {
                 n++;
             }
         }
         return n;
     }
 
+    /** Not if every job that waits has failed on it. */
+    private static boolean isOfUse(Share share, Machine m) {
+        return m.failedJobs.isEmpty()
+                || share.jobs().stream().anyMatch(j -> j.hasWaiting() && !j.isSuspect() && !FaultJudge.bars(j, m));
+    }
+
     private boolean isComing(Machine m, Moment now) {
         return m.phase == Machine.Phase.BOOTING
                 && now.isBefore(m.rented.plus(m.type.boot().times(tuning.bootPatience())));
--- a/src/main/java/io/indigoreach/core/FaultJudge.java
+++ b/src/main/java/io/indigoreach/core/FaultJudge.java
@@ -39,6 +39,11 @@
         if (now.isBefore(job.retryAt)) {
             return false;
         }
-        return job.isSuspect() ? job.active().isEmpty() : !job.failedOn.contains(m.id);
+        return job.isSuspect() ? job.active().isEmpty() : !bars(job, m);
+    }
+
+    /** Whether the machine is no place for the job, however long it waits: it has failed there, and not everywhere. */
+    static boolean bars(Job job, Machine m) {
+        return !job.isSuspect() && job.failedOn.contains(m.id);
     }
 }
--- a/src/test/java/io/indigoreach/core/SizingTest.java
+++ b/src/test/java/io/indigoreach/core/SizingTest.java
@@ -44,6 +44,25 @@
         assertEquals(2, w.core.wishes(at(60)).get(0).count());
     }
 
+    /**
+     * A job that failed on the only machine there is needs another one, though that machine is idle: it waited until the
+     * machine's paid minute was over (found by the emulator's fault "spoil").
+     */
+    @Test
+    void anIdleMachineWhereTheJobHasFailedIsNoPlaceForIt() {
+        World w = new World();
+        w.core.loaded();
+        w.up("a", "east", 0);
+        w.submit(spec(1, 1, 1, 20), 0);
+        Order start = w.hear("a", 1).get(0);
+        w.hear("a", 2, running(start));
+        w.hear("a", 3, World.exited(start, ExitCause.ERROR));
+        assertEquals(List.of(), World.starts(w.hear("a", 4)));
+        assertEquals(1, w.core.wishes(at(5)).stream().mapToInt(RentWish::count).sum());
+        w.core.rented(new Pool("quad", "east", true), List.of(new MachineId("b")), at(5), at(5));
+        assertEquals(List.of(), w.core.wishes(at(7)), "one is enough");
+    }
+
     @Test
     void nothingIsRentedWhileTheTopJobIsPredictedToStartSoon() {
         World w = new World();
