Connections that are refused, as a fault of the timeline

Need: a service that is closed answers with a refused connection, which is neither a reset nor a status. Change: fault closed; state service, cloud and workers close their listeners for its time, other ways show a reset.

--- a/src/main/java/io/indigoreach/emulator/GatedListener.java
+++ b/src/main/java/io/indigoreach/emulator/GatedListener.java
@@ -88,7 +88,8 @@
     private final String from;
     private final String to;
     private final Service service;
-    private final HttpServer server;
+    private HttpServer server;
+    private boolean closed;
 
     GatedListener(Vertx vertx, SteadyClock clock, Gate gate, String from, String to, Service service) {
         this.vertx = vertx;
@@ -97,18 +98,39 @@
         this.from = from;
         this.to = to;
         this.service = service;
-        this.server = vertx.createHttpServer(new HttpServerOptions().setIdleTimeout(IDLE_S).setTcpNoDelay(true)
+        this.server = server();
+    }
+
+    private HttpServer server() {
+        HttpServer server = vertx.createHttpServer(new HttpServerOptions().setIdleTimeout(IDLE_S).setTcpNoDelay(true)
                 .setAcceptBacklog(4096));
         server.requestHandler(this::take);
         server.invalidRequestHandler(r -> r.connection().close());
+        return server;
     }
 
     /** The result is the port. */
     Future<Integer> listen(String host, int port) {
-        return server.listen(port, host).map(HttpServer::actualPort);
+        return server.listen(port, host).map(HttpServer::actualPort).onSuccess(actual -> {
+            Moment now = clock.now();
+            for (Gate.Closing c : gate.closings(from, to)) {
+                if (c.until().isAfter(now)) {
+                    after(c.from().since(now), () -> server.close());
+                    after(c.until().since(now), () -> reopen(host, actual));
+                }
+            }
+        });
+    }
+
+    private void reopen(String host, int port) {
+        if (!closed) {
+            server = server();
+            server.listen(port, host);
+        }
     }
 
     Future<Void> close() {
+        closed = true;
         return server.close();
     }
 
--- a/src/main/java/io/indigoreach/emulator/model/Gate.java
+++ b/src/main/java/io/indigoreach/emulator/model/Gate.java
@@ -33,6 +33,9 @@
             switch (f.kind()) {
                 case SLOW -> delay = delay.plus(by.times(0.5 + random.nextDouble()));
                 case STALE -> behind = Math.max(behind, f.behind());
+                case CLOSED -> {
+                    return new Verdict(Fate.RESET, delay, Moment.NEVER, 0, 0);
+                }
                 case OUTAGE -> {
                     return new Verdict(Fate.REFUSE, delay, Moment.NEVER, 503, 0);
                 }
@@ -61,6 +64,16 @@
         return until;
     }
 
+    /** A time in which the one called refuses connections. */
+    public record Closing(Moment from, Moment until) {
+    }
+
+    /** When {@code to} refuses the connections of {@code from}. */
+    public List<Closing> closings(String from, String to) {
+        return faults.stream().filter(f -> f.kind() == Fault.Kind.CLOSED && names(f.from(), from) && names(f.to(), to))
+                .map(f -> new Closing(at(f.atS()), at(f.endsS()))).toList();
+    }
+
     private boolean isOn(Fault f, Moment now) {
         return !now.isBefore(at(f.atS())) && now.isBefore(at(f.endsS()));
     }
--- a/src/main/java/io/indigoreach/scenario/Fault.java
+++ b/src/main/java/io/indigoreach/scenario/Fault.java
@@ -32,7 +32,9 @@
         STALE,
         /** Packets are held back and delivered when it is over. */
         HOLD,
-        /** Connections are reset. */
+        /** Connections are refused, and those that are open are reset. */
+        CLOSED,
+        /** Connections are reset when something is sent. */
         RESET,
         /** The state service (or the cloud, by {@code to}) is down for everyone. */
         OUTAGE,
--- a/src/test/java/io/indigoreach/emulator/FaultsTest.java
+++ b/src/test/java/io/indigoreach/emulator/FaultsTest.java
@@ -40,6 +40,8 @@
         "fault { kind: hold at_s: 2 for_s: 3 from: 'node-0' to: 'node-1' }",
         "fault { kind: hold at_s: 1 for_s: 4 from: 'node-1' to: 'state' }",
         "fault { kind: reset at_s: 0 for_s: 8 share: 0.1 }",
+        "fault { kind: closed at_s: 1 for_s: 3 to: 'state' }",
+        "fault { kind: closed at_s: 2 for_s: 2 from: 'node-0' to: 'node-1' }",
         "fault { kind: refuse at_s: 1 for_s: 3 from: 'users' to: 'node-0' }",
     })
     void leaveTheRulesWhole(String faults) throws Exception {
--- a/src/test/java/io/indigoreach/emulator/StateServerTest.java
+++ b/src/test/java/io/indigoreach/emulator/StateServerTest.java
@@ -143,6 +143,21 @@
         assertEquals(1, server.model().revision());
     }
 
+    /** Connections are refused, also those of a client that was served before; then all is as it was. */
+    @Test
+    void refusesConnections() throws Exception {
+        StateClient client = open(null, 0, "kind: closed at_s: 3 for_s: 1");
+        assertTrue(LocalCluster.await(client.commit(put("a", 1))).done());
+        boolean refused = false;
+        for (boolean again = false; !again;) {
+            String why = LocalCluster.await(vertx.createNetClient().connect(port, "127.0.0.1").compose(NetSocket::close)
+                    .map("open").otherwise(Throwable::getMessage));
+            refused |= why.contains("refused");
+            again = refused && why.equals("open");
+        }
+        assertEquals(1, LocalCluster.await(client.get("a")).value().whole("n"));
+    }
+
     /** A lost answer: executed all the same, so that the repeated one finds its key written. */
     @Test
     void losesAnswers() throws Exception {
