--- a/src/main/java/io/indigoreach/emulator/Emulator.java
+++ b/src/main/java/io/indigoreach/emulator/Emulator.java
@@ -94,18 +94,10 @@
         return depotEndpoint;
     }
 
-    public Depot depot() {
-        return depot;
-    }
-
     public Gate gate() {
         return gate;
     }
 
-    public StateServer state() {
-        return state;
-    }
-
     /** When the timeline of faults began. */
     public Moment startedAt() {
         return start;
--- a/src/main/java/io/indigoreach/emulator/model/Depot.java
+++ b/src/main/java/io/indigoreach/emulator/model/Depot.java
@@ -77,13 +77,4 @@
     void keepResult(TaskId task) {
         results.add(task);
     }
-
-    /** How many tasks of a job have completed. */
-    public int results(JobId job, int tasks) {
-        int n = 0;
-        for (int i = 0; i < tasks; i++) {
-            n += results.contains(new TaskId(job, i)) ? 1 : 0;
-        }
-        return n;
-    }
 }
--- a/src/test/java/io/indigoreach/emulator/StateServerTest.java
+++ b/src/test/java/io/indigoreach/emulator/StateServerTest.java
@@ -37,6 +37,7 @@
 import java.util.SplittableRandom;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.api.io.TempDir;
 
 /** The state service over sockets, as its clients meet it. */
@@ -145,6 +146,7 @@
 
     /** Connections are refused, also those of a client that was served before; then all is as it was. */
     @Test
+    @Timeout(LocalCluster.PATIENCE_S)
     void refusesConnections() throws Exception {
         StateClient client = open(null, 0, "kind: closed at_s: 3 for_s: 1");
         assertTrue(LocalCluster.await(client.commit(put("a", 1))).done());
