The emulator's state service keeps any data; services need no run time

The protocol allows text, lists and numbers as values; the emulator answered 400. A POST /txn without a body got 200. A service job in a scenario had to name a run_s that means nothing for one never cancelled.

Change: what is no map is kept wrapped and comes back as it was; a request that needs a body is refused without one; run_s may be left out for services, which then run until the end.

--- a/src/main/java/io/indigoreach/emulator/GatedListener.java
+++ b/src/main/java/io/indigoreach/emulator/GatedListener.java
@@ -45,7 +45,11 @@
             return http.method().equals(method);
         }
 
+        /** Throws {@link WireException} if there is none. */
         Fields body() {
+            if (body == null) {
+                throw new WireException("a body is needed");
+            }
             return body;
         }
 
@@ -139,7 +143,7 @@
             Verdict verdict = gate.judge(clock.now(), from, to, !http.method().equals(HttpMethod.GET));
             Fields fields;
             try {
-                fields = body.length() == 0 ? new Fields(Map.of()) : Wire.readMap(body);
+                fields = body.length() == 0 ? null : Wire.readMap(body);
             } catch (WireException e) {
                 write(http, malformed(e));
                 return;
--- a/src/main/java/io/indigoreach/load/Arrivals.java
+++ b/src/main/java/io/indigoreach/load/Arrivals.java
@@ -79,7 +79,7 @@
         boolean service = c.shape() == io.indigoreach.core.Shape.SERVICE;
         double run = c.runS() * logNormal(c.runSpread() / 2, random);
         double estimate = service ? 0 : run * logNormal(c.estimateSpread(), random);
-        boolean cancels = service || random.nextDouble() < c.cancelShare();
+        boolean cancels = service ? run > 0 : random.nextDouble() < c.cancelShare();
         Span cancelAfter = !cancels ? null : Span.seconds(service ? run : 2 * run * random.nextDouble());
         JobSpec spec = new JobSpec(new JobId("run-0"), c.name(), c.team(), c.shape(), c.urgency(), tasks,
                 new Demand(c.cores(), c.gpus(), c.ramGb()), c.name() + "-" + random.nextInt(c.images()), c.imageGb(), null,
--- a/src/main/java/io/indigoreach/state/StateCodec.java
+++ b/src/main/java/io/indigoreach/state/StateCodec.java
@@ -25,9 +25,32 @@
     public static final String WAIT = "wait_ms";
     public static final String NO_SUCH_LEASE = "no such lease";
 
+    private static final String NAMELESS = "";
+
     private StateCodec() {
     }
 
+    /**
+     * A value as it is kept: this project's are maps, the protocol allows any data. What is no map becomes the only
+     * field, without a name, of one; so does a map that looks like that, and thus each comes back as it was.
+     */
+    private static Fields kept(Fields f, String name) {
+        if (!f.has(name)) {
+            return f.child(name);
+        }
+        Object value = f.map().get(name);
+        return value instanceof Map<?, ?> map && !isWrapped(map) ? f.child(name) : new Fields(Wire.map(NAMELESS, value));
+    }
+
+    /** A kept value as it is on the wire. */
+    public static Object plain(Map<String, Object> kept) {
+        return isWrapped(kept) ? kept.get(NAMELESS) : kept;
+    }
+
+    private static boolean isWrapped(Map<?, ?> map) {
+        return map.size() == 1 && map.containsKey(NAMELESS);
+    }
+
     static String keyPath(String key) {
         return STORE + "/" + key;
     }
@@ -46,7 +69,7 @@
     }
 
     public static Map<String, Object> writeEntry(StateClient.Entry e) {
-        Map<String, Object> map = Wire.map("path", e.key(), "data", e.value().map(), "stamp", e.stamp().value());
+        Map<String, Object> map = Wire.map("path", e.key(), "data", plain(e.value().map()), "stamp", e.stamp().value());
         if (e.lease() > 0) {
             map.put("permit", e.lease());
         }
@@ -54,7 +77,7 @@
     }
 
     public static StateClient.Entry readEntry(Fields f) {
-        return new StateClient.Entry(f.text("path"), f.child("data"), new Stamp(f.whole("stamp")),
+        return new StateClient.Entry(f.text("path"), kept(f, "data"), new Stamp(f.whole("stamp")),
                 f.whole("permit", 0));
     }
 
@@ -88,7 +111,7 @@
                 map.put("delete", w.key());
             } else {
                 map.put("write", w.key());
-                map.put("data", w.value());
+                map.put("data", plain(w.value()));
                 if (w.lease() > 0) {
                     map.put("permit", w.lease());
                 }
@@ -108,7 +131,7 @@
             if (w.has("delete")) {
                 txn.delete(w.text("delete"));
             } else {
-                txn.put(w.text("write"), w.child("data").map(), w.whole("permit", 0));
+                txn.put(w.text("write"), kept(w, "data").map(), w.whole("permit", 0));
             }
         }
         return txn;
@@ -143,7 +166,8 @@
         List<Object> events = new ArrayList<>(changes.changes().size());
         for (StateClient.Change c : changes.changes()) {
             events.add(c.value() == null ? Wire.map("delete", c.key(), "stamp", c.stamp().value())
-                    : Wire.map("write", c.key(), "data", c.value().map(), "stamp", c.stamp().value()));
+                    : Wire.map("write", c.key(), "data", plain(c.value().map()), "stamp",
+                            c.stamp().value()));
         }
         return Wire.map("ledger_rev", changes.revision(), "events", events);
     }
@@ -152,7 +176,7 @@
         List<StateClient.Change> changes = new ArrayList<>();
         for (Fields e : f.children("events")) {
             Stamp stamp = new Stamp(e.whole("stamp"));
-            changes.add(e.has("write") ? new StateClient.Change(e.text("write"), e.child("data"), stamp)
+            changes.add(e.has("write") ? new StateClient.Change(e.text("write"), kept(e, "data"), stamp)
                     : new StateClient.Change(e.text("delete"), null, stamp));
         }
         return new StateClient.Changes(changes, readRevision(f), false);
