--- a/src/main/java/io/indigoreach/core/Dispatcher.java
+++ b/src/main/java/io/indigoreach/core/Dispatcher.java
@@ -59,7 +59,7 @@
     /** Starts for {@code m}, to be put into the answer to its report {@code number}. */
     List<Order> fill(Machine m, ReportNumber number, Moment now) {
         List<Order> orders = new ArrayList<>();
-        if (!m.isUsable() || m.spare) {
+        if (!m.isUsable() || m.spare || isAside(m, now)) {
             return orders;
         }
         for (Share share : candidates(m)) {
@@ -246,6 +246,9 @@
      * has the image. Such a machine is waited for until the aim is lost; then any will do.
      */
     private boolean isLeftToHolders(Job job, Machine m, Moment now) {
+        if (now.isBefore(job.leftToHoldersUntil) && !m.images.contains(job.spec.image())) {
+            return true;
+        }
         Moment due = m.images.contains(job.spec.image()) ? null : aims.startBy(job);
         return due != null && now.plus(Estimates.fetch(job, m.type)).isAfter(due) && now.isBefore(due)
                 && cluster.isHeld(job.spec.image());
@@ -354,9 +357,33 @@
         return made;
     }
 
+    /**
+     * Cores that all startable tasks of a share would take; more than any machines have if one of them had better not
+     * be kept from a place: it is urgent, a replica, has an aim on its starts, or may not use every kind of machine.
+     */
+    double waitingCores(Share share, Moment now) {
+        double waiting = 0;
+        for (Job job : share.jobs()) {
+            if (!job.hasStartable() || job.isSuspect() || !mayStart(job, now)) {
+                continue;
+            }
+            if (job.spec.urgency().isMoreUrgentThan(Urgency.STANDARD) || job.spec.isService() || !job.spec.spotAllowed()
+                    || job.spec.zone() != null || aims.startBy(job) != null && now.isBefore(aims.startBy(job))) {
+                return Double.MAX_VALUE;
+            }
+            waiting += job.startable() * job.spec.demand().cores();
+        }
+        return waiting;
+    }
+
+    /** Put aside, and since then no more has come than the other machines have room for. */
+    boolean isAside(Machine m, Moment now) {
+        return m.aside != null && waitingCores(m.aside, now) <= m.aside.roomBeside();
+    }
+
     /** Whether an idle machine can be used by a job that waits in its share. */
     boolean isWanted(Machine m, Moment now) {
-        if (m.spare) {
+        if (m.spare || isAside(m, now)) {
             return false;
         }
         for (Share share : cluster.shares()) {
--- a/src/main/java/io/indigoreach/core/Job.java
+++ b/src/main/java/io/indigoreach/core/Job.java
@@ -37,6 +37,8 @@
     final Set<MachineId> failedOn = new HashSet<>();
     int failures;
     Moment retryAt = Moment.NEVER;
+    /** Until then its tasks wait for a machine that has their image: they were moved there. */
+    Moment leftToHoldersUntil = Moment.NEVER;
     private long observedMs;
     private int observed;
 
--- a/src/main/java/io/indigoreach/core/LeaderCore.java
+++ b/src/main/java/io/indigoreach/core/LeaderCore.java
@@ -28,6 +28,7 @@
     private final Reconciler reconciler;
     private final BestSize bestSize;
     private final StartBounds startBounds;
+    private final Consolidation consolidation;
     private final ReleaseCheck releaseCheck;
     private final Notes notes;
     /** Returned machines still appear in lists and late reports for a while; they are not taken on again. */
@@ -48,6 +49,7 @@
         this.takeOver = new TakeOver();
         this.dispatcher = new Dispatcher(cluster, aims, estimates, takeOver, token, tuning.leastPaid());
         this.reconciler = new Reconciler(cluster, estimates, notes);
+        this.consolidation = new Consolidation(cluster, dispatcher, estimates, rules);
         Silence silence = new Silence(cluster, rules);
         this.bestSize = new BestSize(cluster, dispatcher, estimates, tuning, silence);
         this.startBounds = new StartBounds(cluster, dispatcher, tuning);
@@ -164,6 +166,7 @@
         if (m.phase == Machine.Phase.UP) {
             orders.addAll(dispatcher.fill(m, report.number(), now));
             orders.addAll(dispatcher.makeRoom(m, now));
+            orders.addAll(consolidation.orders(m, now));
         }
         return orders;
     }
@@ -334,6 +337,7 @@
     /** Marks what is to be returned. */
     public void check(Moment now) {
         if (loaded) {
+            consolidation.plan(now);
             for (String reason : releaseCheck.check(now, takeOver.isSettled())) {
                 notes.say("returning machine " + reason);
             }
--- a/src/main/java/io/indigoreach/core/Machine.java
+++ b/src/main/java/io/indigoreach/core/Machine.java
@@ -36,6 +36,10 @@
     boolean condemned;
     /** More than is needed at its price: it gets no new tasks for now. */
     boolean spare;
+    /** It takes no new tasks while the other machines of this share have room for all that waits; or null. */
+    Share aside;
+    /** Its tasks are to be moved to others. */
+    boolean emptying;
     /** Tasks on it of jobs that are over, about which nothing else is known: they still count against their teams. */
     int strangers;
     /** It surely existed at this moment: a list that describes a later one and lacks it shows that it is gone. */
--- a/src/main/java/io/indigoreach/core/Share.java
+++ b/src/main/java/io/indigoreach/core/Share.java
@@ -29,6 +29,8 @@
     private Moment orderedAt = Moment.NEVER;
     private double cores;
     private double gpus;
+    /** Cores that are free on machines not put aside. */
+    private double roomBeside;
 
     Share(Team team) {
         this.team = team;
@@ -73,6 +75,14 @@
         gpus += sign * demand.gpus();
     }
 
+    void roomBeside(double cores) {
+        roomBeside = cores;
+    }
+
+    double roomBeside() {
+        return roomBeside;
+    }
+
     double cores() {
         return cores;
     }
--- a/src/test/java/io/indigoreach/core/TakeOverTest.java
+++ b/src/test/java/io/indigoreach/core/TakeOverTest.java
@@ -13,7 +13,10 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.util.List;
+import java.util.stream.IntStream;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 
 /** What a leader may believe and order, and when: each case is a way in which a task could come to run twice. */
 class TakeOverTest {
@@ -235,4 +238,80 @@
                 ListedMachine.Status.RUNNING, Span.seconds(3))), at(3), at(3));
         assertEquals(0, w.core.machineCount());
     }
+
+    /** Of a job of four an earlier leader may have ordered the first two: the rest is on no machine, heard or not. */
+    @ParameterizedTest
+    @CsvSource({"2, false, run-1/2 run-1/3", "0, false, run-1/0 run-1/1 run-1/2 run-1/3", "4, false, ''", "2, true, ''",
+        "0, true, run-1/0 run-1/1 run-1/2 run-1/3"})
+    void whatNobodyOrderedIsStartedBeforeAllMachinesAreHeard(int bound, boolean oneZone, String started) {
+        inheritMachine("a");
+        inheritMachine("b");
+        Job job = w.inherited(World.with(spec(1, 4, 1, 50), Urgency.STANDARD, oneZone, false, true, null, 0), bound);
+        w.core.loaded();
+        job.boundRecorded(4);
+        assertEquals(started, String.join(" ", starts(w.hear("a", 1))), "b may hold those below the bound");
+        w.hear("b", 2);
+        assertEquals(4, starts(w.hear("b", 3)).size() + (started.isEmpty() ? 0 : started.split(" ").length));
+    }
+
+    /** A start goes out only under a bound that is recorded; what was asked for and not answered does not count. */
+    @Test
+    void nothingIsOrderedBeyondTheRecordedBound() {
+        w.core.loaded();
+        w.up("a", "east", 0);
+        Job job = new Job(spec(1, 9, 1, 50), 1, at(0), new Stamp(1), new java.util.BitSet(), 0, false);
+        w.core.addJob(job);
+        assertEquals(List.of(job), w.core.boundsToRaise(at(1)));
+        assertEquals(List.of(), starts(w.hear("a", 1)));
+        int asked = job.boundToWrite();
+        assertEquals(List.of(), starts(w.hear("a", 2)), "its write has no answer yet");
+        job.boundRecorded(asked);
+        assertEquals(4, starts(w.hear("a", 3)).size());
+        assertEquals(8, asked, "what the machine takes now, and once more");
+    }
+
+    /** 2,000 machines, half of them behind a cut that ends during the take-over: half the untouched work starts at once. */
+    @Test
+    void halfAFleetBehindACutDoesNotHoldUpTheOther() {
+        for (int i = 0; i < 2000; i++) {
+            w.core.inherit(new MachineId("m" + i), new Pool("quad", i % 2 == 0 ? "east" : "west", true), at(-100), at(-90),
+                    at(0));
+        }
+        w.inherited(spec(1, 4000, 1, 50), 4000);
+        w.inherited(spec(2, 4000, 1, 50), 0).boundRecorded(4000);
+        w.core.loaded();
+        int starts = 0;
+        for (int i = 0; i < 2000; i += 2) {
+            starts += starts(w.hear("m" + i, 1 + i / 2000.0)).size();
+        }
+        assertEquals(4000, starts, "of the job that nobody had begun");
+        w.core.check(at(9));
+        assertEquals(0, w.core.leaving(9).size());
+        for (int i = 1; i < 2000; i += 2) {
+            starts += starts(w.core.onReport(w.report("m" + i, "west", 1, World.TOKEN), at(10 + i / 2000.0))).size();
+        }
+        assertEquals(4004, starts, "the last report settles the take-over, and what it asked for can be started");
+    }
+
+    /**
+     * Of 2,000 machines 500 are returned and 500 rented in the last seconds; then comes a list from before either, as the
+     * protocol allows: nobody is declared gone for it, and nobody is taken on again.
+     */
+    @Test
+    void aListOlderThanTheOneBeforeChangesNothing() {
+        w.core.loaded();
+        List<MachineId> ids = IntStream.range(0, 2000).mapToObj(i -> new MachineId("m" + (10_000 + i))).toList();
+        w.core.rented(new Pool("quad", "east", true), ids.subList(0, 1500), at(0), at(0));
+        w.core.returned(ids.subList(0, 500), at(100));
+        w.core.rented(new Pool("quad", "east", true), ids.subList(1500, 2000), at(100), at(100));
+        for (double asked : new double[] {101, 102, 103}) {
+            w.core.onList(ids.subList(0, 1500).stream().map(id -> new ListedMachine(id, new Pool("quad", "east", true),
+                    ListedMachine.Status.RUNNING, Span.seconds(99))).toList(), at(asked), at(asked + 0.1));
+        }
+        assertEquals(1500, w.core.machineCount());
+        assertTrue(ids.subList(500, 2000).stream().allMatch(w.core::knows));
+        w.core.onList(List.of(), at(108), at(108));
+        w.core.onList(List.of(), at(109), at(109));
+        assertEquals(0, w.core.machineCount(), "absence of more than twice the lag, twice, is proof");
+    }
 }
