Until a take-over is settled, room is kept for replicas that may be nowhere

Change: before that, what comes after a replica with nowhere known in the queue starts only where the replica may not run.

--- a/src/main/java/io/indigoreach/core/Dispatcher.java
+++ b/src/main/java/io/indigoreach/core/Dispatcher.java
@@ -212,6 +212,9 @@
             if (m.free().cores() <= 1e-6) {
                 return;
             }
+            if (keepsRoom(job, m)) {
+                return;
+            }
             if (!job.hasStartable() || !mayStart(job, now)) {
                 continue;
             }
@@ -222,6 +225,15 @@
         }
     }
 
+    /**
+     * Before a take-over is settled: a replica that may turn out to be nowhere is not to find its places taken by work that
+     * nobody had ordered yet and that it could not push aside.
+     */
+    private boolean keepsRoom(Job job, Machine m) {
+        return !takeOver.isSettled() && job.spec.isService() && job.hasWaiting() && !job.hasStartable()
+                && m.allows(job.spec) && job.spec.demand().fitsIn(m.free());
+    }
+
     private void start(Share share, Job job, Machine m, Reservation reservation, ReportNumber number, Moment now,
                        List<Order> orders) {
         boolean suits = m.allows(job.spec) && FaultJudge.allows(job, m, now) && !isLeftToHolders(job, m, now);
--- a/src/test/java/io/indigoreach/core/TakeOverTest.java
+++ b/src/test/java/io/indigoreach/core/TakeOverTest.java
@@ -314,4 +314,19 @@
         w.core.onList(List.of(), at(109), at(109));
         assertEquals(0, w.core.machineCount(), "absence of more than twice the lag, twice, is proof");
     }
+
+    /** The water kiosks' replicas were down longer: what nobody had ordered took their places before all was known. */
+    @Test
+    void untouchedWorkLeavesRoomForReplicasThatMayBeNowhere() {
+        w.core.inherit(new MachineId("o"), new Pool("quad", "east", false), at(-100), at(0), at(0));
+        inheritMachine("a");
+        inheritMachine("b");
+        w.inherited(World.service(1, 2), 2);
+        w.inherited(spec(2, 9, 1, 50), 0).boundRecorded(9);
+        w.core.loaded();
+        assertEquals(List.of(), starts(w.hearOrdinary("o", 1)), "the replicas may go nowhere else");
+        assertEquals(4, starts(w.hear("a", 1)).size(), "here they may not run");
+        w.hear("b", 2);
+        assertEquals(List.of("run-1/0", "run-1/1"), starts(w.hearOrdinary("o", 3)).subList(0, 2));
+    }
 }
