--- a/src/test/java/io/indigoreach/state/LeadershipTest.java
+++ b/src/test/java/io/indigoreach/state/LeadershipTest.java
@@ -9,6 +9,7 @@
 import io.indigoreach.core.Token;
 import io.indigoreach.net.Caller;
 import io.indigoreach.net.SteadyClock;
+import io.indigoreach.net.Wire;
 import io.vertx.core.Vertx;
 import java.util.concurrent.ArrayBlockingQueue;
 import java.util.concurrent.BlockingQueue;
@@ -129,4 +130,27 @@
         b.release(key.get()).toCompletionStage().toCompletableFuture().get();
         assertTrue(service.has(RecordCodec.LEADER), "a late request leaves a later leader's key alone");
     }
+
+    /**
+     * An older version of the program led in between: it orders tasks without raising their bounds, and its counter does not
+     * say otherwise. Bounds are believed again once a leader has vouched for all that is open.
+     */
+    @Test
+    void boundsAreNotBelievedAfterAnOlderVersionHasLed() throws Exception {
+        StateClient client = new StateClient(new Caller(vertx, service.endpoint(), 1),
+                new Caller(vertx, service.endpoint(), 1));
+        client.commit(new StateClient.Txn().put(RecordCodec.COUNTER, Wire.map("value", 7L))).toCompletionStage()
+                .toCompletableFuture().get();
+        Leadership a = node("a", "a1", 0);
+        assertEquals("a1 took 8, bounds in doubt", next());
+        vertx.runOnContext(v -> a.deposed());
+        assertEquals("a1 lost", next());
+        assertEquals("a1 took 9, bounds in doubt", next());
+        CompletableFuture<Void> vouched = new CompletableFuture<>();
+        vertx.runOnContext(v -> a.vouchForBounds().onComplete(r -> vouched.complete(null)));
+        vouched.get();
+        vertx.runOnContext(v -> a.deposed());
+        assertEquals("a1 lost", next());
+        assertEquals("a1 took 10", next());
+    }
 }
