--- a/src/main/java/io/indigoreach/cluster/Ledger.java
+++ b/src/main/java/io/indigoreach/cluster/Ledger.java
@@ -212,10 +212,10 @@
         }
         List<Job> ready = new ArrayList<>();
         touched.stream().filter(Job::isComplete).forEach(ready::add);
-        List<Job> bounds = core.boundsToRaise(now);
-        ready.addAll(bounds);
+        ready.addAll(core.boundsToRaise(now));
         for (Job job : touched) {
-            if (!job.isComplete() && !job.wantsBound() && now.since(written.getOrDefault(job.id(), Moment.NEVER)).compareTo(GATHER) >= 0) {
+            boolean gathered = now.since(written.getOrDefault(job.id(), Moment.NEVER)).compareTo(GATHER) >= 0;
+            if (!job.isComplete() && !job.wantsBound() && gathered) {
                 ready.add(job);
             }
         }
--- a/src/main/java/io/indigoreach/core/Consolidation.java
+++ b/src/main/java/io/indigoreach/core/Consolidation.java
@@ -9,9 +9,9 @@
 /**
  * Moves tasks together when little waits. As a queue runs dry, tasks end here and there, and what is left keeps machines
  * half used for minutes: a sixth to a fifth of what two fleets paid for was idle then. Tasks that keep their progress are
- * stopped on the emptiest machines, those kept for no need and the dearest first, where fuller ones have room for them and their image; the machines so
- * emptied take no new tasks and are returned at the end of their term, as any idle one. The protocol allows stopping a
- * task to drain a machine.
+ * stopped on the emptiest machines, those kept for no need and the dearest first, where fuller ones have room for them
+ * and their image; the machines so emptied take no new tasks and are returned at the end of their term, as any idle one.
+ * The protocol allows stopping a task to drain a machine.
  */
 final class Consolidation {
     /** Part of the machines that may be emptied between two checks: what was moved is seen to run before more is. */
--- a/src/main/java/io/indigoreach/core/Dispatcher.java
+++ b/src/main/java/io/indigoreach/core/Dispatcher.java
@@ -133,7 +133,8 @@
         for (Share due : cluster.shares()) {
             Job top = due.team.cores() > 0 || due.team.gpus() > 0 ? top(due, now) : null;
             if (top == null || !m.isUsable() || !due.isWithinGuarantee(top.spec.demand()) || !m.allows(top.spec)
-                    || !FaultJudge.allows(top, m, now) || !placeable(due, top, m) || comingPlaces(cluster.machines.values(), top, now) >= top.startable()) {
+                    || !FaultJudge.allows(top, m, now) || !placeable(due, top, m)
+                    || comingPlaces(cluster.machines.values(), top, now) >= top.startable()) {
                 continue;
             }
             Demand room = m.free();
--- a/src/test/java/io/indigoreach/cluster/MachineBookTest.java
+++ b/src/test/java/io/indigoreach/cluster/MachineBookTest.java
@@ -11,6 +11,9 @@
 import io.indigoreach.core.Aims;
 import io.indigoreach.core.Demand;
 import io.indigoreach.core.Job;
+import io.indigoreach.core.JobId;
+import io.indigoreach.core.JobSpec;
+import io.indigoreach.core.JobStatus;
 import io.indigoreach.core.LeaderCore;
 import io.indigoreach.core.MachineId;
 import io.indigoreach.core.MachineType;
@@ -18,9 +21,11 @@
 import io.indigoreach.core.Notes;
 import io.indigoreach.core.Pool;
 import io.indigoreach.core.ReportNumber;
+import io.indigoreach.core.Shape;
 import io.indigoreach.core.Span;
 import io.indigoreach.core.Stamp;
 import io.indigoreach.core.Token;
+import io.indigoreach.core.Urgency;
 import io.indigoreach.core.WorkerReport;
 import io.indigoreach.net.Budget;
 import io.indigoreach.net.Caller;
@@ -33,6 +38,7 @@
 import io.vertx.core.Future;
 import io.vertx.core.Vertx;
 import java.util.ArrayList;
+import java.util.BitSet;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
@@ -56,6 +62,8 @@
     private MachineBook book;
     private Reign.Surroundings env;
 
+    private Notes silent;
+
     @BeforeEach
     void start() throws Exception {
         state = await(new StateStandIn().listen(vertx));
@@ -84,7 +92,7 @@
                 [settings.cloud]
                 rps = 4.0
                 """);
-        Notes silent = new Notes() {
+        silent = new Notes() {
             @Override
             public void progress(Job job) {
             }
@@ -181,4 +189,20 @@
             assertEquals(key == revision, onLoop(() -> ledger.load().map(r -> true).otherwise(false)));
         }
     }
+
+    /** Of a job whose record says that nothing of it was ever ordered: not believed while an older version may have led. */
+    @Test
+    void startBoundsAreReadOnlyWhereEveryLeaderKeptToThem() throws Exception {
+        JobSpec spec = new JobSpec(new JobId("run-1"), "c", "t", Shape.ARRAY, Urgency.STANDARD, 3, new Demand(1, 0, 1), "i",
+                0, null, null, false, false, true, Span.seconds(9), Span.ZERO, Span.ZERO, null);
+        long revision = await(client.commit(new StateClient.Txn().put(RecordCodec.open(spec.id()),
+                RecordCodec.writeJob(spec, 1, JobStatus.PENDING, new BitSet(), 0, 0)))).revision();
+        for (boolean kept : new boolean[] {false, true}) {
+            LeaderCore fresh = new LeaderCore(new Token(3), env.config().rules(), env.settings().tuning(),
+                    new Aims(List.of()), env.config().teams(), silent);
+            Ledger ledger = new Ledger(env, fresh, book, new Stamp(revision), () -> { }, new Budget(12, clock.now()), kept);
+            onLoop(ledger::load);
+            assertEquals(kept ? 0 : 3, fresh.job(spec.id()).boundToWrite());
+        }
+    }
 }
