A floor under every class; where spot machines are not to be had the wait limit holds; guarantees do not walk the fleet

In simulated steps (Steps, 300 machines, urgent jobs six times as often for 150 s) the usual class was served 0.37 within its longest aim, as urgent jobs took every place; 94 tasks went over one ordinary machine for 600 s where no spot machine was to be had and no aim said otherwise; a team's guarantee at 1,000 machines walked the fleet at each report. Change: core.Floors counts each class's jobs by their longest aim and puts those that can still meet it first, on up to half of what the share uses, where fewer than 0.7 of a class are safe; any job older than 600 s goes the same way. A job without an aim takes ordinary machines after the wait limit; renting is due too where any job, not only the top one, has waited longer than that.

--- a/src/main/java/io/indigoreach/core/Aims.java
+++ b/src/main/java/io/indigoreach/core/Aims.java
@@ -40,6 +40,33 @@
         return next;
     }
 
+    /**
+     * The last moment at which its waiting tasks may start for the longest aim of its class, or its deadline; without
+     * either there is only the age that nothing should reach.
+     */
+    Moment lastChance(Job job, Span run) {
+        Moment last = null;
+        for (Aim aim : byClass.getOrDefault(job.spec.jobClass(), List.of())) {
+            Moment latest = job.arrived.plus(aim.start() ? aim.within() : aim.within().minus(run));
+            last = last == null || latest.isAfter(last) ? latest : last;
+        }
+        if (job.spec.due() != null) {
+            Moment latest = job.arrived.plus(job.spec.due().minus(run));
+            last = last == null || latest.isAfter(last) ? latest : last;
+        }
+        return last == null ? job.arrived.plus(SOMETIME) : last;
+    }
+
+    /** Waiting for longer than anything should: whatever its class and urgency, it is served now. */
+    static boolean isAged(Job job, Moment now) {
+        return now.isAfter(job.arrived.plus(SOMETIME));
+    }
+
+    /** Nothing says by when it should be served. */
+    boolean isWithout(Job job) {
+        return job.spec.due() == null && byClass.getOrDefault(job.spec.jobClass(), List.of()).isEmpty();
+    }
+
     /** The moment by which the job's tasks should have started by its users' nearest word on starts, or null. */
     Moment startBy(Job job) {
         return byClass.getOrDefault(job.spec.jobClass(), List.of()).stream().filter(Aim::start)
--- a/src/main/java/io/indigoreach/core/BestSize.java
+++ b/src/main/java/io/indigoreach/core/BestSize.java
@@ -96,11 +96,14 @@
             Need need = needs.computeIfAbsent(type.name(), t -> new Need());
             need.add(job, more, mayTakeOrdinary(job, now));
             need.topShort = isShort ? more : need.topShort;
+            need.shortOnOrdinary |= isShort && mayTakeOrdinary(job, now);
         }
         spare(share, backlogs, needs, now);
         needs.forEach((name, need) -> {
             MachineType type = cluster.types.get(name);
-            need.machines += Math.max(0, behind(shortWork.getOrDefault(name, 0.0), backlogs.get(name)) - need.topShort);
+            double behind = Math.max(0, behind(shortWork.getOrDefault(name, 0.0), backlogs.get(name)) - need.topShort);
+            need.machines += behind;
+            need.ordinary += need.shortOnOrdinary ? behind : 0;
             int atHand = atHand(share, name, false, now);
             int only = need.firstOrdinary == null ? 0
                     : Math.max(0, whole(need.ordinaryOnly) - atHand(share, name, true, now));
@@ -145,6 +148,8 @@
         double ordinaryOnly;
         /** Of the machines, those for the top short job. */
         double topShort;
+        /** The top short job does not wait for spot capacity, nor then do those behind it. */
+        boolean shortOnOrdinary;
 
         void add(Job job, double more, boolean mayTakeOrdinary) {
             machines += more;
@@ -332,15 +337,30 @@
         return Math.min(1, held);
     }
 
+    /**
+     * Spot machines are asked for first in any case. Where none are to be had, an aim says how long the job may wait for
+     * one; without an aim that is the wait limit, or the design's rule would not hold: of 94 tasks all went one after the
+     * other over a single ordinary machine.
+     */
     private boolean mayTakeOrdinary(Job job, Moment now) {
         Span patience = job.spec.urgency().isMoreUrgentThan(Urgency.STANDARD) ? tuning.urgentSpotPatience()
                 : tuning.spotPatience();
+        if (dispatcher.isUnderTheRuleAlone(job, now) && tuning.waitLimit().compareTo(patience) < 0) {
+            patience = tuning.waitLimit();
+        }
         return !job.spec.spotAllowed() || now.since(job.arrived).compareTo(patience) >= 0;
     }
 
     private boolean isDue(Share share, Job top, Moment now) {
         Moment start = dispatcher.reservation(share, top, now).lastStart();
-        return start == null || start.since(top.arrived).compareTo(tuning.waitLimit()) > 0;
+        return start == null || start.since(top.arrived).compareTo(tuning.waitLimit()) > 0
+                || share.jobs().stream().anyMatch(job -> waitsTooLong(job, now));
+    }
+
+    /** Behind an urgent job that is served at once others may wait for ever: their wait is past the limit, not predicted. */
+    private boolean waitsTooLong(Job job, Moment now) {
+        return job.hasStartable() && !job.isSuspect() && now.since(job.arrived).compareTo(tuning.waitLimit()) > 0
+                && dispatcher.mayStart(job, now);
     }
 
     private double machinesFor(Job job, MachineType type, int waiting) {
--- a/src/main/java/io/indigoreach/core/Cluster.java
+++ b/src/main/java/io/indigoreach/core/Cluster.java
@@ -114,6 +114,12 @@
         return holders.containsKey(image);
     }
 
+    /** Every machine; a walk over them counts like one over a share's. */
+    Collection<Machine> all() {
+        visits += machines.size();
+        return machines.values();
+    }
+
     List<Machine> serving(Share share) {
         List<Machine> out = new ArrayList<>();
         visits += machines.size();
--- a/src/main/java/io/indigoreach/core/Dispatcher.java
+++ b/src/main/java/io/indigoreach/core/Dispatcher.java
@@ -44,6 +44,7 @@
     private final Span leastPaid;
     private final Map<JobId, Reserved> reservations = new HashMap<>();
     private Shortage shortage;
+    private final Map<Share, Shortage> claims = new HashMap<>();
     /** Usable machines of each pool, counted once in a while. */
     private Map<Pool, Integer> usable = Map.of();
     private Moment usableAt = Moment.NEVER;
@@ -134,29 +135,39 @@
         for (Share due : cluster.shares()) {
             Job top = due.team.cores() > 0 || due.team.gpus() > 0 ? top(due, now) : null;
             if (top == null || !m.isUsable() || !due.isWithinGuarantee(top.spec.demand()) || !m.allows(top.spec)
-                    || !FaultJudge.allows(top, m, now) || !placeable(due, top, m)
-                    || comingPlaces(cluster.machines.values(), top, now) >= top.startable()) {
+                    || !FaultJudge.allows(top, m, now) || !placeable(due, top, m) || isProvidedFor(due, top, now)) {
                 continue;
             }
             Demand room = m.free();
             for (Placement p : m.tasksCopy()) {
                 Share borrower = cluster.share(p.job);
-                if (top.spec.demand().fitsIn(room)) {
-                    return orders;
-                }
-                if (borrower != due && !p.stopping && p.state == TaskState.RUNNING
+                if (!top.spec.demand().fitsIn(room) && borrower != due && !p.stopping && p.state == TaskState.RUNNING
                         && !borrower.isWithinGuarantee(Demand.NOTHING)) {
                     room = room.plus(p.demand());
                     p.stopping = true;
                     orders.add(new Order.Stop(p.task(), p.attempt, p.job.spec.checkpointTime().times(2)));
                 }
             }
+            if (top.spec.demand().fitsIn(room)) {
+                claims.computeIfPresent(due, (d, claim) -> new Shortage(top, claim.counted, claim.places - 1));
+                return orders;
+            }
         }
         return orders;
     }
 
+    /** Whether places for a job within its team's guarantee come free without stopping more; counted like {@link #wanted}. */
+    private boolean isProvidedFor(Share due, Job top, Moment now) {
+        Shortage claim = claims.get(due);
+        if (claim == null || claim.top != top || !now.isBefore(claim.counted.plus(SHORTAGE_LIFE))) {
+            claim = new Shortage(top, now, top.startable() - comingPlaces(cluster.all(), top, now));
+            claims.put(due, claim);
+        }
+        return claim.places <= 0;
+    }
+
     private boolean mayYield(Placement p, Job top, Moment now) {
-        if (p.state != TaskState.RUNNING || p.stopping
+        if (p.state != TaskState.RUNNING || p.stopping || p.job.owed
                 || !top.spec.urgency().isMoreUrgentThan(p.job.spec.urgency())) {
             return false;
         }
@@ -271,7 +282,7 @@
 
     List<Job> queue(Share share, Moment now) {
         return share.queue(job -> aims.latestStart(job, estimates.run(job), rounds(job, now), now)
-                .minus(clearing(job)), now);
+                .minus(clearing(job)), job -> aims.lastChance(job, estimates.run(job)), now);
     }
 
     /** A task that takes a whole machine starts only when everything else on one has ended. */
@@ -303,6 +314,14 @@
         return places == 0 ? 1 : (job.waiting() + places - 1) / places;
     }
 
+    /**
+     * Nothing says by when the job should be served, or it is past all that was said: the design's rule alone holds for it,
+     * that machines are rented while the wait passes the limit.
+     */
+    boolean isUnderTheRuleAlone(Job job, Moment now) {
+        return aims.isWithout(job) || Aims.isAged(job, now);
+    }
+
     /** By when the job's waiting tasks should have started for an aim whose latest start is not before {@code from}. */
     Moment latestStart(Job job, Moment from) {
         return aims.latestStart(job, estimates.run(job), 1, from);
--- /dev/null
+++ b/src/main/java/io/indigoreach/core/Floors.java
@@ -0,0 +1,83 @@
+package io.indigoreach.core;
+
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.function.Function;
+
+/**
+ * A floor under what each class of jobs of a share is served. Urgent jobs go first, and a flood of them that takes every
+ * machine would leave the others nothing for as long as it lasts. So a class of which too many jobs have lost their longest
+ * aim is owed: those that can still meet it go first, on a part of what the share uses at most, so that the floor of one
+ * class cannot become the flood of another. The same holds for any job that is older than anything should become. That
+ * is ageing as in multilevel feedback queues (Corbató and others, 1962), with classes in place of single jobs.
+ */
+final class Floors {
+    /** A class of which a smaller part can still be served in time is owed; above a half, as jobs it counts on may fail. */
+    private static final double FLOOR = 0.7;
+    /** A job that has waited for this part of its time is not counted on any more: many are lost together. */
+    private static final double DANGER = 0.75;
+    /** Part of the cores in use up to which owed jobs go before all others. */
+    private static final double PART = 0.5;
+
+    /** Jobs of a class: over in time, or open with time left; and all, those that lost their longest aim among them. */
+    private static final class Tally {
+        int met;
+        int lost;
+        int safe;
+        int open;
+
+        boolean isOwed() {
+            return met + safe < FLOOR * (met + lost + open);
+        }
+    }
+
+    private final Map<String, Tally> tallies = new HashMap<>();
+    private final Set<String> owed = new HashSet<>();
+
+    /** The job is off the queue: done or cancelled. */
+    void over(Job job) {
+        if (!job.late && job.isComplete()) {
+            tally(job).met++;
+        }
+    }
+
+    private Tally tally(Job job) {
+        return tallies.computeIfAbsent(job.spec.jobClass(), c -> new Tally());
+    }
+
+    /**
+     * Counts the open jobs anew and marks those that are owed; {@code lastChance}: when the longest aim is lost to a job
+     * that still waits. True if what is owed is to go first: it uses less than its part of {@code cores}.
+     */
+    boolean count(List<Job> jobs, double cores, Function<Job, Moment> lastChance, Moment now) {
+        tallies.values().forEach(t -> t.open = t.safe = 0);
+        for (Job job : jobs) {
+            if (job.late || job.spec.isService()) {
+                continue;
+            }
+            Tally tally = tally(job);
+            Span whole = lastChance.apply(job).since(job.arrived);
+            Span waited = job.hasWaiting() ? now.since(job.arrived) : Span.ZERO;
+            job.late = waited.compareTo(whole) > 0;
+            tally.lost += job.late ? 1 : 0;
+            tally.open += job.late ? 0 : 1;
+            tally.safe += waited.compareTo(whole.times(DANGER)) <= 0 ? 1 : 0;
+        }
+        owed.clear();
+        tallies.forEach((name, tally) -> {
+            if (tally.isOwed()) {
+                owed.add(name);
+            }
+        });
+        double used = 0;
+        for (Job job : jobs) {
+            job.owed = !job.spec.isService()
+                    && (Aims.isAged(job, now) || !job.late && owed.contains(job.spec.jobClass()));
+            used += job.owed ? job.active().size() * job.spec.demand().cores() : 0;
+        }
+        return used < PART * cores;
+    }
+}
--- a/src/main/java/io/indigoreach/core/Job.java
+++ b/src/main/java/io/indigoreach/core/Job.java
@@ -39,6 +39,10 @@
     Moment retryAt = Moment.NEVER;
     /** Until then its tasks wait for a machine that has their image: they were moved there. */
     Moment leftToHoldersUntil = Moment.NEVER;
+    /** The longest aim of its class is lost to it. */
+    boolean late;
+    /** Its class is served too little, or it has waited too long: it goes first on a part of the machines. */
+    boolean owed;
     private long observedMs;
     private int observed;
 
--- a/src/main/java/io/indigoreach/core/Share.java
+++ b/src/main/java/io/indigoreach/core/Share.java
@@ -11,20 +11,21 @@
     private static final Span ORDER_LIFE = Span.seconds(1);
 
     /** A job with what its place in the queue depends on. */
-    private record Ranked(Job job, Urgency urgency, Moment latestStart) {
+    private record Ranked(Job job, boolean first, Urgency urgency, Moment latestStart) {
     }
 
     /**
      * The paper's priority queue, its priority from urgency and time: urgent jobs first, the others mixed, each by the
-     * latest start that still meets an aim; then the order of arrival.
+     * latest start that still meets an aim; then the order of arrival. Before them what a class is owed ({@link Floors}).
      */
-    private static final Comparator<Ranked> ORDER = Comparator.<Ranked, Urgency>comparing(r -> r.urgency)
-            .thenComparing(r -> r.latestStart).thenComparingLong(r -> r.job.submittedMs)
+    private static final Comparator<Ranked> ORDER = Comparator.<Ranked, Integer>comparing(r -> r.first ? 0 : 1)
+            .thenComparing(r -> r.urgency).thenComparing(r -> r.latestStart).thenComparingLong(r -> r.job.submittedMs)
             .thenComparing(r -> r.job.id());
 
     final Team team;
     private final List<Job> jobs = new ArrayList<>();
     private final Inflow inflow = new Inflow();
+    private final Floors floors = new Floors();
     private List<Job> ordered = List.of();
     private Moment orderedAt = Moment.NEVER;
     private double cores;
@@ -44,6 +45,7 @@
 
     void remove(Job job) {
         jobs.remove(job);
+        floors.over(job);
         orderedAt = Moment.NEVER;
     }
 
@@ -56,12 +58,15 @@
     }
 
     /** The queue in the order in which it is served. */
-    List<Job> queue(Function<Job, Moment> latestStart, Moment now) {
+    List<Job> queue(Function<Job, Moment> latestStart, Function<Job, Moment> lastChance, Moment now) {
         if (!now.isBefore(orderedAt.plus(ORDER_LIFE))) {
+            boolean owedFirst = floors.count(jobs, cores, lastChance, now);
             List<Ranked> ranked = new ArrayList<>(jobs.size());
             for (Job job : jobs) {
                 Urgency urgency = job.spec.urgency() == Urgency.BEST_EFFORT ? Urgency.STANDARD : job.spec.urgency();
-                ranked.add(new Ranked(job, urgency, latestStart.apply(job)));
+                // A replica that is down is worth more than any job that is late.
+                boolean first = owedFirst && (job.owed || job.spec.isService());
+                ranked.add(new Ranked(job, first, urgency, latestStart.apply(job)));
             }
             ranked.sort(ORDER);
             ordered = ranked.stream().map(Ranked::job).toList();
--- a/src/test/java/io/indigoreach/core/FleetCostTest.java
+++ b/src/test/java/io/indigoreach/core/FleetCostTest.java
@@ -34,6 +34,24 @@
         assertTrue(w.core.visits() - before <= 10L * machines, (w.core.visits() - before) + " machines looked at");
     }
 
+    /** The same where another team waits for its guarantee: each report walked all machines to see what comes free. */
+    @ParameterizedTest
+    @ValueSource(ints = {50, 500})
+    void guaranteesDoNotWalkTheFleet(int machines) {
+        World w = new World(World.team(0), new Team("due", 4 * machines, 0, 0, 0));
+        Map<String, TaskReport[]> tasks = busy(w, machines);
+        JobSpec s = spec(3, 4 * machines, 1, 20);
+        w.submit(new JobSpec(s.id(), s.jobClass(), "due", s.shape(), s.urgency(), s.tasks(), s.demand(), s.image(),
+                s.imageGb(), null, null, false, false, true, s.estimate(), Span.ZERO, Span.ZERO, null), 3);
+        long before = w.core.visits();
+        int stops = 0;
+        for (int i = 0; i < machines; i++) {
+            stops += World.stops(w.hear("m" + i, 5 + 0.9 * i / machines, tasks.get("m" + i))).size();
+        }
+        assertTrue(stops >= machines, stops + " tasks make room");
+        assertTrue(w.core.visits() - before <= 10L * machines, (w.core.visits() - before) + " machines looked at");
+    }
+
     /** The fleet runs tasks that keep their progress, and urgent work waits that could take their place. */
     private static Map<String, TaskReport[]> busy(World w, int machines) {
         Map<String, TaskReport[]> all = new HashMap<>();
--- /dev/null
+++ b/src/test/java/io/indigoreach/core/ServedTest.java
@@ -0,0 +1,93 @@
+package io.indigoreach.core;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.indigoreach.core.Steps.Kind;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+/** Every class and every team is served: floods, empty pools, queues behind urgent jobs; in steps of a second. */
+class ServedTest {
+    private static final Aims AIMS = new Aims(List.of(aim("urgent", 150), aim("usual", 180), aim("slow", 300)));
+
+    private static Aims.Aim aim(String jobClass, double within) {
+        return new Aims.Aim(jobClass, false, Span.seconds(within));
+    }
+
+    /** Some 1,100 of 1,200 cores' worth until 380, and between 80 and 230 so many times as many urgent jobs. */
+    private static Steps flood(int times, Aims aims) {
+        return new Steps(List.of(Kind.of("urgent", Urgency.HIGH, 0.4, 10, 35, 25, 1).between(0, 380),
+                Kind.of("urgent", Urgency.HIGH, 0.4 * (times - 1), 0, 35, 25, 1).between(80, 230),
+                Kind.of("usual", Urgency.STANDARD, 0.35, 10, 80, 18, 1).between(0, 380),
+                Kind.of("slow", Urgency.BEST_EFFORT, 0.04, 3, 25, 70, 4).between(0, 380).saving()), 240, 60, aims);
+    }
+
+    /** Guards against a flood of urgent jobs that leaves the others nothing: usual jobs were served 0.37 within their aim. */
+    @ParameterizedTest
+    @CsvSource({"1, 1.0, 1.0, 1.0", "3, 0.95, 0.6, 0.6", "6, 0.6, 0.5, 0.5"})
+    void noClassFallsUnderHalfWithinItsLongestAim(int times, double urgent, double usual, double slow) {
+        Steps s = flood(times, AIMS).run(130);
+        s.newLeader();
+        s.run(870);
+        String served = s.served("urgent", 150) + " " + s.served("usual", 180) + " " + s.served("slow", 300);
+        assertTrue(s.served("urgent", 150) >= urgent && s.served("usual", 180) >= usual
+                && s.served("slow", 300) >= slow, served);
+        assertEquals(1, s.served("usual", 800), "all are served in the end");
+    }
+
+    /** An endless flood that takes all there is: what nobody has an aim for starts when it is ten minutes old all the same. */
+    @Test
+    void ageHasABound() {
+        Steps s = new Steps(List.of(Kind.of("urgent", Urgency.HIGH, 2, 10, 35, 25, 1),
+                Kind.of("slow", Urgency.BEST_EFFORT, 0.01, 3, 10, 70, 4).saving()), 240, 60, World.NO_AIMS);
+        s.run(1500);
+        assertTrue(s.longestWait("slow", 0) <= 750, "waits " + s.longestWait("slow", 0));
+        assertTrue(s.served("urgent", 800) >= 0.5, "urgent " + s.served("urgent", 800));
+    }
+
+    /**
+     * No spot machine is to be had, and no aim says when ordinary ones are worth their price: 94 tasks went one after the
+     * other over one machine, and a spot machine was asked for all the while.
+     */
+    @ParameterizedTest
+    @CsvSource({"0, 20", "3, 20", "0, 2"})
+    void whereTheCheaperPoolIsEmptyWaitsAreBoundedAllTheSame(int spot, int ordinary) {
+        Steps s = new Steps(List.of(Kind.of("c", Urgency.STANDARD, 0, 1, 94, 20, 1)), spot, ordinary, World.NO_AIMS);
+        s.run(400);
+        int boots = 2 * 20;
+        int atOnce = Math.min(9, spot + ordinary) * 4;
+        int bound = boots + (94 + atOnce - 1) / atOnce * 24;
+        assertTrue(s.longestWait("c", 0) <= bound, "waits " + s.longestWait("c", 0) + " of " + bound);
+        long asked = s.asked.stream().filter(wish -> wish.pool().spot()).count();
+        assertTrue(asked <= 42, "spot machines asked for " + asked + " times");
+    }
+
+    /** Behind a service and short jobs that start at once, longer ones wait: the top job alone did not say so. */
+    @Test
+    void waitsFallUnderTheThresholdAfterAChangeOfLeader() {
+        Steps s = new Steps(List.of(Kind.of("short", Urgency.STANDARD, 1.2, 30, 20, 6, 1),
+                Kind.of("long", Urgency.BEST_EFFORT, 0.2, 10, 8, 40, 1),
+                Kind.of("replicas", Urgency.PRODUCTION, 0, 1, 8, 0, 1).service()), 160, 80, World.NO_AIMS);
+        s.run(10);
+        s.newLeader();
+        s.run(350);
+        assertTrue(s.longestWait("short", 60) <= 45 && s.longestWait("long", 60) <= 45,
+                "waits " + s.longestWait("short", 60) + " and " + s.longestWait("long", 60));
+    }
+
+    /** A thousand machines, three teams: one floods, one has a guarantee, one a limit; each is served. */
+    @Test
+    void everyTeamIsServed() {
+        Team[] teams = {new Team("floods", 0, 0, 0, 0), new Team("guaranteed", 1200, 0, 0, 0), new Team("limited", 0, 600, 0, 0)};
+        Steps s = new Steps(List.of(Kind.of("urgent", Urgency.HIGH, 6, 20, 40, 25, 1).between(0, 200).team("floods"),
+                Kind.of("usual", Urgency.STANDARD, 0.5, 10, 80, 18, 1).between(0, 300).team("guaranteed"),
+                Kind.of("slow", Urgency.BEST_EFFORT, 0.05, 3, 25, 70, 4).between(0, 300).saving().team("limited")), 800, 200,
+                new Aims(List.of(aim("urgent", 250), aim("usual", 180), aim("slow", 400))), teams);
+        s.run(700);
+        assertTrue(s.served("floods", 250) >= 0.5 && s.served("guaranteed", 180) >= 0.5 && s.served("limited", 400) >= 0.5,
+                s.served("floods", 250) + " " + s.served("guaranteed", 180) + " " + s.served("limited", 400));
+    }
+}
--- /dev/null
+++ b/src/test/java/io/indigoreach/core/Steps.java
@@ -0,0 +1,247 @@
+package io.indigoreach.core;
+
+import java.util.ArrayList;
+import java.util.BitSet;
+import java.util.HashMap;
+import java.util.Iterator;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+
+/**
+ * A deployment in simulated steps of a second round the real core: jobs come, machines of four cores boot for 20 steps and
+ * report every second one, pools run out. Nothing is random: the same classes give the same run.
+ */
+final class Steps implements Notes {
+    static final Tuning STANDARD = new Tuning(Span.seconds(10), Span.seconds(15), Span.seconds(60), Span.seconds(15),
+            Span.seconds(2), 2, 4, Span.seconds(600), Span.seconds(15), Span.seconds(350), 1.4, Span.seconds(10));
+    private static final int BOOT = 20;
+    /** Of the clock: the first step is not at its beginning, where nothing could have come before. */
+    private static final int BEGIN = 1000;
+
+    /** Jobs of a class: {@code atStart} in the first step, {@code perStep} a step from {@code from} to {@code until}. */
+    record Kind(String name, String team, Urgency urgency, double perStep, int atStart, int from, int until, int tasks, int run,
+                double cores, boolean saves, Shape shape) {
+        static Kind of(String name, Urgency urgency, double perStep, int atStart, int tasks, int run, double cores) {
+            return new Kind(name, "t", urgency, perStep, atStart, 0, Integer.MAX_VALUE, tasks, run, cores, false, Shape.ARRAY);
+        }
+
+        Kind team(String other) {
+            return new Kind(name, other, urgency, perStep, atStart, from, until, tasks, run, cores, saves, shape);
+        }
+
+        Kind between(int begin, int end) {
+            return new Kind(name, team, urgency, perStep, atStart, begin, end, tasks, run, cores, saves, shape);
+        }
+
+        Kind saving() {
+            return new Kind(name, team, urgency, perStep, atStart, from, until, tasks, run, cores, true, shape);
+        }
+
+        Kind service() {
+            return new Kind(name, team, urgency, 0, atStart, from, until, tasks, run, cores, saves, Shape.SERVICE);
+        }
+    }
+
+    /** A job: when it came, how many of its tasks have started, when the last one did, and when it was over. */
+    static final class Fate {
+        final JobSpec spec;
+        final int came;
+        final Map<TaskId, Integer> started = new HashMap<>();
+        int over = -1;
+
+        Fate(JobSpec spec, int came) {
+            this.spec = spec;
+            this.came = came;
+        }
+
+        int lastStart(int now) {
+            return started.size() < spec.tasks() ? now : started.values().stream().mapToInt(i -> i).max().orElse(now);
+        }
+    }
+
+    private static final class Box {
+        final Pool pool;
+        final int up;
+        final Map<Order, Integer> tasks = new LinkedHashMap<>();
+        /** Tasks that were told to stop. */
+        final List<TaskId> stopping = new ArrayList<>();
+
+        Box(Pool pool, int up) {
+            this.pool = pool;
+            this.up = up;
+        }
+    }
+
+    final Map<JobId, Fate> fates = new TreeMap<>();
+    final List<RentWish> asked = new ArrayList<>();
+    private final List<Kind> kinds;
+    private final Map<Pool, Integer> capacity;
+    private final List<Team> teams;
+    private final Aims aims;
+    private final Map<String, Box> boxes = new TreeMap<>();
+    private final Map<JobId, Job> open = new TreeMap<>();
+    private final Map<Kind, Double> owed = new HashMap<>();
+    private final Map<TaskId, Integer> left = new HashMap<>();
+    private LeaderCore core;
+    private long token;
+    private long serial;
+    private int names;
+    private int now;
+    int mostUp;
+
+    Steps(List<Kind> kinds, int spot, int ordinary, Aims aims, Team... teams) {
+        this.kinds = kinds;
+        this.aims = aims;
+        this.teams = teams.length == 0 ? List.of(World.team(0)) : List.of(teams);
+        this.capacity = new HashMap<>(Map.of(new Pool("quad", "east", true), spot, new Pool("quad", "east", false), ordinary));
+        newLeader();
+    }
+
+    /** The leader ends and another begins with the records; every machine will report to it. */
+    void newLeader() {
+        core = new LeaderCore(new Token(++token), World.RULES, STANDARD, aims, teams, this);
+        MachineType t = World.TYPE;
+        core.setTypes(List.of(new MachineType(t.name(), t.capacity(), t.cacheGb(), t.fetchGbPerS(), t.price(),
+                t.spotPrice(), t.boot(), List.of("east"))));
+        boxes.forEach((name, box) -> core.inherit(new MachineId(name), box.pool, at(box.up - BOOT), at(box.up), at(now)));
+        open.replaceAll((id, job) -> new Job(job.spec(), job.submittedMs(), job.arrived, job.stamp(), job.doneTasks(),
+                job.boundToWrite(), true));
+        open.values().forEach(core::addJob);
+        core.loaded();
+    }
+
+    private static Moment at(int step) {
+        return new Moment((BEGIN + step) * 1000L);
+    }
+
+    Steps run(int steps) {
+        for (int i = 0; i < steps; i++) {
+            step();
+        }
+        return this;
+    }
+
+    /** Part of a class's jobs (or a team's) that were over within so many steps; those that came later do not count. */
+    double served(String name, int within) {
+        List<Fate> all = fates.values().stream().filter(f -> f.spec.shape() == Shape.ARRAY && now - f.came >= within
+                && (f.spec.jobClass().equals(name) || f.spec.team().equals(name))).toList();
+        return all.stream().filter(f -> f.over >= 0 && f.over - f.came <= within).count() / (double) all.size();
+    }
+
+    /** The longest that a job which came from this step on has waited until its last task started. */
+    int longestWait(String name, int from) {
+        return fates.values().stream().filter(f -> f.came >= from && f.spec.jobClass().equals(name))
+                .mapToInt(f -> f.lastStart(now) - f.came).max().orElse(0);
+    }
+
+    private void step() {
+        for (Kind kind : kinds) {
+            double due = owed.getOrDefault(kind, 0.0) + (now == 0 ? kind.atStart : 0)
+                    + (now >= kind.from && now < kind.until ? kind.perStep : 0);
+            for (; due >= 1; due--) {
+                come(kind);
+            }
+            owed.put(kind, due);
+        }
+        core.expireLeases(at(now));
+        if (now % 2 == 0) {
+            tend();
+        }
+        for (Job job : core.boundsToRaise(at(now))) {
+            job.boundRecorded(job.boundToWrite());
+        }
+        int n = 0;
+        for (Map.Entry<String, Box> e : boxes.entrySet()) {
+            if (e.getValue().up <= now && n++ % 2 == now % 2) {
+                report(e.getKey(), e.getValue());
+            }
+        }
+        for (Iterator<Job> i = open.values().iterator(); i.hasNext();) {
+            Job job = i.next();
+            job.recorded(job.doneTasks());
+            if (job.isComplete()) {
+                fates.get(job.id()).over = now;
+                core.closeJob(job.id());
+                i.remove();
+            }
+        }
+        now++;
+    }
+
+    private void come(Kind kind) {
+        JobSpec spec = new JobSpec(new JobId("run-" + (fates.size() + 1)), kind.name, kind.team, kind.shape, kind.urgency,
+                kind.tasks, new Demand(kind.cores, 0, kind.cores * 4), "img-" + kind.name, 0.2, null, null, false, false,
+                kind.shape == Shape.ARRAY, Span.seconds(kind.run), Span.seconds(kind.saves ? 10 : 0),
+                Span.seconds(kind.saves ? 2 : 0), null);
+        Job job = new Job(spec, at(now).ms(), at(now), new Stamp(fates.size() + 1), new BitSet(), 0, false);
+        fates.put(job.id(), new Fate(spec, now));
+        open.put(job.id(), job);
+        core.addJob(job);
+    }
+
+    private void tend() {
+        for (RentWish wish : core.wishes(at(now))) {
+            asked.add(wish);
+            int got = (int) Math.min(wish.count(), capacity.get(wish.pool()) - boxes.values().stream()
+                    .filter(b -> b.pool.equals(wish.pool())).count());
+            if (got < wish.count()) {
+                core.refused(wish.pool(), at(now));
+            }
+            List<MachineId> ids = new ArrayList<>();
+            for (int i = 0; i < got; i++) {
+                ids.add(new MachineId(String.format("m%05d", ++names)));
+                boxes.put(ids.get(i).toString(), new Box(wish.pool(), now + BOOT));
+            }
+            core.rented(wish.pool(), ids, at(now), at(now));
+        }
+        core.check(at(now));
+        List<MachineId> leaving = core.leaving(100);
+        leaving.forEach(id -> boxes.remove(id.toString()));
+        core.returned(leaving, at(now));
+        mostUp = Math.max(mostUp, boxes.size());
+    }
+
+    private void report(String name, Box box) {
+        List<TaskReport> list = new ArrayList<>();
+        for (Iterator<Map.Entry<Order, Integer>> i = box.tasks.entrySet().iterator(); i.hasNext();) {
+            Map.Entry<Order, Integer> e = i.next();
+            boolean stopped = box.stopping.remove(e.getKey().task());
+            boolean over = now >= e.getValue();
+            if (stopped && !over) {
+                left.put(e.getKey().task(), e.getValue() - now);
+            }
+            list.add(stopped && !over ? World.exited(e.getKey(), ExitCause.STOPPED)
+                    : over ? World.exited(e.getKey(), ExitCause.DONE) : World.running(e.getKey()));
+            if (stopped || over) {
+                i.remove();
+            }
+        }
+        WorkerReport report = new WorkerReport(new MachineId(name), "10.0.0.1:1", box.pool, new ReportNumber(1, ++serial),
+                new Token(token), null, list);
+        List<Order> orders = new ArrayList<>(core.onReport(report, at(now)));
+        if (core.unrecorded(new MachineId(name)) != null) {
+            core.recorded(new MachineId(name));
+            orders.addAll(core.fill(new MachineId(name), report.number(), at(now)));
+        }
+        for (Order o : orders) {
+            Fate fate = fates.get(o.task().job());
+            if (o instanceof Order.Start) {
+                int run = fate.spec.shape() == Shape.SERVICE ? 1_000_000 : (int) fate.spec.estimate().seconds();
+                box.tasks.put(o, now + (fate.spec.savesProgress() ? left.getOrDefault(o.task(), run) : run));
+                fate.started.putIfAbsent(o.task(), now);
+            } else if (o instanceof Order.Stop) {
+                box.stopping.add(o.task());
+            }
+        }
+    }
+
+    @Override
+    public void progress(Job job) {
+    }
+
+    @Override
+    public void say(String line) {
+    }
+}
