No token twice, and what the state service has lost is noticed, held still and rebuilt

Change: core.TokenClock chooses tokens by a hybrid logical clock with the node in the lowest bits; a leader watches its own key; where the counter shows a loss a node that did not lead waits for a lease. An era record tells one whole content from another: 404 and 201 are conditional on it, a transaction's falling revision, a missing record, a counter below tokens in use and another controller's word are evidence (core.loss.LossJudge). While a loss is not mended unknown jobs get 503. The leader takes its key anew and writes what it, every node's accepted jobs and their ends tell, create-only or on the version read, ends first, the new era last (cluster.Rebuilder, core.loss.Remains). Before 404 the other controllers are asked. A machine is of the pool that it reports, whatever the answer to a request to rent was taken for.

--- a/src/main/java/io/indigoreach/api/JobDesk.java
+++ b/src/main/java/io/indigoreach/api/JobDesk.java
@@ -7,6 +7,7 @@
 import io.indigoreach.core.JobStatus;
 import io.indigoreach.core.Stamp;
 import io.indigoreach.core.Team;
+import io.indigoreach.core.loss.Remains;
 import io.indigoreach.net.SteadyClock;
 import io.indigoreach.net.Wire;
 import io.indigoreach.net.WireException;
@@ -19,7 +20,9 @@
 import java.util.BitSet;
 import java.util.Collection;
 import java.util.LinkedHashMap;
+import java.util.List;
 import java.util.Map;
+import java.util.function.Function;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -30,6 +33,7 @@
 public final class JobDesk {
     private static final Logger LOG = LoggerFactory.getLogger(JobDesk.class);
     private static final int REMEMBERED = 20_000;
+    private static final int ACCEPTED = 5_000;
     private static final int MOST_TRIES = 3;
 
     private final StateClient state;
@@ -37,6 +41,7 @@
     private final Collection<Team> teams;
     private final SteadyClock clock;
     private final int valueBytes;
+    private Function<JobId, Future<Boolean>> others = id -> Future.succeededFuture(false);
     private final Map<JobId, FinalRecord> over = new LinkedHashMap<>() {
         @Override
         protected boolean removeEldestEntry(Map.Entry<JobId, FinalRecord> eldest) {
@@ -44,6 +49,14 @@
         }
     };
 
+    /** Jobs accepted at this node that are not known to be over: what a loss of data would take, and none else may know. */
+    private final Map<JobId, Remains.Open> accepted = new LinkedHashMap<>() {
+        @Override
+        protected boolean removeEldestEntry(Map.Entry<JobId, Remains.Open> eldest) {
+            return size() > ACCEPTED;
+        }
+    };
+
     /** A job's state: open, over, or both null if it was never accepted. */
     private record Found(JobRecord open, FinalRecord over) {
     }
@@ -67,7 +80,8 @@
             return Future.succeededFuture(Answer.later("the machine types are not known yet"));
         }
         String refusal = Admission.refusal(spec, teams, catalogue.types());
-        Map<String, Object> record = RecordCodec.writeJob(spec, clock.timeOfDay(), JobStatus.PENDING, new BitSet(), 0, 0);
+        long now = clock.timeOfDay();
+        Map<String, Object> record = RecordCodec.writeJob(spec, now, JobStatus.PENDING, new BitSet(), 0, 0);
         if (refusal == null && Wire.write(record).length() > valueBytes / 2) {
             refusal = "the description is too long";
         }
@@ -77,13 +91,26 @@
             return find(spec.id()).map(found -> found.open == null && found.over == null
                     ? Answer.error(422, reason) : current(spec.id(), found));
         }
-        StateClient.Txn txn = new StateClient.Txn().when(RecordCodec.open(spec.id()), Stamp.ABSENT)
-                .when(RecordCodec.over(spec.id()), Stamp.ABSENT).put(RecordCodec.open(spec.id()), record);
-        return state.commit(txn).compose(outcome -> {
+        return accept(spec, record, now, 1);
+    }
+
+    /** Only in an era that is known and whole: a job that was lost may have been over, and must not run once more. */
+    private Future<Answer> accept(JobSpec spec, Map<String, Object> record, long now, int attempt) {
+        StateClient.Txn txn = state.inThisEra().when(RecordCodec.open(spec.id()), Stamp.ABSENT)
+                .when(RecordCodec.over(spec.id()), Stamp.ABSENT);
+        if (state.losses().isHolding()) {
+            return find(spec.id()).map(found -> current(spec.id(), found));
+        }
+        return state.commit(txn.put(RecordCodec.open(spec.id()), record)).compose(outcome -> {
             if (outcome.done()) {
+                BitSet none = new BitSet();
+                accepted.put(spec.id(), new Remains.Open(spec, now, none, spec.tasks()));
                 return Future.succeededFuture(
                         new Answer(201, JobCodec.accepted(spec.id(), JobStatus.PENDING), 0));
             }
+            if (outcome.failed().equals(List.of(RecordCodec.ERA)) && attempt < MOST_TRIES) {
+                return state.check().compose(v -> accept(spec, record, now, attempt + 1));
+            }
             return find(spec.id()).map(found -> found.open == null && found.over == null
                     ? Answer.later("try again") : current(spec.id(), found));
         });
@@ -167,14 +194,48 @@
     }
 
     private Future<Found> confirmed(JobId id, Found found, Stamp open, int attempt) {
-        return state.confirm(new StateClient.Txn().when(RecordCodec.open(id), open)
-                .when(RecordCodec.over(id), Stamp.ABSENT)).compose(holds -> holds ? Future.succeededFuture(found)
-                        : attempt < MOST_TRIES ? find(id, attempt + 1)
+        if (found.open == null && state.losses().isHolding()) {
+            return Future.failedFuture(new WireException("data were lost, and this job may be among them"));
+        }
+        StateClient.Txn txn = found.open == null ? state.inThisEra() : new StateClient.Txn();
+        return state.confirm(txn.when(RecordCodec.open(id), open).when(RecordCodec.over(id), Stamp.ABSENT))
+                .compose(holds -> holds ? found.open == null ? unknownToAll(id) : Future.succeededFuture(found)
+                        : attempt < MOST_TRIES ? state.check().compose(v -> find(id, attempt + 1))
                         : Future.failedFuture(new WireException("the state service answers with the past")));
     }
 
+    /** Nobody is told that a job does not exist as long as any controller remembers it: its record was lost. */
+    private Future<Found> unknownToAll(JobId id) {
+        return (knows(id) ? Future.succeededFuture(true) : others.apply(id)).compose(known -> {
+            if (known) {
+                state.recordGone(RecordCodec.open(id));
+                return Future.failedFuture(new WireException("the record of this job was lost"));
+            }
+            return Future.succeededFuture(new Found(null, null));
+        });
+    }
+
+    /** Whether this node has accepted the job, or knows its end. */
+    public boolean knows(JobId id) {
+        return accepted.containsKey(id) || over.containsKey(id);
+    }
+
+    /** Whom to ask whether any other controller knows a job. */
+    public void asking(Function<JobId, Future<Boolean>> peers) {
+        others = peers;
+    }
+
     private FinalRecord remember(FinalRecord record) {
         over.put(record.id(), record);
+        accepted.remove(record.id());
         return record;
     }
+
+    /** What this node remembers of jobs. */
+    public Remains remains() {
+        Remains remains = new Remains();
+        over.values().forEach(r -> remains.add(r.id(), new Remains.Over(r.status(), r.done())));
+        accepted.values().forEach(remains::add);
+        return remains;
+    }
 }
--- a/src/main/java/io/indigoreach/cluster/Controller.java
+++ b/src/main/java/io/indigoreach/cluster/Controller.java
@@ -1,14 +1,19 @@
 package io.indigoreach.cluster;
 
+import io.indigoreach.config.PlatformConfig;
+import io.indigoreach.core.JobId;
 import io.indigoreach.core.Order;
 import io.indigoreach.core.Stamp;
 import io.indigoreach.core.Token;
+import io.indigoreach.core.TokenClock;
 import io.indigoreach.core.WorkerReport;
+import io.indigoreach.core.loss.Remains;
 import io.indigoreach.state.Leadership;
 import io.vertx.core.Future;
 import java.util.List;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.function.Supplier;
+import java.util.stream.Stream;
 
 /** This node's part among the controllers: it leads, or knows who does. */
 public final class Controller implements Leadership.Listener {
@@ -21,13 +26,49 @@
 
     private final Reign.Surroundings env;
     private final Leadership leadership;
+    private Supplier<Future<Remains>> jobs = () -> Future.succeededFuture(new Remains());
     private Reign reign;
+    /** What this node knew when it last led. */
+    private Remains known = new Remains();
 
     Controller(Reign.Surroundings env) {
         this.env = env;
         String process = Long.toHexString(ThreadLocalRandom.current().nextLong()) + "-" + env.clock().timeOfDay();
-        this.leadership = new Leadership(env.vertx(), env.state(), env.clock(), env.config().node(), process,
-                env.config().peers().size(), env.lease(), this);
+        PlatformConfig config = env.config();
+        List<String> nodes = Stream.concat(Stream.of(config.node()), config.peers().stream().map(PlatformConfig.Peer::node))
+                .sorted().toList();
+        this.leadership = new Leadership(env.vertx(), env.state(), env.clock(), config.node(), process,
+                config.peers().size(), env.lease(), new TokenClock(nodes.indexOf(config.node()), env.clock().timeOfDay(),
+                        config.clockOff()), this);
+    }
+
+    /** Where to ask for what the controllers remember of jobs, besides what this node knew as a leader. */
+    void remembering(Supplier<Future<Remains>> jobs) {
+        this.jobs = jobs;
+    }
+
+    /** The state service has lost data: who leads keeps what it knows, and takes the key anew to rebuild from it. */
+    void onLoss() {
+        leadership.deposed();
+    }
+
+    /** Whether this node leads and has the job open. */
+    boolean knows(JobId id) {
+        return reign != null && reign.knows(id);
+    }
+
+    private Future<Remains> gather() {
+        Remains all = new Remains();
+        if (leadership.succeedsItself()) {
+            all.add(known);
+        } else {
+            // What was open then may be over since; what was over is so for ever.
+            known.over().forEach(all::add);
+        }
+        return jobs.get().map(others -> {
+            all.add(others);
+            return all;
+        });
     }
 
     /** Removes what a predecessor of this process left behind; never fails. */
@@ -66,7 +107,9 @@
             return Future.succeededFuture(Answer.elsewhere(otherLeader()));
         }
         Reign asked = reign;
-        return asked.onReport(report.get()).map(orders -> {
+        WorkerReport read = report.get();
+        leadership.seen(read.token());
+        return asked.onReport(read).map(orders -> {
             if (orders == null) {
                 leadership.deposed();
                 return Answer.elsewhere(null);
@@ -88,13 +131,16 @@
 
     @Override
     public void took(Token token, Stamp key, boolean bounds) {
-        reign = new Reign(env, token, key, leadership, bounds);
+        reign = new Reign(env, token, key, leadership, bounds, this::gather);
         reign.start();
     }
 
     @Override
     public void lost(String reason) {
         if (reign != null) {
+            Remains last = reign.remains();
+            // A reign that ended before it had read the records knows less than the one before.
+            known = last.isEmpty() ? known : last;
             reign.close();
             reign = null;
         }
--- a/src/main/java/io/indigoreach/cluster/Ledger.java
+++ b/src/main/java/io/indigoreach/cluster/Ledger.java
@@ -7,6 +7,7 @@
 import io.indigoreach.core.Moment;
 import io.indigoreach.core.Span;
 import io.indigoreach.core.Stamp;
+import io.indigoreach.core.loss.Remains;
 import io.indigoreach.net.Budget;
 import io.indigoreach.net.Duty;
 import io.indigoreach.net.Fields;
@@ -54,9 +55,9 @@
     private final Map<JobId, Moment> written = new HashMap<>();
     private final Map<JobId, JobStatus> shown = new HashMap<>();
     /** Jobs that are over: a late change of theirs must not open them again. */
-    private final Map<JobId, Boolean> closed = new LinkedHashMap<>() {
+    private final Map<JobId, Remains.Over> closed = new LinkedHashMap<>() {
         @Override
-        protected boolean removeEldestEntry(Map.Entry<JobId, Boolean> eldest) {
+        protected boolean removeEldestEntry(Map.Entry<JobId, Remains.Over> eldest) {
             return size() > CLOSED_KEPT;
         }
     };
@@ -191,16 +192,37 @@
             touch(job);
             return;
         }
-        LOG.info("job {} is cancelled", id);
-        core.cancelJob(id);
-        drop(job);
+        // Cancelled by its user, which leaves a record of its end, or lost.
+        env.state().get(RecordCodec.over(id)).compose(over -> over != null ? Future.succeededFuture(true)
+                : env.state().confirm(new StateClient.Txn().when(RecordCodec.open(id), Stamp.ABSENT)
+                        .when(RecordCodec.over(id), Stamp.ABSENT)).map(gone -> gone ? false : null)).onSuccess(cancelled -> {
+                            if (duty.isCancelled() || core.job(id) != job || cancelled == null) {
+                                return;
+                            }
+                            if (cancelled) {
+                                LOG.info("job {} is cancelled", id);
+                                core.cancelJob(id);
+                                drop(job);
+                            } else {
+                                env.state().recordGone(RecordCodec.open(id));
+                            }
+                        }).onFailure(e -> env.vertx().setTimer(PERIOD.ms() * 5, t -> {
+                            if (!duty.isCancelled() && core.job(id) == job) {
+                                heardGone(id);
+                            }
+                        }));
+    }
+
+    /** Jobs that ended under this leader. */
+    void addTo(Remains remains) {
+        closed.forEach(remains::add);
     }
 
     private void drop(Job job) {
         touched.remove(job);
         shown.remove(job.id());
         written.remove(job.id());
-        closed.put(job.id(), true);
+        closed.put(job.id(), new Remains.Over(job.isCancelled() ? JobStatus.CANCELLED : JobStatus.DONE, job.doneCount()));
     }
 
     private Future<Span> step() {
@@ -302,8 +324,16 @@
                 core.stamped(job, open.stamp());
                 return Future.succeededFuture();
             }
-            return env.state().get(RecordCodec.over(id)).map(over -> {
-                if (over != null && !duty.isCancelled()) {
+            return env.state().get(RecordCodec.over(id)).compose(over -> {
+                if (over == null) {
+                    return env.state().confirm(new StateClient.Txn().when(RecordCodec.open(id), Stamp.ABSENT)
+                            .when(RecordCodec.over(id), Stamp.ABSENT)).onSuccess(gone -> {
+                                if (gone && !duty.isCancelled()) {
+                                    env.state().recordGone(RecordCodec.open(id));
+                                }
+                            }).mapEmpty();
+                }
+                if (!duty.isCancelled()) {
                     JobStatus status = RecordCodec.readFinal(id, over.value()).status();
                     LOG.info("job {} is {}", id, status);
                     if (status == JobStatus.CANCELLED) {
@@ -313,7 +343,7 @@
                     }
                     drop(job);
                 }
-                return null;
+                return Future.succeededFuture();
             });
         }).onComplete(r -> writing.remove(id));
     }
--- a/src/main/java/io/indigoreach/cluster/Node.java
+++ b/src/main/java/io/indigoreach/cluster/Node.java
@@ -24,13 +24,16 @@
     public Node(Vertx vertx, PlatformConfig config, Settings settings) throws ConfigException {
         SteadyClock clock = new SteadyClock();
         StateClient state = new StateClient(new Caller(vertx, config.state(), 12),
-                new Caller(vertx, config.state(), 2));
+                new Caller(vertx, config.state(), 3));
         CloudClient cloud = new CloudClient(new Caller(vertx, config.cloud(), 3));
         this.catalogue = new Catalogue(vertx, state, cloud);
         this.controller = new Controller(new Reign.Surroundings(vertx, clock, state, cloud, catalogue, config, settings,
                 settings.leaderLease(config.rules())));
-        this.standing = new Standing(vertx, clock, state, config, controller);
         JobDesk jobs = new JobDesk(state, catalogue, config.teams(), clock, config.stateLimits().valueBytes());
+        this.standing = new Standing(vertx, clock, state, config, controller, jobs);
+        controller.remembering(standing::gather);
+        jobs.asking(standing::know);
+        state.onLoss(controller::onLoss);
         this.door = new FrontDoor(vertx, config.listen(), jobs, new ReportDesk(controller),
                 () -> catalogue.isKnown() && !standing.isRefusedAlone());
     }
--- /dev/null
+++ b/src/main/java/io/indigoreach/cluster/Rebuilder.java
@@ -0,0 +1,208 @@
+package io.indigoreach.cluster;
+
+import io.indigoreach.core.JobId;
+import io.indigoreach.core.JobStatus;
+import io.indigoreach.core.MachineId;
+import io.indigoreach.core.Moment;
+import io.indigoreach.core.Stamp;
+import io.indigoreach.core.Token;
+import io.indigoreach.core.loss.Remains;
+import io.indigoreach.net.Budget;
+import io.indigoreach.net.WireException;
+import io.indigoreach.state.JobRecord;
+import io.indigoreach.state.MachineRecord;
+import io.indigoreach.state.RecordCodec;
+import io.indigoreach.state.StateClient;
+import io.vertx.core.Future;
+import io.vertx.core.Promise;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.BitSet;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * Writes what controllers remember where the state service has lost it: by a leader that has just taken the key, before it
+ * reads the records and gives any order. Every write depends on the leadership key and on the version that was read of what
+ * it changes, or on its absence, so that nothing newer is overwritten; each can be repeated, so a rebuilding that ends
+ * anywhere is begun again by whoever leads next. Jobs that are over come first: as long as they are missing, a copy of
+ * theirs that came back open could be started. The new era is written last.
+ */
+final class Rebuilder {
+    private static final Logger LOG = LoggerFactory.getLogger(Rebuilder.class);
+    private static final int PAGE = 500;
+
+    /** One record's writes, with their conditions; {@code settled}: a failed condition says that nothing is to be done. */
+    private record Step(String what, StateClient.Txn txn) {
+    }
+
+    private final Reign.Surroundings env;
+    private final Token token;
+    private final Stamp key;
+    private final Budget budget;
+    private final Remains remains;
+    private final Map<JobId, JobRecord> open = new HashMap<>();
+    private final Map<JobId, BitSet> beside = new HashMap<>();
+    private final Set<MachineId> machines = new HashSet<>();
+    private final Deque<Step> steps = new ArrayDeque<>();
+    private int written;
+
+    Rebuilder(Reign.Surroundings env, Token token, Stamp key, Budget budget, Remains remains) {
+        this.env = env;
+        this.token = token;
+        this.key = key;
+        this.budget = budget;
+        this.remains = remains;
+    }
+
+    /** Succeeds when everything is written and the new era begins. */
+    Future<Void> run() {
+        LOG.warn("rebuilding what was lost from {}", remains);
+        return read(RecordCodec.BITS, e -> RecordCodec.readBlock(e.key(), e.value(),
+                beside.computeIfAbsent(RecordCodec.jobOfBlock(e.key()), k -> new BitSet())))
+                .compose(v -> read(RecordCodec.OPEN, e -> {
+                    JobId id = RecordCodec.jobOf(e.key());
+                    open.put(id, RecordCodec.readJob(id, e.value(), e.stamp()));
+                })).compose(v -> read(RecordCodec.MACHINES, e -> RecordCodec.readMachines(e.value())
+                        .forEach(m -> machines.add(m.id())))).compose(v -> {
+                            remains.over().forEach(this::end);
+                            remains.machines().stream().filter(m -> !machines.contains(m.id())).toList()
+                                    .forEach(this::enter);
+                            remains.open().forEach(this::reopen);
+                            return next();
+                        }).compose(v -> begin(env.state(), token, key)).map(v -> {
+                            LOG.warn("rebuilt: {} records written of {}", written, remains);
+                            return null;
+                        });
+    }
+
+    /** Begins an era: what is in the state service from now on is all there is. */
+    static Future<Void> begin(StateClient state, Token token, Stamp key) {
+        return state.get(RecordCodec.ERA).compose(era -> state.commit(new StateClient.Txn().when(RecordCodec.LEADER, key)
+                .when(RecordCodec.ERA, era == null ? Stamp.ABSENT : era.stamp())
+                .put(RecordCodec.ERA, RecordCodec.writeEra(token)))).compose(outcome -> outcome.done() ? state.check()
+                        : Future.failedFuture(new WireException("another node leads")));
+    }
+
+    private Future<Void> read(String prefix, java.util.function.Consumer<StateClient.Entry> each) {
+        return page(prefix, null, each);
+    }
+
+    private Future<Void> page(String prefix, String after, java.util.function.Consumer<StateClient.Entry> each) {
+        return env.state().list(prefix, after, PAGE).compose(page -> {
+            if (page.revision() < key.value()) {
+                return Future.failedFuture(new WireException("the state service lists the past"));
+            }
+            page.items().forEach(each);
+            return page.more() && !page.items().isEmpty()
+                    ? page(prefix, page.items().get(page.items().size() - 1).key(), each) : Future.succeededFuture();
+        });
+    }
+
+    private void end(JobId id, Remains.Over end) {
+        JobRecord kept = open.remove(id);
+        StateClient.Txn txn = new StateClient.Txn().when(RecordCodec.LEADER, key).when(RecordCodec.over(id), Stamp.ABSENT)
+                .when(RecordCodec.open(id), kept == null ? Stamp.ABSENT : kept.stamp())
+                .put(RecordCodec.over(id), RecordCodec.writeFinal(end.status(), end.done()));
+        if (kept != null) {
+            txn.delete(RecordCodec.open(id));
+            for (int n = 0; n < RecordCodec.blocks(kept.spec().tasks()); n++) {
+                txn.delete(RecordCodec.block(id, n));
+            }
+        }
+        steps.add(new Step(id + " " + end.status(), txn));
+    }
+
+    private void reopen(Remains.Open job) {
+        JobId id = job.spec().id();
+        JobRecord kept = open.get(id);
+        Remains.Open whole = job;
+        if (kept != null) {
+            BitSet done = (BitSet) kept.done().clone();
+            done.or(beside.getOrDefault(id, new BitSet()));
+            whole = Remains.merged(job, new Remains.Open(kept.spec(), kept.submittedMs(), done, kept.bound()));
+            if (whole == null) {
+                return;
+            }
+        }
+        StateClient.Txn txn = new StateClient.Txn().when(RecordCodec.LEADER, key).when(RecordCodec.over(id), Stamp.ABSENT)
+                .when(RecordCodec.open(id), kept == null ? Stamp.ABSENT : kept.stamp())
+                .put(RecordCodec.open(id), RecordCodec.writeJob(whole.spec(), whole.submittedMs(), JobStatus.PENDING,
+                        whole.done(), 0, whole.bound()));
+        for (int n = 0; n < RecordCodec.blocks(whole.spec().tasks()); n++) {
+            txn.put(RecordCodec.block(id, n), RecordCodec.writeBlock(whole.done(), n));
+        }
+        steps.add(new Step(id + " open", txn));
+    }
+
+    /** A page of its own for each: the pages that are there may be written to once the records are read. */
+    private void enter(Remains.Rented m) {
+        Moment now = env.clock().now();
+        long today = env.clock().timeOfDay();
+        machines.add(m.id());
+        String page = RecordCodec.machinePage(token, "r" + machines.size());
+        steps.add(new Step("machine " + m.id(), new StateClient.Txn().when(RecordCodec.LEADER, key)
+                .when(page, Stamp.ABSENT).put(page, RecordCodec.writeMachines(List.of(new MachineRecord(m.id(), m.pool(),
+                        today - now.since(m.rented()).ms(), today - now.since(m.existed()).ms()))))));
+    }
+
+    /** Several records go into one transaction; where a condition fails, each of them goes alone. */
+    private Future<Void> next() {
+        if (steps.isEmpty()) {
+            return Future.succeededFuture();
+        }
+        int most = env.config().stateLimits().txnOps();
+        List<Step> batch = new ArrayList<>();
+        int size = 0;
+        while (!steps.isEmpty() && (batch.isEmpty() || size + steps.peek().txn.size() <= most)) {
+            size += steps.peek().txn.size();
+            batch.add(steps.poll());
+        }
+        return paced(size).compose(v -> write(batch)).compose(v -> next());
+    }
+
+    private Future<Void> paced(int writes) {
+        if (budget.take(writes, env.clock().now())) {
+            return Future.succeededFuture();
+        }
+        Promise<Void> later = Promise.promise();
+        env.vertx().setTimer(50, t -> later.complete());
+        return later.future().compose(v -> paced(writes));
+    }
+
+    private Future<Void> write(List<Step> batch) {
+        Map<String, Stamp> conditions = new LinkedHashMap<>();
+        StateClient.Txn all = new StateClient.Txn();
+        for (Step step : batch) {
+            conditions.putAll(step.txn.conditions());
+            all.writes().addAll(step.txn.writes());
+        }
+        conditions.forEach(all::when);
+        return env.state().commit(all).compose(outcome -> {
+            if (outcome.done()) {
+                written += batch.size();
+                return Future.succeededFuture();
+            }
+            if (outcome.failed().contains(RecordCodec.LEADER)) {
+                return Future.failedFuture(new WireException("another node leads"));
+            }
+            if (batch.size() == 1) {
+                // Written meanwhile, by the answer that was lost or by a user at another node: that is newer.
+                LOG.info("not rebuilt, as it is there: {}", batch.get(0).what);
+                return Future.succeededFuture();
+            }
+            Future<Void> each = Future.succeededFuture();
+            for (Step step : batch) {
+                each = each.compose(v -> paced(step.txn.size())).compose(v -> write(List.of(step)));
+            }
+            return each;
+        });
+    }
+}
--- a/src/main/java/io/indigoreach/cluster/Reign.java
+++ b/src/main/java/io/indigoreach/cluster/Reign.java
@@ -6,6 +6,7 @@
 import io.indigoreach.config.Settings;
 import io.indigoreach.core.Aims;
 import io.indigoreach.core.Job;
+import io.indigoreach.core.JobId;
 import io.indigoreach.core.LeaderCore;
 import io.indigoreach.core.Machine;
 import io.indigoreach.core.Moment;
@@ -15,6 +16,7 @@
 import io.indigoreach.core.Stamp;
 import io.indigoreach.core.Token;
 import io.indigoreach.core.WorkerReport;
+import io.indigoreach.core.loss.Remains;
 import io.indigoreach.net.Budget;
 import io.indigoreach.net.Duty;
 import io.indigoreach.net.SteadyClock;
@@ -24,6 +26,7 @@
 import io.vertx.core.Vertx;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.function.Supplier;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -48,24 +51,35 @@
     private final Ledger ledger;
     private final Fleet fleet;
     private final JobWatch watch;
+    private final EndWatch ends;
     private final Duty opening;
     private final Duty tick;
+    private final Supplier<Future<Remains>> memory;
+    private final Budget budget;
+    private final Stamp key;
     private Moment summarised = Moment.NEVER;
     private boolean boundsKept;
 
-    /** {@code boundsKept}: the start bounds that earlier leaders recorded can be believed. */
-    Reign(Surroundings env, Token token, Stamp key, Leadership leadership, boolean boundsKept) {
+    /**
+     * @param boundsKept the start bounds that earlier leaders recorded can be believed
+     * @param memory what controllers remember, asked for where the state service has lost data
+     */
+    Reign(Surroundings env, Token token, Stamp key, Leadership leadership, boolean boundsKept,
+          Supplier<Future<Remains>> memory) {
+        this.memory = memory;
+        this.key = key;
         this.env = env;
         this.token = token;
         this.leadership = leadership;
         this.core = new LeaderCore(token, env.config().rules(), env.settings().tuning(), aims(env.config()),
                 env.config().teams(), this);
-        Budget budget = new Budget(env.config().stateLimits().writesPerS() * WRITES, env.clock().now());
+        this.budget = new Budget(env.config().stateLimits().writesPerS() * WRITES, env.clock().now());
         this.book = new MachineBook(env, core, token, key, leadership::deposed, budget);
         this.ledger = new Ledger(env, core, book, key, leadership::deposed, budget, boundsKept);
         this.boundsKept = boundsKept;
         this.fleet = new Fleet(env, core, token, leadership::isValid);
         this.watch = new JobWatch(env, ledger);
+        this.ends = new EndWatch(env);
         this.opening = new Duty(env.vertx(), "opening", Span.seconds(0.3), this::open);
         this.tick = new Duty(env.vertx(), "tick", TICK, this::tick);
     }
@@ -83,6 +97,7 @@
         opening.cancel();
         tick.cancel();
         watch.cancel();
+        ends.cancel();
         ledger.cancel();
         book.cancel();
         fleet.cancel();
@@ -118,10 +133,11 @@
             return Future.succeededFuture(Span.seconds(0.2));
         }
         core.setTypes(env.catalogue().types());
-        return ledger.load().map(revision -> {
+        return whole().compose(v -> ledger.load()).map(revision -> {
             core.loaded();
             LOG.info("records read: {} open jobs, {} machines", core.jobs().size(), core.machineCount());
             watch.start(revision);
+            ends.start(revision);
             ledger.start();
             book.start();
             fleet.start();
@@ -131,6 +147,30 @@
         });
     }
 
+    /** Before the records are read: what was lost of them is written anew, and a new deployment gets its era. */
+    private Future<Void> whole() {
+        if (env.state().losses().isHolding()) {
+            return memory.get().compose(remains -> new Rebuilder(env, token, key, budget, remains).run());
+        }
+        return env.state().losses().era() > 0 ? Future.succeededFuture() : env.state().check().compose(v ->
+                env.state().losses().era() > 0 ? Future.succeededFuture() : Rebuilder.begin(env.state(), token, key));
+    }
+
+    /** Whether it is an open job here. */
+    boolean knows(JobId id) {
+        return core.job(id) != null;
+    }
+
+    /** What this leader knows beside what is recorded, while it knows it all. */
+    Remains remains() {
+        Remains remains = new Remains();
+        if (core.isLoaded()) {
+            ledger.addTo(remains);
+            remains.add(core.remains());
+        }
+        return remains;
+    }
+
     private Future<Span> tick() {
         Moment now = env.clock().now();
         core.expireLeases(now);
--- a/src/main/java/io/indigoreach/cluster/Standing.java
+++ b/src/main/java/io/indigoreach/cluster/Standing.java
@@ -1,15 +1,19 @@
 package io.indigoreach.cluster;
 
+import io.indigoreach.api.JobDesk;
 import io.indigoreach.config.PlatformConfig;
+import io.indigoreach.core.JobId;
 import io.indigoreach.core.Moment;
 import io.indigoreach.core.Span;
 import io.indigoreach.core.Stamp;
+import io.indigoreach.core.loss.Remains;
 import io.indigoreach.net.Caller;
 import io.indigoreach.net.Duty;
 import io.indigoreach.net.Reply;
 import io.indigoreach.net.SteadyClock;
 import io.indigoreach.net.Wire;
 import io.indigoreach.net.WireException;
+import io.indigoreach.state.RemainsCodec;
 import io.indigoreach.state.StateClient;
 import io.vertx.core.Future;
 import io.vertx.core.Vertx;
@@ -34,18 +38,26 @@
     private static final Span PATIENCE = Span.seconds(2);
     private static final String PATH = "/standing";
     private static final String HAND_OVER = "/handover";
+    private static final String LOSS = "/loss";
+    private static final String REMAINS = "/remains";
+    private static final String KNOWS = "/knows";
+    /** A poll waits no longer than this for the others to say whether they know a job. */
+    private static final Span WORD = Span.seconds(0.7);
 
     private final SteadyClock clock;
     private final StateClient state;
     private final PlatformConfig config;
     private final Controller controller;
+    private final JobDesk jobs;
     private final List<Caller> peers = new ArrayList<>();
     private final HttpServer server;
     private final Duty duty;
     private Moment served;
     private boolean refusedAlone;
 
-    Standing(Vertx vertx, SteadyClock clock, StateClient state, PlatformConfig config, Controller controller) {
+    Standing(Vertx vertx, SteadyClock clock, StateClient state, PlatformConfig config, Controller controller,
+             JobDesk jobs) {
+        this.jobs = jobs;
         this.clock = clock;
         this.controller = controller;
         this.state = state;
@@ -81,6 +93,14 @@
             request.body().map(body -> new Stamp(Wire.readMap(body).whole("stamp"))).compose(controller::release)
                     .onComplete(done -> request.response().setStatusCode(done.succeeded() ? 200 : 503)
                             .end(Wire.write(Map.of())));
+        } else if (LOSS.equals(request.path())) {
+            request.body().onSuccess(body -> state.toldOfLoss(Wire.readMap(body).whole("era")))
+                    .onComplete(done -> request.response().end(Wire.write(Map.of())));
+        } else if (REMAINS.equals(request.path()) && request.getParam("part") != null) {
+            request.response().end(Wire.write(RemainsCodec.write(jobs.remains(), Integer.parseInt(request.getParam("part")))));
+        } else if (KNOWS.equals(request.path()) && request.getParam("id") != null && JobId.isValid(request.getParam("id"))) {
+            JobId id = new JobId(request.getParam("id"));
+            request.response().end(Wire.write(Wire.map("known", jobs.knows(id) || controller.knows(id))));
         } else {
             request.response().setStatusCode(PATH.equals(request.path()) ? 200 : 404)
                     .end(Wire.write(Wire.map("served", isServed())));
@@ -106,6 +126,9 @@
                         : "not refused alone any more");
             }
             refusedAlone = alone;
+            if (state.losses().isHolding()) {
+                tellOfLoss();
+            }
             Stamp key = alone ? controller.standAside() : null;
             if (key != null) {
                 handOver(key, 0);
@@ -114,6 +137,38 @@
         });
     }
 
+    /** Tells the others that data were lost: who leads may not have seen it, and only a leader can mend it. */
+    void tellOfLoss() {
+        long era = state.losses().era();
+        peers.forEach(peer -> peer.post(LOSS, Wire.map("era", era), PATIENCE));
+    }
+
+    /** Whether this node as a leader or any other that answers knows a job. */
+    Future<Boolean> know(JobId id) {
+        if (controller.knows(id)) {
+            return Future.succeededFuture(true);
+        }
+        List<Future<Boolean>> answers = new ArrayList<>();
+        peers.forEach(peer -> answers.add(peer.get(KNOWS + "?id=" + id.text(), WORD)
+                .map(r -> r.isOk() && r.body().flag("known", false)).otherwise(false)));
+        return answers.isEmpty() ? Future.succeededFuture(false)
+                : Future.all(answers).map(all -> all.<Boolean>list().contains(true));
+    }
+
+    /** What this node and those that answer remember of jobs. */
+    Future<Remains> gather() {
+        Remains all = new Remains();
+        all.add(jobs.remains());
+        List<Future<Void>> answers = new ArrayList<>();
+        peers.forEach(peer -> answers.add(gather(peer, 0, all).otherwiseEmpty()));
+        return answers.isEmpty() ? Future.succeededFuture(all) : Future.all(answers).map(v -> all);
+    }
+
+    private Future<Void> gather(Caller peer, int part, Remains into) {
+        return peer.get(REMAINS + "?part=" + part, PATIENCE).compose(r -> r.isOk() && RemainsCodec.read(r.body(), into)
+                ? gather(peer, part + 1, into) : Future.succeededFuture());
+    }
+
     /** Asks the others, one after the other, to remove this node's key; failing that, its lease runs out. */
     private void handOver(Stamp key, int asked) {
         if (asked < peers.size()) {
--- a/src/main/java/io/indigoreach/core/LeaderCore.java
+++ b/src/main/java/io/indigoreach/core/LeaderCore.java
@@ -1,5 +1,6 @@
 package io.indigoreach.core;
 
+import io.indigoreach.core.loss.Remains;
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashSet;
@@ -146,6 +147,9 @@
         if (report.number().compareTo(m.last) <= 0) {
             return List.of();
         }
+        if (!m.pool.equals(report.pool()) && cluster.types.containsKey(report.pool().type())) {
+            m = replace(m, report.pool(), now);
+        }
         m.heard = now;
         if (report.token().value() < token.value()) {
             return List.of();
@@ -181,6 +185,20 @@
         }
     }
 
+    /**
+     * A machine is what it says it is. The answer to a request to rent can be that to an older one of the same name, of
+     * another leader: an ordinary machine was taken for a spot one then, and could have got what may not run there.
+     */
+    private Machine replace(Machine m, Pool pool, Moment now) {
+        notes.say("machine " + m.id + " is of " + pool + ", not of " + m.pool);
+        Machine real = new Machine(m.id, pool, cluster.types.get(pool.type()), m.rented);
+        real.heard = m.heard;
+        real.existed = m.existed;
+        cluster.forget(m, now);
+        cluster.machines.put(real.id, real);
+        return real;
+    }
+
     private Machine adopt(WorkerReport report, Moment now) {
         MachineType type = cluster.types.get(report.pool().type());
         if (type == null) {
@@ -405,6 +423,24 @@
         return takeOver.isSettled();
     }
 
+    /** What this leader knows of jobs and machines, should the records of them be lost. */
+    public Remains remains() {
+        Remains remains = new Remains();
+        for (Job job : cluster.jobs.values()) {
+            if (job.isComplete()) {
+                remains.add(job.id(), new Remains.Over(JobStatus.DONE, job.spec.tasks()));
+            } else {
+                remains.add(new Remains.Open(job.spec, job.submittedMs, job.doneTasks(), job.boundToWrite()));
+            }
+        }
+        for (Machine m : cluster.machines.values()) {
+            if (m.recorded) {
+                remains.add(new Remains.Rented(m.id, m.pool, m.rented, m.existed));
+            }
+        }
+        return remains;
+    }
+
     /** One line for the log: what there is and what waits. */
     public String summary(Moment now) {
         int up = 0;
--- a/src/main/java/io/indigoreach/state/Freshness.java
+++ b/src/main/java/io/indigoreach/state/Freshness.java
@@ -24,6 +24,11 @@
         highest = Math.max(highest, revision);
     }
 
+    /** The service has gone back for good: what it tells from now on is measured by this. */
+    void beginAnew(long revision) {
+        highest = revision;
+    }
+
     void doubt() {
         doubted = DOUBTED_READS;
     }
--- a/src/main/java/io/indigoreach/state/Leadership.java
+++ b/src/main/java/io/indigoreach/state/Leadership.java
@@ -4,6 +4,7 @@
 import io.indigoreach.core.Span;
 import io.indigoreach.core.Stamp;
 import io.indigoreach.core.Token;
+import io.indigoreach.core.TokenClock;
 import io.indigoreach.net.Duty;
 import io.indigoreach.net.SteadyClock;
 import io.vertx.core.Future;
@@ -13,8 +14,12 @@
 
 /**
  * Takes and keeps leadership: a key attached to a lease. The transaction that writes the key raises the counter that
- * becomes the token. The lease's time is counted from when its renewal was sent, less drift, so this node stops
- * before the state service can let another one in.
+ * becomes the token, by a clock that does not depend on what the counter was ({@link TokenClock}). The lease's time is
+ * counted from when its renewal was sent, less drift, so this node stops before the state service can let another one in.
+ *
+ * <p>A key that is removed without its lease having ended, as by a loss of data, lets another node in too soon. So the
+ * leader watches its own key; and where the counter shows a loss, a node that did not lead waits for a whole lease, while
+ * the one that led may take the key again at once, as long as its lease's time would have lasted.
  */
 public final class Leadership {
     /** Told of changes, on the event loop. */
@@ -33,12 +38,15 @@
     private static final Span RETRY = Span.seconds(0.5);
     /** What the other nodes are given to take a key that was let go. */
     private static final Span GRACE = Span.seconds(0.6);
+    /** The longest that a leader's watch of its own key stays open. */
+    private static final Span OWN_WATCH = Span.seconds(2);
 
     private final StateClient state;
     private final SteadyClock clock;
     private final String node;
     private final String process;
     private final Span life;
+    private final TokenClock tokens;
     private final Listener listener;
     private final Duty duty;
     private final Duty renewal;
@@ -51,15 +59,21 @@
     private long lease;
     private Moment validUntil = Moment.NEVER;
     private Moment standAsideUntil = Moment.NEVER;
+    /** Until then nobody else may have led, as far as the time of this node's own last lease tells. */
+    private Moment ledUntil = Moment.NEVER;
+    private Token ledAs = Token.NONE;
+    private Moment lossSeen = Moment.NEVER;
+    private boolean succeedsItself;
 
     public Leadership(Vertx vertx, StateClient state, SteadyClock clock, String node, String process, int peers,
-                      Span life, Listener listener) {
+                      Span life, TokenClock tokens, Listener listener) {
         this.state = state;
         this.clock = clock;
         this.node = node;
         this.process = process;
         this.peers = peers;
         this.life = life;
+        this.tokens = tokens;
         this.listener = listener;
         this.duty = new Duty(vertx, "leadership", RETRY, this::step);
         this.renewal = new Duty(vertx, "lease renewal", RETRY, this::renew);
@@ -89,10 +103,20 @@
         return current == null ? null : current.node();
     }
 
+    /** No other leadership is known between the one that this node has and the last one that it had. */
+    public boolean succeedsItself() {
+        return succeedsItself;
+    }
+
+    /** A worker has shown a token: what comes after must be above it. */
+    public void seen(Token token) {
+        tokens.seen(token);
+    }
+
     /** The conditional write failed on the leadership key: another node has taken over. */
     public void deposed() {
         if (leading) {
-            lose("the leadership key has changed");
+            lose("the leadership key or the data under it have changed");
         }
     }
 
@@ -141,7 +165,7 @@
      */
     public Future<Void> clear() {
         return state.get(RecordCodec.LEADER).compose(entry -> {
-            current = entry == null ? null : LeaderKey.read(entry.value(), entry.stamp());
+            read(entry);
             boolean predecessor = current != null && current.node().equals(node) && peers > 0;
             return predecessor ? letGo().<Void>mapEmpty() : Future.<Void>succeededFuture();
         }).otherwiseEmpty();
@@ -149,11 +173,11 @@
 
     private Future<Span> step() {
         if (leading) {
-            return Future.succeededFuture(RETRY);
+            return guard();
         }
         if (watchedTo < 0) {
             return state.get(RecordCodec.LEADER).compose(entry -> {
-                current = entry == null ? null : LeaderKey.read(entry.value(), entry.stamp());
+                read(entry);
                 // A key of this very node is that of a predecessor, which has ended, or comes from an attempt of this
                 // process whose answer was lost: nobody acts under it, so its lease need not be waited for.
                 if (current != null && current.node().equals(node) && !hasLetGo && peers > 0) {
@@ -179,6 +203,26 @@
                 });
     }
 
+    private void read(StateClient.Entry entry) {
+        current = entry == null ? null : LeaderKey.read(entry.value(), entry.stamp());
+        if (current != null) {
+            tokens.seen(current.token());
+        }
+    }
+
+    /** Watches the key that this node leads by: once it is gone or another's, what was read under it does not hold. */
+    private Future<Span> guard() {
+        Stamp own = current.stamp();
+        return state.watch(RecordCodec.LEADER, own.value(), OWN_WATCH).map(changes -> {
+            boolean changed = changes.changes().stream().anyMatch(c -> c.key().equals(RecordCodec.LEADER)
+                    && !c.stamp().equals(own));
+            if (leading && current.stamp().equals(own) && changed) {
+                lose("the leadership key was removed or replaced");
+            }
+            return Span.ZERO;
+        });
+    }
+
     /**
      * This process has just started and its predecessor led. A node that has been up all along leads sooner and better
      * than one that is still warming up, so the key is removed, and taken only if nobody else does.
@@ -191,19 +235,30 @@
     }
 
     private Future<Span> campaign() {
-        Stamp before = current == null ? Stamp.ABSENT : current.stamp();
+        Stamp held = current == null ? Stamp.ABSENT : current.stamp();
         return state.get(RecordCodec.COUNTER).compose(counter -> {
-            Token token = counter == null ? new Token(1) : new Token(RecordCodec.counted(counter.value().map())).next();
-            Stamp counted = counter == null ? Stamp.ABSENT : counter.stamp();
+            Token counted = counter == null ? Token.NONE : new Token(RecordCodec.counted(counter.value().map()));
+            Stamp counterStamp = counter == null ? Stamp.ABSENT : counter.stamp();
+            if (tokens.isBehind(counted) && !mayTakeAgain()) {
+                return state.confirm(new StateClient.Txn().when(RecordCodec.COUNTER, counterStamp)).map(is -> {
+                    // A read may come from the past; then nothing is lost.
+                    lossSeen = is ? lossSeen : Moment.NEVER;
+                    return RETRY;
+                });
+            }
+            Token before = tokens.highest();
+            Token token = tokens.next(counted, clock.timeOfDay());
             boolean bounds = counter == null || RecordCodec.keepsBounds(counter.value());
             Moment sent = clock.now();
             return state.grant(life).compose(granted -> state.commit(new StateClient.Txn()
-                    .when(RecordCodec.LEADER, before).when(RecordCodec.COUNTER, counted)
+                    .when(RecordCodec.LEADER, held).when(RecordCodec.COUNTER, counterStamp)
                     .put(RecordCodec.LEADER, LeaderKey.write(node, process, token), granted)
                     .put(RecordCodec.COUNTER, RecordCodec.writeCounter(token, bounds))).map(outcome -> {
                         watchedTo = -1;
                         hasLetGo = true;
                         if (outcome.done()) {
+                            succeedsItself = before.equals(ledAs);
+                            state.counterWas(before, counted);
                             take(granted, token, outcome.stamp(), sent, bounds);
                         }
                         return outcome.done() ? RETRY : Span.seconds(0.2);
@@ -211,9 +266,26 @@
         });
     }
 
+    /**
+     * The counter is below a token that was in use: data were lost. Whoever led may not have noticed and go on until its
+     * lease's time is over, unless it was this node.
+     */
+    private boolean mayTakeAgain() {
+        Moment now = clock.now();
+        if (lossSeen.equals(Moment.NEVER)) {
+            lossSeen = now;
+            LOG.warn("the counter of tokens is gone or has gone back: data were lost");
+        }
+        boolean wasLeader = now.isBefore(ledUntil) && !tokens.hasSeenAfter(ledAs);
+        return wasLeader || now.since(lossSeen).compareTo(life.withDrift()) >= 0;
+    }
+
     private void take(long granted, Token token, Stamp stamp, Moment sent, boolean bounds) {
         lease = granted;
         leading = true;
+        ledAs = token;
+        tokens.seen(token);
+        lossSeen = Moment.NEVER;
         current = new LeaderKey(node, process, token, stamp);
         validUntil = sent.plus(usable());
         LOG.info("this node leads now, token {}", token);
@@ -246,6 +318,7 @@
 
     private void lose(String reason) {
         leading = false;
+        ledUntil = validUntil;
         validUntil = Moment.NEVER;
         watchedTo = -1;
         current = null;
--- a/src/main/java/io/indigoreach/state/RecordCodec.java
+++ b/src/main/java/io/indigoreach/state/RecordCodec.java
@@ -29,11 +29,14 @@
 public final class RecordCodec {
     public static final String LEADER = "leader";
     public static final String COUNTER = "counter";
+    /** Which contents these are: {@link io.indigoreach.core.loss.LossJudge}. */
+    public static final String ERA = "era";
     public static final String CATALOGUE = "catalogue";
     public static final String OPEN = "j/";
     public static final String BITS = "p/";
     public static final String MACHINES = "m/";
-    private static final String FINAL = "f/";
+    /** Jobs that are over: these records are never removed. */
+    public static final String FINAL = "f/";
 
     /** Up to this many tasks, the bits fit into the job's own record; a block beside it holds as many as {@link #BLOCK}. */
     static final int IN_RECORD = 8192;
@@ -52,6 +55,10 @@
 
     /** Page names hold the leader's token and a counter, so that none is ever used twice. */
     public static String machinePage(Token token, int n) {
+        return machinePage(token, Integer.toString(n));
+    }
+
+    public static String machinePage(Token token, String n) {
         return MACHINES + token + "-" + n;
     }
 
@@ -91,6 +98,15 @@
         return map;
     }
 
+    /** The era, by the token of the leadership that wrote it. */
+    public static Map<String, Object> writeEra(Token token) {
+        return Wire.map("token", token.value());
+    }
+
+    public static long readEra(Fields era) {
+        return era.whole("token");
+    }
+
     static boolean keepsBounds(Fields counter) {
         return counter.flag("bounds", false);
     }
--- a/src/main/java/io/indigoreach/state/StateClient.java
+++ b/src/main/java/io/indigoreach/state/StateClient.java
@@ -2,6 +2,8 @@
 
 import io.indigoreach.core.Span;
 import io.indigoreach.core.Stamp;
+import io.indigoreach.core.Token;
+import io.indigoreach.core.loss.LossJudge;
 import io.indigoreach.net.Caller;
 import io.indigoreach.net.Fields;
 import io.indigoreach.net.Reply;
@@ -10,12 +12,16 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /**
  * The state service's protocol. A failed future means that the outcome is unknown or that the
  * request was refused and surely not executed ({@link Refused}).
  */
 public final class StateClient {
+    private static final Logger LOG = LoggerFactory.getLogger(StateClient.class);
+
     /** The request was not executed: an outage, or a limit. */
     public static final class Refused extends RuntimeException {
         Refused(int status) {
@@ -95,6 +101,10 @@
     private final Caller caller;
     private final Caller watcher;
     private final Freshness freshness = new Freshness();
+    private final LossJudge losses = new LossJudge();
+    /** The era's version as it was last confirmed. */
+    private Stamp eraStamp = Stamp.ABSENT;
+    private Runnable onLoss = () -> { };
 
     /** Watches stay open, so they have connections of their own. */
     public StateClient(Caller caller, Caller watcher) {
@@ -102,13 +112,68 @@
         this.watcher = watcher;
     }
 
-    /** Succeeds if the service answers requests of this node. */
+    /** What is known of losses of data; judged anew with each transaction and each {@link #check}. */
+    public LossJudge losses() {
+        return losses;
+    }
+
+    /** Called when a loss is found that was not known. */
+    public void onLoss(Runnable what) {
+        onLoss = what;
+    }
+
+    private void judge(boolean lost) {
+        if (lost) {
+            LOG.error("the state service has lost data: {}; nobody is told that a job does not exist until it is mended",
+                    losses.findings().get(losses.findings().size() - 1));
+            onLoss.run();
+        }
+    }
+
+    /** Another controller says that data of this era were lost. */
+    public void toldOfLoss(long era) {
+        judge(losses.told(era));
+    }
+
+    /** A record that only a loss can have removed is gone. */
+    public void recordGone(String key) {
+        judge(losses.gone(key));
+    }
+
+    /** A leadership was taken with a counter below a token that had been in use. */
+    void counterWas(Token seen, Token counted) {
+        judge(losses.counter(seen, counted));
+    }
+
+    /** A condition under which nothing was lost since the era was last confirmed. */
+    public Txn inThisEra() {
+        return new Txn().when(RecordCodec.ERA, eraStamp);
+    }
+
+    /**
+     * Succeeds if the service answers requests of this node. Reads the era, and where it is not the known one, makes sure by
+     * comparing.
+     */
     public Future<Void> check() {
-        return caller.get(StateCodec.keyPath(RecordCodec.LEADER), Span.seconds(1)).map(r -> {
-            if (r.status() != 404 && r.status() != 429) {
-                ok(r);
+        return caller.get(StateCodec.keyPath(RecordCodec.ERA), Span.seconds(1)).compose(r -> {
+            if (r.status() == 429) {
+                return Future.succeededFuture();
+            }
+            Entry entry = r.status() == 404 ? null : StateCodec.readEntry(ok(r));
+            Stamp stamp = entry == null ? Stamp.ABSENT : entry.stamp();
+            long era = entry == null ? 0 : RecordCodec.readEra(entry.value());
+            if (stamp.equals(eraStamp) && era == losses.era()) {
+                return Future.succeededFuture();
             }
-            return null;
+            return commit(new Txn().when(RecordCodec.ERA, stamp)).map(outcome -> {
+                if (outcome.done()) {
+                    judge(losses.era(era));
+                    if (!losses.isHolding()) {
+                        eraStamp = stamp;
+                    }
+                }
+                return null;
+            });
         });
     }
 
@@ -144,7 +209,7 @@
      */
     public Future<Boolean> confirm(Txn comparison) {
         return commit(comparison).map(outcome -> {
-            if (!outcome.done()) {
+            if (!outcome.done() && !outcome.failed().equals(List.of(RecordCodec.ERA))) {
                 freshness.doubt();
             }
             return outcome.done();
@@ -152,10 +217,16 @@
     }
 
     public Future<Outcome> commit(Txn txn) {
+        long known = freshness.highest();
         return caller.post(StateCodec.TXN, StateCodec.writeTxn(txn), TIMEOUT).map(r -> {
             if (r.status() == 200) {
                 Outcome done = new Outcome(true, StateCodec.readRevision(r.body()), List.of(), false);
+                boolean lost = losses.revision(known, done.revision());
                 freshness.told(0, done.revision());
+                if (done.revision() < known) {
+                    freshness.beginAnew(done.revision());
+                }
+                judge(lost);
                 return done;
             }
             if (r.status() == 409) {
