The rehearsal knows the token: what serving loads is in the class-data archive again

Its state service also answered a poll of an accepted job with 404, which is a loss of data now. Change: it reports under the token that the first answer tells; its state service knows the era and the job.

--- a/src/main/java/io/indigoreach/cli/Rehearsal.java
+++ b/src/main/java/io/indigoreach/cli/Rehearsal.java
@@ -83,8 +83,10 @@
                         .compose(v -> user.post("/api/jobs", job(), wait))
                         .compose(v -> user.get("/api/jobs/run-1", wait))
                         .compose(v -> vertx.timer(400, TimeUnit.MILLISECONDS))
-                        .compose(v -> user.post("/checkin", report(1), wait))
-                        .compose(v -> user.post("/checkin", report(2), wait))
+                        // The first answer tells the token: a list under an older one is not taken, and nothing is started.
+                        .compose(v -> user.post("/checkin", report(1, 0), wait))
+                        .compose(r -> user.post("/checkin", report(2, r.body().whole("baton")), wait))
+                        .compose(r -> user.post("/checkin", report(3, r.body().whole("baton")), wait))
                         .compose(v -> user.post("/api/jobs/run-1/cancel", Map.of(), wait))
                         .compose(v -> vertx.timer(700, TimeUnit.MILLISECONDS));
             }).mapEmpty();
@@ -98,6 +100,10 @@
         request.body().onSuccess(body -> {
             if (path.equals("/store")) {
                 reply(request, 200, Wire.map("items", List.of(), "truncated", false, "ledger_rev", revision));
+            } else if (path.equals("/store/era")) {
+                reply(request, 200, Wire.map("path", "era", "data", Map.of("token", 1L), "stamp", 1L));
+            } else if (path.equals("/store/j/run-1")) {
+                reply(request, 200, Wire.map("path", "j/run-1", "data", record(), "stamp", 1L));
             } else if (path.startsWith("/store/")) {
                 reply(request, 404, Wire.map("ledger_rev", revision));
             } else if (path.equals("/catalog")) {
@@ -109,10 +115,11 @@
                         ? Wire.map("boxes", List.of(), "truncated", false) : Wire.map("boxes", List.of("vm-1")));
             } else if (path.equals("/grants")) {
                 reply(request, 200, Wire.map("permit", 1L));
+            } else if (path.equals("/changes") && !request.getParam("starts").equals("j/")) {
+                // Nothing changes there: the watch stays open.
+                request.response().closeHandler(v -> { });
             } else if (path.equals("/changes") && request.getParam("starts").equals("j/")) {
-                Map<String, Object> event = Wire.map("write", "j/run-1", "data", io.indigoreach.state.RecordCodec
-                        .writeJob(io.indigoreach.api.JobCodec.read(Wire.readMap(Wire.write(job()))), 1L,
-                                io.indigoreach.core.JobStatus.PENDING, new java.util.BitSet(), 0, 0), "stamp", ++revision);
+                Map<String, Object> event = Wire.map("write", "j/run-1", "data", record(), "stamp", ++revision);
                 reply(request, 200, Wire.map("ledger_rev", revision, "events", List.of(event)));
             } else {
                 reply(request, 200, Wire.map("ledger_rev", ++revision));
@@ -124,15 +131,20 @@
         request.response().setStatusCode(status).end(Wire.write(body));
     }
 
+    private static Map<String, Object> record() {
+        return io.indigoreach.state.RecordCodec.writeJob(io.indigoreach.api.JobCodec.read(Wire.readMap(Wire.write(job()))),
+                1L, io.indigoreach.core.JobStatus.PENDING, new java.util.BitSet(), 0, 4);
+    }
+
     private static Map<String, Object> job() {
         return Wire.map("id", "run-1", "jobclass", "c", "owner", "t", "shape", "array", "urgency", "high", "pieces", 4,
                 "cores", 1.0, "gpus", 0.0, "ram_gb", 1.0, "bundle", "i", "pull_gb", 1.0, "one_zone", false, "spread",
                 false, "loaners", true, "expected_s", 10.0, "snapshot_every_s", 0.0, "snapshot_s", 0.0);
     }
 
-    private static Map<String, Object> report(int serial) {
+    private static Map<String, Object> report(int serial, long token) {
         return Wire.map("box", "vm-1", "endpoint", "127.0.0.1:9", "boxkind", "k", "hall", "z", "loaners", true, "shift",
-                1, "serial", serial, "baton", 1L, "warning_s", null, "pieces",
+                1, "serial", serial, "baton", token, "warning_s", null, "pieces",
                 List.of(Wire.map("piece", "run-1/0", "try", 1, "status", "exited", "cause", "done")));
     }
 }
