--- a/src/main/java/io/indigoreach/api/JobDesk.java
+++ b/src/main/java/io/indigoreach/api/JobDesk.java
@@ -199,20 +199,27 @@
         }
         StateClient.Txn txn = found.open == null ? state.inThisEra() : new StateClient.Txn();
         return state.confirm(txn.when(RecordCodec.open(id), open).when(RecordCodec.over(id), Stamp.ABSENT))
-                .compose(holds -> holds ? found.open == null ? unknownToAll(id) : Future.succeededFuture(found)
+                .compose(holds -> holds ? found.open == null ? unknownToAll(id, attempt) : Future.succeededFuture(found)
                         : attempt < MOST_TRIES ? state.check().compose(v -> find(id, attempt + 1))
                         : Future.failedFuture(new WireException("the state service answers with the past")));
     }
 
     /** Nobody is told that a job does not exist as long as any controller remembers it: its record was lost. */
-    private Future<Found> unknownToAll(JobId id) {
-        return (knows(id) ? Future.succeededFuture(true) : others.apply(id)).compose(known -> {
-            if (known) {
-                state.recordGone(RecordCodec.open(id));
-                return Future.failedFuture(new WireException("the record of this job was lost"));
-            }
-            return Future.succeededFuture(new Found(null, null));
-        });
+    private Future<Found> unknownToAll(JobId id, int attempt) {
+        return (knows(id) ? Future.succeededFuture(true) : others.apply(id)).compose(known -> known
+                ? state.confirm(nowhere(id)).compose(still -> {
+                    if (!still) {
+                        // Accepted after it was looked for.
+                        return attempt < MOST_TRIES ? find(id, attempt + 1)
+                                : Future.failedFuture(new WireException("the job changes at this moment"));
+                    }
+                    state.recordGone(RecordCodec.open(id));
+                    return Future.failedFuture(new WireException("the record of this job was lost"));
+                }) : Future.succeededFuture(new Found(null, null)));
+    }
+
+    private static StateClient.Txn nowhere(JobId id) {
+        return new StateClient.Txn().when(RecordCodec.open(id), Stamp.ABSENT).when(RecordCodec.over(id), Stamp.ABSENT);
     }
 
     /** Whether this node has accepted the job, or knows its end. */
--- a/src/main/java/io/indigoreach/cluster/IntentBook.java
+++ b/src/main/java/io/indigoreach/cluster/IntentBook.java
@@ -7,6 +7,7 @@
 import io.indigoreach.core.Token;
 import io.indigoreach.core.duty.Intents;
 import io.indigoreach.net.Budget;
+import io.indigoreach.net.WireException;
 import io.indigoreach.state.RecordCodec;
 import io.indigoreach.state.StateClient;
 import io.vertx.core.Future;
@@ -21,7 +22,7 @@
  * removed when everything in them is settled.
  */
 final class IntentBook {
-    private static final int PAGE = 100;
+    private static final int PAGE = 500;
     private static final Span TIDY = Span.seconds(2);
 
     private final Reign.Surroundings env;
@@ -54,6 +55,9 @@
         List<Intents.Rent> rents = new ArrayList<>();
         List<MachineId> condemned = new ArrayList<>();
         return env.state().list(RecordCodec.INTENTS, null, PAGE).map(page -> {
+            if (page.revision() < key.value()) {
+                throw new WireException("the state service lists what was there before this leadership");
+            }
             earlier.clear();
             for (StateClient.Entry e : page.items()) {
                 Intents.Page old = RecordCodec.readIntents(e.value());
@@ -67,22 +71,23 @@
 
     /** Everything that earlier leaders had under way is settled: their records are of no use any more. */
     Future<Void> forgetEarlier() {
-        if (earlier.isEmpty() || !budget.takeSpare(earlier.size(), env.clock().now())) {
+        List<String> some = earlier.keySet().stream().limit(env.config().stateLimits().txnOps()).toList();
+        if (some.isEmpty() || !budget.takeSpare(some.size(), env.clock().now())) {
             return Future.succeededFuture();
         }
         StateClient.Txn txn = new StateClient.Txn().when(RecordCodec.LEADER, key);
-        earlier.forEach((name, version) -> txn.when(name, version).delete(name));
+        some.forEach(name -> txn.when(name, earlier.get(name)).delete(name));
         return env.state().commit(txn).map(outcome -> {
             if (outcome.done()) {
-                earlier.clear();
+                some.forEach(earlier::remove);
             } else if (outcome.failed().contains(RecordCodec.LEADER)) {
                 deposed.run();
             } else {
                 // Removed by a write whose answer was lost, or added to by a holder that was not replaced then.
                 outcome.failed().forEach(earlier::remove);
             }
-            return null;
-        });
+            return (Void) null;
+        }).otherwiseEmpty();
     }
 
     /** True when the record says all that is intended; false if it cannot be written now. One write at a time. */
--- /dev/null
+++ b/src/test/java/io/indigoreach/api/LossDeskTest.java
@@ -0,0 +1,105 @@
+package io.indigoreach.api;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import io.indigoreach.cloud.Catalogue;
+import io.indigoreach.cloud.CloudClient;
+import io.indigoreach.core.Demand;
+import io.indigoreach.core.MachineType;
+import io.indigoreach.core.Span;
+import io.indigoreach.core.Team;
+import io.indigoreach.core.Token;
+import io.indigoreach.net.Caller;
+import io.indigoreach.net.SteadyClock;
+import io.indigoreach.net.Wire;
+import io.indigoreach.state.RecordCodec;
+import io.indigoreach.state.StateClient;
+import io.indigoreach.state.StateStandIn;
+import io.vertx.core.Future;
+import io.vertx.core.Vertx;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+/** What users are told while the state service has lost data, by one node and without a leader. */
+class LossDeskTest {
+    private final Vertx vertx = Vertx.vertx();
+    private StateStandIn service;
+    private StateClient state;
+    private JobDesk desk;
+
+    @BeforeEach
+    void serve() throws Exception {
+        service = await(new StateStandIn().listen(vertx));
+        state = client();
+        MachineType type = new MachineType("quad", new Demand(4, 0, 16), 40, 1, 1, 1, Span.seconds(20), List.of("a"));
+        await(state.commit(new StateClient.Txn().put(RecordCodec.CATALOGUE, RecordCodec.writeCatalogue(List.of(type)))));
+        Catalogue catalogue = new Catalogue(vertx, state, new CloudClient(new Caller(vertx, service.endpoint(), 1)));
+        desk = new JobDesk(state, catalogue, List.of(new Team("t", 0, 0, 0, 0)), new SteadyClock(), 8192);
+        catalogue.start();
+        while (!catalogue.isKnown()) {
+            Thread.onSpinWait();
+        }
+        await(state.check());
+    }
+
+    @AfterEach
+    void close() throws Exception {
+        await(vertx.close());
+    }
+
+    private StateClient client() {
+        return new StateClient(new Caller(vertx, service.endpoint(), 4), new Caller(vertx, service.endpoint(), 1));
+    }
+
+    private static <T> T await(Future<T> future) throws Exception {
+        return future.toCompletionStage().toCompletableFuture().get(20, TimeUnit.SECONDS);
+    }
+
+    /** A failure is answered with 503 by the front door. */
+    private static int status(Future<Answer> answer) throws Exception {
+        return await(answer.map(Answer::status).otherwise(503));
+    }
+
+    private int submit(int id) throws Exception {
+        return status(desk.submit(Wire.write(Wire.map("id", "run-" + id, "jobclass", "c", "owner", "t", "shape", "array",
+                "urgency", "standard", "pieces", 2, "cores", 1.0, "gpus", 0.0, "ram_gb", 1.0, "bundle", "i", "pull_gb", 0.0,
+                "one_zone", false, "spread", false, "loaners", true, "expected_s", 5.0, "snapshot_every_s", 0.0, "snapshot_s",
+                0.0))));
+    }
+
+    @Test
+    void nobodyIsToldThatAJobDoesNotExistUntilALaterEraBegins() throws Exception {
+        assertEquals(List.of(201, 201, 404), List.of(submit(1), submit(2), status(desk.query("run-9"))));
+        assertEquals(200, status(desk.cancel("run-2")));
+        StateClient.Txn all = new StateClient.Txn();
+        service.keys("").forEach(all::delete);
+        await(client().commit(all));
+        assertEquals(503, status(desk.query("run-9")), "it may have been there, on the first question already");
+        assertEquals(503, status(desk.query("run-1")));
+        assertEquals(503, submit(3), "it may have been over");
+        assertEquals(200, status(desk.query("run-2")), "what was told stays");
+        assertEquals(200, submit(2));
+        await(client().commit(new StateClient.Txn().put(RecordCodec.ERA, RecordCodec.writeEra(new Token(77)))));
+        await(state.check());
+        assertEquals(List.of(404, 201), List.of(status(desk.query("run-9")), submit(3)));
+    }
+
+    /** One record is gone and the era is not: this node remembers, or another one does. */
+    @Test
+    void aJobThatAControllerRemembersIsNotUnknown() throws Exception {
+        assertEquals(201, submit(1));
+        await(client().commit(new StateClient.Txn().delete("j/run-1")));
+        assertEquals(503, status(desk.query("run-1")));
+        assertEquals(true, state.losses().isHolding());
+        await(client().commit(new StateClient.Txn().put(RecordCodec.ERA, RecordCodec.writeEra(new Token(77)))));
+        await(state.check());
+        desk.asking(id -> Future.succeededFuture(id.text().equals("run-8")));
+        assertEquals(List.of(503, 503), List.of(status(desk.query("run-8")), status(desk.query("run-9"))));
+        assertEquals(Map.of(), Map.copyOf(desk.remains().over()));
+        assertEquals(1, desk.remains().open().size());
+    }
+}
--- a/src/test/java/io/indigoreach/cluster/IntentBookTest.java
+++ b/src/test/java/io/indigoreach/cluster/IntentBookTest.java
@@ -78,6 +78,22 @@
         assertEquals(List.of("i/4"), state.keys("i/"));
     }
 
+    /** Leaders that followed each other quickly leave more records than a transaction may remove (12 here). */
+    @Test
+    void manyEarlierRecordsAreRemovedInParts() throws Exception {
+        for (int token = 10; token < 30; token++) {
+            IntentBook book = leader(token);
+            book.intents().add(RENT);
+            assertTrue(await(book.record()));
+        }
+        IntentBook last = leader(30);
+        assertEquals(20, await(last.load()).rents().size());
+        await(last.forgetEarlier());
+        assertEquals(8, state.keys("i/").size());
+        await(last.forgetEarlier());
+        assertEquals(List.of(), state.keys("i/"));
+    }
+
     /** Planted in the order of events: a holder that was replaced goes on between its condition and its call. */
     @Test
     void aHolderThatWasReplacedRecordsNothingAndMayAskNothing() throws Exception {
