One step-wise run for served classes and short queues

Change: ShortQueueTest runs on Steps, with its own tuning and estimates; its bounds are as they were.

--- a/src/test/java/io/indigoreach/core/Steps.java
+++ b/src/test/java/io/indigoreach/core/Steps.java
@@ -22,25 +22,30 @@
 
     /** Jobs of a class: {@code atStart} in the first step, {@code perStep} a step from {@code from} to {@code until}. */
     record Kind(String name, String team, Urgency urgency, double perStep, int atStart, int from, int until, int tasks, int run,
-                double cores, boolean saves, Shape shape) {
+                double cores, boolean saves, Shape shape, double estimate) {
         static Kind of(String name, Urgency urgency, double perStep, int atStart, int tasks, int run, double cores) {
-            return new Kind(name, "t", urgency, perStep, atStart, 0, Integer.MAX_VALUE, tasks, run, cores, false, Shape.ARRAY);
+            return new Kind(name, "t", urgency, perStep, atStart, 0, Integer.MAX_VALUE, tasks, run, cores, false, Shape.ARRAY, 1);
         }
 
         Kind team(String other) {
-            return new Kind(name, other, urgency, perStep, atStart, from, until, tasks, run, cores, saves, shape);
+            return new Kind(name, other, urgency, perStep, atStart, from, until, tasks, run, cores, saves, shape, estimate);
         }
 
         Kind between(int begin, int end) {
-            return new Kind(name, team, urgency, perStep, atStart, begin, end, tasks, run, cores, saves, shape);
+            return new Kind(name, team, urgency, perStep, atStart, begin, end, tasks, run, cores, saves, shape, estimate);
+        }
+
+        /** Its owners' estimates are so many times what tasks take. */
+        Kind estimated(double times) {
+            return new Kind(name, team, urgency, perStep, atStart, from, until, tasks, run, cores, saves, shape, times);
         }
 
         Kind saving() {
-            return new Kind(name, team, urgency, perStep, atStart, from, until, tasks, run, cores, true, shape);
+            return new Kind(name, team, urgency, perStep, atStart, from, until, tasks, run, cores, true, shape, estimate);
         }
 
         Kind service() {
-            return new Kind(name, team, urgency, 0, atStart, from, until, tasks, run, cores, saves, Shape.SERVICE);
+            return new Kind(name, team, urgency, 0, atStart, from, until, tasks, run, cores, saves, Shape.SERVICE, estimate);
         }
     }
 
@@ -48,10 +53,12 @@
     static final class Fate {
         final JobSpec spec;
         final int came;
+        final int run;
         final Map<TaskId, Integer> started = new HashMap<>();
         int over = -1;
 
-        Fate(JobSpec spec, int came) {
+        Fate(JobSpec spec, int came, int run) {
+            this.run = run;
             this.spec = spec;
             this.came = came;
         }
@@ -76,6 +83,7 @@
 
     final Map<JobId, Fate> fates = new TreeMap<>();
     final List<RentWish> asked = new ArrayList<>();
+    private final Tuning tuning;
     private final List<Kind> kinds;
     private final Map<Pool, Integer> capacity;
     private final List<Team> teams;
@@ -92,6 +100,11 @@
     int mostUp;
 
     Steps(List<Kind> kinds, int spot, int ordinary, Aims aims, Team... teams) {
+        this(STANDARD, kinds, spot, ordinary, aims, teams);
+    }
+
+    Steps(Tuning tuning, List<Kind> kinds, int spot, int ordinary, Aims aims, Team... teams) {
+        this.tuning = tuning;
         this.kinds = kinds;
         this.aims = aims;
         this.teams = teams.length == 0 ? List.of(World.team(0)) : List.of(teams);
@@ -101,7 +114,7 @@
 
     /** The leader ends and another begins with the records; every machine will report to it. */
     void newLeader() {
-        core = new LeaderCore(new Token(++token), World.RULES, STANDARD, aims, teams, this);
+        core = new LeaderCore(new Token(++token), World.RULES, tuning, aims, teams, this);
         MachineType t = World.TYPE;
         core.setTypes(List.of(new MachineType(t.name(), t.capacity(), t.cacheGb(), t.fetchGbPerS(), t.price(),
                 t.spotPrice(), t.boot(), List.of("east"))));
@@ -173,10 +186,10 @@
     private void come(Kind kind) {
         JobSpec spec = new JobSpec(new JobId("run-" + (fates.size() + 1)), kind.name, kind.team, kind.shape, kind.urgency,
                 kind.tasks, new Demand(kind.cores, 0, kind.cores * 4), "img-" + kind.name, 0.2, null, null, false, false,
-                kind.shape == Shape.ARRAY, Span.seconds(kind.run), Span.seconds(kind.saves ? 10 : 0),
+                kind.shape == Shape.ARRAY, Span.seconds(kind.run * kind.estimate), Span.seconds(kind.saves ? 10 : 0),
                 Span.seconds(kind.saves ? 2 : 0), null);
         Job job = new Job(spec, at(now).ms(), at(now), new Stamp(fates.size() + 1), new BitSet(), 0, false);
-        fates.put(job.id(), new Fate(spec, now));
+        fates.put(job.id(), new Fate(spec, now, kind.run));
         open.put(job.id(), job);
         core.addJob(job);
     }
@@ -228,7 +241,7 @@
         for (Order o : orders) {
             Fate fate = fates.get(o.task().job());
             if (o instanceof Order.Start) {
-                int run = fate.spec.shape() == Shape.SERVICE ? 1_000_000 : (int) fate.spec.estimate().seconds();
+                int run = fate.spec.shape() == Shape.SERVICE ? 1_000_000 : fate.run;
                 box.tasks.put(o, now + (fate.spec.savesProgress() ? left.getOrDefault(o.task(), run) : run));
                 fate.started.putIfAbsent(o.task(), now);
             } else if (o instanceof Order.Stop) {
