--- a/src/main/java/io/indigoreach/cluster/Rebuilder.java
+++ b/src/main/java/io/indigoreach/cluster/Rebuilder.java
@@ -8,11 +8,13 @@
 import io.indigoreach.core.Token;
 import io.indigoreach.core.loss.Remains;
 import io.indigoreach.net.Budget;
+import io.indigoreach.net.Wire;
 import io.indigoreach.net.WireException;
 import io.indigoreach.state.JobRecord;
 import io.indigoreach.state.MachineRecord;
 import io.indigoreach.state.RecordCodec;
 import io.indigoreach.state.StateClient;
+import io.indigoreach.state.StateCodec;
 import io.vertx.core.Future;
 import io.vertx.core.Promise;
 import java.util.ArrayDeque;
@@ -38,9 +40,14 @@
 final class Rebuilder {
     private static final Logger LOG = LoggerFactory.getLogger(Rebuilder.class);
     private static final int PAGE = 500;
+    /** Of a transaction as it is sent; its limit of 64 KiB is counted as JSON, which is longer. */
+    private static final int MOST_BYTES = 24 * 1024;
 
     /** One record's writes, with their conditions; a failed condition says that something newer is there. */
-    private record Step(String what, StateClient.Txn txn) {
+    private record Step(StateClient.Txn txn) {
+        int bytes() {
+            return Wire.write(StateCodec.writeTxn(txn)).length();
+        }
     }
 
     private final Reign.Surroundings env;
@@ -54,6 +61,7 @@
     private final Deque<Step> steps = new ArrayDeque<>();
     private int pages;
     private int written;
+    private int there;
 
     Rebuilder(Reign.Surroundings env, Token token, Stamp key, Budget budget, Remains remains) {
         this.env = env;
@@ -78,7 +86,7 @@
                             remains.open().forEach(this::reopen);
                             return next();
                         }).compose(v -> begin()).map(v -> {
-                            LOG.warn("rebuilt: {} records written of {}", written, remains);
+                            LOG.warn("rebuilt: {} records written, {} were there", written, there);
                             return null;
                         });
     }
@@ -120,7 +128,7 @@
                 txn.delete(RecordCodec.block(id, n));
             }
         }
-        steps.add(new Step(id + " " + end.status(), txn));
+        steps.add(new Step(txn));
     }
 
     private void reopen(Remains.Open job) {
@@ -142,7 +150,7 @@
         for (int n = 0; n < RecordCodec.blocks(whole.spec().tasks()); n++) {
             txn.put(RecordCodec.block(id, n), RecordCodec.writeBlock(whole.done(), n));
         }
-        steps.add(new Step(id + " open", txn));
+        steps.add(new Step(txn));
     }
 
     /** Machines that no page names, on pages of this leadership: as many to a page as in the machine book. */
@@ -169,11 +177,11 @@
 
     private void page(List<MachineRecord> lines) {
         String page = RecordCodec.machinePage(token, "r" + ++pages);
-        steps.add(new Step(lines.size() + " machines", new StateClient.Txn().when(RecordCodec.LEADER, key)
+        steps.add(new Step(new StateClient.Txn().when(RecordCodec.LEADER, key)
                 .when(page, Stamp.ABSENT).put(page, RecordCodec.writeMachines(lines))));
     }
 
-    /** Several records go into one transaction; where a condition fails, each of them goes alone. */
+    /** Several records go into one transaction; where conditions fail, the others go once more without those. */
     private Future<Void> next() {
         if (steps.isEmpty()) {
             return Future.succeededFuture();
@@ -181,8 +189,11 @@
         int most = env.config().stateLimits().txnOps();
         List<Step> batch = new ArrayList<>();
         int size = 0;
-        while (!steps.isEmpty() && (batch.isEmpty() || size + steps.peek().txn.size() <= most)) {
+        int bytes = 0;
+        while (!steps.isEmpty() && (batch.isEmpty() || size + steps.peek().txn.size() <= most
+                && bytes + steps.peek().bytes() <= MOST_BYTES)) {
             size += steps.peek().txn.size();
+            bytes += steps.peek().bytes();
             batch.add(steps.poll());
         }
         return paced(size).compose(v -> write(batch)).compose(v -> next());
@@ -213,16 +224,13 @@
             if (outcome.failed().contains(RecordCodec.LEADER)) {
                 return Future.failedFuture(new WireException("another node leads"));
             }
-            if (batch.size() == 1) {
-                // Written meanwhile, by the answer that was lost or by a user at another node: that is newer.
-                LOG.info("not rebuilt, as it is there: {}", batch.get(0).what);
-                return Future.succeededFuture();
-            }
-            Future<Void> each = Future.succeededFuture();
-            for (Step step : batch) {
-                each = each.compose(v -> paced(step.txn.size())).compose(v -> write(List.of(step)));
-            }
-            return each;
+            // Written meanwhile, by the answer that was lost or by a user at another node: that is newer, and stays.
+            List<Step> rest = batch.stream().filter(step -> outcome.failed().stream()
+                    .noneMatch(step.txn.conditions()::containsKey)).toList();
+            there += batch.size() - rest.size();
+            return rest.isEmpty() ? Future.succeededFuture() : rest.size() == batch.size()
+                    ? Future.failedFuture(new WireException("the state service does not say what failed"))
+                    : paced(rest.stream().mapToInt(step -> step.txn.size()).sum()).compose(v -> write(rest));
         });
     }
 }
