Months of good service do not hide a flood of today

Change: of the jobs served four times those open are remembered, twenty at least, and what was lost in the same proportion.

--- a/src/main/java/io/indigoreach/core/Floors.java
+++ b/src/main/java/io/indigoreach/core/Floors.java
@@ -17,6 +17,9 @@
 final class Floors {
     /** A class of which a smaller part can still be served in time is owed; above a half, as jobs it counts on may fail. */
     private static final double FLOOR = 0.7;
+    /** Of the jobs served so many times those open are remembered: months of good service would hide a flood of today. */
+    private static final int REMEMBERED = 4;
+    private static final int REMEMBERED_LEAST = 20;
     /** A job that has waited for this part of its time is not counted on any more: many are lost together. */
     private static final double DANGER = 0.75;
     /** Part of the cores in use up to which owed jobs go before all others. */
@@ -24,8 +27,8 @@
 
     /** Jobs of a class: over in time, or open with time left; and all, those that lost their longest aim among them. */
     private static final class Tally {
-        int met;
-        int lost;
+        double met;
+        double lost;
         int safe;
         int open;
 
@@ -53,7 +56,14 @@
      * that still waits. True if what is owed is to go first: it uses less than its part of {@code cores}.
      */
     boolean count(List<Job> jobs, double cores, Function<Job, Moment> lastChance, Moment now) {
-        tallies.values().forEach(t -> t.open = t.safe = 0);
+        tallies.values().forEach(t -> {
+            int most = Math.max(REMEMBERED_LEAST, REMEMBERED * t.open);
+            // What was lost is forgotten in proportion, so that it is made good and then over.
+            double part = Math.min(1, most / Math.max(1, t.met));
+            t.met *= part;
+            t.lost *= part;
+            t.open = t.safe = 0;
+        });
         for (Job job : jobs) {
             if (job.late || job.spec.isService()) {
                 continue;
--- a/src/test/java/io/indigoreach/core/ServedTest.java
+++ b/src/test/java/io/indigoreach/core/ServedTest.java
@@ -38,6 +38,18 @@
         assertEquals(1, s.served("usual", 800), "all are served in the end");
     }
 
+    /** Good service for an hour is no reason to leave a class with nothing in a flood of today. */
+    @Test
+    void anHourOfGoodServiceDoesNotHideAFlood() {
+        int begin = 3600;
+        Steps s = new Steps(List.of(Kind.of("urgent", Urgency.HIGH, 0.4, 0, 35, 25, 1).between(begin, begin + 300),
+                Kind.of("urgent", Urgency.HIGH, 2, 0, 35, 25, 1).between(begin + 50, begin + 200),
+                Kind.of("usual", Urgency.STANDARD, 0.35, 0, 20, 18, 1).between(0, begin),
+                Kind.of("usual", Urgency.STANDARD, 0.35, 0, 80, 18, 1).between(begin, begin + 300)), 240, 60, AIMS);
+        s.run(begin + 800);
+        assertTrue(s.served("usual", 180, begin) >= 0.5, "usual " + s.served("usual", 180, begin));
+    }
+
     /** An endless flood that takes all there is: what nobody has an aim for starts when it is ten minutes old all the same. */
     @Test
     void ageHasABound() {
--- a/src/test/java/io/indigoreach/core/Steps.java
+++ b/src/test/java/io/indigoreach/core/Steps.java
@@ -138,7 +138,13 @@
 
     /** Part of a class's jobs (or a team's) that were over within so many steps; those that came later do not count. */
     double served(String name, int within) {
+        return served(name, within, 0);
+    }
+
+    /** The same of those that came from a step on. */
+    double served(String name, int within, int from) {
         List<Fate> all = fates.values().stream().filter(f -> f.spec.shape() == Shape.ARRAY && now - f.came >= within
+                && f.came >= from
                 && (f.spec.jobClass().equals(name) || f.spec.team().equals(name))).toList();
         return all.stream().filter(f -> f.over >= 0 && f.over - f.came <= within).count() / (double) all.size();
     }
