A second try at rebuilding writes the machines that the first did not; one reader of pages

Cause, found by reading: a try that failed half-way left its page r1; the next try of the same leadership named its page r1 too, took the failed condition for something newer and left its machines unrecorded, so that a later leader would not have waited for them. Change: page names count on from those listed; a page that is there fails the try, which reads all anew. Ledger, Rebuilder and IntentBook had each their own reading of pages; the intents' one stopped after the first.

--- a/src/main/java/io/indigoreach/cluster/IntentBook.java
+++ b/src/main/java/io/indigoreach/cluster/IntentBook.java
@@ -7,7 +7,6 @@
 import io.indigoreach.core.Token;
 import io.indigoreach.core.duty.Intents;
 import io.indigoreach.net.Budget;
-import io.indigoreach.net.WireException;
 import io.indigoreach.state.RecordCodec;
 import io.indigoreach.state.StateClient;
 import io.vertx.core.Future;
@@ -22,7 +21,6 @@
  * removed when everything in them is settled.
  */
 final class IntentBook {
-    private static final int PAGE = 500;
     private static final Span TIDY = Span.seconds(2);
 
     private final Reign.Surroundings env;
@@ -54,19 +52,13 @@
     Future<Intents.Page> load() {
         List<Intents.Rent> rents = new ArrayList<>();
         List<MachineId> condemned = new ArrayList<>();
-        return env.state().list(RecordCodec.INTENTS, null, PAGE).map(page -> {
-            if (page.revision() < key.value()) {
-                throw new WireException("the state service lists what was there before this leadership");
-            }
-            earlier.clear();
-            for (StateClient.Entry e : page.items()) {
-                Intents.Page old = RecordCodec.readIntents(e.value());
-                rents.addAll(old.rents());
-                condemned.addAll(old.condemned());
-                earlier.put(e.key(), e.stamp());
-            }
-            return new Intents.Page(rents, condemned);
-        });
+        earlier.clear();
+        return Ledger.pages(env.state(), key, RecordCodec.INTENTS, e -> {
+            Intents.Page old = RecordCodec.readIntents(e.value());
+            rents.addAll(old.rents());
+            condemned.addAll(old.condemned());
+            earlier.put(e.key(), e.stamp());
+        }).map(revision -> new Intents.Page(rents, condemned));
     }
 
     /** Everything that earlier leaders had under way is settled: their records are of no use any more. */
--- a/src/main/java/io/indigoreach/cluster/Ledger.java
+++ b/src/main/java/io/indigoreach/cluster/Ledger.java
@@ -26,6 +26,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.function.Consumer;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -127,13 +128,18 @@
         });
     }
 
-    private Future<Long> pages(String prefix, java.util.function.Consumer<StateClient.Entry> each) {
-        return page(prefix, null, -1, each);
+    private Future<Long> pages(String prefix, Consumer<StateClient.Entry> each) {
+        return pages(env.state(), key, prefix, each);
     }
 
-    private Future<Long> page(String prefix, String after, long first,
-                              java.util.function.Consumer<StateClient.Entry> each) {
-        return env.state().list(prefix, after, PAGE).compose(page -> {
+    /** Every record with a prefix; the result is the revision to watch from. Nothing older than the leadership {@code key}. */
+    static Future<Long> pages(StateClient state, Stamp key, String prefix, Consumer<StateClient.Entry> each) {
+        return page(state, key, prefix, null, -1, each);
+    }
+
+    private static Future<Long> page(StateClient state, Stamp key, String prefix, String after, long first,
+                                     Consumer<StateClient.Entry> each) {
+        return state.list(prefix, after, PAGE).compose(page -> {
             if (page.revision() < key.value()) {
                 // What an earlier leader recorded last could be missing: machines that hold tasks, above all.
                 return Future.failedFuture(new WireException("the state service lists what was there before this "
@@ -143,7 +149,7 @@
             // The oldest page counts: the watch then tells whatever a page does not have yet.
             long revision = first < 0 ? page.revision() : Math.min(first, page.revision());
             if (page.more() && !page.items().isEmpty()) {
-                return page(prefix, page.items().get(page.items().size() - 1).key(), revision, each);
+                return page(state, key, prefix, page.items().get(page.items().size() - 1).key(), revision, each);
             }
             return Future.succeededFuture(revision);
         });
--- a/src/main/java/io/indigoreach/cluster/Rebuilder.java
+++ b/src/main/java/io/indigoreach/cluster/Rebuilder.java
@@ -27,6 +27,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.function.Consumer;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -39,7 +40,6 @@
  */
 final class Rebuilder {
     private static final Logger LOG = LoggerFactory.getLogger(Rebuilder.class);
-    private static final int PAGE = 500;
     /** Of a transaction as it is sent; its limit of 64 KiB is counted as JSON, which is longer. */
     private static final int MOST_BYTES = 24 * 1024;
 
@@ -79,8 +79,11 @@
                 .compose(v -> read(RecordCodec.OPEN, e -> {
                     JobId id = RecordCodec.jobOf(e.key());
                     open.put(id, RecordCodec.readJob(id, e.value(), e.stamp()));
-                })).compose(v -> read(RecordCodec.MACHINES, e -> RecordCodec.readMachines(e.value())
-                        .forEach(m -> machines.add(m.id())))).compose(v -> {
+                })).compose(v -> read(RecordCodec.MACHINES, e -> {
+                    // Names of an earlier try of this leadership are among them.
+                    pages++;
+                    RecordCodec.readMachines(e.value()).forEach(m -> machines.add(m.id()));
+                })).compose(v -> {
                             remains.over().forEach(this::end);
                             enter(remains.machines().stream().filter(m -> !machines.contains(m.id())).toList());
                             remains.open().forEach(this::reopen);
@@ -102,19 +105,8 @@
                         : Future.failedFuture(new WireException("another node leads")));
     }
 
-    private Future<Void> read(String prefix, java.util.function.Consumer<StateClient.Entry> each) {
-        return page(prefix, null, each);
-    }
-
-    private Future<Void> page(String prefix, String after, java.util.function.Consumer<StateClient.Entry> each) {
-        return env.state().list(prefix, after, PAGE).compose(page -> {
-            if (page.revision() < key.value()) {
-                return Future.failedFuture(new WireException("the state service lists the past"));
-            }
-            page.items().forEach(each);
-            return page.more() && !page.items().isEmpty()
-                    ? page(prefix, page.items().get(page.items().size() - 1).key(), each) : Future.succeededFuture();
-        });
+    private Future<Long> read(String prefix, Consumer<StateClient.Entry> each) {
+        return Ledger.pages(env.state(), key, prefix, each);
     }
 
     private void end(JobId id, Remains.Over end) {
@@ -224,6 +216,10 @@
             if (outcome.failed().contains(RecordCodec.LEADER)) {
                 return Future.failedFuture(new WireException("another node leads"));
             }
+            if (outcome.failed().stream().anyMatch(name -> name.startsWith(RecordCodec.MACHINES))) {
+                // A page of a try before, whose answer was lost: it may lack machines that hold tasks. All is read anew.
+                return Future.failedFuture(new WireException("a page of machines was written by an earlier try"));
+            }
             // Written meanwhile, by the answer that was lost or by a user at another node: that is newer, and stays.
             List<Step> rest = batch.stream().filter(step -> outcome.failed().stream()
                     .noneMatch(step.txn.conditions()::containsKey)).toList();
