--- a/src/test/java/io/indigoreach/core/ServedTest.java
+++ b/src/test/java/io/indigoreach/core/ServedTest.java
@@ -90,6 +90,20 @@
                 "waits " + s.longestWait("short", 60) + " and " + s.longestWait("long", 60));
     }
 
+    /** The top job has a place at once, so it rents nothing; a whole-machine task behind it waits past the limit of 45 s. */
+    @ParameterizedTest
+    @CsvSource({"40, 0", "50, 2"})
+    void whoWaitsBehindATopJobThatStartsAtOnceIsRentedFor(double at, int machines) {
+        World w = new World();
+        w.core.loaded();
+        w.up("a", "east", 0);
+        w.submit(World.spec(1, 1, 1, 900), 0);
+        w.hear("a", 1);
+        w.submit(World.spec(2, 1, 4, 900), 2);
+        w.submit(World.with(World.spec(3, 1, 1, 20), Urgency.HIGH, false, false, true, null, 0), at);
+        assertEquals(machines, w.core.wishes(World.at(at)).stream().mapToInt(RentWish::count).sum());
+    }
+
     /** A thousand machines, three teams: one floods, one has a guarantee, one a limit; each is served. */
     @Test
     void everyTeamIsServed() {
