--- a/src/main/java/io/indigoreach/core/BestSize.java
+++ b/src/main/java/io/indigoreach/core/BestSize.java
@@ -68,7 +68,7 @@
         }
         boolean shortTaken = false;
         Map<String, Double> shortWork = new HashMap<>();
-        double teamCores = share.cores();
+        Map<TeamUse, Double> planned = new HashMap<>();
         for (Job job : dispatcher.queue(share, now)) {
             int waiting = job.startable();
             // The leader before has seen to its own; what is there for them is not known before all have reported.
@@ -77,10 +77,9 @@
                 continue;
             }
             boolean isShort = estimates.run(job).compareTo(tuning.shortJob()) < 0;
-            if (share.team.coresMax() > 0 && job.spec.demand().cores() > 0) {
-                waiting = Math.min(waiting, (int) ((share.team.coresMax() - teamCores) / job.spec.demand().cores()));
-                teamCores += Math.max(0, waiting) * job.spec.demand().cores();
-            }
+            TeamUse team = cluster.use(job);
+            waiting = Math.min(waiting, team.room(job.spec.demand(), planned.getOrDefault(team, 0.0)));
+            planned.merge(team, Math.max(0, waiting) * job.spec.demand().cores(), Double::sum);
             MachineType type = cheapest(job.spec);
             if (type == null || waiting <= 0) {
                 continue;
@@ -271,7 +270,7 @@
             Need need = needs.get(type);
             double needed = backlog.needed + (need == null ? 0 : need.ordinary);
             double there = machines.stream().mapToDouble(m -> 1 - heldByReplicas(m)).sum();
-            double keep = kept(share.team.name() + " " + type, needed, there, now);
+            double keep = kept(share.name + " " + type, needed, there, now);
             if (ordinaryOnly || cluster.types.get(type).spotPrice() <= 0) {
                 keep = there;
             }
--- a/src/main/java/io/indigoreach/core/Cluster.java
+++ b/src/main/java/io/indigoreach/core/Cluster.java
@@ -13,6 +13,7 @@
     final Map<JobId, Job> jobs = new HashMap<>();
     final TreeMap<MachineId, Machine> machines = new TreeMap<>();
     final Map<String, MachineType> types = new LinkedHashMap<>();
+    private final Map<String, TeamUse> teams = new HashMap<>();
     private final Map<String, Share> shares = new LinkedHashMap<>();
     /** On how many machines each image is. */
     private final Map<String, Integer> holders = new HashMap<>();
@@ -23,7 +24,9 @@
 
     Cluster(Collection<Team> teams) {
         for (Team team : teams) {
-            shares.put(team.name(), new Share(team));
+            TeamUse use = new TeamUse(team);
+            this.teams.put(team.name(), use);
+            shareOf(use);
         }
     }
 
@@ -31,13 +34,23 @@
         return shares.values();
     }
 
-    /** The share of a team; a team that the settings no longer name keeps its jobs, without guarantee or limit. */
-    Share share(String team) {
-        return shares.computeIfAbsent(team, t -> new Share(new Team(t, 0, 0, 0, 0)));
+    /** What the job's team uses; one that the settings no longer name keeps its jobs, without guarantee or limit. */
+    TeamUse use(Job job) {
+        return teams.computeIfAbsent(job.spec.team(), t -> new TeamUse(new Team(t, 0, 0, 0, 0)));
+    }
+
+    private Share shareOf(TeamUse use) {
+        return shares.computeIfAbsent(use.hasGuarantee() ? use.team.name() : Share.COMMON,
+                name -> new Share(name, use.hasGuarantee() ? use : null));
     }
 
     Share share(Job job) {
-        return share(job.spec.team());
+        return shareOf(use(job));
+    }
+
+    /** The share that the machine serves; null if it serves none yet. */
+    Share share(Machine m) {
+        return m.share == null ? null : shares.get(m.share);
     }
 
     void add(Job job) {
@@ -75,6 +88,7 @@
             holders.merge(p.job.spec.image(), 1, Integer::sum);
         }
         share(p.job).used(p.demand(), 1);
+        use(p.job).used(p.demand(), 1);
         version++;
     }
 
@@ -83,6 +97,7 @@
         p.job.remove(p);
         p.machine.remove(p);
         share(p.job).used(p.demand(), -1);
+        use(p.job).used(p.demand(), -1);
         if (p.machine.isIdle()) {
             p.machine.idleSince = now;
         }
@@ -124,7 +139,7 @@
         List<Machine> out = new ArrayList<>();
         visits += machines.size();
         for (Machine m : machines.values()) {
-            if (m.share == null || m.share.equals(share.team.name())) {
+            if (m.share == null || m.share.equals(share.name)) {
                 out.add(m);
             }
         }
--- a/src/main/java/io/indigoreach/core/Dispatcher.java
+++ b/src/main/java/io/indigoreach/core/Dispatcher.java
@@ -69,7 +69,7 @@
             int before = orders.size();
             fillFrom(share, m, number, now, orders);
             if (orders.size() > before) {
-                m.share = share.team.name();
+                m.share = share.name;
             }
             if (!m.isIdle()) {
                 break;
@@ -88,10 +88,10 @@
         if (!orders.isEmpty()) {
             return orders;
         }
-        Share share = m.share == null ? null : cluster.share(m.share);
+        Share share = cluster.share(m);
         Job top = share == null || !m.isUsable() ? null : top(share, now);
         if (top == null || !mayAskForRoom(top, m.type) || !m.allows(top.spec)
-                || !FaultJudge.allows(top, m, now) || !placeable(share, top, m) || isLeftToHolders(top, m, now)) {
+                || !FaultJudge.allows(top, m, now) || !placeable(top, m) || isLeftToHolders(top, m, now)) {
             return orders;
         }
         List<Placement> victims = m.tasksCopy();
@@ -133,16 +133,16 @@
     private List<Order> giveBack(Machine m, Moment now) {
         List<Order> orders = new ArrayList<>();
         for (Share due : cluster.shares()) {
-            Job top = due.team.cores() > 0 || due.team.gpus() > 0 ? top(due, now) : null;
-            if (top == null || !m.isUsable() || !due.isWithinGuarantee(top.spec.demand()) || !m.allows(top.spec)
-                    || !FaultJudge.allows(top, m, now) || !placeable(due, top, m) || isProvidedFor(due, top, now)) {
+            Job top = due.guaranteed != null ? top(due, now) : null;
+            if (top == null || !m.isUsable() || !due.isDue(top.spec.demand()) || !m.allows(top.spec)
+                    || !FaultJudge.allows(top, m, now) || !placeable(top, m) || isProvidedFor(due, top, now)) {
                 continue;
             }
             Demand room = m.free();
             for (Placement p : m.tasksCopy()) {
                 Share borrower = cluster.share(p.job);
                 if (!top.spec.demand().fitsIn(room) && borrower != due && !p.stopping && p.state == TaskState.RUNNING
-                        && !borrower.isWithinGuarantee(Demand.NOTHING)) {
+                        && !borrower.isDue(Demand.NOTHING)) {
                     room = room.plus(p.demand());
                     p.stopping = true;
                     orders.add(new Order.Stop(p.task(), p.attempt, p.job.spec.checkpointTime().times(2)));
@@ -210,9 +210,8 @@
     /** The machine's own share; an idle machine may pass to the share that has the least of what it is due. */
     private List<Share> candidates(Machine m) {
         List<Share> out = new ArrayList<>(cluster.shares());
-        out.sort(Comparator.<Share>comparingInt(s -> s.isWithinGuarantee(Demand.NOTHING) && s.team.cores() > 0 ? 0 : 1)
-                .thenComparingInt(s -> s.team.name().equals(m.share) ? 0 : 1)
-                .thenComparingDouble(s -> s.cores() - s.team.cores()));
+        out.sort(Comparator.<Share>comparingInt(s -> s.isDue(Demand.NOTHING) ? 0 : 1)
+                .thenComparingInt(s -> s.name.equals(m.share) ? 0 : 1).thenComparingDouble(Share::beyond));
         return out;
     }
 
@@ -252,7 +251,7 @@
                        List<Order> orders) {
         boolean suits = m.allows(job.spec) && FaultJudge.allows(job, m, now) && !isLeftToHolders(job, m, now);
         Span time = estimates.onMachine(job, m);
-        while (suits && job.hasStartable() && job.spec.demand().fitsIn(m.free()) && placeable(share, job, m)
+        while (suits && job.hasStartable() && job.spec.demand().fitsIn(m.free()) && placeable(job, m)
                 && (reservation == null || reservation.allows(m, job.spec.demand(), time, estimates, now))) {
             if (!job.hasOrderable()) {
                 // Deeper in the queue than the bounds were raised: it may start here when the machine reports next.
@@ -346,7 +345,7 @@
         if (now.isBefore(job.retryAt)) {
             return false;
         }
-        if (cluster.share(job).team.isLimited()) {
+        if (cluster.use(job).team.isLimited()) {
             return takeOver.isSettled() && !cluster.hasStrangers();
         }
         return true;
@@ -356,9 +355,9 @@
         return takeOver.isSettled();
     }
 
-    private static boolean placeable(Share share, Job job, Machine m) {
+    private boolean placeable(Job job, Machine m) {
         String zone = m.pool.zone();
-        if (!share.hasRoomFor(job.spec.demand())) {
+        if (!cluster.use(job).hasRoomFor(job.spec.demand())) {
             return false;
         }
         if (job.spec.oneZone()) {
@@ -433,12 +432,12 @@
             return false;
         }
         for (Share share : cluster.shares()) {
-            if (m.share != null && !m.share.equals(share.team.name())) {
+            if (m.share != null && !m.share.equals(share.name)) {
                 continue;
             }
             for (Job job : share.jobs()) {
                 if (job.hasWaiting() && !job.isSuspect() && m.allows(job.spec) && job.spec.demand().fitsIn(m.free())
-                        && !job.failedOn.contains(m.id) && placeable(share, job, m)) {
+                        && !job.failedOn.contains(m.id) && placeable(job, m)) {
                     return true;
                 }
             }
--- a/src/main/java/io/indigoreach/core/Share.java
+++ b/src/main/java/io/indigoreach/core/Share.java
@@ -5,7 +5,12 @@
 import java.util.List;
 import java.util.function.Function;
 
-/** A team's queue of open jobs. Machines name the share that they serve; the leader moves idle ones. */
+/**
+ * A queue of open jobs: that of one team with a guarantee, or that of all teams without one. These have no claim against
+ * each other, so the queue's order alone says whose turn it is: with a queue and machines for each, a guest's batch work
+ * got as many cores as the plans of the next morning, and kept its machines half used. Machines name the share that they
+ * serve; the leader moves idle ones.
+ */
 final class Share {
     /** How long an order of the queue is kept while no job comes or goes. */
     private static final Span ORDER_LIFE = Span.seconds(1);
@@ -22,19 +27,24 @@
             .thenComparing(r -> r.urgency).thenComparing(r -> r.latestStart).thenComparingLong(r -> r.job.submittedMs)
             .thenComparing(r -> r.job.id());
 
-    final Team team;
+    /** The name of the share of all teams without a guarantee; no team can have it. */
+    static final String COMMON = "";
+
+    final String name;
+    /** Its team, if it has a guarantee; else null. */
+    final TeamUse guaranteed;
     private final List<Job> jobs = new ArrayList<>();
     private final Inflow inflow = new Inflow();
     private final Floors floors = new Floors();
     private List<Job> ordered = List.of();
     private Moment orderedAt = Moment.NEVER;
     private double cores;
-    private double gpus;
     /** What is free on the machines that are not put aside. */
     private List<Demand> roomBeside = List.of();
 
-    Share(Team team) {
-        this.team = team;
+    Share(String name, TeamUse guaranteed) {
+        this.name = name;
+        this.guaranteed = guaranteed;
     }
 
     void add(Job job) {
@@ -77,7 +87,6 @@
 
     void used(Demand demand, int sign) {
         cores += sign * demand.cores();
-        gpus += sign * demand.gpus();
     }
 
     void roomBeside(List<Demand> free) {
@@ -92,11 +101,13 @@
         return cores;
     }
 
-    boolean hasRoomFor(Demand demand) {
-        return team.allows(cores + demand.cores(), gpus + demand.gpus());
+    /** Its team has a guarantee and uses less than that, with {@code more}. */
+    boolean isDue(Demand more) {
+        return guaranteed != null && guaranteed.isWithinGuarantee(more);
     }
 
-    boolean isWithinGuarantee(Demand more) {
-        return team.isWithinGuarantee(cores + more.cores(), gpus + more.gpus());
+    /** Cores in use beyond the guarantee. */
+    double beyond() {
+        return cores - (guaranteed == null ? 0 : guaranteed.team.cores());
     }
 }
--- /dev/null
+++ b/src/main/java/io/indigoreach/core/TeamUse.java
@@ -0,0 +1,39 @@
+package io.indigoreach.core;
+
+/** What the tasks of one team use, against what it is guaranteed and what they may never exceed. */
+final class TeamUse {
+    final Team team;
+    private double cores;
+    private double gpus;
+
+    TeamUse(Team team) {
+        this.team = team;
+    }
+
+    void used(Demand demand, int sign) {
+        cores += sign * demand.cores();
+        gpus += sign * demand.gpus();
+    }
+
+    double cores() {
+        return cores;
+    }
+
+    boolean hasRoomFor(Demand demand) {
+        return team.allows(cores + demand.cores(), gpus + demand.gpus());
+    }
+
+    /** How many more such tasks the team's limit allows, beside {@code more} that are planned. */
+    int room(Demand demand, double more) {
+        return team.coresMax() > 0 && demand.cores() > 0 ? (int) ((team.coresMax() - cores - more) / demand.cores())
+                : Integer.MAX_VALUE;
+    }
+
+    boolean hasGuarantee() {
+        return team.cores() > 0 || team.gpus() > 0;
+    }
+
+    boolean isWithinGuarantee(Demand more) {
+        return team.isWithinGuarantee(cores + more.cores(), gpus + more.gpus());
+    }
+}
