--- a/src/main/java/io/indigoreach/core/Dispatcher.java
+++ b/src/main/java/io/indigoreach/core/Dispatcher.java
@@ -48,8 +48,13 @@
     /** Usable machines of each pool, counted once in a while. */
     private Map<Pool, Integer> usable = Map.of();
     private Moment usableAt = Moment.NEVER;
+    /** Cores that each share's fillers may still take, counted once in a while. */
+    private final Map<Share, Room> fillerRoom = new HashMap<>();
     private long attempts;
 
+    private record Room(double cores, Moment counted) {
+    }
+
     Dispatcher(Cluster cluster, Aims aims, Estimates estimates, TakeOver takeOver, Token token, Span leastPaid) {
         this.cluster = cluster;
         this.aims = aims;
@@ -251,7 +256,9 @@
                        List<Order> orders) {
         boolean suits = m.allows(job.spec) && FaultJudge.allows(job, m, now) && !isLeftToHolders(job, m, now);
         Span time = estimates.onMachine(job, m);
+        boolean filler = suits && isFiller(job, now);
         while (suits && job.hasStartable() && job.spec.demand().fitsIn(m.free()) && placeable(job, m)
+                && (!filler || leavesRoom(share, job, now))
                 && (reservation == null || reservation.allows(m, job.spec.demand(), time, estimates, now))) {
             if (!job.hasOrderable()) {
                 // Deeper in the queue than the bounds were raised: it may start here when the machine reports next.
@@ -261,11 +268,50 @@
             Placement p = new Placement(job, job.nextStartable(), m, token.attempt(++attempts), TaskState.ORDERED,
                     number, now);
             cluster.place(p);
+            if (filler) {
+                fillerRoom.computeIfPresent(share, (s, room) -> new Room(room.cores - p.demand().cores(), room.counted));
+            }
             orders.add(new Order.Start(p.task(), p.attempt));
             suits = !job.isSuspect();
         }
     }
 
+    /**
+     * Long tasks that nobody has said a time for, and that nothing of their own urgency may push aside: once on every
+     * machine they keep all who have an aim waiting until they end.
+     */
+    private boolean isFiller(Job job, Moment now) {
+        return isUnderTheRuleAlone(job, now) && !Aims.isAged(job, now) && !job.spec.isService()
+                && !job.spec.urgency().isMoreUrgentThan(Urgency.STANDARD)
+                && estimates.run(job).compareTo(leastPaid) >= 0;
+    }
+
+    /** Whether what is left beside all fillers is enough for the jobs with an aim: those that are here, and their flow. */
+    private boolean leavesRoom(Share share, Job job, Moment now) {
+        Room room = fillerRoom.get(share);
+        if (room == null || !now.isBefore(room.counted.plus(RESERVATION_LIFE))) {
+            double cores = 0;
+            for (Machine m : cluster.serving(share)) {
+                cores += m.isUsable() ? m.type.capacity().cores() : 0;
+            }
+            double aimed = 0;
+            for (Job other : share.jobs()) {
+                double each = other.spec.demand().cores();
+                if (isFiller(other, now)) {
+                    cores -= other.active().size() * each;
+                } else if (!aims.isWithout(other)) {
+                    aimed += (other.active().size() + (other.late ? 0 : other.startable())) * each;
+                }
+            }
+            double flow = share.inflow().perSecond(other -> !aims.isWithout(other),
+                    other -> other.spec.tasks() * estimates.run(other).seconds() * other.spec.demand().cores(), leastPaid, now);
+            double aside = Math.max(aimed, flow);
+            room = new Room(aside > 0 ? cores - aside : Double.MAX_VALUE, now);
+            fillerRoom.put(share, room);
+        }
+        return room.cores >= job.spec.demand().cores();
+    }
+
     /**
      * Fetching its image here would make the task start too late for an aim that it can still meet on a machine which
      * has the image. Such a machine is waited for until the aim is lost; then any will do.
--- a/src/test/java/io/indigoreach/core/PlacementTest.java
+++ b/src/test/java/io/indigoreach/core/PlacementTest.java
@@ -74,6 +74,30 @@
     }
 
     /** A machine with one two-core task that ends at 60 s; the top job needs all four cores. */
+    /**
+     * Only the top job has a reservation: behind it, tasks of five minutes that nobody had said a time for took the rest of every
+     * machine, and half of a class with an aim waited for them (a guest's day at 500 machines).
+     */
+    @ParameterizedTest
+    @CsvSource({"g, 300, 0, leaves room for what waits with an aim", "c, 300, 1, has an aim itself",
+        "g, 50, 1, soon over"})
+    void longTasksWithoutAnAimLeaveRoomForThoseWithOne(String jobClass, double estimate, int started, String why) {
+        World w = new World(World.TUNING, new Aims(List.of(new Aims.Aim("c", true, Span.seconds(200)))));
+        w.core.loaded();
+        w.submit(spec(1, 2, 3, 20), 0);
+        w.up("a", "east", 0);
+        w.up("b", "east", 0);
+        List<Order> a = w.hear("a", 1);
+        List<Order> b = w.hear("b", 1);
+        w.submit(spec(2, 1, 4, 50), 2);
+        w.submit(spec(3, 1, 4, 50), 2);
+        JobSpec s = spec(4, 2, 1, estimate);
+        w.submit(new JobSpec(s.id(), jobClass, s.team(), s.shape(), Urgency.BEST_EFFORT, 2, s.demand(), "img", 0, null, null,
+                false, false, true, s.estimate(), Span.ZERO, Span.ZERO, null), 3);
+        assertEquals(started, starts(w.hear("a", 3, World.running(a))).size()
+                + starts(w.hear("b", 3, World.running(b))).size(), why);
+    }
+
     @ParameterizedTest
     @CsvSource({"20, 1, short enough to end before the top job's start", "200, 0, would delay the top job"})
     void backfillDoesNotDelayTheReservedTopJob(double estimate, int started, String why) {
