A node doubts itself first; warm-up; other nodes vouch that nothing was cancelled

Cause: a leader that stood still read its timers before the reports that refute them; a starved node took itself for refused alone; a node that had never led took 15 ms for a report; and in an outage of 25 s a leader stopped for want of news of cancellations.

--- a/src/main/java/io/indigoreach/api/JobDesk.java
+++ b/src/main/java/io/indigoreach/api/JobDesk.java
@@ -5,6 +5,8 @@
 import io.indigoreach.core.JobId;
 import io.indigoreach.core.JobSpec;
 import io.indigoreach.core.JobStatus;
+import io.indigoreach.core.Moment;
+import io.indigoreach.core.Span;
 import io.indigoreach.core.Stamp;
 import io.indigoreach.core.Team;
 import io.indigoreach.core.loss.Remains;
@@ -43,6 +45,8 @@
     private final SteadyClock clock;
     private final int valueBytes;
     private final OpenReads questions;
+    /** When this node last learnt, and told or will tell, that a job is cancelled; at first, when its process began. */
+    private Moment cancelTold;
     private Function<JobId, Future<Boolean>> others = id -> Future.succeededFuture(false);
     private final Map<JobId, FinalRecord> over = new LinkedHashMap<>() {
         @Override
@@ -70,6 +74,7 @@
         this.catalogue = catalogue;
         this.teams = teams;
         this.clock = clock;
+        this.cancelTold = clock.now();
         this.valueBytes = valueBytes;
         this.questions = new OpenReads(vertx, state, clock, questionsPerS);
     }
@@ -256,11 +261,19 @@
     }
 
     private FinalRecord remember(FinalRecord record) {
+        if (record.status() == JobStatus.CANCELLED) {
+            cancelTold = clock.now();
+        }
         over.put(record.id(), record);
         accepted.remove(record.id());
         return record;
     }
 
+    /** For how long this node has told nobody of a cancellation that it had not told of before. */
+    public Span quietFor() {
+        return clock.now().since(cancelTold);
+    }
+
     /** What this node remembers of jobs. */
     public Remains remains() {
         Remains remains = new Remains();
--- a/src/main/java/io/indigoreach/cluster/Controller.java
+++ b/src/main/java/io/indigoreach/cluster/Controller.java
@@ -2,6 +2,7 @@
 
 import io.indigoreach.config.PlatformConfig;
 import io.indigoreach.core.JobId;
+import io.indigoreach.core.Moment;
 import io.indigoreach.core.Order;
 import io.indigoreach.core.Stamp;
 import io.indigoreach.core.Token;
@@ -30,6 +31,7 @@
     private final Reign.Surroundings env;
     private final Leadership leadership;
     private Supplier<Future<Remains>> jobs = () -> Future.succeededFuture(new Remains());
+    private final WarmUp warmUp;
     private Reign reign;
     /** What this node knew when it last led. */
     private Remains known = new Remains();
@@ -37,6 +39,7 @@
     /** {@code own}: an event loop for what must not wait for anything else. */
     Controller(Reign.Surroundings env, Vertx own) {
         this.env = env;
+        this.warmUp = new WarmUp(env, () -> reign != null);
         String process = Long.toHexString(ThreadLocalRandom.current().nextLong()) + "-" + env.clock().timeOfDay();
         PlatformConfig config = env.config();
         List<String> nodes = Stream.concat(Stream.of(config.node()), config.peers().stream().map(PlatformConfig.Peer::node))
@@ -76,8 +79,17 @@
     }
 
     /** How to ask every other node for its pledge not to lead. */
-    void pledging(Supplier<Future<Boolean>> others) {
-        leadership.asking(others);
+    void pledging(Supplier<Future<Pledges>> others) {
+        leadership.asking(() -> {
+            Moment sent = env.clock().now();
+            Reign asking = reign;
+            return others.get().map(pledges -> {
+                if (pledges.all() && asking != null && asking == reign) {
+                    asking.nothingCancelled(sent, pledges.quiet());
+                }
+                return pledges.all();
+            });
+        });
     }
 
     boolean pledge() {
@@ -91,10 +103,12 @@
 
     public void start() {
         leadership.start();
+        warmUp.start();
     }
 
     public void stop() {
         leadership.stop();
+        warmUp.cancel();
         if (reign != null) {
             reign.close();
             reign = null;
--- a/src/main/java/io/indigoreach/cluster/Fleet.java
+++ b/src/main/java/io/indigoreach/cluster/Fleet.java
@@ -177,6 +177,7 @@
         if (!mayAct.getAsBoolean()) {
             return Future.succeededFuture(PAUSE);
         }
+        core.awakeSince(env.pulse().awakeSince());
         core.check(env.clock().now());
         List<MachineId> leaving = book.intents().condemn(core.leaving(CloudClient.mostReturned()));
         if (leaving.isEmpty()) {
--- a/src/main/java/io/indigoreach/cluster/Node.java
+++ b/src/main/java/io/indigoreach/cluster/Node.java
@@ -9,6 +9,7 @@
 import io.indigoreach.config.Settings;
 import io.indigoreach.net.Caller;
 import io.indigoreach.net.Loop;
+import io.indigoreach.net.Pulse;
 import io.indigoreach.net.SteadyClock;
 import io.indigoreach.state.StateClient;
 import io.indigoreach.worker.ReportDesk;
@@ -21,6 +22,7 @@
     private static final double QUESTIONS = 0.5;
 
     private final Vertx own = Loop.vertx();
+    private final Pulse pulse;
     private final Catalogue catalogue;
     private final Controller controller;
     private final Standing standing;
@@ -28,15 +30,16 @@
 
     public Node(Vertx vertx, PlatformConfig config, Settings settings) throws ConfigException {
         SteadyClock clock = new SteadyClock();
+        this.pulse = new Pulse(vertx, clock);
         StateClient state = new StateClient(new Caller(vertx, config.state(), 12),
                 new Caller(vertx, config.state(), 3));
         CloudClient cloud = new CloudClient(new Caller(vertx, config.cloud(), 3));
         this.catalogue = new Catalogue(vertx, state, cloud);
-        this.controller = new Controller(new Reign.Surroundings(vertx, clock, state, cloud, catalogue, config, settings,
+        this.controller = new Controller(new Reign.Surroundings(vertx, clock, pulse, state, cloud, catalogue, config, settings,
                 settings.leaderLease(config.rules())), own);
         JobDesk jobs = new JobDesk(vertx, state, catalogue, config.teams(), clock, config.stateLimits().valueBytes(),
                 config.stateLimits().requestsPerS() * QUESTIONS / (config.peers().size() + 1));
-        this.standing = new Standing(vertx, clock, state, config, controller, jobs);
+        this.standing = new Standing(vertx, clock, pulse, state, config, controller, jobs);
         controller.remembering(standing::gather);
         controller.pledging(standing::pledges);
         jobs.asking(standing::know);
@@ -57,6 +60,7 @@
 
     public Future<Void> stop() {
         controller.stop();
+        pulse.close();
         return standing.stop().eventually(door::close).eventually(own::close);
     }
 }
--- a/src/main/java/io/indigoreach/cluster/Reign.java
+++ b/src/main/java/io/indigoreach/cluster/Reign.java
@@ -5,6 +5,7 @@
 import io.indigoreach.config.PlatformConfig;
 import io.indigoreach.config.Settings;
 import io.indigoreach.core.Aims;
+import io.indigoreach.core.Hearing;
 import io.indigoreach.core.Job;
 import io.indigoreach.core.JobId;
 import io.indigoreach.core.LeaderCore;
@@ -19,6 +20,7 @@
 import io.indigoreach.core.loss.Remains;
 import io.indigoreach.net.Budget;
 import io.indigoreach.net.Duty;
+import io.indigoreach.net.Pulse;
 import io.indigoreach.net.SteadyClock;
 import io.indigoreach.state.Leadership;
 import io.indigoreach.state.StateClient;
@@ -39,7 +41,7 @@
     private static final Span SUMMARY = Span.seconds(10);
 
     /** What a reign works with. */
-    record Surroundings(Vertx vertx, SteadyClock clock, StateClient state, CloudClient cloud, Catalogue catalogue,
+    record Surroundings(Vertx vertx, SteadyClock clock, Pulse pulse, StateClient state, CloudClient cloud, Catalogue catalogue,
                         PlatformConfig config, Settings settings, Span lease) {
     }
 
@@ -58,6 +60,7 @@
     private final Budget budget;
     private final Stamp key;
     private Moment summarised = Moment.NEVER;
+    private final Hearing hearing;
     private boolean boundsKept;
 
     /**
@@ -80,6 +83,7 @@
         this.fleet = new Fleet(env, core, token, new IntentBook(env, token, key, leadership::deposed, budget),
                 leadership::isValid);
         this.watch = new JobWatch(env, ledger);
+        this.hearing = new Hearing(watch.freshAt());
         this.ends = new EndWatch(env);
         this.opening = new Duty(env.vertx(), "opening", Span.seconds(0.3), this::open);
         this.tick = new Duty(env.vertx(), "tick", TICK, this::tick);
@@ -110,7 +114,14 @@
 
     /** The longest that this leader may not have heard of cancellations; beyond it, workers get no answer. */
     boolean hearsCancellations() {
-        return env.clock().now().since(watch.freshAt()).compareTo(env.config().rules().hearing()) < 0;
+        hearing.heard(watch.freshAt());
+        return env.clock().now().since(hearing.until()).compareTo(env.config().rules().hearing()) < 0;
+    }
+
+    /** At {@code sent} every node was asked, and has told of no cancellation for {@code quiet}. */
+    void nothingCancelled(Moment sent, Span quiet) {
+        hearing.heard(watch.freshAt());
+        hearing.noneTold(quiet, sent, env.clock().now());
     }
 
     /** The orders for a worker; null if a newer leader exists. A machine's first report waits for its record. */
@@ -173,6 +184,7 @@
 
     private Future<Span> tick() {
         Moment now = env.clock().now();
+        core.awakeSince(env.pulse().awakeSince());
         core.expireLeases(now);
         if (leadership.isValid() && !env.config().peers().isEmpty() && core.isDeaf(now)) {
             leadership.abdicate("no worker's report reaches this node");
--- a/src/main/java/io/indigoreach/cluster/Standing.java
+++ b/src/main/java/io/indigoreach/cluster/Standing.java
@@ -9,6 +9,7 @@
 import io.indigoreach.core.loss.Remains;
 import io.indigoreach.net.Caller;
 import io.indigoreach.net.Duty;
+import io.indigoreach.net.Pulse;
 import io.indigoreach.net.Reply;
 import io.indigoreach.net.SteadyClock;
 import io.indigoreach.net.Wire;
@@ -46,6 +47,7 @@
     private static final Span WORD = Span.seconds(0.7);
 
     private final SteadyClock clock;
+    private final Pulse pulse;
     private final StateClient state;
     private final PlatformConfig config;
     private final Controller controller;
@@ -58,8 +60,9 @@
     /** The state service did not answer this node when it was last asked. */
     private boolean unserved;
 
-    Standing(Vertx vertx, SteadyClock clock, StateClient state, PlatformConfig config, Controller controller,
+    Standing(Vertx vertx, SteadyClock clock, Pulse pulse, StateClient state, PlatformConfig config, Controller controller,
              JobDesk jobs) {
+        this.pulse = pulse;
         this.jobs = jobs;
         this.clock = clock;
         this.controller = controller;
@@ -98,7 +101,8 @@
                             .end(Wire.write(Map.of())));
         } else if (PLEDGE.equals(request.path())) {
             // Whoever is served leaves it to the state service to say who leads.
-            request.response().end(Wire.write(Wire.map("pledged", unserved && controller.pledge())));
+            request.response().end(Wire.write(Wire.map("pledged", unserved && controller.pledge(),
+                    "quiet_ms", jobs.quietFor().ms())));
         } else if (LOSS.equals(request.path())) {
             request.body().onSuccess(body -> state.toldOfLoss(Wire.readMap(body).whole("era")))
                     .onComplete(done -> request.response().end(Wire.write(Map.of())));
@@ -117,9 +121,9 @@
         return clock.now().since(served).compareTo(PATIENCE) < 0;
     }
 
-    /** Long enough that in an outage the other nodes know of it too. */
+    /** Long enough that in an outage the other nodes know of it too, and not because this node itself stood still. */
     private boolean isSurelyUnserved() {
-        return clock.now().since(served).compareTo(PATIENCE.times(2)) >= 0;
+        return pulse.hasTurnedFor(PATIENCE.times(2)) && clock.now().since(served).compareTo(PATIENCE.times(2)) >= 0;
     }
 
     private Future<Span> step() {
@@ -161,13 +165,19 @@
                 : Future.all(answers).map(all -> all.<Boolean>list().contains(true));
     }
 
-    /** Whether every other node pledges not to lead; without other nodes none can be had. */
-    Future<Boolean> pledges() {
-        List<Future<Boolean>> answers = new ArrayList<>();
+    /** Every other node's pledge not to lead; none without other nodes. */
+    Future<Pledges> pledges() {
+        List<Future<Pledges>> answers = new ArrayList<>();
         peers.forEach(peer -> answers.add(peer.post(PLEDGE, Map.of(), PERIOD)
-                .map(r -> r.isOk() && r.body().flag("pledged", false)).otherwise(false)));
-        return answers.isEmpty() ? Future.succeededFuture(false)
-                : Future.all(answers).map(all -> !all.<Boolean>list().contains(false));
+                .map(r -> new Pledges(r.isOk() && r.body().flag("pledged", false), new Span(r.body().whole("quiet_ms", 0))))
+                .otherwise(Pledges.NONE)));
+        return answers.isEmpty() ? Future.succeededFuture(Pledges.NONE) : Future.all(answers).map(all -> {
+            Pledges together = new Pledges(true, jobs.quietFor());
+            for (Pledges one : all.<Pledges>list()) {
+                together = together.and(one);
+            }
+            return together;
+        });
     }
 
     /** What this node and those that answer remember of jobs. */
--- a/src/main/java/io/indigoreach/core/Cluster.java
+++ b/src/main/java/io/indigoreach/core/Cluster.java
@@ -19,6 +19,8 @@
     private final Map<String, Integer> holders = new HashMap<>();
     private int strangers;
     private long visits;
+    /** The leader has not stood still since: what it did not hear before then may wait to be read. */
+    Moment awake = Moment.NEVER;
     /** Rises with every change that can alter a reservation. */
     long version;
 
--- a/src/main/java/io/indigoreach/core/LeaderCore.java
+++ b/src/main/java/io/indigoreach/core/LeaderCore.java
@@ -354,6 +354,11 @@
         return loaded ? bestSize.wishes(now) : List.of();
     }
 
+    /** Since when this node has not stood still: silence before that may be its own. */
+    public void awakeSince(Moment since) {
+        cluster.awake = since;
+    }
+
     /** Marks what is to be returned. */
     public void check(Moment now) {
         if (loaded) {
@@ -418,6 +423,9 @@
         Span patience = rules.workerLease().times(0.5);
         Span reports = rules.report().times(3);
         Moment since = now.minus(patience.compareTo(reports) > 0 ? patience : reports);
+        if (cluster.awake.isAfter(since)) {
+            return false;
+        }
         int silent = 0;
         for (Machine m : cluster.machines.values()) {
             if (m.recorded && m.phase != Machine.Phase.LEAVING) {
--- a/src/main/java/io/indigoreach/core/Silence.java
+++ b/src/main/java/io/indigoreach/core/Silence.java
@@ -66,7 +66,8 @@
         double part = overdue.getOrDefault(m.pool.zone(), 0.0);
         Span patience = m.accounted ? rules.silence() : part > NEARLY_NONE
                 ? rules.silence().plus(rules.workerPatience()) : longer(rules.silence(), rules.findsLeader());
-        return part <= MOST_OVERDUE && now.since(m.heard).compareTo(patience) > 0;
+        return part <= MOST_OVERDUE && now.since(m.heard).compareTo(patience) > 0
+                && now.since(cluster.awake).compareTo(rules.silence()) > 0;
     }
 
     /** So many of the zone's machines are silent that the way to them is at fault. */
--- a/src/main/java/io/indigoreach/state/Leadership.java
+++ b/src/main/java/io/indigoreach/state/Leadership.java
@@ -40,8 +40,8 @@
     private static final Span RETRY = Span.seconds(0.5);
     /** What the other nodes are given to take a key that was let go. */
     private static final Span GRACE = Span.seconds(0.6);
-    /** For how long a pledge binds: some questions of {@link #BEAT} apart. */
-    static final Span PLEDGE = Span.seconds(3);
+    /** For how long a pledge binds: some questions of {@link #BEAT} apart, and no longer than a process takes to start. */
+    static final Span PLEDGE = Span.seconds(2);
     private static final Span BEAT = Span.seconds(0.5);
     /** Renewals that have not been answered for so long are reason to ask the others for pledges. */
     private static final Span OVERDUE = Span.seconds(1.5);
--- a/src/test/java/io/indigoreach/cluster/IntentBookTest.java
+++ b/src/test/java/io/indigoreach/cluster/IntentBookTest.java
@@ -41,7 +41,7 @@
         state = await(new StateStandIn().listen(vertx));
         client = new StateClient(new Caller(vertx, state.endpoint(), 4), new Caller(vertx, state.endpoint(), 1));
         PlatformConfig config = MachineBookTest.config();
-        env = new Reign.Surroundings(vertx, clock, client, null, null, config, Settings.standard(), Span.seconds(10));
+        env = new Reign.Surroundings(vertx, clock, null, client, null, null, config, Settings.standard(), Span.seconds(10));
     }
 
     @AfterEach
--- a/src/test/java/io/indigoreach/cluster/LedgerTest.java
+++ b/src/test/java/io/indigoreach/cluster/LedgerTest.java
@@ -54,7 +54,7 @@
     void start() throws Exception {
         state = await(new StateStandIn().listen(vertx));
         client = new StateClient(new Caller(vertx, state.endpoint(), 4), new Caller(vertx, state.endpoint(), 1));
-        Reign.Surroundings env = new Reign.Surroundings(vertx, clock, client, null, null, MachineBookTest.config(),
+        Reign.Surroundings env = new Reign.Surroundings(vertx, clock, null, client, null, null, MachineBookTest.config(),
                 Settings.standard(), Span.seconds(10));
         StateClient.Outcome taken = await(client.commit(new StateClient.Txn().put(RecordCodec.LEADER, Wire.map("t", 1L))));
         core = new LeaderCore(new Token(3), MachineBookTest.config().rules(), Settings.standard().tuning(),
--- a/src/test/java/io/indigoreach/cluster/MachineBookTest.java
+++ b/src/test/java/io/indigoreach/cluster/MachineBookTest.java
@@ -112,7 +112,7 @@
                 List.of(POOL.zone()))));
         core.loaded();
         CloudClient cloud = new CloudClient(new Caller(vertx, state.endpoint(), 1));
-        env = new Reign.Surroundings(vertx, clock, client, cloud, new Catalogue(vertx, client, cloud),
+        env = new Reign.Surroundings(vertx, clock, null, client, cloud, new Catalogue(vertx, client, cloud),
                 config, settings, Span.seconds(10));
         book = new MachineBook(env, core, new Token(3), NOBODY, () -> { }, new Budget(12, clock.now()));
         onLoop(() -> {
--- a/src/test/java/io/indigoreach/cluster/RebuilderTest.java
+++ b/src/test/java/io/indigoreach/cluster/RebuilderTest.java
@@ -35,7 +35,7 @@
             StateStandIn state = await(new StateStandIn().listen(vertx));
             StateClient client = new StateClient(new Caller(vertx, state.endpoint(), 2), new Caller(vertx, state.endpoint(), 1));
             SteadyClock clock = new SteadyClock();
-            Reign.Surroundings env = new Reign.Surroundings(vertx, clock, client, null, null, MachineBookTest.config(),
+            Reign.Surroundings env = new Reign.Surroundings(vertx, clock, null, client, null, null, MachineBookTest.config(),
                     Settings.standard(), Span.seconds(10));
             StateClient.Outcome taken = await(client.commit(new StateClient.Txn().put(RecordCodec.LEADER, Wire.map("t", 1L))));
             Remains remains = new Remains();
--- a/src/test/java/io/indigoreach/core/SilenceTest.java
+++ b/src/test/java/io/indigoreach/core/SilenceTest.java
@@ -40,6 +40,25 @@
         return tasks;
     }
 
+    /**
+     * A leader that stood still for 5 s reads what waits one after the other: when most have been read, the rest would look
+     * silent alone, and deaf is a leader that has had no time to listen.
+     */
+    @ParameterizedTest
+    @CsvSource({"14.9, 0", "10, 2"})
+    void aLeaderThatStoodStillDoubtsItselfFirst(double awake, int returned) {
+        World w = new World();
+        w.core.loaded();
+        List<TaskReport[]> tasks = fleet(w);
+        w.core.awakeSince(at(awake));
+        assertEquals(returned > 0, w.core.isDeaf(at(16.1)), "nothing heard since 10 s");
+        for (int i = 2; i < 8; i++) {
+            w.hearOrdinary("m" + i, 15, tasks.get(i));
+        }
+        w.core.check(at(15));
+        assertEquals(returned, w.core.leaving(9).size());
+    }
+
     /** What was on it starts elsewhere once the return is answered, not before: it may still be running. */
     @Test
     void aReplicaStartsElsewhereOnlyOnceTheReturnIsAnswered() {
