A node whose predecessor led settles who leads before it listens

Cause: where all nodes have ended, each new process had hundreds of workers before its campaign; nobody led for 2 to 4 s after the key was removed.

--- a/src/main/java/io/indigoreach/cluster/Controller.java
+++ b/src/main/java/io/indigoreach/cluster/Controller.java
@@ -16,6 +16,7 @@
 import io.vertx.core.Vertx;
 import java.util.List;
 import java.util.concurrent.ThreadLocalRandom;
+import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
 import java.util.stream.Stream;
 
@@ -96,11 +97,21 @@
         return leadership.pledge();
     }
 
-    /** Removes what a predecessor of this process left behind; never fails. */
-    public Future<Void> clear() {
+    /** Removes what a predecessor of this process left behind; true if it led. Never fails. */
+    public Future<Boolean> clear() {
         return leadership.clear();
     }
 
+    /**
+     * Somebody leads, or it has taken too long. Where all nodes have ended, hundreds of workers look for a leader at each as
+     * soon as it listens, and none came to take the leadership for 4 s.
+     */
+    Future<Void> settled(Moment until) {
+        return leadership.isLeading() || leadership.leader() != null || !env.clock().now().isBefore(until)
+                ? Future.succeededFuture()
+                : env.vertx().timer(50, TimeUnit.MILLISECONDS).compose(t -> settled(until));
+    }
+
     public void start() {
         leadership.start();
         warmUp.start();
--- a/src/main/java/io/indigoreach/cluster/Node.java
+++ b/src/main/java/io/indigoreach/cluster/Node.java
@@ -7,6 +7,7 @@
 import io.indigoreach.config.ConfigException;
 import io.indigoreach.config.PlatformConfig;
 import io.indigoreach.config.Settings;
+import io.indigoreach.core.Span;
 import io.indigoreach.net.Caller;
 import io.indigoreach.net.Loop;
 import io.indigoreach.net.Pulse;
@@ -21,7 +22,11 @@
     /** Part of the state service's requests that all nodes together spend on users' questions. */
     private static final double QUESTIONS = 0.5;
 
+    /** The longest that a node whose predecessor led does not listen, until it is known who leads. */
+    private static final Span UNHEARD = Span.seconds(3);
+
     private final Vertx own = Loop.vertx();
+    private final SteadyClock clock = new SteadyClock();
     private final Pulse pulse;
     private final Catalogue catalogue;
     private final Controller controller;
@@ -29,7 +34,6 @@
     private final FrontDoor door;
 
     public Node(Vertx vertx, PlatformConfig config, Settings settings) throws ConfigException {
-        SteadyClock clock = new SteadyClock();
         this.pulse = new Pulse(vertx, clock);
         StateClient state = new StateClient(new Caller(vertx, config.state(), 12),
                 new Caller(vertx, config.state(), 3));
@@ -50,14 +54,24 @@
 
     /** Starts serving; the result is the port. */
     public Future<Integer> start() {
-        return controller.clear().compose(v -> door.open()).map(port -> {
-            catalogue.start();
-            controller.start();
-            standing.start();
-            return port;
+        return controller.clear().compose(led -> {
+            if (!led) {
+                return door.open().map(port -> {
+                    lead();
+                    return port;
+                });
+            }
+            lead();
+            return controller.settled(clock.now().plus(UNHEARD)).compose(v -> door.open());
         });
     }
 
+    private void lead() {
+        catalogue.start();
+        controller.start();
+        standing.start();
+    }
+
     public Future<Void> stop() {
         controller.stop();
         pulse.close();
--- a/src/main/java/io/indigoreach/state/Leadership.java
+++ b/src/main/java/io/indigoreach/state/Leadership.java
@@ -198,14 +198,15 @@
 
     /**
      * Removes the key of a predecessor of this process, before anything else is done: a node that is warmed up can then
-     * lead at once. Done later, it competes for the processor with hundreds of workers looking for a leader.
+     * lead at once. Done later, it competes for the processor with hundreds of workers looking for a leader. True if there
+     * was such a key; never fails.
      */
-    public Future<Void> clear() {
+    public Future<Boolean> clear() {
         return state.get(RecordCodec.LEADER).compose(entry -> {
             read(entry);
             boolean predecessor = current != null && current.node().equals(node) && peers > 0;
-            return predecessor ? letGo().<Void>mapEmpty() : Future.<Void>succeededFuture();
-        }).otherwiseEmpty();
+            return predecessor ? letGo().map(true) : Future.succeededFuture(false);
+        }).otherwise(false);
     }
 
     private Future<Span> step() {
@@ -267,8 +268,9 @@
     private Future<Span> letGo() {
         hasLetGo = true;
         LOG.info("removing the leadership key of the process before this one");
-        return state.commit(new StateClient.Txn().when(RecordCodec.LEADER, current.stamp()).delete(RecordCodec.LEADER))
-                .map(GRACE);
+        Stamp key = current.stamp();
+        current = null;
+        return state.commit(new StateClient.Txn().when(RecordCodec.LEADER, key).delete(RecordCodec.LEADER)).map(GRACE);
     }
 
     private Future<Span> campaign() {
