--- a/src/main/java/io/indigoreach/cluster/WarmUp.java
+++ b/src/main/java/io/indigoreach/cluster/WarmUp.java
@@ -54,6 +54,7 @@
     private LeaderCore core;
     private final Map<Integer, List<TaskReport>> tasks = new HashMap<>();
     private int reports;
+    private int ordered;
 
     WarmUp(Reign.Surroundings env, BooleanSupplier leads) {
         this.env = env;
@@ -69,7 +70,12 @@
         duty.cancel();
     }
 
-    private Future<Span> step() {
+    /** How many tasks it has had its own core order. */
+    int ordered() {
+        return ordered;
+    }
+
+    Future<Span> step() {
         if (leads.getAsBoolean() || reports >= REPORTS) {
             core = null;
             tasks.clear();
@@ -135,6 +141,7 @@
         }
         for (Order order : orders) {
             if (order instanceof Order.Start) {
+                ordered++;
                 next.add(ended ? new TaskReport(order.task(), order.attempt(), TaskState.EXITED, ExitCause.DONE, false)
                         : new TaskReport(order.task(), order.attempt(), TaskState.RUNNING, null, false));
             }
