--- a/src/main/java/io/indigoreach/cluster/Controller.java
+++ b/src/main/java/io/indigoreach/cluster/Controller.java
@@ -79,8 +79,8 @@
         });
     }
 
-    /** How to ask every other node for its pledge not to lead. */
-    void pledging(Supplier<Future<Pledges>> others) {
+    /** How to ask every other node for its pledge not to lead, and whether it does not lead now. */
+    void asking(Supplier<Future<Pledges>> others, Supplier<Future<Boolean>> unled) {
         leadership.asking(() -> {
             Moment sent = env.clock().now();
             Reign asking = reign;
@@ -90,7 +90,11 @@
                 }
                 return pledges.all();
             });
-        });
+        }, unled);
+    }
+
+    boolean leads() {
+        return leadership.isLeading();
     }
 
     boolean pledge() {
--- a/src/main/java/io/indigoreach/cluster/Node.java
+++ b/src/main/java/io/indigoreach/cluster/Node.java
@@ -45,7 +45,7 @@
                 config.stateLimits().requestsPerS() * QUESTIONS / (config.peers().size() + 1));
         this.standing = new Standing(vertx, clock, pulse, state, config, controller, jobs);
         controller.remembering(standing::gather);
-        controller.pledging(standing::pledges);
+        controller.asking(standing::pledges, standing::othersDoNotLead);
         jobs.asking(standing::know);
         state.onLoss(controller::onLoss);
         this.door = new FrontDoor(vertx, config.listen(), jobs, new ReportDesk(controller),
--- a/src/main/java/io/indigoreach/cluster/Standing.java
+++ b/src/main/java/io/indigoreach/cluster/Standing.java
@@ -13,7 +13,6 @@
 import io.indigoreach.net.Reply;
 import io.indigoreach.net.SteadyClock;
 import io.indigoreach.net.Wire;
-import io.indigoreach.net.WireException;
 import io.indigoreach.state.RemainsCodec;
 import io.indigoreach.state.StateClient;
 import io.vertx.core.Future;
@@ -113,7 +112,7 @@
             request.response().end(Wire.write(Wire.map("known", jobs.knows(id) || controller.knows(id))));
         } else {
             request.response().setStatusCode(PATH.equals(request.path()) ? 200 : 404)
-                    .end(Wire.write(Wire.map("served", isServed())));
+                    .end(Wire.write(Wire.map("served", isServed(), "leads", controller.leads())));
         }
     }
 
@@ -207,16 +206,20 @@
     }
 
     private Future<Boolean> othersAreServed() {
+        return ask("served", false).map(answers -> answers.contains(true));
+    }
+
+    /** Whether every other node says that it does not lead; one that does not answer may. */
+    Future<Boolean> othersDoNotLead() {
+        return ask("leads", true).map(answers -> !answers.contains(true));
+    }
+
+    /** What every other node says of itself; {@code unheard} for one that does not answer. */
+    private Future<List<Boolean>> ask(String what, boolean unheard) {
         List<Future<Boolean>> answers = new ArrayList<>();
         for (Caller peer : peers) {
-            answers.add(peer.get(PATH, PERIOD).map(r -> {
-                if (!r.isOk()) {
-                    throw new WireException("status " + r.status());
-                }
-                return r.body().flag("served", false);
-            }).otherwise(false));
+            answers.add(peer.get(PATH, PERIOD).map(r -> r.isOk() ? r.body().flag(what, unheard) : unheard).otherwise(unheard));
         }
-        return answers.isEmpty() ? Future.succeededFuture(false)
-                : Future.all(answers).map(all -> all.<Boolean>list().contains(true));
+        return answers.isEmpty() ? Future.succeededFuture(List.of()) : Future.all(answers).map(all -> all.<Boolean>list());
     }
 }
--- a/src/main/java/io/indigoreach/state/Leadership.java
+++ b/src/main/java/io/indigoreach/state/Leadership.java
@@ -60,6 +60,9 @@
     private final LeaseKeeper keeper;
     private final Moment born;
     private Supplier<Future<Boolean>> pledges = () -> Future.succeededFuture(false);
+    private Supplier<Future<Boolean>> unled = () -> Future.succeededFuture(false);
+    /** The process before this one may have pledged not to lead. */
+    private boolean mayBeBound;
 
     private final int peers;
     private boolean hasLetGo;
@@ -94,6 +97,7 @@
         this.beat = new Duty(vertx, "beat", BEAT, this::beat);
         this.keeper = new LeaseKeeper(vertx, own, renewals, clock, life);
         this.born = clock.now();
+        this.mayBeBound = peers > 0;
     }
 
     public void start() {
@@ -107,9 +111,10 @@
         keeper.close();
     }
 
-    /** Whom to ask for pledges: true if every other node has given one. */
-    public void asking(Supplier<Future<Boolean>> others) {
-        pledges = others;
+    /** How to ask every other node: for a pledge, and whether it does not lead; true if all have answered so. */
+    public void asking(Supplier<Future<Boolean>> forPledges, Supplier<Future<Boolean>> whetherUnled) {
+        pledges = forPledges;
+        unled = whetherUnled;
     }
 
     /** Whether this node may act as the leader at this very moment. */
@@ -281,16 +286,23 @@
         return stand().onComplete(done -> campaigning = false);
     }
 
-    /** What the process before this one may have pledged, it cannot know; a deployment that is new has no such process. */
-    private boolean mayBeBound(StateClient.Entry counter) {
-        return peers > 0 && counter != null && clock.now().isBefore(born.plus(PLEDGE));
+    /**
+     * What the process before this one may have pledged, it cannot know. It is not bound by it in a deployment that is new, once
+     * the pledge is over, or if nobody leads to whom it was given: whoever leads from now on asks this process.
+     */
+    private Future<Span> stand() {
+        mayBeBound &= clock.now().isBefore(born.plus(PLEDGE));
+        return !mayBeBound ? stand(false) : unled.get().compose(none -> {
+            mayBeBound &= !none;
+            return stand(mayBeBound);
+        });
     }
 
-    private Future<Span> stand() {
+    private Future<Span> stand(boolean boundUnlessNew) {
         Stamp held = current == null ? Stamp.ABSENT : current.stamp();
         return state.get(RecordCodec.COUNTER).compose(counter -> {
             Token counted = counter == null ? Token.NONE : new Token(RecordCodec.counted(counter.value().map()));
-            if (mayBeBound(counter)) {
+            if (boundUnlessNew && counter != null) {
                 return Future.succeededFuture(Span.seconds(0.1));
             }
             Stamp counterStamp = counter == null ? Stamp.ABSENT : counter.stamp();
--- a/src/test/java/io/indigoreach/state/LeadershipTest.java
+++ b/src/test/java/io/indigoreach/state/LeadershipTest.java
@@ -21,6 +21,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.Supplier;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -53,6 +54,10 @@
     }
 
     private Leadership node(String node, String process, int peers, Span life) {
+        return node(node, process, peers, life, () -> Future.succeededFuture(false));
+    }
+
+    private Leadership node(String node, String process, int peers, Span life, Supplier<Future<Boolean>> unled) {
         StateClient client = new StateClient(new Caller(vertx, service.endpoint(), 4),
                 new Caller(vertx, service.endpoint(), 2));
         Leadership leadership = new Leadership(vertx, client, vertx, client, clock, node, process, peers, life,
@@ -68,6 +73,7 @@
                         events.add(process + " lost");
                     }
                 });
+        leadership.asking(() -> Future.succeededFuture(false), unled);
         vertx.runOnContext(v -> leadership.start());
         return leadership;
     }
@@ -201,7 +207,7 @@
     void pledgesBridgeAnOutageAndNothingElseDoes(String pledged, boolean valid) throws Exception {
         Leadership a = node("a", "a1", 2, Span.seconds(3));
         AtomicBoolean pledging = new AtomicBoolean("always".equals(pledged));
-        vertx.runOnContext(v -> a.asking(() -> Future.succeededFuture(pledging.get())));
+        vertx.runOnContext(v -> a.asking(() -> Future.succeededFuture(pledging.get()), () -> Future.succeededFuture(false)));
         assertEquals("a1 took 1", next());
         service.refusing = true;
         Moment over = clock.now().plus(Span.seconds(3.5));
@@ -213,7 +219,7 @@
         vertx.runOnContext(v -> a.asking(() -> {
             vertx.setTimer(1, t -> asked.complete(true));
             return Future.succeededFuture(pledging.get());
-        }));
+        }, () -> Future.succeededFuture(false)));
         if (valid) {
             asked.get(20, TimeUnit.SECONDS);
         }
@@ -247,9 +253,17 @@
         assertTrue(clock.now().since(given).compareTo(Leadership.PLEDGE) >= 0);
         vertx.runOnContext(v -> b.stop());
         Moment began = clock.now();
-        node("c", "c1", 2);
+        Leadership c = node("c", "c1", 2);
         service.endLeases();
         assertEquals("c1 took 3", next());
         assertTrue(clock.now().since(began).compareTo(Leadership.PLEDGE) >= 0, "a former process of it may have pledged");
+        service.endLeases();
+        assertEquals("c1 lost", next());
+        vertx.runOnContext(v -> c.stop());
+        AtomicBoolean asked = new AtomicBoolean();
+        Leadership d = node("d", "d1", 2, Span.seconds(10), () -> Future.succeededFuture(asked.compareAndSet(false, true)));
+        service.endLeases();
+        assertEquals("d1 took 4", next());
+        assertTrue(asked.get() && d.isValid(), "not so if nobody leads");
     }
 }
