--- a/src/main/java/io/indigoreach/cluster/Controller.java
+++ b/src/main/java/io/indigoreach/cluster/Controller.java
@@ -45,9 +45,10 @@
         PlatformConfig config = env.config();
         List<String> nodes = Stream.concat(Stream.of(config.node()), config.peers().stream().map(PlatformConfig.Peer::node))
                 .sorted().toList();
-        this.leadership = new Leadership(env.vertx(), env.state(), own, new StateClient(
-                new Caller(own, config.state(), 2), null), env.clock(), config.node(), process, config.peers().size(), env.lease(), new TokenClock(nodes.indexOf(config.node()), env.clock().timeOfDay(),
-                        config.clockOff()), this);
+        StateClient renewals = new StateClient(new Caller(own, config.state(), 2), null);
+        TokenClock tokens = new TokenClock(nodes.indexOf(config.node()), env.clock().timeOfDay(), config.clockOff());
+        this.leadership = new Leadership(env.vertx(), env.state(), own, renewals, env.clock(), config.node(), process,
+                config.peers().size(), env.lease(), tokens, this);
     }
 
     /** Where to ask for what the controllers remember of jobs, besides what this node knew as a leader. */
--- a/src/main/java/io/indigoreach/cluster/Standing.java
+++ b/src/main/java/io/indigoreach/cluster/Standing.java
@@ -129,7 +129,8 @@
         return state.check().map(v -> {
             served = clock.now();
             return false;
-        }).onComplete(r -> unserved = r.failed()).recover(e -> isSurelyUnserved() ? othersAreServed() : Future.succeededFuture(false)).map(alone -> {
+        }).onComplete(r -> unserved = r.failed()).recover(e -> isSurelyUnserved() ? othersAreServed()
+                : Future.succeededFuture(false)).map(alone -> {
             if (alone != refusedAlone) {
                 LOG.info(alone ? "the state service serves others but not this node: not ready"
                         : "not refused alone any more");
