A record that cannot be read stops its own job only, and says so; controllers killed and started again at once

Guards against a leader that read its records again and again without a word, and a watch that lost the rest of a batch, cancellations among it. On loopback: real processes killed three times in a row and all at once, back after 0.1 s.

--- a/src/main/java/io/indigoreach/cluster/Ledger.java
+++ b/src/main/java/io/indigoreach/cluster/Ledger.java
@@ -107,10 +107,23 @@
                         core.inherit(m.id(), m.pool(), steady(m.rentedMs()), existed, now);
                     }
                 }))
-                .compose(r -> pages(RecordCodec.OPEN, e -> {
+                .compose(r -> pages(RecordCodec.OPEN, e -> unlessUnreadable(e.key(), () -> {
                     JobRecord record = RecordCodec.readJob(RecordCodec.jobOf(e.key()), e.value(), e.stamp());
                     add(record, bits.getOrDefault(record.id(), new BitSet()), true);
-                }));
+                })));
+    }
+
+    /**
+     * One job's record that cannot be read keeps no other job from being served: its job stands still until it can. A page of
+     * machines is another matter, as what it holds may run tasks: then nobody leads.
+     */
+    private static void unlessUnreadable(String key, Runnable read) {
+        try {
+            read.run();
+        } catch (WireException e) {
+            LOG.error("the record {} cannot be read ({}): its job is not served. Was it written by a newer version? Run that, or "
+                    + "restore the record", key, e.getMessage());
+        }
     }
 
     /** Reads the open jobs once more after the watch has lost its place. */
@@ -147,7 +160,14 @@
                 return Future.failedFuture(new WireException("the state service lists what was there before this "
                         + "leadership"));
             }
-            page.items().forEach(each);
+            for (StateClient.Entry item : page.items()) {
+                try {
+                    each.accept(item);
+                } catch (WireException e) {
+                    return Future.failedFuture(new WireException("the record " + item.key() + " cannot be read ("
+                            + e.getMessage() + ")"));
+                }
+            }
             // The oldest page counts: the watch then tells whatever a page does not have yet.
             long revision = first < 0 ? page.revision() : Math.min(first, page.revision());
             if (page.more() && !page.items().isEmpty()) {
@@ -176,12 +196,15 @@
         }
     }
 
-    /** An open job's key was written: a new job, or one of this leader's own writes. */
+    /**
+     * An open job's key was written: a new job, or one of this leader's own writes. What cannot be read must not keep the
+     * leader from hearing the rest, cancellations above all.
+     */
     void heard(JobId id, Fields value, Stamp stamp) {
         Job job = core.job(id);
         if (job == null) {
             if (!closed.containsKey(id)) {
-                add(RecordCodec.readJob(id, value, stamp), new BitSet(), false);
+                unlessUnreadable(RecordCodec.open(id), () -> add(RecordCodec.readJob(id, value, stamp), new BitSet(), false));
                 duty.wake();
             }
         } else {
--- a/src/main/java/io/indigoreach/cluster/Reign.java
+++ b/src/main/java/io/indigoreach/cluster/Reign.java
@@ -22,6 +22,7 @@
 import io.indigoreach.net.Duty;
 import io.indigoreach.net.Pulse;
 import io.indigoreach.net.SteadyClock;
+import io.indigoreach.net.WireException;
 import io.indigoreach.state.Leadership;
 import io.indigoreach.state.StateClient;
 import io.vertx.core.Future;
@@ -39,6 +40,8 @@
     /** The part of the service's changes that the leader takes; the rest is for submissions and cancellations. */
     private static final double WRITES = 0.6;
     private static final Span SUMMARY = Span.seconds(10);
+    /** Before records that could not be read are read once more. */
+    private static final Span UNREADABLE = Span.seconds(5);
 
     /** What a reign works with. */
     record Surroundings(Vertx vertx, SteadyClock clock, Pulse pulse, StateClient state, CloudClient cloud, Catalogue catalogue,
@@ -156,6 +159,13 @@
             tick.start();
             opening.cancel();
             return TICK;
+        }).recover(e -> {
+            if (!(e instanceof WireException)) {
+                return Future.failedFuture(e);
+            }
+            LOG.error("this node cannot lead: {}. Was it written by a newer version? Run that, or restore the record",
+                    e.getMessage());
+            return Future.succeededFuture(UNREADABLE);
         });
     }
 
--- a/src/test/java/io/indigoreach/cluster/LedgerTest.java
+++ b/src/test/java/io/indigoreach/cluster/LedgerTest.java
@@ -1,6 +1,7 @@
 package io.indigoreach.cluster;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import io.indigoreach.config.Settings;
@@ -23,6 +24,7 @@
 import io.indigoreach.core.Urgency;
 import io.indigoreach.net.Budget;
 import io.indigoreach.net.Caller;
+import io.indigoreach.net.Fields;
 import io.indigoreach.net.SteadyClock;
 import io.indigoreach.net.Wire;
 import io.indigoreach.state.JobRecord;
@@ -128,4 +130,18 @@
         }
         assertEquals(ENDS, await(client.list("f/", null, 1000)).items().size(), "moved in the end");
     }
+
+    /** Written by a newer version, or spoilt: one job stands still, the others are served; nobody guesses what machines hold. */
+    @Test
+    void aRecordThatCannotBeReadStopsItsOwnJobOnly() throws Exception {
+        job(1, 1, 0, 0);
+        await(client.commit(new StateClient.Txn().put("j/run-2", Wire.map("class", 5L))));
+        await(ledger.load());
+        assertEquals(List.of("run-1"), core.jobs().stream().map(j -> j.id().text()).toList());
+        ledger.heard(new JobId("run-3"), new Fields(Wire.map("class", 5L)), new Stamp(9));
+        assertEquals(1, core.jobs().size(), "nor does it end the watch");
+        await(client.commit(new StateClient.Txn().put("m/3-1", Wire.map("machines", "many"))));
+        Exception failed = assertThrows(Exception.class, () -> await(ledger.load()));
+        assertTrue(failed.getCause().getMessage().contains("m/3-1"), failed.getMessage());
+    }
 }
--- a/src/test/java/io/indigoreach/experiment/ProcessesIT.java
+++ b/src/test/java/io/indigoreach/experiment/ProcessesIT.java
@@ -18,7 +18,10 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 
-/** Controllers as the platform starts them, killed and stopped in the middle: each job reaches its one end, none is left. */
+/**
+ * Controllers as the platform starts them, killed and started again at once, one and all, and stopped in the middle: each job
+ * reaches its one end, none is left.
+ */
 class ProcessesIT {
     private static final String SCENARIO = """
             name: "processes"
@@ -38,10 +41,15 @@
               team { name: "t" cpus_max: 30 }
             }
             jobs { name: "c" team: "t" at_start: 4 per_minute: 30 tasks: 6 run_s: 2 cancel_share: 0.2 }
-            fault { kind: kill at_s: 4 for_s: 1 to: "node-0" }
+            fault { kind: kill at_s: 4 for_s: 0.1 to: "node-0" }
+            fault { kind: kill at_s: 5 for_s: 0.1 to: "node-0" }
+            fault { kind: kill at_s: 6 for_s: 0.2 to: "node-0" }
             fault { kind: kill at_s: 7 for_s: 1 to: "node-1" }
             fault { kind: pause at_s: 10 for_s: 3 to: "node-2" }
             fault { kind: kill at_s: 11 for_s: 1 to: "node-0" }
+            fault { kind: kill at_s: 15 for_s: 0.1 to: "node-0" }
+            fault { kind: kill at_s: 15 for_s: 0.1 to: "node-1" }
+            fault { kind: kill at_s: 15 for_s: 0.1 to: "node-2" }
             """;
     @TempDir
     private Path directory;
