--- a/src/main/java/io/indigoreach/core/LeaderCore.java
+++ b/src/main/java/io/indigoreach/core/LeaderCore.java
@@ -416,13 +416,12 @@
     }
 
     /**
-     * Nothing is heard of any of several machines, for half the workers' lease and some reports: more likely this node
-     * is cut off from them than that all have ended at once.
+     * Nothing is heard of any of several machines for as long as would be said of one that it hangs: more likely this node
+     * is cut off from them than that all have ended at once. Half a lease was too long: workers that had given this node up
+     * were sent back to it by the others, and their leases ended.
      */
     public boolean isDeaf(Moment now) {
-        Span patience = rules.workerLease().times(0.5);
-        Span reports = rules.report().times(3);
-        Moment since = now.minus(patience.compareTo(reports) > 0 ? patience : reports);
+        Moment since = now.minus(rules.silence());
         if (cluster.awake.isAfter(since)) {
             return false;
         }
--- a/src/test/java/io/indigoreach/core/TakeOverTest.java
+++ b/src/test/java/io/indigoreach/core/TakeOverTest.java
@@ -221,10 +221,10 @@
             w.up(name, "east", 0);
             w.hear(name, 20);
         }
+        assertEquals(false, w.core.isDeaf(at(24)));
+        assertEquals(true, w.core.isDeaf(at(25)), "as soon as one would be called silent: workers' leases run meanwhile");
+        w.hear("b", 24.5);
         assertEquals(false, w.core.isDeaf(at(25)));
-        assertEquals(true, w.core.isDeaf(at(26.5)));
-        w.hear("b", 26);
-        assertEquals(false, w.core.isDeaf(at(26.5)));
     }
 
     @Test
