Read again: what leaves room holds no reservation; stale reads are not unreadable records; listings by key

A long task kept waiting for jobs with an aim could keep those from its reserved places until it was 600 s old (a table goes red without it). Any reading of the past at a take-over had been told as an unreadable record and tried again after 5 s; only such a record is now.

--- a/src/main/java/io/indigoreach/api/OpenReads.java
+++ b/src/main/java/io/indigoreach/api/OpenReads.java
@@ -35,7 +35,8 @@
     private final SteadyClock clock;
     private final Budget single;
     private final Budget pages;
-    private Map<JobId, Promise<StateClient.Entry>> waiting = new HashMap<>();
+    /** By the keys of the records. */
+    private Map<String, Promise<StateClient.Entry>> waiting = new HashMap<>();
     private boolean listing;
 
     /** {@code perSecond}: requests to the state service that this node may spend on users' questions. */
@@ -52,7 +53,7 @@
         if (!listing && waiting.isEmpty() && single.take(1, clock.now())) {
             return state.get(RecordCodec.open(id));
         }
-        Promise<StateClient.Entry> promise = waiting.computeIfAbsent(id, i -> Promise.promise());
+        Promise<StateClient.Entry> promise = waiting.computeIfAbsent(RecordCodec.open(id), key -> Promise.promise());
         begin();
         return promise.future();
     }
@@ -66,17 +67,17 @@
     }
 
     /** The first page answers to all who wait as it is asked for; who comes later waits for the next listing. */
-    private void page(Map<JobId, Promise<StateClient.Entry>> asked, String after) {
+    private void page(Map<String, Promise<StateClient.Entry>> asked, String after) {
         if (!pages.take(1, clock.now())) {
             vertx.setTimer(PACE.ms(), t -> page(asked, after));
             return;
         }
-        Map<JobId, Promise<StateClient.Entry>> mine = asked;
+        Map<String, Promise<StateClient.Entry>> mine = asked;
         if (mine == null) {
             mine = waiting;
             waiting = new HashMap<>();
         }
-        Map<JobId, Promise<StateClient.Entry>> left = mine;
+        Map<String, Promise<StateClient.Entry>> left = mine;
         state.list(RecordCodec.OPEN, after, PAGE).onComplete(read -> {
             if (read.failed()) {
                 end(left, new WireException("the open jobs cannot be listed: " + read.cause().getMessage()));
@@ -84,7 +85,7 @@
             }
             List<StateClient.Entry> items = read.result().items();
             for (StateClient.Entry item : items) {
-                Promise<StateClient.Entry> promise = left.remove(RecordCodec.jobOf(item.key()));
+                Promise<StateClient.Entry> promise = left.remove(item.key());
                 if (promise != null) {
                     promise.complete(item);
                 }
@@ -97,7 +98,7 @@
         });
     }
 
-    private void end(Map<JobId, Promise<StateClient.Entry>> left, WireException failure) {
+    private void end(Map<String, Promise<StateClient.Entry>> left, WireException failure) {
         listing = false;
         for (Promise<StateClient.Entry> promise : new ArrayList<>(left.values())) {
             if (failure != null) {
--- a/src/main/java/io/indigoreach/cluster/Ledger.java
+++ b/src/main/java/io/indigoreach/cluster/Ledger.java
@@ -43,6 +43,13 @@
     private static final int MOST_AT_ONCE = 4;
     private static final int CLOSED_KEPT = 10_000;
 
+    /** A record without which nobody may lead: trying again is of no use before somebody has mended it. */
+    static final class Unreadable extends RuntimeException {
+        Unreadable(String key, WireException cause) {
+            super("the record " + key + " cannot be read (" + cause.getMessage() + ")", cause, false, false);
+        }
+    }
+
     private final Reign.Surroundings env;
     private final LeaderCore core;
     private final MachineBook book;
@@ -164,8 +171,7 @@
                 try {
                     each.accept(item);
                 } catch (WireException e) {
-                    return Future.failedFuture(new WireException("the record " + item.key() + " cannot be read ("
-                            + e.getMessage() + ")"));
+                    return Future.failedFuture(new Unreadable(item.key(), e));
                 }
             }
             // The oldest page counts: the watch then tells whatever a page does not have yet.
--- a/src/main/java/io/indigoreach/cluster/Reign.java
+++ b/src/main/java/io/indigoreach/cluster/Reign.java
@@ -22,7 +22,6 @@
 import io.indigoreach.net.Duty;
 import io.indigoreach.net.Pulse;
 import io.indigoreach.net.SteadyClock;
-import io.indigoreach.net.WireException;
 import io.indigoreach.state.Leadership;
 import io.indigoreach.state.StateClient;
 import io.vertx.core.Future;
@@ -160,7 +159,7 @@
             opening.cancel();
             return TICK;
         }).recover(e -> {
-            if (!(e instanceof WireException)) {
+            if (!(e instanceof Ledger.Unreadable)) {
                 return Future.failedFuture(e);
             }
             LOG.error("this node cannot lead: {}. Was it written by a newer version? Run that, or restore the record",
--- a/src/main/java/io/indigoreach/core/Dispatcher.java
+++ b/src/main/java/io/indigoreach/core/Dispatcher.java
@@ -237,7 +237,8 @@
                 continue;
             }
             start(share, job, m, top == null ? null : reservation(share, top, now), number, now, orders);
-            if (top == null && job.hasStartable()) {
+            // One that is kept waiting for the others must not keep places from them.
+            if (top == null && job.hasStartable() && (!isFiller(job, now) || leavesRoom(share, job, now))) {
                 top = job;
             }
         }
@@ -281,7 +282,7 @@
      * machine they keep all who have an aim waiting until they end.
      */
     private boolean isFiller(Job job, Moment now) {
-        return isUnderTheRuleAlone(job, now) && !Aims.isAged(job, now) && !job.spec.isService()
+        return aims.isWithout(job) && !Aims.isAged(job, now) && !job.spec.isService()
                 && !job.spec.urgency().isMoreUrgentThan(Urgency.STANDARD)
                 && estimates.run(job).compareTo(leastPaid) >= 0;
     }
--- a/src/main/java/io/indigoreach/core/TeamUse.java
+++ b/src/main/java/io/indigoreach/core/TeamUse.java
@@ -15,10 +15,6 @@
         gpus += sign * demand.gpus();
     }
 
-    double cores() {
-        return cores;
-    }
-
     boolean hasRoomFor(Demand demand) {
         return team.allows(cores + demand.cores(), gpus + demand.gpus());
     }
--- a/src/test/java/io/indigoreach/cluster/LedgerTest.java
+++ b/src/test/java/io/indigoreach/cluster/LedgerTest.java
@@ -142,6 +142,6 @@
         assertEquals(1, core.jobs().size(), "nor does it end the watch");
         await(client.commit(new StateClient.Txn().put("m/3-1", Wire.map("machines", "many"))));
         Exception failed = assertThrows(Exception.class, () -> await(ledger.load()));
-        assertTrue(failed.getCause().getMessage().contains("m/3-1"), failed.getMessage());
+        assertTrue(failed.getCause() instanceof Ledger.Unreadable && failed.getCause().getMessage().contains("m/3-1"), failed.getMessage());
     }
 }
--- a/src/test/java/io/indigoreach/core/PlacementTest.java
+++ b/src/test/java/io/indigoreach/core/PlacementTest.java
@@ -74,6 +74,19 @@
     }
 
     /** A machine with one two-core task that ends at 60 s; the top job needs all four cores. */
+    /** A long task that waits for a job with an aim came before it in the queue, and its reservation kept that job waiting. */
+    @Test
+    void whatLeavesRoomHoldsNoReservation() {
+        World w = new World(World.TUNING, new Aims(List.of(new Aims.Aim("c", true, Span.seconds(200)))));
+        w.core.loaded();
+        JobSpec s = spec(1, 1, 4, 300);
+        w.submit(new JobSpec(s.id(), "g", s.team(), s.shape(), Urgency.BEST_EFFORT, 1, s.demand(), "img", 0, null, null,
+                false, false, true, s.estimate(), Span.ZERO, Span.ZERO, null), 0);
+        w.submit(spec(2, 1, 1, 50), 450);
+        w.up("a", "east", 450);
+        assertEquals(List.of("run-2/0"), starts(w.hear("a", 451)));
+    }
+
     /**
      * Only the top job has a reservation: behind it, tasks of five minutes that nobody had said a time for took the rest of every
      * machine, and half of a class with an aim waited for them (a guest's day at 500 machines).
