The ground for parts beside the jobs: records by family, routines, further fields, resources, a leader's clean-up

Need: record ownership, the calendar and warm pools would each have been a case in the loss judge, in rebuilding, in clean-up, in submissions and on the listener. Now each is one entry in parts.Parts; a job without further fields costs what it did.

--- a/src/main/java/io/indigoreach/api/FrontDoor.java
+++ b/src/main/java/io/indigoreach/api/FrontDoor.java
@@ -2,6 +2,7 @@
 
 import io.indigoreach.net.Body;
 import io.indigoreach.net.Endpoint;
+import io.indigoreach.net.Fields;
 import io.indigoreach.net.Wire;
 import io.indigoreach.net.WireException;
 import io.indigoreach.worker.ReportDesk;
@@ -14,6 +15,11 @@
 import io.vertx.core.http.HttpServerOptions;
 import io.vertx.core.http.HttpServerRequest;
 import io.vertx.core.http.HttpServerResponse;
+import java.net.URLDecoder;
+import java.nio.charset.StandardCharsets;
+import java.util.Arrays;
+import java.util.HashMap;
+import java.util.Map;
 import java.util.function.BooleanSupplier;
 import java.util.function.Function;
 import org.slf4j.Logger;
@@ -22,6 +28,7 @@
 /** The listener for users, workers and health checks. */
 public final class FrontDoor {
     private static final Logger LOG = LoggerFactory.getLogger(FrontDoor.class);
+    private static final String API = "/api/";
     private static final int IDLE_S = 75;
     /** Requests of users of one kind that wait for the state service at once; more are told to come back. */
     private static final int MOST_WAITING = 100;
@@ -34,16 +41,22 @@
     private final JobDesk jobs;
     private final ReportDesk reports;
     private final BooleanSupplier ready;
+    /** What the parts beside the jobs serve, by their names. */
+    private final Map<String, Resource> resources;
     private final HttpServer server;
     private final Waiting questions = new Waiting();
+    /** Requests of the parts beside the jobs. */
+    private final Waiting others = new Waiting();
     /** Submissions and cancellations: questions, however many, do not keep them out. */
     private final Waiting orders = new Waiting();
 
-    public FrontDoor(Vertx vertx, Endpoint endpoint, JobDesk jobs, ReportDesk reports, BooleanSupplier ready) {
+    public FrontDoor(Vertx vertx, Endpoint endpoint, JobDesk jobs, ReportDesk reports, BooleanSupplier ready,
+                     Map<String, Resource> resources) {
         this.endpoint = endpoint;
         this.jobs = jobs;
         this.reports = reports;
         this.ready = ready;
+        this.resources = resources;
         this.server = vertx.createHttpServer(new HttpServerOptions().setIdleTimeout(IDLE_S).setTcpNoDelay(true)
                 .setMaxInitialLineLength(2048).setMaxHeaderSize(8192).setAcceptBacklog(512)
                 .setHandle100ContinueAutomatically(true));
@@ -69,7 +82,7 @@
             withBody(request, HttpMethod.POST, reports::report);
         } else if (JobCodec.READY.equals(path)) {
             if (allows(request, HttpMethod.GET)) {
-                write(request, ready.getAsBoolean() ? Answer.ok(java.util.Map.of()) : Answer.later("starting"));
+                write(request, ready.getAsBoolean() ? Answer.ok(Map.of()) : Answer.later("starting"));
             }
         } else if (JobCodec.JOBS.equals(path)) {
             withBody(request, HttpMethod.POST, body -> limited(orders, () -> jobs.submit(body)));
@@ -83,11 +96,32 @@
             } else if (allows(request, HttpMethod.GET)) {
                 answer(request, b -> limited(questions, () -> jobs.query(rest)), null);
             }
+        } else if (path != null && path.startsWith(API) && resources.containsKey(part(path))) {
+            Resource resource = resources.get(part(path));
+            if (request.method().equals(HttpMethod.GET)) {
+                answer(request, b -> limited(others, () -> resource.serve(call(request, path, new Fields(Map.of())))), null);
+            } else {
+                withBody(request, request.method(), body -> limited(others, () -> resource.serve(call(request, path,
+                        body.length() == 0 ? new Fields(Map.of()) : Wire.readMap(body)))));
+            }
         } else {
             write(request, Answer.error(404, "no such path"));
         }
     }
 
+    private static String part(String path) {
+        int end = path.indexOf('/', API.length());
+        return path.substring(API.length(), end < 0 ? path.length() : end);
+    }
+
+    private static Resource.Call call(HttpServerRequest request, String path, Fields body) {
+        String rest = path.substring(API.length() + part(path).length());
+        Map<String, String> query = new HashMap<>();
+        request.params().forEach(e -> query.putIfAbsent(e.getKey(), e.getValue()));
+        return new Resource.Call(request.method().name(), Arrays.stream(rest.split("/")).filter(s -> !s.isEmpty())
+                .map(s -> URLDecoder.decode(s, StandardCharsets.UTF_8)).toList(), query, body);
+    }
+
     private Future<Answer> limited(Waiting kind, java.util.function.Supplier<Future<Answer>> work) {
         if (kind.now >= MOST_WAITING) {
             return Future.succeededFuture(Answer.later("too many requests at this node"));
@@ -132,9 +166,14 @@
         } catch (WireException e) {
             write(request, Answer.error(400, e.getMessage()));
             return;
+        } catch (Refusal e) {
+            write(request, e.answer());
+            return;
         }
         result.onComplete(done -> {
-            if (done.failed()) {
+            if (done.cause() instanceof Refusal r) {
+                write(request, r.answer());
+            } else if (done.failed()) {
                 LOG.debug("{} {}: {}", request.method(), request.path(), done.cause().toString());
                 write(request, Answer.later("the state service does not answer"));
             } else {
--- a/src/main/java/io/indigoreach/api/JobCodec.java
+++ b/src/main/java/io/indigoreach/api/JobCodec.java
@@ -10,6 +10,7 @@
 import io.indigoreach.net.Fields;
 import io.indigoreach.net.Wire;
 import io.indigoreach.net.WireException;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
@@ -24,6 +25,11 @@
     public static final String JOBS = "/api/jobs";
     public static final String CANCEL = "/cancel";
     public static final String READY = "/ready";
+    /**
+     * Further fields, which most users do not send. A node keeps them with the job whether it knows what they mean or not, so
+     * that one beside it which does loses nothing.
+     */
+    public static final List<String> MORE = List.of("records", "plan", "warm");
 
     /** How a job stands, as its user is told. */
     public record Progress(JobId id, JobStatus status, int done, int running) {
@@ -34,13 +40,15 @@
 
     /** A submission, as users write it. */
     public static Map<String, Object> write(JobSpec s) {
-        return Wire.map("id", s.id().text(), "jobclass", s.jobClass(), "owner", s.team(), "shape",
+        Map<String, Object> map = Wire.map("id", s.id().text(), "jobclass", s.jobClass(), "owner", s.team(), "shape",
                 s.shape().name().toLowerCase(Locale.ROOT), "urgency", s.urgency().name().toLowerCase(Locale.ROOT),
                 "pieces", s.tasks(), "cores", s.demand().cores(), "gpus", s.demand().gpus(), "ram_gb",
                 s.demand().ramGb(), "bundle", s.image(), "pull_gb", s.imageGb(), "boxkinds", s.types(), "hall", s.zone(),
                 "one_zone", s.oneZone(), "spread", s.spread(), "loaners", s.spotAllowed(), "expected_s",
                 s.estimate().seconds(), "snapshot_every_s", s.checkpointEvery().seconds(), "snapshot_s",
                 s.checkpointTime().seconds(), "due_s", s.due() == null ? null : s.due().seconds());
+        map.putAll(s.more());
+        return map;
     }
 
     public static Progress readProgress(Fields f) {
@@ -78,7 +86,17 @@
                 new Demand(amount(f, "cores"), amount(f, "gpus"), amount(f, "ram_gb")), name(f, "bundle"),
                 amount(f, "pull_gb"), types, zone, flag(f, "one_zone"), flag(f, "spread"), flag(f, "loaners"),
                 Span.seconds(amount(f, "expected_s")), Span.seconds(amount(f, "snapshot_every_s")),
-                Span.seconds(amount(f, "snapshot_s")), due);
+                Span.seconds(amount(f, "snapshot_s")), due, more(f));
+    }
+
+    private static Map<String, Object> more(Fields f) {
+        Map<String, Object> more = new LinkedHashMap<>();
+        for (String name : MORE) {
+            if (f.has(name)) {
+                more.put(name, f.map().get(name));
+            }
+        }
+        return more;
     }
 
     private static Shape shape(String word) {
--- a/src/main/java/io/indigoreach/api/JobDesk.java
+++ b/src/main/java/io/indigoreach/api/JobDesk.java
@@ -10,6 +10,7 @@
 import io.indigoreach.core.Stamp;
 import io.indigoreach.core.Team;
 import io.indigoreach.core.loss.Remains;
+import io.indigoreach.core.records.Change;
 import io.indigoreach.net.SteadyClock;
 import io.indigoreach.net.Wire;
 import io.indigoreach.net.WireException;
@@ -47,6 +48,7 @@
     private final OpenReads questions;
     /** When this node last learnt, and told or will tell, that a job is cancelled; at first, when its process began. */
     private Moment cancelTold;
+    private List<Joining> joinings = List.of();
     private Function<JobId, Future<Boolean>> others = id -> Future.succeededFuture(false);
     private final Map<JobId, FinalRecord> over = new LinkedHashMap<>() {
         @Override
@@ -82,6 +84,7 @@
     /** Throws {@link io.indigoreach.net.WireException} if the job is malformed. */
     public Future<Answer> submit(Buffer body) {
         JobSpec spec = JobCodec.read(Wire.readMap(body));
+        joinings.stream().filter(j -> spec.more().containsKey(j.field())).forEach(j -> j.check(spec));
         FinalRecord known = over.get(spec.id());
         if (known != null) {
             return Future.succeededFuture(Answer.ok(JobCodec.accepted(spec.id(), known.status())));
@@ -90,6 +93,10 @@
             return Future.succeededFuture(Answer.later("the machine types are not known yet"));
         }
         String refusal = Admission.refusal(spec, teams, catalogue.types());
+        if (refusal == null && !spec.more().isEmpty()) {
+            refusal = spec.more().keySet().stream().filter(f -> joinings.stream().noneMatch(j -> j.field().equals(f))).findFirst()
+                    .map(f -> f + ": this is not switched on here").orElse(null);
+        }
         long now = clock.timeOfDay();
         Map<String, Object> record = RecordCodec.writeJob(spec, now, JobStatus.PENDING, new BitSet(), 0, firstBound(spec));
         if (refusal == null && Wire.write(record).length() > valueBytes / 2) {
@@ -119,8 +126,28 @@
         if (state.losses().isHolding()) {
             return find(spec.id()).map(found -> current(spec.id(), found));
         }
-        return state.commit(txn.put(RecordCodec.open(spec.id()), record)).compose(outcome -> {
+        return joined(spec).compose(change -> commit(spec, record, now, attempt, txn, change)).recover(e ->
+                // Whatever was accepted once stays accepted, also where a part would refuse it by now.
+                e instanceof Refusal r ? find(spec.id()).map(found -> found.open == null && found.over == null ? r.answer()
+                        : current(spec.id(), found)) : Future.failedFuture(e));
+    }
+
+    /** What the parts beside the jobs have to say to this one; nothing for most. */
+    private Future<Change> joined(JobSpec spec) {
+        Future<Change> all = Future.succeededFuture(new Change());
+        for (Joining j : joinings) {
+            if (spec.more().containsKey(j.field())) {
+                all = all.compose(change -> j.accepting(spec).map(change::and));
+            }
+        }
+        return all;
+    }
+
+    private Future<Answer> commit(JobSpec spec, Map<String, Object> record, long now, int attempt, StateClient.Txn txn,
+                                  Change change) {
+        return state.commit(txn.put(RecordCodec.open(spec.id()), record).and(change)).compose(outcome -> {
             if (outcome.done()) {
+                joinings.stream().filter(j -> spec.more().containsKey(j.field())).forEach(j -> j.accepted(change, outcome.stamp()));
                 BitSet none = new BitSet();
                 accepted.put(spec.id(), new Remains.Open(spec, now, none, spec.tasks()));
                 return Future.succeededFuture(
@@ -129,6 +156,9 @@
             if (outcome.failed().equals(List.of(RecordCodec.ERA)) && attempt < MOST_TRIES) {
                 return state.check().compose(v -> accept(spec, record, now, attempt + 1));
             }
+            if (outcome.failed().stream().anyMatch(change.conditions()::containsKey) && attempt < MOST_TRIES) {
+                return accept(spec, record, now, attempt + 1);
+            }
             return find(spec.id()).map(found -> found.open == null && found.over == null
                     ? Answer.later("try again") : current(spec.id(), found));
         });
@@ -255,6 +285,11 @@
         return accepted.containsKey(id) || over.containsKey(id);
     }
 
+    /** The parts that have a say in acceptances. */
+    public void joining(List<Joining> parts) {
+        joinings = parts;
+    }
+
     /** Whom to ask whether any other controller knows a job. */
     public void asking(Function<JobId, Future<Boolean>> peers) {
         others = peers;
--- a/src/main/java/io/indigoreach/cluster/Rebuilder.java
+++ b/src/main/java/io/indigoreach/cluster/Rebuilder.java
@@ -7,6 +7,8 @@
 import io.indigoreach.core.Stamp;
 import io.indigoreach.core.Token;
 import io.indigoreach.core.loss.Remains;
+import io.indigoreach.core.records.Family;
+import io.indigoreach.core.records.Kept;
 import io.indigoreach.net.Budget;
 import io.indigoreach.net.Wire;
 import io.indigoreach.net.WireException;
@@ -88,12 +90,40 @@
                             enter(remains.machines().stream().filter(m -> !machines.contains(m.id())).toList());
                             remains.open().forEach(this::reopen);
                             return next();
-                        }).compose(v -> begin()).map(v -> {
+                        }).compose(v -> others()).compose(v -> begin()).map(v -> {
                             LOG.warn("rebuilt: {} records written, {} were there", written, there);
                             return null;
                         });
     }
 
+    /** Records of the parts beside the jobs, by what each family says. */
+    private Future<Void> others() {
+        Map<Family, List<Kept>> remembered = new LinkedHashMap<>();
+        for (Kept kept : remains.records()) {
+            Family family = env.parts().copies().familyOf(kept.key());
+            if (family != null) {
+                remembered.computeIfAbsent(family, f -> new ArrayList<>()).add(kept);
+            }
+        }
+        Future<Void> done = Future.succeededFuture();
+        for (Map.Entry<Family, List<Kept>> e : remembered.entrySet()) {
+            Map<String, Kept> present = new HashMap<>();
+            done = done.compose(v -> read(e.getKey().prefix(), entry -> present.put(entry.key(),
+                    new Kept(entry.key(), entry.value().map(), entry.stamp())))).compose(v -> {
+                        for (Kept kept : e.getValue()) {
+                            Kept there = present.getOrDefault(kept.key(), Kept.absent(kept.key()));
+                            Map<String, Object> value = e.getKey().mending().mend(there, kept);
+                            if (value != null) {
+                                steps.add(new Step(new StateClient.Txn().when(RecordCodec.LEADER, key)
+                                        .when(kept.key(), there.stamp()).put(kept.key(), value)));
+                            }
+                        }
+                        return next();
+                    });
+        }
+        return done;
+    }
+
     /** Begins an era: what is in the state service from now on is all there is. The evidence stays with it. */
     private Future<Void> begin() {
         StateClient state = env.state();
--- a/src/main/java/io/indigoreach/cluster/Reign.java
+++ b/src/main/java/io/indigoreach/cluster/Reign.java
@@ -22,6 +22,7 @@
 import io.indigoreach.net.Duty;
 import io.indigoreach.net.Pulse;
 import io.indigoreach.net.SteadyClock;
+import io.indigoreach.parts.Parts;
 import io.indigoreach.state.Leadership;
 import io.indigoreach.state.StateClient;
 import io.vertx.core.Future;
@@ -44,7 +45,11 @@
 
     /** What a reign works with. */
     record Surroundings(Vertx vertx, SteadyClock clock, Pulse pulse, StateClient state, CloudClient cloud, Catalogue catalogue,
-                        PlatformConfig config, Settings settings, Span lease) {
+                        PlatformConfig config, Settings settings, Span lease, Parts parts) {
+        Surroundings(Vertx vertx, SteadyClock clock, Pulse pulse, StateClient state, CloudClient cloud, Catalogue catalogue,
+                     PlatformConfig config, Settings settings, Span lease) {
+            this(vertx, clock, pulse, state, cloud, catalogue, config, settings, lease, Parts.NONE);
+        }
     }
 
     private final Surroundings env;
@@ -56,6 +61,7 @@
     private final Fleet fleet;
     private final JobWatch watch;
     private final EndWatch ends;
+    private final PartsDuty parts;
     private final Duty opening;
     private final Duty tick;
     private final Supplier<Future<Remains>> memory;
@@ -87,6 +93,7 @@
         this.watch = new JobWatch(env, ledger);
         this.hearing = new Hearing(watch.freshAt());
         this.ends = new EndWatch(env);
+        this.parts = new PartsDuty(env, core, key, budget);
         this.opening = new Duty(env.vertx(), "opening", Span.seconds(0.3), this::open);
         this.tick = new Duty(env.vertx(), "tick", TICK, this::tick);
     }
@@ -105,6 +112,7 @@
         tick.cancel();
         watch.cancel();
         ends.cancel();
+        parts.cancel();
         ledger.cancel();
         book.cancel();
         fleet.cancel();
@@ -155,6 +163,7 @@
             ledger.start();
             book.start();
             fleet.start();
+            parts.start();
             tick.start();
             opening.cancel();
             return TICK;
--- a/src/main/java/io/indigoreach/cluster/Standing.java
+++ b/src/main/java/io/indigoreach/cluster/Standing.java
@@ -7,6 +7,7 @@
 import io.indigoreach.core.Span;
 import io.indigoreach.core.Stamp;
 import io.indigoreach.core.loss.Remains;
+import io.indigoreach.core.records.Copies;
 import io.indigoreach.net.Caller;
 import io.indigoreach.net.Duty;
 import io.indigoreach.net.Pulse;
@@ -51,6 +52,7 @@
     private final PlatformConfig config;
     private final Controller controller;
     private final JobDesk jobs;
+    private final Copies copies;
     private final List<Caller> peers = new ArrayList<>();
     private final HttpServer server;
     private final Duty duty;
@@ -60,7 +62,8 @@
     private boolean unserved;
 
     Standing(Vertx vertx, SteadyClock clock, Pulse pulse, StateClient state, PlatformConfig config, Controller controller,
-             JobDesk jobs) {
+             JobDesk jobs, Copies copies) {
+        this.copies = copies;
         this.pulse = pulse;
         this.jobs = jobs;
         this.clock = clock;
@@ -106,7 +109,7 @@
             request.body().onSuccess(body -> state.toldOfLoss(Wire.readMap(body).whole("era")))
                     .onComplete(done -> request.response().end(Wire.write(Map.of())));
         } else if (REMAINS.equals(request.path()) && request.getParam("part") != null) {
-            request.response().end(Wire.write(RemainsCodec.write(jobs.remains(), Integer.parseInt(request.getParam("part")))));
+            request.response().end(Wire.write(RemainsCodec.write(own(), Integer.parseInt(request.getParam("part")))));
         } else if (KNOWS.equals(request.path()) && request.getParam("id") != null && JobId.isValid(request.getParam("id"))) {
             JobId id = new JobId(request.getParam("id"));
             request.response().end(Wire.write(Wire.map("known", jobs.knows(id) || controller.knows(id))));
@@ -183,12 +186,18 @@
     /** What this node and those that answer remember of jobs. */
     Future<Remains> gather() {
         Remains all = new Remains();
-        all.add(jobs.remains());
+        all.add(own());
         List<Future<Void>> answers = new ArrayList<>();
         peers.forEach(peer -> answers.add(gather(peer, 0, all).otherwiseEmpty()));
         return answers.isEmpty() ? Future.succeededFuture(all) : Future.all(answers).map(v -> all);
     }
 
+    private Remains own() {
+        Remains own = jobs.remains();
+        copies.all().forEach(own::add);
+        return own;
+    }
+
     private Future<Void> gather(Caller peer, int part, Remains into) {
         return peer.get(REMAINS + "?part=" + part, PATIENCE).compose(r -> r.isOk() && RemainsCodec.read(r.body(), into)
                 ? gather(peer, part + 1, into) : Future.succeededFuture());
--- a/src/main/java/io/indigoreach/core/JobSpec.java
+++ b/src/main/java/io/indigoreach/core/JobSpec.java
@@ -1,6 +1,9 @@
 package io.indigoreach.core;
 
+import java.util.Collections;
+import java.util.LinkedHashMap;
 import java.util.List;
+import java.util.Map;
 
 /**
  * What a user asked for. Optional fields are null where absent.
@@ -11,12 +14,31 @@
  * @param checkpointEvery interval of progress after which a task saves by itself; zero: it never saves
  * @param checkpointTime what a task needs to save when it is stopped
  * @param due time allowed from submission to completion, or null
+ * @param more further fields that the parts beside the jobs read, as they came; empty for most jobs
  */
 public record JobSpec(JobId id, String jobClass, String team, Shape shape, Urgency urgency, int tasks, Demand demand,
                       String image, double imageGb, List<String> types, String zone, boolean oneZone, boolean spread,
-                      boolean spotAllowed, Span estimate, Span checkpointEvery, Span checkpointTime, Span due) {
+                      boolean spotAllowed, Span estimate, Span checkpointEvery, Span checkpointTime, Span due,
+                      Map<String, Object> more) {
     public JobSpec {
         types = types == null ? null : List.copyOf(types);
+        more = more.isEmpty() ? Map.of() : Collections.unmodifiableMap(new LinkedHashMap<>(more));
+    }
+
+    /** A job without further fields. */
+    public JobSpec(JobId id, String jobClass, String team, Shape shape, Urgency urgency, int tasks, Demand demand,
+                   String image, double imageGb, List<String> types, String zone, boolean oneZone, boolean spread,
+                   boolean spotAllowed, Span estimate, Span checkpointEvery, Span checkpointTime, Span due) {
+        this(id, jobClass, team, shape, urgency, tasks, demand, image, imageGb, types, zone, oneZone, spread, spotAllowed,
+                estimate, checkpointEvery, checkpointTime, due, Map.of());
+    }
+
+    /** The same job with one further field. */
+    public JobSpec with(String field, Object value) {
+        Map<String, Object> all = new LinkedHashMap<>(more);
+        all.put(field, value);
+        return new JobSpec(id, jobClass, team, shape, urgency, tasks, demand, image, imageGb, types, zone, oneZone, spread,
+                spotAllowed, estimate, checkpointEvery, checkpointTime, due, all);
     }
 
     /** Its tasks run until the job is cancelled. */
--- a/src/main/java/io/indigoreach/core/loss/Remains.java
+++ b/src/main/java/io/indigoreach/core/loss/Remains.java
@@ -6,6 +6,7 @@
 import io.indigoreach.core.MachineId;
 import io.indigoreach.core.Moment;
 import io.indigoreach.core.Pool;
+import io.indigoreach.core.records.Kept;
 import java.util.BitSet;
 import java.util.Collection;
 import java.util.LinkedHashMap;
@@ -44,6 +45,7 @@
     private final Map<JobId, Open> open = new LinkedHashMap<>();
     private final Map<JobId, Over> over = new LinkedHashMap<>();
     private final Map<MachineId, Rented> machines = new LinkedHashMap<>();
+    private final Map<String, Kept> records = new LinkedHashMap<>();
 
     public void add(Open job) {
         if (!over.containsKey(job.spec.id())) {
@@ -61,14 +63,24 @@
         machines.putIfAbsent(machine.id, machine);
     }
 
+    /** A record of a part beside the jobs: of two copies the newer one. */
+    public void add(Kept record) {
+        records.merge(record.key(), record, (a, b) -> b.version() > a.version() ? b : a);
+    }
+
+    public Collection<Kept> records() {
+        return records.values();
+    }
+
     public void add(Remains other) {
         other.over.forEach(this::add);
         other.open.values().forEach(this::add);
         other.machines.values().forEach(this::add);
+        other.records.values().forEach(this::add);
     }
 
     public boolean isEmpty() {
-        return open.isEmpty() && over.isEmpty() && machines.isEmpty();
+        return open.isEmpty() && over.isEmpty() && machines.isEmpty() && records.isEmpty();
     }
 
     public Collection<Open> open() {
@@ -90,6 +102,7 @@
 
     @Override
     public String toString() {
-        return open.size() + " open jobs, " + over.size() + " that are over, " + machines.size() + " machines";
+        return open.size() + " open jobs, " + over.size() + " that are over, " + machines.size() + " machines"
+                + (records.isEmpty() ? "" : ", " + records.size() + " other records");
     }
 }
--- /dev/null
+++ b/src/main/java/io/indigoreach/core/records/Family.java
@@ -0,0 +1,33 @@
+package io.indigoreach.core.records;
+
+import java.util.Map;
+
+/**
+ * The records of a part that stand under one prefix, as the loss judge, rebuilding and clean-up know them.
+ *
+ * @param prefix ends in a slash; none may begin with another's
+ * @param remembered how many of them each controller remembers at most, for when the state service loses them
+ * @param permanent they are never removed: that one is gone, or older than a copy, shows a loss
+ * @param mending what to write in place of a lost record
+ */
+public record Family(String prefix, int remembered, boolean permanent, Mending mending) {
+    /** What is written where controllers remember a record that is absent or another in the state service. */
+    @FunctionalInterface
+    public interface Mending {
+        /** The newer copy, where that is the remembered one. */
+        Mending NEWER = (present, remembered) -> present.version() < remembered.version() ? remembered.value() : null;
+
+        /** The value to be written, counting on from both; null if what is there stays. */
+        Map<String, Object> mend(Kept present, Kept remembered);
+    }
+
+    public Family {
+        if (!prefix.endsWith("/")) {
+            throw new IllegalArgumentException("a prefix ends in a slash: " + prefix);
+        }
+    }
+
+    public boolean has(String key) {
+        return key.startsWith(prefix);
+    }
+}
--- /dev/null
+++ b/src/main/java/io/indigoreach/core/records/Kept.java
@@ -0,0 +1,34 @@
+package io.indigoreach.core.records;
+
+import io.indigoreach.core.Stamp;
+import java.util.Collections;
+import java.util.LinkedHashMap;
+import java.util.Map;
+
+/**
+ * A record of a part as it was read or written. Besides the state service's version, which begins anew when data are lost, its
+ * value counts its own changes under {@link #VERSION}: of two copies the one with the higher count is the newer.
+ *
+ * @param stamp the state service's version; {@link Stamp#ABSENT} with a null value if there is no such record
+ */
+public record Kept(String key, Map<String, Object> value, Stamp stamp) {
+    /** The field that counts a record's changes; a part's routine raises it with each write. */
+    public static final String VERSION = "v";
+
+    public Kept {
+        value = value == null ? null : Collections.unmodifiableMap(new LinkedHashMap<>(value));
+    }
+
+    public static Kept absent(String key) {
+        return new Kept(key, null, Stamp.ABSENT);
+    }
+
+    public boolean isThere() {
+        return value != null;
+    }
+
+    /** How often it was changed; 0 if it is not there. */
+    public long version() {
+        return value != null && value.get(VERSION) instanceof Number n ? n.longValue() : 0;
+    }
+}
--- /dev/null
+++ b/src/main/java/io/indigoreach/core/records/Seen.java
@@ -0,0 +1,29 @@
+package io.indigoreach.core.records;
+
+import io.indigoreach.core.Stamp;
+import java.util.List;
+import java.util.Map;
+
+/**
+ * What the last {@link Step} brought.
+ *
+ * @param era the era in which this was seen; records of an earlier one may be gone without having been rebuilt
+ * @param timeOfDayMs by this node's clock, which may be off by the settings' bound
+ * @param records by key: what was read, absent ones included, or what a scan brought, in the order of the keys
+ * @param more a scan has more to bring
+ * @param written the version of what was written; null if nothing was
+ * @param failed the keys that did not have the given version when a write was refused
+ */
+public record Seen(long era, long timeOfDayMs, Map<String, Kept> records, boolean more, Stamp written, List<String> failed) {
+    public static Seen nothing(long era, long timeOfDayMs) {
+        return new Seen(era, timeOfDayMs, Map.of(), false, null, List.of());
+    }
+
+    public Kept record(String key) {
+        return records.getOrDefault(key, Kept.absent(key));
+    }
+
+    public boolean isWritten() {
+        return written != null;
+    }
+}
--- /dev/null
+++ b/src/main/java/io/indigoreach/core/records/Step.java
@@ -0,0 +1,24 @@
+package io.indigoreach.core.records;
+
+import java.util.List;
+
+/** What a {@link Routine} wants next. */
+public sealed interface Step<R> {
+    /** The records of these keys as they stand now; one that is absent surely is, in an era that is known. */
+    record Read<R>(List<String> keys) implements Step<R> {
+        public Read {
+            keys = List.copyOf(keys);
+        }
+    }
+
+    /** Up to {@code most} records with a prefix, in the order of their keys, beginning after one, or null. */
+    record Scan<R>(String prefix, String after, int most) implements Step<R> {
+    }
+
+    /** Done whole or not at all; the next {@link Seen} tells. */
+    record Write<R>(Change change) implements Step<R> {
+    }
+
+    record End<R>(R result) implements Step<R> {
+    }
+}
--- /dev/null
+++ b/src/main/java/io/indigoreach/parts/Part.java
@@ -0,0 +1,44 @@
+package io.indigoreach.parts;
+
+import io.indigoreach.api.Joining;
+import io.indigoreach.api.Resource;
+import io.indigoreach.core.LeaderCore;
+import io.indigoreach.core.records.Family;
+import io.indigoreach.core.records.Sweep;
+import io.indigoreach.state.Records;
+import java.util.List;
+
+/**
+ * A matter beside the jobs that rests on the controllers' shared state: what it keeps, serves and cleans up, told in one place
+ * so that parts do not meet each other. Only those that the settings switch on are built; the others cost nothing.
+ */
+public interface Part {
+    /** Its word in the settings and in the address: {@code /api/NAME}. */
+    String name();
+
+    List<Family> families();
+
+    /** What it serves to people. */
+    Resource resource();
+
+    /** Its say in the acceptance of jobs; null if it has none. */
+    default Joining joining() {
+        return null;
+    }
+
+    /** The leader's clean-up; null if there is none. */
+    default Sweep sweep() {
+        return null;
+    }
+
+    /** A leadership of this node begins, its records read. What the part does for it ends when the result is closed. */
+    default Reigning reigning(LeaderCore core, Records records) {
+        return () -> { };
+    }
+
+    /** A part's work for one leadership. */
+    @FunctionalInterface
+    interface Reigning {
+        void close();
+    }
+}
--- a/src/main/java/io/indigoreach/state/RecordCodec.java
+++ b/src/main/java/io/indigoreach/state/RecordCodec.java
@@ -188,6 +188,7 @@
         putIf(map, "save_every", s.checkpointEvery().ms(), s.checkpointEvery().ms() > 0);
         putIf(map, "save", s.checkpointTime().ms(), s.checkpointTime().ms() > 0);
         putIf(map, "due", s.due() == null ? null : s.due().ms(), s.due() != null);
+        putIf(map, "more", s.more(), !s.more().isEmpty());
         putIf(map, "bits", s.tasks() <= IN_RECORD ? bits(done) : null, s.tasks() <= IN_RECORD && !done.isEmpty());
         return map;
     }
@@ -204,7 +205,8 @@
                 new Demand(f.number("cores"), f.number("gpus"), f.number("ram")), f.text("image"), f.number("gb"),
                 f.optionalTexts("types"), f.optionalText("zone"), f.flag("one_zone", false), f.flag("spread", false),
                 f.flag("spot", false), new Span(f.whole("est")), new Span(f.whole("save_every", 0)),
-                new Span(f.whole("save", 0)), f.has("due") ? new Span(f.whole("due")) : null);
+                new Span(f.whole("save", 0)), f.has("due") ? new Span(f.whole("due")) : null,
+                f.has("more") ? f.child("more").map() : Map.of());
         return new JobRecord(spec, f.whole("at"), JobStatus.valueOf(f.text("status")), bits(f.optionalText("bits")),
                 (int) f.whole("done", 0), (int) f.whole("running", 0),
                 (int) f.whole("bound", spec.tasks()), stamp);
--- /dev/null
+++ b/src/main/java/io/indigoreach/state/Records.java
@@ -0,0 +1,203 @@
+package io.indigoreach.state;
+
+import io.indigoreach.core.Span;
+import io.indigoreach.core.Stamp;
+import io.indigoreach.core.records.Change;
+import io.indigoreach.core.records.Copies;
+import io.indigoreach.core.records.Family;
+import io.indigoreach.core.records.Kept;
+import io.indigoreach.core.records.Routine;
+import io.indigoreach.core.records.Seen;
+import io.indigoreach.core.records.Step;
+import io.indigoreach.net.Budget;
+import io.indigoreach.net.SteadyClock;
+import io.indigoreach.net.WireException;
+import io.vertx.core.Future;
+import io.vertx.core.Promise;
+import io.vertx.core.Vertx;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+
+/**
+ * Runs parts' {@link Routine}s against the state service. Every write is made only in the era that this process knows, and what
+ * is absent is said to be so only when a transaction has compared it in that era; while a loss of data is not mended nothing is
+ * read or written at all, since "not there" would mean "lost". What is read or written is remembered for rebuilding.
+ */
+public final class Records {
+    private static final int READ_AT_ONCE = 8;
+    private static final int MOST_TRIES = 3;
+    private static final Span PACE = Span.seconds(0.1);
+
+    private final Vertx vertx;
+    private final StateClient state;
+    private final SteadyClock clock;
+    private final Copies copies;
+    /** Key and version of the leadership for which this writes; null where any node may. */
+    private final Kept leadership;
+    private final Budget budget;
+
+    public Records(Vertx vertx, StateClient state, SteadyClock clock, Copies copies) {
+        this(vertx, state, clock, copies, null, null);
+    }
+
+    private Records(Vertx vertx, StateClient state, SteadyClock clock, Copies copies, Kept leadership, Budget budget) {
+        this.vertx = vertx;
+        this.state = state;
+        this.clock = clock;
+        this.copies = copies;
+        this.leadership = leadership;
+        this.budget = budget;
+    }
+
+    /** The same for a leader: writes depend on its key, and take only what the leader's budget has to spare. */
+    public Records leading(String key, Stamp stamp, Budget spare) {
+        return new Records(vertx, state, clock, copies, new Kept(key, null, stamp), spare);
+    }
+
+    public Copies copies() {
+        return copies;
+    }
+
+    /** Fails if the state service does not answer, has lost data, or this node's leadership has ended. */
+    public <R> Future<R> run(Routine<R> routine) {
+        return state.losses().era() == 0 ? state.check().compose(v -> begin(routine)) : begin(routine);
+    }
+
+    private <R> Future<R> begin(Routine<R> routine) {
+        return step(routine, Seen.nothing(state.losses().era(), clock.timeOfDay()));
+    }
+
+    private <R> Future<R> step(Routine<R> routine, Seen seen) {
+        if (state.losses().isHolding()) {
+            return Future.failedFuture(new WireException("data were lost, and are not rebuilt yet"));
+        }
+        Step<R> next = routine.next(seen);
+        if (next instanceof Step.End<R> end) {
+            return Future.succeededFuture(end.result());
+        }
+        Future<Seen> done;
+        if (next instanceof Step.Read<R> read) {
+            done = read(read.keys(), 0, new LinkedHashMap<>());
+        } else if (next instanceof Step.Scan<R> scan) {
+            done = scan(scan.prefix(), scan.after(), scan.most());
+        } else {
+            done = write(((Step.Write<R>) next).change(), 1);
+        }
+        return done.compose(s -> step(routine, s));
+    }
+
+    private Seen seen(Map<String, Kept> records, boolean more) {
+        return new Seen(state.losses().era(), clock.timeOfDay(), records, more, null, List.of());
+    }
+
+    private Future<Seen> read(List<String> keys, int from, Map<String, Kept> into) {
+        if (from >= keys.size()) {
+            return Future.succeededFuture(seen(into, false));
+        }
+        List<String> some = keys.subList(from, Math.min(keys.size(), from + READ_AT_ONCE));
+        return readSome(some, 1).compose(read -> {
+            read.forEach(k -> into.put(k.key(), k));
+            return read(keys, from + READ_AT_ONCE, into);
+        });
+    }
+
+    private Future<List<Kept>> readSome(List<String> keys, int attempt) {
+        List<Future<Kept>> reads = new ArrayList<>();
+        keys.forEach(key -> reads.add(state.get(key).map(e -> e == null ? Kept.absent(key)
+                : new Kept(key, e.value().map(), e.stamp()))));
+        return Future.all(reads).compose(all -> {
+            List<Kept> read = all.list();
+            List<Kept> doubtful = read.stream().filter(k -> !k.isThere() || state.isDoubted() || isOlderThanCopy(k)).toList();
+            if (doubtful.isEmpty()) {
+                read.forEach(copies::saw);
+                return Future.succeededFuture(read);
+            }
+            StateClient.Txn comparison = state.inThisEra();
+            doubtful.forEach(k -> comparison.when(k.key(), k.stamp()));
+            return state.confirm(comparison).compose(holds -> {
+                if (!holds) {
+                    return attempt < MOST_TRIES ? state.check().compose(v -> readSome(keys, attempt + 1))
+                            : Future.failedFuture(new WireException("the records change at this moment"));
+                }
+                for (Kept k : doubtful) {
+                    if (isOlderThanCopy(k)) {
+                        lost(k);
+                    }
+                }
+                if (state.losses().isHolding()) {
+                    return Future.failedFuture(new WireException("data were lost"));
+                }
+                read.forEach(copies::saw);
+                return Future.succeededFuture(read);
+            });
+        });
+    }
+
+    private boolean isOlderThanCopy(Kept read) {
+        Kept copy = copies.of(read.key());
+        return copy != null && read.version() < copy.version();
+    }
+
+    /** It surely is older than what was acknowledged: only another family's way of removing records explains it. */
+    private void lost(Kept read) {
+        Family family = copies.familyOf(read.key());
+        if (family.permanent() || read.isThere()) {
+            state.recordGone(read.key());
+        } else {
+            copies.removed(read.key());
+        }
+    }
+
+    private Future<Seen> scan(String prefix, String after, int most) {
+        return state.list(prefix, after, most).map(page -> {
+            Map<String, Kept> found = new LinkedHashMap<>();
+            page.items().forEach(e -> {
+                Kept k = new Kept(e.key(), e.value().map(), e.stamp());
+                found.put(e.key(), k);
+                // A list may come from the past: what it shows is told as it is, its writes depend on their versions.
+                copies.saw(k);
+            });
+            return seen(found, page.more());
+        });
+    }
+
+    private Future<Seen> write(Change change, int attempt) {
+        if (budget != null && !budget.takeSpare(change.writes().size(), clock.now())) {
+            Promise<Void> later = Promise.promise();
+            vertx.setTimer(PACE.ms(), t -> later.complete());
+            return later.future().compose(v -> write(change, attempt));
+        }
+        StateClient.Txn txn = state.inThisEra().and(change);
+        if (leadership != null) {
+            txn.when(leadership.key(), leadership.stamp());
+        }
+        return state.commit(txn).compose(outcome -> {
+            if (outcome.done()) {
+                wrote(change, outcome.stamp());
+                return Future.succeededFuture(new Seen(state.losses().era(), clock.timeOfDay(), Map.of(), false,
+                        outcome.stamp(), List.of()));
+            }
+            if (leadership != null && outcome.failed().contains(leadership.key())) {
+                return Future.failedFuture(new WireException("another node leads"));
+            }
+            if (outcome.failed().equals(List.of(RecordCodec.ERA)) && attempt < MOST_TRIES) {
+                return state.check().compose(v -> write(change, attempt + 1));
+            }
+            return Future.succeededFuture(new Seen(state.losses().era(), clock.timeOfDay(), Map.of(), false, null,
+                    outcome.failed()));
+        });
+    }
+
+    /** A change that went with another transaction is done. */
+    public void wrote(Change change, Stamp stamp) {
+        change.writes().forEach((key, value) -> {
+            if (value == null) {
+                copies.removed(key);
+            } else {
+                copies.saw(new Kept(key, value, stamp));
+            }
+        });
+    }
+}
--- a/src/main/java/io/indigoreach/state/StateClient.java
+++ b/src/main/java/io/indigoreach/state/StateClient.java
@@ -83,6 +83,13 @@
             return this;
         }
 
+        /** With what a part beside the jobs writes, and depends on. */
+        public Txn and(io.indigoreach.core.records.Change change) {
+            conditions.putAll(change.conditions());
+            change.writes().forEach((key, value) -> writes.add(new Write(key, value, 0)));
+            return this;
+        }
+
         public Map<String, Stamp> conditions() {
             return conditions;
         }
--- a/src/main/java/io/indigoreach/tools/Cluster.java
+++ b/src/main/java/io/indigoreach/tools/Cluster.java
@@ -85,6 +85,31 @@
         return r.status() == 404 ? null : JobCodec.readProgress(r.body());
     }
 
+    /**
+     * Tries the nodes in turn for a minute; {@code body} null: a question. Any answer but 429, 503 and 504, after which to come
+     * back, is one.
+     */
+    Reply call(String method, String path, Map<String, Object> body) {
+        Moment until = clock.now().plus(TRIES_FOR);
+        String last = "no node answers";
+        while (clock.now().isBefore(until)) {
+            Caller node = nodes.get(turn % nodes.size());
+            try {
+                Reply r = await("DELETE".equals(method) ? node.delete(path, PATIENCE) : body == null ? node.get(path, PATIENCE)
+                        : node.post(path, body, PATIENCE));
+                if (r.status() != 429 && r.status() != 503 && r.status() != 504) {
+                    return r;
+                }
+                last = r.status() + " " + r.body().optionalText("error");
+            } catch (Failure e) {
+                last = e.getMessage();
+            }
+            turn++;
+            pause();
+        }
+        throw new Failure(Tool.UNREACHABLE, "not answered for " + (int) TRIES_FOR.seconds() + " s: " + last);
+    }
+
     /** Every open job as recorded, read page by page from the state service. */
     List<io.indigoreach.state.JobRecord> openJobs() {
         StateClient state = state();
@@ -138,31 +163,13 @@
         return new StateClient(caller, caller);
     }
 
-    /** Tries the nodes in turn for a minute; a refusal for good is a {@link Failure}. */
+    /** A refusal for good is a {@link Failure}. */
     private Reply ask(String path, Map<String, Object> body) {
-        Moment until = clock.now().plus(TRIES_FOR);
-        String last = "no node answers";
-        while (clock.now().isBefore(until)) {
-            Caller node = nodes.get(turn % nodes.size());
-            try {
-                Reply r = await(body == null ? node.get(path, PATIENCE) : node.post(path, body, PATIENCE));
-                if (r.status() == 200 || r.status() == 201 || r.status() == 404) {
-                    return r;
-                }
-                last = r.status() + " " + r.body().optionalText("error");
-                if (r.status() == 400 || r.status() == 422) {
-                    throw new Failure(Tool.WRONG, "refused: " + last);
-                }
-            } catch (Failure e) {
-                if (e.code() != Tool.UNREACHABLE) {
-                    throw e;
-                }
-                last = e.getMessage();
-            }
-            turn++;
-            pause();
+        Reply r = call(body == null ? "GET" : "POST", path, body);
+        if (r.status() == 200 || r.status() == 201 || r.status() == 404) {
+            return r;
         }
-        throw new Failure(Tool.UNREACHABLE, "not answered for " + (int) TRIES_FOR.seconds() + " s: " + last);
+        throw new Failure(Tool.WRONG, "refused: " + r.status() + " " + r.body().optionalText("error"));
     }
 
     private static void pause() {
--- a/src/test/java/io/indigoreach/ArchitectureTest.java
+++ b/src/test/java/io/indigoreach/ArchitectureTest.java
@@ -1,6 +1,7 @@
 package io.indigoreach;
 
 import static com.tngtech.archunit.lang.syntax.ArchRuleDefinition.noClasses;
+import static com.tngtech.archunit.library.dependencies.SlicesRuleDefinition.slices;
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
@@ -22,7 +23,8 @@
 class ArchitectureTest {
     private static final String[] NODE = {"io.indigoreach.core..", "io.indigoreach.state..", "io.indigoreach.cloud..",
         "io.indigoreach.worker..", "io.indigoreach.api..", "io.indigoreach.cluster..", "io.indigoreach.net..",
-        "io.indigoreach.config..", "io.indigoreach.cli.."};
+        "io.indigoreach.config..", "io.indigoreach.cli..", "io.indigoreach.parts..", "io.indigoreach.ownership..",
+        "io.indigoreach.calendar..", "io.indigoreach.warm..", "io.indigoreach.accounts.."};
     private static final String[] TOOLS = {"io.indigoreach.emulator..", "io.indigoreach.scenario..",
         "io.indigoreach.checker..", "io.indigoreach.load..", "io.indigoreach.experiment..", "io.indigoreach.tools..",
         "io.indigoreach.store.."};
@@ -54,6 +56,13 @@
                 .areAssignableTo(Thread.class).check(classes);
     }
 
+    /** The rooms of the core use what they rest on, and none of them the other way round too. */
+    @Test
+    void theRoomsOfTheCoreFormNoCircle() {
+        slices().matching("io.indigoreach.core.(*)..")
+                .should().beFreeOfCycles().check(classes);
+    }
+
     /** The emulator's model decides by what it is told: no sockets, files, threads or clocks. */
     @Test
     void theModelIsPure() {
--- a/src/test/java/io/indigoreach/api/JobDeskTest.java
+++ b/src/test/java/io/indigoreach/api/JobDeskTest.java
@@ -17,6 +17,7 @@
 import io.indigoreach.net.Endpoint;
 import io.indigoreach.net.Reply;
 import io.indigoreach.net.SteadyClock;
+import io.indigoreach.net.Wire;
 import io.indigoreach.state.RecordCodec;
 import io.indigoreach.state.StateClient;
 import io.indigoreach.state.StateStandIn;
@@ -80,7 +81,7 @@
                 questionsPerS);
         Endpoint any = new Endpoint("127.0.0.1", 0);
         Endpoint endpoint = new Endpoint("127.0.0.1",
-                await(keep(new FrontDoor(vertx, any, desk, null, catalogue::isKnown)).open()));
+                await(keep(new FrontDoor(vertx, any, desk, null, catalogue::isKnown, Map.of())).open()));
         catalogue.start();
         while (call(endpoint, HttpMethod.GET, "/ready", null).status() != 200) {
             Thread.onSpinWait();
@@ -102,6 +103,20 @@
         return reply.status() + " " + reply.body().optionalText("status");
     }
 
+    /** Further fields are kept with the job, and a node where nothing reads them refuses the job rather than run it without. */
+    @Test
+    void aFurtherFieldThatNothingHereReadsIsRefused() throws Exception {
+        Map<String, Object> job = JobCodecTest.job();
+        job.put("records", Map.of("group", "g"));
+        Reply reply = call(first, HttpMethod.POST, "/api/jobs", job);
+        assertEquals(422, reply.status());
+        assertEquals("records: this is not switched on here", reply.body().optionalText("error"));
+        JobSpec spec = JobCodec.read(Wire.readMap(Wire.write(job)));
+        assertEquals(Map.of("records", Map.of("group", "g")), spec.more());
+        assertEquals(spec, RecordCodec.readJob(spec.id(), Wire.readMap(Wire.write(RecordCodec.writeJob(spec, 1,
+                JobStatus.PENDING, new java.util.BitSet(), 0, 0))), Stamp.ABSENT).spec());
+    }
+
     @Test
     void aJobIsTheSameAtEveryNode() throws Exception {
         assertEquals("404 null", status(call(second, HttpMethod.GET, "/api/jobs/run-000412", null)));
--- a/src/test/java/io/indigoreach/cluster/RebuilderTest.java
+++ b/src/test/java/io/indigoreach/cluster/RebuilderTest.java
@@ -7,13 +7,18 @@
 import io.indigoreach.core.Moment;
 import io.indigoreach.core.Pool;
 import io.indigoreach.core.Span;
+import io.indigoreach.core.Stamp;
 import io.indigoreach.core.Token;
 import io.indigoreach.core.loss.Remains;
+import io.indigoreach.core.records.Family;
+import io.indigoreach.core.records.Kept;
 import io.indigoreach.net.Budget;
 import io.indigoreach.net.Caller;
 import io.indigoreach.net.SteadyClock;
 import io.indigoreach.net.Wire;
+import io.indigoreach.parts.Parts;
 import io.indigoreach.state.RecordCodec;
+import io.indigoreach.state.RemainsCodec;
 import io.indigoreach.state.StateClient;
 import io.indigoreach.state.StateStandIn;
 import io.vertx.core.Future;
@@ -51,4 +56,34 @@
             await(vertx.close());
         }
     }
+
+    /** Records of parts: what is absent or older than a copy is written, what is newer stays, a key of no family is let be. */
+    @Test
+    void recordsOfPartsAreWrittenByTheirVersions() throws Exception {
+        Vertx vertx = Vertx.vertx();
+        try {
+            StateStandIn state = await(new StateStandIn().listen(vertx));
+            StateClient client = new StateClient(new Caller(vertx, state.endpoint(), 2), new Caller(vertx, state.endpoint(), 1));
+            SteadyClock clock = new SteadyClock();
+            Parts parts = Parts.of(List.of(new Parts.Kind(Settings.Knob.CHECK_S, List.of(new Family("x/", 10, true,
+                    Family.Mending.NEWER)), ground -> null)), vertx, client, clock, null, MachineBookTest.config(),
+                    Settings.standard());
+            Reign.Surroundings env = new Reign.Surroundings(vertx, clock, null, client, null, null, MachineBookTest.config(),
+                    Settings.standard(), Span.seconds(10), parts);
+            StateClient.Outcome taken = await(client.commit(new StateClient.Txn().put(RecordCodec.LEADER, Wire.map("t", 1L))
+                    .put("x/older", Wire.map("n", 1L, Kept.VERSION, 1L)).put("x/newer", Wire.map("n", 9L, Kept.VERSION, 9L))));
+            Remains remains = new Remains();
+            for (String key : List.of("x/gone", "x/older", "x/newer", "y/other")) {
+                remains.add(new Kept(key, Wire.map("n", 4L, Kept.VERSION, 4L), Stamp.ABSENT));
+            }
+            Remains told = new Remains();
+            RemainsCodec.read(Wire.readMap(Wire.write(RemainsCodec.write(remains, 0))), told);
+            await(new Rebuilder(env, new Token(3), taken.stamp(), new Budget(100, clock.now()), told).run());
+            assertEquals(List.of("x/gone", "x/newer", "x/older"), state.keys("x/"));
+            assertEquals(List.of(4L, 9L, 4L), state.keys("x/").stream().map(k -> state.value(k).whole("n")).toList());
+            assertEquals(List.of(), state.keys("y/"));
+        } finally {
+            await(vertx.close());
+        }
+    }
 }
