Warm pools: machines that hold an image ahead of its replicas; who pays, counted over changes of leader

Need: a model's weights take minutes to fetch. A pool says how many machines hold them; a holder job of its payer makes them fetch; machines' lines keep seat, image and money through a change of leader.

--- a/src/main/java/io/indigoreach/cloud/Catalogue.java
+++ b/src/main/java/io/indigoreach/cloud/Catalogue.java
@@ -41,6 +41,11 @@
         return types;
     }
 
+    /** As the cloud has it at this moment, with the present spot prices. */
+    public Future<List<MachineType>> now() {
+        return cloud.catalogue();
+    }
+
     private Future<Span> step() {
         if (isKnown()) {
             duty.cancel();
--- a/src/main/java/io/indigoreach/core/BestSize.java
+++ b/src/main/java/io/indigoreach/core/BestSize.java
@@ -44,6 +44,11 @@
         refusedUntil.put(pool, now.plus(tuning.refusedFor()));
     }
 
+    boolean isRefused(Pool pool, Moment now) {
+        Moment until = refusedUntil.get(pool);
+        return until != null && now.isBefore(until);
+    }
+
     List<RentWish> wishes(Moment now) {
         Map<Pool, Integer> wanted = new HashMap<>();
         for (Share share : cluster.shares()) {
@@ -260,7 +265,7 @@
     private void spare(Share share, Map<String, Backlog> backlogs, Map<String, Need> needs, Moment now) {
         Map<String, List<Machine>> ordinary = new HashMap<>();
         for (Machine m : cluster.serving(share)) {
-            if (!m.pool.spot() && m.phase == Machine.Phase.UP) {
+            if (!m.pool.spot() && m.phase == Machine.Phase.UP && m.seat == null) {
                 ordinary.computeIfAbsent(m.pool.type(), t -> new ArrayList<>()).add(m);
             }
         }
@@ -309,7 +314,7 @@
         double busy = 0;
         double untilUp = 0;
         for (Machine m : cluster.serving(share)) {
-            if (!m.pool.type().equals(type.name()) || m.pool.spot() != spot) {
+            if (!m.pool.type().equals(type.name()) || m.pool.spot() != spot || m.seat != null) {
                 continue;
             }
             if (m.phase == Machine.Phase.UP && m.notice == null && !m.condemned) {
@@ -373,7 +378,7 @@
     private int atHand(Share share, String type, boolean ordinaryOnly, Moment now) {
         int n = 0;
         for (Machine m : cluster.serving(share)) {
-            if (!m.pool.type().equals(type) || ordinaryOnly && m.pool.spot()) {
+            if (!m.pool.type().equals(type) || ordinaryOnly && m.pool.spot() || m.seat != null && !isWarmFor(share, m)) {
                 continue;
             }
             if (m.isComing(now, tuning.bootPatience()) || m.phase == Machine.Phase.UP && m.isIdle() && m.notice == null
@@ -384,6 +389,11 @@
         return n;
     }
 
+    /** A machine of a warm pool is at hand for who waits for what it holds. */
+    private static boolean isWarmFor(Share share, Machine m) {
+        return share.jobs().stream().anyMatch(j -> j.hasWaiting() && j.spec.image().equals(m.seat.image()) && m.allows(j.spec));
+    }
+
     /** Not if every job that waits has failed on it. */
     private static boolean isOfUse(Share share, Machine m) {
         return m.failedJobs.isEmpty()
@@ -416,9 +426,7 @@
         String bound = job.spec.oneZone() ? job.boundZone() : null;
         for (String zone : type.zones()) {
             Pool pool = new Pool(type.name(), zone, spot);
-            Moment until = refusedUntil.get(pool);
-            if (job.spec.allowsZone(zone) && (bound == null || bound.equals(zone))
-                    && (until == null || !now.isBefore(until))) {
+            if (job.spec.allowsZone(zone) && (bound == null || bound.equals(zone)) && !isRefused(pool, now)) {
                 have.put(pool, 0);
             }
         }
--- a/src/main/java/io/indigoreach/core/Cluster.java
+++ b/src/main/java/io/indigoreach/core/Cluster.java
@@ -17,6 +17,9 @@
     private final Map<String, Share> shares = new LinkedHashMap<>();
     /** On how many machines each image is. */
     private final Map<String, Integer> holders = new HashMap<>();
+    /** Jobs whose tasks only keep images: in no queue. */
+    final List<Job> holderJobs = new ArrayList<>();
+    Keeper keeper = Keeper.NONE;
     private int strangers;
     private long visits;
     /** The leader has not stood still since: what it did not hear before then may wait to be read. */
@@ -57,7 +60,11 @@
 
     void add(Job job) {
         jobs.put(job.id(), job);
-        share(job).add(job);
+        if (job.spec.isHolder()) {
+            holderJobs.add(job);
+        } else {
+            share(job).add(job);
+        }
         version++;
     }
 
@@ -79,6 +86,7 @@
     /** Takes a job off the queue; its placements stay until they surely are gone. */
     void remove(Job job) {
         jobs.remove(job.id(), job);
+        holderJobs.remove(job);
         share(job).remove(job);
         version++;
     }
@@ -86,8 +94,14 @@
     void place(Placement p) {
         p.job.place(p);
         p.machine.put(p);
-        if (p.machine.touchImage(p.job.spec.image())) {
-            holders.merge(p.job.spec.image(), 1, Integer::sum);
+        String image = p.job.spec.image();
+        if (!p.machine.images.contains(image)) {
+            holders.merge(image, 1, Integer::sum);
+        }
+        p.machine.images.use(image, p.job.spec.imageGb()).forEach(this::holdsNoMore);
+        if (p.isRunning()) {
+            // Started by an earlier leader: the image was here then, and may have been pushed out since.
+            p.machine.images.mayHave(image);
         }
         share(p.job).used(p.demand(), 1);
         use(p.job).used(p.demand(), 1);
@@ -100,6 +114,10 @@
         p.machine.remove(p);
         share(p.job).used(p.demand(), -1);
         use(p.job).used(p.demand(), -1);
+        String image = p.job.spec.image();
+        if (!p.machine.hasTaskWith(image) && p.machine.images.givenUp(image)) {
+            holdsNoMore(image);
+        }
         if (p.machine.isIdle()) {
             p.machine.idleSince = now;
         }
@@ -117,7 +135,7 @@
     void forget(Machine m, Moment now) {
         liftAll(m, now);
         machines.remove(m.id);
-        m.images.forEach(image -> holders.computeIfPresent(image, (i, n) -> n > 1 ? n - 1 : null));
+        m.images.images().forEach(this::holdsNoMore);
         version++;
     }
 
@@ -127,6 +145,10 @@
         version++;
     }
 
+    private void holdsNoMore(String image) {
+        holders.computeIfPresent(image, (i, n) -> n > 1 ? n - 1 : null);
+    }
+
     boolean isHeld(String image) {
         return holders.containsKey(image);
     }
--- a/src/main/java/io/indigoreach/core/Consolidation.java
+++ b/src/main/java/io/indigoreach/core/Consolidation.java
@@ -44,7 +44,7 @@
             // Until what was told to save has left it.
             m.emptying &= m.tasks().values().stream().anyMatch(p -> p.stopping);
             m.aside = null;
-            if (m.isUsable() && m.accounted && (m.share != null || cluster.shares().size() == 1)) {
+            if (m.isUsable() && m.accounted && m.seat == null && (m.share != null || cluster.shares().size() == 1)) {
                 machines.add(m);
             }
         }
--- a/src/main/java/io/indigoreach/core/Dispatcher.java
+++ b/src/main/java/io/indigoreach/core/Dispatcher.java
@@ -27,6 +27,9 @@
     /** A task that has run for no longer loses little when it is stopped without saving. */
     private static final Span HARDLY_BEGUN = Span.seconds(6);
 
+    /** Holders whose start is recorded ahead at once. */
+    private static final int MOST_HOLDERS = 50;
+
     private static final Span SHORTAGE_LIFE = Span.seconds(0.5);
 
     /** Places that the top job lacks, less those for which room is being made since they were counted. */
@@ -76,13 +79,46 @@
             if (orders.size() > before) {
                 m.share = share.name;
             }
-            if (!m.isIdle()) {
+            if (!m.isIdle() && m.seat == null) {
                 break;
             }
         }
+        tendHolder(m, number, now, orders);
         return orders;
     }
 
+    /** A holder sits where a warm pool has a seat and nothing else keeps the image; elsewhere it is told to go. */
+    private void tendHolder(Machine m, ReportNumber number, Moment now, List<Order> orders) {
+        Job due = m.seat == null ? null : m.seat.holder();
+        Placement sits = m.holder();
+        if (sits != null && cluster.keeper.isKnown() && (sits.job != due || sits.isRunning()
+                && (!m.images.holds(sits.job.spec.image()) || m.images.isCrowded(sits.job.spec.image())))) {
+            // Started anew, it shows that its image is here, or fetches it, and the image counts as used last.
+            stop(sits, orders);
+        } else if (due != null && !due.isCancelled() && !m.hasTaskWith(m.seat.image()) && due.hasStartable()
+                && mayStart(due, now) && !due.isSuspect() && FaultJudge.allows(due, m, now) && m.allows(due.spec)
+                && due.spec.demand().fitsIn(m.free()) && placeable(due, m)) {
+            if (due.hasOrderable()) {
+                place(due, m, number, now, orders);
+            } else {
+                due.wantOrderable(MOST_HOLDERS);
+            }
+        }
+    }
+
+    private static void stop(Placement p, List<Order> orders) {
+        p.stopping = true;
+        orders.add(new Order.Stop(p.task(), p.attempt, Span.ZERO));
+    }
+
+    private Placement place(Job job, Machine m, ReportNumber number, Moment now, List<Order> orders) {
+        Placement p = new Placement(job, job.nextStartable(), m, token.attempt(++attempts), TaskState.ORDERED, number, now);
+        cluster.keeper.starting(job, m);
+        cluster.place(p);
+        orders.add(new Order.Start(p.task(), p.attempt));
+        return p;
+    }
+
     /**
      * Stops for {@code m} that make room for the top job where it is more urgent than what runs there, when the top job
      * would otherwise wait for longer than that takes. Stopped are tasks that keep their progress and, where an aim on
@@ -200,7 +236,7 @@
             if (!m.isUsable() || !m.allows(top.spec) || isLeftToHolders(top, m, now)) {
                 continue;
             }
-            Demand room = m.free();
+            Demand room = m.freeFor(top.spec);
             for (Placement p : m.tasks().values()) {
                 if (p.stopping || p.state == TaskState.SAVING
                         || estimates.end(p, now).since(now).compareTo(soon) <= 0) {
@@ -250,7 +286,7 @@
      */
     private boolean keepsRoom(Job job, Machine m) {
         return !takeOver.isSettled() && job.spec.isService() && job.hasWaiting() && !job.hasStartable()
-                && m.allows(job.spec) && job.spec.demand().fitsIn(m.free());
+                && m.allows(job.spec) && job.spec.demand().fitsIn(m.freeFor(job.spec));
     }
 
     private void start(Share share, Job job, Machine m, Reservation reservation, ReportNumber number, Moment now,
@@ -258,7 +294,7 @@
         boolean suits = m.allows(job.spec) && FaultJudge.allows(job, m, now) && !isLeftToHolders(job, m, now);
         Span time = estimates.onMachine(job, m);
         boolean filler = suits && isFiller(job, now);
-        while (suits && job.hasStartable() && job.spec.demand().fitsIn(m.free()) && placeable(job, m)
+        while (suits && job.hasStartable() && job.spec.demand().fitsIn(m.freeFor(job.spec)) && placeable(job, m)
                 && (!filler || leavesRoom(share, job, now))
                 && (reservation == null || reservation.allows(m, job.spec.demand(), time, estimates, now))) {
             if (!job.hasOrderable()) {
@@ -266,13 +302,13 @@
                 job.wantOrderable(job.spec.demand().timesIn(m.free()));
                 return;
             }
-            Placement p = new Placement(job, job.nextStartable(), m, token.attempt(++attempts), TaskState.ORDERED,
-                    number, now);
-            cluster.place(p);
+            if (!job.spec.demand().fitsIn(m.free())) {
+                stop(m.holder(), orders);
+            }
+            Placement p = place(job, m, number, now, orders);
             if (filler) {
                 fillerRoom.computeIfPresent(share, (s, room) -> new Room(room.cores - p.demand().cores(), room.counted));
             }
-            orders.add(new Order.Start(p.task(), p.attempt));
             suits = !job.isSuspect();
         }
     }
@@ -483,7 +519,7 @@
                 continue;
             }
             for (Job job : share.jobs()) {
-                if (job.hasWaiting() && !job.isSuspect() && m.allows(job.spec) && job.spec.demand().fitsIn(m.free())
+                if (job.hasWaiting() && !job.isSuspect() && m.allows(job.spec) && job.spec.demand().fitsIn(m.freeFor(job.spec))
                         && !job.failedOn.contains(m.id) && placeable(job, m)) {
                     return true;
                 }
--- a/src/main/java/io/indigoreach/core/JobSpec.java
+++ b/src/main/java/io/indigoreach/core/JobSpec.java
@@ -20,6 +20,9 @@
                       String image, double imageGb, List<String> types, String zone, boolean oneZone, boolean spread,
                       boolean spotAllowed, Span estimate, Span checkpointEvery, Span checkpointTime, Span due,
                       Map<String, Object> more) {
+    /** The further field that names a holder's pool. */
+    public static final String WARM = "warm";
+
     public JobSpec {
         types = types == null ? null : List.copyOf(types);
         more = more.isEmpty() ? Map.of() : Collections.unmodifiableMap(new LinkedHashMap<>(more));
@@ -46,6 +49,14 @@
         return shape == Shape.SERVICE;
     }
 
+    /**
+     * Its tasks only make machines fetch an image: they sit where a warm pool has seats, are in no queue, and neither keep nor
+     * rent a machine.
+     */
+    public boolean isHolder() {
+        return more.containsKey(WARM);
+    }
+
     public boolean savesProgress() {
         return checkpointEvery.ms() > 0;
     }
--- /dev/null
+++ b/src/main/java/io/indigoreach/core/Keeper.java
@@ -0,0 +1,37 @@
+package io.indigoreach.core;
+
+import java.util.Collection;
+import java.util.List;
+import java.util.function.Predicate;
+
+/** Who keeps machines ahead of the work that will need them. Without pools there is {@link #NONE}, which costs nothing. */
+public interface Keeper {
+    Keeper NONE = new Keeper() {
+    };
+
+    /** Once a check, before idle machines are returned: {@code termEnds} tells those whose paid term ends before the next. */
+    default void plan(Collection<Machine> machines, Collection<Job> jobs, Predicate<Machine> termEnds, Moment now) {
+    }
+
+    /** It is paid for ahead of its work, and stays though nothing that waits can use it. */
+    default boolean keeps(Machine m) {
+        return false;
+    }
+
+    /** What to rent beside what the queue needs; at most one request to a pool of machines. */
+    default List<RentWish> wishes(Moment now) {
+        return List.of();
+    }
+
+    default void refused(Pool pool) {
+    }
+
+    /** A task is ordered to start there. */
+    default void starting(Job job, Machine m) {
+    }
+
+    /** Whether it is known which machines are kept: before that what sits on them is left alone. */
+    default boolean isKnown() {
+        return false;
+    }
+}
--- a/src/main/java/io/indigoreach/core/LeaderCore.java
+++ b/src/main/java/io/indigoreach/core/LeaderCore.java
@@ -158,6 +158,7 @@
         }
         if (m.last.session() != 0 && report.number().session() > m.last.session()) {
             cluster.liftAll(m, now);
+            m.images.doubt();
         }
         m.last = report.number();
         if (m.phase == Machine.Phase.BOOTING || m.phase == Machine.Phase.LOST) {
@@ -235,6 +236,7 @@
 
     public void refused(Pool pool, Moment now) {
         bestSize.refused(pool, now);
+        cluster.keeper.refused(pool);
     }
 
     private static boolean needsRecord(Machine m) {
@@ -351,7 +353,12 @@
 
     /** What to rent now: asked once each check, so that the wishes of several arrivals and completions are one. */
     public List<RentWish> wishes(Moment now) {
-        return loaded ? bestSize.wishes(now) : List.of();
+        if (!loaded) {
+            return List.of();
+        }
+        List<RentWish> wishes = new ArrayList<>(bestSize.wishes(now));
+        cluster.keeper.wishes(now).stream().filter(w -> !bestSize.isRefused(w.pool(), now)).forEach(wishes::add);
+        return wishes;
     }
 
     /** Since when this node has not stood still: silence before that may be its own. */
@@ -363,6 +370,7 @@
     public void check(Moment now) {
         if (loaded) {
             consolidation.plan(now);
+            cluster.keeper.plan(cluster.machines.values(), cluster.jobs.values(), m -> releaseCheck.termEnds(m, now), now);
             for (String reason : releaseCheck.check(now, takeOver.isSettled())) {
                 notes.say("returning machine " + reason);
             }
@@ -437,6 +445,15 @@
         return silent >= DEAF_TO;
     }
 
+    /** From now on machines are kept ahead of their work by what this says. */
+    public void keeping(Keeper keeper) {
+        cluster.keeper = keeper;
+    }
+
+    public Collection<Machine> machines() {
+        return cluster.machines.values();
+    }
+
     public int machineCount() {
         return cluster.machines.size();
     }
--- a/src/main/java/io/indigoreach/core/Machine.java
+++ b/src/main/java/io/indigoreach/core/Machine.java
@@ -1,5 +1,7 @@
 package io.indigoreach.core;
 
+import io.indigoreach.core.warm.Cache;
+import io.indigoreach.core.warm.Seat;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -31,7 +33,9 @@
     Moment notice;
     Moment idleSince;
     String share;
-    final Set<String> images = new HashSet<>();
+    final Cache images;
+    /** Its place in a warm pool, or null. */
+    Seat seat;
     final Set<JobId> failedJobs = new HashSet<>();
     boolean condemned;
     /** More than is needed at its price: it gets no new tasks for now. */
@@ -48,6 +52,7 @@
     int missing;
     Moment leavingSince;
     private final Map<TaskId, Placement> tasks = new HashMap<>();
+    private int holders;
     private Demand used = Demand.NOTHING;
 
     Machine(MachineId id, Pool pool, MachineType type, Moment rented) {
@@ -58,6 +63,7 @@
         this.heard = rented;
         this.idleSince = rented;
         this.existed = rented;
+        this.images = new Cache(type.cacheGb());
     }
 
     public MachineId id() {
@@ -92,6 +98,16 @@
         return type.capacity().minus(used);
     }
 
+    /**
+     * What a job finds free. A holder gives way to what needs its image: stopped and started by one answer, in this order, so
+     * that the worker never has both. One that still waits for the image stays: without it the fetch would be given up,
+     * and no replica could run before it is done.
+     */
+    Demand freeFor(JobSpec spec) {
+        Placement sits = seat == null || !seat.image().equals(spec.image()) ? null : holder();
+        return sits == null || !sits.isRunning() ? free() : free().plus(sits.demand());
+    }
+
     Demand used() {
         return used;
     }
@@ -106,21 +122,93 @@
 
     void put(Placement p) {
         tasks.put(p.task(), p);
+        holders += p.job.spec.isHolder() ? 1 : 0;
         used = used.plus(p.demand());
     }
 
     void remove(Placement p) {
         if (tasks.remove(p.task(), p)) {
+            holders -= p.job.spec.isHolder() ? 1 : 0;
             used = tasks.isEmpty() ? Demand.NOTHING : used.minus(p.demand());
         }
     }
 
-    boolean isIdle() {
-        return tasks.isEmpty();
+    /** Nothing works on it; holders do not work. */
+    public boolean isIdle() {
+        return tasks.size() == holders;
+    }
+
+    public MachineType type() {
+        return type;
+    }
+
+    public Cache images() {
+        return images;
+    }
+
+    public Seat seat() {
+        return seat;
+    }
+
+    /** Whoever keeps machines takes it, or with null lets it go. */
+    public void seat(Seat place) {
+        seat = place;
+        spare &= place == null;
+    }
+
+    /** The session of its last report; 0 before the first to this leader. */
+    public long session() {
+        return last.session();
+    }
+
+    /** Rented and not to be given up: booting, up, or silent for less than its lease. */
+    public boolean isCountedOn() {
+        return (phase == Phase.BOOTING || phase == Phase.UP) && notice == null && !condemned;
+    }
+
+    /** Whether a task sits here only to keep an image. */
+    public boolean hasHolder() {
+        return holders > 0;
+    }
+
+    /** Cores that each team's tasks take; holders take none to speak of. */
+    public Map<String, Double> coresByTeam() {
+        Map<String, Double> cores = new HashMap<>();
+        for (Placement p : tasks.values()) {
+            if (!p.job.spec.isHolder()) {
+                cores.merge(p.job.spec.team(), p.demand().cores(), Double::sum);
+            }
+        }
+        return cores;
+    }
+
+    /** The holder that sits here and is not told to go; or null. */
+    Placement holder() {
+        for (Placement p : holders == 0 ? List.<Placement>of() : tasks.values()) {
+            if (p.job.spec.isHolder() && !p.stopping) {
+                return p;
+            }
+        }
+        return null;
+    }
+
+    /** The job of the holder that sits here; or null. */
+    public Job holderJob() {
+        Placement sits = holder();
+        return sits == null ? null : sits.job;
+    }
+
+    boolean hasTaskWith(String image) {
+        for (Placement p : tasks.values()) {
+            if (p.job.spec.image().equals(image)) {
+                return true;
+            }
+        }
+        return false;
     }
 
     /** Takes new tasks: up, known to later leaders, not about to go. */
-    boolean isUsable() {
+    public boolean isUsable() {
         return phase == Phase.UP && recorded && notice == null && !condemned;
     }
 
@@ -129,12 +217,8 @@
         return phase == Phase.BOOTING && now.isBefore(rented.plus(type.boot().times(bootTimes)));
     }
 
-    /** Remembers an image as cached; false if it was known to be. */
-    boolean touchImage(String image) {
-        return images.add(image);
-    }
-
     boolean allows(JobSpec spec) {
-        return spec.allowsType(pool.type()) && spec.allowsZone(pool.zone()) && spec.allowsKind(pool.spot());
+        return spec.allowsType(pool.type()) && spec.allowsZone(pool.zone()) && spec.allowsKind(pool.spot())
+                && (seat == null || seat.takes(spec, images, free()));
     }
 }
--- a/src/main/java/io/indigoreach/core/Reconciler.java
+++ b/src/main/java/io/indigoreach/core/Reconciler.java
@@ -62,6 +62,7 @@
         boolean here = p != null && p.machine == m && p.attempt.equals(t.attempt());
         switch (t.cause()) {
             case DONE -> {
+                m.images.ran(job.spec.image());
                 if (job.spec.isService()) {
                     // A replica runs until its job is cancelled: one that ended is started again, not at once.
                     if (here) {
@@ -86,6 +87,7 @@
                 return;
             }
             case ERROR -> {
+                m.images.ran(job.spec.image());
                 if (here) {
                     FaultJudge.failed(p, now);
                     notes.failed(p);
@@ -130,6 +132,7 @@
         if (p.state != t.state()) {
             if (t.state() == TaskState.RUNNING) {
                 p.since = now;
+                m.images.ran(job.spec.image());
             }
             p.state = t.state();
             cluster.version++;
--- a/src/main/java/io/indigoreach/core/ReleaseCheck.java
+++ b/src/main/java/io/indigoreach/core/ReleaseCheck.java
@@ -70,8 +70,7 @@
                 if (!settled) {
                     return null;
                 }
-                boolean termEnds = residual(m, now).compareTo(tuning.check()) <= 0;
-                return termEnds && !dispatcher.isWanted(m, now) ? "idle at the end of its term" : null;
+                return termEnds(m, now) && !cluster.keeper.keeps(m) && !dispatcher.isWanted(m, now) ? "idle at the end of its term" : null;
         }
     }
 
@@ -87,6 +86,10 @@
         return silence.isOnTheWay(m.pool.zone()) && behindCut.compareTo(alone) > 0 ? behindCut : alone;
     }
 
+    boolean termEnds(Machine m, Moment now) {
+        return residual(m, now).compareTo(tuning.check()) <= 0;
+    }
+
     /** What is left of the paid term. */
     private Span residual(Machine m, Moment now) {
         long beyond = now.since(m.rented).ms() - tuning.leastPaid().ms();
--- a/src/main/java/io/indigoreach/core/Reservation.java
+++ b/src/main/java/io/indigoreach/core/Reservation.java
@@ -54,7 +54,7 @@
                 Moment up = m.rented.plus(m.type.boot());
                 start = up.isAfter(now) ? up : now;
             }
-            Demand room = m.free();
+            Demand room = m.freeFor(top.spec);
             List<Placement> running = m.tasksCopy();
             running.removeIf(p -> p.job.spec.isService());
             Map<Placement, Moment> ends = new HashMap<>();
@@ -109,7 +109,7 @@
         }
         Demand room = m.type.capacity().minus(demand);
         for (Placement p : m.tasks().values()) {
-            if (estimates.end(p, now).isAfter(hold.at)) {
+            if (!p.job.spec.isHolder() && estimates.end(p, now).isAfter(hold.at)) {
                 room = room.minus(p.demand());
             }
         }
--- a/src/main/java/io/indigoreach/core/StartBounds.java
+++ b/src/main/java/io/indigoreach/core/StartBounds.java
@@ -45,6 +45,11 @@
                 }
             }
         }
+        for (Job holder : cluster.holderJobs) {
+            if (holder.wantsBound()) {
+                out.add(holder);
+            }
+        }
         return out;
     }
 
--- a/src/main/java/io/indigoreach/parts/Parts.java
+++ b/src/main/java/io/indigoreach/parts/Parts.java
@@ -10,6 +10,8 @@
 import io.indigoreach.net.SteadyClock;
 import io.indigoreach.state.Records;
 import io.indigoreach.state.StateClient;
+import io.indigoreach.warm.PoolRecords;
+import io.indigoreach.warm.WarmPart;
 import io.vertx.core.Vertx;
 import java.util.List;
 import java.util.Map;
@@ -34,7 +36,7 @@
     }
 
     /** Every part there is: each adds itself here, and nowhere else. */
-    private static final List<Kind> KINDS = List.of();
+    private static final List<Kind> KINDS = List.of(new Kind(Settings.Knob.WARM_POOLS, PoolRecords.FAMILIES, WarmPart::new));
 
     public static final Parts NONE = new Parts(List.of(), new Copies(List.of()), null);
 
--- /dev/null
+++ b/src/main/java/io/indigoreach/warm/PoolRecords.java
@@ -0,0 +1,30 @@
+package io.indigoreach.warm;
+
+import io.indigoreach.core.records.Family;
+import java.util.List;
+
+/** The keys of pools and accounts. */
+public final class PoolRecords {
+    static final String POOLS = "warm/pool/";
+    /** Pages of machines' lines and sums, numbered from 0 without a gap. */
+    static final String SHEETS = "warm/sheet/";
+    /** How the leader says that pools stand. */
+    static final String TOLD = "warm/told/";
+    /** What was learned of their bursts. */
+    static final String SEEN = "warm/seen/";
+
+    public static final List<Family> FAMILIES = List.of(new Family(POOLS, 300, true, Family.Mending.NEWER),
+            new Family(SHEETS, 300, true, Family.Mending.NEWER), new Family(TOLD, 0, false, Family.Mending.NEWER),
+            new Family(SEEN, 100, false, Family.Mending.NEWER));
+
+    private PoolRecords() {
+    }
+
+    static String sheet(int n) {
+        return SHEETS + String.format("%04d", n);
+    }
+
+    static int sheetOf(String key) {
+        return Integer.parseInt(key.substring(SHEETS.length()));
+    }
+}
--- /dev/null
+++ b/src/main/java/io/indigoreach/warm/PoolsResource.java
@@ -0,0 +1,129 @@
+package io.indigoreach.warm;
+
+import io.indigoreach.api.Answer;
+import io.indigoreach.api.Refusal;
+import io.indigoreach.api.Resource;
+import io.indigoreach.core.accounts.Account;
+import io.indigoreach.core.records.Kept;
+import io.indigoreach.core.warm.PoolSpec;
+import io.indigoreach.net.Fields;
+import io.indigoreach.net.Wire;
+import io.indigoreach.parts.Parts;
+import io.vertx.core.Future;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+
+/**
+ * Pools for people, at any node: {@code GET /api/pools} lists, {@code GET /api/pools?sums=1} tells who pays what,
+ * {@code GET /api/pools/NAME} explains, {@code POST /api/pools/NAME} sets.
+ */
+final class PoolsResource implements Resource {
+    /** A pool that is set only if it is still at this version; 0: if there is none. */
+    private static final String EXPECTED = "if_version";
+    private static final int LISTED = 100;
+
+    private final Parts.Ground ground;
+
+    PoolsResource(Parts.Ground ground) {
+        this.ground = ground;
+    }
+
+    @Override
+    public Future<Answer> serve(Call call) {
+        if (call.path().isEmpty() && call.isGet()) {
+            return call.query().containsKey("sums") ? sums() : list(call.query().get("after"));
+        }
+        if (call.path().size() != 1 || !call.isGet() && !call.isPost()) {
+            throw Refusal.notFound("no such path");
+        }
+        String name = call.path().get(0);
+        if (!PoolSpec.isName(name)) {
+            throw Refusal.of("name", "small letters, digits, dots and dashes, up to 60");
+        }
+        return call.isGet() ? explain(name) : set(PoolCodec.read(name, call.body()),
+                call.body().has(EXPECTED) ? call.body().whole(EXPECTED) : -1);
+    }
+
+    private Future<Answer> list(String after) {
+        return ground.records().run(PoolRoutines.all(PoolRecords.POOLS)).map(all -> {
+            List<Object> pools = new ArrayList<>();
+            boolean more = false;
+            for (Kept k : all) {
+                String name = k.key().substring(PoolRecords.POOLS.length());
+                if (after == null || name.compareTo(after) > 0) {
+                    more |= pools.size() >= LISTED;
+                    if (pools.size() < LISTED) {
+                        PoolSpec p = PoolCodec.read(name, new Fields(k.value()));
+                        pools.add(Wire.map("name", name, "team", p.team(), "image", p.image(), "least", p.least(), "most", p.most(),
+                                "version", k.version()));
+                    }
+                }
+            }
+            return Answer.ok(Wire.map("pools", pools, "more", more));
+        });
+    }
+
+    /** All pages' sums together: each is as new as its last write. */
+    private Future<Answer> sums() {
+        return ground.records().run(PoolRoutines.all(PoolRecords.SHEETS)).map(all -> {
+            Map<Account, Double> sums = new TreeMap<>();
+            long lines = 0;
+            for (Kept k : all) {
+                PoolCodec.readSums(new Fields(k.value())).forEach((account, money) -> sums.merge(account, money, Double::sum));
+                lines += new Fields(k.value()).lists("lines").size();
+            }
+            return Answer.ok(Wire.map("sums", PoolCodec.writeSums(sums), "machines", lines));
+        });
+    }
+
+    private Future<Answer> explain(String name) {
+        return ground.records().run(PoolRoutines.read(PoolRecords.POOLS + name)).compose(pool -> {
+            if (!pool.isThere()) {
+                throw Refusal.notFound("no pool " + name);
+            }
+            return ground.records().run(PoolRoutines.read(PoolRecords.TOLD + name)).map(told -> {
+                Map<String, Object> answer = new LinkedHashMap<>(Map.of("name", name));
+                answer.putAll(PoolRoutines.plain(pool));
+                answer.put("version", pool.version());
+                answer.put("stands", told.isThere() ? PoolRoutines.plain(told)
+                        : Wire.map("why", "no leader has planned it yet"));
+                return Answer.ok(answer);
+            });
+        });
+    }
+
+    private Future<Answer> set(PoolSpec pool, long expected) {
+        if (!ground.catalogue().isKnown()) {
+            return Future.succeededFuture(Answer.later("the machine types are not known yet"));
+        }
+        PoolSpec.Fault fault = pool.fault(ground.config().teams(), ground.catalogue().types());
+        if (fault != null) {
+            throw Refusal.of(fault.field(), fault.reason());
+        }
+        Map<String, Object> value = PoolCodec.write(pool);
+        if (Wire.write(value).length() > ground.config().stateLimits().valueBytes() / 2) {
+            throw Refusal.of("windows", "the description is too long");
+        }
+        long[] version = new long[1];
+        return ground.records().run(PoolRoutines.replace(PoolRecords.POOLS + pool.name(), there -> {
+            PoolSpec old = there.isThere() ? PoolCodec.read(pool.name(), new Fields(there.value())) : null;
+            version[0] = there.version();
+            if (pool.equals(old)) {
+                return null;
+            }
+            if (old != null && !old.team().equals(pool.team())) {
+                throw Refusal.of("team", "the account is that of team " + old.team() + "; set another pool");
+            }
+            if (expected >= 0 && expected != there.version()) {
+                throw Refusal.conflict("the pool was changed: it is at version " + there.version(), old == null ? Map.of()
+                        : PoolCodec.write(old));
+            }
+            version[0]++;
+            return value;
+        }, written -> { })).map(done -> done ? Answer.ok(Wire.map("name", pool.name(), "version", version[0]))
+                : Answer.later("the pool changes at this moment"));
+    }
+}
--- /dev/null
+++ b/src/main/java/io/indigoreach/warm/WarmReign.java
@@ -0,0 +1,218 @@
+package io.indigoreach.warm;
+
+import io.indigoreach.core.LeaderCore;
+import io.indigoreach.core.Machine;
+import io.indigoreach.core.MachineType;
+import io.indigoreach.core.Moment;
+import io.indigoreach.core.Pool;
+import io.indigoreach.core.Span;
+import io.indigoreach.core.accounts.Account;
+import io.indigoreach.core.accounts.Meter;
+import io.indigoreach.core.accounts.Sheet;
+import io.indigoreach.core.records.Kept;
+import io.indigoreach.core.warm.Plan;
+import io.indigoreach.core.warm.PoolSpec;
+import io.indigoreach.core.warm.Seat;
+import io.indigoreach.core.warm.Seen;
+import io.indigoreach.core.warm.Told;
+import io.indigoreach.net.Duty;
+import io.indigoreach.net.Fields;
+import io.indigoreach.parts.Part;
+import io.indigoreach.parts.Parts;
+import io.indigoreach.state.Records;
+import io.vertx.core.Future;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/** The pools' work for one leadership: reads what earlier leaders recorded, looks at the machines, writes lines and sums. */
+final class WarmReign implements Part.Reigning {
+    private static final Logger LOG = LoggerFactory.getLogger(WarmReign.class);
+    private static final Span PERIOD = Span.seconds(1);
+    private static final Span POOLS_EVERY = Span.seconds(5);
+    private static final Span TOLD_EVERY = Span.seconds(5);
+    private static final Span PRICES_EVERY = Span.seconds(20);
+    /** Money is moved into the sums this often; what a machine is kept for is written as it changes. */
+    private static final Span MONEY_EVERY = Span.seconds(20);
+
+    private final Parts.Ground ground;
+    private final LeaderCore core;
+    private final Records records;
+    private final Plan plan;
+    private final Meter meter;
+    private final Duty duty;
+    private final Map<String, MachineType> prices = new HashMap<>();
+    private final Map<String, Told> told = new HashMap<>();
+    private final Map<String, Long> learned = new HashMap<>();
+    private final Deque<Integer> pages = new ArrayDeque<>();
+    private List<PoolSpec> pools = List.of();
+    private boolean loaded;
+    private Moment poolsRead = Moment.NEVER;
+    private Moment toldAt = Moment.NEVER;
+    private Moment pricesAsked = Moment.NEVER;
+    private Moment moneyAt;
+
+    WarmReign(Parts.Ground ground, LeaderCore core, Records records) {
+        this.ground = ground;
+        this.core = core;
+        this.records = records;
+        this.moneyAt = ground.clock().now();
+        this.plan = new Plan(ground.config().teams(), ground.catalogue()::types, ground.settings().tuning().term(), this::timeOfDay,
+                LOG::info);
+        this.meter = new Meter(ground.settings().tuning().leastPaid().ms());
+        this.duty = new Duty(ground.vertx(), "pools", PERIOD, this::step);
+        core.keeping(plan);
+    }
+
+    WarmReign start() {
+        duty.start();
+        return this;
+    }
+
+    @Override
+    public void close() {
+        duty.cancel();
+    }
+
+    private long timeOfDay(Moment at) {
+        return ground.clock().timeOfDay() - ground.clock().now().since(at).ms();
+    }
+
+    private Future<Span> step() {
+        if (!loaded) {
+            return load().map(PERIOD);
+        }
+        Moment now = ground.clock().now();
+        if (pools.isEmpty() && meter.lines().isEmpty()) {
+            return readPools(now).map(POOLS_EVERY);
+        }
+        ask(now);
+        look(now);
+        return readPools(now).compose(v -> writePages(now)).compose(v -> tell(now)).map(PERIOD);
+    }
+
+    private Future<Void> load() {
+        Moment now = ground.clock().now();
+        return records.run(PoolRoutines.sheets()).compose(sheets -> readPools(now).map(v -> {
+            ground.catalogue().types().forEach(t -> prices.put(t.name(), t));
+            for (Kept k : sheets) {
+                meter.recall(PoolRecords.sheetOf(k.key()), PoolCodec.readSheet(k.value()), this::perHour);
+            }
+            plan.recall(meter.lines(), ground.clock().now());
+            loaded = true;
+            LOG.info("pools: {}; {} machines in the accounts", pools.size(), meter.lines().size());
+            return null;
+        }));
+    }
+
+    private Future<Void> readPools(Moment now) {
+        if (now.since(poolsRead).compareTo(POOLS_EVERY) < 0) {
+            return Future.succeededFuture();
+        }
+        return records.run(PoolRoutines.all(PoolRecords.POOLS)).compose(all -> {
+            List<PoolSpec> read = all.stream().map(k -> PoolCodec.read(k.key().substring(PoolRecords.POOLS.length()),
+                    new Fields(k.value()))).toList();
+            boolean isNew = read.size() > pools.size();
+            return (isNew ? records.run(PoolRoutines.all(PoolRecords.SEEN)) : Future.succeededFuture(List.<Kept>of())).map(seen -> {
+                Map<String, Seen> known = new HashMap<>();
+                seen.forEach(k -> known.put(k.key().substring(PoolRecords.SEEN.length()), PoolCodec.readSeen(k.value())));
+                pools = read;
+                plan.pools(read, name -> known.getOrDefault(name, new Seen()));
+                poolsRead = now;
+                return null;
+            });
+        });
+    }
+
+    /** Spot machines cost what they do now, whenever they were rented. */
+    private void ask(Moment now) {
+        if (now.since(pricesAsked).compareTo(PRICES_EVERY) >= 0) {
+            pricesAsked = now;
+            ground.catalogue().now().onSuccess(types -> types.forEach(t -> prices.put(t.name(), t)));
+        }
+    }
+
+    private double perHour(Pool pool) {
+        MachineType type = prices.get(pool.type());
+        return type == null ? 0 : pool.spot() ? type.spotPrice() : type.price();
+    }
+
+    private void look(Moment now) {
+        List<Meter.Look> looks = new ArrayList<>();
+        Map<String, String> teams = new HashMap<>();
+        pools.forEach(p -> teams.put(p.name(), p.team()));
+        for (Machine m : core.machines()) {
+            Seat seat = m.seat() == null || m.seat().isDropped() ? null : m.seat();
+            Account payer = seat == null ? new Account("", "") : new Account(seat.pool(), teams.getOrDefault(seat.pool(), ""));
+            looks.add(new Meter.Look(m.id(), m.pool(), timeOfDay(m.rented()), payer, seat == null ? "" : seat.image(),
+                    seat == null ? 0 : seat.gb(), seat != null && m.images().holds(seat.image()) ? m.session() : 0, m.coresByTeam(),
+                    m.type().capacity().cores(), perHour(m.pool()), m.phase() == Machine.Phase.LEAVING));
+        }
+        meter.look(looks, timeOfDay(now));
+        Map<String, Double> spent = new HashMap<>();
+        meter.sums().forEach((account, money) -> spent.merge(account.pool(), money, Double::sum));
+        spent.forEach(plan::spent);
+    }
+
+    /** One page a step: what changed first, then those whose money is due. */
+    private Future<Void> writePages(Moment now) {
+        boolean due = now.since(moneyAt).compareTo(MONEY_EVERY) >= 0;
+        if (due) {
+            moneyAt = now;
+        }
+        for (int page : meter.behind(due)) {
+            if (!pages.contains(page)) {
+                pages.add(page);
+            }
+        }
+        if (pages.isEmpty()) {
+            release();
+            return Future.succeededFuture();
+        }
+        int page = pages.poll();
+        Sheet[] next = new Sheet[1];
+        return records.run(PoolRoutines.replace(PoolRecords.sheet(page), read -> {
+            next[0] = meter.next(page, PoolCodec.readSheet(read.value()));
+            return PoolCodec.write(next[0]);
+        }, written -> {
+            meter.written(page, next[0]);
+            release();
+        })).mapEmpty();
+    }
+
+    /** Machines that left a pool take any image once no record names them. */
+    private void release() {
+        for (Machine m : core.machines()) {
+            if (m.seat() != null && m.seat().isDropped() && !meter.isRecordedInPool(m.id())) {
+                plan.released(m);
+            }
+        }
+    }
+
+    private Future<Void> tell(Moment now) {
+        if (now.since(toldAt).compareTo(TOLD_EVERY) < 0) {
+            return Future.succeededFuture();
+        }
+        for (Told t : plan.told()) {
+            if (!t.equals(told.get(t.pool()))) {
+                toldAt = now;
+                return records.run(PoolRoutines.replace(PoolRecords.TOLD + t.pool(), read -> PoolCodec.write(t),
+                        written -> told.put(t.pool(), t))).mapEmpty();
+            }
+        }
+        for (PoolSpec p : pools) {
+            Seen seen = plan.seen(p.name());
+            if (p.learned() && seen.changes() > learned.getOrDefault(p.name(), 0L)) {
+                long changes = seen.changes();
+                return records.run(PoolRoutines.replace(PoolRecords.SEEN + p.name(), read -> PoolCodec.write(seen),
+                        written -> learned.put(p.name(), changes))).mapEmpty();
+            }
+        }
+        return Future.succeededFuture();
+    }
+}
