--- a/src/main/java/io/indigoreach/core/BestSize.java
+++ b/src/main/java/io/indigoreach/core/BestSize.java
@@ -44,7 +44,12 @@
         refusedUntil.put(pool, now.plus(tuning.refusedFor()));
     }
 
-    boolean isRefused(Pool pool, Moment now) {
+    /** Whether it is of use to ask for machines there at this moment. */
+    boolean mayAsk(Pool pool, Moment now) {
+        return !isRefused(pool, now) && !silence.isCutOff(pool.zone());
+    }
+
+    private boolean isRefused(Pool pool, Moment now) {
         Moment until = refusedUntil.get(pool);
         return until != null && now.isBefore(until);
     }
--- a/src/main/java/io/indigoreach/core/Cluster.java
+++ b/src/main/java/io/indigoreach/core/Cluster.java
@@ -115,7 +115,7 @@
         share(p.job).used(p.demand(), -1);
         use(p.job).used(p.demand(), -1);
         String image = p.job.spec.image();
-        if (!p.machine.hasTaskWith(image) && p.machine.images.givenUp(image)) {
+        if (p.machine.images.isComing(image) && !p.machine.hasTaskWith(image) && p.machine.images.givenUp(image)) {
             holdsNoMore(image);
         }
         if (p.machine.isIdle()) {
--- a/src/main/java/io/indigoreach/core/Dispatcher.java
+++ b/src/main/java/io/indigoreach/core/Dispatcher.java
@@ -175,6 +175,7 @@
         List<Order> orders = new ArrayList<>();
         for (Share due : cluster.shares()) {
             Job top = due.guaranteed != null ? top(due, now) : null;
+            yieldSeat(due, top, m, now);
             if (top == null || !m.isUsable() || !due.isDue(top.spec.demand()) || !m.allows(top.spec)
                     || !FaultJudge.allows(top, m, now) || !placeable(top, m) || isProvidedFor(due, top, now)) {
                 continue;
@@ -197,6 +198,17 @@
         return orders;
     }
 
+    /** An idle machine of a pool goes to a team that waits for its guarantee, as work beyond the payer's own would be stopped. */
+    private void yieldSeat(Share due, Job top, Machine m, Moment now) {
+        Job holder = m.seat == null ? null : m.seat.holder();
+        if (top != null && holder != null && m.isIdle() && m.isUsable() && cluster.share(holder) != due
+                && !cluster.share(holder).isDue(Demand.NOTHING) && due.isDue(top.spec.demand()) && m.isOfKind(top.spec)
+                && !m.allows(top.spec) && top.spec.demand().fitsIn(m.type.capacity()) && !isProvidedFor(due, top, now)) {
+            cluster.keeper.yield(m, now);
+            claims.computeIfPresent(due, (d, claim) -> new Shortage(top, claim.counted, claim.places - 1));
+        }
+    }
+
     /** Whether places for a job within its team's guarantee come free without stopping more; counted like {@link #wanted}. */
     private boolean isProvidedFor(Share due, Job top, Moment now) {
         Shortage claim = claims.get(due);
--- a/src/main/java/io/indigoreach/core/Keeper.java
+++ b/src/main/java/io/indigoreach/core/Keeper.java
@@ -23,6 +23,10 @@
         return List.of();
     }
 
+    /** A team waits for what it is guaranteed, and this machine would do. */
+    default void yield(Machine m, Moment now) {
+    }
+
     default void refused(Pool pool) {
     }
 
--- a/src/main/java/io/indigoreach/core/LeaderCore.java
+++ b/src/main/java/io/indigoreach/core/LeaderCore.java
@@ -357,7 +357,13 @@
             return List.of();
         }
         List<RentWish> wishes = new ArrayList<>(bestSize.wishes(now));
-        cluster.keeper.wishes(now).stream().filter(w -> !bestSize.isRefused(w.pool(), now)).forEach(wishes::add);
+        for (RentWish wish : cluster.keeper.wishes(now)) {
+            if (bestSize.mayAsk(wish.pool(), now)) {
+                wishes.add(wish);
+            } else {
+                cluster.keeper.refused(wish.pool());
+            }
+        }
         return wishes;
     }
 
--- a/src/main/java/io/indigoreach/core/Machine.java
+++ b/src/main/java/io/indigoreach/core/Machine.java
@@ -218,7 +218,11 @@
     }
 
     boolean allows(JobSpec spec) {
-        return spec.allowsType(pool.type()) && spec.allowsZone(pool.zone()) && spec.allowsKind(pool.spot())
-                && (seat == null || seat.takes(spec, images, free()));
+        return isOfKind(spec) && (seat == null || seat.takes(spec, images, free()));
+    }
+
+    /** The same whatever it is kept for. */
+    boolean isOfKind(JobSpec spec) {
+        return spec.allowsType(pool.type()) && spec.allowsZone(pool.zone()) && spec.allowsKind(pool.spot());
     }
 }
--- a/src/main/java/io/indigoreach/core/accounts/Meter.java
+++ b/src/main/java/io/indigoreach/core/accounts/Meter.java
@@ -93,7 +93,11 @@
 
     /** Every machine there is, at a moment; one that is missing is gone. */
     public void look(List<Look> machines, long nowMs) {
-        begunMs = begunMs < 0 ? nowMs : begunMs;
+        if (begunMs < 0) {
+            begunMs = nowMs;
+            // Whether they are still there or not: until a leader is back that could tell, they count as paid for.
+            open.values().forEach(o -> charge(o, nowMs));
+        }
         Map<MachineId, Boolean> there = new HashMap<>();
         for (Look m : machines) {
             there.put(m.machine(), true);
@@ -103,7 +107,7 @@
         }
         for (Open o : open.values()) {
             if (!o.ended && !there.containsKey(o.line.machine()) && (o.met || nowMs - begunMs >= GRACE_MS)) {
-                end(o, o.met ? nowMs : Math.max(o.lookedMs, begunMs));
+                end(o, o.met ? nowMs : o.lookedMs);
             }
         }
     }
@@ -129,11 +133,15 @@
         o.met = true;
     }
 
+    private static void charge(Open o, long toMs) {
+        o.owe(o.line.payer(), o.perHour * Math.max(0, toMs - o.lookedMs) / 3_600_000.0);
+        o.lookedMs = Math.max(o.lookedMs, toMs);
+    }
+
     private void end(Open o, long atMs) {
-        double hours = Math.max(0, atMs - o.lookedMs) / 3_600_000.0;
+        charge(o, atMs);
         double least = o.returned ? Math.max(0, leastPaidMs - (atMs - o.line.begunMs())) / 3_600_000.0 : 0;
-        o.owe(o.line.payer(), o.perHour * (hours + least));
-        o.lookedMs = Math.max(o.lookedMs, atMs);
+        o.owe(o.line.payer(), o.perHour * least);
         o.ended = true;
         o.changed = true;
     }
@@ -161,6 +169,7 @@
 
     /** What to write in place of a page, as it is in the record now. */
     public Sheet next(int page, Sheet read) {
+        sheets.put(page, read);
         Map<MachineId, Line> lines = new LinkedHashMap<>();
         Map<Account, Double> sums = new TreeMap<>(read.sums());
         for (Iterator<Open> i = open.values().iterator(); i.hasNext();) {
--- a/src/main/java/io/indigoreach/core/warm/Plan.java
+++ b/src/main/java/io/indigoreach/core/warm/Plan.java
@@ -48,6 +48,8 @@
     /** Part of a pool that changes its image at a time, beyond which it may grow meanwhile. */
     private static final double ROLLED = 0.1;
     private static final double LOSSES_HALVE_H = 1;
+    /** So long a pool takes no idle machine after one was asked of it for a guarantee. */
+    private static final Span YIELDED = Span.seconds(30);
     private static final Span HALF_HOUR = Span.seconds(1800);
 
     private record Asked(int count, Moment until) {
@@ -64,6 +66,7 @@
         long misses;
         double lost;
         double hours;
+        Moment yielded = Moment.NEVER;
         final Map<Pool, Asked> asked = new HashMap<>();
         final Set<MachineId> had = new HashSet<>();
         /** Of its holders, those that are open, by image. */
@@ -159,6 +162,14 @@
         }
     }
 
+    @Override
+    public void yield(Machine m, Moment now) {
+        State s = states.get(m.seat().pool());
+        m.seat().drop();
+        s.live.remove(m);
+        s.yielded = now;
+    }
+
     @Override
     public void refused(Pool pool) {
         if (planned != null) {
@@ -344,10 +355,10 @@
         s.live.sort(Comparator.comparing((Machine m) -> m.seat().image().equals(s.spec.image()))
                 .thenComparing(m -> m.images().holds(m.seat().image())).thenComparing(m -> -s.zone(m.pool().zone())));
         boolean rolls = s.holders.containsKey(s.spec.image());
-        int excess = s.live.size() - s.target;
         int ready = s.ready();
         int under = s.live.size() - ready;
         int surge = surge(s);
+        int excess = s.live.size() - s.target - surge;
         for (Machine m : new ArrayList<>(s.live)) {
             boolean holds = m.images().holds(m.seat().image());
             boolean old = rolls && !m.seat().image().equals(s.spec.image());
@@ -375,7 +386,7 @@
             Asked asked = s.asked.get(m.pool());
             boolean booting = m.phase() == Machine.Phase.BOOTING;
             boolean inherits = now.since(knownSince).compareTo(INHERITS) < 0;
-            boolean ends = m.isUsable() && m.isIdle() && (m.images().holds(s.spec.image()) || termEnds.test(m));
+            boolean ends = now.since(s.yielded).compareTo(YIELDED) >= 0 && m.isUsable() && m.isIdle() && (m.images().holds(s.spec.image()) || termEnds.test(m));
             if (booting && (asked != null && asked.count > 0 || inherits) || ends) {
                 if (booting && asked != null) {
                     s.asked.put(m.pool(), new Asked(asked.count - 1, asked.until));
--- a/src/main/java/io/indigoreach/scenario/JobFile.java
+++ b/src/main/java/io/indigoreach/scenario/JobFile.java
@@ -32,7 +32,8 @@
         @Setting(value = "time to save when stopped, s", standard = "0") double checkpointS,
         @Setting(value = "complete within, s of the submission; 0: no deadline", standard = "0") double dueS,
         @Setting(value = "emulator only: what a task really takes, s; 0: as estimated", standard = "0") double emulatedS,
-        @Setting(value = "emulator only: every task fails", standard = "false") boolean emulatedFails) {
+        @Setting(value = "emulator only: every task fails", standard = "false") boolean emulatedFails,
+        @Setting(value = "holds the image of this warm pool; empty: none", standard = "") String warm) {
 
     public JobFile {
         if (!id.isEmpty() && !JobId.isValid(id)) {
@@ -42,9 +43,10 @@
 
     /** The job, with {@code made} as its id if the file names none. */
     public JobSpec spec(JobId made) {
-        return new JobSpec(id.isEmpty() ? made : new JobId(id), jobClass, team, shape, urgency, tasks,
+        JobSpec plain = new JobSpec(id.isEmpty() ? made : new JobId(id), jobClass, team, shape, urgency, tasks,
                 new Demand(cores, gpus, ramGb), image, imageGb, machineType.isEmpty() ? null : machineType,
                 zone.isEmpty() ? null : zone, oneZone, spread, spot, Span.seconds(estimateS),
                 Span.seconds(checkpointEveryS), Span.seconds(checkpointS), dueS <= 0 ? null : Span.seconds(dueS));
+        return warm.isEmpty() ? plain : plain.with(JobSpec.WARM, warm);
     }
 }
--- a/src/main/java/io/indigoreach/tools/CheckVerb.java
+++ b/src/main/java/io/indigoreach/tools/CheckVerb.java
@@ -21,7 +21,7 @@
 final class CheckVerb implements Callable<Integer> {
     /** The files that there are. */
     enum Form {
-        SETTINGS, SCENARIO, JOB, CLUSTER
+        SETTINGS, SCENARIO, JOB, CLUSTER, POOL
     }
 
     @Option(names = "--config", paramLabel = "FILE", description = "a platform's file (TOML)")
@@ -67,6 +67,7 @@
             case SETTINGS -> java.util.Arrays.stream(Settings.Knob.values()).map(Settings.Knob::help).toList();
             case SCENARIO -> TextForm.fields(Scenario.class);
             case JOB -> TextForm.fields(JobFile.class);
+            case POOL -> TextForm.fields(PoolFile.class);
             case CLUSTER -> TextForm.fields(ClusterFile.class);
         };
     }
--- a/src/main/java/io/indigoreach/tools/Tool.java
+++ b/src/main/java/io/indigoreach/tools/Tool.java
@@ -13,7 +13,7 @@
         synopsisSubcommandLabel = "VERB",
         subcommands = {DemoVerb.class, ServeVerb.class, CheckVerb.class, EmulateVerb.class, ExperimentVerb.class,
             SubmitVerb.class, StatusVerb.class, CancelVerb.class, JobsVerb.class, MachinesVerb.class, DutiesVerb.class,
-            WatchVerb.class, MeasureVerb.class,
+            WatchVerb.class, MeasureVerb.class, PoolsVerb.class,
             GenerateCompletion.class},
         exitCodeListHeading = "%nExit codes:%n",
         exitCodeList = {"0:done", "1:a wrong file, or it could not be done", "2:a wrong command line",
--- a/src/main/java/io/indigoreach/warm/WarmReign.java
+++ b/src/main/java/io/indigoreach/warm/WarmReign.java
@@ -155,7 +155,12 @@
         }
         meter.look(looks, timeOfDay(now));
         Map<String, Double> spent = new HashMap<>();
-        meter.sums().forEach((account, money) -> spent.merge(account.pool(), money, Double::sum));
+        meter.sums().forEach((account, money) -> {
+            // What guests use is theirs.
+            if (account.team().equals(teams.get(account.pool()))) {
+                spent.merge(account.pool(), money, Double::sum);
+            }
+        });
         spent.forEach(plan::spent);
     }
 
--- /dev/null
+++ b/src/test/java/io/indigoreach/core/WarmPoolTest.java
@@ -0,0 +1,297 @@
+package io.indigoreach.core;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.indigoreach.core.warm.Window;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.SplittableRandom;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** The hard cases of warm pools, on machines whose caches are simulated: what is claimed is compared with them. */
+class WarmPoolTest {
+    private static final String MODEL = WarmSteps.MODEL;
+    /** Boot, fetch of 40 GB at 1 GB/s, reports, and checks. */
+    private static final int WARM = 20 + 40 + 12;
+
+    @Test
+    void aPoolIsFilledStaysAndServesABurstWithoutAFetch() {
+        WarmSteps w = new WarmSteps(200, 20);
+        w.keep(WarmSteps.pool("p", MODEL, 40, 10, 10));
+        w.run(WARM + 100, w::truthful);
+        assertEquals(10, w.machines("p"));
+        assertEquals(10, w.holding(MODEL));
+        assertEquals(10, w.rents);
+        int from = w.now;
+        Job burst = w.serve(MODEL, 40, 10);
+        w.run(20, w::truthful);
+        List<Integer> waits = w.waits(burst, from);
+        assertEquals(10, waits.size());
+        assertTrue(waits.get(9) <= 5, "whole machines, so each holder gives way in the answer that starts a replica: " + waits);
+        assertEquals(10, w.plan.told().get(0).hits());
+        assertEquals(10, w.rents, "nothing is rented for replicas that a warm machine takes");
+    }
+
+    @Test
+    void withoutAPoolTheSameBurstWaitsForBootAndFetch() {
+        WarmSteps w = new WarmSteps(200, 20);
+        w.run(10);
+        Job burst = w.serve(MODEL, 40, 10);
+        int from = w.now;
+        w.run(200);
+        assertTrue(w.waits(burst, from).get(0) >= 60);
+    }
+
+    @Test
+    void aWaveThatTakesHalfThePoolInTheFirstSecondOfABurst() {
+        WarmSteps w = new WarmSteps(200, 40);
+        w.keep(WarmSteps.spot(WarmSteps.pool("p", MODEL, 40, 20, 20)));
+        w.run(WARM + 20);
+        int from = w.now;
+        Job burst = w.serve(MODEL, 40, 20);
+        w.wave();
+        w.run(WARM + 20, w::truthful);
+        List<Integer> waits = w.waits(burst, from);
+        assertEquals(20, waits.size());
+        assertTrue(waits.get(9) <= 5, "the half that is left serves at once: " + waits);
+        assertTrue(w.machines("p") >= 20, "back at its number: " + w.machines("p"));
+    }
+
+    @Test
+    void twoModelsThatDoNotFitOneCacheNeverMeet() {
+        WarmSteps w = new WarmSteps(100, 10);
+        w.keep(WarmSteps.pool("a", "weights-a", 60, 5, 5));
+        w.keep(WarmSteps.pool("b", "weights-b", 70, 5, 5));
+        w.run(200, w::truthful);
+        assertEquals(5, w.holding("weights-a"));
+        assertEquals(5, w.holding("weights-b"));
+        Job a = w.serve("weights-a", 60, 5);
+        Job b = w.serve("weights-b", 70, 5);
+        int from = w.now;
+        w.run(10, w::truthful);
+        assertTrue(w.waits(a, from).size() == 5 && w.waits(b, from).size() == 5);
+    }
+
+    @Test
+    void thePayersLimitLoweredBelowThePool() {
+        WarmSteps w = new WarmSteps(200, 20);
+        w.keep(WarmSteps.pool("p", MODEL, 40, 12, 12));
+        w.run(WARM + 20);
+        w.teams = List.of(new Team("t", 0, 0.05, 0, 0), new Team("g", 0, 0, 0, 0));
+        w.newLeader();
+        w.run(120, w::truthful);
+        assertEquals(5, w.machines("p"), "five holders of 0.01 cores are what is allowed");
+        assertEquals(5, w.boxes.size(), "the others are returned");
+        assertTrue(w.plan.told().get(0).why().contains("limit of team t"));
+    }
+
+    @Test
+    void theLeaderEndsWhileTwoHundredMachinesFetch() {
+        WarmSteps w = new WarmSteps(200, 200);
+        w.keep(WarmSteps.pool("p", MODEL, 40, 200, 200));
+        for (int ends : new int[] {6, 9, 25, 40}) {
+            w.run(ends - w.now, w::truthful);
+            w.newLeader();
+        }
+        w.run(WARM + 60, w::truthful);
+        assertEquals(200, w.machines("p"));
+        assertEquals(200, w.holding(MODEL));
+        assertEquals(200, w.rents, "none is rented twice");
+        assertTrue(w.asked().stream().allMatch(r -> r.count() <= 50));
+    }
+
+    @Test
+    void theHolderIsCancelledDuringTheBurst() {
+        WarmSteps w = new WarmSteps(200, 20);
+        Job holder = w.keep(WarmSteps.pool("p", MODEL, 40, 8, 8));
+        w.run(WARM + 20);
+        Job burst = w.serve(MODEL, 40, 5);
+        w.run(6);
+        w.cancel(holder);
+        w.run(90, w::truthful);
+        assertEquals(5, w.waits(burst, 0).size(), "replicas run on");
+        assertEquals(5, w.boxes.size(), "nobody pays for the other machines: they go");
+        assertEquals(0, w.machines("p"));
+    }
+
+    @Test
+    void twoPoolsWantTheLastMachine() {
+        WarmSteps w = new WarmSteps(200, 3);
+        w.capacity.replaceAll((pool, n) -> pool.spot() ? 0 : pool.zone().equals("east") ? 3 : 2);
+        w.keep(WarmSteps.pool("a", "weights-a", 40, 4, 4));
+        w.keep(WarmSteps.pool("b", "weights-b", 40, 4, 4));
+        w.run(300, w::truthful);
+        assertEquals(5, w.machines("a") + w.machines("b"));
+        assertTrue(Math.abs(w.machines("a") - w.machines("b")) == 1);
+        long a = w.machines("a");
+        w.run(120);
+        assertEquals(a, w.machines("a"), "it stays with whom it went to");
+    }
+
+    @Test
+    void aNewVersionIsRolledOverUnderLoadWithNeverFewerThanTheLeast() {
+        WarmSteps w = new WarmSteps(60, 30);
+        Job old = w.keep(WarmSteps.pool("p", MODEL, 40, 10, 10));
+        w.run(WARM + 20);
+        w.serve(MODEL, 40, 2);
+        w.run(6);
+        w.keep(WarmSteps.pool("p", "weights-2", 40, 10, 10));
+        int[] fewest = {10};
+        w.run(1500, () -> {
+            w.truthful();
+            long ready = w.core.machines().stream().filter(m -> m.seat() != null && !m.seat().isDropped()
+                    && m.images().holds(m.seat().image())).count();
+            fewest[0] = (int) Math.min(fewest[0], ready);
+        });
+        assertTrue(fewest[0] >= 10, "fewest " + fewest[0]);
+        assertTrue(w.holding("weights-2") >= 8, "those with replicas of the old version keep it: " + w.holding("weights-2"));
+        w.cancel(old);
+        w.run(200, w::truthful);
+        assertTrue(w.machines("p") <= 12);
+    }
+
+    @Test
+    void aZoneIsCutOffWithHalfThePool() {
+        WarmSteps w = new WarmSteps(200, 40);
+        w.keep(WarmSteps.pool("p", MODEL, 40, 10, 20));
+        w.pools.put("p", wide(w));
+        w.plan.pools(w.pools.values(), n -> null);
+        w.run(WARM + 20);
+        w.silent = "east";
+        w.run(WARM + 40, w::truthful);
+        assertTrue(w.core.machines().stream().filter(m -> m.seat() != null && m.isUsable()
+                && m.pool().zone().equals("west") && m.images().holds(MODEL)).count() >= 10, "the other zone has the number");
+        w.silent = null;
+        w.run(200, w::truthful);
+        assertEquals(10, w.machines("p"), "and what is too much goes when it comes back");
+    }
+
+    private static io.indigoreach.core.warm.PoolSpec wide(WarmSteps w) {
+        var p = w.pools.get("p");
+        return new io.indigoreach.core.warm.PoolSpec(p.name(), p.team(), p.image(), p.gb(), p.replica(), p.types(), p.zones(), 1,
+                p.least(), p.most(), p.wanted(), p.windows(), p.learned(), p.budget(), p.spot());
+    }
+
+    @Test
+    void theStateIsLostAndNothingIsClaimedUntilAStartShowsIt() {
+        WarmSteps w = new WarmSteps(200, 20);
+        w.keep(WarmSteps.pool("p", MODEL, 40, 8, 8));
+        w.run(WARM + 20);
+        w.sheets.clear();
+        w.newLeader();
+        w.run(1);
+        assertEquals(0, w.plan.told().stream().mapToInt(t -> t.ready()).sum());
+        w.run(30, w::truthful);
+        assertEquals(8, w.plan.told().get(0).ready(), "a start without a fetch each");
+        assertEquals(8, w.rents);
+    }
+
+    @ParameterizedTest
+    @ValueSource(doubles = {30, 90, 170})
+    void aGuestsArrayDoesNotPushTheWeightsOut(double gb) {
+        WarmSteps w = new WarmSteps(200, 8);
+        w.keep(WarmSteps.pool("p", MODEL, 140, 8, 8, new Window(12 * 60, 13 * 60, 8)));
+        w.run(300);
+        assertEquals(8, w.holding(MODEL));
+        for (int n = 0; n < 6; n++) {
+            w.array("guest-" + n, gb, 40, 2, 20);
+        }
+        w.run(600, () -> {
+            w.truthful();
+            assertTrue(w.holding(MODEL) >= 8);
+        });
+        long onWarm = w.boxes.values().stream().filter(b -> b.cache.containsKey(MODEL)
+                && b.cache.keySet().stream().anyMatch(i -> i.startsWith("guest"))).count();
+        assertEquals(gb < 60, onWarm > 0, "idle cores serve guests whose image fits beside the weights, and no others");
+        w.run(900);
+        assertTrue(w.open.values().stream().noneMatch(j -> j.spec().jobClass().equals("guest")), "all guests are served");
+    }
+
+    @Test
+    void aTeamThatWaitsForItsGuaranteeGetsTheLastMachines() {
+        WarmSteps w = new WarmSteps(200, 4);
+        w.capacity.replaceAll((pool, n) -> pool.spot() ? 0 : 4);
+        w.teams = List.of(new Team("t", 0, 0, 0, 0), new Team("g", 16, 0, 0, 0));
+        w.newLeader();
+        w.keep(WarmSteps.pool("p", MODEL, 40, 8, 8));
+        w.run(WARM + 20);
+        assertEquals(8, w.machines("p"));
+        Job due = w.array("other", 170, 2, 8, 60);
+        w.run(120, w::truthful);
+        assertTrue(w.began.get(due.id()).size() >= 1, "nothing is to be rented, so an idle machine of the pool is given");
+        w.run(200, w::truthful);
+        assertEquals(2, w.began.get(due.id()).size());
+        assertEquals(8, w.machines("p"), "and comes back");
+    }
+
+    @Test
+    void aBudgetThatIsOverShrinksThePoolAtTheTermsEndAndSaysSo() {
+        WarmSteps w = new WarmSteps(200, 8);
+        w.keep(WarmSteps.budget(WarmSteps.pool("p", MODEL, 40, 4, 4), 1.0));
+        w.run(400, w::truthful);
+        assertEquals(0, w.boxes.size());
+        double spent = w.meter.sums().entrySet().stream().filter(e -> e.getKey().pool().equals("p"))
+                .mapToDouble(e -> e.getValue()).sum();
+        // Four machines for a term and a check more, at 3.6 an hour.
+        assertTrue(spent >= 1 && spent <= 1 + 4 * 3.6 * 20 / 3600, "spent " + spent);
+        assertTrue(w.said.stream().anyMatch(s -> s.contains("budget is over")));
+    }
+
+    @Test
+    void aPoolGrowsBeforeItsWindowOpensAndShrinksAfterIt() {
+        WarmSteps w = new WarmSteps(200, 40);
+        // The first step is at 1,000 s of the day: the window opens at 00:20, 200 s later, and closes at 00:25.
+        w.keep(WarmSteps.pool("p", MODEL, 40, 2, 40, new Window(20, 25, 12)));
+        w.run(80);
+        assertEquals(2, w.machines("p"));
+        w.run(115);
+        assertEquals(18, w.holding(MODEL), "P(D <= 18) >= 0.95 for a mean of 12");
+        w.run(400, w::truthful);
+        assertEquals(2, w.machines("p"));
+        assertEquals(2, w.boxes.size());
+    }
+
+    /** Seeded runs with leaders that end, guests, waves, sessions that end and sheets that are lost. */
+    @ParameterizedTest
+    @ValueSource(longs = {1, 2, 3, 4, 5, 6})
+    void whateverHappensNothingIsClaimedThatIsNotSoAndAllMoneyIsPutDown(long seed) {
+        SplittableRandom random = new SplittableRandom(seed);
+        WarmSteps w = new WarmSteps(150, 15);
+        w.keep(WarmSteps.pool("a", "weights-a", 60, 4, 10, new Window(20, 25, 5)));
+        w.keep(WarmSteps.spot(WarmSteps.pool("b", "weights-b", 100, 4, 8)));
+        List<Job> served = new ArrayList<>();
+        int ends = 0;
+        for (int round = 0; round < 40; round++) {
+            switch (random.nextInt(6)) {
+                case 0 -> {
+                    w.newLeader();
+                    ends++;
+                }
+                case 1 -> w.array("guest-" + random.nextInt(5), 10 + random.nextInt(60), 1 + random.nextInt(30),
+                        1 + random.nextInt(8), 5 + random.nextInt(60));
+                case 2 -> served.add(w.serve(random.nextBoolean() ? "weights-a" : "weights-b", random.nextBoolean() ? 60 : 100,
+                        1 + random.nextInt(4)));
+                case 3 -> {
+                    if (!served.isEmpty()) {
+                        w.cancel(served.remove(0));
+                    }
+                }
+                case 4 -> w.boxes.values().stream().filter(b -> b.up <= w.now).findFirst().ifPresent(b -> {
+                    b.session++;
+                    b.tasks.clear();
+                    b.fetching = null;
+                });
+                default -> { }
+            }
+            w.run(5 + random.nextInt(20), w::truthful);
+        }
+        double put = w.meter.sums().values().stream().mapToDouble(d -> d).sum();
+        // A look's period and a check's at each machine's end, and the same for every change of leader.
+        double bound = (w.rents * 3 + ends * 5) * 3.6 / 3600;
+        assertEquals(w.charged(), put, bound);
+        assertTrue(w.machines("a") >= 4, "a: " + w.machines("a"));
+    }
+}
--- /dev/null
+++ b/src/test/java/io/indigoreach/core/WarmSteps.java
@@ -0,0 +1,388 @@
+package io.indigoreach.core;
+
+import io.indigoreach.core.accounts.Account;
+import io.indigoreach.core.accounts.Meter;
+import io.indigoreach.core.accounts.Sheet;
+import io.indigoreach.core.warm.Plan;
+import io.indigoreach.core.warm.PoolSpec;
+import io.indigoreach.core.warm.Seen;
+import io.indigoreach.core.warm.Window;
+import java.util.ArrayList;
+import java.util.BitSet;
+import java.util.HashMap;
+import java.util.Iterator;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+
+/** Pools on simulated machines with real caches, in steps of a second round the real core, plan and meter. */
+final class WarmSteps implements Notes {
+    static final String MODEL = "weights-1";
+    private static final int BEGIN = 1000;
+
+    /** A task on a machine. */
+    private static final class Task {
+        final Order.Start start;
+        final JobSpec spec;
+        TaskState state = TaskState.FETCHING;
+        int ends = Integer.MAX_VALUE;
+
+        Task(Order.Start start, JobSpec spec) {
+            this.start = start;
+            this.spec = spec;
+        }
+    }
+
+    /** A machine; its cache is what it really has, the least recently used image first. */
+    static final class Box {
+        final Pool pool;
+        final int rented;
+        final int up;
+        long session = 1;
+        final Map<String, Double> cache = new LinkedHashMap<>();
+        final Map<TaskId, Task> tasks = new LinkedHashMap<>();
+        String fetching;
+        int fetched;
+
+        Box(Pool pool, int rented, int up) {
+            this.pool = pool;
+            this.rented = rented;
+            this.up = up;
+        }
+    }
+
+    final MachineType type;
+    final Map<String, Box> boxes = new TreeMap<>();
+    final Map<Pool, Integer> capacity = new HashMap<>();
+    final Map<String, PoolSpec> pools = new TreeMap<>();
+    final Map<JobId, Job> open = new TreeMap<>();
+    final Map<JobId, List<Integer>> began = new TreeMap<>();
+    final List<String> said = new ArrayList<>();
+    /** The state service. */
+    final Map<Integer, Sheet> sheets = new TreeMap<>();
+    List<Team> teams = List.of(new Team("t", 0, 0, 0, 0), new Team("g", 0, 0, 0, 0));
+    LeaderCore core;
+    Plan plan;
+    Meter meter;
+    double bill;
+    int rents;
+    int now;
+    /** A zone that is cut off. */
+    String silent;
+    private long token;
+    private long serial;
+    private int names;
+    private int jobs;
+    private final List<RentWish> asked = new ArrayList<>();
+
+    WarmSteps(double cacheGb, int perZone) {
+        type = new MachineType("big", new Demand(8, 0, 64), cacheGb, 1.0, 3.6, 1.2, Span.seconds(20), List.of("east", "west"));
+        for (String zone : type.zones()) {
+            capacity.put(new Pool("big", zone, true), perZone);
+            capacity.put(new Pool("big", zone, false), perZone);
+        }
+        newLeader();
+    }
+
+    static PoolSpec pool(String name, String image, double gb, int least, int most, Window... windows) {
+        return new PoolSpec(name, "t", image, gb, new Demand(8, 0, 8), List.of("big"), List.of(), 0.5, least, most, 0.95,
+                List.of(windows), false, 0, false);
+    }
+
+    static PoolSpec spot(PoolSpec p) {
+        return new PoolSpec(p.name(), p.team(), p.image(), p.gb(), p.replica(), p.types(), p.zones(), p.zonePart(), p.least(),
+                p.most(), p.wanted(), p.windows(), p.learned(), p.budget(), true);
+    }
+
+    static PoolSpec budget(PoolSpec p, double budget) {
+        return new PoolSpec(p.name(), p.team(), p.image(), p.gb(), p.replica(), p.types(), p.zones(), p.zonePart(), p.least(),
+                p.most(), p.wanted(), p.windows(), p.learned(), budget, p.spot());
+    }
+
+    /** A pool and its holder, with a task for each machine. */
+    Job keep(PoolSpec p) {
+        pools.put(p.name(), p);
+        plan.pools(pools.values(), n -> new Seen());
+        return submit(new JobSpec(new JobId("run-" + ++jobs), "hold", p.team(), Shape.SERVICE, Urgency.STANDARD, p.most(),
+                new Demand(0.01, 0, 0.1), p.image(), p.gb(), null, null, false, false, true, Span.ZERO, Span.ZERO, Span.ZERO, null)
+                .with(JobSpec.WARM, p.name()));
+    }
+
+    /** Replicas of a model that take whole machines. */
+    Job serve(String image, double gb, int replicas) {
+        return submit(new JobSpec(new JobId("run-" + ++jobs), "serve", "t", Shape.SERVICE, Urgency.PRODUCTION, replicas,
+                new Demand(8, 0, 8), image, gb, null, null, false, false, true, Span.ZERO, Span.ZERO, Span.ZERO, null));
+    }
+
+    /** A guest's array. */
+    Job array(String image, double gb, int tasks, double cores, int run) {
+        return submit(new JobSpec(new JobId("run-" + ++jobs), "guest", "g", Shape.ARRAY, Urgency.BEST_EFFORT, tasks,
+                new Demand(cores, 0, 1), image, gb, null, null, false, false, true, Span.seconds(run), Span.ZERO, Span.ZERO, null));
+    }
+
+    private Job submit(JobSpec spec) {
+        Job job = new Job(spec, at(now).ms(), at(now), new Stamp(jobs), new BitSet(), 0, false);
+        open.put(job.id(), job);
+        began.put(job.id(), new ArrayList<>());
+        core.addJob(job);
+        return job;
+    }
+
+    void cancel(Job job) {
+        open.remove(job.id());
+        core.cancelJob(job.id());
+    }
+
+    static Moment at(int step) {
+        return new Moment((BEGIN + step) * 1000L);
+    }
+
+    /** The leader ends; the next has the jobs, the machines that were recorded, and the sheets. */
+    void newLeader() {
+        core = new LeaderCore(new Token(++token), World.RULES, Steps.STANDARD, World.NO_AIMS, teams, this);
+        core.setTypes(List.of(type));
+        boxes.forEach((name, box) -> {
+            if (box.up <= now) {
+                core.inherit(new MachineId(name), box.pool, at(box.rented), at(box.rented), at(now));
+            }
+        });
+        open.replaceAll((id, job) -> new Job(job.spec(), job.submittedMs(), job.arrived, job.stamp(), job.doneTasks(),
+                job.boundToWrite(), true));
+        open.values().forEach(core::addJob);
+        core.loaded();
+        plan = new Plan(teams, () -> List.of(type), Steps.STANDARD.term(), Moment::ms, said::add);
+        meter = new Meter(Steps.STANDARD.leastPaid().ms());
+        core.keeping(plan);
+        plan.pools(pools.values(), n -> new Seen());
+        sheets.forEach((n, sheet) -> meter.recall(n, sheet, this::price));
+        plan.recall(meter.lines(), at(now));
+        // The list of the cloud, which also names machines that are booting.
+        core.onList(listed(), at(now), at(now));
+    }
+
+    private List<ListedMachine> listed() {
+        return new ArrayList<>(boxes.entrySet().stream().map(e -> new ListedMachine(new MachineId(e.getKey()), e.getValue().pool,
+                ListedMachine.Status.RUNNING, Span.seconds(now - e.getValue().rented))).toList());
+    }
+
+    private double price(Pool where) {
+        return where.spot() ? type.spotPrice() : type.price();
+    }
+
+    WarmSteps run(int steps) {
+        return run(steps, () -> { });
+    }
+
+    /** With a check of the test's after each step. */
+    WarmSteps run(int steps, Runnable check) {
+        for (int i = 0; i < steps; i++) {
+            step();
+            check.run();
+        }
+        return this;
+    }
+
+    private void step() {
+        core.expireLeases(at(now));
+        if (now % 2 == 0) {
+            tend();
+        }
+        for (Job job : core.boundsToRaise(at(now))) {
+            job.boundRecorded(job.boundToWrite());
+        }
+        int n = 0;
+        for (Map.Entry<String, Box> e : boxes.entrySet()) {
+            if (e.getValue().up <= now) {
+                work(e.getValue());
+                if (!e.getValue().pool.zone().equals(silent) && n++ % 2 == now % 2) {
+                    report(e.getKey(), e.getValue());
+                }
+            }
+        }
+        for (Iterator<Job> i = open.values().iterator(); i.hasNext();) {
+            Job job = i.next();
+            job.recorded(job.doneTasks());
+            if (job.isComplete()) {
+                core.closeJob(job.id());
+                i.remove();
+            }
+        }
+        look();
+        now++;
+    }
+
+    private void tend() {
+        for (RentWish wish : core.wishes(at(now))) {
+            asked.add(wish);
+            int got = (int) Math.min(wish.count(), capacity.get(wish.pool()) - boxes.values().stream()
+                    .filter(b -> b.pool.equals(wish.pool())).count());
+            if (got < wish.count()) {
+                core.refused(wish.pool(), at(now));
+            }
+            List<MachineId> ids = new ArrayList<>();
+            for (int i = 0; i < got; i++) {
+                ids.add(new MachineId(String.format("m%05d", ++names)));
+                boxes.put(ids.get(i).toString(), new Box(wish.pool(), now, now + (int) type.boot().seconds()));
+                rents++;
+            }
+            core.rented(wish.pool(), ids, at(now), at(now));
+        }
+        core.check(at(now));
+        List<MachineId> leaving = core.leaving(100);
+        leaving.forEach(id -> end(id.toString()));
+        core.returned(leaving, at(now));
+    }
+
+    /** The machine is gone. */
+    void end(String name) {
+        Box box = boxes.remove(name);
+        if (box != null) {
+            bill += price(box.pool) * Math.max(60, now - box.rented) / 3600;
+        }
+    }
+
+    /** What the cloud has charged by now. */
+    double charged() {
+        return bill + boxes.values().stream().mapToDouble(b -> price(b.pool) * (now - b.rented) / 3600).sum();
+    }
+
+    /** Spot machines of a pool are taken without notice: every second one. */
+    void wave() {
+        int n = 0;
+        for (String name : new ArrayList<>(boxes.keySet())) {
+            if (boxes.get(name).pool.spot() && n++ % 2 == 0) {
+                Pool where = boxes.get(name).pool;
+                end(name);
+                List<ListedMachine> list = listed();
+                list.add(new ListedMachine(new MachineId(name), where, ListedMachine.Status.FAILED, Span.ZERO));
+                core.onList(list, at(now), at(now));
+            }
+        }
+    }
+
+    private void work(Box box) {
+        if (box.fetching != null && now >= box.fetched) {
+            String image = box.fetching;
+            box.fetching = null;
+            double gb = box.tasks.values().stream().filter(t -> t.spec.image().equals(image)).findFirst().orElseThrow().spec.imageGb();
+            box.cache.put(image, gb);
+            for (Iterator<Map.Entry<String, Double>> i = box.cache.entrySet().iterator(); i.hasNext()
+                    && box.cache.values().stream().mapToDouble(d -> d).sum() > type.cacheGb();) {
+                if (!i.next().getKey().equals(image)) {
+                    i.remove();
+                }
+            }
+        }
+        for (Task t : box.tasks.values()) {
+            if (t.state == TaskState.FETCHING && box.cache.containsKey(t.spec.image())) {
+                t.state = TaskState.RUNNING;
+                t.ends = t.spec.isService() ? Integer.MAX_VALUE : now + (int) t.spec.estimate().seconds();
+                began.get(t.spec.id()).add(now);
+            } else if (t.state == TaskState.FETCHING && box.fetching == null) {
+                box.fetching = t.spec.image();
+                box.fetched = now + (int) Math.ceil(t.spec.imageGb() / type.fetchGbPerS());
+            } else if (t.state == TaskState.RUNNING && now >= t.ends) {
+                t.state = TaskState.EXITED;
+            }
+        }
+    }
+
+    private void report(String name, Box box) {
+        List<TaskReport> list = new ArrayList<>();
+        box.tasks.values().forEach(t -> list.add(t.state == TaskState.EXITED ? World.exited(t.start, ExitCause.DONE)
+                : new TaskReport(t.start.task(), t.start.attempt(), t.state, null, false)));
+        WorkerReport report = new WorkerReport(new MachineId(name), "10.0.0.1:1", box.pool, new ReportNumber(box.session, ++serial),
+                new Token(token), null, list);
+        List<Order> orders = new ArrayList<>(core.onReport(report, at(now)));
+        if (core.unrecorded(new MachineId(name)) != null) {
+            core.recorded(new MachineId(name));
+            orders.addAll(core.fill(new MachineId(name), report.number(), at(now)));
+        }
+        for (Order o : orders) {
+            if (o instanceof Order.Start s) {
+                Job job = open.get(o.task().job());
+                double used = box.tasks.values().stream().filter(t -> t.state != TaskState.EXITED)
+                        .mapToDouble(t -> t.spec.demand().cores()).sum();
+                if (used + job.spec().demand().cores() > type.capacity().cores() + 1e-6) {
+                    throw new AssertionError("no room on " + name + " for " + o.task());
+                }
+                Task task = new Task(s, job.spec());
+                box.tasks.put(o.task(), task);
+                Double held = box.cache.remove(job.spec().image());
+                if (held != null) {
+                    box.cache.put(job.spec().image(), held);
+                }
+            } else {
+                Task gone = box.tasks.remove(o.task());
+                if (gone != null && gone.spec.image().equals(box.fetching) && box.tasks.values().stream()
+                        .noneMatch(t -> t.spec.image().equals(gone.spec.image()))) {
+                    box.fetching = null;
+                }
+            }
+        }
+    }
+
+    private void look() {
+        List<Meter.Look> looks = new ArrayList<>();
+        for (Machine m : core.machines()) {
+            boolean in = m.seat() != null && !m.seat().isDropped();
+            looks.add(new Meter.Look(m.id(), m.pool(), m.rented().ms(), in ? new Account(m.seat().pool(), "t") : new Account("", ""),
+                    in ? m.seat().image() : "", in ? m.seat().gb() : 0,
+                    in && m.images().holds(m.seat().image()) ? m.session() : 0, m.coresByTeam(), 8, price(m.pool()),
+                    m.phase() == Machine.Phase.LEAVING));
+        }
+        meter.look(looks, at(now).ms());
+        for (int page : meter.behind(now % 20 == 0)) {
+            Sheet next = meter.next(page, sheets.getOrDefault(page, Sheet.EMPTY));
+            sheets.put(page, next);
+            meter.written(page, next);
+        }
+        for (Machine m : core.machines()) {
+            if (!meter.isRecordedInPool(m.id())) {
+                plan.released(m);
+            }
+        }
+        Map<String, Double> spent = new HashMap<>();
+        meter.sums().forEach((account, money) -> spent.merge(account.pool(), money, Double::sum));
+        spent.forEach(plan::spent);
+    }
+
+    /** What the leader claims of caches is so, and no machine is paid for by two. */
+    void truthful() {
+        for (Machine m : core.machines()) {
+            Box box = boxes.get(m.id().toString());
+            if (box != null && m.seat() != null && m.images().holds(m.seat().image())
+                    && !box.cache.containsKey(m.seat().image())) {
+                throw new AssertionError("at " + now + " " + m.id() + " is said to hold " + m.seat().image() + " and has "
+                        + box.cache.keySet());
+            }
+        }
+    }
+
+    long machines(String pool) {
+        return core.machines().stream().filter(m -> m.seat() != null && !m.seat().isDropped() && m.seat().pool().equals(pool)).count();
+    }
+
+    /** Machines that really have an image. */
+    long holding(String image) {
+        return boxes.values().stream().filter(b -> b.cache.containsKey(image)).count();
+    }
+
+    /** Seconds from {@code from} until each task began; those that never did are left out. */
+    List<Integer> waits(Job job, int from) {
+        return began.get(job.id()).stream().map(t -> t - from).sorted().toList();
+    }
+
+    List<RentWish> asked() {
+        return asked;
+    }
+
+    @Override
+    public void progress(Job job) {
+    }
+
+    @Override
+    public void say(String line) {
+    }
+}
--- /dev/null
+++ b/src/test/java/io/indigoreach/core/warm/CacheTest.java
@@ -0,0 +1,106 @@
+package io.indigoreach.core.warm;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+/** What a machine is said to hold, and how many machines a forecast asks for. */
+class CacheTest {
+    private final Cache cache = new Cache(100);
+
+    private void held(String image, double gb) {
+        cache.use(image, gb);
+        cache.ran(image);
+    }
+
+    @Test
+    void theLeastRecentlyUsedGoes() {
+        held("a", 40);
+        held("b", 40);
+        held("a", 40);
+        assertEquals(List.of("b"), cache.use("c", 30));
+        assertTrue(cache.holds("a") && cache.contains("c") && !cache.holds("c"));
+    }
+
+    @Test
+    void aFetchGivenUpLeavesNothing() {
+        cache.use("a", 40);
+        assertTrue(cache.givenUp("a"));
+        assertFalse(cache.contains("a"));
+        held("a", 40);
+        assertFalse(cache.givenUp("a"));
+    }
+
+    @Test
+    void aSessionsEndIsADoubtUntilAStart() {
+        held("a", 40);
+        cache.doubt();
+        assertTrue(cache.contains("a") && !cache.holds("a"));
+        cache.ran("a");
+        assertTrue(cache.holds("a"));
+    }
+
+    @Test
+    void whatAnEarlierLeaderRecordedStandsBehindWhatWasSeenSince() {
+        held("b", 40);
+        assertTrue(cache.recall("a", 60, true));
+        assertTrue(cache.holds("a"));
+        assertEquals(List.of("a"), cache.use("c", 10));
+        assertFalse(cache.recall("a", 60, true), "no room for it any more");
+        assertTrue(cache.recall("d", 40, false));
+        assertFalse(cache.holds("d"), "another session");
+    }
+
+    @Test
+    void guestsHaveTheRoomThatIsLeftSinceTheWeightsWereUsed() {
+        held("w", 70);
+        assertTrue(cache.hasRoomBeside("w", "g", 30));
+        assertFalse(cache.hasRoomBeside("w", "g", 31));
+        held("g", 20);
+        assertFalse(cache.hasRoomBeside("w", "h", 20));
+        assertTrue(cache.isCrowded("w"));
+        held("w", 70);
+        assertTrue(cache.hasRoomBeside("w", "h", 20) && !cache.isCrowded("w"));
+    }
+
+    /** Quantiles of the Poisson distribution by published tables. */
+    @ParameterizedTest
+    @CsvSource({"0, 0.95, 0", "1, 0.95, 3", "12, 0.95, 18", "12, 0.5, 12", "100, 0.99, 124", "10000, 0.95, 10165"})
+    void theNewsvendorsQuantile(double mean, double ratio, int expected) {
+        assertEquals(expected, Sizing.poisson(mean, ratio));
+    }
+
+    @Test
+    void lossesAreHeldBeside() {
+        assertEquals(10, Sizing.withLosses(10, 0, io.indigoreach.core.Span.seconds(120)));
+        assertEquals(11, Sizing.withLosses(10, 1, io.indigoreach.core.Span.seconds(120)));
+        assertEquals(20, Sizing.withLosses(10, 1000, io.indigoreach.core.Span.seconds(120)), "at most as many again");
+    }
+
+    @Test
+    void burstsAreLearnedByTheTimeOfDay() {
+        Seen seen = new Seen();
+        long day = 24 * 3_600_000L;
+        for (int d = 0; d < 5; d++) {
+            for (long at = 0; at < day; at += 600_000) {
+                seen.observe(d * day + at, at / 3_600_000 == 9 ? 10 + d : 1);
+            }
+        }
+        Seen recorded = Seen.of(seen.recorded());
+        long nine = 5 * day + 9 * 3_600_000L;
+        assertEquals(14, recorded.expected(nine - 60_000, io.indigoreach.core.Span.seconds(120), 0.95));
+        assertEquals(12, recorded.expected(nine, io.indigoreach.core.Span.seconds(120), 0.5));
+        assertEquals(1, recorded.expected(nine - 7_200_000, io.indigoreach.core.Span.seconds(120), 0.95));
+    }
+
+    @ParameterizedTest
+    @CsvSource({"480, 540, 470, 10", "480, 540, 500, 0", "480, 540, 540, 1380", "1380, 60, 30, 0", "1380, 60, 60, 1320", "5, 5, 900, 0"})
+    void windowsGoOverMidnight(int from, int to, int atMinute, int minutes) {
+        assertEquals(minutes * 60_000L, new Window(from, to, 1).untilOpen(atMinute * 60_000L).ms());
+    }
+}
--- a/src/test/java/io/indigoreach/emulator/LocalCluster.java
+++ b/src/test/java/io/indigoreach/emulator/LocalCluster.java
@@ -61,6 +61,8 @@
     private final List<Node> nodes = new ArrayList<>();
     private final List<Vertx> runtimes = new ArrayList<>();
     private Users users;
+    /** The operators' settings of every controller. */
+    Settings settings = Settings.standard();
 
     LocalCluster(int controllers, String faults) throws Exception {
         scenario = TextForm.parse("test", SCENARIO.formatted(controllers, faults), Scenario.class);
@@ -86,7 +88,7 @@
         history.add(new Event.Process(clock.now(), config.node(), true));
         runtime.runOnContext(v -> {
             try {
-                Node node = new Node(runtime, config, Settings.standard());
+                Node node = new Node(runtime, config, settings);
                 nodes.add(node);
                 runtimes.add(runtime);
                 node.start().onComplete(port);
--- a/src/test/java/io/indigoreach/tools/ToolTest.java
+++ b/src/test/java/io/indigoreach/tools/ToolTest.java
@@ -40,7 +40,7 @@
     @ParameterizedTest
     @CsvSource({"'', 2, a verb is missing", "fly, 2, Unmatched argument", "status, 2, Missing required parameter",
         "status 412, 2, not a job's id: 412", "serve, 2, Missing required option: '--config=FILE'",
-        "check, 2, nothing to check", "check --settings /nowhere/x, 1, /nowhere/x: cannot be read",
+        "check, 2, nothing to check", "pools, 2, a verb is missing", "pools set /nowhere/x, 1, /nowhere/x: cannot be read", "check --settings /nowhere/x, 1, /nowhere/x: cannot be read",
         "emulate /nowhere/x, 1, /nowhere/x: cannot be read", "submit --cluster /nowhere/x examples/jobs/gateway.textproto, 1,"
         + " /nowhere/x: cannot be read", "emulate --port x examples/emulate.textproto, 2, Invalid value for option '--port'"})
     void saysWhatIsWrong(String line, int code, String what) {
@@ -63,7 +63,7 @@
     @Test
     void helpsAndCompletes() {
         for (String verb : new String[] {"demo", "serve", "check", "emulate", "experiment", "submit", "status", "cancel",
-            "jobs", "machines", "watch", "measure"}) {
+            "jobs", "machines", "watch", "measure", "pools"}) {
             Told told = tell(verb, "--help");
             assertEquals(0, told.code);
             assertTrue(told.out.startsWith("Usage: indigoreach " + verb), told.out);
@@ -72,6 +72,8 @@
         assertTrue(help.out.contains("Exit codes:") && help.out.contains("3   a rule was broken"), help.out);
         assertTrue(tell("generate-completion").out.contains("complete -F _complete_indigoreach"));
         assertTrue(tell("check", "--list", "job").out.contains("job_class"));
+        assertTrue(tell("check", "--list", "pool").out.contains("zone_part"));
+        assertEquals("ok\n", tell("check", "--job", "examples/pools/holder.textproto").out);
         assertEquals("ok\n", tell("check", "--job", "examples/jobs/gateway.textproto").out);
     }
 }
