--- a/src/main/java/io/indigoreach/core/warm/Plan.java
+++ b/src/main/java/io/indigoreach/core/warm/Plan.java
@@ -36,6 +36,8 @@
 public final class Plan implements Keeper {
     /** Machines of a pool that are asked for, or begin to fetch, at a check. */
     private static final int AT_ONCE = 50;
+    /** What that takes for each {@link #AT_ONCE}: a check to rent, and one to offer the fetch. */
+    private static final Span SPREAD = Span.seconds(4);
     /** A machine not up after so many boot times is no longer counted on. */
     private static final double BOOT_PATIENCE = 2;
     /** For so long a request to rent is waited for; {@link #ANSWERED}: what it brought after its answer. */
@@ -52,7 +54,7 @@
     private static final Span YIELDED = Span.seconds(30);
     private static final Span HALF_HOUR = Span.seconds(1800);
 
-    private record Asked(int count, Moment until) {
+    private record Asked(int count, Moment since, Moment until) {
     }
 
     private static final class State {
@@ -71,7 +73,8 @@
         final Set<MachineId> had = new HashSet<>();
         /** Of its holders, those that are open, by image. */
         Map<String, Job> holders = Map.of();
-        List<Machine> live = List.of();
+        final List<Machine> live = new ArrayList<>();
+        final Map<String, Integer> zones = new HashMap<>();
         int demand;
         String said = "";
 
@@ -84,7 +87,18 @@
         }
 
         int zone(String name) {
-            return (int) live.stream().filter(m -> m.pool().zone().equals(name)).count();
+            return zones.getOrDefault(name, 0);
+        }
+
+        void join(Machine m) {
+            live.add(m);
+            zones.merge(m.pool().zone(), 1, Integer::sum);
+        }
+
+        void leave(Machine m) {
+            if (live.remove(m)) {
+                zones.merge(m.pool().zone(), -1, Integer::sum);
+            }
         }
 
         int asked() {
@@ -104,8 +118,11 @@
     private final Map<String, State> states = new TreeMap<>();
     /** Lines of an earlier leader for machines that have not reported to this one. */
     private final Map<MachineId, Line> recalled = new HashMap<>();
+    /** Machines that left a pool, and whose holder has not yet. */
+    private final Set<MachineId> letGo = new HashSet<>();
     private final Map<Pool, Moment> refusedUntil = new HashMap<>();
-    private List<RentWish> wishes = List.of();
+    /** Who has the least of what it wants is first. */
+    private List<State> fair = List.of();
     private Moment knownSince;
     private Moment planned;
 
@@ -158,6 +175,7 @@
     /** The record does not name this machine any more: another leader would not claim its image. */
     public void released(Machine m) {
         if (m.seat() != null && m.seat().isDropped()) {
+            letGo.add(m.id());
             m.seat(null);
         }
     }
@@ -166,7 +184,7 @@
     public void yield(Machine m, Moment now) {
         State s = states.get(m.seat().pool());
         m.seat().drop();
-        s.live.remove(m);
+        s.leave(m);
         s.yielded = now;
     }
 
@@ -174,7 +192,7 @@
     public void refused(Pool pool) {
         if (planned != null) {
             refusedUntil.put(pool, planned.plus(ANSWERED.times(2)));
-            states.values().forEach(s -> s.asked.computeIfPresent(pool, (p, a) -> new Asked(a.count, planned.plus(ANSWERED))));
+            states.values().forEach(s -> s.asked.computeIfPresent(pool, (p, a) -> new Asked(a.count, a.since, planned.plus(ANSWERED))));
         }
     }
 
@@ -191,8 +209,10 @@
 
     @Override
     public List<RentWish> wishes(Moment now) {
-        List<RentWish> out = wishes;
-        wishes = List.of();
+        List<RentWish> out = new ArrayList<>();
+        if (planned != null && now.since(knownSince).compareTo(FIRST) >= 0) {
+            fair.forEach(s -> rent(s, out, now));
+        }
         return out;
     }
 
@@ -203,7 +223,7 @@
         }
         recallSeats(machines);
         count(machines, jobs, now);
-        List<State> fair = new ArrayList<>(states.values());
+        fair = new ArrayList<>(states.values());
         for (State s : fair) {
             size(s, now);
             shrink(s, termEnds);
@@ -218,7 +238,6 @@
                 more |= take(s, takeable, termEnds, now);
             }
         }
-        rent(fair, now);
         fair.forEach(s -> seatHolders(s, now));
         planned = now;
     }
@@ -227,10 +246,13 @@
         for (Machine m : machines) {
             Line line = recalled.get(m.id());
             Job sits = m.holderJob();
+            if (sits == null) {
+                letGo.remove(m.id());
+            }
             State s = states.get(line != null ? line.payer().pool() : sits == null ? "" : poolOf(sits));
             if (m.seat() == null && s != null && line != null) {
                 m.seat(new Seat(s.spec.name(), line.image(), line.gb(), s.spec.replica()));
-            } else if (m.seat() == null && s != null && m.session() > 0) {
+            } else if (m.seat() == null && s != null && m.session() > 0 && !letGo.contains(m.id())) {
                 // Its line was lost, or never written: a holder shows whose it is.
                 m.seat(new Seat(s.spec.name(), sits.spec().image(), sits.spec().imageGb(), s.spec.replica()));
             }
@@ -254,7 +276,8 @@
     private void count(Collection<Machine> machines, Collection<Job> jobs, Moment now) {
         for (State s : states.values()) {
             s.holders = new HashMap<>();
-            s.live = new ArrayList<>();
+            s.live.clear();
+            s.zones.clear();
             s.demand = 0;
             s.asked.values().removeIf(a -> !now.isBefore(a.until));
         }
@@ -271,10 +294,11 @@
         for (Machine m : machines) {
             there.add(m.id());
             if (m.seat() != null && !m.seat().isDropped() && isLive(m, now)) {
-                states.get(m.seat().pool()).live.add(m);
+                states.get(m.seat().pool()).join(m);
             }
         }
         double hours = planned == null ? 0 : now.since(planned).seconds() / 3600;
+        letGo.retainAll(there);
         for (State s : states.values()) {
             double fades = Math.pow(0.5, hours / LOSSES_HALVE_H);
             long gone = s.had.stream().filter(id -> !there.contains(id)).count();
@@ -302,7 +326,7 @@
             return;
         }
         long at = timeOfDay.applyAsLong(now);
-        Span lead = Sizing.lead(type, p.gb(), false).plus(Span.seconds(p.most() / (double) AT_ONCE));
+        Span lead = Sizing.lead(type, p.gb(), false).plus(SPREAD.times(p.most() / (double) AT_ONCE));
         double expected = p.windows().stream().filter(w -> w.opensWithin(at, lead)).mapToDouble(Window::replicas).max().orElse(0);
         int replicas = Math.max(Sizing.poisson(expected, p.wanted()), p.learned() ? s.seen.expected(at, lead, p.wanted()) : 0);
         int need = Sizing.machines(replicas, p.replica().timesIn(type.capacity()));
@@ -366,7 +390,7 @@
             if ((m.isIdle() || s.target == 0) && (mayRoll || excess > 0 && termEnds.test(m) && !(old && holds && ready <= s.spec.least()
                     && s.target > 0))) {
                 m.seat().drop();
-                s.live.remove(m);
+                s.leave(m);
                 excess--;
                 ready -= holds ? 1 : 0;
                 under++;
@@ -384,15 +408,17 @@
                 continue;
             }
             Asked asked = s.asked.get(m.pool());
-            boolean booting = m.phase() == Machine.Phase.BOOTING;
-            boolean inherits = now.since(knownSince).compareTo(INHERITS) < 0;
+            // Where it boots within seconds it may be up by now.
+            boolean free = m.phase() == Machine.Phase.BOOTING || m.isUsable() && m.isIdle();
+            boolean inherits = now.since(knownSince).compareTo(INHERITS) < 0 && m.rented().isAfter(knownSince.minus(ASKED));
+            boolean ordered = asked != null && asked.count > 0 && !m.rented().isBefore(asked.since);
             boolean ends = now.since(s.yielded).compareTo(YIELDED) >= 0 && m.isUsable() && m.isIdle() && (m.images().holds(s.spec.image()) || termEnds.test(m));
-            if (booting && (asked != null && asked.count > 0 || inherits) || ends) {
-                if (booting && asked != null) {
-                    s.asked.put(m.pool(), new Asked(asked.count - 1, asked.until));
+            if (free && (ordered || inherits) || ends) {
+                if (free && ordered) {
+                    s.asked.put(m.pool(), new Asked(asked.count - 1, asked.since, asked.until));
                 }
                 m.seat(new Seat(s.spec));
-                s.live.add(m);
+                s.join(m);
                 return true;
             }
         }
@@ -409,24 +435,17 @@
                 ? Math.min(s.target - s.fresh(), s.target + surge(s) - s.live.size()) : 0;
     }
 
-    private void rent(List<State> fair, Moment now) {
-        List<RentWish> out = new ArrayList<>();
-        if (now.since(knownSince).compareTo(FIRST) >= 0) {
-            for (State s : fair) {
-                int left = Math.min(AT_ONCE, missing(s) - s.asked());
-                while (left > 0) {
-                    Pool from = fewest(s, out, now);
-                    if (from == null) {
-                        break;
-                    }
-                    int n = Math.min(left, most(s) - s.zone(from.zone()));
-                    out.add(new RentWish(from, n));
-                    s.asked.put(from, new Asked(n, now.plus(ASKED)));
-                    left -= n;
-                }
+    private void rent(State s, List<RentWish> out, Moment now) {
+        for (int left = Math.min(AT_ONCE, missing(s) - s.asked()); left > 0;) {
+            Pool from = fewest(s, out, now);
+            if (from == null) {
+                return;
             }
+            int n = Math.min(left, most(s) - s.zone(from.zone()));
+            out.add(new RentWish(from, n));
+            s.asked.put(from, new Asked(n, now, now.plus(ASKED)));
+            left -= n;
         }
-        wishes = out;
     }
 
     /** Where to rent: the zone with the fewest, of those with room by the spread that do not refuse. */
@@ -451,16 +470,16 @@
         boolean unknown = s.spec.learned() && s.seen.expected(at, HALF_HOUR, s.spec.wanted()) > 0;
         Span guest = unknown ? Span.ZERO
                 : s.spec.windows().stream().map(w -> w.untilOpen(at)).min(Span::compareTo).orElse(Span.ZERO);
-        long fetching = s.live.stream().filter(m -> m.images().isComing(m.seat().image())).count();
+        int offered = 0;
         for (Machine m : s.live) {
             Seat seat = m.seat();
             seat.longestGuest(guest);
             boolean begins = !m.hasHolder() && !m.images().contains(seat.image());
-            if (begins && fetching >= AT_ONCE) {
+            if (begins && offered >= AT_ONCE) {
                 seat.holder(null);
             } else {
                 seat.holder(s.holders.get(seat.image()));
-                fetching += begins && m.isUsable() ? 1 : 0;
+                offered += begins && m.isUsable() ? 1 : 0;
             }
         }
     }
--- a/src/main/java/io/indigoreach/warm/WarmReign.java
+++ b/src/main/java/io/indigoreach/warm/WarmReign.java
@@ -35,10 +35,10 @@
     private static final Logger LOG = LoggerFactory.getLogger(WarmReign.class);
     private static final Span PERIOD = Span.seconds(1);
     private static final Span POOLS_EVERY = Span.seconds(5);
-    private static final Span TOLD_EVERY = Span.seconds(5);
+    private static final Span TOLD_EVERY = Span.seconds(2);
     private static final Span PRICES_EVERY = Span.seconds(20);
     /** Money is moved into the sums this often; what a machine is kept for is written as it changes. */
-    private static final Span MONEY_EVERY = Span.seconds(20);
+    private static final Span MONEY_EVERY = Span.seconds(10);
 
     private final Parts.Ground ground;
     private final LeaderCore core;
@@ -52,6 +52,8 @@
     private final Deque<Integer> pages = new ArrayDeque<>();
     private List<PoolSpec> pools = List.of();
     private boolean loaded;
+    /** From when on hits and misses are counted. */
+    private long sinceMs;
     private Moment poolsRead = Moment.NEVER;
     private Moment toldAt = Moment.NEVER;
     private Moment pricesAsked = Moment.NEVER;
@@ -105,6 +107,7 @@
             }
             plan.recall(meter.lines(), ground.clock().now());
             loaded = true;
+            sinceMs = ground.clock().timeOfDay();
             LOG.info("pools: {}; {} machines in the accounts", pools.size(), meter.lines().size());
             return null;
         }));
@@ -199,6 +202,12 @@
         }
     }
 
+    private Map<String, Object> told(Told t) {
+        Map<String, Object> value = PoolCodec.write(t);
+        value.put("since", sinceMs);
+        return value;
+    }
+
     private Future<Void> tell(Moment now) {
         if (now.since(toldAt).compareTo(TOLD_EVERY) < 0) {
             return Future.succeededFuture();
@@ -206,7 +215,7 @@
         for (Told t : plan.told()) {
             if (!t.equals(told.get(t.pool()))) {
                 toldAt = now;
-                return records.run(PoolRoutines.replace(PoolRecords.TOLD + t.pool(), read -> PoolCodec.write(t),
+                return records.run(PoolRoutines.replace(PoolRecords.TOLD + t.pool(), read -> told(t),
                         written -> told.put(t.pool(), t))).mapEmpty();
             }
         }
