--- a/src/main/java/io/indigoreach/core/ReleaseCheck.java
+++ b/src/main/java/io/indigoreach/core/ReleaseCheck.java
@@ -70,7 +70,8 @@
                 if (!settled) {
                     return null;
                 }
-                return termEnds(m, now) && !cluster.keeper.keeps(m) && !dispatcher.isWanted(m, now) ? "idle at the end of its term" : null;
+                return termEnds(m, now) && !cluster.keeper.keeps(m)
+                        && !dispatcher.isWanted(m, now) ? "idle at the end of its term" : null;
         }
     }
 
--- a/src/main/java/io/indigoreach/core/warm/Plan.java
+++ b/src/main/java/io/indigoreach/core/warm/Plan.java
@@ -30,8 +30,8 @@
  * Which machines the pools keep: how many each wants, which it takes, rents and lets go. One leader's; what a later one must
  * know stands in the machines' lines ({@link Line}), the rest it counts anew.
  *
- * <p>A pool grows at once and shrinks by whole paid terms: a machine is let go where its term ends, after the wish was lower for two
- * terms, as letting go and renting again costs a boot, a fetch and the least that is paid.
+ * <p>A pool grows at once and shrinks by whole paid terms: a machine is let go where its term ends, after the wish was
+ * lower for two terms, as letting go and renting again costs a boot, a fetch and the least that is paid.
  */
 public final class Plan implements Keeper {
     /** Machines of a pool that are asked for, or begin to fetch, at a check. */
@@ -192,7 +192,8 @@
     public void refused(Pool pool) {
         if (planned != null) {
             refusedUntil.put(pool, planned.plus(ANSWERED.times(2)));
-            states.values().forEach(s -> s.asked.computeIfPresent(pool, (p, a) -> new Asked(a.count, a.since, planned.plus(ANSWERED))));
+            Moment until = planned.plus(ANSWERED);
+            states.values().forEach(s -> s.asked.computeIfPresent(pool, (p, a) -> new Asked(a.count, a.since, until)));
         }
     }
 
@@ -387,8 +388,9 @@
             boolean holds = m.images().holds(m.seat().image());
             boolean old = rolls && !m.seat().image().equals(s.spec.image());
             boolean mayRoll = old && under < surge && (!holds || ready > Math.min(s.spec.least(), s.target));
-            if ((m.isIdle() || s.target == 0) && (mayRoll || excess > 0 && termEnds.test(m) && !(old && holds && ready <= s.spec.least()
-                    && s.target > 0))) {
+            boolean neededStill = old && holds && ready <= s.spec.least() && s.target > 0;
+            boolean isTooMuch = excess > 0 && termEnds.test(m) && !neededStill;
+            if ((m.isIdle() || s.target == 0) && (mayRoll || isTooMuch)) {
                 m.seat().drop();
                 s.leave(m);
                 excess--;
@@ -411,11 +413,12 @@
             // Where it boots within seconds it may be up by now.
             boolean free = m.phase() == Machine.Phase.BOOTING || m.isUsable() && m.isIdle();
             boolean inherits = now.since(knownSince).compareTo(INHERITS) < 0 && m.rented().isAfter(knownSince.minus(ASKED));
-            boolean ordered = asked != null && asked.count > 0 && !m.rented().isBefore(asked.since);
-            boolean ends = now.since(s.yielded).compareTo(YIELDED) >= 0 && m.isUsable() && m.isIdle() && (m.images().holds(s.spec.image()) || termEnds.test(m));
+            boolean ordered = asked != null && !m.rented().isBefore(asked.since);
+            boolean ends = now.since(s.yielded).compareTo(YIELDED) >= 0 && m.isUsable() && m.isIdle()
+                    && (m.images().holds(s.spec.image()) || termEnds.test(m));
             if (free && (ordered || inherits) || ends) {
                 if (free && ordered) {
-                    s.asked.put(m.pool(), new Asked(asked.count - 1, asked.since, asked.until));
+                    s.asked.computeIfPresent(m.pool(), (p, a) -> a.count <= 1 ? null : new Asked(a.count - 1, a.since, a.until));
                 }
                 m.seat(new Seat(s.spec));
                 s.join(m);
--- a/src/main/java/io/indigoreach/tools/PoolFile.java
+++ b/src/main/java/io/indigoreach/tools/PoolFile.java
@@ -35,7 +35,7 @@
         List<Object> windows = new ArrayList<>();
         window.forEach(w -> windows.add(List.of(w.from, w.to, w.replicas)));
         return Wire.map("team", team, "image", image, "gb", imageGb, "cores", cores, "gpus", gpus, "ram_gb", ramGb, "types",
-                machineType, "zones", zone, "zone_part", zonePart, "least", least, "most", most, "wanted", wanted, "windows", windows,
-                "learned", learned, "budget", budget, "spot", spot);
+                machineType, "zones", zone, "zone_part", zonePart, "least", least, "most", most, "wanted", wanted,
+                "windows", windows, "learned", learned, "budget", budget, "spot", spot);
     }
 }
--- a/src/main/java/io/indigoreach/tools/PoolsVerb.java
+++ b/src/main/java/io/indigoreach/tools/PoolsVerb.java
@@ -38,7 +38,8 @@
             if (r.isOk()) {
                 return r.body();
             }
-            String against = r.body().has("against") ? "; it is: " + new JsonObject(r.body().child("against").map()).encode() : "";
+            String against = r.body().has("against") ? "; it is: "
+                    + new JsonObject(r.body().child("against").map()).encode() : "";
             throw new Failure(Tool.WRONG, "refused: " + r.status() + " " + r.body().optionalText("error") + against);
         }
     }
@@ -112,8 +113,8 @@
             }
             Fields s = f.child("stands");
             System.out.println("wanted     " + s.whole("target", 0) + " machines: " + s.text("why"));
-            System.out.println("has        " + s.whole("machines", 0) + ", of which " + s.whole("ready", 0) + " hold "
-                    + f.text("image") + " and " + s.whole("coming", 0) + " boot or fetch it");
+            System.out.println("has        " + s.whole("machines", 0) + ", of which " + s.whole("ready", 0)
+                    + " hold " + f.text("image") + " and " + s.whole("coming", 0) + " boot or fetch it");
             System.out.println("started    " + s.whole("hits", 0) + " replicas where it was held, " + s.whole("misses", 0)
                     + " where it was not, since the last change of leader");
             return Tool.DONE;
@@ -121,8 +122,8 @@
     }
 
     /** Tells who pays. */
-    @Command(name = "pay", mixinStandardHelpOptions = true, description = {"Tells what machines have cost so far, by pool and team;",
-        "without a pool: those rented for the queue; without a team: idle ones of those."})
+    @Command(name = "pay", mixinStandardHelpOptions = true, description = {
+        "Tells what machines have cost so far, by pool and team;", "without a pool: those rented for the queue; without a team: idle ones of those."})
     static final class Pay implements Callable<Integer> {
         @Mixin
         private Cluster.Choice cluster;
--- a/src/main/java/io/indigoreach/warm/PoolCodec.java
+++ b/src/main/java/io/indigoreach/warm/PoolCodec.java
@@ -96,7 +96,8 @@
     static Map<String, Object> write(Sheet sheet) {
         List<Object> lines = new ArrayList<>();
         sheet.lines().values().forEach(l -> lines.add(List.of(l.machine().text(), l.where().type(), l.where().zone(),
-                l.where().spot(), l.begunMs(), l.paidToMs(), l.payer().pool(), l.payer().team(), l.image(), l.gb(), l.session())));
+                l.where().spot(), l.begunMs(), l.paidToMs(), l.payer().pool(), l.payer().team(), l.image(), l.gb(),
+                l.session())));
         return Wire.map("lines", lines, "sums", writeSums(sheet.sums()));
     }
 
@@ -111,9 +112,9 @@
         Map<MachineId, Line> lines = new LinkedHashMap<>();
         for (List<?> l : f.lists("lines")) {
             MachineId id = new MachineId((String) l.get(0));
-            lines.put(id, new Line(id, new Pool((String) l.get(1), (String) l.get(2), (Boolean) l.get(3)), whole(l, 4), whole(l, 5),
-                    new Account((String) l.get(6), (String) l.get(7)), (String) l.get(8), ((Number) l.get(9)).doubleValue(),
-                    whole(l, 10)));
+            lines.put(id, new Line(id, new Pool((String) l.get(1), (String) l.get(2), (Boolean) l.get(3)), whole(l, 4),
+                    whole(l, 5), new Account((String) l.get(6), (String) l.get(7)), (String) l.get(8),
+                    ((Number) l.get(9)).doubleValue(), whole(l, 10)));
         }
         return new Sheet(lines, readSums(f));
     }
--- a/src/main/java/io/indigoreach/warm/PoolsResource.java
+++ b/src/main/java/io/indigoreach/warm/PoolsResource.java
@@ -57,8 +57,8 @@
                     more |= pools.size() >= LISTED;
                     if (pools.size() < LISTED) {
                         PoolSpec p = PoolCodec.read(name, new Fields(k.value()));
-                        pools.add(Wire.map("name", name, "team", p.team(), "image", p.image(), "least", p.least(), "most", p.most(),
-                                "version", k.version()));
+                        pools.add(Wire.map("name", name, "team", p.team(), "image", p.image(), "least", p.least(),
+                                "most", p.most(), "version", k.version()));
                     }
                 }
             }
--- a/src/main/java/io/indigoreach/warm/WarmReign.java
+++ b/src/main/java/io/indigoreach/warm/WarmReign.java
@@ -64,8 +64,8 @@
         this.core = core;
         this.records = records;
         this.moneyAt = ground.clock().now();
-        this.plan = new Plan(ground.config().teams(), ground.catalogue()::types, ground.settings().tuning().term(), this::timeOfDay,
-                LOG::info);
+        this.plan = new Plan(ground.config().teams(), ground.catalogue()::types, ground.settings().tuning().term(),
+                this::timeOfDay, LOG::info);
         this.meter = new Meter(ground.settings().tuning().leastPaid().ms());
         this.duty = new Duty(ground.vertx(), "pools", PERIOD, this::step);
         core.keeping(plan);
@@ -121,7 +121,9 @@
             List<PoolSpec> read = all.stream().map(k -> PoolCodec.read(k.key().substring(PoolRecords.POOLS.length()),
                     new Fields(k.value()))).toList();
             boolean isNew = read.size() > pools.size();
-            return (isNew ? records.run(PoolRoutines.all(PoolRecords.SEEN)) : Future.succeededFuture(List.<Kept>of())).map(seen -> {
+            Future<List<Kept>> earlier = isNew ? records.run(PoolRoutines.all(PoolRecords.SEEN))
+                    : Future.succeededFuture(List.of());
+            return earlier.map(seen -> {
                 Map<String, Seen> known = new HashMap<>();
                 seen.forEach(k -> known.put(k.key().substring(PoolRecords.SEEN.length()), PoolCodec.readSeen(k.value())));
                 pools = read;
@@ -153,8 +155,8 @@
             Seat seat = m.seat() == null || m.seat().isDropped() ? null : m.seat();
             Account payer = seat == null ? new Account("", "") : new Account(seat.pool(), teams.getOrDefault(seat.pool(), ""));
             looks.add(new Meter.Look(m.id(), m.pool(), timeOfDay(m.rented()), payer, seat == null ? "" : seat.image(),
-                    seat == null ? 0 : seat.gb(), seat != null && m.images().holds(seat.image()) ? m.session() : 0, m.coresByTeam(),
-                    m.type().capacity().cores(), perHour(m.pool()), m.phase() == Machine.Phase.LEAVING));
+                    seat == null ? 0 : seat.gb(), seat != null && m.images().holds(seat.image()) ? m.session() : 0,
+                    m.coresByTeam(), m.type().capacity().cores(), perHour(m.pool()), m.phase() == Machine.Phase.LEAVING));
         }
         meter.look(looks, timeOfDay(now));
         Map<String, Double> spent = new HashMap<>();
--- a/src/test/java/io/indigoreach/core/WarmPoolTest.java
+++ b/src/test/java/io/indigoreach/core/WarmPoolTest.java
@@ -254,6 +254,23 @@
         assertEquals(2, w.boxes.size());
     }
 
+    /** A later leader believes the record: a machine's guard stays until the record does not name it. */
+    @Test
+    void whatAPoolLetsGoIsGuardedUntilTheRecordSaysSo() {
+        WarmSteps w = new WarmSteps(60, 8);
+        w.keep(WarmSteps.pool("p", MODEL, 40, 6, 6));
+        w.run(WARM + 20);
+        w.keep(WarmSteps.pool("p", "weights-2", 40, 6, 6));
+        w.writesEvery = 100_000;
+        JobSpec other = w.array("other", 50, 1, 8, 1).spec();
+        w.run(WARM + 40, w::truthful);
+        Machine dropped = w.core.machines().stream().filter(m -> m.seat() != null && m.seat().isDropped()).findFirst().orElseThrow();
+        assertTrue(dropped.isOfKind(other) && !dropped.allows(other));
+        w.writesEvery = 1;
+        w.run(1);
+        assertTrue(dropped.allows(other));
+    }
+
     /** Seeded runs with leaders that end, guests, waves, sessions that end and sheets that are lost. */
     @ParameterizedTest
     @ValueSource(longs = {1, 2, 3, 4, 5, 6})
