The largest jobs begin, jobs without an aim have a corner; nodes that start without a leader settle it before they listen

Cause: behind a flood jobs that nobody said a time for began when it was over (array of 6,000 tasks 409 s, others 445 s in the median, 9 of 19 over), owners' jobs late in the queue too; after three controllers ended at once the next led 2.9 to 3.3 s after listening, as 450 workers asked each of them for a leader, and 523 to 934 tasks were killed by their leases. Change: one task of each job that has waited 120 s goes first, in the order of arrival, on at most a quarter of the cores in use; whole machines, an eighth, serve jobs without an aim first (core.Corner); a node that starts where nobody leads opens its listener once somebody does, 3 s at most.

--- a/src/main/java/io/indigoreach/cluster/Controller.java
+++ b/src/main/java/io/indigoreach/cluster/Controller.java
@@ -17,6 +17,7 @@
 import java.util.List;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Function;
 import java.util.function.Supplier;
 import java.util.stream.Stream;
 
@@ -102,19 +103,23 @@
         return leadership.pledge();
     }
 
-    /** Removes what a predecessor of this process left behind; true if it led. Never fails. */
-    public Future<Boolean> clear() {
-        return leadership.clear();
+    /** Removes what a predecessor of this process left behind; true if nobody leads any more. Never fails. */
+    public Future<Boolean> clear(Function<String, Future<Boolean>> leads) {
+        return leadership.clear(leads);
     }
 
     /**
-     * Somebody leads, or it has taken too long. Where all nodes have ended, hundreds of workers look for a leader at each as
-     * soon as it listens, and none came to take the leadership for 4 s.
+     * Somebody has begun to lead, or it has taken too long. Where all nodes have ended, hundreds of workers look for a leader at
+     * each as soon as it listens: the three nodes of 450 machines came to take the leadership only 2.9 to 3.3 s after that.
      */
     Future<Void> settled(Moment until) {
-        return leadership.isLeading() || leadership.leader() != null || !env.clock().now().isBefore(until)
-                ? Future.succeededFuture()
-                : env.vertx().timer(50, TimeUnit.MILLISECONDS).compose(t -> settled(until));
+        return settled(leadership.key(), until);
+    }
+
+    private Future<Void> settled(Stamp left, Moment until) {
+        boolean begun = leadership.leader() != null && !leadership.key().equals(left);
+        return leadership.isLeading() || begun || !env.clock().now().isBefore(until) ? Future.succeededFuture()
+                : env.vertx().timer(50, TimeUnit.MILLISECONDS).compose(t -> settled(left, until));
     }
 
     public void start() {
--- a/src/main/java/io/indigoreach/cluster/Node.java
+++ b/src/main/java/io/indigoreach/cluster/Node.java
@@ -23,7 +23,7 @@
     /** Part of the state service's requests that all nodes together spend on users' questions. */
     private static final double QUESTIONS = 0.5;
 
-    /** The longest that a node whose predecessor led does not listen, until it is known who leads. */
+    /** The longest that a node which starts while nobody leads does not listen, until it is known who does. */
     private static final Span UNHEARD = Span.seconds(3);
 
     private final Vertx own = Loop.vertx();
@@ -57,8 +57,8 @@
 
     /** Starts serving; the result is the port. */
     public Future<Integer> start() {
-        return controller.clear().compose(led -> {
-            if (!led) {
+        return controller.clear(standing::leads).compose(leaderless -> {
+            if (!leaderless) {
                 return door.open().map(port -> {
                     lead();
                     return port;
--- a/src/main/java/io/indigoreach/cluster/Standing.java
+++ b/src/main/java/io/indigoreach/cluster/Standing.java
@@ -224,6 +224,16 @@
         return ask("leads", true).map(answers -> !answers.contains(true));
     }
 
+    /** Whether another node says that it leads; false if it does not answer. */
+    Future<Boolean> leads(String node) {
+        for (int n = 0; n < peers.size(); n++) {
+            if (config.peers().get(n).node().equals(node)) {
+                return peers.get(n).get(PATH, PERIOD).map(r -> r.isOk() && r.body().flag("leads", false)).otherwise(false);
+            }
+        }
+        return Future.succeededFuture(false);
+    }
+
     /** What every other node says of itself; {@code unheard} for one that does not answer. */
     private Future<List<Boolean>> ask(String what, boolean unheard) {
         List<Future<Boolean>> answers = new ArrayList<>();
--- a/src/main/java/io/indigoreach/core/Aims.java
+++ b/src/main/java/io/indigoreach/core/Aims.java
@@ -11,8 +11,12 @@
     public record Aim(String jobClass, boolean start, Span within) {
     }
 
-    /** A job without an aim, or past all of them, counts as expected this long after its arrival. */
+    /** A job past all its aims counts as expected this long after its arrival. */
     private static final Span SOMETIME = Span.seconds(600);
+    /** One without any is served by then: with 600 s less than half of such a class was over at the end of a full day. */
+    private static final Span WITHOUT = Span.seconds(400);
+    /** A job of which nothing has run after this part of that goes first with one task. */
+    private static final double BEGIN = 0.3;
     private final Map<String, List<Aim>> byClass = new HashMap<>();
 
     public Aims(List<Aim> aims) {
@@ -54,12 +58,17 @@
             Moment latest = job.arrived.plus(job.spec.due().minus(run));
             last = last == null || latest.isAfter(last) ? latest : last;
         }
-        return last == null ? job.arrived.plus(SOMETIME) : last;
+        return last == null ? job.arrived.plus(WITHOUT) : last;
     }
 
     /** Waiting for longer than anything should: whatever its class and urgency, it is served now. */
-    static boolean isAged(Job job, Moment now) {
-        return now.isAfter(job.arrived.plus(SOMETIME));
+    boolean isAged(Job job, Moment now) {
+        return now.isAfter(job.arrived.plus(isWithout(job) ? WITHOUT : SOMETIME));
+    }
+
+    /** It has waited for so long that something of it should run, whatever its class and urgency. */
+    static boolean isToBegin(Job job, Moment now) {
+        return now.isAfter(job.arrived.plus(WITHOUT.times(BEGIN)));
     }
 
     /** Nothing says by when it should be served. */
--- a/src/main/java/io/indigoreach/core/Dispatcher.java
+++ b/src/main/java/io/indigoreach/core/Dispatcher.java
@@ -50,6 +50,7 @@
     private Moment usableAt = Moment.NEVER;
     /** Cores that each share's fillers may still take, counted once in a while. */
     private final Map<Share, Room> fillerRoom = new HashMap<>();
+    private final Corner corner;
     private long attempts;
 
     private record Room(double cores, Moment counted) {
@@ -62,6 +63,7 @@
         this.takeOver = takeOver;
         this.token = token;
         this.leastPaid = leastPaid;
+        this.corner = new Corner(cluster, aims);
     }
 
     /** Starts for {@code m}, to be put into the answer to its report {@code number}. */
@@ -225,6 +227,13 @@
             return;
         }
         List<Job> queue = queue(share, now);
+        if (corner.has(m, share, queue, now)) {
+            for (Job job : queue) {
+                if (corner.isFor(job, now) && job.hasStartable() && mayStart(job, now) && m.free().cores() > 1e-6) {
+                    start(share, job, m, null, number, now, orders, true);
+                }
+            }
+        }
         Job top = null;
         for (Job job : queue) {
             if (m.free().cores() <= 1e-6) {
@@ -233,12 +242,13 @@
             if (keepsRoom(job, m)) {
                 return;
             }
-            if (!job.hasStartable() || !mayStart(job, now)) {
+            if (!job.hasStartable() || !mayStart(job, now) || job.hadItsTurn()) {
                 continue;
             }
-            start(share, job, m, top == null ? null : reservation(share, top, now), number, now, orders);
+            start(share, job, m, top == null ? null : reservation(share, top, now), number, now, orders,
+                    false);
             // One that is kept waiting for the others must not keep places from them.
-            if (top == null && job.hasStartable() && (!isFiller(job, now) || leavesRoom(share, job, now))) {
+            if (top == null && job.hasStartable() && !job.hadItsTurn() && (!isFiller(job, now) || leavesRoom(share, job, now))) {
                 top = job;
             }
         }
@@ -254,10 +264,10 @@
     }
 
     private void start(Share share, Job job, Machine m, Reservation reservation, ReportNumber number, Moment now,
-                       List<Order> orders) {
+                       List<Order> orders, boolean beforeAll) {
         boolean suits = m.allows(job.spec) && FaultJudge.allows(job, m, now) && !isLeftToHolders(job, m, now);
         Span time = estimates.onMachine(job, m);
-        boolean filler = suits && isFiller(job, now);
+        boolean filler = suits && !beforeAll && isFiller(job, now);
         while (suits && job.hasStartable() && job.spec.demand().fitsIn(m.free()) && placeable(job, m)
                 && (!filler || leavesRoom(share, job, now))
                 && (reservation == null || reservation.allows(m, job.spec.demand(), time, estimates, now))) {
@@ -273,7 +283,8 @@
                 fillerRoom.computeIfPresent(share, (s, room) -> new Room(room.cores - p.demand().cores(), room.counted));
             }
             orders.add(new Order.Start(p.task(), p.attempt));
-            suits = !job.isSuspect();
+            job.begunFirst |= job.toBegin;
+            suits = !job.isSuspect() && !job.toBegin;
         }
     }
 
@@ -282,7 +293,7 @@
      * machine they keep all who have an aim waiting until they end.
      */
     private boolean isFiller(Job job, Moment now) {
-        return aims.isWithout(job) && !Aims.isAged(job, now) && !job.spec.isService()
+        return aims.isWithout(job) && !job.owed && !job.toBegin && !job.spec.isService()
                 && !job.spec.urgency().isMoreUrgentThan(Urgency.STANDARD)
                 && estimates.run(job).compareTo(leastPaid) >= 0;
     }
@@ -328,7 +339,8 @@
 
     List<Job> queue(Share share, Moment now) {
         return share.queue(job -> aims.latestStart(job, estimates.run(job), rounds(job, now), now)
-                .minus(clearing(job)), job -> aims.lastChance(job, estimates.run(job)), now);
+                .minus(clearing(job)), job -> aims.lastChance(job, estimates.run(job)),
+                job -> aims.isAged(job, now), now);
     }
 
     /** A task that takes a whole machine starts only when everything else on one has ended. */
@@ -365,7 +377,7 @@
      * that machines are rented while the wait passes the limit.
      */
     boolean isUnderTheRuleAlone(Job job, Moment now) {
-        return aims.isWithout(job) || Aims.isAged(job, now);
+        return aims.isWithout(job) || aims.isAged(job, now);
     }
 
     /** By when the job's waiting tasks should have started for an aim whose latest start is not before {@code from}. */
@@ -419,7 +431,7 @@
     /** The top job: the first in the queue that has tasks waiting and may start. */
     Job top(Share share, Moment now) {
         for (Job job : queue(share, now)) {
-            if (job.hasStartable() && mayStart(job, now) && !job.isSuspect()) {
+            if (job.hasStartable() && mayStart(job, now) && !job.isSuspect() && !job.hadItsTurn()) {
                 return job;
             }
         }
@@ -432,7 +444,11 @@
             return kept.reservation;
         }
         reservations.values().removeIf(r -> !now.isBefore(r.made.plus(RESERVATION_LIFE)));
-        Reservation made = Reservation.of(top, cluster.serving(share), estimates, now);
+        List<Machine> machines = cluster.serving(share);
+        if (!corner.isFor(top, now)) {
+            machines.removeIf(m -> corner.has(m, share, queue(share, now), now));
+        }
+        Reservation made = Reservation.of(top, machines, estimates, now);
         reservations.put(top.id(), new Reserved(made, now));
         return made;
     }
--- a/src/main/java/io/indigoreach/core/Floors.java
+++ b/src/main/java/io/indigoreach/core/Floors.java
@@ -6,6 +6,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.function.Function;
+import java.util.function.Predicate;
 
 /**
  * A floor under what each class of jobs of a share is served. Urgent jobs go first, and a flood of them that takes every
@@ -24,6 +25,8 @@
     private static final double DANGER = 0.75;
     /** Part of the cores in use up to which owed jobs go before all others. */
     private static final double PART = 0.5;
+    /** The same for the one task by which a job begins: a flood of single tasks is not to become everybody's. */
+    private static final double PART_TO_BEGIN = 0.25;
 
     /** Jobs of a class: over in time, or open with time left; and all, those that lost their longest aim among them. */
     private static final class Tally {
@@ -39,6 +42,7 @@
 
     private final Map<String, Tally> tallies = new HashMap<>();
     private final Set<String> owed = new HashSet<>();
+    private boolean owedFirst;
 
     /** The job is off the queue: done or cancelled. */
     void over(Job job) {
@@ -52,10 +56,12 @@
     }
 
     /**
-     * Counts the open jobs anew and marks those that are owed; {@code lastChance}: when the longest aim is lost to a job
-     * that still waits. True if what is owed is to go first: it uses less than its part of {@code cores}.
+     * Counts the open jobs anew and says which go first on a part of the {@code cores} in use: {@link Job#toBegin}, {@link Job#owed}.
+     *
+     * @param lastChance when the longest aim is lost to a job that still waits
+     * @param aged the job has waited for longer than anything should
      */
-    boolean count(List<Job> jobs, double cores, Function<Job, Moment> lastChance, Moment now) {
+    void count(List<Job> jobs, double cores, Function<Job, Moment> lastChance, Predicate<Job> aged, Moment now) {
         tallies.values().forEach(t -> {
             int most = Math.max(REMEMBERED_LEAST, REMEMBERED * t.open);
             // What was lost is forgotten in proportion, so that it is made good and then over.
@@ -82,12 +88,24 @@
                 owed.add(name);
             }
         });
-        double used = 0;
+        double first = 0;
+        double begun = 0;
         for (Job job : jobs) {
             job.owed = !job.spec.isService()
-                    && (Aims.isAged(job, now) || !job.late && owed.contains(job.spec.jobClass()));
-            used += job.owed ? job.active().size() * job.spec.demand().cores() : 0;
+                    && (aged.test(job) || !job.late && owed.contains(job.spec.jobClass()));
+            job.toBegin = Aims.isToBegin(job, now) && !job.hasBegun();
+            first += job.owed ? job.active().size() * job.spec.demand().cores() : 0;
+            begun += job.begunFirst && !job.active().isEmpty() ? job.spec.demand().cores() : 0;
         }
-        return used < PART * cores;
+        owedFirst = first < PART * cores;
+        boolean begin = begun < PART_TO_BEGIN * cores;
+        for (Job job : jobs) {
+            job.toBegin &= begin;
+        }
+    }
+
+    /** What is owed goes first at this moment: it uses less than its part. */
+    boolean isOwedFirst() {
+        return owedFirst;
     }
 }
--- a/src/main/java/io/indigoreach/core/Job.java
+++ b/src/main/java/io/indigoreach/core/Job.java
@@ -43,6 +43,12 @@
     boolean late;
     /** Its class is served too little, or it has waited too long: it goes first on a part of the machines. */
     boolean owed;
+    /** One of its tasks has run, under this leader or, as far as it knows, an earlier one. */
+    private boolean ran;
+    /** Nothing of it has run for too long: one task of it goes before all else. */
+    boolean toBegin;
+    /** It began that way. */
+    boolean begunFirst;
     private long observedMs;
     private int observed;
 
@@ -61,6 +67,7 @@
         this.durable = (BitSet) done.clone();
         this.busy = (BitSet) done.clone();
         this.doneCount = done.cardinality();
+        this.ran = doneCount > 0;
         this.durableCount = doneCount;
         this.bound = bound;
         this.boundWanted = bound;
@@ -229,6 +236,21 @@
         return new ArrayList<>(active.values());
     }
 
+    /** A task of it runs, has run, or is on its way to a machine. */
+    boolean hasBegun() {
+        return ran || !active.isEmpty();
+    }
+
+    /** Put first with one task, it has had its turn until the queue is ordered anew. */
+    boolean hadItsTurn() {
+        return toBegin && hasBegun();
+    }
+
+    /** One of its tasks was seen to run. */
+    void ran() {
+        ran = true;
+    }
+
     Placement active(int index) {
         return active.get(index);
     }
@@ -269,6 +291,7 @@
         }
         done.set(index);
         busy.set(index);
+        ran = true;
         doneCount++;
         return true;
     }
--- a/src/main/java/io/indigoreach/core/Reconciler.java
+++ b/src/main/java/io/indigoreach/core/Reconciler.java
@@ -130,6 +130,7 @@
         if (p.state != t.state()) {
             if (t.state() == TaskState.RUNNING) {
                 p.since = now;
+                job.ran();
             }
             p.state = t.state();
             cluster.version++;
--- a/src/main/java/io/indigoreach/core/Share.java
+++ b/src/main/java/io/indigoreach/core/Share.java
@@ -4,6 +4,7 @@
 import java.util.Comparator;
 import java.util.List;
 import java.util.function.Function;
+import java.util.function.Predicate;
 
 /**
  * A queue of open jobs: that of one team with a guarantee, or that of all teams without one. These have no claim against
@@ -16,14 +17,15 @@
     private static final Span ORDER_LIFE = Span.seconds(1);
 
     /** A job with what its place in the queue depends on. */
-    private record Ranked(Job job, boolean first, Urgency urgency, Moment latestStart) {
+    private record Ranked(Job job, int turn, Urgency urgency, Moment latestStart) {
     }
 
     /**
      * The paper's priority queue, its priority from urgency and time: urgent jobs first, the others mixed, each by the
-     * latest start that still meets an aim; then the order of arrival. Before them what a class is owed ({@link Floors}).
+     * latest start that still meets an aim; then the order of arrival. Before them what a class is owed ({@link Floors}), and
+     * before that one task of each job of which nothing has run for too long, in the order of arrival.
      */
-    private static final Comparator<Ranked> ORDER = Comparator.<Ranked, Integer>comparing(r -> r.first ? 0 : 1)
+    private static final Comparator<Ranked> ORDER = Comparator.<Ranked, Integer>comparing(r -> r.turn)
             .thenComparing(r -> r.urgency).thenComparing(r -> r.latestStart).thenComparingLong(r -> r.job.submittedMs)
             .thenComparing(r -> r.job.id());
 
@@ -68,15 +70,17 @@
     }
 
     /** The queue in the order in which it is served. */
-    List<Job> queue(Function<Job, Moment> latestStart, Function<Job, Moment> lastChance, Moment now) {
+    List<Job> queue(Function<Job, Moment> latestStart, Function<Job, Moment> lastChance, Predicate<Job> aged, Moment now) {
         if (!now.isBefore(orderedAt.plus(ORDER_LIFE))) {
-            boolean owedFirst = floors.count(jobs, cores, lastChance, now);
+            floors.count(jobs, cores, lastChance, aged, now);
             List<Ranked> ranked = new ArrayList<>(jobs.size());
             for (Job job : jobs) {
                 Urgency urgency = job.spec.urgency() == Urgency.BEST_EFFORT ? Urgency.STANDARD : job.spec.urgency();
                 // A replica that is down is worth more than any job that is late.
-                boolean first = owedFirst && (job.owed || job.spec.isService());
-                ranked.add(new Ranked(job, first, urgency, latestStart.apply(job)));
+                boolean first = floors.isOwedFirst() && (job.owed || job.spec.isService());
+                int turn = job.toBegin ? 0 : first ? 1 : 2;
+                ranked.add(turn == 0 ? new Ranked(job, turn, Urgency.PRODUCTION, job.arrived)
+                        : new Ranked(job, turn, urgency, latestStart.apply(job)));
             }
             ranked.sort(ORDER);
             ordered = ranked.stream().map(Ranked::job).toList();
--- a/src/main/java/io/indigoreach/experiment/Figures.java
+++ b/src/main/java/io/indigoreach/experiment/Figures.java
@@ -10,13 +10,17 @@
 import io.indigoreach.scenario.Deployment;
 import io.indigoreach.scenario.JobClass;
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Objects;
 import java.util.Set;
 import java.util.function.Predicate;
+import java.util.function.ToDoubleFunction;
+import java.util.stream.IntStream;
 import org.HdrHistogram.Histogram;
 
 /** What an experiment's history comes to: latencies, the queue over time, work done for the money, aims. */
@@ -35,8 +39,11 @@
         }
     }
 
-    /** Of the jobs of a class or a team: how many were over by the end, and how many within their class's longest aim. */
-    record Served(String name, int of, int byTheEnd, int inTime) {
+    /**
+     * Of the jobs of a class or a team, or of the largest of a class: how many were over by the end, and how many within their
+     * class's longest aim; and the longest that one waited until its first task ran, in seconds, infinite if none has.
+     */
+    record Served(String name, int of, int byTheEnd, int inTime, double latestBegin) {
         /** The smaller share; a job without an aim is in time when it is over. */
         double least() {
             return of == 0 ? 1 : Math.min(byTheEnd, inTime) / (double) of;
@@ -68,18 +75,41 @@
         }
         outcome.scenario().deployment().aim().forEach(a -> aims.add(judge(a)));
         outcome.scenario().jobs().stream().map(JobClass::name).distinct()
-                .forEach(c -> served.add(served("class " + c, spec -> spec.jobClass().equals(c))));
+                .forEach(c -> {
+                    served.add(served("class " + c, spec -> spec.jobClass().equals(c)));
+                    largest(c, "tasks", JobSpec::tasks);
+                    largest(c, "cores a task", spec -> spec.demand().cores());
+                    largest(c, "work", spec -> spec.tasks() * spec.demand().cores() * spec.estimate().seconds());
+                });
         outcome.scenario().deployment().team()
                 .forEach(t -> served.add(served("team " + t.name(), spec -> spec.team().equals(t.name()))));
     }
 
+    /** The top tenth of a class, at least one job. */
+    private void largest(String jobClass, String by, ToDoubleFunction<JobSpec> size) {
+        List<Double> sizes = outcome.jobs().stream().map(Users.Mine::spec).filter(s -> s.jobClass().equals(jobClass))
+                .map(size::applyAsDouble).sorted(Comparator.reverseOrder()).toList();
+        if (!sizes.isEmpty()) {
+            double least = sizes.get((sizes.size() - 1) / 10);
+            served.add(served("largest of " + jobClass + " by " + by,
+                    spec -> spec.jobClass().equals(jobClass) && size.applyAsDouble(spec) >= least));
+        }
+    }
+
     /** Cancelled jobs and replicas aside; a job that was never accepted was not served. */
     private Served served(String name, Predicate<JobSpec> which) {
         List<Users.Mine> mine = outcome.jobs().stream().filter(m -> which.test(m.spec())
                 && m.status() != JobStatus.CANCELLED && !m.spec().isService()).toList();
         List<Users.Mine> over = mine.stream().filter(m -> m.overAfter() != null && !m.isRefused()).toList();
         return new Served(name, mine.size(), over.size(), (int) over.stream().filter(m ->
-                m.overAfter().seconds() <= longestAim(m.spec())).count());
+                m.overAfter().seconds() <= longestAim(m.spec())).count(),
+                mine.stream().mapToDouble(this::beginsAfter).max().orElse(0));
+    }
+
+    private double beginsAfter(Users.Mine m) {
+        return IntStream.range(0, m.spec().tasks()).mapToObj(i -> firstRun.get(new TaskId(m.spec().id(), i)))
+                .filter(Objects::nonNull).mapToDouble(at -> at.since(m.asked()).seconds()).min()
+                .orElse(Double.POSITIVE_INFINITY);
     }
 
     private double longestAim(JobSpec spec) {
@@ -101,7 +131,7 @@
         Set<JobId> gone = new HashSet<>();
         int[] waiting = {0};
         List<Event> events = new ArrayList<>(outcome.history().events());
-        events.sort(java.util.Comparator.comparing(Event::at));
+        events.sort(Comparator.comparing(Event::at));
         for (Event e : events) {
             if (e instanceof Event.Submitted s && specs.putIfAbsent(s.spec().id(), s.spec()) == null) {
                 submitted.put(s.spec().id(), s.at());
--- a/src/main/java/io/indigoreach/experiment/Report.java
+++ b/src/main/java/io/indigoreach/experiment/Report.java
@@ -48,8 +48,8 @@
                 h.getTotalCount(), at(h, 50), at(h, 90), at(h, 99), at(h, 100)));
         figures.aims.forEach(a -> line(out, "aim        %s %s: %.2f of %d, wanted %.2f", a.isMet() ? "met   " : "missed",
                 a.text(), a.met(), a.of(), a.wanted()));
-        figures.served.forEach(s -> line(out, "served     %s: %d of %d by the end, %d within the longest aim", s.name(),
-                s.byTheEnd(), s.of(), s.inTime()));
+        figures.served.forEach(s -> line(out, "served     %s: %d of %d by the end, %d within the longest aim; latest beginning "
+                + "%.1f s", s.name(), s.byTheEnd(), s.of(), s.inTime(), s.latestBegin()));
         line(out, "checked    %d events in %.1f s", outcome.history().events().size(), outcome.checking().seconds());
         if (outcome.breaches().isEmpty()) {
             line(out, "rules      none broken");
@@ -78,7 +78,12 @@
         return h.getTotalCount() == 0 ? 0 : h.getValueAtPercentile(quantile);
     }
 
-    /** The smallest share of any class or team that was served, by the end and within its longest aim. */
+    /** The longest that any of a class's largest jobs waited until its first task ran, in seconds. */
+    public double latestBegin() {
+        return figures.served.stream().mapToDouble(Figures.Served::latestBegin).max().orElse(0);
+    }
+
+    /** The smallest share of any class, of its largest jobs or of a team that was served, by the end and within its longest aim. */
     public double leastServed() {
         return figures.served.stream().mapToDouble(Figures.Served::least).min().orElse(1);
     }
@@ -98,7 +103,8 @@
                 .put("met", a.met()).put("of", a.of())));
         JsonArray served = new JsonArray();
         figures.served.forEach(s -> served.add(new JsonObject().put("who", s.name()).put("of", s.of())
-                .put("by_the_end", s.byTheEnd()).put("in_time", s.inTime())));
+                .put("by_the_end", s.byTheEnd()).put("in_time", s.inTime())
+                .put("latest_begin_s", Double.isInfinite(s.latestBegin()) ? null : s.latestBegin())));
         JsonArray breaches = new JsonArray();
         for (Breach b : outcome.breaches()) {
             breaches.add(new JsonObject().put("rule", b.rule().word()).put("at_ms", b.atMs()).put("what", b.what())
--- a/src/main/java/io/indigoreach/state/Leadership.java
+++ b/src/main/java/io/indigoreach/state/Leadership.java
@@ -9,6 +9,7 @@
 import io.indigoreach.net.SteadyClock;
 import io.vertx.core.Future;
 import io.vertx.core.Vertx;
+import java.util.function.Function;
 import java.util.function.Supplier;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -203,17 +204,28 @@
 
     /**
      * Removes the key of a predecessor of this process, before anything else is done: a node that is warmed up can then
-     * lead at once. Done later, it competes for the processor with hundreds of workers looking for a leader. True if there
-     * was such a key; never fails.
+     * lead at once. Done later, it competes for the processor with hundreds of workers looking for a leader. True if nobody
+     * leads in a deployment where somebody has led, as far as {@code leads} tells, which is asked about the node that the key
+     * names: a leader that ended lately may have left its key. Never fails.
      */
-    public Future<Boolean> clear() {
-        return state.get(RecordCodec.LEADER).compose(entry -> {
-            read(entry);
-            boolean predecessor = current != null && current.node().equals(node) && peers > 0;
-            return predecessor ? letGo().map(true) : Future.succeededFuture(false);
+    public Future<Boolean> clear(Function<String, Future<Boolean>> leads) {
+        return Future.all(state.get(RecordCodec.LEADER), state.get(RecordCodec.COUNTER)).compose(read -> {
+            read(read.resultAt(0));
+            if (peers == 0) {
+                return Future.succeededFuture(false);
+            }
+            if (current == null) {
+                return Future.succeededFuture(read.resultAt(1) != null);
+            }
+            return current.node().equals(node) ? letGo().map(true) : leads.apply(current.node()).map(is -> !is);
         }).otherwise(false);
     }
 
+    /** The version of the key by which somebody leads as far as is known; {@link Stamp#ABSENT} if nobody does. */
+    public Stamp key() {
+        return current == null ? Stamp.ABSENT : current.stamp();
+    }
+
     private Future<Span> step() {
         if (leading) {
             return guard();
--- a/src/main/java/io/indigoreach/tools/ExperimentVerb.java
+++ b/src/main/java/io/indigoreach/tools/ExperimentVerb.java
@@ -33,9 +33,13 @@
     private Long seed;
 
     @Option(names = "--least-served", paramLabel = "SHARE", defaultValue = "0",
-            description = "exit with 3 as well if less than this share of any class of jobs or team was served")
+            description = "exit with 3 as well if less than this share of any class of jobs, of its largest jobs or of any team was served")
     private double leastServed;
 
+    @Option(names = "--begin-within", paramLabel = "SECONDS", defaultValue = "240", description = "with --least-served: exit "
+            + "with 3 as well if any job waits longer until its first task runs; default: ${DEFAULT-VALUE}")
+    private double beginWithin;
+
     @Option(names = "--json", description = "print the report as JSON")
     private boolean json;
 
@@ -53,7 +57,8 @@
             System.out.print(report.text());
             System.out.println("report     " + page);
         }
-        return outcome.breaches().isEmpty() && report.leastServed() >= leastServed ? Tool.DONE : Tool.BROKEN;
+        return outcome.breaches().isEmpty() && report.leastServed() >= leastServed
+                && (leastServed <= 0 || report.latestBegin() <= beginWithin) ? Tool.DONE : Tool.BROKEN;
     }
 
     static Experiment.Outcome run(Scenario scenario, List<Arrivals.Arrival> arrivals, Path directory, boolean quiet)
--- a/src/test/java/io/indigoreach/core/ServedTest.java
+++ b/src/test/java/io/indigoreach/core/ServedTest.java
@@ -104,6 +104,35 @@
         assertEquals(machines, w.core.wishes(World.at(at)).stream().mapToInt(RentWish::count).sum());
     }
 
+    /**
+     * What nobody said a time for, behind more aimed work than there is room for: it began when that was over, 338 s and later.
+     * The flood is of jobs that go first by urgency; the guests' are large arrays, tasks of a whole machine, or many.
+     */
+    @ParameterizedTest
+    @CsvSource({"1, 6000, 1, 25, 0", "2, 240, 2, 60, 0.1", "3, 60, 4, 100, 0.05", "1, 100000, 1, 10, 0", "20, 1, 0.25, 150, 2"})
+    void theLargestBeginWithinFourMinutes(int jobs, int tasks, double cores, int run, double perStep) {
+        Steps s = new Steps(List.of(Kind.of("urgent", Urgency.HIGH, 0.5, 10, 35, 25, 1),
+                Kind.of("urgent", Urgency.HIGH, 1.5, 0, 35, 25, 1).between(40, 160),
+                Kind.of("usual", Urgency.STANDARD, 0.4, 10, 80, 18, 1), Kind.of("slow", Urgency.BEST_EFFORT, 0.04, 3, 25, 70, 4).saving(),
+                Kind.of("guest", Urgency.BEST_EFFORT, perStep, jobs, tasks, run, cores).between(0, 120)), 240, 60, AIMS);
+        s.run(150);
+        s.newLeader();
+        s.run(310);
+        assertTrue(s.latestBegin("guest") <= 240, "guest " + s.latestBegin("guest"));
+        assertTrue(s.latestBegin("slow") <= 240, "slow " + s.latestBegin("slow"));
+    }
+
+    /** Jobs without an aim go first on an eighth of the machines, whole ones: tasks of a whole machine find the others. */
+    @Test
+    void whatNobodySaidATimeForDoesNotTakeEveryMachineFromTasksOfAWholeOne() {
+        Steps s = new Steps(List.of(Kind.of("usual", Urgency.STANDARD, 0.4, 10, 80, 18, 1),
+                Kind.of("slow", Urgency.BEST_EFFORT, 0.07, 3, 25, 70, 4).saving(),
+                Kind.of("guest", Urgency.BEST_EFFORT, 0, 5, 2000, 90, 1)), 240, 60, AIMS);
+        s.run(700);
+        assertTrue(s.served("slow", 300) >= 0.5, "slow " + s.served("slow", 300));
+        assertTrue(s.latestBegin("guest") <= 240, "guest " + s.latestBegin("guest"));
+    }
+
     /** A thousand machines, three teams: one floods, one has a guarantee, one a limit; each is served. */
     @Test
     void everyTeamIsServed() {
--- a/src/test/java/io/indigoreach/core/Steps.java
+++ b/src/test/java/io/indigoreach/core/Steps.java
@@ -155,6 +155,12 @@
                 .mapToInt(f -> f.lastStart(now) - f.came).max().orElse(0);
     }
 
+    /** The longest that a job of a class has waited until its first task started. */
+    int latestBegin(String name) {
+        return fates.values().stream().filter(f -> f.spec.jobClass().equals(name))
+                .mapToInt(f -> f.started.values().stream().mapToInt(i -> i).min().orElse(now) - f.came).max().orElse(0);
+    }
+
     private void step() {
         for (Kind kind : kinds) {
             double due = owed.getOrDefault(kind, 0.0) + (now == 0 ? kind.atStart : 0)
--- a/src/test/java/io/indigoreach/state/LeadershipTest.java
+++ b/src/test/java/io/indigoreach/state/LeadershipTest.java
@@ -93,6 +93,25 @@
         assertEquals("b1 took 2", next());
     }
 
+    /** Whether a node that starts waits for a leader before it listens: nobody leads, in a deployment where somebody has. */
+    @ParameterizedTest
+    @CsvSource({"-, false, false, false", "-, true, false, true", "a, true, false, true", "b, true, true, false", "b, true, false, true"})
+    void aNodeThatStartsKnowsWhetherAnybodyLeads(String leader, boolean counter, boolean answers, boolean leaderless) throws Exception {
+        StateClient client = new StateClient(new Caller(vertx, service.endpoint(), 4), new Caller(vertx, service.endpoint(), 2));
+        StateClient.Txn there = new StateClient.Txn();
+        if (counter) {
+            there.put(RecordCodec.COUNTER, RecordCodec.writeCounter(new Token(4), true));
+        }
+        if (!leader.equals("-")) {
+            there.put(RecordCodec.LEADER, LeaderKey.write(leader, "p", new Token(4)));
+        }
+        client.commit(there).toCompletionStage().toCompletableFuture().get(20, TimeUnit.SECONDS);
+        Leadership a = new Leadership(vertx, client, vertx, client, clock, "a", "a2", 2, Span.seconds(10),
+                new TokenClock(0, clock.timeOfDay(), Span.seconds(0.1)), null);
+        assertEquals(leaderless, a.clear(node -> Future.succeededFuture(answers && node.equals("b"))).toCompletionStage()
+                .toCompletableFuture().get(20, TimeUnit.SECONDS));
+    }
+
     /** Guards against waiting a whole lease for a process that surely has ended. */
     @Test
     void aRestartedNodeTakesItsPredecessorsPlace() throws Exception {
