A machine that hears nothing is told by what its reports show; a report alone is no proof of a machine

Cause: every report counted as proof that its answer arrives and that its machine is there. Change: core.OneWay keeps one order of the last answer and judges the next report by it, by the token and by sessions; three answers not taken over half a lease tell it, twice that for one that has shown nothing yet. No more starts to it, not counted on, returned unless more than a quarter of its zone is so, and not answered from then on, so that its lease bound holds. core.Newcomers takes an unknown machine on only when its report shows our answer to an earlier one, or by a list; a report of a session that is over shows nothing; what is answered while records are read counts for leases.

--- a/src/main/java/io/indigoreach/cluster/Controller.java
+++ b/src/main/java/io/indigoreach/cluster/Controller.java
@@ -158,7 +158,7 @@
                 return Answer.elsewhere(null);
             }
             // Checked as the answer is written: the leadership may have ended while a record was waited for.
-            return asked == reign && mayAnswer() ? new Answer(true, asked.token(), orders, null)
+            return asked == reign && mayAnswer() && asked.answers(read.machine()) ? new Answer(true, asked.token(), orders, null)
                     : Answer.elsewhere(otherLeader());
         });
     }
--- a/src/main/java/io/indigoreach/cluster/Reign.java
+++ b/src/main/java/io/indigoreach/cluster/Reign.java
@@ -10,6 +10,7 @@
 import io.indigoreach.core.JobId;
 import io.indigoreach.core.LeaderCore;
 import io.indigoreach.core.Machine;
+import io.indigoreach.core.MachineId;
 import io.indigoreach.core.Moment;
 import io.indigoreach.core.Notes;
 import io.indigoreach.core.Order;
@@ -150,6 +151,11 @@
         });
     }
 
+    /** Whether a machine's report may be answered; if not, its lease is to run out. */
+    boolean answers(MachineId machine) {
+        return core.answers(machine);
+    }
+
     private Future<Span> open() {
         if (!env.catalogue().isKnown()) {
             return Future.succeededFuture(Span.seconds(0.2));
--- a/src/main/java/io/indigoreach/core/BestSize.java
+++ b/src/main/java/io/indigoreach/core/BestSize.java
@@ -312,7 +312,7 @@
             if (!m.pool.type().equals(type.name()) || m.pool.spot() != spot) {
                 continue;
             }
-            if (m.phase == Machine.Phase.UP && m.notice == null && !m.condemned) {
+            if (m.isSound()) {
                 up += 1 - heldByReplicas(m);
                 idle += m.isIdle() ? 1 : 0;
                 for (Placement p : m.tasks().values()) {
@@ -376,8 +376,7 @@
             if (!m.pool.type().equals(type) || ordinaryOnly && m.pool.spot()) {
                 continue;
             }
-            if (m.isComing(now, tuning.bootPatience()) || m.phase == Machine.Phase.UP && m.isIdle() && m.notice == null
-                    && !m.condemned && isOfUse(share, m)) {
+            if (m.isComing(now, tuning.bootPatience()) || m.isSound() && m.isIdle() && isOfUse(share, m)) {
                 n++;
             }
         }
--- a/src/main/java/io/indigoreach/core/LeaderCore.java
+++ b/src/main/java/io/indigoreach/core/LeaderCore.java
@@ -32,6 +32,7 @@
     private final Consolidation consolidation;
     private final ReleaseCheck releaseCheck;
     private final Notes notes;
+    private final Newcomers newcomers;
     /** Returned machines still appear in lists and late reports for a while; they are not taken on again. */
     private final Map<MachineId, Boolean> gone = new LinkedHashMap<>() {
         @Override
@@ -48,6 +49,7 @@
         this.token = token;
         this.rules = rules;
         this.notes = notes;
+        this.newcomers = new Newcomers(rules);
         this.cluster = new Cluster(teams);
         this.takeOver = new TakeOver();
         this.dispatcher = new Dispatcher(cluster, aims, estimates, takeOver, token, tuning.leastPaid());
@@ -133,33 +135,40 @@
         if (report.token().value() > token.value()) {
             return null;
         }
+        Machine m = cluster.machines.get(report.machine());
         if (!loaded) {
+            if (m != null) {
+                // It is answered all the same, and that renews its lease.
+                m.heard = now;
+            }
             return List.of();
         }
         if (gone.containsKey(report.machine()) || condemned.contains(report.machine())) {
             return List.of();
         }
-        Machine m = cluster.machines.get(report.machine());
-        if (m == null) {
+        if (m == null && newcomers.isProved(report, token)) {
             m = adopt(report, now);
-            if (m == null) {
-                return List.of();
-            }
         }
-        if (report.number().compareTo(m.last) <= 0) {
+        if (m == null || isOld(m, report.number())) {
             return List.of();
         }
         if (!m.pool.equals(report.pool()) && cluster.types.containsKey(report.pool().type())) {
             m = replace(m, report.pool(), now);
         }
-        m.heard = now;
+        if (!m.isGivenUp()) {
+            m.heard = now;
+            m.expired = false;
+        }
+        ReportNumber before = m.last;
+        m.last = report.number();
+        hears(m, report, before, now);
         if (report.token().value() < token.value()) {
+            m.oneWay.answered(List.of(), now);
             return List.of();
         }
-        if (m.last.session() != 0 && report.number().session() > m.last.session()) {
+        if (before.session() != 0 && m.last.session() > before.session()) {
             cluster.liftAll(m, now);
         }
-        m.last = report.number();
         if (m.phase == Machine.Phase.BOOTING || m.phase == Machine.Phase.LOST) {
             m.phase = Machine.Phase.UP;
             m.idleSince = now;
@@ -169,14 +178,44 @@
         m.accounted = true;
         List<Order> orders = reconciler.reconcile(m, report, now);
         accounted(m.id);
-        if (m.phase == Machine.Phase.UP) {
+        if (m.phase == Machine.Phase.UP && !m.oneWay.isTold()) {
             orders.addAll(dispatcher.fill(m, report.number(), now));
             orders.addAll(dispatcher.makeRoom(m, now));
             orders.addAll(consolidation.orders(m, now));
         }
+        if (!needsRecord(m) && !m.isGivenUp()) {
+            m.oneWay.answered(orders, now);
+        }
         return orders;
     }
 
+    /**
+     * Not newer than the last one, or of a session that is over: without an answered report for the lease bound the machine
+     * has killed its tasks and begun another session, so what comes then under the old one was sent before.
+     */
+    private static boolean isOld(Machine m, ReportNumber number) {
+        return number.compareTo(m.last) <= 0
+                || number.session() == m.last.session() && m.expired;
+    }
+
+    private void hears(Machine m, WorkerReport report, ReportNumber before, Moment now) {
+        boolean told = m.oneWay.isTold();
+        m.oneWay.heard(report, before, token, cluster.awake, rules, now);
+        if (m.oneWay.isTold() != told) {
+            notes.say("machine " + m.id + (told ? " takes answers again" : " reports, but answers do not reach it"));
+            cluster.version++;
+        }
+    }
+
+    /**
+     * Whether this machine's report is answered: not while it is returned since it hears nothing. Its lease, if it does hear,
+     * runs from the last report that was answered.
+     */
+    public boolean answers(MachineId id) {
+        Machine m = cluster.machines.get(id);
+        return m == null || !m.isGivenUp();
+    }
+
     /** Nothing unknown is on this machine any more; after the last one, every job's tasks may be started. */
     private void accounted(MachineId id) {
         if (!takeOver.isSettled()) {
@@ -253,7 +292,14 @@
     /** Starts for a machine that was recorded after its report came, if that is still its newest. */
     public List<Order> fill(MachineId id, ReportNumber number, Moment now) {
         Machine m = cluster.machines.get(id);
-        return m != null && m.last.equals(number) ? dispatcher.fill(m, number, now) : List.of();
+        if (m == null || !m.last.equals(number)) {
+            return List.of();
+        }
+        List<Order> orders = dispatcher.fill(m, number, now);
+        if (now.since(m.heard).compareTo(rules.workerPatience().times(0.5)) < 0) {
+            m.oneWay.answered(orders, now);
+        }
+        return orders;
     }
 
     public void recorded(MachineId id) {
@@ -293,6 +339,7 @@
                 m.missing = 0;
             }
         }
+        newcomers.listed(present, asked, now);
         for (Machine m : new ArrayList<>(cluster.machines.values())) {
             if (present.contains(m.id)) {
                 continue;
@@ -333,6 +380,7 @@
                 continue;
             }
             accounted(m.id);
+            m.expired = true;
             if (m.phase == Machine.Phase.UP || m.phase == Machine.Phase.LEAVING && !m.isIdle()) {
                 notes.say("machine " + m.id + " is silent: its lease has run out with " + m.taskCount() + " tasks");
                 cluster.liftAll(m, now);
@@ -411,11 +459,6 @@
         return cluster.visits();
     }
 
-    /** Whether a report of this machine is answered. */
-    public boolean answers(MachineId id) {
-        return true;
-    }
-
     public boolean knows(MachineId id) {
         return cluster.machines.containsKey(id);
     }
--- a/src/main/java/io/indigoreach/core/Machine.java
+++ b/src/main/java/io/indigoreach/core/Machine.java
@@ -25,6 +25,8 @@
     ReportNumber last = ReportNumber.NONE;
     /** When its last answered report came; its lease cannot outlast this by more than the lease bound. */
     Moment heard;
+    /** Its lease has surely run out since: what it ran is over, and it reports under another session if it lives. */
+    boolean expired;
     /** Its task list has been taken from a report under the present token. */
     boolean accounted;
     /** When the cloud is to take it away, or null. */
@@ -34,6 +36,7 @@
     final Set<String> images = new HashSet<>();
     final Set<JobId> failedJobs = new HashSet<>();
     boolean condemned;
+    final OneWay oneWay = new OneWay();
     /** More than is needed at its price: it gets no new tasks for now. */
     boolean spare;
     /** It takes no new tasks while the other machines of this share have room for all that waits; or null. */
@@ -119,9 +122,19 @@
         return tasks.isEmpty();
     }
 
-    /** Takes new tasks: up, known to later leaders, not about to go. */
+    /** Up, not about to go, and not out of reach: counted on. */
+    boolean isSound() {
+        return phase == Phase.UP && notice == null && !condemned && !oneWay.isTold();
+    }
+
+    /** Takes new tasks, as later leaders know of it. */
     boolean isUsable() {
-        return phase == Phase.UP && recorded && notice == null && !condemned;
+        return recorded && isSound();
+    }
+
+    /** Being returned since it hears nothing: no answer may renew its lease, so that its work is not counted for longer. */
+    boolean isGivenUp() {
+        return phase == Phase.LEAVING && oneWay.isTold();
     }
 
     /** Asked for and not up yet, but not overdue by so many of its type's boot times either. */
--- /dev/null
+++ b/src/main/java/io/indigoreach/core/Newcomers.java
@@ -0,0 +1,62 @@
+package io.indigoreach.core;
+
+import java.util.Collection;
+import java.util.Collections;
+import java.util.LinkedHashMap;
+import java.util.Map;
+
+/**
+ * Which machines that this leader does not know are taken on for what they report. A report by itself shows nothing: it may
+ * be a copy that comes minutes late, of a machine that is long gone. One that bears this leader's token, after an older
+ * one from the same machine, does: only this leader's answer to that one can have shown the token. What really runs without
+ * showing that is taken on by the cloud's list.
+ */
+final class Newcomers {
+    private static final int KEPT = 1000;
+
+    private final Rules rules;
+    /** The first report of each that bore an older token; its answer shows ours. */
+    private final Map<MachineId, ReportNumber> asked = new LinkedHashMap<>() {
+        @Override
+        protected boolean removeEldestEntry(Map.Entry<MachineId, ReportNumber> eldest) {
+            return size() > KEPT;
+        }
+    };
+    /** The newest machine of an earlier list, and when it was surely there. */
+    private MachineId newest;
+    private Moment seen;
+    /** Machines up to this one were all known to a whole list that is new enough: an unknown one of them is gone. */
+    private MachineId settled;
+
+    Newcomers(Rules rules) {
+        this.rules = rules;
+    }
+
+    boolean isProved(WorkerReport report, Token token) {
+        MachineId id = report.machine();
+        if (settled != null && id.compareTo(settled) <= 0) {
+            return false;
+        }
+        if (report.token().value() < token.value()) {
+            asked.putIfAbsent(id, report.number());
+            return false;
+        }
+        ReportNumber first = asked.get(id);
+        return first != null && report.number().compareTo(first) > 0;
+    }
+
+    /**
+     * A whole list, of which every machine is known by now. Names are in the order of creation: what was created before a
+     * machine that an earlier list had, and is not in a list that describes a later moment, is gone for good.
+     */
+    void listed(Collection<MachineId> list, Moment asked, Moment now) {
+        if (newest != null && !seen.isAfter(asked.minus(rules.oldestList()))) {
+            settled = newest;
+            newest = null;
+        }
+        if (newest == null && !list.isEmpty()) {
+            newest = Collections.max(list);
+            seen = now;
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/io/indigoreach/core/OneWay.java
@@ -0,0 +1,109 @@
+package io.indigoreach.core;
+
+import java.util.List;
+
+/**
+ * Whether a machine takes the answers to its reports. Its reports may arrive while answers do not reach it: it starts nothing
+ * that it is given, and its tasks end with its lease, however often it is heard. A report shows what became of the answer
+ * before it, as a worker has one report under way and drops answers to those that it has given up: what was started is in it in
+ * some state, refused included, what was reaped is not, what was stopped does not run, and the token is ours.
+ *
+ * <p>A lost answer or two are usual. A machine is told by {@value #MISSED} answers not taken in a row, with none taken between,
+ * over half a lease; one that has shown nothing to this leader yet, as it may be slow at its start or find a new leader slow,
+ * by twice as many over twice as long. Reports every 2 s tell it with the third after the first answer, at 6 s; those of a worker that
+ * waits 4 s for each answer and is sent back at once, at 16.5 s; by the token alone at 12 s and 33 s. All that is kept is one
+ * order, a count and three times.
+ */
+final class OneWay {
+    private static final int MISSED = 3;
+
+    private enum Sign {
+        TAKEN, MISSED, NOTHING
+    }
+
+    /** An order of the last answer, by which the next report shows whether it was taken; or null. */
+    private Order witness;
+    /** When the report before was answered; null if it was not, or too late. */
+    private Moment answered;
+    private int missed;
+    /** When the first of the answers was given that were not taken, and when the last one showed. */
+    private Moment since;
+    private Moment lastMiss;
+    /** It has taken an answer of this leader. */
+    private boolean proved;
+    private boolean told;
+
+    /** A report newer than {@code before}; {@code awake}: until then the leader stood still, and may have answered late. */
+    void heard(WorkerReport report, ReportNumber before, Token token, Moment awake, Rules rules, Moment now) {
+        Sign sign = sign(report, before, token);
+        boolean goesOn = missed > 0 && now.since(lastMiss).compareTo(rules.leaseBound()) > 0;
+        if (sign == Sign.TAKEN || sign == Sign.NOTHING && goesOn) {
+            // A session that outlasts a lease was answered meanwhile, whatever else is known.
+            missed = 0;
+            told = false;
+            proved |= sign == Sign.TAKEN;
+        } else if (sign == Sign.MISSED && !awake.isAfter(answered)) {
+            since = missed == 0 ? answered : since;
+            lastMiss = now;
+            missed++;
+            int times = proved ? 1 : 2;
+            told = missed >= MISSED * times && now.since(since).compareTo(rules.workerLease().times(0.5 * times)) >= 0;
+        }
+        answered = null;
+        witness = null;
+    }
+
+    private Sign sign(WorkerReport report, ReportNumber before, Token token) {
+        if (!proved && report.token().equals(token)) {
+            return Sign.TAKEN;
+        }
+        if (answered == null) {
+            return Sign.NOTHING;
+        }
+        if (report.number().session() > before.session()) {
+            return Sign.MISSED;
+        }
+        if (report.token().value() < token.value()) {
+            return Sign.MISSED;
+        }
+        return witness == null ? Sign.NOTHING : shown(report.tasks());
+    }
+
+    private Sign shown(List<TaskReport> tasks) {
+        TaskReport shown = tasks.stream().filter(t -> t.task().equals(witness.task())
+                && t.attempt().equals(witness.attempt())).findFirst().orElse(null);
+        if (witness instanceof Order.Stop) {
+            boolean goesOn = shown != null && (shown.state() == TaskState.RUNNING || shown.state() == TaskState.FETCHING);
+            return goesOn ? Sign.MISSED : Sign.NOTHING;
+        }
+        return (shown != null) == witness instanceof Order.Start ? Sign.TAKEN : Sign.MISSED;
+    }
+
+    /** These orders are in the answer that goes out now: a start tells most, a stop least. */
+    void answered(List<Order> orders, Moment now) {
+        answered = now;
+        for (Order o : orders) {
+            if (witness == null || o instanceof Order.Start || witness instanceof Order.Stop) {
+                witness = o;
+            }
+        }
+    }
+
+    /** It has not taken the last answer. */
+    boolean isDoubted() {
+        return missed > 0;
+    }
+
+    /** Nothing more is to be given to it. */
+    boolean isTold() {
+        return told;
+    }
+
+    Moment since() {
+        return since;
+    }
+
+    int missed() {
+        return missed;
+    }
+}
--- a/src/main/java/io/indigoreach/core/ReleaseCheck.java
+++ b/src/main/java/io/indigoreach/core/ReleaseCheck.java
@@ -46,6 +46,10 @@
     }
 
     private String reason(Machine m, Moment now, boolean settled, boolean mostAreLost) {
+        if (m.oneWay.isTold() && (!silence.isUnreached(m.pool.zone())
+                || now.since(m.oneWay.since()).compareTo(behindCut(m)) > 0)) {
+            return "reports but has taken none of " + m.oneWay.missed() + " answers";
+        }
         switch (m.phase) {
             case BOOTING:
                 if (now.since(m.rented).compareTo(m.type.boot().times(tuning.bootLimit())) > 0
@@ -83,10 +87,14 @@
      */
     private Span patience(Machine m) {
         Span alone = rules.leaseBound().times(1.5);
-        Span behindCut = rules.leaseBound().plus(m.type.boot()).plus(tuning.leastPaid());
+        Span behindCut = behindCut(m);
         return silence.isOnTheWay(m.pool.zone()) && behindCut.compareTo(alone) > 0 ? behindCut : alone;
     }
 
+    private Span behindCut(Machine m) {
+        return rules.leaseBound().plus(m.type.boot()).plus(tuning.leastPaid());
+    }
+
     /** What is left of the paid term. */
     private Span residual(Machine m, Moment now) {
         long beyond = now.since(m.rented).ms() - tuning.leastPaid().ms();
--- a/src/main/java/io/indigoreach/core/Silence.java
+++ b/src/main/java/io/indigoreach/core/Silence.java
@@ -19,6 +19,8 @@
     private final Map<String, Double> overdue = new HashMap<>();
     /** The same of all that were ever up: those whose leases have run out are silent too. */
     private final Map<String, Double> silent = new HashMap<>();
+    /** The same with those whose reports show that answers do not reach them. */
+    private final Map<String, Double> unreached = new HashMap<>();
 
     Silence(Cluster cluster, Rules rules) {
         this.cluster = cluster;
@@ -30,18 +32,23 @@
         Map<String, int[]> counts = new HashMap<>();
         for (Machine m : cluster.machines.values()) {
             boolean lost = m.phase == Machine.Phase.LOST;
-            if (mayHoldTasks(m) || lost) {
-                int[] count = counts.computeIfAbsent(m.pool.zone(), z -> new int[3]);
+            boolean doubted = m.oneWay.isDoubted() && m.phase != Machine.Phase.LEAVING;
+            if (mayHoldTasks(m) || lost || doubted) {
+                int[] count = counts.computeIfAbsent(m.pool.zone(), z -> new int[4]);
+                boolean late = now.since(m.heard).compareTo(rules.overdue()) > 0;
                 count[0] += lost ? 0 : 1;
-                count[1] += !lost && now.since(m.heard).compareTo(rules.overdue()) > 0 ? 1 : 0;
+                count[1] += !lost && late ? 1 : 0;
                 count[2] += lost ? 1 : 0;
+                count[3] += doubted && !lost && !late ? 1 : 0;
             }
         }
         overdue.clear();
         silent.clear();
+        unreached.clear();
         counts.forEach((zone, count) -> {
             overdue.put(zone, part(count[1], count[0]));
             silent.put(zone, part(count[1] + count[2], count[0] + count[2]));
+            unreached.put(zone, part(count[1] + count[2] + count[3], count[0] + count[2]));
         });
     }
 
@@ -75,9 +82,14 @@
         return silent.getOrDefault(zone, 0.0) > MOST_OVERDUE;
     }
 
-    /** Nothing is heard of the zone: what is rented there now could not be reached either. */
+    /** So many of the zone's machines are silent or take no answers that those are not to blame. */
+    boolean isUnreached(String zone) {
+        return unreached.getOrDefault(zone, 0.0) > MOST_OVERDUE;
+    }
+
+    /** Nothing is heard of the zone, or nobody there hears: what is rented there now could not be reached either. */
     boolean isCutOff(String zone) {
-        return silent.getOrDefault(zone, 0.0) >= NEARLY_ALL;
+        return unreached.getOrDefault(zone, 0.0) >= NEARLY_ALL;
     }
 
     private static Span longer(Span a, Span b) {
--- a/src/main/java/io/indigoreach/core/StartBounds.java
+++ b/src/main/java/io/indigoreach/core/StartBounds.java
@@ -63,7 +63,7 @@
         countedAt = now;
         places = 0;
         for (Machine m : cluster.machines.values()) {
-            if (m.isComing(now, tuning.bootPatience()) || m.phase == Machine.Phase.UP && m.notice == null && !m.condemned) {
+            if (m.isComing(now, tuning.bootPatience()) || m.isSound()) {
                 places += Math.max(0, m.free().cores()) + m.type.capacity().cores();
             }
         }
--- a/src/test/java/io/indigoreach/core/TakeOverTest.java
+++ b/src/test/java/io/indigoreach/core/TakeOverTest.java
@@ -92,6 +92,7 @@
     void aMachineThatIsNotRecordedGetsNoTasks() {
         w.core.loaded();
         w.submit(spec(1, 1, 1, 50), 0);
+        w.core.rented(new Pool("quad", "east", true), List.of(new MachineId("x")), at(0), at(0));
         assertEquals(List.of(), starts(w.hear("x", 1)), "a later leader would not wait for its report");
         w.core.recorded(new MachineId("x"));
         assertEquals(List.of("run-1/0"), starts(w.hear("x", 2)));
