--- a/src/main/java/io/indigoreach/core/LeaderCore.java
+++ b/src/main/java/io/indigoreach/core/LeaderCore.java
@@ -459,6 +459,12 @@
         return cluster.visits();
     }
 
+    /** Whether the machine's lease counts as over: nothing may run there. */
+    boolean countsOver(MachineId id) {
+        Machine m = cluster.machines.get(id);
+        return m != null && m.expired;
+    }
+
     public boolean knows(MachineId id) {
         return cluster.machines.containsKey(id);
     }
--- a/src/main/java/io/indigoreach/core/Newcomers.java
+++ b/src/main/java/io/indigoreach/core/Newcomers.java
@@ -42,7 +42,11 @@
             return false;
         }
         ReportNumber first = asked.get(id);
-        return first != null && report.number().compareTo(first) > 0;
+        boolean proved = first != null && report.number().compareTo(first) > 0;
+        if (proved) {
+            asked.remove(id);
+        }
+        return proved;
     }
 
     /**
--- a/src/main/java/io/indigoreach/emulator/Emulator.java
+++ b/src/main/java/io/indigoreach/emulator/Emulator.java
@@ -261,6 +261,7 @@
                 case TAKE -> cloud.model().take(now, f.share(), f.noticeS());
                 case DIE -> cloud.model().die(now, f.share());
                 case HANG -> workers.hang(f.share(), now.plus(Span.seconds(f.forS())));
+                case DEAFEN -> workers.deafen(f.share(), now.plus(Span.seconds(f.forS())));
                 case SPOIL -> workers.spoil(f.share());
                 case NO_BOOT -> {
                     cloud.model().noBoot(true);
--- a/src/main/java/io/indigoreach/emulator/WorkerPool.java
+++ b/src/main/java/io/indigoreach/emulator/WorkerPool.java
@@ -51,6 +51,7 @@
         int target;
         long timer = -1;
         boolean ended;
+        Moment deafUntil = Moment.NEVER;
 
         Routine(WorkerModel model) {
             this.model = model;
@@ -110,7 +111,7 @@
         }
 
         private void call(Node node, WorkerReport report, Moment sent, boolean hears) {
-            if (ended) {
+            if (ended && hears) {
                 return;
             }
             Caller used = hears ? caller(node) : new Caller(vertx, node.endpoint(), 1);
@@ -133,7 +134,7 @@
             if (ended) {
                 return;
             }
-            if (model.hangs(now)) {
+            if (model.hangs(now) || now.isBefore(deafUntil) && now.since(sent).compareTo(PATIENCE) < 0) {
                 vertx.setTimer(50, t -> heard(node, report, sent, reply));
                 return;
             }
@@ -267,6 +268,11 @@
         some(share, r -> r.model.hang(clock.now(), until));
     }
 
+    /** No answer reaches machines until then, though their reports arrive: each with this chance. */
+    public void deafen(double share, Moment until) {
+        some(share, r -> r.deafUntil = until);
+    }
+
     /** Machines fail every task from now on: each with this chance. */
     public void spoil(double share) {
         some(share, r -> r.model.spoil());
--- a/src/main/java/io/indigoreach/scenario/Fault.java
+++ b/src/main/java/io/indigoreach/scenario/Fault.java
@@ -52,6 +52,8 @@
         DIE,
         /** Machines hang and go on when it is over. */
         HANG,
+        /** Machines' reports arrive, answers don't reach them. */
+        DEAFEN,
         /** Machines fail every task that they start. */
         SPOIL,
         /** Machines asked for meanwhile never come up. */
--- a/src/test/java/io/indigoreach/core/RandomRun.java
+++ b/src/test/java/io/indigoreach/core/RandomRun.java
@@ -14,7 +14,8 @@
 
 /**
  * A seeded random run of the core among stand-ins for workers, cloud and state service: answers are lost, reports
- * come late, machines die or hang, leaders end at any moment. After every step the protocol's rules are checked.
+ * come late, once more or both, machines die, hang or hear nothing, the cloud answers nobody, leaders end at any moment.
+ * After every step the protocol's rules are checked, and that no copy of a report raises a machine.
  */
 final class RandomRun {
     private static final double LEASE_S = World.RULES.workerLease().seconds();
@@ -22,7 +23,7 @@
 
     /** A guard that a run can do without, to see that the rules then break. */
     enum Without {
-        NOTHING, TAKE_OVER, LEASE_BOUND, TEAM_LIMIT, ANSWERED_RETURN, START_BOUND
+        NOTHING, TAKE_OVER, LEASE_BOUND, TEAM_LIMIT, ANSWERED_RETURN, START_BOUND, REPORT_NUMBER, UNANSWERED
     }
 
     private static final class Worker {
@@ -34,6 +35,8 @@
         double answered;
         boolean dead;
         double hangsUntil;
+        /** Its reports arrive, answers don't. */
+        double deafUntil;
         final Map<TaskId, TaskReport> tasks = new LinkedHashMap<>();
         final Map<TaskId, Double> ends = new HashMap<>();
 
@@ -235,7 +238,7 @@
         }
         leader.check(at());
         List<MachineId> leaving = leader.leaving(100);
-        int fate = random.nextInt(6);
+        int fate = now % 120 < 50 ? 1 : random.nextInt(6);
         if (fate == 0) {
             late.add(() -> leaving.forEach(this::destroy));
         } else if (fate > 1) {
@@ -272,6 +275,8 @@
         } else if (fate < 4) {
             w.hangsUntil = now + random.nextInt(20);
             return;
+        } else if (fate < 6) {
+            w.deafUntil = now + random.nextInt(30);
         }
         for (Map.Entry<TaskId, Double> end : new ArrayList<>(w.ends.entrySet())) {
             TaskReport t = w.tasks.get(end.getKey());
@@ -299,9 +304,19 @@
             late.add(() -> leader.onReport(r, at()));
             return;
         }
+        if (fate < 4) {
+            late.add(() -> copy(w, r));
+        }
         long answering = token;
         List<Order> orders = leader.onReport(r, at());
-        if (orders == null || fate == 1) {
+        if (orders != null && !leader.answers(r.machine())) {
+            if (without != Without.UNANSWERED) {
+                return;
+            }
+            // It hears again just as it is given up.
+            w.deafUntil = now;
+        }
+        if (orders == null || fate == 1 || now < w.deafUntil) {
             return;
         }
         w.token = Math.max(w.token, answering);
@@ -309,6 +324,16 @@
         orders.forEach(o -> execute(w, o));
     }
 
+    /** The same report once more, up to minutes later and under any leader; answered to nobody. */
+    private void copy(Worker w, WorkerReport r) {
+        boolean known = leader.knows(r.machine());
+        ReportNumber number = without == Without.REPORT_NUMBER ? new ReportNumber(w.session, w.serial + 1) : r.number();
+        leader.onReport(new WorkerReport(r.machine(), r.address(), r.pool(), number, r.token(), null, r.tasks()), at());
+        if (!known && leader.knows(r.machine())) {
+            broken.add(now + ": raised " + r.machine());
+        }
+    }
+
     private void execute(Worker w, Order o) {
         TaskReport t = w.tasks.get(o.task());
         if (o instanceof Order.Start) {
@@ -320,7 +345,7 @@
             checkStart(w, o.task());
             w.tasks.put(o.task(), new TaskReport(o.task(), o.attempt(), TaskState.RUNNING, null, false));
             boolean replica = store.get(o.task().job()).spec.isService();
-            w.ends.put(o.task(), now + 1 + random.nextInt(replica ? 300 : 20));
+            w.ends.put(o.task(), now + 1 + random.nextInt(replica ? 300 : random.nextInt(4) == 0 ? 80 : 20));
         } else if (t != null && t.attempt().equals(o.attempt())) {
             if (o instanceof Order.Stop && t.state() != TaskState.EXITED) {
                 exit(w, t, ExitCause.STOPPED);
@@ -363,6 +388,9 @@
             for (TaskId task : w.tasks.keySet()) {
                 if (isOn(w, task)) {
                     Stored s = store.get(task.job());
+                    if (leader.countsOver(new MachineId(w.name))) {
+                        broken.add(now + ": counted as over " + task + " on " + w.name);
+                    }
                     cores += s.spec.demand().cores();
                     if (s.cancelledAt >= 0 && now - s.cancelledAt > World.RULES.cancel().seconds()) {
                         broken.add(now + ": ran_cancelled " + task);
--- a/src/test/java/io/indigoreach/emulator/FaultsTest.java
+++ b/src/test/java/io/indigoreach/emulator/FaultsTest.java
@@ -34,6 +34,8 @@
         "fault { kind: take at_s: 2 share: 0.5 notice_s: 1 }",
         "fault { kind: die at_s: 2 share: 0.5 }",
         "fault { kind: hang at_s: 2 for_s: 2 share: 0.5 }",
+        "fault { kind: deafen at_s: 2 for_s: 6 share: 1 }",
+        "fault { kind: repeat at_s: 0 for_s: 8 from: 'workers' share: 0.5 delay_s: 5 } fault { kind: take at_s: 2 share: 0.5 }",
         "fault { kind: spoil at_s: 2 share: 0.3 }",
         "fault { kind: no_boot at_s: 0 for_s: 1 }",
         "fault { kind: hold at_s: 2 for_s: 3 from: 'workers' to: 'node-0' }",
