--- a/src/main/java/io/indigoreach/core/OneWay.java
+++ b/src/main/java/io/indigoreach/core/OneWay.java
@@ -10,9 +10,9 @@
  *
  * <p>A lost answer or two are usual. A machine is told by {@value #MISSED} answers not taken in a row, with none taken between,
  * over half a lease; one that has shown nothing to this leader yet, as it may be slow at its start or find a new leader slow,
- * by twice as many over twice as long. Reports every 2 s tell it with the third after the first answer, at 6 s; those of a worker that
- * waits 4 s for each answer and is sent back at once, at 16.5 s; by the token alone at 12 s and 33 s. All that is kept is one
- * order, a count and three times.
+ * by twice as many over twice as long. Reports every 2 s tell it with the third after the first answer, at 6 s; those of a
+ * worker that waits 4 s for each answer and is sent back at once, at 16.5 s; by the token alone at 12 s and 33 s. All that is
+ * kept is one order, a count and three times.
  */
 final class OneWay {
     private static final int MISSED = 3;
