A machine given up is judged no more: it stays unanswered until it is gone

Cause: a lease bound after the last sign its session seemed to go on, and it was answered again while being returned. Change: its reports are read for results only.

--- a/src/main/java/io/indigoreach/core/LeaderCore.java
+++ b/src/main/java/io/indigoreach/core/LeaderCore.java
@@ -155,13 +155,13 @@
         if (!m.pool.equals(report.pool()) && cluster.types.containsKey(report.pool().type())) {
             m = replace(m, report.pool(), now);
         }
+        ReportNumber before = m.last;
+        m.last = report.number();
         if (!m.isGivenUp()) {
             m.heard = now;
             m.expired = false;
+            hears(m, report, before, now);
         }
-        ReportNumber before = m.last;
-        m.last = report.number();
-        hears(m, report, before, now);
         if (report.token().value() < token.value()) {
             m.oneWay.answered(List.of(), now);
             return List.of();
--- a/src/test/java/io/indigoreach/core/OneWayTest.java
+++ b/src/test/java/io/indigoreach/core/OneWayTest.java
@@ -164,6 +164,8 @@
         }
         assertEquals(answered ? 10 : 10 + RULES.leaseBound().seconds(), elsewhere, 0.15);
         assertEquals(0, job.failures, "its job is not at fault");
+        w.core.onReport(w.report("a", "east", 2, TOKEN), at(elsewhere + 20));
+        assertEquals(answered, w.core.answers(new MachineId("a")), "nor later, while the cloud has not answered");
     }
 
     /** Told while many of its zone were, so not returned: by a start taken, by the token, or by a session that goes on. */
