--- a/src/main/java/io/indigoreach/api/FrontDoor.java
+++ b/src/main/java/io/indigoreach/api/FrontDoor.java
@@ -1,5 +1,6 @@
 package io.indigoreach.api;
 
+import io.indigoreach.core.Turns;
 import io.indigoreach.net.Body;
 import io.indigoreach.net.Endpoint;
 import io.indigoreach.net.Fields;
@@ -30,13 +31,6 @@
     private static final Logger LOG = LoggerFactory.getLogger(FrontDoor.class);
     private static final String API = "/api/";
     private static final int IDLE_S = 75;
-    /** Requests of users of one kind that wait for the state service at once; more are told to come back. */
-    private static final int MOST_WAITING = 100;
-
-    private static final class Waiting {
-        int now;
-    }
-
     private final Endpoint endpoint;
     private final JobDesk jobs;
     private final ReportDesk reports;
@@ -44,11 +38,12 @@
     /** What the parts beside the jobs serve, by their names. */
     private final Map<String, Resource> resources;
     private final HttpServer server;
-    private final Waiting questions = new Waiting();
+    /** Of each kind so many wait for the state service at once; more are told to come back, and go first then. */
+    private final Turns questions = new Turns();
     /** Requests of the parts beside the jobs. */
-    private final Waiting others = new Waiting();
+    private final Turns others = new Turns();
     /** Submissions and cancellations: questions, however many, do not keep them out. */
-    private final Waiting orders = new Waiting();
+    private final Turns orders = new Turns();
 
     public FrontDoor(Vertx vertx, Endpoint endpoint, JobDesk jobs, ReportDesk reports, BooleanSupplier ready,
                      Map<String, Resource> resources) {
@@ -85,23 +80,24 @@
                 write(request, ready.getAsBoolean() ? Answer.ok(Map.of()) : Answer.later("starting"));
             }
         } else if (JobCodec.JOBS.equals(path)) {
-            withBody(request, HttpMethod.POST, body -> limited(orders, () -> jobs.submit(body)));
+            withBody(request, HttpMethod.POST, body -> limited(orders, user(request), () -> jobs.submit(body)));
         } else if (path != null && path.startsWith(JobCodec.JOBS + "/")) {
             String rest = path.substring(JobCodec.JOBS.length() + 1);
             if (rest.endsWith(JobCodec.CANCEL)) {
                 String id = rest.substring(0, rest.length() - JobCodec.CANCEL.length());
-                withBody(request, HttpMethod.POST, body -> limited(orders, () -> jobs.cancel(id)));
+                withBody(request, HttpMethod.POST, body -> limited(orders, id, () -> jobs.cancel(id)));
             } else if (rest.indexOf('/') >= 0) {
                 write(request, Answer.error(404, "no such path"));
             } else if (allows(request, HttpMethod.GET)) {
-                answer(request, b -> limited(questions, () -> jobs.query(rest)), null);
+                answer(request, b -> limited(questions, rest, () -> jobs.query(rest)), null);
             }
         } else if (path != null && path.startsWith(API) && resources.containsKey(part(path))) {
             Resource resource = resources.get(part(path));
             if (request.method().equals(HttpMethod.GET)) {
-                answer(request, b -> limited(others, () -> resource.serve(call(request, path, new Fields(Map.of())))), null);
+                answer(request, b -> limited(others, user(request), () -> resource.serve(call(request, path,
+                        new Fields(Map.of())))), null);
             } else {
-                withBody(request, request.method(), body -> limited(others, () -> resource.serve(call(request, path,
+                withBody(request, request.method(), body -> limited(others, user(request), () -> resource.serve(call(request, path,
                         body.length() == 0 ? new Fields(Map.of()) : Wire.readMap(body)))));
             }
         } else {
@@ -122,19 +118,23 @@
                 .map(s -> URLDecoder.decode(s, StandardCharsets.UTF_8)).toList(), query, body);
     }
 
-    private Future<Answer> limited(Waiting kind, java.util.function.Supplier<Future<Answer>> work) {
-        if (kind.now >= MOST_WAITING) {
+    /** Whoever comes back after a refusal does so on the same connection, mostly. */
+    private static String user(HttpServerRequest request) {
+        return request.connection().remoteAddress().toString();
+    }
+
+    private static Future<Answer> limited(Turns kind, String who, java.util.function.Supplier<Future<Answer>> work) {
+        if (!kind.enter(who)) {
             return Future.succeededFuture(Answer.later("too many requests at this node"));
         }
-        kind.now++;
         Future<Answer> result;
         try {
             result = work.get();
         } catch (RuntimeException e) {
-            kind.now--;
+            kind.leave();
             throw e;
         }
-        return result.onComplete(r -> kind.now--);
+        return result.onComplete(r -> kind.leave());
     }
 
     private boolean allows(HttpServerRequest request, HttpMethod method) {
--- a/src/main/java/io/indigoreach/api/JobDesk.java
+++ b/src/main/java/io/indigoreach/api/JobDesk.java
@@ -15,6 +15,7 @@
 import io.indigoreach.net.Wire;
 import io.indigoreach.net.WireException;
 import io.indigoreach.state.FinalRecord;
+import io.indigoreach.state.JobMender;
 import io.indigoreach.state.JobRecord;
 import io.indigoreach.state.RecordCodec;
 import io.indigoreach.state.StateClient;
@@ -46,6 +47,7 @@
     private final SteadyClock clock;
     private final int valueBytes;
     private final OpenReads questions;
+    private final JobMender mender;
     /** When this node last learnt, and told or will tell, that a job is cancelled; at first, when its process began. */
     private Moment cancelTold;
     private List<Joining> joinings = List.of();
@@ -70,9 +72,10 @@
     }
 
     /** {@code questionsPerS}: requests to the state service that this node may spend on users' questions. */
-    public JobDesk(Vertx vertx, StateClient state, Catalogue catalogue, Collection<Team> teams, SteadyClock clock,
-                   int valueBytes, double questionsPerS) {
+    public JobDesk(Vertx vertx, StateClient state, JobMender mender, Catalogue catalogue, Collection<Team> teams,
+                   SteadyClock clock, int valueBytes, double questionsPerS) {
         this.state = state;
+        this.mender = mender;
         this.catalogue = catalogue;
         this.teams = teams;
         this.clock = clock;
@@ -159,7 +162,7 @@
             if (outcome.failed().stream().anyMatch(change.conditions()::containsKey) && attempt < MOST_TRIES) {
                 return accept(spec, record, now, attempt + 1);
             }
-            return find(spec.id()).map(found -> found.open == null && found.over == null
+            return find(spec.id(), this::readOpen, spec, 1).map(found -> found.open == null && found.over == null
                     ? Answer.later("try again") : current(spec.id(), found));
         });
     }
@@ -173,7 +176,7 @@
             return Future.succeededFuture(Answer.error(404, "no such job"));
         }
         JobId id = new JobId(text);
-        return find(id, questions::read, 1).map(found -> {
+        return find(id, questions::read, null, 1).map(found -> {
             if (found.open != null) {
                 JobRecord r = found.open;
                 return Answer.ok(JobCodec.progress(id, r.status(), r.doneCount(), r.running()));
@@ -218,7 +221,7 @@
     }
 
     private Future<Found> find(JobId id) {
-        return find(id, this::readOpen, 1);
+        return find(id, this::readOpen, null, 1);
     }
 
     private Future<StateClient.Entry> readOpen(JobId id) {
@@ -227,16 +230,22 @@
 
     /**
      * Reads the open key first: a job moves from there to the other, never back. That a job is nowhere is confirmed by
-     * comparing, as a read may come from before it was accepted; so is what is read while the service is in doubt.
+     * comparing, as a read may come from before it was accepted; so is what is read while the service is in doubt. What cannot
+     * be read is mended first; {@code offered}: the job as its user submits it again, or null.
      */
-    private Future<Found> find(JobId id, Function<JobId, Future<StateClient.Entry>> reader, int attempt) {
+    private Future<Found> find(JobId id, Function<JobId, Future<StateClient.Entry>> reader, JobSpec offered, int attempt) {
         FinalRecord known = over.get(id);
         if (known != null) {
             return Future.succeededFuture(new Found(null, known));
         }
         return reader.apply(id).compose(open -> {
             if (open != null) {
-                JobRecord record = RecordCodec.readJob(id, open.value(), open.stamp());
+                JobRecord record;
+                try {
+                    record = RecordCodec.readJob(id, open.value(), open.stamp());
+                } catch (WireException e) {
+                    return again(id, mender.open(id, open, offered), offered, attempt, e.getMessage());
+                }
                 if (record.status() == JobStatus.DONE) {
                     // Its end is written; the record has only not been moved yet.
                     return Future.succeededFuture(new Found(null, remember(new FinalRecord(id, JobStatus.DONE,
@@ -245,12 +254,24 @@
                 Found found = new Found(record, null);
                 return state.isDoubted() ? confirmed(id, found, open.stamp(), attempt) : Future.succeededFuture(found);
             }
-            return state.get(RecordCodec.over(id)).compose(ended -> ended == null
-                    ? confirmed(id, new Found(null, null), Stamp.ABSENT, attempt)
-                    : Future.succeededFuture(new Found(null, remember(RecordCodec.readFinal(id, ended.value())))));
+            return state.get(RecordCodec.over(id)).compose(ended -> {
+                if (ended == null) {
+                    return confirmed(id, new Found(null, null), Stamp.ABSENT, attempt);
+                }
+                try {
+                    return Future.succeededFuture(new Found(null, remember(RecordCodec.readFinal(id, ended.value()))));
+                } catch (WireException e) {
+                    return again(id, mender.over(id, ended, offered), offered, attempt, e.getMessage());
+                }
+            });
         });
     }
 
+    private Future<Found> again(JobId id, Future<Void> settled, JobSpec offered, int attempt, String failure) {
+        return settled.compose(v -> attempt < MOST_TRIES ? find(id, this::readOpen, offered, attempt + 1)
+                : Future.failedFuture(new WireException(failure)));
+    }
+
     private Future<Found> confirmed(JobId id, Found found, Stamp open, int attempt) {
         if (found.open == null && state.losses().isHolding()) {
             return Future.failedFuture(new WireException("data were lost, and this job may be among them"));
@@ -258,8 +279,7 @@
         StateClient.Txn txn = found.open == null ? state.inThisEra() : new StateClient.Txn();
         return state.confirm(txn.when(RecordCodec.open(id), open).when(RecordCodec.over(id), Stamp.ABSENT))
                 .compose(holds -> holds ? found.open == null ? unknownToAll(id, attempt) : Future.succeededFuture(found)
-                        : attempt < MOST_TRIES ? state.check().compose(v -> find(id, this::readOpen, attempt + 1))
-                        : Future.failedFuture(new WireException("the state service answers with the past")));
+                        : again(id, state.check(), null, attempt, "the state service answers with the past"));
     }
 
     /** Nobody is told that a job does not exist as long as any controller remembers it: its record was lost. */
@@ -268,8 +288,7 @@
                 ? state.confirm(nowhere(id)).compose(still -> {
                     if (!still) {
                         // Accepted after it was looked for.
-                        return attempt < MOST_TRIES ? find(id, this::readOpen, attempt + 1)
-                                : Future.failedFuture(new WireException("the job changes at this moment"));
+                        return again(id, Future.succeededFuture(), null, attempt, "the job changes at this moment");
                     }
                     state.recordGone(RecordCodec.open(id));
                     return Future.failedFuture(new WireException("the record of this job was lost"));
@@ -309,6 +328,17 @@
         return clock.now().since(cancelTold);
     }
 
+    /** What this node remembers of one job. */
+    public Remains remains(JobId id) {
+        Remains remains = new Remains();
+        if (over.containsKey(id)) {
+            remains.add(id, new Remains.Over(over.get(id).status(), over.get(id).done()));
+        } else if (accepted.containsKey(id)) {
+            remains.add(accepted.get(id));
+        }
+        return remains;
+    }
+
     /** What this node remembers of jobs. */
     public Remains remains() {
         Remains remains = new Remains();
--- a/src/main/java/io/indigoreach/api/OpenReads.java
+++ b/src/main/java/io/indigoreach/api/OpenReads.java
@@ -1,6 +1,8 @@
 package io.indigoreach.api;
 
 import io.indigoreach.core.JobId;
+import io.indigoreach.core.Moment;
+import io.indigoreach.core.Round;
 import io.indigoreach.core.Span;
 import io.indigoreach.net.Budget;
 import io.indigoreach.net.SteadyClock;
@@ -10,9 +12,7 @@
 import io.vertx.core.Future;
 import io.vertx.core.Promise;
 import io.vertx.core.Vertx;
-import java.util.ArrayList;
 import java.util.HashMap;
-import java.util.List;
 import java.util.Map;
 
 /**
@@ -27,6 +27,8 @@
     private static final int PAGE = 500;
     /** Of a node's part, what is kept for listings. */
     private static final double LISTINGS = 0.25;
+    /** Of a listing: who has waited longer has gone, and is told to come back; those are the first of the next. */
+    private static final Span PATIENCE = Span.seconds(1.5);
     /** Between two looks at whether a page may be asked for. */
     private static final Span PACE = Span.seconds(0.1);
 
@@ -37,6 +39,7 @@
     private final Budget pages;
     /** By the keys of the records. */
     private Map<String, Promise<StateClient.Entry>> waiting = new HashMap<>();
+    private final Round<Promise<StateClient.Entry>> round = new Round<>();
     private boolean listing;
 
     /** {@code perSecond}: requests to the state service that this node may spend on users' questions. */
@@ -63,50 +66,47 @@
             return;
         }
         listing = true;
-        page(null, null);
+        page(null);
     }
 
     /** The first page answers to all who wait as it is asked for; who comes later waits for the next listing. */
-    private void page(Map<String, Promise<StateClient.Entry>> asked, String after) {
-        if (!pages.take(1, clock.now())) {
-            vertx.setTimer(PACE.ms(), t -> page(asked, after));
+    private void page(Moment begun) {
+        Moment now = clock.now();
+        if (begun != null && now.since(begun).compareTo(PATIENCE) >= 0) {
+            end(new WireException("too many open jobs to list them in time"));
             return;
         }
-        Map<String, Promise<StateClient.Entry>> mine = asked;
-        if (mine == null) {
-            mine = waiting;
+        if (!pages.take(1, now)) {
+            vertx.setTimer(PACE.ms(), t -> page(begun));
+            return;
+        }
+        if (begun == null) {
+            round.begin(waiting);
             waiting = new HashMap<>();
         }
-        Map<String, Promise<StateClient.Entry>> left = mine;
-        state.list(RecordCodec.OPEN, after, PAGE).onComplete(read -> {
+        String from = round.next();
+        state.list(RecordCodec.OPEN, RecordCodec.before(from), PAGE).onComplete(read -> {
             if (read.failed()) {
-                end(left, new WireException("the open jobs cannot be listed: " + read.cause().getMessage()));
+                round.failed(from);
+                end(new WireException("the open jobs cannot be listed: " + read.cause().getMessage()));
                 return;
             }
-            List<StateClient.Entry> items = read.result().items();
-            for (StateClient.Entry item : items) {
-                Promise<StateClient.Entry> promise = left.remove(item.key());
-                if (promise != null) {
-                    promise.complete(item);
-                }
-            }
-            if (read.result().more() && !items.isEmpty() && !left.isEmpty()) {
-                page(left, items.get(items.size() - 1).key());
+            Map<String, StateClient.Entry> items = new HashMap<>();
+            read.result().items().forEach(item -> items.put(item.key(), item));
+            String last = read.result().more() && !items.isEmpty()
+                    ? read.result().items().get(items.size() - 1).key() : null;
+            round.answered(from, last).forEach((key, promise) -> promise.complete(items.get(key)));
+            if (round.isOver()) {
+                end(null);
             } else {
-                end(left, null);
+                page(begun == null ? now : begun);
             }
         });
     }
 
-    private void end(Map<String, Promise<StateClient.Entry>> left, WireException failure) {
+    private void end(WireException failure) {
         listing = false;
-        for (Promise<StateClient.Entry> promise : new ArrayList<>(left.values())) {
-            if (failure != null) {
-                promise.fail(failure);
-            } else {
-                promise.complete(null);
-            }
-        }
+        round.end().values().forEach(promise -> promise.fail(failure));
         begin();
     }
 }
--- a/src/main/java/io/indigoreach/cluster/Controller.java
+++ b/src/main/java/io/indigoreach/cluster/Controller.java
@@ -34,6 +34,7 @@
     private Supplier<Future<Remains>> jobs = () -> Future.succeededFuture(new Remains());
     private final WarmUp warmUp;
     private Reign reign;
+    private boolean cutOff;
     /** What this node knew when it last led. */
     private Remains known = new Remains();
 
@@ -66,6 +67,18 @@
         return reign != null && reign.knows(id);
     }
 
+    /** What this node knows of one job as the leader, or as the last thing it knew of its end. */
+    Remains remains(JobId id) {
+        if (reign != null) {
+            return reign.remains(id);
+        }
+        Remains remains = new Remains();
+        if (known.over().containsKey(id)) {
+            remains.add(id, known.over().get(id));
+        }
+        return remains;
+    }
+
     private Future<Remains> gather() {
         Remains all = new Remains();
         if (leadership.succeedsItself()) {
@@ -167,9 +180,15 @@
         return reign != null && leadership.isValid() && reign.hearsCancellations();
     }
 
+    /** Neither the state service nor another node answers this one: what it knows of who leads is old. */
+    void isCutOff(boolean is) {
+        cutOff = is;
+    }
+
+    /** Who else leads, for a worker to go to; null if that is not known, as a wrong name costs it more than none. */
     private String otherLeader() {
         String leader = leadership.leader();
-        return env.config().node().equals(leader) ? null : leader;
+        return cutOff || env.config().node().equals(leader) ? null : leader;
     }
 
     @Override
--- a/src/main/java/io/indigoreach/cluster/JobWatch.java
+++ b/src/main/java/io/indigoreach/cluster/JobWatch.java
@@ -66,7 +66,7 @@
             since = Math.max(since, changes.revision());
             fresh = sent;
             for (StateClient.Change change : changes.changes()) {
-                apply(change);
+                Ledger.unlessUnreadable(change.key(), () -> apply(change));
             }
             return Span.ZERO;
         });
--- a/src/main/java/io/indigoreach/cluster/Ledger.java
+++ b/src/main/java/io/indigoreach/cluster/Ledger.java
@@ -21,6 +21,7 @@
 import java.util.BitSet;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.Iterator;
 import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
@@ -41,6 +42,8 @@
     /** Results of one job are gathered for this long; its end is written at once. */
     private static final Span GATHER = Span.seconds(1);
     private static final int MOST_AT_ONCE = 4;
+    /** For how long a new leader mends records that it cannot read, before it goes on without the rest. */
+    private static final Span MENDING = Span.seconds(2);
     private static final int CLOSED_KEPT = 10_000;
 
     /** A record without which nobody may lead: trying again is of no use before somebody has mended it. */
@@ -64,6 +67,8 @@
     /** Ends written into the open job's record, to be moved when there is room for it. */
     private final Map<JobId, Stamp> unmoved = new LinkedHashMap<>();
     private final Map<JobId, JobStatus> shown = new HashMap<>();
+    /** Open jobs that stand still, as nobody could read or mend their records. */
+    private final Set<JobId> unread = new HashSet<>();
     /** Jobs that are over: a late change of theirs must not open them again. */
     private final Map<JobId, Remains.Over> closed = new LinkedHashMap<>() {
         @Override
@@ -101,10 +106,11 @@
     /** Reads every open job and every machine; returns the revision to watch from. */
     Future<Long> load() {
         Map<JobId, BitSet> bits = new HashMap<>();
+        List<StateClient.Entry> spoilt = new ArrayList<>();
         Moment now = env.clock().now();
         // Blocks first: one that is written between the two readings would otherwise be newer than its job.
-        return pages(RecordCodec.BITS, e -> RecordCodec.readBlock(e.key(), e.value(),
-                bits.computeIfAbsent(RecordCodec.jobOfBlock(e.key()), k -> new BitSet())))
+        return pages(RecordCodec.BITS, e -> unlessUnreadable(e.key(), () -> RecordCodec.readBlock(e.key(), e.value(),
+                bits.computeIfAbsent(RecordCodec.jobOfBlock(e.key()), k -> new BitSet()))))
                 .compose(r -> pages(RecordCodec.MACHINES, e -> {
                     List<MachineRecord> machines = RecordCodec.readMachines(e.value());
                     book.inherit(e.key(), e.stamp(), machines);
@@ -114,33 +120,71 @@
                         core.inherit(m.id(), m.pool(), steady(m.rentedMs()), existed, now);
                     }
                 }))
-                .compose(r -> pages(RecordCodec.OPEN, e -> unlessUnreadable(e.key(), () -> {
-                    JobRecord record = RecordCodec.readJob(RecordCodec.jobOf(e.key()), e.value(), e.stamp());
-                    add(record, bits.getOrDefault(record.id(), new BitSet()), true);
-                })));
+                .compose(r -> pages(RecordCodec.OPEN, e -> {
+                    if (!unlessUnreadable(e.key(), () -> inherit(RecordCodec.readJob(RecordCodec.jobOf(e.key()), e.value(),
+                            e.stamp()), bits))) {
+                        spoilt.add(e);
+                    }
+                })).compose(revision -> mend(spoilt.iterator(), bits, env.clock().now().plus(MENDING)).map(revision));
+    }
+
+    private void inherit(JobRecord record, Map<JobId, BitSet> bits) {
+        add(record, bits.getOrDefault(record.id(), new BitSet()), true);
+    }
+
+    /**
+     * Jobs whose records cannot be read, from what other controllers remember: before any order stops their tasks. Not for long,
+     * as all others wait; a question about such a job mends it as well.
+     */
+    private Future<Void> mend(Iterator<StateClient.Entry> spoilt, Map<JobId, BitSet> bits, Moment until) {
+        if (!spoilt.hasNext() || duty.isCancelled()) {
+            return Future.succeededFuture();
+        }
+        StateClient.Entry entry = spoilt.next();
+        if (!JobId.isValid(entry.key().substring(RecordCodec.OPEN.length()))) {
+            return mend(spoilt, bits, until);
+        }
+        JobId id = RecordCodec.jobOf(entry.key());
+        unread.add(id);
+        Future<Void> mended = env.clock().now().isBefore(until) ? env.mender().open(id, entry, null)
+                .compose(v -> env.state().get(entry.key())).map(now -> {
+                    if (now != null) {
+                        inherit(RecordCodec.readJob(id, now.value(), now.stamp()), bits);
+                    }
+                    unread.remove(id);
+                    return null;
+                }) : Future.failedFuture(new WireException("others wait"));
+        return mended.recover(e -> {
+            LOG.error("the job of the record {} is not served ({}) until its user asks and a controller remembers it, it is "
+                    + "submitted again, or the record is restored", entry.key(), e.getMessage());
+            return Future.succeededFuture();
+        }).compose(v -> mend(spoilt, bits, until));
     }
 
     /**
-     * One job's record that cannot be read keeps no other job from being served: its job stands still until it can. A page of
-     * machines is another matter, as what it holds may run tasks: then nobody leads.
+     * One job's record that cannot be read keeps no other job from being served; false if it cannot. Of a block of bits that cannot,
+     * the tasks are run again, which does no harm: their results are kept. A page of machines is another matter, as what it holds
+     * may run tasks: then nobody leads.
      */
-    private static void unlessUnreadable(String key, Runnable read) {
+    static boolean unlessUnreadable(String key, Runnable read) {
         try {
             read.run();
+            return true;
         } catch (WireException e) {
-            LOG.error("the record {} cannot be read ({}): its job is not served. Was it written by a newer version? Run that, or "
-                    + "restore the record", key, e.getMessage());
+            LOG.error("the record {} cannot be read ({}). Was it written by a newer version? Run that, or restore the record", key,
+                    e.getMessage());
+            return false;
         }
     }
 
     /** Reads the open jobs once more after the watch has lost its place. */
     Future<Long> readAgain() {
         Set<JobId> present = new HashSet<>();
-        return pages(RecordCodec.OPEN, e -> {
+        return pages(RecordCodec.OPEN, e -> unlessUnreadable(e.key(), () -> {
             JobId id = RecordCodec.jobOf(e.key());
             present.add(id);
             heard(id, e.value(), e.stamp());
-        }).map(revision -> {
+        })).map(revision -> {
             for (Job job : new ArrayList<>(core.jobs())) {
                 if (!present.contains(job.id()) && job.stamp().value() <= revision) {
                     heardGone(job.id());
@@ -204,17 +248,26 @@
 
     /**
      * An open job's key was written: a new job, or one of this leader's own writes. What cannot be read must not keep the
-     * leader from hearing the rest, cancellations above all.
+     * leader from hearing the rest, cancellations above all. A job that is known here is written anew; one that could not be read
+     * until now is taken for an earlier leader's, whose tasks may be anywhere.
      */
     void heard(JobId id, Fields value, Stamp stamp) {
         Job job = core.job(id);
         if (job == null) {
             if (!closed.containsKey(id)) {
-                unlessUnreadable(RecordCodec.open(id), () -> add(RecordCodec.readJob(id, value, stamp), new BitSet(), false));
+                boolean was = unread.contains(id);
+                if (unlessUnreadable(RecordCodec.open(id), () -> add(RecordCodec.readJob(id, value, stamp), new BitSet(), was))) {
+                    unread.remove(id);
+                } else {
+                    unread.add(id);
+                }
                 duty.wake();
             }
         } else {
             core.stamped(job, stamp);
+            if (!unlessUnreadable(RecordCodec.open(id), () -> RecordCodec.readJob(id, value, stamp))) {
+                touch(job);
+            }
         }
     }
 
@@ -255,6 +308,12 @@
         closed.forEach(remains::add);
     }
 
+    void addTo(Remains remains, JobId id) {
+        if (closed.containsKey(id)) {
+            remains.add(id, closed.get(id));
+        }
+    }
+
     private void drop(Job job) {
         touched.remove(job);
         shown.remove(job.id());
--- a/src/main/java/io/indigoreach/cluster/Node.java
+++ b/src/main/java/io/indigoreach/cluster/Node.java
@@ -13,6 +13,7 @@
 import io.indigoreach.net.Pulse;
 import io.indigoreach.net.SteadyClock;
 import io.indigoreach.parts.Parts;
+import io.indigoreach.state.JobMender;
 import io.indigoreach.state.StateClient;
 import io.indigoreach.worker.ReportDesk;
 import io.vertx.core.Future;
@@ -40,19 +41,21 @@
                 new Caller(vertx, config.state(), 3));
         CloudClient cloud = new CloudClient(new Caller(vertx, config.cloud(), 3));
         this.catalogue = new Catalogue(vertx, state, cloud);
+        JobMender mender = new JobMender(state, clock);
         Parts parts = Parts.on(vertx, state, clock, catalogue, config, settings);
         this.controller = new Controller(new Reign.Surroundings(vertx, clock, pulse, state, cloud, catalogue, config, settings,
-                settings.leaderLease(config.rules()), parts), own);
-        JobDesk jobs = new JobDesk(vertx, state, catalogue, config.teams(), clock, config.stateLimits().valueBytes(),
+                settings.leaderLease(config.rules()), parts, mender), own);
+        JobDesk jobs = new JobDesk(vertx, state, mender, catalogue, config.teams(), clock, config.stateLimits().valueBytes(),
                 config.stateLimits().requestsPerS() * QUESTIONS / (config.peers().size() + 1));
         this.standing = new Standing(vertx, clock, pulse, state, config, controller, jobs, parts.copies());
         controller.remembering(standing::gather);
         controller.asking(standing::pledges, standing::othersDoNotLead);
+        mender.asking(standing::recall);
         jobs.joining(parts.joinings());
         jobs.asking(standing::know);
         state.onLoss(controller::onLoss);
         this.door = new FrontDoor(vertx, config.listen(), jobs, new ReportDesk(controller),
-                () -> catalogue.isKnown() && !standing.isRefusedAlone(), parts.resources());
+                () -> catalogue.isKnown() && !standing.isOutOfTouch(), parts.resources());
     }
 
     /** Starts serving; the result is the port. */
--- a/src/main/java/io/indigoreach/cluster/Rebuilder.java
+++ b/src/main/java/io/indigoreach/cluster/Rebuilder.java
@@ -58,6 +58,10 @@
     private final Budget budget;
     private final Remains remains;
     private final Map<JobId, JobRecord> open = new HashMap<>();
+    /** The versions of all open jobs' records, also of those that cannot be read. */
+    private final Map<JobId, Stamp> standing = new HashMap<>();
+    /** Jobs whose ends are there. */
+    private final Set<JobId> over = new HashSet<>();
     private final Map<JobId, BitSet> beside = new HashMap<>();
     private final Set<MachineId> machines = new HashSet<>();
     private final Deque<Step> steps = new ArrayDeque<>();
@@ -76,17 +80,27 @@
     /** Succeeds when everything is written and the new era begins. */
     Future<Void> run() {
         LOG.warn("rebuilding what was lost from {}", remains);
-        return read(RecordCodec.BITS, e -> RecordCodec.readBlock(e.key(), e.value(),
-                beside.computeIfAbsent(RecordCodec.jobOfBlock(e.key()), k -> new BitSet())))
-                .compose(v -> read(RecordCodec.OPEN, e -> {
+        return read(RecordCodec.BITS, e -> Ledger.unlessUnreadable(e.key(), () -> RecordCodec.readBlock(e.key(), e.value(),
+                beside.computeIfAbsent(RecordCodec.jobOfBlock(e.key()), k -> new BitSet()))))
+                .compose(v -> read(RecordCodec.OPEN, e -> Ledger.unlessUnreadable(e.key(), () -> {
                     JobId id = RecordCodec.jobOf(e.key());
+                    standing.put(id, e.stamp());
                     open.put(id, RecordCodec.readJob(id, e.value(), e.stamp()));
-                })).compose(v -> read(RecordCodec.MACHINES, e -> {
+                }))).compose(v -> read(RecordCodec.FINAL, e -> Ledger.unlessUnreadable(e.key(), () -> {
+                    JobId id = RecordCodec.overOf(e.key());
+                    RecordCodec.readFinal(id, e.value());
+                    over.add(id);
+                }))).compose(v -> read(RecordCodec.MACHINES, e -> {
                     // Names of an earlier try of this leadership are among them.
                     pages++;
                     RecordCodec.readMachines(e.value()).forEach(m -> machines.add(m.id()));
                 })).compose(v -> {
-                            remains.over().forEach(this::end);
+                            // Of thousands that are remembered a few are missing: the others cost no change.
+                            remains.over().forEach((id, end) -> {
+                                if (!over.contains(id) || standing.containsKey(id)) {
+                                    end(id, end);
+                                }
+                            });
                             enter(remains.machines().stream().filter(m -> !machines.contains(m.id())).toList());
                             remains.open().forEach(this::reopen);
                             return next();
@@ -141,11 +155,13 @@
 
     private void end(JobId id, Remains.Over end) {
         JobRecord kept = open.remove(id);
+        Stamp stamp = standing.getOrDefault(id, Stamp.ABSENT);
         StateClient.Txn txn = new StateClient.Txn().when(RecordCodec.LEADER, key).when(RecordCodec.over(id), Stamp.ABSENT)
-                .when(RecordCodec.open(id), kept == null ? Stamp.ABSENT : kept.stamp())
-                .put(RecordCodec.over(id), RecordCodec.writeFinal(end.status(), end.done()));
-        if (kept != null) {
+                .when(RecordCodec.open(id), stamp).put(RecordCodec.over(id), RecordCodec.writeFinal(end.status(), end.done()));
+        if (!stamp.equals(Stamp.ABSENT)) {
             txn.delete(RecordCodec.open(id));
+        }
+        if (kept != null) {
             for (int n = 0; n < RecordCodec.blocks(kept.spec().tasks()); n++) {
                 txn.delete(RecordCodec.block(id, n));
             }
@@ -155,6 +171,9 @@
 
     private void reopen(Remains.Open job) {
         JobId id = job.spec().id();
+        if (over.contains(id)) {
+            return;
+        }
         JobRecord kept = open.get(id);
         Remains.Open whole = job;
         if (kept != null) {
@@ -166,7 +185,7 @@
             }
         }
         StateClient.Txn txn = new StateClient.Txn().when(RecordCodec.LEADER, key).when(RecordCodec.over(id), Stamp.ABSENT)
-                .when(RecordCodec.open(id), kept == null ? Stamp.ABSENT : kept.stamp())
+                .when(RecordCodec.open(id), standing.getOrDefault(id, Stamp.ABSENT))
                 .put(RecordCodec.open(id), RecordCodec.writeJob(whole.spec(), whole.submittedMs(), JobStatus.PENDING,
                         whole.done(), 0, whole.bound()));
         for (int n = 0; n < RecordCodec.blocks(whole.spec().tasks()); n++) {
--- a/src/main/java/io/indigoreach/cluster/Reign.java
+++ b/src/main/java/io/indigoreach/cluster/Reign.java
@@ -23,6 +23,7 @@
 import io.indigoreach.net.Pulse;
 import io.indigoreach.net.SteadyClock;
 import io.indigoreach.parts.Parts;
+import io.indigoreach.state.JobMender;
 import io.indigoreach.state.Leadership;
 import io.indigoreach.state.StateClient;
 import io.vertx.core.Future;
@@ -45,11 +46,16 @@
 
     /** What a reign works with. */
     record Surroundings(Vertx vertx, SteadyClock clock, Pulse pulse, StateClient state, CloudClient cloud, Catalogue catalogue,
-                        PlatformConfig config, Settings settings, Span lease, Parts parts) {
+                        PlatformConfig config, Settings settings, Span lease, Parts parts, JobMender mender) {
         Surroundings(Vertx vertx, SteadyClock clock, Pulse pulse, StateClient state, CloudClient cloud, Catalogue catalogue,
                      PlatformConfig config, Settings settings, Span lease) {
             this(vertx, clock, pulse, state, cloud, catalogue, config, settings, lease, Parts.NONE);
         }
+
+        Surroundings(Vertx vertx, SteadyClock clock, Pulse pulse, StateClient state, CloudClient cloud, Catalogue catalogue,
+                     PlatformConfig config, Settings settings, Span lease, Parts parts) {
+            this(vertx, clock, pulse, state, cloud, catalogue, config, settings, lease, parts, new JobMender(state, clock));
+        }
     }
 
     private final Surroundings env;
@@ -190,6 +196,19 @@
         return core.job(id) != null;
     }
 
+    /** What this leader knows of one job, while it knows them all. */
+    Remains remains(JobId id) {
+        Remains remains = new Remains();
+        if (core.isLoaded()) {
+            ledger.addTo(remains, id);
+            Job job = core.job(id);
+            if (job != null) {
+                remains.add(LeaderCore.remains(job));
+            }
+        }
+        return remains;
+    }
+
     /** What this leader knows beside what is recorded, while it knows it all. */
     Remains remains() {
         Remains remains = new Remains();
--- a/src/main/java/io/indigoreach/cluster/Standing.java
+++ b/src/main/java/io/indigoreach/cluster/Standing.java
@@ -2,6 +2,7 @@
 
 import io.indigoreach.api.JobDesk;
 import io.indigoreach.config.PlatformConfig;
+import io.indigoreach.core.Isolation;
 import io.indigoreach.core.JobId;
 import io.indigoreach.core.Moment;
 import io.indigoreach.core.Span;
@@ -29,9 +30,9 @@
 
 /**
  * Whether this node alone is without the state service. A node cannot tell an outage from a refusal that only it gets,
- * so it asks the others. Refused alone, it is not ready and users are sent elsewhere; in an outage it stays ready, as
- * being taken out and back in would cost more than the outage does. A leader that is refused alone stands aside, and
- * asks another node to remove its key, so that its lease need not run out first.
+ * so it asks the others ({@link Isolation}). Refused alone or cut off, it is not ready and users are sent elsewhere; in an
+ * outage it stays ready, as being taken out and back in would cost more than the outage does. A leader that is refused alone
+ * stands aside, and asks another node to remove its key, so that its lease need not run out first.
  */
 final class Standing {
     private static final Logger LOG = LoggerFactory.getLogger(Standing.class);
@@ -43,6 +44,7 @@
     private static final String REMAINS = "/remains";
     private static final String PLEDGE = "/pledge";
     private static final String KNOWS = "/knows";
+    private static final String RECALL = "/recall";
     /** A poll waits no longer than this for the others to say whether they know a job. */
     private static final Span WORD = Span.seconds(0.7);
 
@@ -57,7 +59,8 @@
     private final HttpServer server;
     private final Duty duty;
     private Moment served;
-    private boolean refusedAlone;
+    private final Isolation isolation = new Isolation();
+    private Isolation.Verdict said = Isolation.Verdict.TOGETHER;
     /** The state service did not answer this node when it was last asked. */
     private boolean unserved;
 
@@ -91,9 +94,9 @@
         return server.close();
     }
 
-    /** Others are served by the state service while this node is not. */
-    boolean isRefusedAlone() {
-        return refusedAlone;
+    /** Others are served by the state service while this node is not, or nobody answers it at all: users are better off elsewhere. */
+    boolean isOutOfTouch() {
+        return isolation.isOutOfTouch();
     }
 
     private void answer(HttpServerRequest request) {
@@ -110,6 +113,8 @@
                     .onComplete(done -> request.response().end(Wire.write(Map.of())));
         } else if (REMAINS.equals(request.path()) && request.getParam("part") != null) {
             request.response().end(Wire.write(RemainsCodec.write(own(), Integer.parseInt(request.getParam("part")))));
+        } else if (RECALL.equals(request.path()) && JobId.isValid(request.getParam("id"))) {
+            request.response().end(Wire.write(RemainsCodec.write(own(new JobId(request.getParam("id"))), 0)));
         } else if (KNOWS.equals(request.path()) && request.getParam("id") != null && JobId.isValid(request.getParam("id"))) {
             JobId id = new JobId(request.getParam("id"));
             request.response().end(Wire.write(Wire.map("known", jobs.knows(id) || controller.knows(id))));
@@ -132,22 +137,35 @@
         return state.check().map(v -> {
             served = clock.now();
             return false;
-        }).onComplete(r -> unserved = r.failed()).recover(e -> isSurelyUnserved() ? othersAreServed()
-                : Future.succeededFuture(false)).map(alone -> {
-            if (alone != refusedAlone) {
-                LOG.info(alone ? "the state service serves others but not this node: not ready"
-                        : "not refused alone any more");
-            }
-            refusedAlone = alone;
-            if (state.losses().isHolding()) {
-                tellOfLoss();
-            }
-            Stamp key = alone ? controller.standAside() : null;
-            if (key != null) {
-                handOver(key, 0);
-            }
-            return PERIOD;
-        });
+        }).onComplete(r -> unserved = r.failed()).recover(e -> isSurelyUnserved() ? ask("served", null)
+                .map(answers -> judged(isolation.unserved(answers, clock.now()))) : Future.succeededFuture(false)).map(alone -> {
+                    if (!unserved && isolation.served()) {
+                        said = Isolation.Verdict.TOGETHER;
+                        LOG.info("the state service answers this node again");
+                    }
+                    controller.isCutOff(isolation.isCutOff());
+                    if (state.losses().isHolding()) {
+                        tellOfLoss();
+                    }
+                    Stamp key = alone ? controller.standAside() : null;
+                    if (key != null) {
+                        handOver(key, 0);
+                    }
+                    return PERIOD;
+                });
+    }
+
+    /** Says what has changed; true if this node alone is refused. */
+    private boolean judged(Isolation.Verdict verdict) {
+        if (verdict != said) {
+            said = verdict;
+            LOG.info("{}", switch (verdict) {
+                case REFUSED_ALONE -> "the state service serves others but not this node: not ready";
+                case CUT_OFF -> "neither the state service nor another node answers this node: cut off";
+                case TOGETHER -> "other nodes answer, and the state service serves none of them: an outage";
+            });
+        }
+        return verdict == Isolation.Verdict.REFUSED_ALONE;
     }
 
     /** Tells the others that data were lost: who leads may not have seen it, and only a leader can mend it. */
@@ -156,6 +174,21 @@
         peers.forEach(peer -> peer.post(LOSS, Wire.map("era", era), PATIENCE));
     }
 
+    /** What this node and those that answer remember of one job. */
+    Future<Remains> recall(JobId id) {
+        Remains all = own(id);
+        List<Future<Boolean>> answers = new ArrayList<>();
+        peers.forEach(peer -> answers.add(peer.get(RECALL + "?id=" + id.text(), WORD)
+                .map(r -> r.isOk() && RemainsCodec.read(r.body(), all)).otherwise(false)));
+        return answers.isEmpty() ? Future.succeededFuture(all) : Future.all(answers).map(v -> all);
+    }
+
+    private Remains own(JobId id) {
+        Remains own = jobs.remains(id);
+        own.add(controller.remains(id));
+        return own;
+    }
+
     /** Whether this node as a leader or any other that answers knows a job. */
     Future<Boolean> know(JobId id) {
         if (controller.knows(id)) {
@@ -215,20 +248,16 @@
         }
     }
 
-    private Future<Boolean> othersAreServed() {
-        return ask("served", false).map(answers -> answers.contains(true));
-    }
-
     /** Whether every other node says that it does not lead; one that does not answer may. */
     Future<Boolean> othersDoNotLead() {
         return ask("leads", true).map(answers -> !answers.contains(true));
     }
 
     /** What every other node says of itself; {@code unheard} for one that does not answer. */
-    private Future<List<Boolean>> ask(String what, boolean unheard) {
+    private Future<List<Boolean>> ask(String what, Boolean unheard) {
         List<Future<Boolean>> answers = new ArrayList<>();
         for (Caller peer : peers) {
-            answers.add(peer.get(PATH, PERIOD).map(r -> r.isOk() ? r.body().flag(what, unheard) : unheard).otherwise(unheard));
+            answers.add(peer.get(PATH, PERIOD).map(r -> r.isOk() ? (Boolean) r.body().flag(what, Boolean.TRUE.equals(unheard)) : unheard).otherwise(unheard));
         }
         return answers.isEmpty() ? Future.succeededFuture(List.of()) : Future.all(answers).map(all -> all.<Boolean>list());
     }
--- a/src/main/java/io/indigoreach/core/LeaderCore.java
+++ b/src/main/java/io/indigoreach/core/LeaderCore.java
@@ -25,6 +25,8 @@
     private final Cluster cluster;
     private final Estimates estimates = new Estimates();
     private final TakeOver takeOver;
+    /** Inherited jobs that were read after the records are not released yet. */
+    private boolean late;
     private final Dispatcher dispatcher;
     private final Reconciler reconciler;
     private final BestSize bestSize;
@@ -91,9 +93,22 @@
         return loaded;
     }
 
+    /**
+     * An inherited job that comes after the take-over, as its record could not be read before, waits until no report shows a task
+     * of a job that is not known: what it had on machines is then gone, or counted as its own.
+     */
     public void addJob(Job job) {
         if (!cluster.jobs.containsKey(job.id())) {
             cluster.add(job);
+            late |= loaded && job.isInherited();
+            releaseLate();
+        }
+    }
+
+    private void releaseLate() {
+        if (late && takeOver.isSettled() && !cluster.hasStrangers()) {
+            late = false;
+            cluster.release();
         }
     }
 
@@ -169,6 +184,7 @@
         m.accounted = true;
         List<Order> orders = reconciler.reconcile(m, report, now);
         accounted(m.id);
+        releaseLate();
         if (m.phase == Machine.Phase.UP) {
             orders.addAll(dispatcher.fill(m, report.number(), now));
             orders.addAll(dispatcher.makeRoom(m, now));
@@ -450,11 +466,7 @@
     public Remains remains() {
         Remains remains = new Remains();
         for (Job job : cluster.jobs.values()) {
-            if (job.isComplete()) {
-                remains.add(job.id(), new Remains.Over(JobStatus.DONE, job.spec.tasks()));
-            } else {
-                remains.add(new Remains.Open(job.spec, job.submittedMs, job.doneTasks(), job.boundToWrite()));
-            }
+            remains.add(remains(job));
         }
         for (Machine m : cluster.machines.values()) {
             if (m.recorded) {
@@ -464,6 +476,17 @@
         return remains;
     }
 
+    /** What is known of one open job, whose end may be on its way into the records. */
+    public static Remains remains(Job job) {
+        Remains remains = new Remains();
+        if (job.isComplete()) {
+            remains.add(job.id(), new Remains.Over(JobStatus.DONE, job.spec.tasks()));
+        } else {
+            remains.add(new Remains.Open(job.spec, job.submittedMs, job.doneTasks(), job.boundToWrite()));
+        }
+        return remains;
+    }
+
     /** One line for the log: what there is and what waits. */
     public String summary(Moment now) {
         int up = 0;
--- /dev/null
+++ b/src/main/java/io/indigoreach/state/JobMender.java
@@ -0,0 +1,77 @@
+package io.indigoreach.state;
+
+import io.indigoreach.core.JobId;
+import io.indigoreach.core.JobSpec;
+import io.indigoreach.core.JobStatus;
+import io.indigoreach.core.Stamp;
+import io.indigoreach.core.loss.Remains;
+import io.indigoreach.core.loss.Salvage;
+import io.indigoreach.net.SteadyClock;
+import io.indigoreach.net.WireException;
+import io.vertx.core.Future;
+import java.util.function.Function;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * Writes a job's record that cannot be read anew, from what the controllers remember of the job and what its user submits again
+ * ({@link Salvage}). Any node may: each write is conditional on the version that cannot be read, so of two only one is done, and
+ * nothing newer is overwritten.
+ */
+public final class JobMender {
+    private static final Logger LOG = LoggerFactory.getLogger(JobMender.class);
+
+    private final StateClient state;
+    private final SteadyClock clock;
+    private Function<JobId, Future<Remains>> memory = id -> Future.succeededFuture(new Remains());
+
+    public JobMender(StateClient state, SteadyClock clock) {
+        this.state = state;
+        this.clock = clock;
+    }
+
+    /** Whom to ask what the controllers remember of a job. */
+    public void asking(Function<JobId, Future<Remains>> controllers) {
+        memory = controllers;
+    }
+
+    /**
+     * Mends an open job's record, or moves the job to those that are over. Succeeds also if somebody else has changed it: it is
+     * to be read again in any case. Fails if nobody knows the job.
+     *
+     * @param offered the job as its user submits it again, or null
+     */
+    public Future<Void> open(JobId id, StateClient.Entry spoilt, JobSpec offered) {
+        return memory.apply(id).compose(remembered -> {
+            Remains known = Salvage.open(id, RecordCodec.readRest(spoilt.value()), remembered, offered, clock.timeOfDay());
+            StateClient.Txn txn = state.inThisEra().when(spoilt.key(), spoilt.stamp()).when(RecordCodec.over(id), Stamp.ABSENT);
+            known.over().values().forEach(end -> txn.delete(spoilt.key()).put(RecordCodec.over(id),
+                    RecordCodec.writeFinal(end.status(), end.done())));
+            // Blocks of bits that stand beside the record are left as they are: what they say is done stays so.
+            known.open().forEach(job -> txn.put(spoilt.key(), RecordCodec.writeJob(job.spec(), job.submittedMs(),
+                    JobStatus.PENDING, job.done(), 0, job.bound())));
+            return write(txn, spoilt.key());
+        });
+    }
+
+    /** Mends the record of a job that is over; as {@link #open}. */
+    public Future<Void> over(JobId id, StateClient.Entry spoilt, JobSpec offered) {
+        return memory.apply(id).compose(remembered -> {
+            Remains.Over end = Salvage.end(id, RecordCodec.readRest(spoilt.value()), remembered, offered);
+            StateClient.Txn txn = state.inThisEra().when(spoilt.key(), spoilt.stamp());
+            return write(end == null ? txn : txn.put(spoilt.key(), RecordCodec.writeFinal(end.status(), end.done())), spoilt.key());
+        });
+    }
+
+    private Future<Void> write(StateClient.Txn txn, String key) {
+        if (txn.size() == 0) {
+            return Future.failedFuture(new WireException("the record " + key + " cannot be read, and nobody remembers the job"));
+        }
+        return state.commit(txn).map(outcome -> {
+            if (outcome.done()) {
+                LOG.warn("the record {} could not be read: written anew from memory", key);
+            }
+            return null;
+        });
+    }
+}
--- a/src/main/java/io/indigoreach/state/RecordCodec.java
+++ b/src/main/java/io/indigoreach/state/RecordCodec.java
@@ -13,14 +13,17 @@
 import io.indigoreach.core.Token;
 import io.indigoreach.core.Urgency;
 import io.indigoreach.core.duty.Intents;
+import io.indigoreach.core.loss.Salvage;
 import io.indigoreach.net.Fields;
 import io.indigoreach.net.Wire;
+import io.indigoreach.net.WireException;
 import java.util.ArrayList;
 import java.util.Base64;
 import java.util.BitSet;
 import java.util.Collection;
 import java.util.List;
 import java.util.Map;
+import java.util.function.Supplier;
 
 /**
  * The records in the state service and their keys. Open jobs stand under {@code j/}, jobs that are over under
@@ -132,7 +135,26 @@
     }
 
     public static JobId jobOf(String key) {
-        return new JobId(key.substring(OPEN.length()));
+        return readable(() -> new JobId(key.substring(OPEN.length())));
+    }
+
+    /** From where a listing is to begin for {@code key}, a job's, to be its first: ids are digits, which are below a tilde. */
+    public static String before(String key) {
+        int last = key.length() - 1;
+        return key.substring(0, last) + (char) (key.charAt(last) - 1) + "~";
+    }
+
+    public static JobId overOf(String key) {
+        return readable(() -> new JobId(key.substring(FINAL.length())));
+    }
+
+    /** Whatever a spoilt value makes of the reading: said in one way, so that who reads can tell it from a fault of its own. */
+    private static <T> T readable(Supplier<T> reading) {
+        try {
+            return reading.get();
+        } catch (IllegalArgumentException | ClassCastException | IndexOutOfBoundsException e) {
+            throw new WireException(e.getClass().getSimpleName() + (e.getMessage() == null ? "" : " " + e.getMessage()));
+        }
     }
 
     /** How many blocks of bits stand beside the record of a job. */
@@ -162,12 +184,12 @@
 
     /** Adds a block's bits to {@code into}; returns the job it belongs to by its key. */
     public static JobId jobOfBlock(String key) {
-        return new JobId(key.substring(BITS.length(), key.lastIndexOf('/')));
+        return readable(() -> new JobId(key.substring(BITS.length(), key.lastIndexOf('/'))));
     }
 
     public static void readBlock(String key, Fields value, BitSet into) {
-        int n = Integer.parseInt(key.substring(key.lastIndexOf('/') + 1));
-        BitSet block = bits(value.optionalText("bits"));
+        int n = readable(() -> Integer.parseInt(key.substring(key.lastIndexOf('/') + 1)));
+        BitSet block = readable(() -> bits(value.optionalText("bits")));
         for (int i = block.nextSetBit(0); i >= 0; i = block.nextSetBit(i + 1)) {
             into.set(n * BLOCK + i);
         }
@@ -199,7 +221,29 @@
         }
     }
 
+    /** Throws {@link WireException} if it cannot be read. */
     public static JobRecord readJob(JobId id, Fields f, Stamp stamp) {
+        return readable(() -> job(id, f, stamp));
+    }
+
+    /** What a record that cannot be read as a whole still says; null where it does not. */
+    public static Salvage.Rest readRest(Fields f) {
+        return new Salvage.Rest(orNull(() -> JobStatus.valueOf(f.text("status"))), orNull(() -> f.whole("done")),
+                orNull(() -> f.whole("at")));
+    }
+
+    private static <T> T orNull(Supplier<T> reading) {
+        try {
+            return readable(reading);
+        } catch (WireException e) {
+            return null;
+        }
+    }
+
+    private static JobRecord job(JobId id, Fields f, Stamp stamp) {
+        if (f.whole("tasks") < 1) {
+            throw Fields.invalid("tasks");
+        }
         JobSpec spec = new JobSpec(id, f.text("class"), f.text("team"), Shape.valueOf(f.text("shape")),
                 Urgency.valueOf(f.text("urgency")), (int) f.whole("tasks"),
                 new Demand(f.number("cores"), f.number("gpus"), f.number("ram")), f.text("image"), f.number("gb"),
@@ -216,9 +260,9 @@
         return Wire.map("status", status.name(), "done", done);
     }
 
+    /** Throws {@link WireException} if it cannot be read. */
     public static FinalRecord readFinal(JobId id, Fields f) {
-        JobStatus status = JobStatus.valueOf(f.text("status"));
-        return new FinalRecord(id, status, (int) f.whole("done", 0));
+        return readable(() -> new FinalRecord(id, JobStatus.valueOf(f.text("status")), (int) f.whole("done", 0)));
     }
 
     /** A page of machines; each is a list, as hundreds of them are written. */
@@ -232,6 +276,10 @@
     }
 
     public static List<MachineRecord> readMachines(Fields f) {
+        return readable(() -> machines(f));
+    }
+
+    private static List<MachineRecord> machines(Fields f) {
         List<MachineRecord> out = new ArrayList<>();
         for (List<?> m : f.lists("machines")) {
             out.add(new MachineRecord(new MachineId((String) m.get(0)),
--- a/src/test/java/io/indigoreach/api/JobDeskTest.java
+++ b/src/test/java/io/indigoreach/api/JobDeskTest.java
@@ -18,6 +18,7 @@
 import io.indigoreach.net.Reply;
 import io.indigoreach.net.SteadyClock;
 import io.indigoreach.net.Wire;
+import io.indigoreach.state.JobMender;
 import io.indigoreach.state.RecordCodec;
 import io.indigoreach.state.StateClient;
 import io.indigoreach.state.StateStandIn;
@@ -77,8 +78,9 @@
 
     private Endpoint node(double questionsPerS) throws Exception {
         Catalogue catalogue = new Catalogue(vertx, client(), new CloudClient(new Caller(vertx, service.endpoint(), 1)));
-        JobDesk desk = new JobDesk(vertx, client(), catalogue, List.of(new Team("t", 0, 0, 0, 0)), new SteadyClock(), 8192,
-                questionsPerS);
+        StateClient state = client();
+        JobDesk desk = new JobDesk(vertx, state, new JobMender(state, new SteadyClock()), catalogue,
+                List.of(new Team("t", 0, 0, 0, 0)), new SteadyClock(), 8192, questionsPerS);
         Endpoint any = new Endpoint("127.0.0.1", 0);
         Endpoint endpoint = new Endpoint("127.0.0.1",
                 await(keep(new FrontDoor(vertx, any, desk, null, catalogue::isKnown, Map.of())).open()));
--- a/src/test/java/io/indigoreach/api/LossDeskTest.java
+++ b/src/test/java/io/indigoreach/api/LossDeskTest.java
@@ -12,6 +12,7 @@
 import io.indigoreach.net.Caller;
 import io.indigoreach.net.SteadyClock;
 import io.indigoreach.net.Wire;
+import io.indigoreach.state.JobMender;
 import io.indigoreach.state.RecordCodec;
 import io.indigoreach.state.StateClient;
 import io.indigoreach.state.StateStandIn;
@@ -29,6 +30,7 @@
     private final Vertx vertx = Vertx.vertx();
     private StateStandIn service;
     private StateClient state;
+    private JobMender mender;
     private JobDesk desk;
 
     @BeforeEach
@@ -38,7 +40,8 @@
         MachineType type = new MachineType("quad", new Demand(4, 0, 16), 40, 1, 1, 1, Span.seconds(20), List.of("a"));
         await(state.commit(new StateClient.Txn().put(RecordCodec.CATALOGUE, RecordCodec.writeCatalogue(List.of(type)))));
         Catalogue catalogue = new Catalogue(vertx, state, new CloudClient(new Caller(vertx, service.endpoint(), 1)));
-        desk = new JobDesk(vertx, state, catalogue, List.of(new Team("t", 0, 0, 0, 0)), new SteadyClock(), 8192, 100);
+        mender = new JobMender(state, new SteadyClock());
+        desk = new JobDesk(vertx, state, mender, catalogue, List.of(new Team("t", 0, 0, 0, 0)), new SteadyClock(), 8192, 100);
         catalogue.start();
         while (!catalogue.isKnown()) {
             Thread.onSpinWait();
--- a/src/test/java/io/indigoreach/emulator/StateServerTest.java
+++ b/src/test/java/io/indigoreach/emulator/StateServerTest.java
@@ -21,6 +21,7 @@
 import io.indigoreach.net.Wire;
 import io.indigoreach.scenario.Fault;
 import io.indigoreach.scenario.TextForm;
+import io.indigoreach.state.JobMender;
 import io.indigoreach.state.RecordCodec;
 import io.indigoreach.state.StateClient;
 import io.vertx.core.Future;
@@ -190,7 +191,7 @@
     @Test
     void isCaughtAnsweringWithThePast() throws Exception {
         StateClient client = open(null, 0, "kind: stale at_s: 0 for_s: 600 behind: 3");
-        JobDesk desk = new JobDesk(vertx, client, null, List.of(), clock, 8192, 100);
+        JobDesk desk = new JobDesk(vertx, client, new JobMender(client, clock), null, List.of(), clock, 8192, 100);
         JobId id = new JobId("run-1");
         assertTrue(LocalCluster.await(client.commit(new StateClient.Txn().when(RecordCodec.open(id), Stamp.ABSENT)
                 .put(RecordCodec.open(id), RecordCodec.writeJob(LocalCluster.job(1, 1, 1), 1, JobStatus.PENDING,
@@ -221,7 +222,7 @@
     @Test
     void readsThePastBetweenAFailureAndItsRetry() throws Exception {
         StateClient client = open(null, 0, "kind: stale at_s: 0 for_s: 600 behind: 1");
-        JobDesk desk = new JobDesk(vertx, client, null, List.of(), clock, 8192, 100);
+        JobDesk desk = new JobDesk(vertx, client, new JobMender(client, clock), null, List.of(), clock, 8192, 100);
         JobId id = new JobId("run-1");
         BitSet done = new BitSet();
         for (int progress = 0; progress < 2; progress++) {
--- a/src/test/java/io/indigoreach/state/StateStandIn.java
+++ b/src/test/java/io/indigoreach/state/StateStandIn.java
@@ -149,12 +149,15 @@
 
     private void list(HttpServerRequest request) {
         List<Object> out = new ArrayList<>();
-        items.forEach((key, item) -> {
+        int most = Integer.parseInt(request.getParam("most"));
+        String since = request.getParam("since");
+        items.tailMap(since == null ? "" : since, false).forEach((key, item) -> {
             if (key.startsWith(request.getParam("starts"))) {
                 out.add(Wire.map("path", key, "data", item.data, "stamp", item.stamp));
             }
         });
-        reply(request, 200, Wire.map("items", out, "truncated", false, "ledger_rev", revision));
+        reply(request, 200, Wire.map("items", out.subList(0, Math.min(most, out.size())), "truncated", out.size() > most,
+                "ledger_rev", revision));
     }
 
     private void watch(HttpServerRequest request, String prefix, long since) {
