--- a/src/test/java/io/indigoreach/core/TakeOverTest.java
+++ b/src/test/java/io/indigoreach/core/TakeOverTest.java
@@ -51,6 +51,23 @@
         assertEquals(List.of("run-1/0"), starts(w.hear("a", 12.6)));
     }
 
+    /** Its record could not be read until now: what it has on machines was reported as a stranger's. */
+    @ParameterizedTest
+    @CsvSource({"true, run-1/1", "false, run-1/0"})
+    void aJobThatIsReadAfterTheTakeOverWaitsForStrangersToGo(boolean stays, String first) {
+        inheritMachine("a");
+        inheritMachine("b");
+        w.core.loaded();
+        w.hear("a", 1);
+        assertEquals(1, stops(w.hear("b", 1, foreign("run-1/0", 7))).size());
+        w.inherited(spec(1, 2, 1, 50));
+        assertEquals(List.of(), starts(w.hear("a", 2)), "b has one of its tasks");
+        List<Order> orders = stays ? w.hear("b", 3, foreign("run-1/0", 7)) : w.hear("b", 3);
+        assertEquals(first, starts(orders).get(0));
+        w.inherited(spec(2, 1, 1, 50));
+        assertEquals(List.of("run-2/0"), starts(w.hear("a", 4)), "no report shows a stranger");
+    }
+
     @Test
     void aJobAcceptedAfterTheTakeOverNeedNotWait() {
         inheritMachine("a");
--- /dev/null
+++ b/src/test/java/io/indigoreach/core/TurnsTest.java
@@ -0,0 +1,75 @@
+package io.indigoreach.core;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Random;
+import java.util.TreeMap;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** Nobody is refused, or listed too late, again and again while others are served. */
+class TurnsTest {
+    /**
+     * Twice as many ask, every 5 s, as there are places in the 2 s that each is taken; those of the first half always come first.
+     * With one limit for all the others are never served.
+     */
+    @ParameterizedTest
+    @CsvSource({"true, 30", "false, 200"})
+    void whoWasRefusedGoesFirst(boolean remembering, int longest) {
+        Turns turns = new Turns();
+        int users = 2 * Turns.PLACES;
+        int[] servedAt = new int[users];
+        int silence = 0;
+        for (int s = 0; s < 200; s += 5) {
+            int in = 0;
+            for (int u = 0; u < users; u++) {
+                if (turns.enter(remembering ? "run-" + u : "run-" + u + "-" + s)) {
+                    in++;
+                    servedAt[u] = s;
+                }
+                silence = Math.max(silence, s - servedAt[u]);
+            }
+            assertTrue(in <= Turns.PLACES + Turns.STEP * Turns.STEPS, "waiting: " + in);
+            for (; in > 0; in--) {
+                turns.leave();
+            }
+        }
+        assertTrue(remembering ? silence <= longest : silence >= longest - 5, "silence: " + silence);
+    }
+
+    /** Pages of ten keys, of which a listing brings two in time, and everybody asks again. */
+    @ParameterizedTest
+    @ValueSource(longs = {1, 2, 3, 4})
+    void everyKeyIsListedInTimeAtItsTurn(long seed) {
+        Random random = new Random(seed);
+        TreeMap<String, Integer> keys = new TreeMap<>();
+        for (int n = 0; n < 100; n++) {
+            keys.put("j/run-" + random.nextInt(100_000), 0);
+        }
+        Round<Integer> round = new Round<>();
+        Map<String, Integer> answeredIn = new HashMap<>();
+        for (int listing = 1; answeredIn.size() < keys.size(); listing++) {
+            assertTrue(listing <= 6, "left: " + (keys.size() - answeredIn.size()));
+            round.begin(keys);
+            for (int page = 0; page < 2 && !round.isOver(); page++) {
+                String from = round.next();
+                Deque<String> items = new ArrayDeque<>();
+                keys.tailMap(from, true).keySet().stream().limit(10).forEach(items::add);
+                String last = keys.lastKey().equals(items.peekLast()) ? null : items.peekLast();
+                int asked = listing;
+                round.answered(from, last).keySet().forEach(k -> {
+                    assertTrue(items.contains(k));
+                    answeredIn.putIfAbsent(k, asked);
+                });
+            }
+            round.end();
+        }
+        assertEquals(keys.keySet(), new TreeMap<>(answeredIn).keySet());
+    }
+}
