--- a/src/test/java/io/indigoreach/api/LossDeskTest.java
+++ b/src/test/java/io/indigoreach/api/LossDeskTest.java
@@ -18,6 +18,12 @@
 import io.indigoreach.state.StateStandIn;
 import io.vertx.core.Future;
 import io.vertx.core.Vertx;
+import io.indigoreach.core.JobId;
+import io.indigoreach.core.JobStatus;
+import io.indigoreach.core.loss.Remains;
+import io.vertx.core.buffer.Buffer;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
@@ -30,6 +36,7 @@
     private final Vertx vertx = Vertx.vertx();
     private StateStandIn service;
     private StateClient state;
+    private Catalogue catalogue;
     private JobMender mender;
     private JobDesk desk;
 
@@ -39,7 +46,7 @@
         state = client();
         MachineType type = new MachineType("quad", new Demand(4, 0, 16), 40, 1, 1, 1, Span.seconds(20), List.of("a"));
         await(state.commit(new StateClient.Txn().put(RecordCodec.CATALOGUE, RecordCodec.writeCatalogue(List.of(type)))));
-        Catalogue catalogue = new Catalogue(vertx, state, new CloudClient(new Caller(vertx, service.endpoint(), 1)));
+        catalogue = new Catalogue(vertx, state, new CloudClient(new Caller(vertx, service.endpoint(), 1)));
         mender = new JobMender(state, new SteadyClock());
         desk = new JobDesk(vertx, state, mender, catalogue, List.of(new Team("t", 0, 0, 0, 0)), new SteadyClock(), 8192, 100);
         catalogue.start();
@@ -68,10 +75,14 @@
     }
 
     private int submit(int id) throws Exception {
-        return status(desk.submit(Wire.write(Wire.map("id", "run-" + id, "jobclass", "c", "owner", "t", "shape", "array",
+        return status(desk.submit(job(id)));
+    }
+
+    private static Buffer job(int id) {
+        return Wire.write(Wire.map("id", "run-" + id, "jobclass", "c", "owner", "t", "shape", "array",
                 "urgency", "standard", "pieces", 2, "cores", 1.0, "gpus", 0.0, "ram_gb", 1.0, "bundle", "i", "pull_gb", 0.0,
                 "one_zone", false, "spread", false, "loaners", true, "expected_s", 5.0, "snapshot_every_s", 0.0, "snapshot_s",
-                0.0))));
+                0.0));
     }
 
     @Test
@@ -105,4 +116,45 @@
         assertEquals(Map.of(), Map.copyOf(desk.remains().over()));
         assertEquals(1, desk.remains().open().size());
     }
+
+    /**
+     * A record that cannot be read: this node remembers the job, another does, or its user submits it again; an end that anybody
+     * remembers stays the end. Before, its user's questions got 503 for good.
+     */
+    @ParameterizedTest
+    @CsvSource({"here, j/, 200 pending", "elsewhere, j/, 200 pending", "nowhere, j/, 503 null", "ended, j/, 200 done", "ended, f/, 200 done",
+        "nowhere, f/, 503 null"})
+    void aRecordThatCannotBeReadIsMended(String remembered, String prefix, String answered) throws Exception {
+        JobDesk asked = remembered.equals("here") ? desk : other();
+        assertEquals(201, submit(1));
+        if (remembered.equals("elsewhere")) {
+            mender.asking(id -> Future.succeededFuture(desk.remains(id)));
+        } else if (remembered.equals("ended")) {
+            Remains ended = new Remains();
+            ended.add(new JobId("run-1"), new Remains.Over(JobStatus.DONE, 2));
+            mender.asking(id -> Future.succeededFuture(ended));
+        } else if (remembered.equals("here")) {
+            mender.asking(id -> Future.succeededFuture(desk.remains(id)));
+        }
+        StateClient.Txn txn = new StateClient.Txn();
+        if (prefix.equals("f/")) {
+            txn.delete("j/run-1");
+        }
+        await(client().commit(txn.put(prefix + "run-1", Wire.map("status", "SPOILT", "class", 5L))));
+        assertEquals(answered, told(asked.query("run-1")));
+        assertEquals(prefix.equals("f/") && answered.startsWith("503") ? "503 null" : answered.startsWith("503") ? "200 pending" : answered,
+                told(asked.submit(job(1))), "its user submits it again");
+        assertEquals(answered.endsWith("done") || prefix.equals("f/") ? List.of() : List.of("j/run-1"), service.keys("j/"));
+        assertEquals(false, state.losses().isHolding());
+    }
+
+    /** Another node's desk, which has accepted nothing; with the same mender. */
+    private JobDesk other() {
+        return new JobDesk(vertx, state, mender, catalogue, List.of(new Team("t", 0, 0, 0, 0)), new SteadyClock(), 8192, 100);
+    }
+
+    private static String told(Future<Answer> answer) throws Exception {
+        Answer told = await(answer.otherwise(Answer.later("no")));
+        return told.status() + " " + told.body().get("status");
+    }
 }
--- a/src/test/java/io/indigoreach/cluster/LedgerTest.java
+++ b/src/test/java/io/indigoreach/cluster/LedgerTest.java
@@ -131,15 +131,36 @@
         assertEquals(ENDS, await(client.list("f/", null, 1000)).items().size(), "moved in the end");
     }
 
+    /** Its record is spoilt under a leader that has it open: the next write is not left to the next change. */
+    @Test
+    void aKnownJobsRecordThatIsSpoiltIsWrittenAnew() throws Exception {
+        Job job = job(1, 4, 2, 4);
+        core.addJob(job);
+        Stamp spoilt = await(client.commit(new StateClient.Txn().put("j/run-1", Wire.map("class", 5L)))).stamp();
+        ledger.heard(job.id(), new Fields(Wire.map("class", 5L)), spoilt);
+        vertx.runOnContext(v -> ledger.start());
+        while (state.value("j/run-1").optionalText("team") == null) {
+            Thread.onSpinWait();
+        }
+        assertEquals(2, open().get(job.id()).doneCount());
+    }
+
     /** Written by a newer version, or spoilt: one job stands still, the others are served; nobody guesses what machines hold. */
     @Test
     void aRecordThatCannotBeReadStopsItsOwnJobOnly() throws Exception {
         job(1, 1, 0, 0);
-        await(client.commit(new StateClient.Txn().put("j/run-2", Wire.map("class", 5L))));
+        await(client.commit(new StateClient.Txn().put("j/run-2", Wire.map("class", 5L)).put("j/what", Wire.map())
+                .put("j/run-5", Wire.map("class", "c", "status", "NONE")).put("p/run-1/x", Wire.map("bits", "*"))));
         await(ledger.load());
         assertEquals(List.of("run-1"), core.jobs().stream().map(j -> j.id().text()).toList());
         ledger.heard(new JobId("run-3"), new Fields(Wire.map("class", 5L)), new Stamp(9));
         assertEquals(1, core.jobs().size(), "nor does it end the watch");
+        Fields mended = Wire.readMap(Wire.write(RecordCodec.writeJob(core.job(new JobId("run-1")).spec(), 1, JobStatus.PENDING,
+                new BitSet(), 0, 1)));
+        ledger.heard(new JobId("run-3"), mended, new Stamp(10));
+        ledger.heard(new JobId("run-4"), mended, new Stamp(11));
+        assertEquals(List.of(true, false), List.of(core.job(new JobId("run-3")).isInherited(), core.job(new JobId("run-4")).isInherited()),
+                "what could not be read may be on machines, what is new cannot");
         await(client.commit(new StateClient.Txn().put("m/3-1", Wire.map("machines", "many"))));
         Exception failed = assertThrows(Exception.class, () -> await(ledger.load()));
         assertTrue(failed.getCause() instanceof Ledger.Unreadable && failed.getCause().getMessage().contains("m/3-1"), failed.getMessage());
