--- a/src/test/java/io/indigoreach/emulator/SilenceOfJobsTest.java
+++ b/src/test/java/io/indigoreach/emulator/SilenceOfJobsTest.java
@@ -233,7 +233,8 @@
             jobs();
             // node-0 is the one that is cut off: the leadership is passed on until it leads, or does not.
             for (int tries = 0; !who.equals("all") && tries < 4 && (leader() == 0) != who.equals("leader"); tries++) {
-                LocalCluster.await(state.commit(new StateClient.Txn().delete(RecordCodec.LEADER)));
+                LocalCluster.await(state.get(RecordCodec.LEADER).compose(key -> state.commit(new StateClient.Txn()
+                        .when(RecordCodec.LEADER, key.stamp()).delete(RecordCodec.LEADER))));
                 LocalCluster.await(cluster.vertx.timer(500, TimeUnit.MILLISECONDS));
             }
             until(9);
