--- /dev/null
+++ b/src/main/java/io/indigoreach/core/calendar/Reading.java
@@ -0,0 +1,52 @@
+package io.indigoreach.core.calendar;
+
+import io.indigoreach.core.records.Kept;
+import io.indigoreach.core.records.Routine;
+import io.indigoreach.core.records.Seen;
+import io.indigoreach.core.records.Step;
+import java.util.List;
+
+/** Reads which version is in force, and its text unless the reader has it. */
+public final class Reading implements Routine<Reading.Found> {
+    /** {@code text}: null if the reader has it, or there is none. */
+    public record Found(Head head, Head.Version version, String text) {
+    }
+
+    private final String known;
+    private final int wanted;
+    private Head head;
+    private Head.Version version;
+
+    /** {@code known}: the digest of the text that the reader has; null if none. */
+    public Reading(String known) {
+        this(known, 0);
+    }
+
+    /** {@code wanted}: an older version; 0: the one in force. */
+    public Reading(String known, int wanted) {
+        this.known = known;
+        this.wanted = wanted;
+    }
+
+    @Override
+    public Step<Found> next(Seen seen) {
+        if (head == null) {
+            if (seen.records().isEmpty()) {
+                return new Step.Read<>(List.of(Head.KEY));
+            }
+            head = new Head(seen.record(Head.KEY));
+            version = head.versions().stream().filter(v -> wanted == 0 || v.number() == wanted).findFirst().orElse(null);
+            return version == null || version.digest().equals(known) ? new Step.End<>(new Found(head, version, null))
+                    : new Step.Read<>(version.keys());
+        }
+        StringBuilder text = new StringBuilder();
+        for (String key : version.keys()) {
+            Kept piece = seen.record(key);
+            if (!piece.isThere()) {
+                throw new IllegalStateException("calendar version " + version.number() + " lacks " + key + ": set it again");
+            }
+            text.append(piece.value().get("text"));
+        }
+        return new Step.End<>(new Found(head, version, text.toString()));
+    }
+}
