--- /dev/null
+++ b/src/main/java/io/indigoreach/calendar/Steward.java
@@ -0,0 +1,356 @@
+package io.indigoreach.calendar;
+
+import io.indigoreach.api.Answer;
+import io.indigoreach.api.JobCodec;
+import io.indigoreach.core.Job;
+import io.indigoreach.core.JobId;
+import io.indigoreach.core.LeaderCore;
+import io.indigoreach.core.Moment;
+import io.indigoreach.core.Span;
+import io.indigoreach.core.calendar.Choice;
+import io.indigoreach.core.calendar.DayPage;
+import io.indigoreach.core.calendar.Fetching;
+import io.indigoreach.core.calendar.Forecast;
+import io.indigoreach.core.calendar.Listing;
+import io.indigoreach.core.calendar.Mark;
+import io.indigoreach.core.calendar.Occurrence;
+import io.indigoreach.core.calendar.Outlook;
+import io.indigoreach.core.calendar.PageChange;
+import io.indigoreach.core.calendar.Replacing;
+import io.indigoreach.net.Duty;
+import io.indigoreach.net.Fields;
+import io.indigoreach.net.SteadyClock;
+import io.indigoreach.net.Wire;
+import io.indigoreach.parts.Part;
+import io.indigoreach.state.FinalRecord;
+import io.indigoreach.state.RecordCodec;
+import io.indigoreach.state.Records;
+import io.vertx.core.Future;
+import io.vertx.core.Vertx;
+import io.vertx.core.buffer.Buffer;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.Set;
+import java.util.function.Function;
+import java.util.function.LongSupplier;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * The leader's work on the calendar: chooses the job of each occurrence whose time has come, submits it as a user would, sees it
+ * to its end, and says what can't be ready. All that it must not do twice is decided on the occurrences' pages; what it remembers
+ * only spares reading them. So it may end anywhere, and two of them at once do no harm.
+ */
+final class Steward implements Part.Reigning {
+    private static final Logger LOG = LoggerFactory.getLogger(Steward.class);
+    private static final Span STEP = Span.seconds(1);
+    /** Between two submissions: 500 plans of one minute leave users most of the changes. See {@link Forecast}. */
+    private static final Span PACE = Span.seconds(0.5);
+    private static final Span LOOK = Span.seconds(5);
+    /** Between two writes of run times. */
+    private static final Span KEEP = Span.seconds(10);
+    private static final Span RECKON = Span.seconds(60);
+    /** A job that the service refuses is submitted again after this time. */
+    private static final Span REFUSED = Span.seconds(30);
+    private static final long TOLD_AHEAD_MS = 48 * 3_600_000L;
+
+    private final LeaderCore core;
+    private final Records records;
+    private final Shelf shelf;
+    private final Foresight foresight;
+    private final RunTimes runs = new RunTimes();
+    private final Function<Buffer, Future<Answer>> desk;
+    private final SteadyClock clock;
+    private final LongSupplier time;
+    private final Duty duty;
+
+    private Shelf.Current current;
+    private Moment looked = Moment.NEVER;
+    private Moment reckoned = Moment.NEVER;
+    private Moment kept = Moment.NEVER;
+    private int reckonedFor = -1;
+    private boolean runsRead;
+    private List<Forecast.Entry> entries = List.of();
+    /** By the occurrence's name, as last read or written. */
+    private final Map<String, Mark> marks = new HashMap<>();
+    private final Map<String, Moment> refused = new HashMap<>();
+    private final Map<JobId, Integer> failures = new HashMap<>();
+    private final Set<String> told = new HashSet<>();
+
+    Steward(Vertx vertx, LeaderCore core, Records records, Shelf shelf, Foresight foresight,
+            Function<Buffer, Future<Answer>> desk, SteadyClock clock, LongSupplier time) {
+        this.core = core;
+        this.records = records;
+        this.shelf = shelf;
+        this.foresight = foresight;
+        this.desk = desk;
+        this.clock = clock;
+        this.time = time;
+        this.duty = new Duty(vertx, "calendar", STEP, this::step);
+        core.onRun(this::ran);
+    }
+
+    Steward start() {
+        duty.start();
+        return this;
+    }
+
+    @Override
+    public void close() {
+        duty.cancel();
+    }
+
+    /** Only classes that plans have are kept: their number is bounded. */
+    private void ran(Job job, Span run) {
+        if (current != null && current.stored().calendar().plans().stream()
+                .anyMatch(p -> p.template().jobClass().equals(job.spec().jobClass()))) {
+            runs.ended(job.spec().jobClass(), job.spec().tasks(), run);
+        }
+    }
+
+    private Future<Span> step() {
+        return look().compose(v -> current.version() == null ? Future.succeededFuture(LOOK) : work());
+    }
+
+    private Future<Void> look() {
+        Moment now = clock.now();
+        if (current != null && now.since(looked).compareTo(LOOK) < 0) {
+            return Future.succeededFuture();
+        }
+        return shelf.read(records).map(read -> {
+            current = read;
+            looked = now;
+            return null;
+        });
+    }
+
+    private Future<Span> work() {
+        return learnt().compose(v -> {
+            reckon();
+            return choose();
+        }).compose(v -> submit()).compose(more -> ends().compose(v -> keepRuns()).map(more ? PACE : STEP));
+    }
+
+    /** What earlier leaders saw of run times. */
+    private Future<Void> learnt() {
+        if (runsRead) {
+            return Future.succeededFuture();
+        }
+        return records.run(new Listing(RunTimes.PREFIX)).map(all -> {
+            all.forEach(runs::read);
+            runsRead = true;
+            return null;
+        });
+    }
+
+    private void reckon() {
+        Moment now = clock.now();
+        if (reckonedFor == current.number() && now.since(reckoned).compareTo(RECKON) < 0) {
+            return;
+        }
+        reckoned = now;
+        reckonedFor = current.number();
+        long today = time.getAsLong();
+        List<Occurrence> all = Foresight.occurrences(current.stored(), Foresight.day(today).plus(-Foresight.BACK),
+                Foresight.day(today).plus(Foresight.AHEAD));
+        entries = foresight.forecast(current.stored().calendar(), all, runs);
+        Set<String> names = new HashSet<>();
+        all.forEach(o -> names.add(o.name()));
+        marks.keySet().retainAll(names);
+        told.retainAll(names);
+        all.stream().filter(o -> o.kind() == Occurrence.Kind.UNKNOWN && o.departs() > today && o.departs() < today + TOLD_AHEAD_MS)
+                .forEach(o -> tell(o, "is not started: " + o.reason() + ", and nobody guesses it; set the calendar with it"));
+        entries.forEach(e -> foretell(e, today));
+    }
+
+    private void foretell(Forecast.Entry entry, long now) {
+        Mark mark = marks.get(entry.occurrence().name());
+        boolean unread = mark == null && entry.latestStart() <= now;
+        if (unread || entry.occurrence().departs() <= now || entry.occurrence().departs() > now + TOLD_AHEAD_MS) {
+            return;
+        }
+        Outlook outlook = Outlook.of(entry, mark, now);
+        if (outlook.verdict().isBad()) {
+            tell(entry.occurrence(), "can't be ready for its departure" + (outlook.lateBy().ms() == 0 ? ""
+                    : ", by " + Outlook.minutes(outlook.lateBy())) + ": " + outlook.why() + "; what would mend it: " + outlook.mend());
+        }
+    }
+
+    private void tell(Occurrence o, String what) {
+        if (told.add(o.name())) {
+            LOG.warn("plan {} {}", o.name(), what);
+        }
+    }
+
+    /** Those whose time has come and that have no job yet. */
+    private List<Forecast.Entry> due(long now) {
+        List<Forecast.Entry> due = new ArrayList<>();
+        for (Forecast.Entry e : entries) {
+            if (e.latestStart() > now) {
+                break;
+            }
+            Mark mark = marks.get(e.occurrence().name());
+            if (mark == null || !mark.isSettled()) {
+                due.add(e);
+            }
+        }
+        return due;
+    }
+
+    /** A page after the other: all of it that is due is chosen with one write. */
+    private Future<Void> choose() {
+        long now = time.getAsLong();
+        Map<String, List<Forecast.Entry>> byPage = new LinkedHashMap<>();
+        for (Forecast.Entry e : due(now)) {
+            Mark mark = marks.get(e.occurrence().name());
+            if (mark == null || e.occurrence().departs() <= now || choice(e).mark(mark, false, now) != null) {
+                byPage.computeIfAbsent(DayPage.key(e.occurrence().day(), e.occurrence().plan().name()), k -> new ArrayList<>()).add(e);
+            }
+        }
+        Future<Void> done = Future.succeededFuture();
+        for (List<Forecast.Entry> page : byPage.values()) {
+            done = done.compose(v -> decide(page, false));
+        }
+        return done;
+    }
+
+    private Choice choice(Forecast.Entry e) {
+        return new Choice(e, current.number(), current.stored().register().entries().get(e.occurrence().plan().name()));
+    }
+
+    /** {@code taken}: a user's job has the id that was chosen. */
+    private Future<Void> decide(List<Forecast.Entry> ofOnePage, boolean taken) {
+        Occurrence first = ofOnePage.get(0).occurrence();
+        return records.run(new PageChange(first.day(), first.plan().name(), page -> {
+            List<Mark> out = new ArrayList<>();
+            for (Forecast.Entry e : ofOnePage) {
+                Mark mark = choice(e).mark(page.mark(e.occurrence().plan().name()), taken, time.getAsLong());
+                if (mark != null) {
+                    out.add(mark);
+                }
+            }
+            return out;
+        })).map(page -> {
+            if (page != null) {
+                ofOnePage.forEach(e -> remember(e.occurrence(), page.mark(e.occurrence().plan().name())));
+            }
+            return null;
+        });
+    }
+
+    private void remember(Occurrence o, Mark mark) {
+        Mark before = marks.put(o.name(), mark);
+        if (mark == null || before != null && before.state() == mark.state()) {
+            return;
+        }
+        switch (mark.state()) {
+            case CHOSEN -> LOG.info("plan {} is started as {} (calendar {}){}", o.name(), mark.id(), mark.version(),
+                    mark.note().isEmpty() ? "" : ": " + mark.note());
+            case MISSED -> LOG.error("plan {} is not started: {}", o.name(), mark.note());
+            default -> LOG.debug("plan {}: {}", o.name(), mark.state());
+        }
+        if (mark.version() > current.number()) {
+            LOG.error("plan {} was decided by calendar {}, and {} is in force: it was rolled back; set the newest again", o.name(),
+                    mark.version(), current.number());
+        }
+    }
+
+    /** Submits one; whether there are more. */
+    private Future<Boolean> submit() {
+        long now = time.getAsLong();
+        List<Forecast.Entry> ready = due(now).stream().filter(e -> {
+            Mark mark = marks.get(e.occurrence().name());
+            return mark != null && e.occurrence().departs() > now
+                    && !clock.now().isBefore(refused.getOrDefault(e.occurrence().name(), Moment.NEVER));
+        }).toList();
+        return ready.isEmpty() ? Future.succeededFuture(false) : submit(ready.get(0), now).map(ready.size() > 1);
+    }
+
+    private Future<Void> submit(Forecast.Entry entry, long now) {
+        Occurrence o = entry.occurrence();
+        Mark mark = marks.get(o.name());
+        refused.put(o.name(), clock.now().plus(STEP));
+        return desk.apply(Wire.write(JobCodec.write(Choice.job(o, mark, now)))).compose(answer -> {
+            // Whatever the answer says, the page says whether the job is this occurrence's.
+            return records.run(PageChange.reading(o.day(), o.plan().name())).compose(page -> {
+                if (page != null) {
+                    remember(o, page.mark(o.plan().name()));
+                }
+                Mark there = page == null ? null : page.mark(o.plan().name());
+                if (there != null && there.isSettled()) {
+                    refused.remove(o.name());
+                } else if (answer.status() == 200) {
+                    LOG.warn("plan {}: {} is a user's job; another id is taken", o.name(), mark.id());
+                    return decide(List.of(entry), true);
+                } else if (answer.status() != 503) {
+                    refused.put(o.name(), clock.now().plus(REFUSED));
+                    LOG.error("plan {}: its job is refused: {} {}", o.name(), answer.status(), answer.body().get("error"));
+                }
+                return Future.succeededFuture();
+            });
+        });
+    }
+
+    /** Jobs that are over: the leader's core has them no more, and their end is recorded. */
+    private Future<Void> ends() {
+        Future<Void> done = Future.succeededFuture();
+        for (Forecast.Entry e : entries) {
+            Mark mark = marks.get(e.occurrence().name());
+            if (mark == null || mark.state() != Mark.State.ACCEPTED) {
+                continue;
+            }
+            Job job = core.job(mark.id());
+            if (job == null) {
+                done = done.compose(v -> ended(e.occurrence(), mark));
+            } else if (job.failures() > failures.getOrDefault(job.id(), 0)) {
+                int more = job.failures() - failures.getOrDefault(job.id(), 0);
+                failures.put(job.id(), job.failures());
+                runs.failed(job.spec().jobClass(), job.spec().tasks(), more);
+            }
+        }
+        return done;
+    }
+
+    private Future<Void> ended(Occurrence o, Mark mark) {
+        String key = RecordCodec.over(mark.id());
+        return records.run(new Fetching(key)).compose(read -> {
+            if (!read.isThere()) {
+                return Future.succeededFuture();
+            }
+            FinalRecord end = RecordCodec.readFinal(mark.id(), new Fields(read.value()));
+            long now = time.getAsLong();
+            failures.remove(mark.id());
+            return records.run(new PageChange(o.day(), o.plan().name(), page -> {
+                Mark there = page.mark(o.plan().name());
+                return there == null || there.state() != Mark.State.ACCEPTED ? List.of()
+                        : List.of(there.become(Mark.State.ENDED, now, end.status().name().toLowerCase(Locale.ROOT)));
+            })).map(page -> {
+                if (page != null) {
+                    remember(o, page.mark(o.plan().name()));
+                    long late = now - o.departs();
+                    if (late > 0) {
+                        LOG.error("plan {} was ready {} after its departure", o.name(), Outlook.minutes(new Span(late)));
+                    } else {
+                        LOG.info("plan {} is over, {} before its departure", o.name(), Outlook.minutes(new Span(-late)));
+                    }
+                }
+                return null;
+            });
+        });
+    }
+
+    private Future<Void> keepRuns() {
+        String key = runs.nextChanged();
+        if (key == null || clock.now().since(kept).compareTo(KEEP) < 0) {
+            return Future.succeededFuture();
+        }
+        kept = clock.now();
+        runs.written(key);
+        return records.run(new Replacing(key, runs.value(key))).mapEmpty();
+    }
+}
--- a/src/main/java/io/indigoreach/cluster/Node.java
+++ b/src/main/java/io/indigoreach/cluster/Node.java
@@ -17,6 +17,7 @@
 import io.indigoreach.worker.ReportDesk;
 import io.vertx.core.Future;
 import io.vertx.core.Vertx;
+import java.util.List;
 
 /** Puts a controller node together from its parts. */
 public final class Node {
@@ -35,12 +36,17 @@
     private final FrontDoor door;
 
     public Node(Vertx vertx, PlatformConfig config, Settings settings) throws ConfigException {
+        this(vertx, config, settings, Parts.kinds(settings));
+    }
+
+    /** With these parts beside the jobs. */
+    public Node(Vertx vertx, PlatformConfig config, Settings settings, List<Parts.Kind> kinds) throws ConfigException {
         this.pulse = new Pulse(vertx, clock);
         StateClient state = new StateClient(new Caller(vertx, config.state(), 12),
                 new Caller(vertx, config.state(), 3));
         CloudClient cloud = new CloudClient(new Caller(vertx, config.cloud(), 3));
         this.catalogue = new Catalogue(vertx, state, cloud);
-        Parts parts = Parts.on(vertx, state, clock, catalogue, config, settings);
+        Parts parts = Parts.of(kinds, vertx, state, clock, catalogue, config, settings);
         this.controller = new Controller(new Reign.Surroundings(vertx, clock, pulse, state, cloud, catalogue, config, settings,
                 settings.leaderLease(config.rules()), parts), own);
         JobDesk jobs = new JobDesk(vertx, state, catalogue, config.teams(), clock, config.stateLimits().valueBytes(),
@@ -49,6 +55,7 @@
         controller.remembering(standing::gather);
         controller.asking(standing::pledges, standing::othersDoNotLead);
         jobs.joining(parts.joinings());
+        parts.all().forEach(p -> p.submitting(jobs::submit));
         jobs.asking(standing::know);
         state.onLoss(controller::onLoss);
         this.door = new FrontDoor(vertx, config.listen(), jobs, new ReportDesk(controller),
--- a/src/main/java/io/indigoreach/config/Settings.java
+++ b/src/main/java/io/indigoreach/config/Settings.java
@@ -24,7 +24,8 @@
                 "a queue that does not fit into this part gets ordinary machines too"),
         REFUSED_FOR_S(10, 0, 3600, "s", "how long a pool without capacity is not asked again"),
         LEADER_LEASE_S(4.5, 1, 120, "s", "length of the leader's lease in the state service"),
-        LIST_EVERY_S(3, 0.5, 600, "s", "period of reading the cloud's list of machines");
+        LIST_EVERY_S(3, 0.5, 600, "s", "period of reading the cloud's list of machines"),
+        CALENDAR(0, 0, 1, "", "1: plans of the deadline calendar are started, and people may set it");
 
         final double standard;
         final double least;
@@ -46,8 +47,8 @@
 
         /** A line for help texts. */
         public String help() {
-            return String.format(java.util.Locale.ROOT, "%-22s %s, in %s (default %s, %s to %s)", field(), meaning, unit,
-                    plain(standard), plain(least), plain(most));
+            return String.format(java.util.Locale.ROOT, "%-22s %s%s (default %s, %s to %s)", field(), meaning,
+                    unit.isEmpty() ? "" : ", in " + unit, plain(standard), plain(least), plain(most));
         }
 
         private static String plain(double d) {
--- a/src/main/java/io/indigoreach/core/BestSize.java
+++ b/src/main/java/io/indigoreach/core/BestSize.java
@@ -336,6 +336,17 @@
         return Math.min(1, held);
     }
 
+    /**
+     * Another exception (the paper's section 3 rents when the top job's predicted wait passes the limit): planned work comes as
+     * late as its prediction allows, a boot included. Behind a top job that is served soon the trigger would come only when that
+     * boot no longer fits before the departure.
+     */
+    private boolean bootsTooLate(Job job, Moment now) {
+        MachineType type = job.spec.isPlanned() && job.hasStartable() && !job.isSuspect() ? cheapest(job.spec) : null;
+        return type != null && !now.plus(type.boot()).plus(estimates.run(job)).plus(Estimates.fetch(job, type))
+                .plus(tuning.waitLimit()).isBefore(job.arrived.plus(job.spec.due())) && dispatcher.mayStart(job, now);
+    }
+
     /**
      * Spot machines are asked for first in any case. Where none are to be had, an aim says how long the job may wait for
      * one; without an aim that is the wait limit, or the design's rule would not hold: of 94 tasks all went one after the
@@ -344,7 +355,7 @@
     private boolean mayTakeOrdinary(Job job, Moment now) {
         Span patience = job.spec.urgency().isMoreUrgentThan(Urgency.STANDARD) ? tuning.urgentSpotPatience()
                 : tuning.spotPatience();
-        if (dispatcher.isUnderTheRuleAlone(job, now) && tuning.waitLimit().compareTo(patience) < 0) {
+        if ((dispatcher.isUnderTheRuleAlone(job, now) || job.spec.isPlanned()) && tuning.waitLimit().compareTo(patience) < 0) {
             patience = tuning.waitLimit();
         }
         return !job.spec.spotAllowed() || now.since(job.arrived).compareTo(patience) >= 0;
@@ -353,7 +364,7 @@
     private boolean isDue(Share share, Job top, Moment now) {
         Moment start = dispatcher.reservation(share, top, now).lastStart();
         return start == null || start.since(top.arrived).compareTo(tuning.waitLimit()) > 0
-                || share.jobs().stream().anyMatch(job -> waitsTooLong(job, now));
+                || share.jobs().stream().anyMatch(job -> waitsTooLong(job, now) || bootsTooLate(job, now));
     }
 
     /** Behind an urgent job that is served at once others may wait for ever: their wait is past the limit, not predicted. */
--- a/src/main/java/io/indigoreach/core/Estimates.java
+++ b/src/main/java/io/indigoreach/core/Estimates.java
@@ -2,6 +2,7 @@
 
 import java.util.HashMap;
 import java.util.Map;
+import java.util.function.BiConsumer;
 
 /**
  * Run-time estimates, corrected by what was seen. Owners' estimates are often wrong by half, and on some days mostly
@@ -13,6 +14,12 @@
     /** A replica has no end of its own: longer than anything that is waited for. */
     private static final Span UNTIL_CANCELLED = Span.seconds(1e8);
     private final Map<String, Double> logFactor = new HashMap<>();
+    private BiConsumer<Job, Span> listener = (job, run) -> { };
+
+    /** Who else learns of each task's run time, without the image's fetch. */
+    void onRun(BiConsumer<Job, Span> told) {
+        listener = told;
+    }
 
     /** A task's expected run time, without the image fetch. */
     Span run(Job job) {
@@ -43,6 +50,7 @@
 
     void observe(Job job, Span run) {
         job.observe(run);
+        listener.accept(job, run);
         if (job.spec.estimate().ms() > 0) {
             double ratio = Math.log(Math.max(0.05, run.seconds()) / job.spec.estimate().seconds());
             logFactor.merge(job.spec.jobClass(), ratio * WEIGHT, (old, add) -> old * (1 - WEIGHT) + add);
--- a/src/main/java/io/indigoreach/core/Job.java
+++ b/src/main/java/io/indigoreach/core/Job.java
@@ -119,6 +119,11 @@
         return submittedMs;
     }
 
+    /** Failures of its tasks that this leader has seen. */
+    public int failures() {
+        return failures;
+    }
+
     public boolean isCancelled() {
         return cancelled;
     }
--- a/src/main/java/io/indigoreach/core/JobSpec.java
+++ b/src/main/java/io/indigoreach/core/JobSpec.java
@@ -46,6 +46,11 @@
         return shape == Shape.SERVICE;
     }
 
+    /** Part of a calendar's plan: it comes as late as its prediction allows. */
+    public boolean isPlanned() {
+        return due != null && more.containsKey("plan");
+    }
+
     public boolean savesProgress() {
         return checkpointEvery.ms() > 0;
     }
--- a/src/main/java/io/indigoreach/core/LeaderCore.java
+++ b/src/main/java/io/indigoreach/core/LeaderCore.java
@@ -8,6 +8,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.function.BiConsumer;
 
 /**
  * The decisions of one leadership: events go in, orders, rents and returns come out. It does no input or output and
@@ -87,6 +88,11 @@
         }
     }
 
+    /** Who is told of the run time of each task that ends well. */
+    public void onRun(BiConsumer<Job, Span> told) {
+        estimates.onRun(told);
+    }
+
     public boolean isLoaded() {
         return loaded;
     }
--- /dev/null
+++ b/src/main/java/io/indigoreach/core/calendar/Listing.java
@@ -0,0 +1,31 @@
+package io.indigoreach.core.calendar;
+
+import io.indigoreach.core.records.Kept;
+import io.indigoreach.core.records.Routine;
+import io.indigoreach.core.records.Seen;
+import io.indigoreach.core.records.Step;
+import java.util.ArrayList;
+import java.util.List;
+
+/** Reads all records with a prefix, as they may have stood a while ago. */
+public final class Listing implements Routine<List<Kept>> {
+    private static final int AT_ONCE = 50;
+
+    private final String prefix;
+    private final List<Kept> found = new ArrayList<>();
+    private boolean begun;
+
+    public Listing(String prefix) {
+        this.prefix = prefix;
+    }
+
+    @Override
+    public Step<List<Kept>> next(Seen seen) {
+        found.addAll(seen.records().values());
+        if (begun && !seen.more()) {
+            return new Step.End<>(found);
+        }
+        begun = true;
+        return new Step.Scan<>(prefix, found.isEmpty() ? null : found.get(found.size() - 1).key(), AT_ONCE);
+    }
+}
--- a/src/main/java/io/indigoreach/parts/Part.java
+++ b/src/main/java/io/indigoreach/parts/Part.java
@@ -1,12 +1,16 @@
 package io.indigoreach.parts;
 
+import io.indigoreach.api.Answer;
 import io.indigoreach.api.Joining;
 import io.indigoreach.api.Resource;
 import io.indigoreach.core.LeaderCore;
 import io.indigoreach.core.records.Family;
 import io.indigoreach.core.records.Sweep;
 import io.indigoreach.state.Records;
+import io.vertx.core.Future;
+import io.vertx.core.buffer.Buffer;
 import java.util.List;
+import java.util.function.Function;
 
 /**
  * A matter beside the jobs that rests on the controllers' shared state: what it keeps, serves and cleans up, told in one place
@@ -26,6 +30,10 @@
         return null;
     }
 
+    /** Where it may submit jobs: the desk at which users' come in. */
+    default void submitting(Function<Buffer, Future<Answer>> desk) {
+    }
+
     /** The leader's clean-up; null if there is none. */
     default Sweep sweep() {
         return null;
--- a/src/main/java/io/indigoreach/parts/Parts.java
+++ b/src/main/java/io/indigoreach/parts/Parts.java
@@ -2,6 +2,7 @@
 
 import io.indigoreach.api.Joining;
 import io.indigoreach.api.Resource;
+import io.indigoreach.calendar.CalendarPart;
 import io.indigoreach.cloud.Catalogue;
 import io.indigoreach.config.PlatformConfig;
 import io.indigoreach.config.Settings;
@@ -34,7 +35,8 @@
     }
 
     /** Every part there is: each adds itself here, and nowhere else. */
-    private static final List<Kind> KINDS = List.of();
+    private static final List<Kind> KINDS = List.of(
+            new Kind(Settings.Knob.CALENDAR, CalendarPart.FAMILIES, CalendarPart::new));
 
     public static final Parts NONE = new Parts(List.of(), new Copies(List.of()), null);
 
@@ -49,10 +51,8 @@
     }
 
     /** Those that the settings switch on. */
-    public static Parts on(Vertx vertx, StateClient state, SteadyClock clock, Catalogue catalogue, PlatformConfig config,
-                           Settings settings) {
-        return of(KINDS.stream().filter(k -> settings.get(k.knob()) > 0).toList(), vertx, state, clock, catalogue, config,
-                settings);
+    public static List<Kind> kinds(Settings settings) {
+        return KINDS.stream().filter(k -> settings.get(k.knob()) > 0).toList();
     }
 
     /** Of these kinds. */
