--- a/src/main/java/io/indigoreach/scenario/TextForm.java
+++ b/src/main/java/io/indigoreach/scenario/TextForm.java
@@ -187,7 +187,7 @@
                         ".io.indigoreach." + element.getSimpleName() + (element.isEnum() ? ".Word" : ""));
             } else {
                 fd.setType(element == double.class || element == Double.class ? Type.TYPE_DOUBLE
-                        : element == int.class ? Type.TYPE_INT32 : element == long.class ? Type.TYPE_INT64
+                        : element == int.class || element == Integer.class ? Type.TYPE_INT32 : element == long.class ? Type.TYPE_INT64
                         : element == boolean.class ? Type.TYPE_BOOL : Type.TYPE_STRING);
             }
             message.addField(fd);
--- a/src/main/java/io/indigoreach/tools/Cluster.java
+++ b/src/main/java/io/indigoreach/tools/Cluster.java
@@ -63,6 +63,12 @@
 
     /** Submits a job; with an emulator, uploads first what its tasks do. */
     JobCodec.Progress submit(JobSpec spec, Depot.Conduct conduct) {
+        upload(spec, conduct);
+        return JobCodec.readProgress(ask(JobCodec.JOBS, JobCodec.write(spec)).body());
+    }
+
+    /** With an emulator, what a job's tasks do; else nothing. */
+    void upload(JobSpec spec, Depot.Conduct conduct) {
         if (!file.depot().isEmpty()) {
             Caller depot = new Caller(vertx, Endpoint.parse(file.depot()), 1);
             Reply r = await(depot.post(DepotCodec.UPLOAD, DepotCodec.write(new DepotCodec.Upload(spec, conduct)), PATIENCE));
@@ -70,7 +76,6 @@
                 throw new Failure(Tool.WRONG, "the depot refuses the job: " + r.body().optionalText("error"));
             }
         }
-        return JobCodec.readProgress(ask(JobCodec.JOBS, JobCodec.write(spec)).body());
     }
 
     /** How a job stands; null if there is none. */
--- a/src/main/java/io/indigoreach/tools/Tool.java
+++ b/src/main/java/io/indigoreach/tools/Tool.java
@@ -13,11 +13,11 @@
         synopsisSubcommandLabel = "VERB",
         subcommands = {DemoVerb.class, ServeVerb.class, CheckVerb.class, EmulateVerb.class, ExperimentVerb.class,
             SubmitVerb.class, StatusVerb.class, CancelVerb.class, JobsVerb.class, MachinesVerb.class, DutiesVerb.class,
-            WatchVerb.class, MeasureVerb.class,
+            WatchVerb.class, MeasureVerb.class, CalendarVerb.class,
             GenerateCompletion.class},
         exitCodeListHeading = "%nExit codes:%n",
         exitCodeList = {"0:done", "1:a wrong file, or it could not be done", "2:a wrong command line",
-            "3:a rule was broken", "4:the service could not be reached in time"},
+            "3:a rule was broken, or a plan can't be ready", "4:the service could not be reached in time"},
         footer = {"", "Try it:", "  indigoreach demo", "", "LOG_LEVEL is error, info or debug; LOG_FORMAT=json writes the "
             + "log as JSON lines."})
 public final class Tool implements Runnable {
