--- /dev/null
+++ b/src/test/java/io/indigoreach/emulator/CalendarClusterTest.java
@@ -0,0 +1,163 @@
+package io.indigoreach.emulator;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.indigoreach.calendar.CalendarCodec;
+import io.indigoreach.calendar.CalendarPart;
+import io.indigoreach.calendar.JavaZones;
+import io.indigoreach.checker.Event;
+import io.indigoreach.config.PlatformConfig;
+import io.indigoreach.config.Settings;
+import io.indigoreach.core.JobId;
+import io.indigoreach.core.JobSpec;
+import io.indigoreach.core.Span;
+import io.indigoreach.core.calendar.Calendar;
+import io.indigoreach.core.calendar.Choice;
+import io.indigoreach.core.calendar.Day;
+import io.indigoreach.core.calendar.Depot;
+import io.indigoreach.core.calendar.Mark;
+import io.indigoreach.core.calendar.Occurrence;
+import io.indigoreach.core.calendar.Occurrences;
+import io.indigoreach.core.calendar.Plan;
+import io.indigoreach.core.calendar.Register;
+import io.indigoreach.core.calendar.TimeOfDay;
+import io.indigoreach.emulator.model.Depot.Conduct;
+import io.indigoreach.net.Caller;
+import io.indigoreach.net.Endpoint;
+import io.indigoreach.net.Fields;
+import io.indigoreach.net.Reply;
+import io.indigoreach.net.Wire;
+import io.indigoreach.parts.Parts;
+import io.indigoreach.state.RecordCodec;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.SplittableRandom;
+import java.util.function.LongSupplier;
+import org.junit.jupiter.api.parallel.Execution;
+import org.junit.jupiter.api.parallel.ExecutionMode;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** Three controllers and a calendar whose days take 17 s, over the night in which Berlin puts its clocks on. */
+@Execution(ExecutionMode.CONCURRENT)
+class CalendarClusterTest {
+    private static final long FASTER = 5_000;
+    private static final long BEGIN = 1_806_105_600_000L; // 2027-03-27T00:00Z
+    private static final long HOUR = 3_600_000;
+    private static final JavaZones ZONES = new JavaZones();
+
+    private static Calendar calendar(int hoursOn) {
+        List<Plan> plans = new ArrayList<>();
+        for (int i = 0; i < 8; i++) {
+            plans.add(new Plan("plan-" + i, i % 2 == 0 ? "kochi" : "rosenheim", new TimeOfDay((i * 3 + hoursOn) % 24 * 60),
+                    new Plan.Days(List.of(), List.of(), List.of()), Span.seconds(30 * 3600), Plan.OnHoliday.RUN, List.of(),
+                    LocalCluster.job(0, 2, 0.2)));
+        }
+        return new Calendar(0, List.of(), List.of(), List.of(new Depot("kochi", "Asia/Kolkata", "", List.of(), List.of()),
+                new Depot("rosenheim", "Europe/Berlin", "", List.of(), List.of())), plans);
+    }
+
+    private static String packed(Calendar calendar) {
+        return CalendarCodec.pack(new CalendarCodec.Stored(calendar, Register.EMPTY, ""));
+    }
+
+    /** Of version 1 set at {@code since}: every occurrence that departs within the time that this test looks at. */
+    private static Map<JobId, Occurrence> wanted(Calendar calendar, long since) {
+        Map<JobId, Occurrence> out = new HashMap<>();
+        Register register = Register.EMPTY.forPlans(calendar.plans(), since);
+        new Occurrences(calendar, ZONES).between(Day.of(2027, 3, 26), Day.of(2027, 3, 29)).stream()
+                .filter(o -> o.departs() >= BEGIN + 18 * HOUR && o.departs() < BEGIN + 48 * HOUR)
+                .forEach(o -> out.put(register.entries().get(o.plan().name()).id(o.day(), 0), o));
+        return out;
+    }
+
+    private static Reply ask(LocalCluster cluster, int node, Map<String, Object> body) throws Exception {
+        Endpoint listen = cluster.emulator.nodes().get(node).listen();
+        Caller caller = new Caller(cluster.vertx, listen, 1);
+        for (int tries = 0; ; tries++) {
+            try {
+                Reply r = LocalCluster.await(body == null ? caller.get("/api/calendar/outlook?days=2", Span.seconds(5))
+                        : caller.post("/api/calendar", body, Span.seconds(5)));
+                if (r.status() != 503 || tries > 200) {
+                    return r;
+                }
+            } catch (java.util.concurrent.ExecutionException e) {
+                if (tries > 200) {
+                    throw e;
+                }
+            }
+            LocalCluster.await(cluster.vertx.timer(100, java.util.concurrent.TimeUnit.MILLISECONDS));
+        }
+    }
+
+    /** How often each job's record came to be, by its id. */
+    private static Map<JobId, Integer> accepted(LocalCluster cluster) {
+        Map<JobId, Integer> times = new HashMap<>();
+        Set<String> there = new HashSet<>();
+        for (Event e : cluster.history.events()) {
+            if (e instanceof Event.Committed c) {
+                c.txn().writes().stream().filter(w -> w.key().startsWith(RecordCodec.OPEN)).forEach(w -> {
+                    if (w.isDelete()) {
+                        there.remove(w.key());
+                    } else if (there.add(w.key())) {
+                        times.merge(RecordCodec.jobOf(w.key()), 1, Integer::sum);
+                    }
+                });
+            }
+        }
+        return times;
+    }
+
+    @ParameterizedTest
+    @ValueSource(longs = {1, 2})
+    void eachOccurrenceBecomesOneJobWhoeverLeadsAndEnds(long seed) throws Exception {
+        SplittableRandom random = new SplittableRandom(seed);
+        long zero = System.nanoTime();
+        LongSupplier fast = () -> BEGIN + (System.nanoTime() - zero) / 1_000_000 * FASTER;
+        List<Parts.Kind> kinds = List.of(new Parts.Kind(Settings.Knob.CALENDAR, CalendarPart.FAMILIES,
+                g -> new CalendarPart(g, fast)));
+        Calendar calendar = calendar(0);
+        Map<JobId, Occurrence> wanted = wanted(calendar, BEGIN);
+        assertTrue(wanted.size() >= 8, wanted.size() + " occurrences");
+        try (LocalCluster cluster = new LocalCluster(3, "")) {
+            for (Map.Entry<JobId, Occurrence> e : wanted.entrySet()) {
+                Mark mark = new Mark(e.getValue().plan().name(), Mark.State.CHOSEN, e.getKey(), 1, 0, 0, 0, 2, "");
+                JobSpec spec = Choice.job(e.getValue(), mark, 0);
+                LocalCluster.await(cluster.emulator.upload(new DepotCodec.Upload(spec, new Conduct(spec.estimate(), 0.1, false))));
+            }
+            List<PlatformConfig> configs = cluster.emulator.nodes();
+            for (PlatformConfig c : configs) {
+                cluster.start(c, kinds);
+            }
+            assertEquals(200, ask(cluster, 0, Wire.map("base", 0, "text", packed(calendar), "note", "first")).status());
+            // Two edits made from the same version, at two nodes: the second is told what stands against it.
+            Reply one = ask(cluster, 1, Wire.map("base", 0, "text", packed(calendar(1)), "note", "other"));
+            assertEquals(409, one.status());
+            assertEquals("first", one.body().child("against").text("note"));
+            int[] running = {0, 1, 2};
+            int started = 3;
+            for (int end = 0; end < 3; end++) {
+                int most = 2 + end * 3;
+                cluster.awaitEvents(e -> e instanceof Event.Committed c && c.txn().writes().stream().anyMatch(w -> !w.isDelete()
+                        && w.key().startsWith(RecordCodec.OPEN) && RecordCodec.readJob(RecordCodec.jobOf(w.key()),
+                        new Fields(w.value()), io.indigoreach.core.Stamp.ABSENT).status() == io.indigoreach.core.JobStatus.PENDING), most);
+                int node = random.nextInt(3);
+                cluster.stop(running[node]);
+                cluster.start(configs.get(node), kinds);
+                running[node] = started++;
+            }
+            cluster.awaitEvents(e -> e instanceof Event.Committed c && c.txn().writes().stream().anyMatch(w -> !w.isDelete()
+                    && w.key().startsWith(RecordCodec.FINAL) && wanted.containsKey(new JobId(w.key().substring(
+                    RecordCodec.FINAL.length())))), wanted.size());
+            Map<JobId, Integer> accepted = accepted(cluster);
+            accepted.forEach((id, times) -> assertEquals(1, times, id + " was accepted more than once"));
+            wanted.forEach((id, o) -> assertTrue(accepted.containsKey(id), o.name()));
+            assertEquals(List.of(), cluster.breaches());
+        }
+    }
+}
--- a/src/test/java/io/indigoreach/emulator/LocalCluster.java
+++ b/src/test/java/io/indigoreach/emulator/LocalCluster.java
@@ -18,6 +18,7 @@
 import io.indigoreach.load.Users;
 import io.indigoreach.net.Endpoint;
 import io.indigoreach.net.SteadyClock;
+import io.indigoreach.parts.Parts;
 import io.indigoreach.scenario.Deployment;
 import io.indigoreach.scenario.Scenario;
 import io.indigoreach.scenario.TextForm;
@@ -81,12 +82,17 @@
 
     /** Starts a controller with settings of the test's; the result is its port. */
     int start(PlatformConfig config) throws Exception {
+        return start(config, List.of());
+    }
+
+    /** The same with parts beside the jobs. */
+    int start(PlatformConfig config, List<Parts.Kind> kinds) throws Exception {
         Vertx runtime = Vertx.vertx();
         Promise<Integer> port = Promise.promise();
         history.add(new Event.Process(clock.now(), config.node(), true));
         runtime.runOnContext(v -> {
             try {
-                Node node = new Node(runtime, config, Settings.standard());
+                Node node = new Node(runtime, config, Settings.standard(), kinds);
                 nodes.add(node);
                 runtimes.add(runtime);
                 node.start().onComplete(port);
