--- a/src/main/java/io/indigoreach/calendar/Steward.java
+++ b/src/main/java/io/indigoreach/calendar/Steward.java
@@ -226,8 +226,9 @@
     /** {@code taken}: a user's job has the id that was chosen. */
     private Future<Void> decide(List<Forecast.Entry> ofOnePage, boolean taken) {
         Occurrence first = ofOnePage.get(0).occurrence();
+        List<Mark> out = new ArrayList<>();
         return records.run(new PageChange(first.day(), first.plan().name(), page -> {
-            List<Mark> out = new ArrayList<>();
+            out.clear();
             for (Forecast.Entry e : ofOnePage) {
                 Mark mark = choice(e).mark(page.mark(e.occurrence().plan().name()), taken, time.getAsLong());
                 if (mark != null) {
@@ -238,23 +239,24 @@
         })).map(page -> {
             if (page != null) {
                 ofOnePage.forEach(e -> remember(e.occurrence(), page.mark(e.occurrence().plan().name())));
+                out.forEach(mark -> decided(first.day().toString(), mark));
             }
             return null;
         });
     }
 
-    private void remember(Occurrence o, Mark mark) {
-        Mark before = marks.put(o.name(), mark);
-        if (mark == null || before != null && before.state() == mark.state()) {
-            return;
-        }
-        switch (mark.state()) {
-            case CHOSEN -> LOG.info("plan {} is started as {} (calendar {}){}", o.name(), mark.id(), mark.version(),
+    private static void decided(String day, Mark mark) {
+        if (mark.state() == Mark.State.MISSED) {
+            LOG.error("plan {}@{} is not started: {}", mark.plan(), day, mark.note());
+        } else {
+            LOG.info("plan {}@{} is started as {} (calendar {}){}", mark.plan(), day, mark.id(), mark.version(),
                     mark.note().isEmpty() ? "" : ": " + mark.note());
-            case MISSED -> LOG.error("plan {} is not started: {}", o.name(), mark.note());
-            default -> LOG.debug("plan {}: {}", o.name(), mark.state());
         }
-        if (mark.version() > current.number()) {
+    }
+
+    private void remember(Occurrence o, Mark mark) {
+        Mark before = marks.put(o.name(), mark);
+        if (mark != null && before == null && mark.version() > current.number()) {
             LOG.error("plan {} was decided by calendar {}, and {} is in force: it was rolled back; set the newest again", o.name(),
                     mark.version(), current.number());
         }
--- a/src/main/java/io/indigoreach/core/calendar/Publishing.java
+++ b/src/main/java/io/indigoreach/core/calendar/Publishing.java
@@ -15,11 +15,15 @@
  */
 public final class Publishing implements Routine<Boolean> {
     private static final int PIECE = 7_000;
+    private static final int MOST_TRIES = 3;
 
     private final Head head;
     private final Head.Version version;
     private final String text;
-    private int piece = -1;
+    /** Pieces still to be written; null before it is known which are there. */
+    private List<String> missing;
+    private int tries;
+    private boolean naming;
 
     /** {@code head}: as it was read when the text was made. */
     public Publishing(Head head, String digest, String text, long at, String note) {
@@ -30,16 +34,26 @@
 
     @Override
     public Step<Boolean> next(Seen seen) {
-        if (piece >= 0 && !seen.isWritten()) {
-            return new Step.End<>(false);
+        if (naming) {
+            return new Step.End<>(seen.isWritten());
         }
         List<String> keys = version.keys();
-        if (piece == keys.size()) {
-            return new Step.End<>(true);
+        if (!seen.records().isEmpty()) {
+            missing = new ArrayList<>(keys.stream().filter(k -> !seen.record(k).isThere()).toList());
+        } else if (seen.isWritten()) {
+            missing.remove(0);
+        } else if (tries++ == MOST_TRIES) {
+            return new Step.End<>(false);
+        } else {
+            // Whoever wrote a piece meanwhile has written the same.
+            return new Step.Read<>(keys);
         }
-        piece++;
-        return new Step.Write<>(piece < keys.size() ? new Change().put(keys.get(piece), Map.of("text",
-                text.substring(piece * PIECE, Math.min(text.length(), (piece + 1) * PIECE)), Kept.VERSION, 1L))
-                : head.with(version));
+        naming = missing.isEmpty();
+        return new Step.Write<>(naming ? head.with(version) : piece(missing.get(0), keys.indexOf(missing.get(0))));
+    }
+
+    private Change piece(String key, int n) {
+        return new Change().replace(Kept.absent(key), Map.of("text",
+                text.substring(n * PIECE, Math.min(text.length(), (n + 1) * PIECE))));
     }
 }
