--- a/src/main/java/io/indigoreach/tools/CalendarVerb.java
+++ b/src/main/java/io/indigoreach/tools/CalendarVerb.java
@@ -37,8 +37,8 @@
 @Command(name = "calendar", mixinStandardHelpOptions = true, synopsisSubcommandLabel = "VERB",
         description = "Plans that are to be ready before departures: sets them, and says how they stand.",
         footer = {"", "Exit codes: 1 a wrong file, or another version is in force; 3 a plan can't be ready; 4 no answer.", "",
-            "Examples:", "  indigoreach calendar check examples/calendar.textproto",
-            "  indigoreach calendar set examples/calendar.textproto --note \"Onam's dates\"",
+            "Examples:", "  indigoreach calendar check examples/calendar/depots.textproto",
+            "  indigoreach calendar set examples/calendar/depots.textproto --note \"Onam's dates\"",
             "  indigoreach calendar outlook", "  indigoreach calendar explain kochi-tankers@2027-08-24"})
 final class CalendarVerb {
     private static final String PATH = "/api/calendar";
--- a/src/test/java/io/indigoreach/tools/CalendarFileTest.java
+++ b/src/test/java/io/indigoreach/tools/CalendarFileTest.java
@@ -24,7 +24,7 @@
 /** The operators' file, the library's holidays, and the calendar on its way. */
 class CalendarFileTest {
     private static Calendar example() throws Exception {
-        return TextForm.read(Path.of("examples/calendar.textproto"), CalendarFile.class).calendar();
+        return TextForm.read(Path.of("examples/calendar/depots.textproto"), CalendarFile.class).calendar();
     }
 
     @Test
