--- a/src/main/java/io/indigoreach/calendar/CalendarCodec.java
+++ b/src/main/java/io/indigoreach/calendar/CalendarCodec.java
@@ -26,6 +26,7 @@
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
+import java.util.TreeMap;
 import java.util.function.Function;
 import java.util.function.Supplier;
 import java.util.zip.DeflaterOutputStream;
@@ -51,7 +52,7 @@
     public static String pack(Stored stored) {
         Map<String, Object> map = write(stored.calendar());
         List<Object> blocks = new ArrayList<>();
-        stored.register().entries().forEach((name, e) -> blocks.add(List.of(name, e.block(), e.since())));
+        new TreeMap<>(stored.register().entries()).forEach((name, e) -> blocks.add(List.of(name, e.block(), e.since())));
         map.put("blocks", blocks);
         map.put("next_block", stored.register().next());
         map.put("file", stored.file());
--- a/src/main/java/io/indigoreach/tools/CalendarFile.java
+++ b/src/main/java/io/indigoreach/tools/CalendarFile.java
@@ -1,5 +1,6 @@
 package io.indigoreach.tools;
 
+import de.focus_shift.jollyday.core.CalendarHierarchy;
 import de.focus_shift.jollyday.core.Holiday;
 import de.focus_shift.jollyday.core.HolidayManager;
 import de.focus_shift.jollyday.core.ManagerParameters;
@@ -34,11 +35,11 @@
         @Setting("work to be ready before a departure") List<PlanForm> plan) {
 
     /** Days of the week, Monday first. */
-    enum Weekday {
+    public enum Weekday {
         MON, TUE, WED, THU, FRI, SAT, SUN
     }
 
-    record RegionForm(
+    public record RegionForm(
             @Setting("name, by which depots have it") String name,
             @Setting(value = "known to the library, such as in-kl (Kerala) or de-by-mu (Bavaria, Munich); empty: none",
                     standard = "") String holidaysOf,
@@ -48,16 +49,16 @@
             @Setting("a day, such as 2026-12-26, that the library has and is none here") List<String> without) {
     }
 
-    record HolidayForm(@Setting("the day, such as 2026-08-26") String day, @Setting("its name") String name) {
+    public record HolidayForm(@Setting("the day, such as 2026-08-26") String day, @Setting("its name") String name) {
     }
 
-    record SeasonForm(@Setting("name") String name, @Setting("its dates, year by year") List<DatesForm> dates) {
+    public record SeasonForm(@Setting("name") String name, @Setting("its dates, year by year") List<DatesForm> dates) {
     }
 
-    record DatesForm(@Setting("first day") String from, @Setting("last day") String to) {
+    public record DatesForm(@Setting("first day") String from, @Setting("last day") String to) {
     }
 
-    record DepotForm(
+    public record DepotForm(
             @Setting("name") String name,
             @Setting("time zone, such as Asia/Kolkata") String zone,
             @Setting(value = "region whose holidays it keeps; empty: none", standard = "") String region,
@@ -65,14 +66,14 @@
             @Setting("days that go otherwise") List<ExceptionForm> exception) {
     }
 
-    record DepartureForm(@Setting("weekdays; none: all") List<Weekday> weekday, @Setting("time, such as 04:30") String at) {
+    public record DepartureForm(@Setting("weekdays; none: all") List<Weekday> weekday, @Setting("time, such as 04:30") String at) {
     }
 
-    record ExceptionForm(@Setting("the day") String day,
+    public record ExceptionForm(@Setting("the day") String day,
                          @Setting(value = "time; empty: nobody leaves", standard = "") String at) {
     }
 
-    record PlanForm(
+    public record PlanForm(
             @Setting("name") String name,
             @Setting("depot before whose departure it is to be ready") String depot,
             @Setting(value = "by when, if not by the depot's departure", standard = "") String at,
@@ -86,7 +87,7 @@
             @Setting("its job; due_s and id are the plan's to give") JobFile job) {
     }
 
-    record BoostForm(@Setting("season") String name,
+    public record BoostForm(@Setting("season") String name,
                      @Setting(value = "so many times the tasks", standard = "2", least = 0.01, most = 100) double times) {
     }
 
@@ -127,11 +128,14 @@
 
     private static List<Region.Holiday> known(String field, String place, int year) {
         String[] parts = place.split("-");
-        if (!HolidayManager.getSupportedCalendarCodes().contains(parts[0])) {
+        HolidayManager manager;
+        CalendarHierarchy level;
+        try {
+            manager = HolidayManager.getInstance(ManagerParameters.create(parts[0]));
+            level = manager.getCalendarHierarchy();
+        } catch (RuntimeException e) {
             throw new Failure(Tool.WRONG, field + ".holidays_of: \"" + parts[0] + "\" is not known; in and de are");
         }
-        HolidayManager manager = HolidayManager.getInstance(ManagerParameters.create(parts[0]));
-        var level = manager.getCalendarHierarchy();
         for (String part : Arrays.asList(parts).subList(1, parts.length)) {
             level = level.getChildren().get(part);
             if (level == null) {
--- a/src/test/java/io/indigoreach/core/SizingTest.java
+++ b/src/test/java/io/indigoreach/core/SizingTest.java
@@ -8,6 +8,7 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
@@ -78,6 +79,25 @@
         assertEquals("west", w.core.wishes(at(6)).get(0).pool().zone(), "no machine can ever take the top job");
     }
 
+    /** Planned work comes as late as its prediction allows: the trigger would come when a boot no longer fits before its deadline. */
+    @ParameterizedTest
+    @CsvSource({"true, 60, 1", "true, 1000, 0", "false, 60, 0"})
+    void plannedWorkRentsWhileItsBootStillFits(boolean planned, double dueS, int machines) {
+        World w = new World();
+        w.core.loaded();
+        w.up("a", "east", 0);
+        w.submit(spec(1, 4, 1, 20), 0);
+        List<TaskReport> tasks = new ArrayList<>();
+        w.hear("a", 1).forEach(o -> tasks.add(running(o)));
+        w.hear("a", 2, tasks.toArray(TaskReport[]::new));
+        JobSpec s = spec(2, 4, 1, 20);
+        JobSpec due = new JobSpec(s.id(), s.jobClass(), s.team(), s.shape(), s.urgency(), s.tasks(), s.demand(), s.image(),
+                s.imageGb(), s.types(), s.zone(), s.oneZone(), s.spread(), s.spotAllowed(), s.estimate(), s.checkpointEvery(),
+                s.checkpointTime(), Span.seconds(dueS));
+        w.submit(planned ? due.with("plan", Map.of("name", "p", "day", "2027-03-01")) : due, 3);
+        assertEquals(machines, w.core.wishes(at(4)).stream().mapToInt(RentWish::count).sum());
+    }
+
     @Test
     void spotFirstThenTheOtherZoneThenOrdinaryOnceThePatienceIsOver() {
         World w = new World();
--- a/src/test/java/io/indigoreach/emulator/CalendarClusterTest.java
+++ b/src/test/java/io/indigoreach/emulator/CalendarClusterTest.java
@@ -49,6 +49,8 @@
     private static final long FASTER = 5_000;
     private static final long BEGIN = 1_806_105_600_000L; // 2027-03-27T00:00Z
     private static final long HOUR = 3_600_000;
+    /** In the second run the state service is away as well, for as long as seven hours of the calendar. */
+    private static final String OUTAGE = "fault { kind: outage at_s: 7 for_s: 5 to: \"state\" }";
     private static final JavaZones ZONES = new JavaZones();
 
     private static Calendar calendar(int hoursOn) {
@@ -124,7 +126,7 @@
         Calendar calendar = calendar(0);
         Map<JobId, Occurrence> wanted = wanted(calendar, BEGIN);
         assertTrue(wanted.size() >= 6, wanted.size() + " occurrences");
-        try (LocalCluster cluster = new LocalCluster(3, "")) {
+        try (LocalCluster cluster = new LocalCluster(3, seed == 2 ? OUTAGE : "")) {
             for (Map.Entry<JobId, Occurrence> e : wanted.entrySet()) {
                 Mark mark = new Mark(e.getValue().plan().name(), Mark.State.CHOSEN, e.getKey(), 1, 0, 0, 0, 2, "");
                 JobSpec spec = Choice.job(e.getValue(), mark, 0);
