--- a/src/main/java/io/indigoreach/calendar/CalendarResource.java
+++ b/src/main/java/io/indigoreach/calendar/CalendarResource.java
@@ -61,6 +61,10 @@
         if (!call.isGet()) {
             return Future.succeededFuture(Answer.error(405, "method not allowed"));
         }
+        boolean foresees = "outlook".equals(what) || "explain".equals(what);
+        if (foresees && !foresight.isReady()) {
+            return Future.succeededFuture(Answer.later("the machine types are not known yet"));
+        }
         return switch (what + path.size()) {
             case "0" -> shelf.read(records).map(this::shown);
             case "versions2" -> shelf.read(records, number(path.get(1), "version", 1, Integer.MAX_VALUE)).map(this::shown);
@@ -112,7 +116,8 @@
         }
         CalendarCodec.Stored sent = CalendarCodec.unpack(body.text("text"));
         long now = time.getAsLong();
-        List<CalendarCheck.Finding> findings = CalendarCheck.of(sent.calendar(), zones, Foresight.day(now));
+        List<CalendarCheck.Finding> findings = CalendarCheck.of(sent.calendar(), zones, Foresight.day(now),
+                CalendarCheck.SOON);
         if (!findings.isEmpty()) {
             throw Refusal.of(findings.get(0).field(), findings.get(0).reason());
         }
@@ -125,8 +130,7 @@
             String text = CalendarCodec.pack(next);
             return records.run(new Publishing(c.head(), CalendarCodec.digest(text), text, now, note)).compose(done -> {
                 if (done) {
-                    return Future.succeededFuture(Answer.ok(Wire.map("version", base + 1, "missing",
-                            CalendarCheck.missing(sent.calendar(), zones, Foresight.day(now)))));
+                    return Future.succeededFuture(Answer.ok(Wire.map("version", base + 1)));
                 }
                 return shelf.read(records).map(other -> {
                     if (other.number() == base) {
@@ -152,10 +156,8 @@
         List<Object> rows = new ArrayList<>();
         Day day = from;
         for (; day.number() < from.number() + days && rows.size() < MOST_ROWS; day = day.plus(1)) {
-            for (Occurrence o : Foresight.occurrences(c.stored(), day, day)) {
-                if (plan == null || plan.equals(o.plan().name())) {
-                    rows.add(row(c, o));
-                }
+            for (Occurrence o : Foresight.occurrences(c.stored(), plan, day)) {
+                rows.add(row(c, o));
             }
         }
         return Answer.ok(Wire.map("version", c.number(), "occurrences", rows,
--- a/src/main/java/io/indigoreach/calendar/Foresight.java
+++ b/src/main/java/io/indigoreach/calendar/Foresight.java
@@ -37,7 +37,19 @@
         return new Occurrences(stored.calendar(), new JavaZones()).between(from, to).stream().filter(o -> isOwn(stored, o)).toList();
     }
 
-    static boolean isOwn(CalendarCodec.Stored stored, Occurrence o) {
+    /** Of one day; {@code plan} null: of every plan. */
+    static List<Occurrence> occurrences(CalendarCodec.Stored stored, String plan, Day day) {
+        Occurrences all = new Occurrences(stored.calendar(), new JavaZones());
+        return stored.calendar().plans().stream().filter(p -> plan == null || plan.equals(p.name())).map(p -> all.of(p, day))
+                .filter(o -> o != null && isOwn(stored, o)).toList();
+    }
+
+    /** Without the machine types every plan would seem to have none. */
+    boolean isReady() {
+        return catalogue.isKnown();
+    }
+
+    private static boolean isOwn(CalendarCodec.Stored stored, Occurrence o) {
         Register.Entry entry = stored.register().entries().get(o.plan().name());
         return entry != null && o.departs() >= entry.since();
     }
--- a/src/main/java/io/indigoreach/calendar/Steward.java
+++ b/src/main/java/io/indigoreach/calendar/Steward.java
@@ -302,6 +302,9 @@
     private Future<Void> ends() {
         Future<Void> done = Future.succeededFuture();
         for (Forecast.Entry e : entries) {
+            if (e.latestStart() > time.getAsLong()) {
+                break;
+            }
             Mark mark = marks.get(e.occurrence().name());
             if (mark == null || mark.state() != Mark.State.ACCEPTED) {
                 continue;
--- a/src/main/java/io/indigoreach/core/calendar/CalendarCheck.java
+++ b/src/main/java/io/indigoreach/core/calendar/CalendarCheck.java
@@ -13,10 +13,10 @@
 
 /** Whether a calendar can be worked by: a line for each thing that is wrong, with the field and the reason. */
 public final class CalendarCheck {
-    /** Days ahead for which departures must exist and years must be entered. */
+    /** Days ahead in which departures must exist, as the tools check it. */
     public static final int AHEAD = 400;
-    /** Beyond these days a year that is not entered is told of, but no reason to refuse. */
-    private static final int SOON = 60;
+    /** The same at a node, which has little processor time; and a year that is not entered is a reason to refuse. */
+    public static final int SOON = 60;
     private static final int MOST_PLANS = 500;
     /** Bytes of a day's page, and of a mark beside its plan's name, with a note of usual length. */
     private static final int PAGE = 7_500;
@@ -35,17 +35,19 @@
     private final Calendar calendar;
     private final Zones zones;
     private final Day today;
+    private final int ahead;
     private final List<Finding> found = new ArrayList<>();
 
-    private CalendarCheck(Calendar calendar, Zones zones, Day today) {
+    private CalendarCheck(Calendar calendar, Zones zones, Day today, int ahead) {
         this.calendar = calendar;
         this.zones = zones;
         this.today = today;
+        this.ahead = ahead;
     }
 
     /** Empty if the calendar can be set. */
-    public static List<Finding> of(Calendar calendar, Zones zones, Day today) {
-        CalendarCheck check = new CalendarCheck(calendar, zones, today);
+    public static List<Finding> of(Calendar calendar, Zones zones, Day today, int ahead) {
+        CalendarCheck check = new CalendarCheck(calendar, zones, today, ahead);
         check.names("region", calendar.regions(), Region::name);
         check.names("season", calendar.seasons(), Season::name);
         check.names("depot", calendar.depots(), Depot::name);
@@ -116,7 +118,7 @@
                 wrong(field + ".exception", e.day() + " has two");
             }
         });
-        for (Day day = today; day.number() <= today.number() + AHEAD; day = day.plus(1)) {
+        for (Day day = today; day.number() <= today.number() + ahead; day = day.plus(1)) {
             exists(field + ".departure", depot, day, depot.departure(day));
         }
     }
@@ -136,7 +138,7 @@
         } else if (plan.at() == null && depot.weekly().isEmpty() && depot.exceptions().isEmpty()) {
             wrong(field + ".at", "depot " + depot.name() + " has no departures, so a time is needed");
         } else if (plan.at() != null && zones.isKnown(depot.zone())) {
-            for (Day day = today; day.number() <= today.number() + AHEAD; day = day.plus(1)) {
+            for (Day day = today; day.number() <= today.number() + ahead; day = day.plus(1)) {
                 exists(field + ".at", depot, day, plan.days().has(day) ? plan.at() : null);
             }
         }
--- a/src/main/java/io/indigoreach/tools/CalendarVerb.java
+++ b/src/main/java/io/indigoreach/tools/CalendarVerb.java
@@ -47,7 +47,7 @@
 
     private static Calendar read(Path file, CalendarFile form) {
         Calendar calendar = form.calendar();
-        List<CalendarCheck.Finding> findings = CalendarCheck.of(calendar, new JavaZones(), today());
+        List<CalendarCheck.Finding> findings = CalendarCheck.of(calendar, new JavaZones(), today(), CalendarCheck.AHEAD);
         if (!findings.isEmpty()) {
             findings.stream().skip(1).forEach(f -> System.err.println(file + ": " + f));
             throw new Failure(Tool.WRONG, file + ": " + findings.get(0));
@@ -108,7 +108,7 @@
             }
             print(cluster.json, r.body(), "calendar " + r.body().whole("version") + " is in force");
             if (!cluster.json) {
-                r.body().optionalTexts("missing").forEach(m -> System.out.println("to be entered: " + m));
+                CalendarCheck.missing(calendar, new JavaZones(), today()).forEach(m -> System.out.println("to be entered: " + m));
             }
             upload(c, form);
         }
