--- a/src/main/java/io/indigoreach/tools/CalendarVerb.java
+++ b/src/main/java/io/indigoreach/tools/CalendarVerb.java
@@ -122,7 +122,7 @@
                 .filter(Occurrence::runs).forEach(o -> {
                     JobId id = stored.register().entries().get(o.plan().name()).id(o.day(), 0);
                     Mark mark = new Mark(o.plan().name(), Mark.State.CHOSEN, id, 0, o.departs(), 0, 0, o.tasks(), "");
-                    JobSpec spec = Choice.job(o, mark, 0);
+                    JobSpec spec = Choice.job(o, mark, o.departs() - 1000);
                     c.upload(spec, SubmitVerb.conduct(form.job(o.plan().name())));
                 });
     }
