--- a/src/main/java/io/indigoreach/calendar/Steward.java
+++ b/src/main/java/io/indigoreach/calendar/Steward.java
@@ -240,6 +240,7 @@
             if (page != null) {
                 ofOnePage.forEach(e -> remember(e.occurrence(), page.mark(e.occurrence().plan().name())));
                 out.forEach(mark -> decided(first.day().toString(), mark));
+                ofOnePage.forEach(e -> foretell(e, time.getAsLong()));
             }
             return null;
         });
