--- a/src/test/java/io/indigoreach/emulator/CalendarClusterTest.java
+++ b/src/test/java/io/indigoreach/emulator/CalendarClusterTest.java
@@ -38,13 +38,15 @@
 import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.function.LongSupplier;
-import org.junit.jupiter.api.parallel.Execution;
-import org.junit.jupiter.api.parallel.ExecutionMode;
+import org.junit.jupiter.api.parallel.Isolated;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
 
-/** Three controllers and a calendar whose days take 17 s, over the night in which Berlin puts its clocks on. */
-@Execution(ExecutionMode.CONCURRENT)
+/**
+ * Three controllers and a calendar whose days take 17 s, over the night in which Berlin puts its clocks on. Alone in its time: the
+ * calendar goes on while a starved machine stands still, and a departure that has passed is told, not started.
+ */
+@Isolated
 class CalendarClusterTest {
     private static final long FASTER = 5_000;
     private static final long BEGIN = 1_806_105_600_000L; // 2027-03-27T00:00Z
