--- a/src/main/java/io/indigoreach/config/Settings.java
+++ b/src/main/java/io/indigoreach/config/Settings.java
@@ -24,7 +24,8 @@
                 "a queue that does not fit into this part gets ordinary machines too"),
         REFUSED_FOR_S(10, 0, 3600, "s", "how long a pool without capacity is not asked again"),
         LEADER_LEASE_S(4.5, 1, 120, "s", "length of the leader's lease in the state service"),
-        LIST_EVERY_S(3, 0.5, 600, "s", "period of reading the cloud's list of machines");
+        LIST_EVERY_S(3, 0.5, 600, "s", "period of reading the cloud's list of machines"),
+        RECORD_OWNERSHIP(0, 0, 1, "off or on", "keeps which job or export run may bill a record; the same at all nodes");
 
         final double standard;
         final double least;
--- a/src/main/java/io/indigoreach/core/Job.java
+++ b/src/main/java/io/indigoreach/core/Job.java
@@ -20,7 +20,10 @@
     final boolean inherited;
     private final BitSet done;
     private final BitSet durable;
+    /** Done, on a machine, or withheld: all that nobody is to start. */
     private final BitSet busy;
+    /** Tasks that wait for something else than machines: they are not there for whoever starts, reserves or rents. */
+    private final BitSet withheld = new BitSet();
     private final Map<Integer, Placement> active = new HashMap<>();
     private final Map<String, Integer> byZone = new HashMap<>();
     private int doneCount;
@@ -60,6 +63,10 @@
         this.done = (BitSet) done.clone();
         this.durable = (BitSet) done.clone();
         this.busy = (BitSet) done.clone();
+        if (spec.isGuarded()) {
+            withheld.set(0, spec.tasks());
+            busy.or(withheld);
+        }
         this.doneCount = done.cardinality();
         this.durableCount = doneCount;
         this.bound = bound;
@@ -98,6 +105,16 @@
         return index;
     }
 
+    /** These tasks wait for something else than machines, and no others; what is on a machine stays there. */
+    void withhold(BitSet tasks) {
+        withheld.clear();
+        withheld.or(tasks);
+        busy.clear();
+        busy.or(done);
+        busy.or(withheld);
+        active.keySet().forEach(busy::set);
+    }
+
     /** Every task that an earlier leader may have started is known. */
     void release() {
         heldBelow = 0;
@@ -257,7 +274,7 @@
         if (active.remove(p.index, p)) {
             byZone.merge(p.machine.pool.zone(), -1, Integer::sum);
             if (!done.get(p.index)) {
-                busy.clear(p.index);
+                busy.set(p.index, withheld.get(p.index));
             }
         }
     }
--- a/src/main/java/io/indigoreach/core/JobSpec.java
+++ b/src/main/java/io/indigoreach/core/JobSpec.java
@@ -20,6 +20,9 @@
                       String image, double imageGb, List<String> types, String zone, boolean oneZone, boolean spread,
                       boolean spotAllowed, Span estimate, Span checkpointEvery, Span checkpointTime, Span due,
                       Map<String, Object> more) {
+    /** The further field that names records; the part that knows them says which tasks may start. */
+    public static final String RECORDS = "records";
+
     public JobSpec {
         types = types == null ? null : List.copyOf(types);
         more = more.isEmpty() ? Map.of() : Collections.unmodifiableMap(new LinkedHashMap<>(more));
@@ -46,6 +49,11 @@
         return shape == Shape.SERVICE;
     }
 
+    /** Nothing of it starts before its records are known to be its own. */
+    public boolean isGuarded() {
+        return more.containsKey(RECORDS);
+    }
+
     public boolean savesProgress() {
         return checkpointEvery.ms() > 0;
     }
--- a/src/main/java/io/indigoreach/core/LeaderCore.java
+++ b/src/main/java/io/indigoreach/core/LeaderCore.java
@@ -2,6 +2,7 @@
 
 import io.indigoreach.core.loss.Remains;
 import java.util.ArrayList;
+import java.util.BitSet;
 import java.util.Collection;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
@@ -122,6 +123,15 @@
         }
     }
 
+    /** Only these tasks of an open job wait for something else than machines. */
+    public void withhold(JobId id, BitSet tasks) {
+        Job job = cluster.jobs.get(id);
+        if (job != null) {
+            job.withhold(tasks);
+            cluster.version++;
+        }
+    }
+
     public void stamped(Job job, Stamp stamp) {
         if (stamp.isAfter(job.stamp)) {
             job.stamp = stamp;
--- /dev/null
+++ b/src/main/java/io/indigoreach/ownership/RecordsField.java
@@ -0,0 +1,50 @@
+package io.indigoreach.ownership;
+
+import io.indigoreach.api.Joining;
+import io.indigoreach.api.Refusal;
+import io.indigoreach.core.JobSpec;
+import io.indigoreach.core.Stamp;
+import io.indigoreach.core.ownership.Grant;
+import io.indigoreach.core.ownership.Registry;
+import io.indigoreach.core.records.Change;
+import io.indigoreach.state.Records;
+import io.vertx.core.Future;
+import java.util.BitSet;
+
+/**
+ * The records that a job names: prepared here, and made the job's own by one change of its claim in the acceptance's own
+ * transaction, on however many pages they lie.
+ */
+final class RecordsField implements Joining {
+    private final Records records;
+    private final Registry registry;
+    private final int most;
+
+    RecordsField(Records records, Registry registry, int most) {
+        this.records = records;
+        this.registry = registry;
+        this.most = most;
+    }
+
+    @Override
+    public String field() {
+        return JobSpec.RECORDS;
+    }
+
+    @Override
+    public void check(JobSpec spec) {
+        RecordsCodec.readField(spec);
+    }
+
+    @Override
+    public Future<Change> accepting(JobSpec spec) {
+        return records.run(new Grant(registry, most, spec.id().text(), RecordsCodec.readField(spec), new BitSet(), true))
+                .compose(given -> given.never().isEmpty() ? Future.succeededFuture(given.commit())
+                        : Future.failedFuture(Refusal.of(JobSpec.RECORDS, String.join("; ", given.never()))));
+    }
+
+    @Override
+    public void accepted(Change change, Stamp stamp) {
+        records.wrote(change, stamp);
+    }
+}
--- /dev/null
+++ b/src/main/java/io/indigoreach/ownership/Withholding.java
@@ -0,0 +1,102 @@
+package io.indigoreach.ownership;
+
+import io.indigoreach.core.Job;
+import io.indigoreach.core.JobId;
+import io.indigoreach.core.LeaderCore;
+import io.indigoreach.core.Moment;
+import io.indigoreach.core.Span;
+import io.indigoreach.core.ownership.Grant;
+import io.indigoreach.core.ownership.JobRecords;
+import io.indigoreach.core.ownership.Registry;
+import io.indigoreach.net.Duty;
+import io.indigoreach.net.WireException;
+import io.indigoreach.parts.Part;
+import io.indigoreach.parts.Parts;
+import io.indigoreach.state.Records;
+import io.vertx.core.Future;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * While this node leads: of each open job that names records, which tasks wait for them. Such a job begins wholly withheld; once
+ * all of its records are its own it is not asked for again, as nobody but a person can take them from it.
+ */
+final class Withholding implements Part.Reigning {
+    private static final Logger LOG = LoggerFactory.getLogger(Withholding.class);
+    private static final Span PERIOD = Span.seconds(0.5);
+    private static final Span AGAIN = Span.seconds(2);
+    /** A job of thousands of records is looked at less often: some hundred pages are read for it. */
+    private static final double PER_RECORD_S = 0.001;
+
+    private final Parts.Ground ground;
+    private final LeaderCore core;
+    private final Records records;
+    private final Registry registry;
+    private final int most;
+    private final Duty duty;
+    private final Map<JobId, Moment> due = new HashMap<>();
+    private final Set<JobId> whole = new HashSet<>();
+
+    Withholding(Parts.Ground ground, LeaderCore core, Records records, Registry registry, int most) {
+        this.ground = ground;
+        this.core = core;
+        this.records = records;
+        this.registry = registry;
+        this.most = most;
+        this.duty = new Duty(ground.vertx(), "withholding", PERIOD, this::step);
+    }
+
+    Withholding start() {
+        duty.start();
+        return this;
+    }
+
+    @Override
+    public void close() {
+        duty.cancel();
+    }
+
+    /** The oldest job that is due: what becomes free goes to those that came first. */
+    private Future<Span> step() {
+        Moment now = ground.clock().now();
+        List<Job> guarded = new ArrayList<>(core.jobs().stream().filter(j -> j.spec().isGuarded()).toList());
+        Set<JobId> open = new HashSet<>();
+        guarded.forEach(j -> open.add(j.id()));
+        whole.retainAll(open);
+        due.keySet().retainAll(open);
+        Job next = guarded.stream().filter(j -> !whole.contains(j.id()) && !j.isCancelled()
+                && !now.isBefore(due.getOrDefault(j.id(), Moment.NEVER)))
+                .min(java.util.Comparator.comparingLong(Job::submittedMs).thenComparing(Job::id)).orElse(null);
+        if (next == null) {
+            return Future.succeededFuture(PERIOD);
+        }
+        JobId id = next.id();
+        JobRecords wants;
+        try {
+            wants = RecordsCodec.readField(next.spec());
+        } catch (WireException e) {
+            LOG.error("job {} stands still: its records cannot be read ({})", id, e.getMessage());
+            whole.add(id);
+            return Future.succeededFuture(PERIOD);
+        }
+        due.put(id, now.plus(AGAIN).plus(Span.seconds(wants.list().size() * PER_RECORD_S)));
+        return records.run(new Grant(registry, most, id.text(), wants, next.doneTasks(), false)).map(given -> {
+            if (!duty.isCancelled()) {
+                core.withhold(id, given.held());
+                if (given.held().isEmpty()) {
+                    whole.add(id);
+                } else {
+                    LOG.info("job {}: {} tasks wait for records: {}", id, given.held().cardinality(),
+                            given.never().isEmpty() ? given.against().get(0) : given.never().get(0));
+                }
+            }
+            return new Span(1);
+        });
+    }
+}
--- a/src/main/java/io/indigoreach/parts/Parts.java
+++ b/src/main/java/io/indigoreach/parts/Parts.java
@@ -5,9 +5,11 @@
 import io.indigoreach.cloud.Catalogue;
 import io.indigoreach.config.PlatformConfig;
 import io.indigoreach.config.Settings;
+import io.indigoreach.core.ownership.Registry;
 import io.indigoreach.core.records.Copies;
 import io.indigoreach.core.records.Family;
 import io.indigoreach.net.SteadyClock;
+import io.indigoreach.ownership.OwnershipPart;
 import io.indigoreach.state.Records;
 import io.indigoreach.state.StateClient;
 import io.vertx.core.Vertx;
@@ -34,7 +36,8 @@
     }
 
     /** Every part there is: each adds itself here, and nowhere else. */
-    private static final List<Kind> KINDS = List.of();
+    private static final List<Kind> KINDS = List.of(
+            new Kind(Settings.Knob.RECORD_OWNERSHIP, Registry.FAMILIES, OwnershipPart::new));
 
     public static final Parts NONE = new Parts(List.of(), new Copies(List.of()), null);
 
--- a/src/main/java/io/indigoreach/state/Records.java
+++ b/src/main/java/io/indigoreach/state/Records.java
@@ -56,6 +56,11 @@
         return new Records(vertx, state, clock, copies, new Kept(key, null, stamp), spare);
     }
 
+    /** The same, with no more changes than half of a budget has to spare: what people ask of a part comes behind jobs. */
+    public Records within(Budget spare) {
+        return new Records(vertx, state, clock, copies, null, spare);
+    }
+
     public Copies copies() {
         return copies;
     }
--- a/src/main/java/io/indigoreach/tools/Tool.java
+++ b/src/main/java/io/indigoreach/tools/Tool.java
@@ -13,11 +13,12 @@
         synopsisSubcommandLabel = "VERB",
         subcommands = {DemoVerb.class, ServeVerb.class, CheckVerb.class, EmulateVerb.class, ExperimentVerb.class,
             SubmitVerb.class, StatusVerb.class, CancelVerb.class, JobsVerb.class, MachinesVerb.class, DutiesVerb.class,
-            WatchVerb.class, MeasureVerb.class,
+            WatchVerb.class, MeasureVerb.class, RecordsVerb.class,
             GenerateCompletion.class},
         exitCodeListHeading = "%nExit codes:%n",
         exitCodeList = {"0:done", "1:a wrong file, or it could not be done", "2:a wrong command line",
-            "3:a rule was broken", "4:the service could not be reached in time"},
+            "3:a rule was broken", "4:the service could not be reached in time",
+            "5:refused: records are another's, or in doubt (records)"},
         footer = {"", "Try it:", "  indigoreach demo", "", "LOG_LEVEL is error, info or debug; LOG_FORMAT=json writes the "
             + "log as JSON lines."})
 public final class Tool implements Runnable {
@@ -26,6 +27,7 @@
     static final int USAGE = 2;
     static final int BROKEN = 3;
     static final int UNREACHABLE = 4;
+    static final int REFUSED = 5;
 
     @CommandLine.Spec
     private CommandLine.Model.CommandSpec spec;
