--- a/src/main/java/io/indigoreach/state/Records.java
+++ b/src/main/java/io/indigoreach/state/Records.java
@@ -119,6 +119,8 @@
                 read.forEach(copies::saw);
                 return Future.succeededFuture(read);
             }
+            // Judged by what was known before the comparison was sent: what another routine writes meanwhile is newer than it.
+            List<Kept> older = doubtful.stream().filter(this::isOlderThanCopy).toList();
             StateClient.Txn comparison = state.inThisEra();
             doubtful.forEach(k -> comparison.when(k.key(), k.stamp()));
             return state.confirm(comparison).compose(holds -> {
@@ -126,11 +128,7 @@
                     return attempt < MOST_TRIES ? state.check().compose(v -> readSome(keys, attempt + 1))
                             : Future.failedFuture(new WireException("the records change at this moment"));
                 }
-                for (Kept k : doubtful) {
-                    if (isOlderThanCopy(k)) {
-                        lost(k);
-                    }
-                }
+                older.forEach(this::lost);
                 if (state.losses().isHolding()) {
                     return Future.failedFuture(new WireException("data were lost"));
                 }
--- a/src/test/java/io/indigoreach/emulator/LocalCluster.java
+++ b/src/test/java/io/indigoreach/emulator/LocalCluster.java
@@ -8,6 +8,7 @@
 import io.indigoreach.config.ConfigException;
 import io.indigoreach.config.PlatformConfig;
 import io.indigoreach.config.Settings;
+import io.indigoreach.config.SettingsFile;
 import io.indigoreach.core.Demand;
 import io.indigoreach.core.JobId;
 import io.indigoreach.core.JobSpec;
@@ -61,6 +62,7 @@
     private final List<Node> nodes = new ArrayList<>();
     private final List<Vertx> runtimes = new ArrayList<>();
     private Users users;
+    private Settings settings = Settings.standard();
 
     LocalCluster(int controllers, String faults) throws Exception {
         scenario = TextForm.parse("test", SCENARIO.formatted(controllers, faults), Scenario.class);
@@ -71,6 +73,12 @@
         return future.toCompletionStage().toCompletableFuture().get(PATIENCE_S, TimeUnit.SECONDS);
     }
 
+    /** With operators' settings, as in their file. */
+    LocalCluster with(String text) throws ConfigException {
+        settings = SettingsFile.parse("test", text);
+        return this;
+    }
+
     /** Starts every controller as it is. */
     LocalCluster start() throws Exception {
         for (PlatformConfig c : emulator.nodes()) {
@@ -86,7 +94,7 @@
         history.add(new Event.Process(clock.now(), config.node(), true));
         runtime.runOnContext(v -> {
             try {
-                Node node = new Node(runtime, config, Settings.standard());
+                Node node = new Node(runtime, config, settings);
                 nodes.add(node);
                 runtimes.add(runtime);
                 node.start().onComplete(port);
