--- a/src/main/java/io/indigoreach/api/JobDesk.java
+++ b/src/main/java/io/indigoreach/api/JobDesk.java
@@ -126,10 +126,11 @@
         if (state.losses().isHolding()) {
             return find(spec.id()).map(found -> current(spec.id(), found));
         }
-        return joined(spec).compose(change -> commit(spec, record, now, attempt, txn, change)).recover(e ->
-                // Whatever was accepted once stays accepted, also where a part would refuse it by now.
-                e instanceof Refusal r ? find(spec.id()).map(found -> found.open == null && found.over == null ? r.answer()
-                        : current(spec.id(), found)) : Future.failedFuture(e));
+        return joined(spec).compose(change -> commit(spec, record, now, attempt, txn, change), e ->
+                // Whatever was accepted once stays accepted, also where a part would refuse it by now or cannot say.
+                find(spec.id()).compose(found -> found.open != null || found.over != null
+                        ? Future.succeededFuture(current(spec.id(), found))
+                        : e instanceof Refusal r ? Future.succeededFuture(r.answer()) : Future.failedFuture(e)));
     }
 
     /** What the parts beside the jobs have to say to this one; nothing for most. */
--- a/src/main/java/io/indigoreach/core/ownership/Page.java
+++ b/src/main/java/io/indigoreach/core/ownership/Page.java
@@ -15,10 +15,10 @@
  * @param floor no fence given on this page so far is above it
  */
 record Page(long floor, boolean divided, SortedMap<String, Entry> entries) {
-    /** The longest, in what its records cost at most: well within a value's 8 KiB. Usually two thirds of it are written. */
-    static final int MOST = 6_000;
-    /** Of a line: letter, three numbers of 12 digits at most, one of two, spaces. */
-    private static final int LINE = 45;
+    /** The longest, as its records cost: well within a value's 8 KiB. */
+    static final int MOST = 6_500;
+    /** Of a line: letter, the holder's place, spaces and the semicolon. */
+    private static final int LINE = 10;
     static final Page EMPTY = new Page(0, false, new TreeMap<>());
     private static final int RADIX = 36;
 
@@ -75,7 +75,16 @@
 
     /** What a record takes of a page at most; its holder's name is written once for all that it holds there. */
     static int cost(String id, Entry entry) {
-        return entry == null ? 0 : id.length() + entry.task().length() + entry.holder().length() + LINE;
+        return entry == null ? 0 : id.length() + entry.task().length() + entry.holder().length() + LINE + digits(entry.fence())
+                + digits(entry.attempt()) + digits(entry.sinceMs());
+    }
+
+    private static int digits(long n) {
+        int digits = 1;
+        for (long left = n / RADIX; left > 0; left /= RADIX) {
+            digits++;
+        }
+        return digits;
     }
 
     int cost() {
--- a/src/main/java/io/indigoreach/core/ownership/Registry.java
+++ b/src/main/java/io/indigoreach/core/ownership/Registry.java
@@ -2,6 +2,7 @@
 
 import io.indigoreach.core.records.Family;
 import io.indigoreach.core.records.Kept;
+import java.util.Comparator;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -98,6 +99,12 @@
         return key.toString();
     }
 
+    /** Records that lie on one page follow each other: what comes in parts, in this order, writes each page once or twice. */
+    public Comparator<RecordId> order() {
+        return Comparator.comparing(RecordId::group).thenComparing((a, b) -> Long.compareUnsigned(hash.applyAsLong(a.text()),
+                hash.applyAsLong(b.text())));
+    }
+
     /** On which half of a page that is divided a record lies. */
     String half(String key, String id) {
         int depth = key.length() - key.lastIndexOf('/') - 2;
--- a/src/main/java/io/indigoreach/ownership/OwnershipPart.java
+++ b/src/main/java/io/indigoreach/ownership/OwnershipPart.java
@@ -27,7 +27,7 @@
     private static final int MOST = 12;
 
     private final Parts.Ground ground;
-    private final Registry registry = new Registry(Hashing.xxh3_64()::hashCharsToLong);
+    private final Registry registry = registry();
     private final Desk desk;
     private final RecordsField field;
     private final Tidy tidy;
@@ -43,6 +43,11 @@
                 id -> RecordCodec.over(new JobId(id))));
     }
 
+    /** With the hash by which all records are found. */
+    public static Registry registry() {
+        return new Registry(Hashing.xxh3_64()::hashCharsToLong);
+    }
+
     @Override
     public String name() {
         return "records";
--- a/src/main/java/io/indigoreach/scenario/JobFile.java
+++ b/src/main/java/io/indigoreach/scenario/JobFile.java
@@ -7,6 +7,7 @@
 import io.indigoreach.core.Span;
 import io.indigoreach.core.Urgency;
 import java.util.List;
+import java.util.Map;
 
 /** A job as people write it down to submit it. */
 public record JobFile(
@@ -31,6 +32,10 @@
         @Setting(value = "a checkpoint every, s of progress; 0: none", standard = "0") double checkpointEveryS,
         @Setting(value = "time to save when stopped, s", standard = "0") double checkpointS,
         @Setting(value = "complete within, s of the submission; 0: no deadline", standard = "0") double dueS,
+        @Setting(value = "records that it bills, a range of a group: this and a number; empty: none", standard = "")
+        String recordsPrefix,
+        @Setting(value = "first number", standard = "0") int recordsFrom,
+        @Setting(value = "last number", standard = "0") int recordsTo,
         @Setting(value = "emulator only: what a task really takes, s; 0: as estimated", standard = "0") double emulatedS,
         @Setting(value = "emulator only: every task fails", standard = "false") boolean emulatedFails) {
 
@@ -42,9 +47,11 @@
 
     /** The job, with {@code made} as its id if the file names none. */
     public JobSpec spec(JobId made) {
-        return new JobSpec(id.isEmpty() ? made : new JobId(id), jobClass, team, shape, urgency, tasks,
+        JobSpec spec = new JobSpec(id.isEmpty() ? made : new JobId(id), jobClass, team, shape, urgency, tasks,
                 new Demand(cores, gpus, ramGb), image, imageGb, machineType.isEmpty() ? null : machineType,
                 zone.isEmpty() ? null : zone, oneZone, spread, spot, Span.seconds(estimateS),
                 Span.seconds(checkpointEveryS), Span.seconds(checkpointS), dueS <= 0 ? null : Span.seconds(dueS));
+        return recordsPrefix.isEmpty() ? spec : spec.with(JobSpec.RECORDS, Map.of("prefix", recordsPrefix, "from",
+                (long) recordsFrom, "to", (long) recordsTo));
     }
 }
--- a/src/main/java/io/indigoreach/tools/RecordsVerb.java
+++ b/src/main/java/io/indigoreach/tools/RecordsVerb.java
@@ -1,9 +1,11 @@
 package io.indigoreach.tools;
 
 import io.indigoreach.config.ConfigException;
+import io.indigoreach.core.ownership.RecordId;
 import io.indigoreach.net.Fields;
 import io.indigoreach.net.Reply;
 import io.indigoreach.net.Wire;
+import io.indigoreach.ownership.OwnershipPart;
 import io.vertx.core.json.JsonObject;
 import java.io.BufferedReader;
 import java.io.IOException;
@@ -13,6 +15,7 @@
 import java.nio.file.Path;
 import java.time.Instant;
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Locale;
@@ -139,12 +142,17 @@
             return lines;
         }
 
-        /** Parts that a request takes; at least one, which may be empty. */
+        /** Parts that a request takes, in the order of the registry's pages. */
         List<List<String[]>> parts() throws IOException {
             List<String[]> all = lines();
             if (all.isEmpty()) {
                 throw new Failure(Tool.USAGE, "no records: name them, or --file, or --range");
             }
+            Comparator<RecordId> order = OwnershipPart.registry().order();
+            all.stream().filter(l -> !RecordId.isValid(l[0])).findFirst().ifPresent(l -> {
+                throw new Failure(Tool.WRONG, l[0] + ": not a record's id");
+            });
+            all.sort((a, b) -> order.compare(new RecordId(a[0]), new RecordId(b[0])));
             List<List<String[]>> parts = new ArrayList<>();
             for (int from = 0; from < all.size(); from += AT_ONCE) {
                 parts.add(all.subList(from, Math.min(all.size(), from + AT_ONCE)));
--- /dev/null
+++ b/src/test/java/io/indigoreach/core/WithheldTest.java
@@ -0,0 +1,46 @@
+package io.indigoreach.core;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.BitSet;
+import java.util.List;
+import java.util.Map;
+import org.junit.jupiter.api.Test;
+
+/** Tasks that wait for something else than machines. */
+class WithheldTest {
+    private static final JobSpec PLAIN = new JobSpec(new JobId("run-1"), "c", "t", Shape.ARRAY, Urgency.STANDARD, 6,
+            new Demand(1, 0, 1), "i", 0, null, null, false, false, true, Span.seconds(5), Span.ZERO, Span.ZERO, null);
+
+    private static Job job(JobSpec spec) {
+        return new Job(spec, 0, new Moment(0), new Stamp(1), new BitSet(), 0, false);
+    }
+
+    @Test
+    void areNotThereForWhoeverStartsReservesOrRents() {
+        Job job = job(PLAIN.with(JobSpec.RECORDS, Map.of("ids", List.of("a/1"))));
+        assertFalse(job.hasWaiting(), "nothing is known of its records yet");
+        assertEquals(0, job.startable());
+        BitSet held = new BitSet();
+        held.set(0, 2);
+        held.set(4);
+        job.withhold(held);
+        assertEquals(List.of(3, 3, 2), List.of(job.waiting(), job.startable(), job.nextStartable()));
+        assertEquals(JobStatus.PENDING, job.status());
+        job.complete(2);
+        job.withhold(new BitSet());
+        assertEquals(List.of(5, 0), List.of(job.waiting(), job.nextStartable()));
+        assertTrue(job.hasWaiting());
+        held.set(0, 6);
+        job.withhold(held);
+        assertFalse(job.isComplete(), "held tasks are not done");
+        assertFalse(job.hasWaiting());
+    }
+
+    @Test
+    void otherJobsHaveNone() {
+        assertEquals(6, job(PLAIN).startable());
+    }
+}
