--- a/src/test/java/io/indigoreach/tools/ToolTest.java
+++ b/src/test/java/io/indigoreach/tools/ToolTest.java
@@ -18,10 +18,10 @@
     @TempDir
     private Path directory;
 
-    private record Told(int code, String out, String err) {
+    record Told(int code, String out, String err) {
     }
 
-    private static Told tell(String... args) {
+    static Told tell(String... args) {
         PrintStream out = System.out;
         PrintStream err = System.err;
         ByteArrayOutputStream said = new ByteArrayOutputStream();
@@ -63,7 +63,7 @@
     @Test
     void helpsAndCompletes() {
         for (String verb : new String[] {"demo", "serve", "check", "emulate", "experiment", "submit", "status", "cancel",
-            "jobs", "machines", "watch", "measure"}) {
+            "jobs", "machines", "watch", "measure", "records"}) {
             Told told = tell(verb, "--help");
             assertEquals(0, told.code);
             assertTrue(told.out.startsWith("Usage: indigoreach " + verb), told.out);
