--- a/src/main/java/io/indigoreach/ownership/Desk.java
+++ b/src/main/java/io/indigoreach/ownership/Desk.java
@@ -37,7 +37,7 @@
 /** What people, exports and tasks ask of the registry, at any node: {@code /api/records}. */
 final class Desk implements Resource {
     /** Requests that work at the same time: each holds the pages of its records. */
-    private static final int MOST_AT_ONCE = 6;
+    private static final int MOST_AT_ONCE = 4;
     private static final int SHOWN_PAGES = 6;
     private static final int COUNTED_PAGES = 40;
     private static final long OVERDUE_S = 600;
--- a/src/main/java/io/indigoreach/state/Records.java
+++ b/src/main/java/io/indigoreach/state/Records.java
@@ -104,7 +104,9 @@
         List<String> some = keys.subList(from, Math.min(keys.size(), from + READ_AT_ONCE));
         return readSome(some, 1).compose(read -> {
             read.forEach(k -> into.put(k.key(), k));
-            return read(keys, from + READ_AT_ONCE, into);
+            // Hundreds of reads at once would be refused, and leases' renewals with them.
+            return from + READ_AT_ONCE < keys.size() && budget != null ? pause().compose(v -> read(keys, from + READ_AT_ONCE, into))
+                    : read(keys, from + READ_AT_ONCE, into);
         });
     }
 
@@ -166,11 +168,15 @@
         });
     }
 
+    private Future<Void> pause() {
+        Promise<Void> later = Promise.promise();
+        vertx.setTimer(PACE.ms(), t -> later.complete());
+        return later.future();
+    }
+
     private Future<Seen> write(Change change, int attempt) {
         if (budget != null && !budget.takeSpare(change.writes().size(), clock.now())) {
-            Promise<Void> later = Promise.promise();
-            vertx.setTimer(PACE.ms(), t -> later.complete());
-            return later.future().compose(v -> write(change, attempt));
+            return pause().compose(v -> write(change, attempt));
         }
         StateClient.Txn txn = state.inThisEra().and(change);
         if (leadership != null) {
--- a/src/test/java/io/indigoreach/emulator/RecordsClusterTest.java
+++ b/src/test/java/io/indigoreach/emulator/RecordsClusterTest.java
@@ -2,8 +2,10 @@
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 
-import io.indigoreach.core.JobId;
+import io.indigoreach.checker.Event;
 import io.indigoreach.core.JobSpec;
+import io.indigoreach.core.JobStatus;
+import io.indigoreach.load.Users;
 import io.indigoreach.net.Reply;
 import io.indigoreach.net.Wire;
 import io.vertx.core.Future;
@@ -71,6 +73,26 @@
         }
     }
 
+    @Test
+    void aTaskWhoseRecordAnotherHasWaitsAndNoOther() throws Exception {
+        try (LocalCluster cluster = new LocalCluster(1, "").with("record_ownership: 1").start()) {
+            RecordsContention run = new RecordsContention(cluster, 7, dir.resolve("books.txt"), 1, 2, 1);
+            LocalCluster.await(run.ask("begin", Wire.map("by", "anna", "reason", "first day")));
+            LocalCluster.await(run.ask("claim", Wire.map("run", "e1", "ids", List.of("coop/1"))));
+            JobSpec spec = LocalCluster.job(1, 3, 0.5).with(JobSpec.RECORDS, Wire.map("prefix", "coop/", "from", 0L, "to", 2L));
+            Future<Users.Mine> job = cluster.run(spec, 0);
+            cluster.awaitEvents(e -> e instanceof Event.Off, 2);
+            Reply waits = LocalCluster.await(run.ask("jobs/run-1", null));
+            assertEquals(1, waits.body().whole("lacking"));
+            assertEquals("e1", waits.body().children("waits_for").get(0).text("by"));
+            assertEquals(List.of(), cluster.history.events().stream().filter(e -> e instanceof Event.Started s
+                    && s.task().index() == 1).toList());
+            LocalCluster.await(run.ask("release", Wire.map("run", "e1")));
+            assertEquals(JobStatus.DONE, LocalCluster.await(job).status());
+            assertEquals(List.of(), cluster.breaches());
+        }
+    }
+
     private static Future<Void> settled(LocalCluster cluster, RecordsContention run) {
         return run.ask("doubt", null).compose(r -> cluster.vertx.timer(1500, TimeUnit.MILLISECONDS)).mapEmpty();
     }
