--- a/src/main/java/io/indigoreach/state/Records.java
+++ b/src/main/java/io/indigoreach/state/Records.java
@@ -56,6 +56,11 @@
         return new Records(vertx, state, clock, copies, new Kept(key, null, stamp), spare);
     }
 
+    /** The same, with no more changes than half of a budget has to spare: what people ask of a part comes behind jobs. */
+    public Records within(Budget spare) {
+        return new Records(vertx, state, clock, copies, null, spare);
+    }
+
     public Copies copies() {
         return copies;
     }
@@ -99,7 +104,9 @@
         List<String> some = keys.subList(from, Math.min(keys.size(), from + READ_AT_ONCE));
         return readSome(some, 1).compose(read -> {
             read.forEach(k -> into.put(k.key(), k));
-            return read(keys, from + READ_AT_ONCE, into);
+            // Hundreds of reads at once would be refused, and leases' renewals with them.
+            return from + READ_AT_ONCE < keys.size() && budget != null ? pause().compose(v -> read(keys, from + READ_AT_ONCE, into))
+                    : read(keys, from + READ_AT_ONCE, into);
         });
     }
 
@@ -114,6 +121,8 @@
                 read.forEach(copies::saw);
                 return Future.succeededFuture(read);
             }
+            // Judged by what was known before the comparison was sent: what another routine writes meanwhile is newer than it.
+            List<Kept> older = doubtful.stream().filter(this::isOlderThanCopy).toList();
             StateClient.Txn comparison = state.inThisEra();
             doubtful.forEach(k -> comparison.when(k.key(), k.stamp()));
             return state.confirm(comparison).compose(holds -> {
@@ -121,11 +130,7 @@
                     return attempt < MOST_TRIES ? state.check().compose(v -> readSome(keys, attempt + 1))
                             : Future.failedFuture(new WireException("the records change at this moment"));
                 }
-                for (Kept k : doubtful) {
-                    if (isOlderThanCopy(k)) {
-                        lost(k);
-                    }
-                }
+                older.forEach(this::lost);
                 if (state.losses().isHolding()) {
                     return Future.failedFuture(new WireException("data were lost"));
                 }
@@ -163,11 +168,15 @@
         });
     }
 
+    private Future<Void> pause() {
+        Promise<Void> later = Promise.promise();
+        vertx.setTimer(PACE.ms(), t -> later.complete());
+        return later.future();
+    }
+
     private Future<Seen> write(Change change, int attempt) {
         if (budget != null && !budget.takeSpare(change.writes().size(), clock.now())) {
-            Promise<Void> later = Promise.promise();
-            vertx.setTimer(PACE.ms(), t -> later.complete());
-            return later.future().compose(v -> write(change, attempt));
+            return pause().compose(v -> write(change, attempt));
         }
         StateClient.Txn txn = state.inThisEra().and(change);
         if (leadership != null) {
