--- a/src/test/java/io/indigoreach/tools/RecordsVerbTest.java
+++ b/src/test/java/io/indigoreach/tools/RecordsVerbTest.java
@@ -8,6 +8,7 @@
 import io.indigoreach.api.Joining;
 import io.indigoreach.api.Refusal;
 import io.indigoreach.config.PlatformConfig;
+import io.indigoreach.config.Settings;
 import io.indigoreach.config.SettingsFile;
 import io.indigoreach.core.Demand;
 import io.indigoreach.core.JobId;
@@ -55,8 +56,9 @@
         state = await(new StateStandIn().listen(vertx));
         PlatformConfig config = new PlatformConfig("a", "z", null, null, List.of(), null, null, List.of("z"), Span.ZERO, List.of(),
                 List.of(), null, new PlatformConfig.StateLimits(1000, 1000, 8192, 12), null, 100);
-        parts = Parts.on(vertx, new StateClient(new Caller(vertx, state.endpoint(), 8), new Caller(vertx, state.endpoint(), 1)),
-                new SteadyClock(), null, config, SettingsFile.parse("test", "record_ownership: 1"));
+        Settings settings = SettingsFile.parse("test", "record_ownership: 1");
+        parts = Parts.of(Parts.kinds(settings), vertx, new StateClient(new Caller(vertx, state.endpoint(), 8),
+                new Caller(vertx, state.endpoint(), 1)), new SteadyClock(), null, config, settings);
         int port = await(new FrontDoor(vertx, new Endpoint("127.0.0.1", 0), null, null, () -> true, parts.resources()).open());
         http = new Caller(vertx, new Endpoint("127.0.0.1", port), 2);
         cluster = Files.writeString(dir.resolve("cluster"), new ClusterFile(List.of("127.0.0.1:" + port), "", "", "").toText())
@@ -163,7 +165,7 @@
 
     @Test
     void whereItIsOffThereIsNothing() throws Exception {
-        assertTrue(Parts.on(vertx, null, new SteadyClock(), null, null, SettingsFile.parse("test", "")).all().isEmpty());
+        assertEquals(List.of(), Parts.kinds(SettingsFile.parse("test", "")));
         assertEquals(0, state.reads + state.transactions);
     }
 }
