--- a/src/main/java/io/indigoreach/core/Corner.java
+++ b/src/main/java/io/indigoreach/core/Corner.java
@@ -18,17 +18,19 @@
     private static final double PART = 0.125;
     private static final Span LIFE = Span.seconds(1);
 
-    /** Counted at a moment; empty where no such job waits. */
-    private record Counted(Set<MachineId> machines, Moment at) {
+    /** Counted at a moment; empty where no such job waits. The jobs are those with the least work left first. */
+    private record Counted(Set<MachineId> machines, List<Job> jobs, Moment at) {
     }
 
     private final Cluster cluster;
     private final Aims aims;
+    private final Estimates estimates;
     private final Map<Share, Counted> byShare = new HashMap<>();
 
-    Corner(Cluster cluster, Aims aims) {
+    Corner(Cluster cluster, Aims aims, Estimates estimates) {
         this.cluster = cluster;
         this.aims = aims;
+        this.estimates = estimates;
     }
 
     /** Nobody said by when it should be served, and it has waited for as long as something of any job should run. */
@@ -39,13 +41,26 @@
     boolean has(Machine m, Share share, List<Job> queue, Moment now) {
         Counted counted = byShare.get(share);
         if (counted == null || !now.isBefore(counted.at.plus(LIFE))) {
-            boolean waits = queue.stream().anyMatch(job -> isFor(job, now) && job.hasStartable());
-            counted = new Counted(waits ? choose(share, now) : Set.of(), now);
+            List<Job> waiting = queue.stream().filter(job -> isFor(job, now) && job.hasStartable())
+                    .sorted(Comparator.comparingDouble(this::left)).toList();
+            counted = new Counted(waiting.isEmpty() ? Set.of() : choose(share, now), waiting, now);
             byShare.put(share, counted);
         }
         return counted.machines.contains(m.id);
     }
 
+    /**
+     * The jobs that go first there, those with the least work left before others: most of a class are over before one large
+     * array is. That one goes on as soon as it is aged, or wherever there is room.
+     */
+    List<Job> jobs(Share share) {
+        return byShare.get(share).jobs;
+    }
+
+    private double left(Job job) {
+        return job.waiting() * job.spec.demand().cores() * estimates.run(job).seconds();
+    }
+
     /** Those that do most such work already, so that they stay the same ones. */
     private Set<MachineId> choose(Share share, Moment now) {
         Map<Machine, Double> work = new HashMap<>();
--- a/src/main/java/io/indigoreach/core/Dispatcher.java
+++ b/src/main/java/io/indigoreach/core/Dispatcher.java
@@ -66,7 +66,7 @@
         this.takeOver = takeOver;
         this.token = token;
         this.leastPaid = leastPaid;
-        this.corner = new Corner(cluster, aims);
+        this.corner = new Corner(cluster, aims, estimates);
     }
 
     /** Starts for {@code m}, to be put into the answer to its report {@code number}. */
@@ -276,8 +276,8 @@
         }
         List<Job> queue = queue(share, now);
         if (corner.has(m, share, queue, now)) {
-            for (Job job : queue) {
-                if (corner.isFor(job, now) && job.hasStartable() && mayStart(job, now) && m.free().cores() > 1e-6) {
+            for (Job job : corner.jobs(share)) {
+                if (job.hasStartable() && mayStart(job, now) && m.free().cores() > 1e-6) {
                     start(share, job, m, null, number, now, orders, true);
                 }
             }
