One listing of records for all parts

Cause: the calendar and the pools each had the same routine. Change: core.records.Listing. ArchitectureTest, WarmPoolsTest, JobDeskTest pass; no behaviour changes.

--- a/src/main/java/io/indigoreach/api/JobCodec.java
+++ b/src/main/java/io/indigoreach/api/JobCodec.java
@@ -29,7 +29,7 @@
      * Further fields, which most users do not send. A node keeps them with the job whether it knows what they mean or not, so
      * that one beside it which does loses nothing.
      */
-    public static final List<String> MORE = List.of(JobSpec.RECORDS, "plan", "warm");
+    public static final List<String> MORE = List.of(JobSpec.RECORDS, "plan", JobSpec.WARM);
 
     /** How a job stands, as its user is told. */
     public record Progress(JobId id, JobStatus status, int done, int running) {
--- a/src/main/java/io/indigoreach/calendar/CalendarResource.java
+++ b/src/main/java/io/indigoreach/calendar/CalendarResource.java
@@ -1,5 +1,6 @@
 package io.indigoreach.calendar;
 
+import io.indigoreach.core.records.Listing;
 import io.indigoreach.api.Answer;
 import io.indigoreach.api.Refusal;
 import io.indigoreach.api.Resource;
@@ -9,7 +10,6 @@
 import io.indigoreach.core.calendar.DayPage;
 import io.indigoreach.core.calendar.Forecast;
 import io.indigoreach.core.calendar.Head;
-import io.indigoreach.core.calendar.Listing;
 import io.indigoreach.core.calendar.Mark;
 import io.indigoreach.core.calendar.Occurrence;
 import io.indigoreach.core.calendar.Occurrences;
--- a/src/main/java/io/indigoreach/calendar/Steward.java
+++ b/src/main/java/io/indigoreach/calendar/Steward.java
@@ -1,5 +1,6 @@
 package io.indigoreach.calendar;
 
+import io.indigoreach.core.records.Listing;
 import io.indigoreach.api.Answer;
 import io.indigoreach.api.JobCodec;
 import io.indigoreach.core.Job;
@@ -11,7 +12,6 @@
 import io.indigoreach.core.calendar.DayPage;
 import io.indigoreach.core.calendar.Fetching;
 import io.indigoreach.core.calendar.Forecast;
-import io.indigoreach.core.calendar.Listing;
 import io.indigoreach.core.calendar.Mark;
 import io.indigoreach.core.calendar.Occurrence;
 import io.indigoreach.core.calendar.Outlook;
--- a/src/main/java/io/indigoreach/core/calendar/Listing.java
+++ b/src/main/java/io/indigoreach/core/records/Listing.java
@@ -1,9 +1,5 @@
-package io.indigoreach.core.calendar;
+package io.indigoreach.core.records;
 
-import io.indigoreach.core.records.Kept;
-import io.indigoreach.core.records.Routine;
-import io.indigoreach.core.records.Seen;
-import io.indigoreach.core.records.Step;
 import java.util.ArrayList;
 import java.util.List;
 
--- a/src/main/java/io/indigoreach/warm/PoolRoutines.java
+++ b/src/main/java/io/indigoreach/warm/PoolRoutines.java
@@ -2,6 +2,7 @@
 
 import io.indigoreach.core.records.Change;
 import io.indigoreach.core.records.Kept;
+import io.indigoreach.core.records.Listing;
 import io.indigoreach.core.records.Routine;
 import io.indigoreach.core.records.Seen;
 import io.indigoreach.core.records.Step;
@@ -14,7 +15,6 @@
 
 /** What is read and written of pools, step by step. */
 final class PoolRoutines {
-    private static final int PAGE = 200;
     private static final int COMPARED = 40;
     private static final int MOST_TRIES = 5;
 
@@ -28,20 +28,7 @@
 
     /** All records with a prefix. */
     static Routine<List<Kept>> all(String prefix) {
-        return new Routine<>() {
-            private final List<Kept> found = new ArrayList<>();
-            private boolean begun;
-
-            @Override
-            public Step<List<Kept>> next(Seen seen) {
-                found.addAll(seen.records().values());
-                if (begun && !seen.more()) {
-                    return new Step.End<>(found);
-                }
-                begun = true;
-                return new Step.Scan<>(prefix, found.isEmpty() ? null : found.get(found.size() - 1).key(), PAGE);
-            }
-        };
+        return new Listing(prefix);
     }
 
     /**
