--- a/src/main/java/io/indigoreach/cluster/JobWatch.java
+++ b/src/main/java/io/indigoreach/cluster/JobWatch.java
@@ -55,7 +55,7 @@
                 return Span.ZERO;
             });
         }
-        return env.state().watch(RecordCodec.OPEN, since, waitFor(env.config().rules().hearing())).map(changes -> {
+        return env.state().watch(RecordCodec.OPEN, since, waitFor(env.config().rules().horizonAge())).map(changes -> {
             if (duty.isCancelled()) {
                 return PAUSE;
             }
--- a/src/main/java/io/indigoreach/cluster/Reign.java
+++ b/src/main/java/io/indigoreach/cluster/Reign.java
@@ -5,7 +5,7 @@
 import io.indigoreach.config.PlatformConfig;
 import io.indigoreach.config.Settings;
 import io.indigoreach.core.Aims;
-import io.indigoreach.core.Hearing;
+import io.indigoreach.core.CancellationHorizon;
 import io.indigoreach.core.Job;
 import io.indigoreach.core.JobId;
 import io.indigoreach.core.LeaderCore;
@@ -75,7 +75,7 @@
     private final Budget budget;
     private final Stamp key;
     private Moment summarised = Moment.NEVER;
-    private final Hearing hearing;
+    private final CancellationHorizon horizon;
     private boolean boundsKept;
 
     /**
@@ -98,7 +98,7 @@
         this.fleet = new Fleet(env, core, token, new IntentBook(env, token, key, leadership::deposed, budget),
                 leadership::isValid);
         this.watch = new JobWatch(env, ledger);
-        this.hearing = new Hearing(watch.freshAt());
+        this.horizon = new CancellationHorizon(watch.freshAt());
         this.ends = new EndWatch(env);
         this.parts = new PartsDuty(env, core, key, budget);
         this.opening = new Duty(env.vertx(), "opening", Span.seconds(0.3), this::open);
@@ -131,14 +131,14 @@
 
     /** The longest that this leader may not have heard of cancellations; beyond it, workers get no answer. */
     boolean hearsCancellations() {
-        hearing.heard(watch.freshAt());
-        return env.clock().now().since(hearing.until()).compareTo(env.config().rules().hearing()) < 0;
+        horizon.heard(watch.freshAt());
+        return env.clock().now().since(horizon.until()).compareTo(env.config().rules().horizonAge()) < 0;
     }
 
     /** At {@code sent} every node was asked, and has told of no cancellation for {@code quiet}. */
     void nothingCancelled(Moment sent, Span quiet) {
-        hearing.heard(watch.freshAt());
-        hearing.noneTold(quiet, sent, env.clock().now());
+        horizon.heard(watch.freshAt());
+        horizon.noneTold(quiet, sent, env.clock().now());
     }
 
     /** The orders for a worker; null if a newer leader exists. A machine's first report waits for its record. */
--- a/src/main/java/io/indigoreach/config/Settings.java
+++ b/src/main/java/io/indigoreach/config/Settings.java
@@ -98,7 +98,7 @@
      * Rules#workerPatience} and a second); an outage of the state service is bridged by the other nodes' pledges.
      */
     public Span leaderLease(Rules rules) throws ConfigException {
-        Span most = rules.hearing();
+        Span most = rules.horizonAge();
         if (most.compareTo(Span.seconds(1)) < 0) {
             throw new ConfigException("settings.workers.cancel_s: too short beside lease_s for any leader's lease");
         }
--- a/src/main/java/io/indigoreach/core/Hearing.java
+++ b/src/main/java/io/indigoreach/core/CancellationHorizon.java
@@ -2,13 +2,13 @@
 
 /**
  * Up to when a leader has heard of every cancellation that a user was told of: by its watch, or, while the state service
- * answers nobody, because every node says that it has told of none. Workers are answered for {@link Rules#hearing} after
+ * answers nobody, because every node says that it has told of none. Workers are answered for {@link Rules#horizonAge} after
  * that moment and no longer.
  */
-public final class Hearing {
+public final class CancellationHorizon {
     private Moment until;
 
-    public Hearing(Moment until) {
+    public CancellationHorizon(Moment until) {
         this.until = until;
     }
 
--- a/src/main/java/io/indigoreach/core/Rules.java
+++ b/src/main/java/io/indigoreach/core/Rules.java
@@ -20,7 +20,7 @@
      * The longest that a leader may go on without news of cancellations: then its workers' leases, and a margin, still end
      * before a cancelled job's time is over.
      */
-    public Span hearing() {
+    public Span horizonAge() {
         return cancel.minus(leaseBound()).minus(Span.seconds(4));
     }
 
