A leader's word of cancellations travels between controllers; heard is not acted on; nothing is heard before the records are read

The meeting: the state service refuses the leader alone, another controller confirms cancellations, then it is down for all. Now each node's answer for a pledge names the jobs that it has told to be cancelled, as far back as it is asked and knows; the leader ends those first and counts itself informed up to the question. Found on the way, each with a test that is red without its guard (CancellationRunTest, LedgerTest): - a job heard to be gone, whose end could not be read any more, counted as heard of: it now holds the horizon; - a read that came from the past ended the search for why a job was gone, for ever; - a new leader counted itself informed from its take-over, before it had read a record, and from the reading's end rather than its begin.

--- a/src/main/java/io/indigoreach/api/JobDesk.java
+++ b/src/main/java/io/indigoreach/api/JobDesk.java
@@ -5,10 +5,9 @@
 import io.indigoreach.core.JobId;
 import io.indigoreach.core.JobSpec;
 import io.indigoreach.core.JobStatus;
-import io.indigoreach.core.Moment;
-import io.indigoreach.core.Span;
 import io.indigoreach.core.Stamp;
 import io.indigoreach.core.Team;
+import io.indigoreach.core.ToldCancellations;
 import io.indigoreach.core.loss.Remains;
 import io.indigoreach.core.records.Change;
 import io.indigoreach.net.SteadyClock;
@@ -48,8 +47,7 @@
     private final int valueBytes;
     private final OpenReads questions;
     private final JobMender mender;
-    /** When this node last learnt, and told or will tell, that a job is cancelled; at first, when its process began. */
-    private Moment cancelTold;
+    private final ToldCancellations told;
     private List<Joining> joinings = List.of();
     private Function<JobId, Future<Boolean>> others = id -> Future.succeededFuture(false);
     private final Map<JobId, FinalRecord> over = new LinkedHashMap<>() {
@@ -79,7 +77,7 @@
         this.catalogue = catalogue;
         this.teams = teams;
         this.clock = clock;
-        this.cancelTold = clock.now();
+        this.told = new ToldCancellations(clock.now());
         this.valueBytes = valueBytes;
         this.questions = new OpenReads(vertx, state, clock, questionsPerS);
     }
@@ -317,16 +315,16 @@
 
     private FinalRecord remember(FinalRecord record) {
         if (record.status() == JobStatus.CANCELLED) {
-            cancelTold = clock.now();
+            told.add(record.id(), clock.now());
         }
         over.put(record.id(), record);
         accepted.remove(record.id());
         return record;
     }
 
-    /** For how long this node has told nobody of a cancellation that it had not told of before. */
-    public Span quietFor() {
-        return clock.now().since(cancelTold);
+    /** The cancellations that this node tells of, as they are learnt: before any user has the answer. */
+    public ToldCancellations told() {
+        return told;
     }
 
     /** What this node remembers of one job. */
--- a/src/main/java/io/indigoreach/cluster/Controller.java
+++ b/src/main/java/io/indigoreach/cluster/Controller.java
@@ -4,6 +4,7 @@
 import io.indigoreach.core.JobId;
 import io.indigoreach.core.Moment;
 import io.indigoreach.core.Order;
+import io.indigoreach.core.Span;
 import io.indigoreach.core.Stamp;
 import io.indigoreach.core.Token;
 import io.indigoreach.core.TokenClock;
@@ -95,13 +96,13 @@
     }
 
     /** How to ask every other node for its pledge not to lead, and whether it does not lead now. */
-    void asking(Supplier<Future<Pledges>> others, Supplier<Future<Boolean>> unled) {
+    void asking(Function<Span, Future<Pledges>> others, Supplier<Future<Boolean>> unled) {
         leadership.asking(() -> {
             Moment sent = env.clock().now();
             Reign asking = reign;
-            return others.get().map(pledges -> {
-                if (pledges.all() && asking != null && asking == reign) {
-                    asking.nothingCancelled(sent, pledges.quiet());
+            return others.apply(asking == null ? Span.ZERO : asking.unheard()).map(pledges -> {
+                if (asking != null && asking == reign) {
+                    asking.told(pledges.word(), sent);
                 }
                 return pledges.all();
             });
--- a/src/main/java/io/indigoreach/cluster/JobWatch.java
+++ b/src/main/java/io/indigoreach/cluster/JobWatch.java
@@ -1,5 +1,6 @@
 package io.indigoreach.cluster;
 
+import io.indigoreach.core.CancellationHorizon;
 import io.indigoreach.core.JobId;
 import io.indigoreach.core.Moment;
 import io.indigoreach.core.Span;
@@ -21,18 +22,17 @@
     private final Duty duty;
     private long since;
     private boolean readAgain;
-    private Moment fresh;
+    private final CancellationHorizon horizon;
 
-    JobWatch(Reign.Surroundings env, Ledger ledger) {
+    JobWatch(Reign.Surroundings env, Ledger ledger, CancellationHorizon horizon) {
         this.env = env;
         this.ledger = ledger;
         this.duty = new Duty(env.vertx(), "job watch", PAUSE, this::step);
-        this.fresh = env.clock().now();
+        this.horizon = horizon;
     }
 
     void start(long revision) {
         since = revision;
-        fresh = env.clock().now();
         duty.start();
     }
 
@@ -40,18 +40,13 @@
         duty.cancel();
     }
 
-    /** Everything that happened before this moment has been heard. */
-    Moment freshAt() {
-        return fresh;
-    }
-
     private Future<Span> step() {
         Moment sent = env.clock().now();
         if (readAgain) {
             return ledger.readAgain().map(revision -> {
                 since = revision;
                 readAgain = false;
-                fresh = sent;
+                horizon.heard(sent);
                 return Span.ZERO;
             });
         }
@@ -64,20 +59,21 @@
                 return Span.ZERO;
             }
             since = Math.max(since, changes.revision());
-            fresh = sent;
+            // First what it brings: a job that is gone holds the horizon until it is known why.
             for (StateClient.Change change : changes.changes()) {
                 Ledger.unlessUnreadable(change.key(), () -> apply(change));
             }
+            horizon.heard(sent);
             return Span.ZERO;
         });
     }
 
     /**
      * How long one watch may stay open. The leader answers workers only while its last finished watch is younger than
-     * {@code hearing}, so where that is short watches must end often, or a quiet service would look like a deaf one.
+     * {@code horizonAge}, so where that is short watches must end often, or a quiet service would look like a deaf one.
      */
-    static Span waitFor(Span hearing) {
-        Span part = hearing.times(0.25);
+    static Span waitFor(Span horizonAge) {
+        Span part = horizonAge.times(0.25);
         return part.compareTo(LONGEST_WAIT) < 0 ? part : LONGEST_WAIT;
     }
 
--- a/src/main/java/io/indigoreach/cluster/Ledger.java
+++ b/src/main/java/io/indigoreach/cluster/Ledger.java
@@ -1,5 +1,6 @@
 package io.indigoreach.cluster;
 
+import io.indigoreach.core.CancellationHorizon;
 import io.indigoreach.core.Job;
 import io.indigoreach.core.JobId;
 import io.indigoreach.core.JobStatus;
@@ -60,6 +61,7 @@
     private final Runnable deposed;
     private final Budget budget;
     private final boolean boundsKept;
+    private final CancellationHorizon horizon;
     private final Duty duty;
     private final Set<Job> touched = new LinkedHashSet<>();
     private final Set<JobId> writing = new HashSet<>();
@@ -79,7 +81,8 @@
 
     /** {@code boundsKept}: every leader so far has kept to the jobs' start bounds. */
     Ledger(Reign.Surroundings env, LeaderCore core, MachineBook book, Stamp key, Runnable deposed, Budget budget,
-           boolean boundsKept) {
+           boolean boundsKept, CancellationHorizon horizon) {
+        this.horizon = horizon;
         this.env = env;
         this.core = core;
         this.key = key;
@@ -120,7 +123,7 @@
                         core.inherit(m.id(), m.pool(), steady(m.rentedMs()), existed, now);
                     }
                 }))
-                .compose(r -> pages(RecordCodec.OPEN, e -> {
+                .compose(r -> listOpen(e -> {
                     if (!unlessUnreadable(e.key(), () -> inherit(RecordCodec.readJob(RecordCodec.jobOf(e.key()), e.value(),
                             e.stamp()), bits))) {
                         spoilt.add(e);
@@ -128,6 +131,12 @@
                 })).compose(revision -> mend(spoilt.iterator(), bits, env.clock().now().plus(MENDING)).map(revision));
     }
 
+    /** What was cancelled before it is asked for is not in it. */
+    private Future<Long> listOpen(Consumer<StateClient.Entry> each) {
+        Moment asked = env.clock().now();
+        return pages(RecordCodec.OPEN, each).onSuccess(revision -> horizon.heard(asked));
+    }
+
     private void inherit(JobRecord record, Map<JobId, BitSet> bits) {
         add(record, bits.getOrDefault(record.id(), new BitSet()), true);
     }
@@ -274,33 +283,59 @@
     /** An open job's key is gone: its user has cancelled it, unless this leader has just written its end. */
     void heardGone(JobId id) {
         Job job = core.job(id);
-        if (job == null || writing.contains(id) && job.isComplete()) {
+        if (duty.isCancelled() || job == null || writing.contains(id) && job.isComplete()) {
+            horizon.settled(id);
             return;
         }
         if (job.isComplete()) {
             // The end was written and its answer lost, or the user cancelled first: the record tells.
             touch(job);
+            horizon.settled(id);
             return;
         }
-        // Cancelled by its user, which leaves a record of its end, or lost.
-        env.state().get(RecordCodec.over(id)).compose(over -> over != null ? Future.succeededFuture(true)
+        horizon.gone(id);
+        whyGone(id).onComplete(why -> {
+            if (duty.isCancelled()) {
+                return;
+            }
+            if (why.failed()) {
+                // Until the state service says why, this job's tasks may run on although its user was told that it is cancelled.
+                env.vertx().setTimer(PERIOD.ms() * 5, t -> heardGone(id));
+                return;
+            }
+            if (core.job(id) == job) {
+                switch (why.result()) {
+                    case CANCELLED -> cancelled(id);
+                    case LOST -> env.state().recordGone(RecordCodec.open(id));
+                    default -> { }
+                }
+            }
+            horizon.settled(id);
+        });
+    }
+
+    /** What became of an open job whose key was heard to be gone. */
+    private enum Fate {
+        CANCELLED, LOST, STILL_OPEN
+    }
+
+    /** Cancelled by its user, which leaves a record of its end, or lost; or what was heard is from before a loss was mended. */
+    private Future<Fate> whyGone(JobId id) {
+        return env.state().get(RecordCodec.over(id)).compose(over -> over != null ? Future.succeededFuture(Fate.CANCELLED)
+                : env.state().get(RecordCodec.open(id)).compose(open -> open != null ? Future.succeededFuture(Fate.STILL_OPEN)
                 : env.state().confirm(new StateClient.Txn().when(RecordCodec.open(id), Stamp.ABSENT)
-                        .when(RecordCodec.over(id), Stamp.ABSENT)).map(gone -> gone ? false : null)).onSuccess(cancelled -> {
-                            if (duty.isCancelled() || core.job(id) != job || cancelled == null) {
-                                return;
-                            }
-                            if (cancelled) {
-                                LOG.info("job {} is cancelled", id);
-                                core.cancelJob(id);
-                                drop(job);
-                            } else {
-                                env.state().recordGone(RecordCodec.open(id));
-                            }
-                        }).onFailure(e -> env.vertx().setTimer(PERIOD.ms() * 5, t -> {
-                            if (!duty.isCancelled() && core.job(id) == job) {
-                                heardGone(id);
-                            }
-                        }));
+                        .when(RecordCodec.over(id), Stamp.ABSENT)).compose(nowhere -> nowhere ? Future.succeededFuture(Fate.LOST)
+                        : Future.failedFuture(new WireException("a read came from the past")))));
+    }
+
+    /** The user of the job has cancelled it, by its record or by the word of a node that has told so: nothing undoes that. */
+    void cancelled(JobId id) {
+        Job job = core.job(id);
+        if (job != null) {
+            LOG.info("job {} is cancelled", id);
+            core.cancelJob(id);
+            drop(job);
+        }
     }
 
     /** Jobs that ended under this leader. */
--- a/src/main/java/io/indigoreach/cluster/Reign.java
+++ b/src/main/java/io/indigoreach/cluster/Reign.java
@@ -6,6 +6,7 @@
 import io.indigoreach.config.Settings;
 import io.indigoreach.core.Aims;
 import io.indigoreach.core.CancellationHorizon;
+import io.indigoreach.core.CancellationWord;
 import io.indigoreach.core.Job;
 import io.indigoreach.core.JobId;
 import io.indigoreach.core.LeaderCore;
@@ -41,6 +42,8 @@
     private static final Span TICK = Span.seconds(0.5);
     /** The part of the service's changes that the leader takes; the rest is for submissions and cancellations. */
     private static final double WRITES = 0.6;
+    /** What a question to the other nodes and their answers may take and still be of use. */
+    private static final Span QUESTION = Span.seconds(3);
     private static final Span SUMMARY = Span.seconds(10);
     /** Before records that could not be read are read once more. */
     private static final Span UNREADABLE = Span.seconds(5);
@@ -75,7 +78,7 @@
     private final Budget budget;
     private final Stamp key;
     private Moment summarised = Moment.NEVER;
-    private final CancellationHorizon horizon;
+    private final CancellationHorizon horizon = new CancellationHorizon();
     private boolean boundsKept;
 
     /**
@@ -93,12 +96,11 @@
                 env.config().teams(), this);
         this.budget = new Budget(env.config().stateLimits().writesPerS() * WRITES, env.clock().now());
         this.book = new MachineBook(env, core, token, key, leadership::deposed, budget);
-        this.ledger = new Ledger(env, core, book, key, leadership::deposed, budget, boundsKept);
+        this.ledger = new Ledger(env, core, book, key, leadership::deposed, budget, boundsKept, horizon);
         this.boundsKept = boundsKept;
         this.fleet = new Fleet(env, core, token, new IntentBook(env, token, key, leadership::deposed, budget),
                 leadership::isValid);
-        this.watch = new JobWatch(env, ledger);
-        this.horizon = new CancellationHorizon(watch.freshAt());
+        this.watch = new JobWatch(env, ledger, horizon);
         this.ends = new EndWatch(env);
         this.parts = new PartsDuty(env, core, key, budget);
         this.opening = new Duty(env.vertx(), "opening", Span.seconds(0.3), this::open);
@@ -129,16 +131,26 @@
         return token;
     }
 
-    /** The longest that this leader may not have heard of cancellations; beyond it, workers get no answer. */
+    /**
+     * Whether it has heard of cancellations lately enough, and can act on them; else workers get no answer. Without the records it
+     * knows of none: an earlier leader may have missed one for long, and an outage that begins now would keep them from being read.
+     */
     boolean hearsCancellations() {
-        horizon.heard(watch.freshAt());
-        return env.clock().now().since(horizon.until()).compareTo(env.config().rules().horizonAge()) < 0;
+        return core.isLoaded() && env.clock().now().since(horizon.until()).compareTo(env.config().rules().horizonAge()) < 0;
+    }
+
+    /** How far back this leader wants to be told of cancellations. */
+    Span unheard() {
+        return horizon.missing(env.clock().now(), QUESTION);
     }
 
-    /** At {@code sent} every node was asked, and has told of no cancellation for {@code quiet}. */
-    void nothingCancelled(Moment sent, Span quiet) {
-        horizon.heard(watch.freshAt());
-        horizon.noneTold(quiet, sent, env.clock().now());
+    /** At {@code sent} every node was asked; this is what all of them say together of cancellations. */
+    void told(CancellationWord word, Moment sent) {
+        // Without the records nothing can be done about it yet, and nothing is counted as heard.
+        if (core.isLoaded()) {
+            word.cancelled().forEach(ledger::cancelled);
+            horizon.told(word.covered(), sent, env.clock().now());
+        }
     }
 
     /** The orders for a worker; null if a newer leader exists. A machine's first report waits for its record. */
--- a/src/main/java/io/indigoreach/cluster/Standing.java
+++ b/src/main/java/io/indigoreach/cluster/Standing.java
@@ -11,10 +11,12 @@
 import io.indigoreach.core.records.Copies;
 import io.indigoreach.net.Caller;
 import io.indigoreach.net.Duty;
+import io.indigoreach.net.Fields;
 import io.indigoreach.net.Pulse;
 import io.indigoreach.net.Reply;
 import io.indigoreach.net.SteadyClock;
 import io.indigoreach.net.Wire;
+import io.indigoreach.net.WireException;
 import io.indigoreach.state.RemainsCodec;
 import io.indigoreach.state.StateClient;
 import io.vertx.core.Future;
@@ -105,9 +107,11 @@
                     .onComplete(done -> request.response().setStatusCode(done.succeeded() ? 200 : 503)
                             .end(Wire.write(Map.of())));
         } else if (PLEDGE.equals(request.path())) {
-            // Whoever is served leaves it to the state service to say who leads.
-            request.response().end(Wire.write(Wire.map("pledged", unserved && controller.pledge(),
-                    "quiet_ms", jobs.quietFor().ms())));
+            request.body().map(body -> pledge(Pledges.asked(Wire.readMap(body)))).onSuccess(answer ->
+                    request.response().end(Wire.write(answer))).onFailure(e -> {
+                        LOG.warn("a question for a pledge cannot be read: {}", e.getMessage());
+                        request.response().setStatusCode(400).end(Wire.write(Map.of()));
+                    });
         } else if (LOSS.equals(request.path())) {
             request.body().onSuccess(body -> state.toldOfLoss(Wire.readMap(body).whole("era")))
                     .onComplete(done -> request.response().end(Wire.write(Map.of())));
@@ -201,14 +205,19 @@
                 : Future.all(answers).map(all -> all.<Boolean>list().contains(true));
     }
 
-    /** Every other node's pledge not to lead; none without other nodes. */
-    Future<Pledges> pledges() {
+    /** Whoever is served leaves it to the state service to say who leads, but tells of cancellations all the same. */
+    private Map<String, Object> pledge(Span back) {
+        Moment now = clock.now();
+        return new Pledges(unserved && controller.pledge(), jobs.told().word(back, now)).write(jobs.told().quiet(now));
+    }
+
+    /** Every other node's pledge not to lead, and its word on cancellations so far back; none without other nodes. */
+    Future<Pledges> pledges(Span back) {
         List<Future<Pledges>> answers = new ArrayList<>();
-        peers.forEach(peer -> answers.add(peer.post(PLEDGE, Map.of(), PERIOD)
-                .map(r -> new Pledges(r.isOk() && r.body().flag("pledged", false), new Span(r.body().whole("quiet_ms", 0))))
-                .otherwise(Pledges.NONE)));
+        peers.forEach(peer -> answers.add(peer.post(PLEDGE, Pledges.ask(back), PERIOD)
+                .map(r -> r.isOk() ? readPledge(r.body()) : Pledges.NONE).otherwise(Pledges.NONE)));
         return answers.isEmpty() ? Future.succeededFuture(Pledges.NONE) : Future.all(answers).map(all -> {
-            Pledges together = new Pledges(true, jobs.quietFor());
+            Pledges together = new Pledges(true, jobs.told().word(back, clock.now()));
             for (Pledges one : all.<Pledges>list()) {
                 together = together.and(one);
             }
@@ -216,6 +225,15 @@
         });
     }
 
+    private static Pledges readPledge(Fields answer) {
+        try {
+            return Pledges.read(answer);
+        } catch (WireException e) {
+            LOG.warn("a pledge cannot be read, and counts as none: {}", e.getMessage());
+            return Pledges.NONE;
+        }
+    }
+
     /** What this node and those that answer remember of jobs. */
     Future<Remains> gather() {
         Remains all = new Remains();
--- a/src/test/java/io/indigoreach/cluster/LedgerTest.java
+++ b/src/test/java/io/indigoreach/cluster/LedgerTest.java
@@ -1,11 +1,14 @@
 package io.indigoreach.cluster;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertNull;
 import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import io.indigoreach.config.Settings;
 import io.indigoreach.core.Aims;
+import io.indigoreach.core.CancellationHorizon;
 import io.indigoreach.core.Demand;
 import io.indigoreach.core.Job;
 import io.indigoreach.core.JobId;
@@ -14,6 +17,7 @@
 import io.indigoreach.core.LeaderCore;
 import io.indigoreach.core.MachineId;
 import io.indigoreach.core.MachineType;
+import io.indigoreach.core.Moment;
 import io.indigoreach.core.Notes;
 import io.indigoreach.core.Pool;
 import io.indigoreach.core.Shape;
@@ -32,6 +36,7 @@
 import io.indigoreach.state.StateClient;
 import io.indigoreach.state.StateStandIn;
 import io.vertx.core.Future;
+import io.vertx.core.Promise;
 import io.vertx.core.Vertx;
 import java.util.BitSet;
 import java.util.List;
@@ -41,6 +46,8 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /** A flood of single tasks, where the state service takes few changes: machines stood idle behind the writing of ends. */
 class LedgerTest {
@@ -51,6 +58,7 @@
     private StateClient client;
     private LeaderCore core;
     private Ledger ledger;
+    private final CancellationHorizon horizon = new CancellationHorizon();
 
     @BeforeEach
     void start() throws Exception {
@@ -71,7 +79,7 @@
                 });
         core.setTypes(List.of(new MachineType("quad", new Demand(4, 0, 16), 40, 1, 1, 1, Span.seconds(20), List.of("a"))));
         core.loaded();
-        ledger = new Ledger(env, core, null, taken.stamp(), () -> { }, new Budget(20, clock.now()), true);
+        ledger = new Ledger(env, core, null, taken.stamp(), () -> { }, new Budget(20, clock.now()), true, horizon);
     }
 
     @AfterEach
@@ -131,6 +139,53 @@
         assertEquals(ENDS, await(client.list("f/", null, 1000)).items().size(), "moved in the end");
     }
 
+    /**
+     * Guards against a cancellation that was heard of as the state service began to refuse this node: why the job was gone could not be
+     * read any more, and with everybody's word that nothing was told since, its tasks ran on for the whole outage. Told by name,
+     * it is over at once.
+     */
+    @ParameterizedTest
+    @ValueSource(booleans = {false, true})
+    void aJobThatIsGoneHoldsTheHorizonUntilItIsKnownWhy(boolean told) throws Exception {
+        Job job = job(1, 2, 0, 2);
+        core.addJob(job);
+        await(client.commit(new StateClient.Txn().delete(RecordCodec.open(job.id()))
+                .put(RecordCodec.over(job.id()), RecordCodec.writeFinal(JobStatus.CANCELLED, 0))));
+        Moment before = clock.now();
+        horizon.heard(before);
+        state.refusing = true;
+        await(vertx.timer(20, TimeUnit.MILLISECONDS));
+        onLoop(() -> ledger.heardGone(job.id()));
+        int refused = state.refused;
+        while (state.refused < refused + 2) {
+            Thread.onSpinWait();
+        }
+        onLoop(() -> horizon.heard(clock.now()));
+        assertEquals(before, horizon.until());
+        assertFalse(job.isCancelled());
+        if (told) {
+            onLoop(() -> ledger.cancelled(job.id()));
+            assertTrue(job.isCancelled());
+        }
+        state.refusing = told;
+        while (horizon.until().equals(before)) {
+            onLoop(() -> { });
+        }
+        assertTrue(job.isCancelled());
+        onLoop(() -> ledger.heard(job.id(), new Fields(RecordCodec.writeJob(job.spec(), 1, JobStatus.PENDING, new BitSet(), 0, 2)),
+                new Stamp(99)));
+        assertNull(core.job(job.id()), "nothing opens it again");
+    }
+
+    private void onLoop(Runnable what) throws Exception {
+        Promise<Void> done = Promise.promise();
+        vertx.runOnContext(v -> {
+            what.run();
+            done.complete();
+        });
+        await(done.future());
+    }
+
     /** Its record is spoilt under a leader that has it open: the next write is not left to the next change. */
     @Test
     void aKnownJobsRecordThatIsSpoiltIsWrittenAnew() throws Exception {
--- a/src/test/java/io/indigoreach/cluster/MachineBookTest.java
+++ b/src/test/java/io/indigoreach/cluster/MachineBookTest.java
@@ -9,6 +9,7 @@
 import io.indigoreach.config.PlatformConfig;
 import io.indigoreach.config.Settings;
 import io.indigoreach.core.Aims;
+import io.indigoreach.core.CancellationHorizon;
 import io.indigoreach.core.Demand;
 import io.indigoreach.core.Job;
 import io.indigoreach.core.JobId;
@@ -190,7 +191,8 @@
     void recordsOlderThanTheLeadershipAreNotBelieved() throws Exception {
         long revision = await(client.commit(new StateClient.Txn().put("leader", Wire.map("n", 1L)))).revision();
         for (long key : new long[] {revision, revision + 1}) {
-            Ledger ledger = new Ledger(env, core, book, new Stamp(key), () -> { }, new Budget(12, clock.now()), true);
+            Ledger ledger = new Ledger(env, core, book, new Stamp(key), () -> { }, new Budget(12, clock.now()), true,
+                    new CancellationHorizon());
             assertEquals(key == revision, onLoop(() -> ledger.load().map(r -> true).otherwise(false)));
         }
     }
@@ -205,7 +207,8 @@
         for (boolean kept : new boolean[] {false, true}) {
             LeaderCore fresh = new LeaderCore(new Token(3), env.config().rules(), env.settings().tuning(),
                     new Aims(List.of()), env.config().teams(), silent);
-            Ledger ledger = new Ledger(env, fresh, book, new Stamp(revision), () -> { }, new Budget(12, clock.now()), kept);
+            Ledger ledger = new Ledger(env, fresh, book, new Stamp(revision), () -> { }, new Budget(12, clock.now()), kept,
+                    new CancellationHorizon());
             onLoop(ledger::load);
             assertEquals(kept ? 0 : 3, fresh.job(spec.id()).boundToWrite());
         }
--- a/src/test/java/io/indigoreach/core/CancellationHorizonTest.java
+++ b/src/test/java/io/indigoreach/core/CancellationHorizonTest.java
@@ -2,7 +2,9 @@
 
 import static io.indigoreach.core.World.at;
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 
@@ -10,13 +12,42 @@
 class CancellationHorizonTest {
     /** Heard of everything until 10 s; all nodes asked at 20 s have answered at 21 s. */
     @ParameterizedTest
-    @CsvSource({"30, 20, none was told since", "11.2, 20, nor just before", "11, 10, one may have been told as the watch ended",
-        "3, 10, one was told that the watch did not bring", "0, 10, one has just been told, or a process is new"})
-    void whatEveryNodeSaysStandsInForTheWatch(double quiet, double until, String why) {
-        CancellationHorizon horizon = new CancellationHorizon(at(10));
-        horizon.noneTold(Span.seconds(quiet), at(20), at(21));
+    @CsvSource({"30, 20, what was told since is known", "11.2, 20, nor is one missing from just before",
+        "11, 10, one may have been told as the watch ended", "3, 10, one was told before that is not among them",
+        "0, 10, a process is new, or did not answer"})
+    void whatEveryNodeSaysStandsInForTheWatch(double covered, double until, String why) {
+        CancellationHorizon horizon = new CancellationHorizon();
+        horizon.heard(at(10));
+        horizon.told(Span.seconds(covered), at(20), at(21));
         assertEquals(at(until), horizon.until(), why);
         horizon.heard(at(15));
         assertEquals(at(Math.max(15, until)), horizon.until(), "never back");
     }
+
+    /** Guards against a leader that heard a job was gone, could not read why in the outage, and let it run on as if it had. */
+    @Test
+    void aJobThatIsGoneHoldsItUntilItIsKnownWhy() {
+        CancellationHorizon horizon = new CancellationHorizon();
+        horizon.heard(at(10));
+        horizon.gone(new JobId("run-1"));
+        horizon.heard(at(12));
+        horizon.gone(new JobId("run-2"));
+        horizon.gone(new JobId("run-1"));
+        horizon.told(Span.seconds(30), at(20), at(21));
+        assertEquals(at(10), horizon.until());
+        horizon.settled(new JobId("run-1"));
+        assertEquals(at(12), horizon.until());
+        horizon.settled(new JobId("run-2"));
+        assertEquals(at(20), horizon.until());
+    }
+
+    /** Guards against a new leader whose records cannot be read: it knows of no cancellation, however old. */
+    @Test
+    void nothingIsHeardBeforeTheRecordsAreRead() {
+        CancellationHorizon horizon = new CancellationHorizon();
+        horizon.told(Span.seconds(1e6), at(20), at(21));
+        assertEquals(Moment.NEVER, horizon.until());
+        assertEquals(Span.ZERO, horizon.missing(at(20), Span.seconds(3)));
+        assertTrue(at(20).since(horizon.until()).compareTo(World.RULES.horizonAge()) > 0);
+    }
 }
--- /dev/null
+++ b/src/test/java/io/indigoreach/core/CancellationRun.java
@@ -0,0 +1,350 @@
+package io.indigoreach.core;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.PriorityQueue;
+import java.util.Random;
+import java.util.Set;
+
+/**
+ * Controllers, workers and users round one state service, in simulated time: the state service refuses single controllers or
+ * everybody, users are told of cancellations by any controller that is served, controllers end and start again, lead one after the
+ * other, and ask each other. What a leader may count on is decided by the classes that serve; that a leader is valid is
+ * taken for granted, as pledges may carry one through any outage. Checked where the users look: from the first word to a user
+ * that a job is cancelled until its last task is gone from a worker.
+ */
+final class CancellationRun {
+    /** A guard that a run can do without, to see that the rule then breaks. */
+    enum Without {
+        NOTHING,
+        /** Workers are answered however long ago cancellations were heard of. */
+        BACKSTOP,
+        /** What the others tell counts as heard, but the jobs that they name run on. */
+        NAMES,
+        /** A process that has just started answers for its predecessor. */
+        BIRTH,
+        /** A job that is gone counts as dealt with before it is known why. */
+        UNSETTLED,
+        /** A leader that has not read the records counts as informed since it took over. */
+        RECORDS
+    }
+
+    private static final class Node {
+        final double rate;
+        ToldCancellations told;
+        Set<JobId> knows = new HashSet<>();
+        double refusedUntil;
+        double silentUntil;
+        double downUntil;
+
+        Node(double rate) {
+            this.rate = rate;
+        }
+
+        Moment at(double now) {
+            return new Moment(Math.round(now * 1000 * rate));
+        }
+    }
+
+    private static final class Worker {
+        double answered;
+        final Set<JobId> tasks = new HashSet<>();
+    }
+
+    private record Event(double at, int order, Runnable what) implements Comparable<Event> {
+        @Override
+        public int compareTo(Event o) {
+            return at != o.at ? Double.compare(at, o.at) : Integer.compare(order, o.order);
+        }
+    }
+
+    /** What a leader knows; another one when another node leads. */
+    private final class Reign {
+        final Node node;
+        final CancellationHorizon horizon = new CancellationHorizon();
+        final Set<JobId> stopped = new HashSet<>();
+        boolean loaded;
+        double unservedSince = -1;
+
+        Reign(Node node) {
+            this.node = node;
+            if (without == Without.RECORDS) {
+                horizon.heard(node.at(now));
+            }
+        }
+    }
+
+    private final Rules rules;
+    private final Random random;
+    private final Without without;
+    final List<Node> nodes = new ArrayList<>();
+    final List<Worker> workers = new ArrayList<>();
+    final List<String> broken = new ArrayList<>();
+    private final PriorityQueue<Event> events = new PriorityQueue<>();
+    private final Map<JobId, Double> cancelled = new HashMap<>();
+    private final Map<JobId, Double> told = new HashMap<>();
+    private double outageUntil;
+    private double now;
+    private int count;
+    private Reign reign;
+    /** Tasks of jobs that nobody cancelled, killed as a lease ended. */
+    int lost;
+    /** Cancelled jobs' tasks that a leader stopped while the state service did not answer it. */
+    int stoppedByWord;
+
+    CancellationRun(Rules rules, int nodes, int jobs, long seed, Without without) {
+        this.rules = rules;
+        this.random = new Random(seed);
+        this.without = without;
+        for (int n = 0; n < nodes; n++) {
+            Node node = new Node(random.nextBoolean() ? 1 : 1.0005);
+            node.told = new ToldCancellations(node.at(0));
+            this.nodes.add(node);
+        }
+        for (int w = 0; w < 4; w++) {
+            Worker worker = new Worker();
+            for (int j = 0; j < jobs; j++) {
+                worker.tasks.add(job(j));
+            }
+            workers.add(worker);
+            at(random.nextDouble() * rules.report().seconds(), () -> report(worker));
+        }
+        lead(0, 0);
+    }
+
+    static JobId job(int n) {
+        return new JobId("run-" + n);
+    }
+
+    void at(double when, Runnable what) {
+        events.add(new Event(when, count++, what));
+    }
+
+    private void after(double span, Runnable what) {
+        at(now + span, what);
+    }
+
+    CancellationRun until(double end) {
+        while (!events.isEmpty() && events.peek().at <= end) {
+            Event e = events.poll();
+            now = e.at;
+            e.what.run();
+            check();
+        }
+        return this;
+    }
+
+    private void check() {
+        for (Worker w : workers) {
+            if (now - w.answered > rules.workerLease().seconds()) {
+                lost += (int) w.tasks.stream().filter(j -> !cancelled.containsKey(j)).count();
+                w.tasks.clear();
+            }
+            for (JobId job : w.tasks) {
+                double limit = told.getOrDefault(job, Double.MAX_VALUE) + rules.cancel().seconds();
+                if (now > limit) {
+                    broken.add(job + " runs at " + now + ", told at " + told.get(job));
+                }
+            }
+        }
+    }
+
+    // ---- troubles and users
+
+    void refuse(double when, int node, double span) {
+        at(when, () -> nodes.get(node).refusedUntil = now + span);
+    }
+
+    void outage(double when, double span) {
+        at(when, () -> outageUntil = Math.max(outageUntil, now + span));
+    }
+
+    /** The process ends and is back after {@code span}. */
+    void restart(double when, int node, double span) {
+        at(when, () -> {
+            Node n = nodes.get(node);
+            n.downUntil = now + span;
+            after(span, () -> {
+                n.told = new ToldCancellations(without == Without.BIRTH ? Moment.NEVER : n.at(now));
+                n.knows = new HashSet<>();
+            });
+            if (reign.node == n) {
+                lead(now + 0.1, (node + 1) % nodes.size());
+            }
+        });
+    }
+
+    void silence(double when, int node, double span) {
+        at(when, () -> nodes.get(node).silentUntil = now + span);
+    }
+
+    void lead(double when, int node) {
+        at(when, () -> {
+            reign = new Reign(nodes.get(node));
+            Reign mine = reign;
+            load(mine);
+            ask(mine);
+        });
+    }
+
+    /** A user cancels a job at a node, which knows of it {@code way} later and tells {@code later} after that. */
+    void cancel(double when, int node, JobId job, double way, double later) {
+        at(when, () -> {
+            Node n = nodes.get(node);
+            if (served(n) && now >= n.downUntil) {
+                cancelled.putIfAbsent(job, now);
+                ToldCancellations process = n.told;
+                after(way, () -> {
+                    if (n.told == process && now >= n.downUntil) {
+                        learns(n, job, later);
+                    }
+                });
+            }
+        });
+    }
+
+    /** A user asks a node how a job is. */
+    void poll(double when, int node, JobId job) {
+        at(when, () -> {
+            Node n = nodes.get(node);
+            if (now >= n.downUntil && cancelled.containsKey(job) && (n.knows.contains(job) || served(n))) {
+                learns(n, job, 0);
+            }
+        });
+    }
+
+    private void learns(Node n, JobId job, double later) {
+        if (n.knows.add(job)) {
+            n.told.add(job, n.at(now));
+        }
+        after(later, () -> told.putIfAbsent(job, now));
+    }
+
+    private boolean served(Node node) {
+        return now >= outageUntil && now >= node.refusedUntil;
+    }
+
+    // ---- the leader
+
+    private void load(Reign mine) {
+        if (reign != mine) {
+            return;
+        }
+        if (!served(mine.node)) {
+            after(0.3, () -> load(mine));
+            return;
+        }
+        Moment asked = mine.node.at(now);
+        Set<JobId> gone = new HashSet<>(cancelled.keySet());
+        after(0.2, () -> {
+            mine.stopped.addAll(gone);
+            mine.horizon.heard(asked);
+            mine.loaded = true;
+            watch(mine, gone);
+        });
+    }
+
+    private void watch(Reign mine, Set<JobId> known) {
+        if (reign != mine) {
+            return;
+        }
+        if (!served(mine.node)) {
+            after(0.3, () -> watch(mine, known));
+            return;
+        }
+        Moment sent = mine.node.at(now);
+        answer(mine, known, sent, now + Math.min(2, rules.horizonAge().seconds() / 4));
+    }
+
+    /** An open watch brings a change at once, or ends; while this node is not served it waits. */
+    private void answer(Reign mine, Set<JobId> known, Moment sent, double ends) {
+        if (reign != mine) {
+            return;
+        }
+        Set<JobId> news = new HashSet<>(cancelled.keySet());
+        news.removeAll(known);
+        if (!served(mine.node) || news.isEmpty() && now < ends) {
+            after(0.05, () -> answer(mine, known, sent, ends));
+            return;
+        }
+        news.forEach(job -> {
+            mine.horizon.gone(job);
+            if (without == Without.UNSETTLED) {
+                mine.horizon.settled(job);
+            }
+            // The state service may answer slowly, so that the refusal comes first.
+            after(random.nextDouble() * (random.nextInt(4) == 0 ? 6 : 0.3), () -> why(mine, job));
+        });
+        mine.horizon.heard(sent);
+        known.addAll(news);
+        watch(mine, known);
+    }
+
+    private void why(Reign mine, JobId job) {
+        if (reign == mine && !mine.stopped.contains(job) && !served(mine.node)) {
+            after(0.5, () -> why(mine, job));
+            return;
+        }
+        mine.stopped.add(job);
+        mine.horizon.settled(job);
+    }
+
+    private void ask(Reign mine) {
+        if (reign != mine) {
+            return;
+        }
+        after(0.5, () -> ask(mine));
+        mine.unservedSince = served(mine.node) ? -1 : mine.unservedSince < 0 ? now : mine.unservedSince;
+        if (mine.unservedSince < 0 || now - mine.unservedSince < 1.5) {
+            return;
+        }
+        Moment sent = mine.node.at(now);
+        Span back = mine.horizon.missing(sent, Span.seconds(3));
+        List<CancellationWord> words = new ArrayList<>();
+        for (Node other : nodes) {
+            if (other != mine.node) {
+                after(random.nextDouble() * 0.4, () -> words.add(now < other.downUntil || now < other.silentUntil
+                        ? CancellationWord.NONE : other.told.word(back, other.at(now))));
+            }
+        }
+        after(0.4 + random.nextDouble() * 0.6, () -> {
+            if (reign != mine || !mine.loaded) {
+                return;
+            }
+            Moment heard = mine.node.at(now);
+            CancellationWord all = mine.node.told.word(back, heard);
+            for (CancellationWord word : words) {
+                all = all.and(word);
+            }
+            if (without != Without.NAMES && mine.stopped.addAll(all.cancelled())) {
+                stoppedByWord++;
+            }
+            mine.horizon.told(all.covered(), sent, heard);
+        });
+    }
+
+    private void report(Worker w) {
+        double sent = now;
+        double way = random.nextDouble() * 0.1;
+        after(way, () -> {
+            Reign mine = reign;
+            if (now < mine.node.downUntil || now < mine.node.silentUntil || !mayAnswer(mine)) {
+                return;
+            }
+            Set<JobId> stops = new HashSet<>(mine.loaded ? mine.stopped : Set.of());
+            after(way, () -> {
+                w.answered = Math.max(w.answered, sent);
+                w.tasks.removeAll(stops);
+            });
+        });
+        after(rules.report().seconds() * (0.75 + random.nextDouble() / 2), () -> report(w));
+    }
+
+    private boolean mayAnswer(Reign mine) {
+        return without == Without.BACKSTOP || (mine.loaded || without == Without.RECORDS)
+                && mine.node.at(now).since(mine.horizon.until()).compareTo(rules.horizonAge()) < 0;
+    }
+}
--- /dev/null
+++ b/src/test/java/io/indigoreach/core/CancellationRunTest.java
@@ -0,0 +1,121 @@
+package io.indigoreach.core;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.indigoreach.core.CancellationRun.Without;
+import java.util.List;
+import java.util.Random;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.EnumSource;
+
+/**
+ * The state service refuses the leader alone, another controller tells users that jobs are cancelled, and then it answers nobody for
+ * longer than {@code cancel_s}: those jobs' tasks are gone in time all the same, and as long as all controllers answer each other
+ * nothing else is lost.
+ */
+class CancellationRunTest {
+    private static final int JOBS = 8;
+    private static final int SEEDS = 1000;
+
+    private static Rules rules(double lease, double report, double cancel) {
+        return new Rules(Span.seconds(lease), Span.seconds(report), Span.seconds(cancel), Span.seconds(3));
+    }
+
+    /** {@code lost}: whether the work of all must go for it, as nobody is left who can say what was told. */
+    @ParameterizedTest
+    @CsvSource({
+        // lease, report, cancel, told at, by, way, later, poll at, restart of, restarts at, silent, lost, what
+        "22, 5, 42, 30.5, 1, 0.1, 0,   0,  -1, 0,  -1, false, told by another while the leader is refused",
+        "12, 2, 32, 30.5, 1, 0.1, 0,   0,  -1, 0,  -1, false, the same with short leases",
+        "22, 4, 27.5, 30.5, 1, 0.1, 0, 0,  -1, 0,  -1, false, where the difference hardly suffices",
+        "22, 5, 42, 31.9, 1, 0.3, 0,   0,  -1, 0,  -1, false, the outage begins before the answer is there",
+        "22, 5, 42, 30.5, 1, 0.1, 3,   0,  -1, 0,  -1, false, the node that knows stands still before it tells",
+        "22, 5, 42, 29.9, 1, 0.1, 0,   0,  -1, 0,  -1, false, heard of by the last watch but not readable any more",
+        "22, 5, 42, 30.5, 1, 0.1, 0,   40, -1, 0,  -1, false, told again by a node that remembers",
+        "22, 5, 42, 30.5, 1, 0.1, 0,   0,  1,  31, -1, true, who told has ended and started since",
+        "22, 5, 42, 30.5, 1, 0.1, 0,   0,  1,  45, -1, true, who told ends after its word: none answers for its last half second",
+        "22, 5, 42, 30.5, 1, 0.1, 0,   0,  2,  31, -1, true, another started: it might have told of some",
+        "22, 5, 42, 30.5, 1, 0.1, 0,   0,  -1, 0,  1, true, who told does not answer",
+        "22, 5, 42, 30.5, 1, 0.1, 0,   0,  0,  31, -1, true, the leader ends: the next one has no records",
+        "22, 5, 42, 29,   0, 0.1, 0,   0,  -1, 0,  -1, false, told by the leader's own node just before",
+    })
+    void tasksAreGoneInTime(double lease, double report, double cancel, double toldAt, int by, double way, double later, double poll,
+                            int restarted, double restartsAt, int silent, boolean lost, String what) {
+        CancellationRun run = new CancellationRun(rules(lease, report, cancel), 3, JOBS, 7, Without.NOTHING);
+        run.refuse(30, 0, 14);
+        run.outage(32, 60);
+        run.cancel(toldAt, by, CancellationRun.job(1), way, later);
+        if (poll > 0) {
+            run.poll(poll, by, CancellationRun.job(1));
+        }
+        if (restarted >= 0) {
+            run.restart(restartsAt, restarted, 0.2);
+        }
+        if (silent >= 0) {
+            run.silence(31, silent, 60);
+        }
+        run.until(100);
+        assertEquals(List.of(), run.broken, what);
+        assertEquals(lost, run.lost > 0, what);
+    }
+
+    /** Troubles of all kinds, one on the other; each guard that is left out is missed in some run. */
+    private static CancellationRun random(long seed, Without without) {
+        Random r = new Random(seed);
+        double[][] times = {{22, 5, 42}, {12, 2, 32}, {22, 4, 47}, {22, 4, 29}};
+        double[] t = times[r.nextInt(times.length)];
+        int nodes = r.nextBoolean() ? 3 : 5;
+        CancellationRun run = new CancellationRun(rules(t[0], t[1], t[2]), nodes, JOBS, seed, without);
+        int leader = 0;
+        double at = 5;
+        for (int n = 0; n < 4; n++) {
+            at += r.nextDouble() * 40;
+            if (r.nextInt(3) == 0) {
+                leader = r.nextInt(nodes);
+                run.lead(at - r.nextDouble() * 8, leader);
+            }
+            run.refuse(at, r.nextBoolean() ? leader : r.nextInt(nodes), 3 + r.nextDouble() * 30);
+            run.outage(at + r.nextDouble() * 8, 5 + r.nextDouble() * 80);
+            if (r.nextInt(4) == 0) {
+                run.silence(at + r.nextDouble() * 8, r.nextInt(nodes), r.nextDouble() * 40);
+            }
+            boolean burst = r.nextBoolean();
+            for (int j = 0; j < (burst ? 4 : 2); j++) {
+                JobId job = CancellationRun.job(r.nextInt(JOBS));
+                int by = r.nextInt(nodes);
+                double when = at - (burst ? 4 : 0.5) + r.nextDouble() * (burst ? 4 : 8);
+                run.cancel(when, by, job, r.nextDouble() * 0.5, r.nextInt(4) == 0 ? r.nextDouble() * 5 : 0);
+                run.poll(when + r.nextDouble() * 20, r.nextInt(nodes), job);
+                if (r.nextInt(3) == 0) {
+                    run.restart(when + r.nextDouble() * 3, r.nextBoolean() ? by : r.nextInt(nodes), r.nextDouble());
+                }
+            }
+        }
+        return run.until(300);
+    }
+
+    @Test
+    void noSeedBreaksTheRule() {
+        int stopped = 0;
+        for (long seed = 0; seed < SEEDS; seed++) {
+            CancellationRun run = random(seed, Without.NOTHING);
+            assertEquals(List.of(), run.broken, "seed " + seed);
+            stopped += run.stoppedByWord;
+        }
+        assertTrue(stopped > 100, "the word of other controllers was hardly ever needed: " + stopped);
+    }
+
+    @ParameterizedTest
+    @EnumSource(value = Without.class, mode = EnumSource.Mode.EXCLUDE, names = "NOTHING")
+    void withoutAnyOfItsGuardsItIsBroken(Without without) {
+        for (long seed = 0; seed < SEEDS; seed++) {
+            if (!random(seed, without).broken.isEmpty()) {
+                return;
+            }
+        }
+        throw new AssertionError("no seed misses " + without);
+    }
+}
--- a/src/test/java/io/indigoreach/emulator/AskedJobs.java
+++ b/src/test/java/io/indigoreach/emulator/AskedJobs.java
@@ -36,7 +36,12 @@
     StateClient state;
 
     void open(int controllers, String faults) throws Exception {
-        cluster = new LocalCluster(controllers, faults.replace('\'', '"')).start();
+        open(new LocalCluster(controllers, faults.replace('\'', '"')));
+    }
+
+    void open(LocalCluster with) throws Exception {
+        cluster = with.start();
+        int controllers = cluster.emulator.nodes().size();
         PlatformConfig any = cluster.emulator.nodes().get(controllers - 1);
         state = new StateClient(new Caller(cluster.vertx, any.state(), 1), new Caller(cluster.vertx, any.state(), 1));
         callers();
@@ -121,6 +126,15 @@
         }
     }
 
+    /** Passes the leadership on until this node has it; in vain after some tries. */
+    void makeLeader(int node) throws Exception {
+        for (int tries = 0; tries < 8 && leader() != node; tries++) {
+            LocalCluster.await(state.get(RecordCodec.LEADER).compose(key -> state.commit(new StateClient.Txn()
+                    .when(RecordCodec.LEADER, key.stamp()).delete(RecordCodec.LEADER))));
+            LocalCluster.await(cluster.vertx.timer(500, TimeUnit.MILLISECONDS));
+        }
+    }
+
     int leader() throws Exception {
         String node = LocalCluster.await(state.get(RecordCodec.LEADER)).value().text("node");
         return Integer.parseInt(node.substring(node.lastIndexOf('-') + 1));
--- a/src/test/java/io/indigoreach/state/StateStandIn.java
+++ b/src/test/java/io/indigoreach/state/StateStandIn.java
@@ -26,7 +26,9 @@
     private final List<Map<String, Object>> changes = new ArrayList<>();
     private long revision = 10;
     private long lastLease;
-    public boolean refusing;
+    public volatile boolean refusing;
+    /** Requests that were refused. */
+    public volatile int refused;
     /** The answers to the next transactions are lost after these were executed. */
     public int losingAnswers;
     /** Leases are not ended on request: as if it came from a node that is refused. */
@@ -73,6 +75,7 @@
         String path = request.path();
         request.body().onSuccess(body -> {
             if (refusing) {
+                refused++;
                 reply(request, 503, Map.of());
             } else if (path.equals("/txn")) {
                 commit(request, Wire.readMap(body));
