Records that a leader may remove are not made anew by a late write

Every transaction is run late in a table: after its successor, after its record is removed, after a change of leader. Two kinds came through: a page of machines and a record of intents, each written while it was absent and removed since. Both are emptied now and removed by the next leader. An intent given up while its record had no answer is written over as well.

--- a/src/main/java/io/indigoreach/cluster/IntentBook.java
+++ b/src/main/java/io/indigoreach/cluster/IntentBook.java
@@ -19,6 +19,10 @@
  * The record of a leader's {@link Intents}: one key of its own, each write conditional on the leadership key and on the
  * record's version, so that a holder that was replaced cannot add to it. Records of earlier leaders are read at a take-over and
  * removed when everything in them is settled.
+ *
+ * <p>Guards against a write without an answer that is carried out late: the leader's own record is emptied and never removed, as a
+ * write made while it was not there would bring back requests that are settled, and the next leader would repeat them. Nor is a
+ * write without an answer the last one: what it says may have been given up meanwhile.
  */
 final class IntentBook {
     private static final Span TIDY = Span.seconds(2);
@@ -32,7 +36,10 @@
     /** Earlier leaders' records, with their versions. */
     private final Map<String, Stamp> earlier = new LinkedHashMap<>();
     private Stamp stamp = Stamp.ABSENT;
+    /** The record's version is to be read before the next write. */
     private boolean unsure;
+    /** A write had no answer and may be carried out at any time, until a later one has been. */
+    private boolean unanswered;
     private Future<Boolean> underWay;
     private Moment written = Moment.NEVER;
 
@@ -96,7 +103,7 @@
     private Future<Boolean> begin() {
         Moment now = env.clock().now();
         if (!intents.isUnrecorded()) {
-            boolean tidy = intents.isOutdated() && now.since(written).compareTo(TIDY) >= 0 && budget.takeSpare(1, now);
+            boolean tidy = (unanswered || intents.isOutdated()) && now.since(written).compareTo(TIDY) >= 0 && budget.takeSpare(1, now);
             return tidy ? write(now).map(true).otherwise(true) : Future.succeededFuture(true);
         }
         return budget.take(1, now) ? write(now) : Future.succeededFuture(false);
@@ -112,15 +119,15 @@
         }
         Intents.Page page = intents.page();
         StateClient.Txn txn = new StateClient.Txn().when(RecordCodec.LEADER, key).when(own, stamp);
-        if (!page.isEmpty()) {
+        boolean writes = unanswered || !page.isEmpty() || !stamp.equals(Stamp.ABSENT);
+        if (writes) {
             txn.put(own, RecordCodec.writeIntents(page));
-        } else if (!stamp.equals(Stamp.ABSENT)) {
-            txn.delete(own);
         }
         written = now;
         return env.state().commit(txn).map(outcome -> {
             if (outcome.done()) {
-                stamp = page.isEmpty() ? Stamp.ABSENT : outcome.stamp();
+                stamp = writes ? outcome.stamp() : Stamp.ABSENT;
+                unanswered = false;
                 intents.recorded(page);
                 return true;
             }
@@ -129,6 +136,9 @@
             }
             unsure = true;
             return false;
-        }).onFailure(e -> unsure |= !StateClient.surelyNotExecuted(e));
+        }).onFailure(e -> {
+            unsure |= !StateClient.surelyNotExecuted(e);
+            unanswered |= unsure;
+        });
     }
 }
--- a/src/main/java/io/indigoreach/cluster/MachineBook.java
+++ b/src/main/java/io/indigoreach/cluster/MachineBook.java
@@ -16,7 +16,6 @@
 import io.vertx.core.Promise;
 import java.util.ArrayList;
 import java.util.HashMap;
-import java.util.Iterator;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -27,7 +26,8 @@
  * The leader's record of the machines that may hold tasks, many to a page. Machines come up by the hundred within
  * seconds, and the state service takes few changes a second: so those that report while one page is being written go
  * together into the next write. A page's write depends on the page's own version too, since an older write of it that
- * got no answer may still be applied, and must not then take machines off the page.
+ * got no answer may still be applied, and must not then take machines off the page. Nor may it make a page anew: a page of this
+ * leadership that is empty stays, to be filled again, and is removed by the next leader, on whose key no write of this one depends.
  */
 final class MachineBook {
     private static final Logger LOG = LoggerFactory.getLogger(MachineBook.class);
@@ -43,15 +43,23 @@
 
     private static final class Page {
         final String key;
+        /** Of this leadership: its first write, made while there was no such page, may still be carried out. */
+        final boolean own;
         Stamp stamp;
         /** A write of it had no answer: its version is to be read before the next one. */
         boolean unsure;
         final Map<MachineId, MachineRecord> lines = new LinkedHashMap<>();
 
-        Page(String key, Stamp stamp) {
+        Page(String key, Stamp stamp, boolean own) {
             this.key = key;
+            this.own = own;
             this.stamp = stamp;
         }
+
+        /** Nothing is on it, and nothing will be. */
+        boolean isLeft() {
+            return lines.isEmpty() && !own;
+        }
     }
 
     /** A machine whose report waits for its record. */
@@ -97,9 +105,9 @@
         waiting.clear();
     }
 
-    /** A page that an earlier leader wrote. */
+    /** A page that an earlier leader wrote, or this one when it rebuilt. */
     void inherit(String pageKey, Stamp stamp, List<MachineRecord> lines) {
-        Page page = new Page(pageKey, stamp);
+        Page page = new Page(pageKey, stamp, pageKey.startsWith(RecordCodec.machinePage(token, "")));
         lines.forEach(line -> page.lines.put(line.id(), line));
         pages.add(page);
     }
@@ -124,6 +132,9 @@
             return env.state().get(unsure.key).map(entry -> {
                 unsure.stamp = entry == null ? Stamp.ABSENT : entry.stamp();
                 unsure.unsure = false;
+                if (entry == null && unsure.isLeft()) {
+                    pages.remove(unsure);
+                }
                 return Span.ZERO;
             });
         }
@@ -160,7 +171,7 @@
                 }
             }
             if (page == null) {
-                page = new Page(RecordCodec.machinePage(token, ++pagesMade), Stamp.ABSENT);
+                page = new Page(RecordCodec.machinePage(token, ++pagesMade), Stamp.ABSENT, true);
                 pages.add(page);
                 room.put(page, pageBytes);
             }
@@ -208,9 +219,8 @@
         if (now.since(written).compareTo(TIDY) < 0) {
             return Future.succeededFuture(PERIOD);
         }
-        for (Iterator<Page> i = pages.iterator(); i.hasNext();) {
-            Page page = i.next();
-            if (page.lines.keySet().stream().allMatch(core::knows)) {
+        for (Page page : pages) {
+            if (!page.isLeft() && page.lines.keySet().stream().allMatch(core::knows)) {
                 continue;
             }
             if (!budget.takeSpare(1, now)) {
@@ -218,14 +228,18 @@
             }
             page.lines.keySet().removeIf(id -> !core.knows(id));
             StateClient.Txn txn = new StateClient.Txn().when(RecordCodec.LEADER, key).when(page.key, page.stamp);
-            if (page.lines.isEmpty()) {
+            if (page.isLeft()) {
                 txn.delete(page.key);
-                i.remove();
             } else {
                 txn.put(page.key, RecordCodec.writeMachines(page.lines.values()));
             }
             written = now;
-            return commit(txn, List.of(page), stamp -> page.stamp = stamp);
+            return commit(txn, List.of(page), stamp -> {
+                page.stamp = stamp;
+                if (page.isLeft()) {
+                    pages.remove(page);
+                }
+            });
         }
         return Future.succeededFuture(PERIOD);
     }
--- /dev/null
+++ b/src/test/java/io/indigoreach/cluster/LateTransactionsTest.java
@@ -0,0 +1,893 @@
+package io.indigoreach.cluster;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.indigoreach.api.JobCodec;
+import io.indigoreach.api.JobDesk;
+import io.indigoreach.cloud.Catalogue;
+import io.indigoreach.cloud.CloudClient;
+import io.indigoreach.config.Settings;
+import io.indigoreach.core.Aims;
+import io.indigoreach.core.Demand;
+import io.indigoreach.core.Job;
+import io.indigoreach.core.JobId;
+import io.indigoreach.core.JobSpec;
+import io.indigoreach.core.JobStatus;
+import io.indigoreach.core.LeaderCore;
+import io.indigoreach.core.MachineId;
+import io.indigoreach.core.MachineType;
+import io.indigoreach.core.Moment;
+import io.indigoreach.core.Notes;
+import io.indigoreach.core.Pool;
+import io.indigoreach.core.ReportNumber;
+import io.indigoreach.core.Shape;
+import io.indigoreach.core.Span;
+import io.indigoreach.core.Stamp;
+import io.indigoreach.core.Team;
+import io.indigoreach.core.Token;
+import io.indigoreach.core.TokenClock;
+import io.indigoreach.core.Urgency;
+import io.indigoreach.core.WorkerReport;
+import io.indigoreach.core.calendar.Head;
+import io.indigoreach.core.calendar.Publishing;
+import io.indigoreach.core.calendar.Replacing;
+import io.indigoreach.core.duty.Intents;
+import io.indigoreach.core.loss.Remains;
+import io.indigoreach.core.ownership.Beginning;
+import io.indigoreach.core.ownership.Ending;
+import io.indigoreach.core.ownership.Registry;
+import io.indigoreach.core.records.Change;
+import io.indigoreach.core.records.Copies;
+import io.indigoreach.core.records.Family;
+import io.indigoreach.core.records.Kept;
+import io.indigoreach.core.records.Routine;
+import io.indigoreach.core.records.Step;
+import io.indigoreach.net.Budget;
+import io.indigoreach.net.Caller;
+import io.indigoreach.net.Fields;
+import io.indigoreach.net.SteadyClock;
+import io.indigoreach.net.Wire;
+import io.indigoreach.state.JobMender;
+import io.indigoreach.state.Leadership;
+import io.indigoreach.state.RecordCodec;
+import io.indigoreach.state.Records;
+import io.indigoreach.state.StateClient;
+import io.indigoreach.state.StateStandIn;
+import io.vertx.core.Future;
+import io.vertx.core.Vertx;
+import java.util.ArrayList;
+import java.util.BitSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.ArrayBlockingQueue;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.Callable;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.function.Predicate;
+import java.util.function.Supplier;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.MethodSource;
+
+/**
+ * Every kind of transaction that the product writes gets no answer, and is carried out after newer ones: after its successor, after
+ * what it wrote is removed again, after a change of leader (docs/notes/late-transactions.md). Then it changes nothing. The writes
+ * are the product's own; the state service stands in. Waits are for events, not times.
+ */
+class LateTransactionsTest {
+    private static final Pool POOL = new Pool("quad", "a", true);
+    private static final JobId JOB = new JobId("run-1");
+    private static final String OPEN = RecordCodec.open(JOB);
+    private static final Intents.Rent RENT = new Intents.Rent("t3-1", POOL, 50, 1000);
+    private final Vertx vertx = Vertx.vertx();
+    private final SteadyClock clock = new SteadyClock();
+    /** Vert.x closes a client that nothing refers to any more. */
+    private final List<Object> kept = new ArrayList<>();
+    private final BlockingQueue<String> events = new ArrayBlockingQueue<>(100);
+    private StateStandIn service;
+    private StateClient client;
+    private Reign.Surroundings env;
+    private LeaderCore core;
+
+    /** One order of events. */
+    private interface Case {
+        void play(LateTransactionsTest t) throws Exception;
+    }
+
+    @BeforeEach
+    void start() throws Exception {
+        service = await(new StateStandIn().listen(vertx));
+        client = client();
+        Catalogue catalogue = new Catalogue(vertx, client, keep(new CloudClient(keep(new Caller(vertx, service.endpoint(), 1)))));
+        env = new Reign.Surroundings(vertx, clock, null, client, null, catalogue, MachineBookTest.config(), Settings.standard(),
+                Span.seconds(10));
+        core = new LeaderCore(new Token(3), env.config().rules(), env.settings().tuning(), new Aims(List.of()),
+                List.of(new Team("t", 0, 0, 0, 0)), new Notes() {
+                    @Override
+                    public void progress(Job job) {
+                    }
+
+                    @Override
+                    public void say(String line) {
+                    }
+                });
+        core.setTypes(List.of(type()));
+        core.loaded();
+    }
+
+    @AfterEach
+    void stop() throws Exception {
+        await(vertx.close());
+    }
+
+    private static MachineType type() {
+        return new MachineType("quad", new Demand(4, 0, 16), 40, 1, 1, 1, Span.seconds(20), List.of("a"));
+    }
+
+    private <T> T keep(T what) {
+        kept.add(what);
+        return what;
+    }
+
+    private StateClient client() {
+        return keep(new StateClient(keep(new Caller(vertx, service.endpoint(), 4)), keep(new Caller(vertx, service.endpoint(), 2))));
+    }
+
+    private static <T> T await(Future<T> future) throws Exception {
+        return future.toCompletionStage().toCompletableFuture().get(20, TimeUnit.SECONDS);
+    }
+
+    private static void until(Callable<Boolean> holds) throws Exception {
+        long end = System.nanoTime() + TimeUnit.SECONDS.toNanos(20);
+        while (!holds.call()) {
+            assertTrue(System.nanoTime() < end, "in vain");
+            Thread.onSpinWait();
+        }
+    }
+
+    private void run(Runnable what) {
+        vertx.runOnContext(v -> what.run());
+    }
+
+    // The state service.
+
+    private static boolean touches(Fields txn, String key) {
+        return txn.children("writes").stream().anyMatch(w -> (w.has("delete") ? w.text("delete") : w.text("write")).startsWith(key));
+    }
+
+    /** The next transaction that writes or deletes such a key gets no answer. */
+    private void holdOne(String key) {
+        AtomicBoolean first = new AtomicBoolean(true);
+        service.holding = txn -> touches(txn, key) && first.getAndSet(false);
+    }
+
+    /** All of them do. */
+    private void holdAll(String key) {
+        service.holding = txn -> touches(txn, key);
+    }
+
+    /** From now on all are answered. */
+    private void pass() {
+        service.holding = txn -> false;
+    }
+
+    private void untilHeld() throws Exception {
+        until(() -> service.held() > 0);
+    }
+
+    /** What was held back is carried out now, and finds that the keys are others. */
+    private void lateIsRefused() {
+        service.holding = txn -> false;
+        List<Integer> statuses = service.executeLate();
+        assertFalse(statuses.isEmpty(), "nothing was held back");
+        assertFalse(statuses.contains(200), "carried out late: " + statuses);
+    }
+
+    /** Another leadership begins. */
+    private Stamp lead(long token) throws Exception {
+        return await(client.commit(new StateClient.Txn().put(RecordCodec.LEADER, Wire.map("t", token)))).stamp();
+    }
+
+    // Leadership.
+
+    private Leadership node(String node, int peers) {
+        Leadership[] made = new Leadership[1];
+        made[0] = new Leadership(vertx, client, vertx, client, clock, node, node + "1", peers, Span.seconds(10),
+                new TokenClock(node.charAt(0) - 'a', clock.timeOfDay(), Span.seconds(0.1)), new Leadership.Listener() {
+                    @Override
+                    public void took(Token token, Stamp key, boolean bounds) {
+                        events.add(node + " took");
+                    }
+
+                    @Override
+                    public void lost(String reason) {
+                        events.add(node + " lost");
+                    }
+                });
+        made[0].asking(() -> Future.succeededFuture(false), () -> Future.succeededFuture(true));
+        return keep(made[0]);
+    }
+
+    private void took(String node) throws Exception {
+        assertEquals(node + " took", events.poll(20, TimeUnit.SECONDS));
+    }
+
+    private void lost(String node) throws Exception {
+        assertEquals(node + " lost", events.poll(20, TimeUnit.SECONDS));
+    }
+
+    private static final Map<String, Case> LEADERSHIP = new LinkedHashMap<>();
+
+    static {
+        LEADERSHIP.put("a campaign, after the next one", t -> {
+            Leadership a = t.node("a", 0);
+            t.holdOne(RecordCodec.LEADER);
+            t.run(a::start);
+            t.took("a");
+            t.lateIsRefused();
+            assertTrue(a.isValid());
+        });
+        LEADERSHIP.put("a campaign, after its node led and gave up", t -> {
+            Leadership a = t.node("a", 0);
+            t.holdOne(RecordCodec.LEADER);
+            t.run(a::start);
+            t.took("a");
+            t.run(() -> a.abdicate("test"));
+            t.until(() -> !t.service.has(RecordCodec.LEADER));
+            t.lateIsRefused();
+            assertFalse(t.service.has(RecordCodec.LEADER));
+        });
+        LEADERSHIP.put("a campaign, after another node led and gave up", t -> {
+            Leadership a = t.node("a", 0);
+            t.holdAll(RecordCodec.LEADER);
+            t.run(a::start);
+            t.untilHeld();
+            t.run(a::stop);
+            t.pass();
+            Leadership b = t.node("b", 0);
+            t.run(b::start);
+            t.took("b");
+            t.run(() -> b.abdicate("test"));
+            t.until(() -> !t.service.has(RecordCodec.LEADER));
+            t.lateIsRefused();
+        });
+        LEADERSHIP.put("a campaign, after its grant has ended", t -> {
+            Leadership a = t.node("a", 0);
+            t.holdAll(RecordCodec.LEADER);
+            t.run(a::start);
+            t.untilHeld();
+            t.run(a::stop);
+            t.service.endLeases();
+            t.lateIsRefused();
+        });
+        LEADERSHIP.put("the removal of a predecessor's key, after its node took it", t -> {
+            t.lead(1);
+            await(t.client.commit(new StateClient.Txn().put(RecordCodec.LEADER, Wire.map("node", "a", "process", "a0", "token", 1L))));
+            Leadership a = t.node("a", 2);
+            t.holdOne(RecordCodec.LEADER);
+            await(a.clear(node -> Future.succeededFuture(false)));
+            t.run(a::start);
+            t.took("a");
+            t.lateIsRefused();
+            assertTrue(t.service.has(RecordCodec.LEADER));
+        });
+        LEADERSHIP.put("the removal of the key of one that stood aside, after another took it", t -> {
+            Leadership a = t.node("a", 0);
+            t.run(a::start);
+            t.took("a");
+            Leadership b = t.node("b", 0);
+            Stamp key = a.key();
+            t.holdOne(RecordCodec.LEADER);
+            assertTrue(b.release(key).toCompletionStage().toCompletableFuture().handle((v, e) -> e != null).get(20, TimeUnit.SECONDS));
+            t.run(a::stop);
+            t.run(() -> a.abdicate("test"));
+            t.lost("a");
+            t.run(b::start);
+            t.took("b");
+            t.lateIsRefused();
+            assertTrue(t.service.has(RecordCodec.LEADER));
+        });
+        LEADERSHIP.put("the word for start bounds, after the next leadership", t -> {
+            await(t.client.commit(new StateClient.Txn().put(RecordCodec.COUNTER, Wire.map("value", 7L))));
+            Leadership a = t.node("a", 0);
+            t.run(a::start);
+            t.took("a");
+            t.holdAll(RecordCodec.COUNTER);
+            t.run(a::vouchForBounds);
+            t.untilHeld();
+            t.pass();
+            t.run(a::deposed);
+            t.lost("a");
+            t.took("a");
+            t.lateIsRefused();
+            assertFalse(t.service.value(RecordCodec.COUNTER).flag("bounds", false), "an older version may have led in between");
+        });
+    }
+
+    /** The key stands, by a transaction that its node gave up on: nobody leads by it, and a pledge given since binds. */
+    @Test
+    void aCampaignCarriedOutAfterItsNodeHasPledgedMakesNoLeader() throws Exception {
+        Leadership a = node("a", 0);
+        holdAll(RecordCodec.LEADER);
+        run(a::start);
+        untilHeld();
+        CompletableFuture<Moment> pledged = new CompletableFuture<>();
+        vertx.setPeriodic(1, t -> {
+            if (!pledged.isDone() && a.pledge()) {
+                pledged.complete(clock.now());
+                service.holding = txn -> false;
+            }
+        });
+        Moment given = pledged.get(20, TimeUnit.SECONDS);
+        assertTrue(service.executeLate().contains(200));
+        long token = RecordCodec.token(service.value(RecordCodec.LEADER).map());
+        assertTrue(service.has(RecordCodec.LEADER) && events.isEmpty() && !a.isLeading());
+        took("a");
+        assertTrue(clock.now().since(given).compareTo(Span.seconds(2)) >= 0, "a pledge binds");
+        assertTrue(RecordCodec.token(service.value(RecordCodec.LEADER).map()) > token);
+    }
+
+    // Jobs.
+
+    private JobDesk desk() throws Exception {
+        JobDesk desk = keep(new JobDesk(vertx, client, new JobMender(client, clock), env.catalogue(),
+                List.of(new Team("t", 0, 0, 0, 0)), clock, 8192, 100));
+        await(client.commit(new StateClient.Txn().put(RecordCodec.CATALOGUE, RecordCodec.writeCatalogue(List.of(type())))));
+        env.catalogue().start();
+        until(env.catalogue()::isKnown);
+        return desk;
+    }
+
+    private static JobSpec spec(String id, int tasks) {
+        return new JobSpec(new JobId(id), "c", "t", Shape.ARRAY, Urgency.STANDARD, tasks, new Demand(1, 0, 1), "img", 0, null, null,
+                false, false, true, Span.seconds(10), Span.ZERO, Span.ZERO, null);
+    }
+
+    private int submit(JobDesk desk) throws Exception {
+        return await(desk.submit(Wire.write(JobCodec.write(spec(JOB.text(), 4)))).map(a -> a.status()).otherwise(503));
+    }
+
+    private int cancel(JobDesk desk) throws Exception {
+        return await(desk.cancel(JOB.text()).map(a -> a.status()).otherwise(503));
+    }
+
+    private void untilOver(JobId id) throws Exception {
+        until(() -> service.has(RecordCodec.over(id)));
+    }
+
+    /** A job in the state service and in the leader's memory; the first {@code done} of its tasks are done and not recorded. */
+    private Job job(String id, int tasks, int done, int bound) throws Exception {
+        JobSpec spec = spec(id, tasks);
+        Predicate<Fields> holding = service.holding;
+        service.holding = txn -> false;
+        Stamp stamp = await(client.commit(new StateClient.Txn().put(RecordCodec.open(spec.id()),
+                RecordCodec.writeJob(spec, 1, JobStatus.PENDING, new BitSet(), 0, bound)))).stamp();
+        service.holding = holding;
+        BitSet over = new BitSet();
+        over.set(0, done);
+        Job job = new Job(spec, 1, clock.now(), stamp, over, bound, false);
+        core.addJob(job);
+        return job;
+    }
+
+    private Ledger ledger(Stamp key) throws Exception {
+        return keep(new Ledger(env, core, new MachineBook(env, core, new Token(3), key, () -> { }, new Budget(100, clock.now())), key,
+                () -> events.add("deposed"), new Budget(100, clock.now()), true));
+    }
+
+    private void begin(Ledger ledger, Job... jobs) {
+        for (Job job : jobs) {
+            ledger.touch(job);
+        }
+        run(ledger::start);
+    }
+
+    private int recorded(JobId id) {
+        return RecordCodec.readJob(id, service.value(RecordCodec.open(id)), Stamp.ABSENT).doneCount();
+    }
+
+    private static final Map<String, Case> JOBS = new LinkedHashMap<>();
+
+    static {
+        JOBS.put("an acceptance, after its repeat", t -> {
+            JobDesk desk = t.desk();
+            t.holdOne(OPEN);
+            assertEquals(503, t.submit(desk));
+            assertEquals(201, t.submit(desk));
+            t.lateIsRefused();
+        });
+        JOBS.put("an acceptance, after its job was cancelled", t -> {
+            JobDesk desk = t.desk();
+            t.holdOne(OPEN);
+            assertEquals(503, t.submit(desk));
+            assertEquals(201, t.submit(desk));
+            assertEquals(200, t.cancel(desk));
+            t.lateIsRefused();
+            assertFalse(t.service.has(OPEN));
+        });
+        JOBS.put("an acceptance, after its job was done under another leader", t -> {
+            JobDesk desk = t.desk();
+            t.holdOne(OPEN);
+            assertEquals(503, t.submit(desk));
+            Ledger ledger = t.ledger(t.lead(4));
+            t.begin(ledger, t.job(JOB.text(), 4, 4, 4));
+            t.untilOver(JOB);
+            t.lateIsRefused();
+            assertFalse(t.service.has(OPEN));
+        });
+        JOBS.put("a cancellation, after its repeat", t -> {
+            JobDesk desk = t.desk();
+            t.submit(desk);
+            t.holdOne(OPEN);
+            assertEquals(503, t.cancel(desk));
+            assertEquals(200, t.cancel(desk));
+            t.lateIsRefused();
+        });
+        JOBS.put("a cancellation, after the job's progress, and before it was done", t -> {
+            JobDesk desk = t.desk();
+            Ledger ledger = t.ledger(t.lead(1));
+            Job job = t.job(JOB.text(), 4, 2, 4);
+            t.holdOne(OPEN);
+            assertEquals(503, t.cancel(desk));
+            t.begin(ledger, job);
+            t.until(() -> t.recorded(JOB) == 2);
+            t.lateIsRefused();
+            assertTrue(t.service.has(OPEN), "its user was told nothing, and asks again");
+        });
+        JOBS.put("a cancellation, after the job was done", t -> {
+            JobDesk desk = t.desk();
+            Ledger ledger = t.ledger(t.lead(1));
+            Job job = t.job(JOB.text(), 4, 4, 4);
+            t.holdOne(OPEN);
+            assertEquals(503, t.cancel(desk));
+            t.begin(ledger, job);
+            t.untilOver(JOB);
+            t.lateIsRefused();
+            assertEquals(JobStatus.DONE, RecordCodec.readFinal(JOB, t.service.value(RecordCodec.over(JOB))).status());
+        });
+        for (boolean ended : new boolean[] {false, true}) {
+            JOBS.put("the mending of an open job's record, after another" + (ended ? " and the job's end" : ""), t -> {
+                JobDesk desk = t.desk();
+                StateClient.Outcome spoilt = await(t.client.commit(new StateClient.Txn().put(OPEN, Wire.map("class", 5L))));
+                StateClient.Entry entry = new StateClient.Entry(OPEN, t.service.value(OPEN), spoilt.stamp(), 0);
+                JobMender mender = new JobMender(t.client, t.clock);
+                t.holdOne(OPEN);
+                assertTrue(await(mender.open(JOB, entry, spec(JOB.text(), 4)).map(false).otherwise(true)));
+                await(mender.open(JOB, entry, spec(JOB.text(), 4)));
+                if (ended) {
+                    assertEquals(200, t.cancel(desk));
+                }
+                t.lateIsRefused();
+                assertEquals(ended, !t.service.has(OPEN));
+            });
+        }
+        JOBS.put("the mending of an end, after another", t -> {
+            String over = RecordCodec.over(JOB);
+            StateClient.Outcome spoilt = await(t.client.commit(new StateClient.Txn().put(over, Wire.map("status", "DONE"))));
+            StateClient.Entry entry = new StateClient.Entry(over, t.service.value(over), spoilt.stamp(), 0);
+            JobMender mender = new JobMender(t.client, t.clock);
+            t.holdOne(over);
+            assertTrue(await(mender.over(JOB, entry, null).map(false).otherwise(true)));
+            await(mender.over(JOB, entry, null));
+            t.lateIsRefused();
+        });
+        JOBS.put("progress, after newer progress", t -> {
+            Ledger ledger = t.ledger(t.lead(1));
+            t.holdOne(OPEN);
+            t.begin(ledger, t.job(JOB.text(), 4, 2, 4));
+            t.until(() -> t.recorded(JOB) == 2);
+            t.lateIsRefused();
+        });
+        JOBS.put("progress, after the job was cancelled", t -> {
+            Ledger ledger = t.ledger(t.lead(1));
+            t.holdAll(OPEN);
+            t.begin(ledger, t.job(JOB.text(), 4, 2, 4));
+            t.untilHeld();
+            t.pass();
+            t.until(() -> t.recorded(JOB) == 2);
+            assertEquals(200, t.cancel(t.desk()));
+            t.lateIsRefused();
+            assertFalse(t.service.has(OPEN));
+        });
+        JOBS.put("progress, after a change of leader", t -> {
+            Ledger ledger = t.ledger(t.lead(1));
+            t.holdAll(OPEN);
+            t.begin(ledger, t.job(JOB.text(), 4, 2, 4));
+            t.untilHeld();
+            t.run(ledger::cancel);
+            t.lead(4);
+            t.lateIsRefused();
+            assertEquals(0, t.recorded(JOB));
+        });
+        JOBS.put("a start bound, after a newer one", t -> {
+            Ledger ledger = t.ledger(t.lead(1));
+            t.core.rented(POOL, List.of(new MachineId("vm-1")), t.clock.now(), t.clock.now());
+            t.holdOne(OPEN);
+            t.begin(ledger, t.job(JOB.text(), 4, 0, 0));
+            t.until(() -> t.service.value(OPEN).whole("bound", 0) > 0);
+            t.lateIsRefused();
+        });
+        JOBS.put("a start bound, after a change of leader: what that one orders by stands", t -> {
+            Ledger ledger = t.ledger(t.lead(1));
+            t.core.rented(POOL, List.of(new MachineId("vm-1")), t.clock.now(), t.clock.now());
+            t.holdAll(OPEN);
+            Job job = t.job(JOB.text(), 4, 0, 0);
+            t.begin(ledger, job);
+            t.untilHeld();
+            t.run(ledger::cancel);
+            t.lead(4);
+            t.lateIsRefused();
+            assertTrue(job.wantsBound(), "not answered: nothing was ordered by it");
+        });
+        JOBS.put("an end, after its repeat", t -> {
+            Ledger ledger = t.ledger(t.lead(1));
+            t.holdOne(OPEN);
+            t.begin(ledger, t.job(JOB.text(), 4, 4, 4));
+            t.untilOver(JOB);
+            t.lateIsRefused();
+        });
+        JOBS.put("an end, after a change of leader", t -> {
+            Ledger ledger = t.ledger(t.lead(1));
+            t.holdAll(OPEN);
+            t.begin(ledger, t.job(JOB.text(), 4, 4, 4));
+            t.untilHeld();
+            t.run(ledger::cancel);
+            t.lead(4);
+            t.lateIsRefused();
+            assertTrue(t.service.has(OPEN));
+        });
+        JOBS.put("an end, after its user cancelled", t -> {
+            Ledger ledger = t.ledger(t.lead(1));
+            JobDesk desk = t.desk();
+            t.holdAll(OPEN);
+            t.begin(ledger, t.job(JOB.text(), 4, 4, 4));
+            t.untilHeld();
+            t.run(ledger::cancel);
+            t.pass();
+            assertEquals(200, t.cancel(desk));
+            t.lateIsRefused();
+            assertEquals(JobStatus.CANCELLED, RecordCodec.readFinal(JOB, t.service.value(RecordCodec.over(JOB))).status());
+        });
+        JOBS.put("an end in the open record, and its move, each after its repeat", t -> {
+            Ledger ledger = t.ledger(t.lead(1));
+            Job[] jobs = new Job[8];
+            for (int n = 0; n < jobs.length; n++) {
+                jobs[n] = t.job("run-" + (n + 1), 1, 1, 1);
+            }
+            AtomicBoolean mark = new AtomicBoolean(true);
+            AtomicBoolean move = new AtomicBoolean(true);
+            // A mark puts the open record; the first transaction after it that deletes that record moves it.
+            t.service.holding = txn -> touches(txn, OPEN)
+                    && (touches(txn, RecordCodec.over(JOB)) ? !mark.get() && move.getAndSet(false) : mark.getAndSet(false));
+            t.begin(ledger, jobs);
+            for (Job job : jobs) {
+                t.untilOver(job.id());
+            }
+            assertEquals(2, t.service.held());
+            t.lateIsRefused();
+            assertEquals(List.of(), t.service.keys(RecordCodec.OPEN));
+        });
+    }
+
+    // Machines and intents.
+
+    private Future<Boolean> report(MachineBook book, int n) {
+        MachineId id = new MachineId("vm-" + n);
+        Moment now = clock.now();
+        core.rented(POOL, List.of(id), now, now);
+        core.onReport(new WorkerReport(id, "10.0.0.1:1", POOL, new ReportNumber(1, 1), new Token(3), null, List.of()), now);
+        return book.record(core.unrecorded(id));
+    }
+
+    private void gone(int n) {
+        core.returned(List.of(new MachineId("vm-" + n)), clock.now());
+    }
+
+    private <T> T onLoop(Supplier<Future<T>> work) throws Exception {
+        return await(vertx.getOrCreateContext().executeBlocking(() -> null).compose(v -> work.get()));
+    }
+
+    private MachineBook machines(Stamp key) {
+        MachineBook book = keep(new MachineBook(env, core, new Token(3), key, () -> events.add("deposed"),
+                new Budget(100, clock.now())));
+        run(book::start);
+        return book;
+    }
+
+    private int lines() {
+        return service.keys(RecordCodec.MACHINES).stream().mapToInt(k -> RecordCodec.readMachines(service.value(k)).size()).sum();
+    }
+
+    private IntentBook intents(Stamp key) {
+        return keep(new IntentBook(env, new Token(3), key, () -> events.add("deposed"), new Budget(100, clock.now())));
+    }
+
+    private static boolean record(IntentBook book) throws Exception {
+        return await(book.record().otherwise(false));
+    }
+
+    private Intents.Page intended() throws Exception {
+        return service.has("i/3") ? RecordCodec.readIntents(service.value("i/3")) : new Intents.Page(List.of(), List.of());
+    }
+
+    private static final Map<String, Case> CLOUD = new LinkedHashMap<>();
+
+    static {
+        CLOUD.put("a page's first write, after its repeat", t -> {
+            MachineBook book = t.machines(t.lead(1));
+            t.holdOne(RecordCodec.MACHINES);
+            assertTrue(t.onLoop(() -> t.report(book, 1)));
+            assertTrue(t.onLoop(() -> t.report(book, 2)));
+            t.lateIsRefused();
+            assertEquals(2, t.lines());
+        });
+        CLOUD.put("a page's first write, after all on it are gone", t -> {
+            MachineBook book = t.machines(t.lead(1));
+            t.holdOne(RecordCodec.MACHINES);
+            assertTrue(t.onLoop(() -> t.report(book, 1)));
+            t.run(() -> t.gone(1));
+            t.until(() -> t.lines() == 0);
+            t.lateIsRefused();
+            assertEquals(0, t.lines(), "a machine that is gone holds the next leader up");
+        });
+        CLOUD.put("a page's first write, after a change of leader", t -> {
+            MachineBook book = t.machines(t.lead(1));
+            t.holdAll(RecordCodec.MACHINES);
+            t.run(() -> t.report(book, 1));
+            t.untilHeld();
+            t.run(book::cancel);
+            t.lead(4);
+            t.lateIsRefused();
+        });
+        CLOUD.put("a page's change, after a newer one", t -> {
+            MachineBook book = t.machines(t.lead(1));
+            assertTrue(t.onLoop(() -> t.report(book, 1)));
+            t.holdOne(RecordCodec.MACHINES);
+            assertTrue(t.onLoop(() -> t.report(book, 2)));
+            assertTrue(t.onLoop(() -> t.report(book, 3)));
+            t.lateIsRefused();
+            assertEquals(3, t.lines(), "it takes no machine off");
+        });
+        CLOUD.put("an earlier leader's page is removed, and again", t -> {
+            MachineBook first = t.machines(t.lead(1));
+            assertTrue(t.onLoop(() -> t.report(first, 1)));
+            t.run(first::cancel);
+            t.run(() -> t.gone(1));
+            Stamp key = t.lead(4);
+            MachineBook next = new MachineBook(t.env, t.core, new Token(4), key, () -> { }, new Budget(100, t.clock.now()));
+            t.holdOne(RecordCodec.MACHINES);
+            await(Ledger.pages(t.client, key, RecordCodec.MACHINES,
+                    e -> next.inherit(e.key(), e.stamp(), RecordCodec.readMachines(e.value()))));
+            t.run(next::start);
+            t.until(() -> t.service.held() == 1 && t.service.keys(RecordCodec.MACHINES).isEmpty());
+            t.lateIsRefused();
+        });
+        CLOUD.put("an intent's first record, after its repeat", t -> {
+            IntentBook book = t.intents(t.lead(1));
+            book.intents().add(RENT);
+            t.holdOne(RecordCodec.INTENTS);
+            assertFalse(record(book) || book.intents().mayAsk(RENT.name()), "it may be there or not");
+            t.until(() -> record(book) && book.intents().mayAsk(RENT.name()));
+            t.lateIsRefused();
+        });
+        CLOUD.put("an intent's first record, after all in it is settled", t -> {
+            IntentBook book = t.intents(t.lead(1));
+            book.intents().add(RENT);
+            t.holdOne(RecordCodec.INTENTS);
+            assertFalse(record(book));
+            t.until(() -> record(book) && book.intents().mayAsk(RENT.name()));
+            book.intents().settled(RENT.name());
+            t.until(() -> record(book) && t.intended().isEmpty());
+            t.lateIsRefused();
+            assertTrue(t.intended().isEmpty(), "the next leader would ask once more");
+        });
+        CLOUD.put("an intent's first record, after it was given up", t -> {
+            IntentBook book = t.intents(t.lead(1));
+            book.intents().add(RENT);
+            t.holdOne(RecordCodec.INTENTS);
+            assertFalse(record(book));
+            book.intents().settled(RENT.name());
+            t.until(() -> record(book) && t.service.has("i/3"));
+            t.lateIsRefused();
+            assertTrue(t.intended().isEmpty(), "the next leader would rent what nobody wants");
+        });
+        CLOUD.put("an intent, after a change of leader", t -> {
+            IntentBook book = t.intents(t.lead(1));
+            book.intents().add(RENT);
+            t.holdOne(RecordCodec.INTENTS);
+            assertFalse(record(book));
+            t.lead(4);
+            t.lateIsRefused();
+            assertFalse(book.intents().mayAsk(RENT.name()));
+        });
+        CLOUD.put("an earlier leader's intents are removed, and again", t -> {
+            IntentBook old = t.intents(t.lead(1));
+            old.intents().add(RENT);
+            assertTrue(record(old));
+            IntentBook next = new IntentBook(t.env, new Token(4), t.lead(4), () -> { }, new Budget(100, t.clock.now()));
+            await(next.load());
+            t.holdOne(RecordCodec.INTENTS);
+            await(next.forgetEarlier());
+            assertTrue(t.service.has("i/3"));
+            await(next.forgetEarlier());
+            assertFalse(t.service.has("i/3"));
+            t.lateIsRefused();
+        });
+    }
+
+    // Rebuilding, the era, the catalogue.
+
+    private Remains remains() {
+        Remains remains = new Remains();
+        Moment now = clock.now();
+        remains.add(new Remains.Rented(new MachineId("vm-1"), POOL, now, now));
+        remains.add(new Remains.Open(spec(JOB.text(), 40_000), 1, new BitSet(), 4));
+        remains.add(new JobId("run-2"), new Remains.Over(JobStatus.DONE, 1));
+        return remains;
+    }
+
+    private boolean rebuilds(Stamp key) throws Exception {
+        return await(new Rebuilder(env, new Token(3), key, new Budget(100, clock.now()), remains()).run().map(true).otherwise(false));
+    }
+
+    private static final Map<String, Case> LOSS = new LinkedHashMap<>();
+
+    static {
+        for (String key : List.of(RecordCodec.MACHINES, OPEN, RecordCodec.FINAL, RecordCodec.ERA)) {
+            LOSS.put("a rebuilding's " + key + ", after the next try", t -> {
+                await(t.client.check());
+                Stamp leader = t.lead(1);
+                t.holdOne(key);
+                assertFalse(t.rebuilds(leader));
+                assertTrue(t.rebuilds(leader));
+                t.lateIsRefused();
+            });
+            LOSS.put("a rebuilding's " + key + ", after a change of leader", t -> {
+                await(t.client.check());
+                Stamp leader = t.lead(1);
+                t.holdOne(key);
+                assertFalse(t.rebuilds(leader));
+                t.lead(4);
+                t.lateIsRefused();
+            });
+        }
+        LOSS.put("a rebuilt page, after the next try and all on it are gone", t -> {
+            await(t.client.check());
+            Stamp leader = t.lead(1);
+            t.holdOne(RecordCodec.MACHINES);
+            assertFalse(t.rebuilds(leader));
+            assertTrue(t.rebuilds(leader));
+            MachineBook book = new MachineBook(t.env, t.core, new Token(3), leader, () -> { }, new Budget(100, t.clock.now()));
+            await(Ledger.pages(t.client, leader, RecordCodec.MACHINES,
+                    e -> book.inherit(e.key(), e.stamp(), RecordCodec.readMachines(e.value()))));
+            t.run(book::start);
+            t.until(() -> t.lines() == 0);
+            t.lateIsRefused();
+            assertEquals(0, t.lines());
+        });
+        LOSS.put("a rebuilt job with blocks of bits, after the next try and its end", t -> {
+            await(t.client.check());
+            Stamp leader = t.lead(1);
+            t.holdOne(OPEN);
+            assertFalse(t.rebuilds(leader));
+            assertTrue(t.rebuilds(leader));
+            assertEquals(2, t.service.keys(RecordCodec.BITS).size());
+            assertEquals(200, t.cancel(t.desk()));
+            t.lateIsRefused();
+            assertFalse(t.service.has(OPEN));
+            assertEquals(List.of(), t.service.keys(RecordCodec.BITS));
+        });
+        LOSS.put("an acceptance, after a loss was mended and the job's end was lost", t -> {
+            await(t.client.check());
+            JobDesk desk = t.desk();
+            t.holdOne(OPEN);
+            assertEquals(503, t.submit(desk));
+            assertEquals(201, t.submit(desk));
+            assertEquals(200, t.cancel(desk));
+            await(t.client.commit(new StateClient.Txn().delete(RecordCodec.over(JOB))));
+            assertTrue(await(new Rebuilder(t.env, new Token(3), t.lead(1), new Budget(100, t.clock.now()), new Remains()).run()
+                    .map(true)));
+            t.lateIsRefused();
+            assertFalse(t.service.has(OPEN));
+        });
+        LOSS.put("a deployment's first era, after another process wrote it", t -> {
+            t.holdOne(RecordCodec.ERA);
+            assertTrue(await(t.client.check().map(false).otherwise(true)));
+            await(t.client().check());
+            t.lateIsRefused();
+        });
+        LOSS.put("the catalogue's copy, after another", t -> {
+            StateClient.Txn copy = new StateClient.Txn().when(RecordCodec.CATALOGUE, Stamp.ABSENT)
+                    .put(RecordCodec.CATALOGUE, RecordCodec.writeCatalogue(List.of(type())));
+            t.holdOne(RecordCodec.CATALOGUE);
+            assertTrue(await(t.client.commit(copy).map(false).otherwise(true)));
+            await(t.client.commit(copy));
+            t.lateIsRefused();
+        });
+    }
+
+    // Parts beside the jobs.
+
+    private Records records() {
+        List<Family> families = new ArrayList<>(Registry.FAMILIES);
+        families.add(Head.FAMILY);
+        families.add(Head.TEXT_FAMILY);
+        families.add(new Family("x/", 10, false, Family.Mending.NEWER));
+        return new Records(vertx, client, clock, new Copies(families));
+    }
+
+    private static Routine<Boolean> removing(String key) {
+        return seen -> seen.isWritten() || !seen.failed().isEmpty() ? new Step.End<>(seen.isWritten()) : seen.records().isEmpty()
+                ? new Step.Read<>(List.of(key)) : new Step.Write<>(new Change().when(seen.record(key)).delete(key));
+    }
+
+    /** A part's write without an answer, then the same once more, then it comes late. */
+    private <R> void twice(String key, Records records, Supplier<Routine<R>> routine) throws Exception {
+        holdOne(key);
+        assertTrue(await(records.run(routine.get()).map(false).otherwise(true)));
+        await(records.run(routine.get()));
+        lateIsRefused();
+    }
+
+    private static final Map<String, Case> PARTS = new LinkedHashMap<>();
+
+    static {
+        PARTS.put("a record's first write, after its repeat",
+                t -> t.twice("x/", t.records(), () -> new Replacing("x/1", Wire.map("n", 1L))));
+        PARTS.put("a record's change, after its repeat", t -> {
+            Records records = t.records();
+            await(records.run(new Replacing("x/1", Wire.map("n", 1L))));
+            t.twice("x/", records, () -> new Replacing("x/1", Wire.map("n", 2L)));
+        });
+        PARTS.put("a leader's write, after a change of leader", t -> {
+            Records records = t.records().leading(RecordCodec.LEADER, t.lead(1), new Budget(100, t.clock.now()));
+            t.holdOne("x/");
+            assertTrue(await(records.run(new Replacing("x/1", Wire.map("n", 1L))).map(false).otherwise(true)));
+            t.lead(4);
+            t.lateIsRefused();
+        });
+        PARTS.put("a record's removal, after it was written anew", t -> {
+            Records records = t.records();
+            await(records.run(new Replacing("x/1", Wire.map("n", 1L))));
+            t.holdOne("x/");
+            assertTrue(await(records.run(removing("x/1")).map(false).otherwise(true)));
+            await(records.run(new Replacing("x/1", Wire.map("n", 2L))));
+            t.lateIsRefused();
+        });
+        PARTS.put("a write, after a loss and a new era", t -> {
+            Records records = t.records();
+            t.holdOne("x/");
+            assertTrue(await(records.run(new Replacing("x/1", Wire.map("n", 1L))).map(false).otherwise(true)));
+            assertTrue(await(new Rebuilder(t.env, new Token(3), t.lead(1), new Budget(100, t.clock.now()), new Remains()).run()
+                    .map(true)));
+            t.lateIsRefused();
+        });
+        PARTS.put("the registry's beginning", t -> t.twice("own/", t.records(), () -> new Beginning(true, "by test")));
+        PARTS.put("a claim's end before it began", t -> t.twice("own/", t.records(), () -> new Ending("export-1")));
+        PARTS.put("a calendar's text", t -> t.twice("cal/text/", t.records(),
+                () -> new Publishing(new Head(Kept.absent(Head.KEY)), "d", "text", 1, "note")));
+        PARTS.put("a calendar's head", t -> t.twice(Head.KEY, t.records(),
+                () -> new Publishing(new Head(Kept.absent(Head.KEY)), "d", "text", 1, "note")));
+    }
+
+    static List<Object[]> cases() {
+        List<Object[]> all = new ArrayList<>();
+        for (Map<String, Case> table : List.of(LEADERSHIP, JOBS, CLOUD, LOSS, PARTS)) {
+            table.forEach((name, play) -> all.add(new Object[] {name, play}));
+        }
+        return all;
+    }
+
+    @ParameterizedTest(name = "{0}")
+    @MethodSource("cases")
+    void aTransactionThatComesLateChangesNothing(String name, Case play) throws Exception {
+        play.play(this);
+    }
+}
--- a/src/test/java/io/indigoreach/state/StateStandIn.java
+++ b/src/test/java/io/indigoreach/state/StateStandIn.java
@@ -2,7 +2,9 @@
 
 import io.indigoreach.net.Endpoint;
 import io.indigoreach.net.Fields;
+import io.indigoreach.net.Reply;
 import io.indigoreach.net.Wire;
+import io.vertx.core.Context;
 import io.vertx.core.Future;
 import io.vertx.core.Promise;
 import io.vertx.core.Vertx;
@@ -13,9 +15,16 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Queue;
 import java.util.TreeMap;
-
-/** A stand-in for the state service that speaks its protocol; it can refuse requests, or execute them and not answer. */
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentLinkedQueue;
+import java.util.function.Predicate;
+
+/**
+ * A stand-in for the state service that speaks its protocol; it can refuse requests, execute them and not answer, or not answer
+ * and execute them late.
+ */
 public final class StateStandIn {
     private record Item(Map<String, Object> data, long stamp, long lease) {
     }
@@ -31,6 +40,10 @@
     public int losingAnswers;
     /** Leases are not ended on request: as if it came from a node that is refused. */
     public boolean keepingLeases;
+    /** Transactions that get no answer, and are executed by {@link #executeLate}. */
+    public volatile Predicate<Fields> holding = txn -> false;
+    private final Queue<Fields> held = new ConcurrentLinkedQueue<>();
+    private volatile Context loop;
     public int transactions;
     /** Records and listings that were read. */
     public volatile int reads;
@@ -61,16 +74,36 @@
         return new Fields(items.get(key).data);
     }
 
+    /** How many transactions are held back. */
+    public int held() {
+        return held.size();
+    }
+
+    /** Executes what is held back, the oldest first; the statuses that nobody is told. */
+    public List<Integer> executeLate() {
+        CompletableFuture<List<Integer>> statuses = new CompletableFuture<>();
+        loop.runOnContext(v -> {
+            statuses.complete(held.stream().map(this::execute).map(Reply::status).toList());
+            held.clear();
+        });
+        return statuses.join();
+    }
+
     /** Ends every lease, with the keys attached to it. */
     public void endLeases() {
-        leases.clear();
-        List<String> gone = items.entrySet().stream().filter(e -> e.getValue().lease > 0).map(Map.Entry::getKey).toList();
+        List.copyOf(leases.keySet()).forEach(this::endLease);
+    }
+
+    private void endLease(long lease) {
+        leases.remove(lease);
+        List<String> gone = items.entrySet().stream().filter(e -> e.getValue().lease == lease).map(Map.Entry::getKey).toList();
         gone.forEach(this::delete);
         wakeWatchers();
     }
 
     private void handle(HttpServerRequest request) {
         String path = request.path();
+        loop = Vertx.currentContext();
         request.body().onSuccess(body -> {
             if (refusing) {
                 reply(request, 503, Map.of());
@@ -90,7 +123,7 @@
             } else if (path.startsWith("/grants/")) {
                 long lease = Long.parseLong(path.split("/")[2]);
                 if (request.method() == HttpMethod.DELETE && !keepingLeases) {
-                    endLeases();
+                    endLease(lease);
                 }
                 reply(request, leases.containsKey(lease) ? 200 : 404, Map.of());
             } else if (path.equals("/changes")) {
@@ -101,6 +134,21 @@
 
     private void commit(HttpServerRequest request, Fields txn) {
         transactions++;
+        if (holding.test(txn)) {
+            held.add(txn);
+            request.connection().close();
+            return;
+        }
+        Reply reply = execute(txn);
+        if (reply.isOk() && losingAnswers > 0) {
+            losingAnswers--;
+            request.connection().close();
+            return;
+        }
+        reply(request, reply.status(), reply.body().map());
+    }
+
+    private Reply execute(Fields txn) {
         List<String> failed = new ArrayList<>();
         for (Fields when : txn.children("when")) {
             Item item = items.get(when.text("path"));
@@ -110,13 +158,11 @@
         }
         for (Fields write : txn.children("writes")) {
             if (write.has("permit") && !leases.containsKey(write.whole("permit"))) {
-                reply(request, 400, Wire.map("error", "no such lease"));
-                return;
+                return new Reply(400, new Fields(Wire.map("error", "no such lease")));
             }
         }
         if (!failed.isEmpty()) {
-            reply(request, 409, Wire.map("failed", failed, "ledger_rev", revision));
-            return;
+            return new Reply(409, new Fields(Wire.map("failed", failed, "ledger_rev", revision)));
         }
         revision++;
         for (Fields write : txn.children("writes")) {
@@ -131,12 +177,7 @@
             }
         }
         wakeWatchers();
-        if (losingAnswers > 0) {
-            losingAnswers--;
-            request.connection().close();
-            return;
-        }
-        reply(request, 200, Wire.map("ledger_rev", revision));
+        return new Reply(200, new Fields(Wire.map("ledger_rev", revision)));
     }
 
     private void delete(String key) {
