--- a/src/main/java/io/indigoreach/cluster/MachineBook.java
+++ b/src/main/java/io/indigoreach/cluster/MachineBook.java
@@ -27,7 +27,7 @@
  * seconds, and the state service takes few changes a second: so those that report while one page is being written go
  * together into the next write. A page's write depends on the page's own version too, since an older write of it that
  * got no answer may still be applied, and must not then take machines off the page. Nor may it make a page anew: a page of this
- * leadership that is empty stays, to be filled again, and is removed by the next leader, on whose key no write of this one depends.
+ * leadership that is empty stays, to be filled again; the next leader removes it, as writes of this one depend on another key.
  */
 final class MachineBook {
     private static final Logger LOG = LoggerFactory.getLogger(MachineBook.class);
--- a/src/main/java/io/indigoreach/core/accounts/Meter.java
+++ b/src/main/java/io/indigoreach/core/accounts/Meter.java
@@ -32,15 +32,20 @@
                        Map<String, Double> coresByTeam, double cores, double perHour, boolean returned) {
     }
 
+    /** What is left of a sum of which all was taken away. */
+    private static final double NOTHING = 1e-12;
+
     private static final class Open {
         Line line;
         final int page;
         /** Money since {@link Line#paidToMs()} as it was last known to be recorded. */
         Map<Account, Double> owed = new TreeMap<>();
-        /** Of a write without an answer: up to when it counts, and the money since. */
-        long triedTo = -1;
+        /**
+         * Of writes without an answer: up to when each counts, and the money owed then. Guards against money that is counted
+         * twice: any one of them may be carried out, also late, after newer ones were tried; then no other one will be.
+         */
+        final TreeMap<Long, Map<Account, Double>> tried = new TreeMap<>();
         boolean triedEnd;
-        Map<Account, Double> owedSince = new TreeMap<>();
         long lookedMs;
         double perHour;
         boolean returned;
@@ -56,17 +61,14 @@
 
         void owe(Account account, double money) {
             owed.merge(account, money, Double::sum);
-            if (triedTo >= 0) {
-                owedSince.merge(account, money, Double::sum);
-            }
         }
 
-        /** The write that was tried is in the record. */
-        void settled() {
-            line = line.paidTo(triedTo);
-            owed = owedSince;
-            owedSince = new TreeMap<>();
-            triedTo = -1;
+        /** The write that counts up to this moment is in the record. */
+        void settled(long paidTo) {
+            line = line.paidTo(paidTo);
+            tried.get(paidTo).forEach((account, money) -> owed.merge(account, -money, Double::sum));
+            owed.values().removeIf(money -> Math.abs(money) < NOTHING);
+            tried.clear();
         }
     }
 
@@ -178,19 +180,18 @@
                 continue;
             }
             Line there = read.lines().get(o.line.machine());
-            if (o.triedTo >= 0 && (there == null ? o.triedEnd : there.paidToMs() == o.triedTo)) {
-                // The write whose answer did not come was done.
-                o.settled();
-                if (there == null) {
-                    i.remove();
-                    continue;
-                }
+            // A write whose answer did not come was done.
+            if (there == null && o.triedEnd) {
+                i.remove();
+                continue;
+            }
+            if (there != null && o.tried.containsKey(there.paidToMs())) {
+                o.settled(there.paidToMs());
             }
             o.owed.forEach((account, money) -> sums.merge(account, money, Double::sum));
-            o.triedTo = o.lookedMs;
             o.triedEnd = o.ended;
-            o.owedSince = new TreeMap<>();
             if (!o.ended) {
+                o.tried.put(o.lookedMs, new TreeMap<>(o.owed));
                 lines.put(o.line.machine(), o.line.paidTo(o.lookedMs));
             }
         }
@@ -202,14 +203,12 @@
         sheets.put(page, sheet);
         for (Iterator<Open> i = open.values().iterator(); i.hasNext();) {
             Open o = i.next();
-            if (o.page == page && o.triedTo >= 0) {
-                boolean gone = o.triedEnd;
-                o.settled();
+            if (o.page == page && o.triedEnd) {
+                i.remove();
+            } else if (o.page == page && !o.tried.isEmpty()) {
+                o.settled(o.tried.lastKey());
                 Line there = sheet.lines().get(o.line.machine());
-                o.changed = there != null && !there.equals(o.line) || o.ended && !gone;
-                if (gone) {
-                    i.remove();
-                }
+                o.changed = there != null && !there.equals(o.line) || o.ended;
             }
         }
     }
--- a/src/test/java/io/indigoreach/core/accounts/MeterTest.java
+++ b/src/test/java/io/indigoreach/core/accounts/MeterTest.java
@@ -43,6 +43,12 @@
         double bound;
         int names;
         final Map<MachineId, Long> ends = new HashMap<>();
+        /** Writes without an answer that may be carried out yet. */
+        final List<Late> late = new ArrayList<>();
+
+        /** A write in place of the sheet that it was made for, and of no other one. */
+        private record Late(int page, Sheet read, Sheet next) {
+        }
 
         Run(long seed) {
             random = new SplittableRandom(seed);
@@ -73,8 +79,14 @@
 
         void write(boolean all) {
             for (int page : meter.behind(all)) {
-                Sheet next = meter.next(page, store.getOrDefault(page, Sheet.EMPTY));
-                int fate = random.nextInt(4);
+                Sheet read = store.getOrDefault(page, Sheet.EMPTY);
+                Sheet next = meter.next(page, read);
+                int fate = random.nextInt(6);
+                if (fate < 2) {
+                    late.add(new Late(page, read, next));
+                    continue;
+                }
+                fate -= 2;
                 if (fate != 1) {
                     store.put(page, next);
                 }
@@ -84,7 +96,22 @@
             }
         }
 
+        /** After newer ones, of which one may have been done and the others not. */
+        void carryOutLate() {
+            late.removeIf(l -> {
+                if (random.nextInt(4) > 0) {
+                    return false;
+                }
+                store.computeIfPresent(l.page, (page, now) -> now == l.read ? l.next : now);
+                if (l.read == Sheet.EMPTY) {
+                    store.putIfAbsent(l.page, l.next);
+                }
+                return true;
+            });
+        }
+
         void newLeader() {
+            late.clear();
             // Nobody leads for a while; what ends meanwhile is noticed late.
             long without = random.nextInt(8) * 1000L;
             bound += machines.size() * PRICE * 1_000 / 3_600_000;
@@ -113,6 +140,7 @@
                 default -> { }
             }
             look();
+            carryOutLate();
             write(nowMs % 10_000 == 0);
         }
 
