Rebuilding: no write of an earlier try comes through in the new era, no late acceptance takes a start bound back

A try without an answer, a next one whose controllers no longer told of a job, the new era, then the late write: the leader took the job for a new one and could have started its tasks twice. A late acceptance between reading and writing stood as newer, with a bound of nothing.

--- a/src/main/java/io/indigoreach/cluster/Rebuilder.java
+++ b/src/main/java/io/indigoreach/cluster/Rebuilder.java
@@ -38,7 +38,8 @@
  * reads the records and gives any order. Every write depends on the leadership key and on the version that was read of what
  * it changes, or on its absence, so that nothing newer is overwritten; each can be repeated, so a rebuilding that ends
  * anywhere is begun again by whoever leads next. Jobs that are over come first: as long as they are missing, a copy of
- * theirs that came back open could be started. The new era is written last.
+ * theirs that came back open could be started. The new era is written last, and every write depends on the one before it: a job
+ * that came back late, by an earlier try's write, would be taken for a new one, of which nothing runs anywhere.
  */
 final class Rebuilder {
     private static final Logger LOG = LoggerFactory.getLogger(Rebuilder.class);
@@ -65,6 +66,8 @@
     private final Map<JobId, BitSet> beside = new HashMap<>();
     private final Set<MachineId> machines = new HashSet<>();
     private final Deque<Step> steps = new ArrayDeque<>();
+    /** The version of the era in which data were lost. */
+    private Stamp era;
     private int pages;
     private int written;
     private int there;
@@ -80,8 +83,9 @@
     /** Succeeds when everything is written and the new era begins. */
     Future<Void> run() {
         LOG.warn("rebuilding what was lost from {}", remains);
-        return read(RecordCodec.BITS, e -> Ledger.unlessUnreadable(e.key(), () -> RecordCodec.readBlock(e.key(), e.value(),
-                beside.computeIfAbsent(RecordCodec.jobOfBlock(e.key()), k -> new BitSet()))))
+        return env.state().get(RecordCodec.ERA).map(entry -> era = entry == null ? Stamp.ABSENT : entry.stamp())
+                .compose(v -> read(RecordCodec.BITS, e -> Ledger.unlessUnreadable(e.key(), () -> RecordCodec.readBlock(e.key(),
+                        e.value(), beside.computeIfAbsent(RecordCodec.jobOfBlock(e.key()), k -> new BitSet())))))
                 .compose(v -> read(RecordCodec.OPEN, e -> Ledger.unlessUnreadable(e.key(), () -> {
                     JobId id = RecordCodec.jobOf(e.key());
                     standing.put(id, e.stamp());
@@ -128,8 +132,7 @@
                             Kept there = present.getOrDefault(kept.key(), Kept.absent(kept.key()));
                             Map<String, Object> value = e.getKey().mending().mend(there, kept);
                             if (value != null) {
-                                steps.add(new Step(new StateClient.Txn().when(RecordCodec.LEADER, key)
-                                        .when(kept.key(), there.stamp()).put(kept.key(), value)));
+                                steps.add(new Step(change().when(kept.key(), there.stamp()).put(kept.key(), value)));
                             }
                         }
                         return next();
@@ -142,11 +145,14 @@
     private Future<Void> begin() {
         StateClient state = env.state();
         List<String> findings = state.losses().findings().stream().map(Object::toString).distinct().toList();
-        return state.get(RecordCodec.ERA).compose(era -> state.commit(new StateClient.Txn().when(RecordCodec.LEADER, key)
-                .when(RecordCodec.ERA, era == null ? Stamp.ABSENT : era.stamp())
-                .put(RecordCodec.ERA, RecordCodec.writeEra(token, env.clock().timeOfDay(), findings, written))))
+        return state.commit(change().put(RecordCodec.ERA, RecordCodec.writeEra(token, env.clock().timeOfDay(), findings, written)))
                 .compose(outcome -> outcome.done() ? state.check()
-                        : Future.failedFuture(new WireException("another node leads")));
+                        : Future.failedFuture(new WireException("another node leads, or the era is another")));
+    }
+
+    /** What every write depends on. */
+    private StateClient.Txn change() {
+        return new StateClient.Txn().when(RecordCodec.LEADER, key).when(RecordCodec.ERA, era);
     }
 
     private Future<Long> read(String prefix, Consumer<StateClient.Entry> each) {
@@ -156,8 +162,8 @@
     private void end(JobId id, Remains.Over end) {
         JobRecord kept = open.remove(id);
         Stamp stamp = standing.getOrDefault(id, Stamp.ABSENT);
-        StateClient.Txn txn = new StateClient.Txn().when(RecordCodec.LEADER, key).when(RecordCodec.over(id), Stamp.ABSENT)
-                .when(RecordCodec.open(id), stamp).put(RecordCodec.over(id), RecordCodec.writeFinal(end.status(), end.done()));
+        StateClient.Txn txn = change().when(RecordCodec.over(id), Stamp.ABSENT).when(RecordCodec.open(id), stamp)
+                .put(RecordCodec.over(id), RecordCodec.writeFinal(end.status(), end.done()));
         if (!stamp.equals(Stamp.ABSENT)) {
             txn.delete(RecordCodec.open(id));
         }
@@ -184,7 +190,7 @@
                 return;
             }
         }
-        StateClient.Txn txn = new StateClient.Txn().when(RecordCodec.LEADER, key).when(RecordCodec.over(id), Stamp.ABSENT)
+        StateClient.Txn txn = change().when(RecordCodec.over(id), Stamp.ABSENT)
                 .when(RecordCodec.open(id), standing.getOrDefault(id, Stamp.ABSENT))
                 .put(RecordCodec.open(id), RecordCodec.writeJob(whole.spec(), whole.submittedMs(), JobStatus.PENDING,
                         whole.done(), 0, whole.bound()));
@@ -218,8 +224,7 @@
 
     private void page(List<MachineRecord> lines) {
         String page = RecordCodec.machinePage(token, "r" + ++pages);
-        steps.add(new Step(new StateClient.Txn().when(RecordCodec.LEADER, key)
-                .when(page, Stamp.ABSENT).put(page, RecordCodec.writeMachines(lines))));
+        steps.add(new Step(change().when(page, Stamp.ABSENT).put(page, RecordCodec.writeMachines(lines))));
     }
 
     /** Several records go into one transaction; where conditions fail, the others go once more without those. */
@@ -262,12 +267,13 @@
                 written += batch.size();
                 return Future.succeededFuture();
             }
-            if (outcome.failed().contains(RecordCodec.LEADER)) {
-                return Future.failedFuture(new WireException("another node leads"));
+            if (outcome.failed().contains(RecordCodec.LEADER) || outcome.failed().contains(RecordCodec.ERA)) {
+                return Future.failedFuture(new WireException("another node leads, or the era is another"));
             }
-            if (outcome.failed().stream().anyMatch(name -> name.startsWith(RecordCodec.MACHINES))) {
-                // A page of a try before, whose answer was lost: it may lack machines that hold tasks. All is read anew.
-                return Future.failedFuture(new WireException("a page of machines was written by an earlier try"));
+            if (outcome.failed().stream().anyMatch(name -> name.startsWith(RecordCodec.MACHINES) || name.startsWith(RecordCodec.OPEN))) {
+                // A page of a try before, whose answer was lost: it may lack machines that hold tasks. An acceptance that comes late:
+                // it says that nothing of the job was ever ordered. All is read anew.
+                return Future.failedFuture(new WireException("machines or open jobs were written meanwhile"));
             }
             // Written meanwhile, by the answer that was lost or by a user at another node: that is newer, and stays.
             List<Step> rest = batch.stream().filter(step -> outcome.failed().stream()
--- a/src/test/java/io/indigoreach/cluster/LateTransactionsTest.java
+++ b/src/test/java/io/indigoreach/cluster/LateTransactionsTest.java
@@ -734,7 +734,11 @@
     }
 
     private boolean rebuilds(Stamp key) throws Exception {
-        return await(new Rebuilder(env, new Token(3), key, new Budget(100, clock.now()), remains()).run().map(true).otherwise(false));
+        return rebuilds(key, remains());
+    }
+
+    private boolean rebuilds(Stamp key, Remains remains) throws Exception {
+        return await(new Rebuilder(env, new Token(3), key, new Budget(100, clock.now()), remains).run().map(true).otherwise(false));
     }
 
     private static final Map<String, Case> LOSS = new LinkedHashMap<>();
@@ -784,6 +788,15 @@
             assertFalse(t.service.has(OPEN));
             assertEquals(List.of(), t.service.keys(RecordCodec.BITS));
         });
+        LOSS.put("a rebuilt job, after a next try that no longer knew of it", t -> {
+            await(t.client.check());
+            Stamp leader = t.lead(1);
+            t.holdOne(OPEN);
+            assertFalse(t.rebuilds(leader));
+            assertTrue(t.rebuilds(leader, new Remains()));
+            t.lateIsRefused();
+            assertFalse(t.service.has(OPEN), "this leader would take it for a new job, of which nothing runs");
+        });
         LOSS.put("an acceptance, after a loss was mended and the job's end was lost", t -> {
             await(t.client.check());
             JobDesk desk = t.desk();
@@ -792,8 +805,7 @@
             assertEquals(201, t.submit(desk));
             assertEquals(200, t.cancel(desk));
             await(t.client.commit(new StateClient.Txn().delete(RecordCodec.over(JOB))));
-            assertTrue(await(new Rebuilder(t.env, new Token(3), t.lead(1), new Budget(100, t.clock.now()), new Remains()).run()
-                    .map(true)));
+            assertTrue(t.rebuilds(t.lead(1), new Remains()));
             t.lateIsRefused();
             assertFalse(t.service.has(OPEN));
         });
@@ -857,8 +869,7 @@
             Records records = t.records();
             t.holdOne("x/");
             assertTrue(await(records.run(new Replacing("x/1", Wire.map("n", 1L))).map(false).otherwise(true)));
-            assertTrue(await(new Rebuilder(t.env, new Token(3), t.lead(1), new Budget(100, t.clock.now()), new Remains()).run()
-                    .map(true)));
+            assertTrue(t.rebuilds(t.lead(1), new Remains()));
             t.lateIsRefused();
         });
         PARTS.put("the registry's beginning", t -> t.twice("own/", t.records(), () -> new Beginning(true, "by test")));
@@ -869,6 +880,27 @@
                 () -> new Publishing(new Head(Kept.absent(Head.KEY)), "d", "text", 1, "note")));
     }
 
+    /** Its bound says that nothing was ever ordered, while a controller remembers that all of it was. */
+    @Test
+    void anAcceptanceCarriedOutWhileItsJobIsRebuiltDoesNotTakeItsStartBoundBack() throws Exception {
+        JobDesk desk = desk();
+        holdOne(OPEN);
+        assertEquals(503, submit(desk));
+        Stamp leader = lead(1);
+        List<Integer> late = new ArrayList<>();
+        service.holding = txn -> {
+            if (touches(txn, OPEN)) {
+                late.addAll(service.executeLate());
+            }
+            return false;
+        };
+        Remains remains = new Remains();
+        remains.add(new Remains.Open(spec(JOB.text(), 4), 1, new BitSet(), 4));
+        until(() -> rebuilds(leader, remains));
+        assertEquals(List.of(200), late);
+        assertEquals(4, RecordCodec.readJob(JOB, service.value(OPEN), Stamp.ABSENT).bound());
+    }
+
     static List<Object[]> cases() {
         List<Object[]> all = new ArrayList<>();
         for (Map<String, Case> table : List.of(LEADERSHIP, JOBS, CLOUD, LOSS, PARTS)) {
--- a/src/test/java/io/indigoreach/state/StateStandIn.java
+++ b/src/test/java/io/indigoreach/state/StateStandIn.java
@@ -81,11 +81,13 @@
 
     /** Executes what is held back, the oldest first; the statuses that nobody is told. */
     public List<Integer> executeLate() {
-        CompletableFuture<List<Integer>> statuses = new CompletableFuture<>();
-        loop.runOnContext(v -> {
-            statuses.complete(held.stream().map(this::execute).map(Reply::status).toList());
+        if (Vertx.currentContext() == loop) {
+            List<Integer> statuses = held.stream().map(this::execute).map(Reply::status).toList();
             held.clear();
-        });
+            return statuses;
+        }
+        CompletableFuture<List<Integer>> statuses = new CompletableFuture<>();
+        loop.runOnContext(v -> statuses.complete(executeLate()));
         return statuses.join();
     }
 
