A page of machines that is read twice stands in the book once

A leader whose first reading of the records failed half-way read them again and kept both copies: the copy that knew only of machines that are gone removed the page, with one that held tasks.

--- a/src/main/java/io/indigoreach/cluster/MachineBook.java
+++ b/src/main/java/io/indigoreach/cluster/MachineBook.java
@@ -109,6 +109,8 @@
     void inherit(String pageKey, Stamp stamp, List<MachineRecord> lines) {
         Page page = new Page(pageKey, stamp, pageKey.startsWith(RecordCodec.machinePage(token, "")));
         lines.forEach(line -> page.lines.put(line.id(), line));
+        // Read before, in a try that failed: two copies of a page would write over each other, and take machines off it.
+        pages.removeIf(p -> p.key.equals(pageKey));
         pages.add(page);
     }
 
--- a/src/test/java/io/indigoreach/cluster/MachineBookTest.java
+++ b/src/test/java/io/indigoreach/cluster/MachineBookTest.java
@@ -182,6 +182,28 @@
         assertEquals(1, state.keys(RecordCodec.MACHINES).size());
     }
 
+    /**
+     * A leader whose reading of the records fails half-way reads them once more. Guards against a page that is then in the book
+     * twice: the copy that knows only of machines that are gone removed it, with one that held tasks.
+     */
+    @Test
+    void aPageThatIsReadTwiceLosesNoMachine() throws Exception {
+        List<MachineRecord> gone = List.of(new MachineRecord(new MachineId("vm-900"), POOL, 1, 1));
+        StateClient.Outcome pages = await(client.commit(new StateClient.Txn().put("m/2-1", RecordCodec.writeMachines(gone))
+                .put("m/2-2", RecordCodec.writeMachines(gone))));
+        assertTrue(onLoop(() -> {
+            book.inherit("m/2-1", pages.stamp(), gone);
+            book.inherit("m/2-1", pages.stamp(), gone);
+            book.inherit("m/2-2", pages.stamp(), gone);
+            return report(1);
+        }));
+        long end = System.nanoTime() + TimeUnit.SECONDS.toNanos(20);
+        while (state.has("m/2-2") && System.nanoTime() < end) {
+            Thread.onSpinWait();
+        }
+        assertEquals(List.of("vm-000001"), written().stream().map(m -> m.id().text()).toList());
+    }
+
     /**
      * Lists that are older than the leadership are not believed: a machine that the leader before recorded last could be
      * missing, and its tasks would be started elsewhere while it has them.
