A job that is cancelled between two readings of the records is cancelled

A new leader whose reading failed half-way, as where the state service is slow, read again and kept the jobs of before; the watch began after a cancellation in between, so its tasks went on until something of the job was written.

--- a/src/main/java/io/indigoreach/cluster/Ledger.java
+++ b/src/main/java/io/indigoreach/cluster/Ledger.java
@@ -107,6 +107,7 @@
     Future<Long> load() {
         Map<JobId, BitSet> bits = new HashMap<>();
         List<StateClient.Entry> spoilt = new ArrayList<>();
+        Set<String> present = new HashSet<>();
         Moment now = env.clock().now();
         // Blocks first: one that is written between the two readings would otherwise be newer than its job.
         return pages(RecordCodec.BITS, e -> unlessUnreadable(e.key(), () -> RecordCodec.readBlock(e.key(), e.value(),
@@ -121,11 +122,16 @@
                     }
                 }))
                 .compose(r -> pages(RecordCodec.OPEN, e -> {
+                    present.add(e.key());
                     if (!unlessUnreadable(e.key(), () -> inherit(RecordCodec.readJob(RecordCodec.jobOf(e.key()), e.value(),
                             e.stamp()), bits))) {
                         spoilt.add(e);
                     }
-                })).compose(revision -> mend(spoilt.iterator(), bits, env.clock().now().plus(MENDING)).map(revision));
+                })).compose(revision -> {
+                    // Known from a reading before that failed half-way: the watch, which begins here, tells of no cancellation since.
+                    gone(present, revision);
+                    return mend(spoilt.iterator(), bits, env.clock().now().plus(MENDING)).map(revision);
+                });
     }
 
     private void inherit(JobRecord record, Map<JobId, BitSet> bits) {
@@ -179,21 +185,26 @@
 
     /** Reads the open jobs once more after the watch has lost its place. */
     Future<Long> readAgain() {
-        Set<JobId> present = new HashSet<>();
+        Set<String> present = new HashSet<>();
         return pages(RecordCodec.OPEN, e -> unlessUnreadable(e.key(), () -> {
             JobId id = RecordCodec.jobOf(e.key());
-            present.add(id);
+            present.add(e.key());
             heard(id, e.value(), e.stamp());
         })).map(revision -> {
-            for (Job job : new ArrayList<>(core.jobs())) {
-                if (!present.contains(job.id()) && job.stamp().value() <= revision) {
-                    heardGone(job.id());
-                }
-            }
+            gone(present, revision);
             return revision;
         });
     }
 
+    /** Jobs known here that a listing does not have. */
+    private void gone(Set<String> present, long revision) {
+        for (Job job : new ArrayList<>(core.jobs())) {
+            if (!present.contains(RecordCodec.open(job.id())) && job.stamp().value() <= revision) {
+                heardGone(job.id());
+            }
+        }
+    }
+
     private Future<Long> pages(String prefix, Consumer<StateClient.Entry> each) {
         return pages(env.state(), key, prefix, each);
     }
--- a/src/test/java/io/indigoreach/cluster/LedgerTest.java
+++ b/src/test/java/io/indigoreach/cluster/LedgerTest.java
@@ -50,13 +50,14 @@
     private StateStandIn state;
     private StateClient client;
     private LeaderCore core;
+    private Reign.Surroundings env;
     private Ledger ledger;
 
     @BeforeEach
     void start() throws Exception {
         state = await(new StateStandIn().listen(vertx));
         client = new StateClient(new Caller(vertx, state.endpoint(), 4), new Caller(vertx, state.endpoint(), 1));
-        Reign.Surroundings env = new Reign.Surroundings(vertx, clock, null, client, null, null, MachineBookTest.config(),
+        env = new Reign.Surroundings(vertx, clock, null, client, null, null, MachineBookTest.config(),
                 Settings.standard(), Span.seconds(10));
         StateClient.Outcome taken = await(client.commit(new StateClient.Txn().put(RecordCodec.LEADER, Wire.map("t", 1L))));
         core = new LeaderCore(new Token(3), MachineBookTest.config().rules(), Settings.standard().tuning(),
@@ -145,6 +146,27 @@
         assertEquals(2, open().get(job.id()).doneCount());
     }
 
+    /**
+     * The records are read once more, as the first reading failed half-way. Guards against a job cancelled in between whose tasks went
+     * on: the watch begins after the second reading.
+     */
+    @Test
+    void aJobThatIsCancelledBetweenTwoReadingsIsCancelled() throws Exception {
+        JobId id = job(1, 4, 0, 4).id();
+        MachineBook book = new MachineBook(env, core, new Token(3), new Stamp(1), () -> { }, new Budget(20, clock.now()));
+        ledger = new Ledger(env, core, book, new Stamp(1), () -> { }, new Budget(20, clock.now()), true);
+        await(ledger.load());
+        assertEquals(1, core.jobs().size());
+        await(client.commit(new StateClient.Txn().delete(RecordCodec.open(id)).put(RecordCodec.over(id),
+                RecordCodec.writeFinal(JobStatus.CANCELLED, 0))));
+        await(ledger.load());
+        long end = System.nanoTime() + TimeUnit.SECONDS.toNanos(10);
+        while (core.job(id) != null && !core.job(id).isCancelled()) {
+            assertTrue(System.nanoTime() < end, "its tasks go on");
+            Thread.onSpinWait();
+        }
+    }
+
     /** Written by a newer version, or spoilt: one job stands still, the others are served; nobody guesses what machines hold. */
     @Test
     void aRecordThatCannotBeReadStopsItsOwnJobOnly() throws Exception {
