What is answered before the records are read renews the machine's lease

An answer given while the records were read counted only if the machine's page had been read by then: where the state service was slow, a lease renewed by this leader counted from the reading's begin, and a task could run twice. Now each such answer counts, by the report's number: a copy of an older report renews nothing, and a report that comes after the lease shows nothing.

--- a/src/main/java/io/indigoreach/core/LeaderCore.java
+++ b/src/main/java/io/indigoreach/core/LeaderCore.java
@@ -4,6 +4,7 @@
 import java.util.ArrayList;
 import java.util.BitSet;
 import java.util.Collection;
+import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -46,8 +47,13 @@
     };
     /** Machines that an earlier leader was about to return: the request may still be executed, so they are of no use. */
     private final Set<MachineId> condemned = new HashSet<>();
+    /** What was answered before the records were read, whether its machine was known by then or not. */
+    private final Map<MachineId, Early> early = new HashMap<>();
     private boolean loaded;
 
+    private record Early(ReportNumber number, Moment heard) {
+    }
+
     public LeaderCore(Token token, Rules rules, Tuning tuning, Aims aims, Collection<Team> teams,
                       Notes notes) {
         this.token = token;
@@ -71,7 +77,7 @@
         }
     }
 
-    /** A machine that an earlier leader recorded: it may hold any inherited task. */
+    /** A machine that an earlier leader recorded: it may hold any inherited task. No earlier leader leads since {@code now}. */
     public void inherit(MachineId id, Pool pool, Moment rented, Moment existed, Moment now) {
         MachineType type = cluster.types.get(pool.type());
         if (type == null) {
@@ -88,6 +94,15 @@
     /** Every record has been read: from now on task lists are taken and orders given. */
     public void loaded() {
         loaded = true;
+        early.forEach((id, answered) -> {
+            Machine m = cluster.machines.get(id);
+            if (m != null) {
+                // Against a lease that counts as over while the answer has renewed it, and against a report that comes after it.
+                m.heard = answered.heard;
+                m.last = answered.number;
+            }
+        });
+        early.clear();
         if (takeOver.isSettled()) {
             cluster.release();
         }
@@ -166,14 +181,13 @@
         if (report.token().value() > token.value()) {
             return null;
         }
-        Machine m = cluster.machines.get(report.machine());
         if (!loaded) {
-            if (m != null) {
-                // It is answered all the same, and that renews its lease.
-                m.heard = now;
-            }
+            // It is answered all the same, and that renews its lease; a copy of an older one renews nothing.
+            early.merge(report.machine(), new Early(report.number(), now),
+                    (a, b) -> b.number.compareTo(a.number) > 0 ? b : a);
             return List.of();
         }
+        Machine m = cluster.machines.get(report.machine());
         if (gone.containsKey(report.machine()) || condemned.contains(report.machine())) {
             return List.of();
         }
