A take-over does not wait for machines that report and hear nothing

Each report under an older token put the machine's lease off, as the answer could renew it: with a zone that hears nothing, nothing inherited was started for over a minute. But such a report shows that no answer of this leader was taken before, so the lease is an earlier leader's, and a lease bound after the take-over it has run out.

--- a/src/main/java/io/indigoreach/core/LeaderCore.java
+++ b/src/main/java/io/indigoreach/core/LeaderCore.java
@@ -88,7 +88,7 @@
         m.heard = now;
         m.existed = existed;
         cluster.machines.put(id, m);
-        takeOver.expect(id);
+        takeOver.expect(id, now);
     }
 
     /** Every record has been read: from now on task lists are taken and orders given. */
@@ -208,6 +208,9 @@
             hears(m, report, before, now);
         }
         if (report.token().value() < token.value()) {
+            if (takeOver.isOver(m.id, now.minus(rules.leaseBound()))) {
+                accounted(m.id);
+            }
             m.oneWay.answered(List.of(), now);
             return List.of();
         }
