A table of meetings, and the random run with more of them

Two changes of leader among far ends, machines deaf or cut as a leader ends, held up reports and answers, leaders that answer before they have read the records, copies. The random run ends in calm, by when every job has to be done, and no take-over may take longer than two leases.

--- /dev/null
+++ b/src/test/java/io/indigoreach/core/LedSite.java
@@ -0,0 +1,257 @@
+package io.indigoreach.core;
+
+import java.util.ArrayList;
+import java.util.BitSet;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+
+/**
+ * Leaders that follow each other, the records that they leave, and machines of four cores with workers that keep to the
+ * protocol: sessions, tokens, leases, results that are kept. Tests say when what happens; what breaks a rule on the workers'
+ * side is noted.
+ */
+final class LedSite implements Notes {
+    /** A worker drops an answer after this long. */
+    static final double PATIENCE_S = 4;
+    private static final double LEASE_S = World.RULES.workerLease().seconds();
+
+    record Answer(long token, ReportNumber number, List<Order> orders) {
+    }
+
+    final class Box {
+        final String name;
+        final Map<TaskId, TaskReport> tasks = new LinkedHashMap<>();
+        long session = 1;
+        long token;
+        /** When its last answered report was sent. */
+        double answered;
+        /** Its reports arrive, answers don't. */
+        boolean deaf;
+        /** The last report that it sent. */
+        WorkerReport sent;
+        private long serial;
+
+        Box(String name, double now) {
+            this.name = name;
+            this.answered = now;
+        }
+
+        WorkerReport write() {
+            sent = new WorkerReport(new MachineId(name), "x:1", POOL, new ReportNumber(session, ++serial), new Token(token), null,
+                    new ArrayList<>(tasks.values()));
+            return sent;
+        }
+
+        void live(double now) {
+            if (now - answered > LEASE_S) {
+                newSession(now);
+            }
+        }
+
+        void newSession(double now) {
+            tasks.clear();
+            session++;
+            answered = now;
+        }
+
+        void end(TaskId task, ExitCause cause) {
+            tasks.computeIfPresent(task, (id, t) -> new TaskReport(id, t.attempt(), TaskState.EXITED, cause, false));
+            if (cause == ExitCause.DONE) {
+                ended.add(task);
+            }
+        }
+
+        void take(Answer answer, double sentAt, double now) {
+            if (answer.token < token || answer.number.session() != session) {
+                return;
+            }
+            token = answer.token;
+            answered = Math.max(answered, sentAt);
+            answer.orders.forEach(o -> execute(o, now));
+        }
+
+        private void execute(Order o, double now) {
+            TaskReport t = tasks.get(o.task());
+            if (o instanceof Order.Start && (t == null || t.state() == TaskState.EXITED && !t.attempt().equals(o.attempt()))) {
+                boxes.values().stream().filter(b -> b.isOn(o.task(), now)).forEach(b -> broken.add(now + ": ran_twice " + o.task()
+                        + " on " + name + " and " + b.name));
+                if (reaped.contains(o.task())) {
+                    broken.add(now + ": started after its result was reaped " + o.task());
+                }
+                starts.merge(o.task(), 1, Integer::sum);
+                tasks.put(o.task(), World.running(o));
+                if (ended.contains(o.task())) {
+                    end(o.task(), ExitCause.DONE);
+                }
+            } else if (t != null && t.attempt().equals(o.attempt())) {
+                if (o instanceof Order.Stop && t.state() != TaskState.EXITED) {
+                    end(o.task(), ExitCause.STOPPED);
+                } else if (o instanceof Order.Forget && t.state() == TaskState.EXITED) {
+                    tasks.remove(o.task());
+                    if (t.cause() == ExitCause.DONE) {
+                        reaped.add(o.task());
+                    }
+                }
+            }
+        }
+
+        private boolean isOn(TaskId task, double now) {
+            TaskReport t = tasks.get(task);
+            return t != null && t.state() != TaskState.EXITED && now - answered <= LEASE_S;
+        }
+    }
+
+    private static final class Recorded {
+        final JobSpec spec;
+        final BitSet done = new BitSet();
+        int bound;
+        boolean closed;
+
+        Recorded(JobSpec spec) {
+            this.spec = spec;
+        }
+    }
+
+    private static final Pool POOL = new Pool("quad", "east", true);
+
+    final List<String> broken = new ArrayList<>();
+    final List<String> said = new ArrayList<>();
+    private final Map<String, Box> boxes = new LinkedHashMap<>();
+    private final Map<JobId, Recorded> records = new HashMap<>();
+    private final Map<TaskId, Integer> starts = new HashMap<>();
+    private final Map<TaskId, Integer> ordered = new HashMap<>();
+    private final Set<TaskId> ended = new HashSet<>();
+    private final Set<TaskId> reaped = new HashSet<>();
+    LeaderCore core;
+    private long token;
+    private double begun;
+
+    Box box(String name, double now) {
+        return boxes.computeIfAbsent(name, n -> new Box(n, now));
+    }
+
+    Box box(String name) {
+        return boxes.get(name);
+    }
+
+    Collection<Box> boxes() {
+        return boxes.values();
+    }
+
+    /** A new leader has taken the key and answers, and has not read the records yet. */
+    void begin(double now) {
+        core = new LeaderCore(new Token(++token), World.RULES, World.TUNING, World.NO_AIMS, List.of(World.team(0)), this);
+        core.setTypes(List.of(World.TYPE));
+        begun = now;
+    }
+
+    /** It has read them: every machine, every open job. */
+    void load() {
+        boxes.keySet().forEach(name -> core.inherit(new MachineId(name), POOL, World.at(-100), World.at(-100), World.at(begun)));
+        records.values().stream().filter(r -> !r.closed).forEach(r -> core.addJob(new Job(r.spec, 1, World.at(begun),
+                Stamp.ABSENT, r.done, r.bound, true)));
+        core.loaded();
+    }
+
+    void lead(double now) {
+        begin(now);
+        load();
+    }
+
+    void submit(JobSpec spec, double now) {
+        records.put(spec.id(), new Recorded(spec));
+        core.addJob(new Job(spec, 1, World.at(now), Stamp.ABSENT, new BitSet(), 0, false));
+    }
+
+    /** The leader's answer to a report; null if there is none. Bounds are recorded before any order goes out. */
+    Answer answer(WorkerReport report, double now) {
+        for (Job job : core.boundsToRaise(World.at(now))) {
+            records.get(job.id()).bound = job.boundToWrite();
+            job.boundRecorded(job.boundToWrite());
+        }
+        List<Order> orders = core.onReport(report, World.at(now));
+        for (Order o : orders == null ? List.<Order>of() : orders) {
+            if (o instanceof Order.Start) {
+                ordered.merge(o.task(), 1, Integer::sum);
+            }
+        }
+        return orders == null || !core.answers(report.machine()) ? null : new Answer(token, report.number(), orders);
+    }
+
+    /** A machine reports, and takes the answer if it hears. */
+    List<Order> report(String name, double now) {
+        Box box = boxes.get(name);
+        box.live(now);
+        Answer answer = answer(box.write(), now);
+        if (answer != null && !box.deaf) {
+            box.take(answer, now, now);
+        }
+        return answer == null ? null : answer.orders;
+    }
+
+    /** It shows the token, and what it can take is recorded and given to it; the last report is three seconds later. */
+    void become(String name, double now) {
+        for (int i = 0; i < 4; i++) {
+            report(name, now + i);
+        }
+    }
+
+    void all(double now) {
+        boxes.keySet().forEach(name -> report(name, now));
+    }
+
+    /** Results are recorded, and jobs of which all tasks are done. */
+    void record() {
+        for (Job job : new ArrayList<>(core.jobs())) {
+            Recorded r = records.get(job.id());
+            r.done.or(job.doneTasks());
+            job.recorded(job.doneTasks());
+            if (job.isComplete()) {
+                r.closed = true;
+                core.closeJob(job.id());
+            }
+        }
+    }
+
+    boolean isClosed(JobId id) {
+        return records.get(id).closed;
+    }
+
+    /** How many of its tasks have completed on workers. */
+    int ended(JobId id) {
+        return (int) ended.stream().filter(t -> t.job().equals(id)).count();
+    }
+
+    int starts(TaskId task) {
+        return starts.getOrDefault(task, 0);
+    }
+
+    /** How often leaders ordered it, executed or not. */
+    int ordered(TaskId task) {
+        return ordered.getOrDefault(task, 0);
+    }
+
+    int startsOf(JobId id) {
+        return starts.entrySet().stream().filter(e -> e.getKey().job().equals(id)).mapToInt(Map.Entry::getValue).sum();
+    }
+
+    /** Where a task is and has not ended; or null. */
+    Box runs(TaskId task) {
+        return boxes.values().stream().filter(b -> b.tasks.containsKey(task) && b.tasks.get(task).state() != TaskState.EXITED)
+                .findFirst().orElse(null);
+    }
+
+    @Override
+    public void progress(Job job) {
+    }
+
+    @Override
+    public void say(String line) {
+        said.add(line);
+    }
+}
--- /dev/null
+++ b/src/test/java/io/indigoreach/core/MeetingsTest.java
@@ -0,0 +1,337 @@
+package io.indigoreach.core;
+
+import static io.indigoreach.core.World.RULES;
+import static io.indigoreach.core.World.at;
+import static io.indigoreach.core.World.spec;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertNotNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** Two troubles at once: a change of leader, or a machine that goes on, beside what is late, lost, or not recorded yet. */
+class MeetingsTest {
+    private final LedSite site = new LedSite();
+
+    /**
+     * The first task ends long before the others, and the leader ends before that was reported, recorded or reaped; then one
+     * more ends at once. The machine that ran it is reached, or is lost with what it has not told.
+     */
+    @ParameterizedTest
+    @CsvSource({"2, 1, running, 1, true", "2, 1, ended, 1, true", "2, 1, seen, 1, true", "2, 1, recorded, 1, true",
+        "2, 1, reaped, 1, true", "2, 4, ended, 1, true", "2, 4, seen, 1, true", "2, 4, recorded, 1, true",
+        "2, 4, reaped, 1, true", "3, 4, seen, 2, true", "3, 4, recorded, 2, true", "3, 4, reaped, 2, true",
+        "3, 1, seen, 2, true", "3, 1, reaped, 2, true", "2, 4, ended, 1, false", "2, 4, seen, 1, false",
+        "2, 4, recorded, 1, false", "2, 4, reaped, 1, false", "3, 4, seen, 2, false", "3, 4, reaped, 2, false"})
+    void tasksThatEndFarApart(int tasks, double cores, String point, int changes, boolean reached) {
+        for (String name : List.of("a", "b", "c", "d")) {
+            site.box(name, 0);
+        }
+        site.lead(0);
+        site.submit(spec(1, tasks, cores, 50), 1);
+        site.all(1.5);
+        site.all(2.5);
+        site.all(4);
+        TaskId first = TaskId.parse("run-1/0");
+        LedSite.Box ran = site.runs(first);
+        if (!point.equals("running")) {
+            ran.end(first, ExitCause.DONE);
+        }
+        if (point.equals("seen") || point.equals("recorded") || point.equals("reaped")) {
+            site.report(ran.name, 5);
+        }
+        if (point.equals("recorded") || point.equals("reaped")) {
+            site.record();
+        }
+        if (point.equals("reaped")) {
+            site.report(ran.name, 6);
+            assertFalse(ran.tasks.containsKey(first));
+        }
+        for (int i = 0; i < changes; i++) {
+            site.lead(8 + i);
+            site.report("d", 8.5 + i);
+        }
+        double again = -1;
+        for (double now = 10; now < 90; now += 2) {
+            if (point.equals("running") && now == 30) {
+                ran.end(first, ExitCause.DONE);
+            }
+            for (int i = 1; i < tasks; i++) {
+                TaskId other = TaskId.parse("run-1/" + i);
+                if (now == 50 + 10 * i && site.runs(other) != null) {
+                    site.runs(other).end(other, ExitCause.DONE);
+                }
+            }
+            boolean cut = !reached && now < 40;
+            for (LedSite.Box box : site.boxes()) {
+                if (!cut || box != ran) {
+                    site.report(box.name, now);
+                }
+            }
+            again = again < 0 && site.starts(first) > 1 ? now : again;
+            site.core.expireLeases(at(now));
+            site.record();
+            assertEquals(site.ended(new JobId("run-1")) == tasks, site.isClosed(new JobId("run-1")), "at " + now);
+        }
+        boolean lost = !reached && (point.equals("ended") || point.equals("seen"));
+        assertEquals(lost ? 2 : 1, site.starts(first), "a result that nobody recorded and whose machine is lost is made anew");
+        assertTrue(!lost || again >= 7 + changes + RULES.leaseBound().seconds(), "started again at " + again);
+        assertTrue(site.isClosed(new JobId("run-1")));
+        assertEquals(List.of(), site.broken);
+    }
+
+    /**
+     * A leader ends while a machine with a long task is cut off, or reports and hears nothing, alone or with its whole zone;
+     * another machine is idle. The inherited task starts there by the time, and never before the worker has killed it.
+     */
+    @ParameterizedTest
+    @CsvSource({"hears, 1, 2, 1, -1", "cut, 1, 2, 1, 14", "deaf, 1, 2, 1, 14", "deaf, 1, 3.5, 1, 14", "deaf, 1, 5.5, 1, 18",
+        "deaf, 6, 2, 1, 14", "cut, 6, 2, 1, 14", "deaf, 1, 2, 2, 20", "deaf, 6, 3.5, 2, 22", "cut, 6, 2, 2, 20"})
+    void aTakeOverWaitsForALeaseAndNoLonger(String trouble, int machines, double every, int changes, double started) {
+        for (int i = 0; i < machines; i++) {
+            site.box("m" + i, 0);
+        }
+        site.box("n", 0);
+        site.lead(-10);
+        site.submit(spec(1, machines, 4, 50), -10);
+        for (int i = 0; i < machines; i++) {
+            site.become("m" + i, -4);
+            assertEquals(1, site.box("m" + i).tasks.size());
+            site.box("m" + i).deaf = trouble.equals("deaf");
+        }
+        // Nobody has ordered any task of it.
+        site.submit(spec(2, 1, 4, 50), -0.4);
+        site.lead(0);
+        double inherited = -1;
+        boolean second = changes == 1;
+        for (double now = 0.5; now < 60; now += 0.5) {
+            if (!second && now > 7) {
+                site.lead(7);
+                second = true;
+            }
+            for (int i = 0; i < machines; i++) {
+                if (now % every == 0 && !trouble.equals("cut")) {
+                    site.report("m" + i, now);
+                }
+            }
+            site.core.expireLeases(at(now));
+            if (now % 2 == 0) {
+                int before = site.startsOf(new JobId("run-1"));
+                site.report("n", now);
+                inherited = inherited < 0 && site.startsOf(new JobId("run-1")) > before ? now : inherited;
+                TaskId other = TaskId.parse("run-2/0");
+                if (site.runs(other) != null) {
+                    assertTrue(now <= 6, "what nobody ordered goes first and at once");
+                    site.runs(other).end(other, ExitCause.DONE);
+                }
+            }
+        }
+        assertEquals(started, inherited);
+        assertEquals(List.of(), site.broken);
+    }
+
+    /**
+     * The new leader answers from 0 s on and has read the records at 6 s; the machine hears it, or not, and is cut off. Copies of
+     * earlier reports come until then.
+     */
+    @ParameterizedTest
+    @CsvSource({"0.5, true, false, 14", "3, true, false, 16", "5.5, true, false, 18", "5.5, false, false, 18",
+        "0.5, true, true, 14", "3, false, true, 16"})
+    void whatIsAnsweredWhileTheRecordsAreReadRenewsLeases(double heard, boolean taken, boolean copied, double started) {
+        site.box("m", 0);
+        site.box("n", 0);
+        site.lead(-10);
+        site.submit(spec(1, 1, 4, 50), -10);
+        site.become("m", -4);
+        assertEquals(1, site.box("m").tasks.size());
+        site.begin(0);
+        site.box("m").deaf = !taken;
+        WorkerReport before = site.box("m").sent;
+        site.report("m", heard);
+        if (copied) {
+            site.core.onReport(before, at(5));
+            site.core.onReport(site.box("m").sent, at(5.5));
+        }
+        WorkerReport late = site.box("m").write();
+        site.load();
+        double inherited = -1;
+        for (double now = 6; inherited < 0 && now < 40; now += 2) {
+            site.core.expireLeases(at(now));
+            site.report("n", now);
+            inherited = site.startsOf(new JobId("run-1")) > 1 ? now : inherited;
+        }
+        assertEquals(started, inherited);
+        site.core.onReport(late, at(40));
+        assertEquals(1, site.core.job(new JobId("run-1")).active().size());
+        assertTrue(site.said.stream().noneMatch(line -> line.contains("while it may be on")), "a report from before its lease ended");
+        assertEquals(List.of(), site.broken);
+    }
+
+    /**
+     * Reports come once more, so many seconds after they were sent, while the machine runs another attempt, has begun
+     * another session or is silent; under the same leader or the next. Everything goes as without the copies.
+     */
+    @ParameterizedTest
+    @CsvSource({"runs, 2, false", "runs, 13, false", "runs, 30, false", "runs, 2, true", "runs, 13, true", "runs, 30, true",
+        "new attempt, 2, false", "new attempt, 13, false", "new attempt, 30, true", "new session, 2, false",
+        "new session, 13, false", "new session, 2, true", "new session, 30, true", "silent, 2, false", "silent, 13, false",
+        "silent, 30, false"})
+    void copiesOfReportsChangeNothing(String what, double delay, boolean change) {
+        List<String> without = copies(what, Double.MAX_VALUE, change);
+        assertEquals(without, copies(what, delay, change));
+        assertTrue(without.stream().anyMatch(line -> line.contains("Start")), "nothing happened");
+    }
+
+    private static List<String> copies(String what, double delay, boolean change) {
+        LedSite s = new LedSite();
+        s.box("a", 0);
+        s.box("b", 0);
+        s.lead(0);
+        s.submit(spec(1, 3, 4, 50), 1);
+        TaskId first = TaskId.parse("run-1/0");
+        List<String> trace = new ArrayList<>();
+        List<WorkerReport> sent = new ArrayList<>();
+        List<Double> due = new ArrayList<>();
+        for (double now = 2; now < 70; now += 1) {
+            if (change && now == 21) {
+                s.lead(now);
+            }
+            if (what.equals("new attempt") && now == 11 && s.runs(first) != null) {
+                s.runs(first).end(first, ExitCause.ERROR);
+            }
+            if (what.equals("new session") && now == 11) {
+                s.box("a").newSession(now);
+            }
+            for (String name : List.of("a", "b")) {
+                if (!(what.equals("silent") && name.equals("a") && now > 10)) {
+                    trace.add(now + " " + name + " " + s.report(name, now));
+                    sent.add(s.box(name).sent);
+                    due.add(now + delay);
+                }
+            }
+            for (int i = 0; i < sent.size(); i++) {
+                // Both machines have shown themselves to a new leader by then.
+                if (due.get(i) <= now && (now < 21 || now > 22)) {
+                    s.core.onReport(sent.get(i), at(now + 0.5));
+                    due.set(i, Double.MAX_VALUE);
+                }
+            }
+            s.core.expireLeases(at(now + 0.6));
+            trace.add(s.core.summary(at(now + 0.6)) + " over " + s.core.countsOver(new MachineId("a")));
+            s.record();
+        }
+        assertEquals(List.of(), s.broken);
+        return trace;
+    }
+
+    /** A dead machine, whose copies come to the next leader one after the other with ever higher numbers and its older token. */
+    @ParameterizedTest
+    @ValueSource(doubles = {1, 3, 7})
+    void copiesPutATakeOverOffByALeaseAtMost(double every) {
+        site.box("a", 0);
+        site.box("n", 0);
+        site.lead(-40);
+        site.submit(spec(1, 1, 4, 50), -40);
+        List<WorkerReport> copies = new ArrayList<>();
+        for (double now = -30; now < 0; now++) {
+            site.report("a", now);
+            copies.add(site.box("a").sent);
+        }
+        site.lead(0);
+        double settled = -1;
+        for (double now = 0; settled < 0; now += every) {
+            assertEquals(List.of(), site.core.onReport(copies.remove(0), at(now)));
+            site.core.expireLeases(at(now));
+            site.report("n", now);
+            settled = site.core.isSettled() ? now : -1;
+            assertEquals(settled >= 0, site.startsOf(new JobId("run-1")) > 1);
+        }
+        assertTrue(settled > RULES.leaseBound().seconds() && settled <= RULES.leaseBound().seconds() + every, "" + settled);
+    }
+
+    /**
+     * A machine stands still with a report or an answer under way, and goes on within its lease or after it; a start comes when
+     * its session is over or under an older leader's token; an order is for an earlier attempt. So often it is ordered.
+     */
+    @ParameterizedTest
+    @CsvSource({"lease, 11.9, false, 1", "lease, 12.1, false, 2", "report, 3.9, false, 1", "report, 7, false, 1",
+        "report, 12.2, false, 2", "answer, 3.9, false, 1", "answer, 4.1, false, 2", "token, 3.9, true, 1", "token, 4.1, true, 2",
+        "session, 3, false, 2", "attempt, 3, false, 2"})
+    void whatIsHeldUp(String what, double held, boolean change, int orders) {
+        LedSite.Box a = site.box("a", 0);
+        site.box("n", 0);
+        site.lead(-10);
+        site.submit(spec(1, 1, 4, 500), -10);
+        TaskId task = TaskId.parse("run-1/0");
+        boolean ordered = what.equals("answer") || what.equals("token") || what.equals("session");
+        if (ordered) {
+            site.report("a", -4);
+            site.report("a", -2);
+        } else {
+            site.become("a", -4);
+        }
+        assertEquals(ordered ? 0 : 1, a.tasks.size());
+        if (what.equals("attempt")) {
+            // It fails at once and is given again; the answer that stops or reaps the first attempt comes late.
+            a.end(task, ExitCause.ERROR);
+        }
+        WorkerReport report = a.write();
+        LedSite.Answer answer = what.equals("report") || what.equals("lease") ? null : site.answer(report, 0);
+        if (what.equals("lease")) {
+            site.report("a", 0);
+        }
+        boolean done = false;
+        for (double now = 0.1; now < 40; now = Math.round(10 * now + 1) / 10.0) {
+            if (change && now == 2) {
+                site.lead(2);
+            }
+            if (what.equals("session") && now == 1) {
+                a.newSession(now);
+            }
+            if (!done && now >= held) {
+                done = true;
+                a.live(now);
+                LedSite.Answer late = what.equals("report") ? site.answer(report, now) : answer;
+                if (late != null && held <= LedSite.PATIENCE_S) {
+                    a.take(late, 0, now);
+                }
+            } else if (done && Math.round(now * 10) % 20 == 0) {
+                site.report("a", now);
+            }
+            if (Math.round(now * 10) % 20 == 5) {
+                site.report("n", now);
+            }
+            site.core.expireLeases(at(now));
+        }
+        assertEquals(List.of(), site.broken);
+        assertEquals(orders, site.ordered(task));
+        assertNotNull(site.runs(task), "it runs");
+    }
+
+    /** Two exits of earlier attempts in one list, in any order, beside the attempt that runs. */
+    @Test
+    void earlierAttemptsEndNothing() {
+        World w = new World();
+        w.up("a", "east", 0);
+        w.core.loaded();
+        Job job = w.submit(spec(1, 1, 4, 500), 0);
+        Order first = w.hear("a", 1).get(0);
+        Order second = null;
+        for (Order o : w.hear("a", 2, World.exited(first, ExitCause.STOPPED))) {
+            second = o instanceof Order.Start ? o : second;
+        }
+        for (ExitCause cause : ExitCause.values()) {
+            if (cause != ExitCause.DONE) {
+                List<Order> orders = w.hear("a", 3 + cause.ordinal(), World.running(second), World.exited(first, cause));
+                assertEquals(List.of(new Order.Forget(first.task(), first.attempt())), orders);
+                assertEquals(second.attempt(), job.active(0).attempt);
+            }
+        }
+    }
+}
--- a/src/test/java/io/indigoreach/core/RandomRun.java
+++ b/src/test/java/io/indigoreach/core/RandomRun.java
@@ -13,17 +13,43 @@
 import java.util.TreeMap;
 
 /**
- * A seeded random run of the core among stand-ins for workers, cloud and state service: answers are lost, reports
- * come late, once more or both, machines die, hang or hear nothing, the cloud answers nobody, leaders end at any moment.
- * After every step the protocol's rules are checked, and that no copy of a report raises a machine.
+ * A seeded random run of the core among stand-ins for workers, cloud and state service: answers are lost or held up, reports
+ * come late, once more or both, machines die, hang, hear nothing or can't be reached, above all while a leader ends, the cloud
+ * answers nobody, leaders end at any moment and new ones answer before they have read the records.
+ * After every step the protocol's rules are checked, that no copy of a report raises a machine, and that no take-over takes
+ * longer than two leases. In the end all troubles are over, and every job that nobody cancelled has to be done.
  */
 final class RandomRun {
     private static final double LEASE_S = World.RULES.workerLease().seconds();
     private static final double CORES_MAX = 24;
+    private static final int TROUBLES = 4000;
+    private static final int MOST_STEPS = 24_000;
+    /** A worker drops an answer after this long. */
+    private static final double PATIENCE_S = 4;
+    /** A machine that answered within the first lease of a take-over may be silent for one more. */
+    private static final double LONGEST_TAKE_OVER_S = 2 * World.RULES.leaseBound().seconds() + 0.2;
 
     /** A guard that a run can do without, to see that the rules then break. */
     enum Without {
-        NOTHING, TAKE_OVER, LEASE_BOUND, TEAM_LIMIT, ANSWERED_RETURN, START_BOUND, REPORT_NUMBER
+        NOTHING, TAKE_OVER, LEASE_BOUND, TEAM_LIMIT, ANSWERED_RETURN, START_BOUND, REPORT_NUMBER, EARLY_ANSWER,
+        RECORD_BEFORE_REAP
+    }
+
+    /** A report on its way, and its answer; without a leader's token there is none yet. */
+    private static final class Flight {
+        final WorkerReport report;
+        final double sent;
+        final double arrives;
+        final double back;
+        long token;
+        List<Order> orders = List.of();
+
+        Flight(WorkerReport report, double sent, double arrives, double back) {
+            this.report = report;
+            this.sent = sent;
+            this.arrives = arrives;
+            this.back = back;
+        }
     }
 
     private static final class Worker {
@@ -37,6 +63,10 @@
         double hangsUntil;
         /** Its reports arrive, answers don't. */
         double deafUntil;
+        /** Neither its reports arrive nor answers. */
+        double cutUntil;
+        /** Its report under way; or null. */
+        Flight flight;
         final Map<TaskId, TaskReport> tasks = new LinkedHashMap<>();
         final Map<TaskId, Double> ends = new HashMap<>();
 
@@ -59,6 +89,10 @@
             this.spec = spec;
             this.at = at;
         }
+
+        boolean isOpen() {
+            return !closed && cancelledAt < 0;
+        }
     }
 
     private final Random random;
@@ -73,6 +107,15 @@
     private double now;
     private long token;
     private LeaderCore leader;
+    private double ledSince;
+    /** Until then the leader reads the records. */
+    private double loadedAt;
+    private boolean loaded;
+    /** No new troubles, and no new jobs. */
+    private boolean calm;
+    /** Tasks of arrays that have completed, and those of them that a worker was told to forget. */
+    private final Set<TaskId> completed = new HashSet<>();
+    private final Set<TaskId> reaped = new HashSet<>();
     private int machines;
     private int jobs;
     private int starts;
@@ -106,18 +149,25 @@
 
     void play() {
         takeOver();
-        for (int step = 0; step < 4000; step++) {
+        for (int step = 0; step < TROUBLES || step < MOST_STEPS && hasOpen(); step++) {
             now += 0.1;
-            if (random.nextInt(60) == 0) {
+            if (step == TROUBLES) {
+                calmDown();
+            }
+            if (!calm && random.nextInt(60) == 0) {
                 submit();
             }
-            if (random.nextInt(200) == 0) {
+            if (!calm && random.nextInt(200) == 0) {
                 cancel();
             }
-            if (random.nextInt(250) == 0) {
+            if (!calm && random.nextInt(250) == 0) {
                 takeOver();
             }
-            if (machines < 8 + now / 20 && random.nextInt(20) == 0) {
+            if (!loaded && now >= loadedAt) {
+                load();
+            }
+            boolean few = calm ? workers.values().stream().filter(w -> !w.dead).count() < 16 : machines < 8 + now / 20;
+            if (loaded && few && random.nextInt(20) == 0) {
                 rent();
             }
             for (Worker w : new ArrayList<>(workers.values())) {
@@ -126,12 +176,29 @@
             if (!late.isEmpty() && random.nextInt(5) == 0) {
                 late.remove(random.nextInt(late.size())).run();
             }
-            tend();
+            if (loaded) {
+                tend();
+            }
             checkRules();
         }
+        store.values().stream().filter(Stored::isOpen)
+                .forEach(s -> broken.add("lost " + s.spec.id() + " with " + s.done + " of " + s.spec.tasks()));
+    }
+
+    private boolean hasOpen() {
+        return store.values().stream().anyMatch(Stored::isOpen);
     }
 
-    /** A new leader reads the records; the old one is simply gone, whatever it was doing. */
+    /** Services end by their users alone, and hold places. */
+    private void calmDown() {
+        calm = true;
+        store.values().stream().filter(s -> s.spec.isService() && s.cancelledAt < 0).forEach(this::cancel);
+    }
+
+    /**
+     * A new leader, which answers at once; the old one is simply gone, whatever it was doing. Often machines can't be reached or
+     * hear nothing while it ends.
+     */
     private void takeOver() {
         Team team = new Team("t", 0, limited && without != Without.TEAM_LIMIT ? CORES_MAX : 0, 0, 0);
         Rules rules = without == Without.LEASE_BOUND ? new Rules(Span.seconds(3), World.RULES.report(),
@@ -146,13 +213,28 @@
             }
         });
         leader.setTypes(List.of(World.TYPE));
+        loaded = false;
+        ledSince = now;
+        loadedAt = now + (random.nextBoolean() ? 0 : random.nextInt(50) / 10.0);
+        if (random.nextInt(3) == 0) {
+            for (Worker w : workers.values()) {
+                int fate = random.nextInt(6);
+                w.deafUntil = fate == 0 ? now + 8 + random.nextInt(52) : w.deafUntil;
+                w.cutUntil = fate == 1 ? now - 2 + random.nextInt(30) : w.cutUntil;
+            }
+        }
+    }
+
+    /** It has read the records; what is of jobs that came meanwhile is in them. */
+    private void load() {
+        loaded = true;
         for (String name : recorded) {
             if (without != Without.TAKE_OVER) {
-                leader.inherit(new MachineId(name), pool(name), World.at(0), at(), at());
+                leader.inherit(new MachineId(name), pool(name), World.at(0), World.at(ledSince), World.at(ledSince));
             }
         }
         for (Stored s : store.values()) {
-            if (!s.closed && s.cancelledAt < 0) {
+            if (s.isOpen()) {
                 leader.addJob(new Job(s.spec, s.at, at(), Stamp.ABSENT, s.done, s.bound, true));
             }
         }
@@ -182,18 +264,24 @@
                     Span.ZERO, null);
         }
         store.put(s.id(), new Stored(s, jobs));
+        if (!loaded) {
+            return;
+        }
         leader.addJob(new Job(s, jobs, at(), Stamp.ABSENT, new BitSet(), 0, false));
     }
 
     private void cancel() {
-        List<Stored> open = store.values().stream().filter(s -> !s.closed && s.cancelledAt < 0).toList();
+        List<Stored> open = store.values().stream().filter(Stored::isOpen).toList();
         if (!open.isEmpty()) {
-            Stored s = open.get(random.nextInt(open.size()));
-            s.cancelledAt = now;
-            leader.cancelJob(s.spec.id());
+            cancel(open.get(random.nextInt(open.size())));
         }
     }
 
+    private void cancel(Stored s) {
+        s.cancelledAt = now;
+        leader.cancelJob(s.spec.id());
+    }
+
     /** What the leader's duties do: leases, records, ends of jobs. */
     private void tend() {
         leader.expireLeases(at());
@@ -219,11 +307,18 @@
         if (random.nextInt(5) == 0) {
             for (Job job : new ArrayList<>(leader.jobs())) {
                 Stored s = store.get(job.id());
-                if (s.cancelledAt < 0) {
+                // A write without an answer: what it changed is recorded, and its leader does not know.
+                boolean answered = random.nextInt(4) > 0;
+                if (s.cancelledAt < 0 && !s.closed && without != Without.RECORD_BEFORE_REAP) {
                     s.done.or(job.doneTasks());
+                    s.closed = job.isComplete();
+                    if (s.closed) {
+                        checkDone(s);
+                    }
+                }
+                if (s.cancelledAt < 0 && answered) {
                     job.recorded(job.doneTasks());
-                    if (job.isComplete()) {
-                        s.closed = true;
+                    if (s.closed) {
                         leader.closeJob(job.id());
                     }
                 }
@@ -258,6 +353,9 @@
     }
 
     private void live(Worker w) {
+        if (w.flight != null && w.flight.token == 0 && now >= w.flight.arrives) {
+            arrive(w, w.flight);
+        }
         if (w.dead || now < w.hangsUntil) {
             return;
         }
@@ -266,8 +364,9 @@
             w.ends.clear();
             w.session++;
             w.answered = now;
+            w.flight = null;
         }
-        int fate = random.nextInt(4000);
+        int fate = calm ? 4000 : random.nextInt(4000);
         if (fate == 0) {
             w.dead = true;
             w.tasks.clear();
@@ -281,10 +380,17 @@
         for (Map.Entry<TaskId, Double> end : new ArrayList<>(w.ends.entrySet())) {
             TaskReport t = w.tasks.get(end.getKey());
             if (now >= end.getValue() && t.state() != TaskState.EXITED) {
-                exit(w, t, random.nextInt(30) == 0 ? ExitCause.ERROR : ExitCause.DONE);
+                exit(w, t, !calm && random.nextInt(30) == 0 ? ExitCause.ERROR : ExitCause.DONE);
             }
         }
-        if (random.nextInt(15) == 0) {
+        if (w.flight != null) {
+            if (now - w.flight.sent > PATIENCE_S) {
+                w.flight = null;
+            } else if (w.flight.token > 0 && now >= w.flight.back && now >= w.deafUntil && now >= w.cutUntil) {
+                take(w, w.flight);
+                w.flight = null;
+            }
+        } else if (random.nextInt(15) == 0) {
             report(w);
         }
     }
@@ -292,14 +398,22 @@
     private void exit(Worker w, TaskReport t, ExitCause cause) {
         w.tasks.put(t.task(), new TaskReport(t.task(), t.attempt(), TaskState.EXITED, cause, false));
         w.ends.remove(t.task());
+        if (cause == ExitCause.DONE && !store.get(t.task().job()).spec.isService()) {
+            completed.add(t.task());
+        }
     }
 
-    /** A report may be lost, come late, or its answer be lost; a late one is answered to nobody. */
+    /**
+     * A report may be lost, come late, or its answer be lost; a late one is answered to nobody. Either may be held up for seconds,
+     * and the worker sends none meanwhile.
+     */
     private void report(Worker w) {
-        double sent = now;
         WorkerReport r = new WorkerReport(new MachineId(w.name), "x:1", pool(w.name),
                 new ReportNumber(w.session, ++w.serial), new Token(w.token), null, new ArrayList<>(w.tasks.values()));
-        int fate = random.nextInt(12);
+        int fate = calm ? 12 : random.nextInt(12);
+        if (now < w.cutUntil) {
+            return;
+        }
         if (fate == 0) {
             late.add(() -> leader.onReport(r, at()));
             return;
@@ -307,14 +421,38 @@
         if (fate < 4) {
             late.add(() -> copy(w, r));
         }
-        long answering = token;
-        List<Order> orders = leader.onReport(r, at());
-        if (orders == null || !leader.answers(r.machine()) || fate == 1 || now < w.deafUntil) {
-            return;
+        double arrives = now + (fate == 4 ? random.nextInt(60) / 10.0 : 0);
+        Flight f = new Flight(r, now, arrives, arrives + (fate == 4 || fate == 5 ? random.nextInt(60) / 10.0 : 0));
+        w.flight = f;
+        if (arrives <= now) {
+            arrive(w, f);
+        }
+        if (f.token > 0 && f.back <= now) {
+            if (fate != 1 && now >= w.deafUntil) {
+                take(w, f);
+            }
+            w.flight = null;
+        }
+    }
+
+    /** The leader of this moment reads the report and answers it, or does not. */
+    private void arrive(Worker w, Flight f) {
+        boolean early = !loaded && without == Without.EARLY_ANSWER;
+        List<Order> orders = early ? List.of() : leader.onReport(f.report, at());
+        if (orders != null && leader.answers(f.report.machine())) {
+            f.token = token;
+            f.orders = orders;
+        } else {
+            w.flight = null;
+        }
+    }
+
+    private void take(Worker w, Flight f) {
+        if (f.report.number().session() == w.session && f.token >= w.token) {
+            w.token = f.token;
+            w.answered = Math.max(w.answered, f.sent);
+            f.orders.forEach(o -> execute(w, o));
         }
-        w.token = Math.max(w.token, answering);
-        w.answered = sent;
-        orders.forEach(o -> execute(w, o));
     }
 
     /** The same report once more, up to minutes later and under any leader; answered to nobody. */
@@ -338,12 +476,16 @@
             checkStart(w, o.task());
             w.tasks.put(o.task(), new TaskReport(o.task(), o.attempt(), TaskState.RUNNING, null, false));
             boolean replica = store.get(o.task().job()).spec.isService();
-            w.ends.put(o.task(), now + 1 + random.nextInt(replica ? 300 : random.nextInt(3) == 0 ? 80 : 20));
+            int run = 1 + random.nextInt(replica ? 300 : random.nextInt(3) == 0 ? 80 : 20);
+            w.ends.put(o.task(), completed.contains(o.task()) ? now : now + run);
         } else if (t != null && t.attempt().equals(o.attempt())) {
             if (o instanceof Order.Stop && t.state() != TaskState.EXITED) {
                 exit(w, t, ExitCause.STOPPED);
             } else if (o instanceof Order.Forget && t.state() == TaskState.EXITED) {
                 w.tasks.remove(o.task());
+                if (completed.contains(o.task()) && t.cause() == ExitCause.DONE) {
+                    reaped.add(o.task());
+                }
             }
         }
     }
@@ -355,8 +497,19 @@
         return !w.dead && !killed && t != null && t.state() != TaskState.EXITED;
     }
 
+    private void checkDone(Stored s) {
+        for (int i = 0; i < s.spec.tasks(); i++) {
+            if (!completed.contains(new TaskId(s.spec.id(), i))) {
+                broken.add(now + ": not_done " + s.spec.id());
+            }
+        }
+    }
+
     private void checkStart(Worker here, TaskId task) {
         Stored s = store.get(task.job());
+        if (reaped.contains(task)) {
+            broken.add(now + ": started after its result was reaped " + task);
+        }
         int inZone = 1;
         Set<String> zones = new HashSet<>(Set.of(here.zone));
         for (Worker w : workers.values()) {
@@ -376,6 +529,9 @@
     }
 
     private void checkRules() {
+        if (loaded && !leader.isSettled() && now - ledSince > LONGEST_TAKE_OVER_S) {
+            broken.add(now + ": the take-over of " + ledSince + " waits");
+        }
         double cores = 0;
         for (Worker w : workers.values()) {
             for (TaskId task : w.tasks.keySet()) {
