A machine page that is read twice is one page

A new leader's reading that failed after the machines was repeated, and the book held each page twice: one picture's write took the machines off that only the other had, which were told as recorded. The next leader would not have waited for them.

--- a/src/main/java/io/indigoreach/cluster/MachineBook.java
+++ b/src/main/java/io/indigoreach/cluster/MachineBook.java
@@ -97,8 +97,12 @@
         waiting.clear();
     }
 
-    /** A page that an earlier leader wrote. */
+    /**
+     * A page that an earlier leader wrote. The reading may be repeated: of two pictures of one page each would write over
+     * what is recorded in the other, and the next leader would not wait for those machines.
+     */
     void inherit(String pageKey, Stamp stamp, List<MachineRecord> lines) {
+        pages.removeIf(p -> p.key.equals(pageKey));
         Page page = new Page(pageKey, stamp);
         lines.forEach(line -> page.lines.put(line.id(), line));
         pages.add(page);
--- a/src/test/java/io/indigoreach/cluster/MachineBookTest.java
+++ b/src/test/java/io/indigoreach/cluster/MachineBookTest.java
@@ -45,6 +45,8 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /**
  * Machines that come up by the hundred are recorded in few changes. Guards against a fleet of 300 that stood idle for
@@ -182,6 +184,29 @@
         assertEquals(1, state.keys(RecordCodec.MACHINES).size());
     }
 
+    /** A new leader's reading fails after the machines, and is repeated: more machines than one page takes come up then. */
+    @ParameterizedTest
+    @ValueSource(ints = {70, 90, 110})
+    void aPageThatIsReadTwiceLosesNoMachine(int machines) throws Exception {
+        Moment now = clock.now();
+        MachineRecord earlier = new MachineRecord(new MachineId("vm-000900"), POOL, clock.timeOfDay(), clock.timeOfDay());
+        long revision = await(client.commit(new StateClient.Txn().put(RecordCodec.machinePage(new Token(2), 1),
+                RecordCodec.writeMachines(List.of(earlier))))).revision();
+        Ledger ledger = new Ledger(env, core, book, new Stamp(revision), () -> { }, new Budget(12, now), true);
+        onLoop(ledger::load);
+        onLoop(ledger::load);
+        assertTrue(onLoop(() -> report(0)));
+        List<Boolean> done = onLoop(() -> {
+            List<Future<Boolean>> all = new ArrayList<>();
+            for (int n = 1; n < machines; n++) {
+                all.add(report(n));
+            }
+            return Future.all(all).map(c -> c.<Boolean>list());
+        });
+        assertFalse(done.contains(false));
+        assertEquals(machines + 1, written().stream().map(MachineRecord::id).distinct().count(), "told as recorded, and is not");
+    }
+
     /**
      * Lists that are older than the leadership are not believed: a machine that the leader before recorded last could be
      * missing, and its tasks would be started elsewhere while it has them.
