A repeated reading forgets the jobs of the one that failed

A job that was cancelled between the two readings stayed open with the new leader, and its watch begins after the second: its tasks ran on until something of it was written.

--- a/src/main/java/io/indigoreach/cluster/Ledger.java
+++ b/src/main/java/io/indigoreach/cluster/Ledger.java
@@ -108,6 +108,10 @@
         Map<JobId, BitSet> bits = new HashMap<>();
         List<StateClient.Entry> spoilt = new ArrayList<>();
         Moment now = env.clock().now();
+        // From a reading that something failed after: a job that was cancelled since would never be heard of.
+        new ArrayList<>(core.jobs()).forEach(job -> core.closeJob(job.id()));
+        touched.clear();
+        shown.clear();
         // Blocks first: one that is written between the two readings would otherwise be newer than its job.
         return pages(RecordCodec.BITS, e -> unlessUnreadable(e.key(), () -> RecordCodec.readBlock(e.key(), e.value(),
                 bits.computeIfAbsent(RecordCodec.jobOfBlock(e.key()), k -> new BitSet()))))
--- a/src/test/java/io/indigoreach/cluster/LedgerTest.java
+++ b/src/test/java/io/indigoreach/cluster/LedgerTest.java
@@ -145,6 +145,24 @@
         assertEquals(2, open().get(job.id()).doneCount());
     }
 
+    /** What is read after the jobs fails, and all is read again: in between one job is cancelled and another goes on. */
+    @Test
+    void aReadingThatIsRepeatedForgetsWhatIsCancelledSince() throws Exception {
+        Job cancelled = job(1, 2, 0, 2);
+        job(2, 2, 0, 1);
+        await(ledger.load());
+        assertEquals(2, core.jobs().size());
+        await(client.commit(new StateClient.Txn().delete("j/run-1").put("f/run-1",
+                RecordCodec.writeFinal(JobStatus.CANCELLED, 0))));
+        BitSet done = new BitSet();
+        done.set(0);
+        await(client.commit(new StateClient.Txn().put("j/run-2", RecordCodec.writeJob(core.job(new JobId("run-2")).spec(), 1,
+                JobStatus.RUNNING, done, 1, 2))));
+        await(ledger.load());
+        assertEquals(null, core.job(cancelled.id()), "its tasks are to be stopped, and no watch will tell");
+        assertEquals(List.of(1, 2), List.of(core.job(new JobId("run-2")).doneCount(), core.job(new JobId("run-2")).boundToWrite()));
+    }
+
     /** Written by a newer version, or spoilt: one job stands still, the others are served; nobody guesses what machines hold. */
     @Test
     void aRecordThatCannotBeReadStopsItsOwnJobOnly() throws Exception {
