--- a/src/main/java/io/indigoreach/cluster/Ledger.java
+++ b/src/main/java/io/indigoreach/cluster/Ledger.java
@@ -60,6 +60,11 @@
     private final Runnable deposed;
     private final Budget budget;
     private final boolean boundsKept;
+    /**
+     * When this leadership had begun: no earlier leader has answered since. Counted from the reading's begin, machines that are
+     * silent or deaf would hold the take-over up for as long as a slow state service takes, and anew with each reading that fails.
+     */
+    private final Moment took;
     private final Duty duty;
     private final Set<Job> touched = new LinkedHashSet<>();
     private final Set<JobId> writing = new HashSet<>();
@@ -87,6 +92,7 @@
         this.budget = budget;
         this.boundsKept = boundsKept;
         this.book = book;
+        this.took = env.clock().now();
         this.duty = new Duty(env.vertx(), "ledger", PERIOD, this::step);
     }
 
@@ -107,7 +113,6 @@
     Future<Long> load() {
         Map<JobId, BitSet> bits = new HashMap<>();
         List<StateClient.Entry> spoilt = new ArrayList<>();
-        Moment now = env.clock().now();
         // From a reading that something failed after: a job that was cancelled since would never be heard of.
         new ArrayList<>(core.jobs()).forEach(job -> core.closeJob(job.id()));
         touched.clear();
@@ -121,7 +126,7 @@
                     for (MachineRecord m : machines) {
                         // Another node wrote this time, by a clock that may be off as far the other way as this one's.
                         Moment existed = steady(m.existedMs()).plus(env.config().clockOff().times(2));
-                        core.inherit(m.id(), m.pool(), steady(m.rentedMs()), existed, now);
+                        core.inherit(m.id(), m.pool(), steady(m.rentedMs()), existed, took);
                     }
                 }))
                 .compose(r -> pages(RecordCodec.OPEN, e -> {
--- a/src/test/java/io/indigoreach/cluster/MachineBookTest.java
+++ b/src/test/java/io/indigoreach/cluster/MachineBookTest.java
@@ -207,6 +207,29 @@
         assertEquals(machines + 1, written().stream().map(MachineRecord::id).distinct().count(), "told as recorded, and is not");
     }
 
+    /** Earlier leaders' leases run from when this leadership began, however long its records take to be read. */
+    @Test
+    void aSlowReadingPutsNoTakeOverOff() throws Exception {
+        Moment before = clock.now();
+        long revision = await(client.commit(new StateClient.Txn().put(RecordCodec.machinePage(new Token(2), 1), RecordCodec.writeMachines(
+                List.of(new MachineRecord(new MachineId("vm-000900"), POOL, clock.timeOfDay(), clock.timeOfDay())))))).revision();
+        LeaderCore fresh = new LeaderCore(new Token(3), env.config().rules(), env.settings().tuning(), new Aims(List.of()),
+                env.config().teams(), silent);
+        fresh.setTypes(List.of(new MachineType("quad", new Demand(4, 0, 16), 40, 0.5, 0.2, 0.05, Span.seconds(20), List.of("z"))));
+        Ledger ledger = new Ledger(env, fresh, book, new Stamp(revision), () -> { }, new Budget(12, clock.now()), true);
+        Moment begun = clock.now();
+        while (clock.now().since(begun).ms() < 50) {
+            Thread.onSpinWait();
+        }
+        onLoop(ledger::load);
+        fresh.loaded();
+        Span bound = env.config().rules().leaseBound();
+        fresh.expireLeases(before.plus(bound));
+        assertFalse(fresh.isSettled(), "an earlier leader answered until then");
+        fresh.expireLeases(begun.plus(bound).plus(new Span(1)));
+        assertTrue(fresh.isSettled());
+    }
+
     /**
      * Lists that are older than the leadership are not believed: a machine that the leader before recorded last could be
      * missing, and its tasks would be started elsewhere while it has them.
