--- a/src/test/java/io/indigoreach/core/RandomRun.java
+++ b/src/test/java/io/indigoreach/core/RandomRun.java
@@ -196,8 +196,8 @@
     }
 
     /**
-     * A new leader, which answers at once; the old one is simply gone, whatever it was doing. Often machines can't be reached or
-     * hear nothing while it ends.
+     * A new leader, which answers at once; the old one is simply gone, whatever it was doing. Often machines, or all of a zone, can't be
+     * reached or hear nothing while it ends.
      */
     private void takeOver() {
         Team team = new Team("t", 0, limited && without != Without.TEAM_LIMIT ? CORES_MAX : 0, 0, 0);
@@ -217,17 +217,22 @@
         ledSince = now;
         loadedAt = now + (random.nextBoolean() ? 0 : random.nextInt(50) / 10.0);
         if (random.nextInt(3) == 0) {
+            String zone = random.nextInt(4) > 0 ? "" : random.nextBoolean() ? "east" : "west";
+            int all = random.nextInt(2);
             for (Worker w : workers.values()) {
-                int fate = random.nextInt(6);
+                int fate = w.zone.equals(zone) ? all : random.nextInt(6);
                 w.deafUntil = fate == 0 ? now + 8 + random.nextInt(52) : w.deafUntil;
                 w.cutUntil = fate == 1 ? now - 2 + random.nextInt(30) : w.cutUntil;
             }
         }
     }
 
-    /** It has read the records; what is of jobs that came meanwhile is in them. */
+    /** It has read the records; what is of jobs that came meanwhile is in them. Machines that it answered until now are cut off. */
     private void load() {
         loaded = true;
+        for (Worker w : workers.values()) {
+            w.cutUntil = now > ledSince && random.nextInt(6) == 0 ? now + 10 + random.nextInt(20) : w.cutUntil;
+        }
         for (String name : recorded) {
             if (without != Without.TAKE_OVER) {
                 leader.inherit(new MachineId(name), pool(name), World.at(0), World.at(ledSince), World.at(ledSince));
