--- a/src/main/java/io/indigoreach/cluster/Ledger.java
+++ b/src/main/java/io/indigoreach/cluster/Ledger.java
@@ -62,6 +62,11 @@
     private final Budget budget;
     private final boolean boundsKept;
     private final CancellationHorizon horizon;
+    /**
+     * When this leadership had begun: no earlier leader has answered since. Counted from the reading's begin, machines that are
+     * silent or deaf would hold the take-over up for as long as a slow state service takes, and anew with each reading that fails.
+     */
+    private final Moment took;
     private final Duty duty;
     private final Set<Job> touched = new LinkedHashSet<>();
     private final Set<JobId> writing = new HashSet<>();
@@ -90,6 +95,7 @@
         this.budget = budget;
         this.boundsKept = boundsKept;
         this.book = book;
+        this.took = env.clock().now();
         this.duty = new Duty(env.vertx(), "ledger", PERIOD, this::step);
     }
 
@@ -110,8 +116,10 @@
     Future<Long> load() {
         Map<JobId, BitSet> bits = new HashMap<>();
         List<StateClient.Entry> spoilt = new ArrayList<>();
-        Set<String> present = new HashSet<>();
-        Moment now = env.clock().now();
+        // From a reading that something failed after: a job that was cancelled since would never be heard of.
+        new ArrayList<>(core.jobs()).forEach(job -> core.closeJob(job.id()));
+        touched.clear();
+        shown.clear();
         // Blocks first: one that is written between the two readings would otherwise be newer than its job.
         return pages(RecordCodec.BITS, e -> unlessUnreadable(e.key(), () -> RecordCodec.readBlock(e.key(), e.value(),
                 bits.computeIfAbsent(RecordCodec.jobOfBlock(e.key()), k -> new BitSet()))))
@@ -121,20 +129,15 @@
                     for (MachineRecord m : machines) {
                         // Another node wrote this time, by a clock that may be off as far the other way as this one's.
                         Moment existed = steady(m.existedMs()).plus(env.config().clockOff().times(2));
-                        core.inherit(m.id(), m.pool(), steady(m.rentedMs()), existed, now);
+                        core.inherit(m.id(), m.pool(), steady(m.rentedMs()), existed, took);
                     }
                 }))
                 .compose(r -> listOpen(e -> {
-                    present.add(e.key());
                     if (!unlessUnreadable(e.key(), () -> inherit(RecordCodec.readJob(RecordCodec.jobOf(e.key()), e.value(),
                             e.stamp()), bits))) {
                         spoilt.add(e);
                     }
-                })).compose(revision -> {
-                    // Known from a reading before that failed half-way: the watch, which begins here, tells of no cancellation since.
-                    gone(present, revision);
-                    return mend(spoilt.iterator(), bits, env.clock().now().plus(MENDING)).map(revision);
-                });
+                })).compose(revision -> mend(spoilt.iterator(), bits, env.clock().now().plus(MENDING)).map(revision));
     }
 
     /** What was cancelled before it is asked for is not in it. */
@@ -194,26 +197,21 @@
 
     /** Reads the open jobs once more after the watch has lost its place. */
     Future<Long> readAgain() {
-        Set<String> present = new HashSet<>();
+        Set<JobId> present = new HashSet<>();
         return pages(RecordCodec.OPEN, e -> unlessUnreadable(e.key(), () -> {
             JobId id = RecordCodec.jobOf(e.key());
-            present.add(e.key());
+            present.add(id);
             heard(id, e.value(), e.stamp());
         })).map(revision -> {
-            gone(present, revision);
+            for (Job job : new ArrayList<>(core.jobs())) {
+                if (!present.contains(job.id()) && job.stamp().value() <= revision) {
+                    heardGone(job.id());
+                }
+            }
             return revision;
         });
     }
 
-    /** Jobs known here that a listing does not have. */
-    private void gone(Set<String> present, long revision) {
-        for (Job job : new ArrayList<>(core.jobs())) {
-            if (!present.contains(RecordCodec.open(job.id())) && job.stamp().value() <= revision) {
-                heardGone(job.id());
-            }
-        }
-    }
-
     private Future<Long> pages(String prefix, Consumer<StateClient.Entry> each) {
         return pages(env.state(), key, prefix, each);
     }
--- a/src/test/java/io/indigoreach/cluster/LateTransactionsTest.java
+++ b/src/test/java/io/indigoreach/cluster/LateTransactionsTest.java
@@ -10,6 +10,7 @@
 import io.indigoreach.cloud.CloudClient;
 import io.indigoreach.config.Settings;
 import io.indigoreach.core.Aims;
+import io.indigoreach.core.CancellationHorizon;
 import io.indigoreach.core.Demand;
 import io.indigoreach.core.Job;
 import io.indigoreach.core.JobId;
@@ -379,7 +380,7 @@
 
     private Ledger ledger(Stamp key) throws Exception {
         return keep(new Ledger(env, core, new MachineBook(env, core, new Token(3), key, () -> { }, new Budget(100, clock.now())), key,
-                () -> events.add("deposed"), new Budget(100, clock.now()), true));
+                () -> events.add("deposed"), new Budget(100, clock.now()), true, new CancellationHorizon()));
     }
 
     private void begin(Ledger ledger, Job... jobs) {
--- a/src/test/java/io/indigoreach/cluster/MachineBookTest.java
+++ b/src/test/java/io/indigoreach/cluster/MachineBookTest.java
@@ -46,6 +46,8 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /**
  * Machines that come up by the hundred are recorded in few changes. Guards against a fleet of 300 that stood idle for
@@ -183,6 +185,54 @@
         assertEquals(1, state.keys(RecordCodec.MACHINES).size());
     }
 
+    /** A new leader's reading fails after the machines, and is repeated: more machines than one page takes come up then. */
+    @ParameterizedTest
+    @ValueSource(ints = {70, 90, 110})
+    void aPageThatIsReadTwiceLosesNoMachine(int machines) throws Exception {
+        Moment now = clock.now();
+        MachineRecord earlier = new MachineRecord(new MachineId("vm-000900"), POOL, clock.timeOfDay(), clock.timeOfDay());
+        long revision = await(client.commit(new StateClient.Txn().put(RecordCodec.machinePage(new Token(2), 1),
+                RecordCodec.writeMachines(List.of(earlier))))).revision();
+        Ledger ledger = new Ledger(env, core, book, new Stamp(revision), () -> { }, new Budget(12, now), true,
+                new CancellationHorizon());
+        onLoop(ledger::load);
+        onLoop(ledger::load);
+        assertTrue(onLoop(() -> report(0)));
+        List<Boolean> done = onLoop(() -> {
+            List<Future<Boolean>> all = new ArrayList<>();
+            for (int n = 1; n < machines; n++) {
+                all.add(report(n));
+            }
+            return Future.all(all).map(c -> c.<Boolean>list());
+        });
+        assertFalse(done.contains(false));
+        assertEquals(machines + 1, written().stream().map(MachineRecord::id).distinct().count(), "told as recorded, and is not");
+    }
+
+    /** Earlier leaders' leases run from when this leadership began, however long its records take to be read. */
+    @Test
+    void aSlowReadingPutsNoTakeOverOff() throws Exception {
+        Moment before = clock.now();
+        long revision = await(client.commit(new StateClient.Txn().put(RecordCodec.machinePage(new Token(2), 1), RecordCodec.writeMachines(
+                List.of(new MachineRecord(new MachineId("vm-000900"), POOL, clock.timeOfDay(), clock.timeOfDay())))))).revision();
+        LeaderCore fresh = new LeaderCore(new Token(3), env.config().rules(), env.settings().tuning(), new Aims(List.of()),
+                env.config().teams(), silent);
+        fresh.setTypes(List.of(new MachineType("quad", new Demand(4, 0, 16), 40, 0.5, 0.2, 0.05, Span.seconds(20), List.of("z"))));
+        Ledger ledger = new Ledger(env, fresh, book, new Stamp(revision), () -> { }, new Budget(12, clock.now()), true,
+                new CancellationHorizon());
+        Moment begun = clock.now();
+        while (clock.now().since(begun).ms() < 50) {
+            Thread.onSpinWait();
+        }
+        onLoop(ledger::load);
+        fresh.loaded();
+        Span bound = env.config().rules().leaseBound();
+        fresh.expireLeases(before.plus(bound));
+        assertFalse(fresh.isSettled(), "an earlier leader answered until then");
+        fresh.expireLeases(begun.plus(bound).plus(new Span(1)));
+        assertTrue(fresh.isSettled());
+    }
+
     /**
      * A leader whose reading of the records fails half-way reads them once more. Guards against a page that is then in the book
      * twice: the copy that knows only of machines that are gone removed it, with one that held tasks.
