Leases, numbers and memories of one leadership say nothing of the next

A renewal's answer belongs to its own lease; a try that was refused gives its token back; a node succeeds itself only if the counter shows nobody between; what was open is forgotten for good once another has led; a write of an earlier leadership of the same node that fails late does not depose the next one. HandoverTest brings these about, and crosses the rest at random.

--- a/src/main/java/io/indigoreach/cluster/Controller.java
+++ b/src/main/java/io/indigoreach/cluster/Controller.java
@@ -36,7 +36,7 @@
     private final WarmUp warmUp;
     private Reign reign;
     private boolean cutOff;
-    /** What this node knew when it last led. */
+    /** What this node knew when it last led; what was open then only while nobody else has led since. */
     private Remains known = new Remains();
 
     /** {@code own}: an event loop for what must not wait for anything else. */
@@ -82,12 +82,7 @@
 
     private Future<Remains> gather() {
         Remains all = new Remains();
-        if (leadership.succeedsItself()) {
-            all.add(known);
-        } else {
-            // What was open then may be over since; what was over is so for ever.
-            known.over().forEach(all::add);
-        }
+        all.add(known);
         return jobs.get().map(others -> {
             all.add(others);
             return all;
@@ -198,6 +193,13 @@
 
     @Override
     public void took(Token token, Stamp key, boolean bounds) {
+        if (!leadership.succeedsItself()) {
+            // What was open then may be over since; what was over is so for ever. Dropped for good: a leadership that ends before
+            // it has read the records leaves what is known as it is, and the next one succeeds itself.
+            Remains ends = new Remains();
+            known.over().forEach(ends::add);
+            known = ends;
+        }
         reign = new Reign(env, token, key, leadership, bounds, this::gather);
         reign.start();
     }
--- a/src/main/java/io/indigoreach/cluster/Fleet.java
+++ b/src/main/java/io/indigoreach/cluster/Fleet.java
@@ -74,6 +74,7 @@
         renting.cancel();
         returning.cancel();
         listing.cancel();
+        book.cancel();
     }
 
     /** Takes over what earlier leaders had under way with the cloud. */
--- a/src/main/java/io/indigoreach/cluster/IntentBook.java
+++ b/src/main/java/io/indigoreach/cluster/IntentBook.java
@@ -26,6 +26,7 @@
     private final Reign.Surroundings env;
     private final Stamp key;
     private final Runnable deposed;
+    private boolean cancelled;
     private final Budget budget;
     private final String own;
     private final Intents intents = new Intents();
@@ -44,6 +45,17 @@
         this.own = RecordCodec.intents(token);
     }
 
+    /** Guards against a write of this leadership that fails late, when the same node has taken the key anew: that one goes on. */
+    void cancel() {
+        cancelled = true;
+    }
+
+    private void failedOnKey() {
+        if (!cancelled) {
+            deposed.run();
+        }
+    }
+
     Intents intents() {
         return intents;
     }
@@ -73,7 +85,7 @@
             if (outcome.done()) {
                 some.forEach(earlier::remove);
             } else if (outcome.failed().contains(RecordCodec.LEADER)) {
-                deposed.run();
+                failedOnKey();
             } else {
                 // Removed by a write whose answer was lost, or added to by a holder that was not replaced then.
                 outcome.failed().forEach(earlier::remove);
@@ -125,7 +137,7 @@
                 return true;
             }
             if (outcome.failed().contains(RecordCodec.LEADER)) {
-                deposed.run();
+                failedOnKey();
             }
             unsure = true;
             return false;
--- a/src/main/java/io/indigoreach/core/TokenClock.java
+++ b/src/main/java/io/indigoreach/core/TokenClock.java
@@ -7,8 +7,8 @@
  * lowest bits tell the node, so that two nodes cannot choose the same one.
  *
  * <p>By the time alone a node could choose what its own process before this one did, in the same second: so the second in
- * which this one began, by the worst clock, is left out. Numbers run ahead of the time only where leaderships change more
- * than once a second on average, which leases forbid.
+ * which this one began, by the worst clock, is left out. Numbers run ahead of the time only where leaderships change, or tries
+ * stay without an answer, more than once a second on average; a try that was refused gives its number back.
  */
 public final class TokenClock {
     /** 2020 began, in seconds since 1970. With 28 bits for attempts and those for nodes 30 are left: until 2054. */
@@ -20,6 +20,8 @@
     /** The highest that was in use, and the highest that was tried here and may be in use or not. */
     private long highest;
     private long tried;
+    /** {@link #tried} before the last try. */
+    private long triedBefore;
 
     /**
      * @param node this node's place among all of them, in the order of their names
@@ -59,7 +61,18 @@
     public Token next(Token counted, long timeOfDayMs) {
         long above = (Math.max(counted.value(), Math.max(highest, tried)) >> NODE_BITS) + 1;
         long units = Math.max(above, Math.max(seconds(timeOfDayMs), firstS));
+        triedBefore = tried;
         tried = units << NODE_BITS | node;
         return new Token(tried);
     }
+
+    /**
+     * The last try surely was not and will not be executed, so its number is free. Guards against numbers that run minutes ahead of
+     * the time where a service refuses two tries a second: the next process of this node could choose one of them again.
+     */
+    public void unused(Token token) {
+        if (tried == token.value()) {
+            tried = triedBefore;
+        }
+    }
 }
--- a/src/main/java/io/indigoreach/state/Leadership.java
+++ b/src/main/java/io/indigoreach/state/Leadership.java
@@ -80,6 +80,8 @@
     /** Until then nobody else may have led, as far as the time of this node's own last lease tells. */
     private Moment ledUntil = Moment.NEVER;
     private Token ledAs = Token.NONE;
+    /** A try without an answer, before which nobody else had led since {@link #ledAs}; null if there was none. */
+    private Token unanswered;
     private Moment lossSeen = Moment.NEVER;
     private boolean succeedsItself;
 
@@ -314,6 +316,10 @@
         Stamp held = current == null ? Stamp.ABSENT : current.stamp();
         return state.get(RecordCodec.COUNTER).compose(counter -> {
             Token counted = counter == null ? Token.NONE : new Token(RecordCodec.counted(counter.value().map()));
+            if (counted.equals(unanswered)) {
+                // That try did take the key, and nobody has led since: no leadership of another's comes between.
+                ledAs = unanswered;
+            }
             if (boundUnlessNew && counter != null) {
                 return Future.succeededFuture(Span.seconds(0.1));
             }
@@ -325,23 +331,36 @@
                     return RETRY;
                 });
             }
+            // Who led between this node's last leadership and now may have let its key go before this node ever read it: the
+            // counter knows. Else what this node remembers as open would count as the newest there is.
+            tokens.seen(counted);
             Token before = tokens.highest();
-            Token token = tokens.next(counted, clock.timeOfDay());
             boolean bounds = counter == null || RecordCodec.keepsBounds(counter.value());
             Moment sent = clock.now();
-            return state.grant(life).compose(granted -> state.commit(new StateClient.Txn()
-                    .when(RecordCodec.LEADER, held).when(RecordCodec.COUNTER, counterStamp)
-                    .put(RecordCodec.LEADER, LeaderKey.write(node, process, token), granted)
-                    .put(RecordCodec.COUNTER, RecordCodec.writeCounter(token, bounds))).map(outcome -> {
-                        watchedTo = -1;
-                        hasLetGo = true;
-                        if (outcome.done()) {
-                            succeedsItself = before.equals(ledAs);
-                            state.counterWas(before, counted);
-                            take(granted, token, outcome.stamp(), sent, bounds);
-                        }
-                        return outcome.done() ? RETRY : Span.seconds(0.2);
-                    }));
+            return state.grant(life).compose(granted -> {
+                Token token = tokens.next(counted, clock.timeOfDay());
+                return state.commit(new StateClient.Txn()
+                        .when(RecordCodec.LEADER, held).when(RecordCodec.COUNTER, counterStamp)
+                        .put(RecordCodec.LEADER, LeaderKey.write(node, process, token), granted)
+                        .put(RecordCodec.COUNTER, RecordCodec.writeCounter(token, bounds))).onFailure(e -> {
+                            if (StateClient.surelyNotExecuted(e)) {
+                                tokens.unused(token);
+                            } else if (before.equals(ledAs)) {
+                                unanswered = token;
+                            }
+                        }).map(outcome -> {
+                            watchedTo = -1;
+                            hasLetGo = true;
+                            if (outcome.done()) {
+                                succeedsItself = before.equals(ledAs);
+                                state.counterWas(before, counted);
+                                take(granted, token, outcome.stamp(), sent, bounds);
+                            } else {
+                                tokens.unused(token);
+                            }
+                            return outcome.done() ? RETRY : Span.seconds(0.2);
+                        });
+            });
         });
     }
 
--- a/src/main/java/io/indigoreach/state/LeaseKeeper.java
+++ b/src/main/java/io/indigoreach/state/LeaseKeeper.java
@@ -18,11 +18,21 @@
     private static final Span HUNG = Span.seconds(10);
     private static final Span IDLE = Span.seconds(0.25);
 
-    /** The lease that is kept; {@code ended}: told on the node's loop when the service says that it has ended. */
-    private record Held(long lease, Runnable ended) {
-    }
+    /**
+     * The lease that is kept, and when its last renewal that was answered was sent. Each lease has its own: an answer that comes
+     * when this one was let go and another taken says nothing of that one.
+     */
+    private static final class Held {
+        final long lease;
+        /** Told on the node's loop when the service says that it has ended. */
+        final Runnable ended;
+        volatile Moment renewed;
 
-    private record Renewal(Held held, Moment sent) {
+        Held(long lease, Runnable ended, Moment renewed) {
+            this.lease = lease;
+            this.ended = ended;
+            this.renewed = renewed;
+        }
     }
 
     private final Vertx node;
@@ -33,7 +43,6 @@
     private final Span patience;
     private final Duty duty;
     private volatile Held held;
-    private volatile Renewal renewed;
     private volatile Moment turned;
 
     /** {@code own}: the loop that renewals run on, of which {@code state} makes use; {@code node}: the node's. */
@@ -52,9 +61,7 @@
 
     void keep(long lease, Moment sent, Runnable ended) {
         turn();
-        Held now = new Held(lease, ended);
-        renewed = new Renewal(now, sent);
-        held = now;
+        held = new Held(lease, ended, sent);
     }
 
     void letGo() {
@@ -63,8 +70,8 @@
 
     /** When the last renewal that was answered was sent. */
     Moment renewedAt() {
-        Renewal last = renewed;
-        return last != null && last.held == held ? last.sent : Moment.NEVER;
+        Held now = held;
+        return now == null ? Moment.NEVER : now.renewed;
     }
 
     /** The node's loop turns. */
@@ -84,9 +91,10 @@
             return Future.succeededFuture(IDLE);
         }
         return state.renew(mine.lease, patience).map(alive -> {
-            if (alive && held == mine) {
-                renewed = new Renewal(mine, sent);
-            } else if (!alive) {
+            if (alive) {
+                mine.renewed = sent;
+            } else {
+                // Asked again there: the lease may have been let go meanwhile, and the leadership taken anew.
                 node.runOnContext(v -> {
                     if (held == mine) {
                         mine.ended.run();
--- a/src/test/java/io/indigoreach/emulator/LocalCluster.java
+++ b/src/test/java/io/indigoreach/emulator/LocalCluster.java
@@ -45,7 +45,7 @@
               zones: "b"
               state { rps: 400 write_rps: 200 value_kb: 8 }
               cloud { rps: 20 list_lag_s: 0.3 boot_never: 0 boot_late: 0 }
-              workers { report_s: 0.5 lease_s: 3 cancel_s: 9 }
+              workers { report_s: 0.5 lease_s: 3 cancel_s: %s }
               spot { per_hour: 0 }
               machine_type { name: "quad" cores: 4 ram_gb: 16 price: 1 spot_price: 0.3 boot_s: 0.4 fetch_gb_per_s: 10 }
               capacity { type: "quad" zone: "a" count: 6 spot: 6 }
@@ -67,7 +67,11 @@
     Settings settings = Settings.standard();
 
     LocalCluster(int controllers, String faults) throws Exception {
-        scenario = TextForm.parse("test", SCENARIO.formatted(controllers, faults), Scenario.class);
+        this(controllers, 9, faults);
+    }
+
+    LocalCluster(int controllers, double cancelS, String faults) throws Exception {
+        scenario = TextForm.parse("test", SCENARIO.formatted(controllers, cancelS, faults), Scenario.class);
         emulator = await(Emulator.start(vertx, scenario, Emulator.Place.LOOPBACK, history));
     }
 
@@ -114,6 +118,10 @@
 
     /** Ends the n-th controller that was started, connections and all. */
     void stop(int n) throws Exception {
+        // Renewals run on a loop of their own, which ends with the process too: else its lease would live on for 10 s.
+        Promise<Void> stopped = Promise.promise();
+        runtimes.get(n).runOnContext(v -> nodes.get(n).stop().onComplete(stopped));
+        await(stopped.future());
         await(runtimes.get(n).close());
     }
 
--- /dev/null
+++ b/src/test/java/io/indigoreach/state/HandoverTest.java
@@ -0,0 +1,444 @@
+package io.indigoreach.state;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.indigoreach.core.Moment;
+import io.indigoreach.core.Span;
+import io.indigoreach.core.Stamp;
+import io.indigoreach.core.Token;
+import io.indigoreach.core.TokenClock;
+import io.indigoreach.net.Caller;
+import io.indigoreach.net.Endpoint;
+import io.indigoreach.net.SteadyClock;
+import io.vertx.core.Context;
+import io.vertx.core.Future;
+import io.vertx.core.Vertx;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.SplittableRandom;
+import java.util.concurrent.Callable;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
+import java.util.stream.IntStream;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+/**
+ * Controllers hand over and back, end, and return within a fraction of a second, while requests are refused, held back and carried
+ * out late: one leader at any moment, and tokens that only grow. Against a stand-in for the state service; each world runs on one
+ * event loop, on which its processes are looked at as well.
+ */
+class HandoverTest {
+    private static final List<String> NODES = List.of("a", "b", "c");
+    private static final long PATIENCE_S = 40;
+
+    private final Vertx vertx = Vertx.vertx();
+    private final SteadyClock clock = new SteadyClock();
+
+    @AfterEach
+    void close() throws Exception {
+        vertx.close().toCompletionStage().toCompletableFuture().get();
+    }
+
+    /** Three nodes, of which each is a process or none, and their state service. */
+    private final class World {
+        final Context loop = vertx.getOrCreateContext();
+        final StateStandIn service = new StateStandIn();
+        final Map<String, Endpoint> doors = new HashMap<>();
+        final Map<String, Process> running = new HashMap<>();
+        final List<String> breaches = new ArrayList<>();
+        final List<Process> took = new ArrayList<>();
+        final SplittableRandom random;
+        final Span life;
+        long highest;
+        int bridged;
+
+        World(long seed, Span life) throws Exception {
+            this.random = new SplittableRandom(seed);
+            this.life = life;
+            service.expiring = true;
+            await(on(() -> Future.all(NODES.stream().map(n -> service.door(vertx, n).onSuccess(d -> doors.put(n, d))).toList())));
+            on(() -> vertx.setPeriodic(2, t -> look()));
+        }
+
+        <T> T on(Callable<T> what) throws Exception {
+            CompletableFuture<T> done = new CompletableFuture<>();
+            loop.runOnContext(v -> {
+                try {
+                    done.complete(what.call());
+                } catch (Exception e) {
+                    done.completeExceptionally(e);
+                }
+            });
+            return done.get(PATIENCE_S, TimeUnit.SECONDS);
+        }
+
+        /** Until it holds, as seen on the loop. */
+        void until(BooleanSupplier holds) throws Exception {
+            CompletableFuture<Void> done = new CompletableFuture<>();
+            on(() -> vertx.setPeriodic(1, 2, t -> {
+                if (holds.getAsBoolean()) {
+                    vertx.cancelTimer(t);
+                    done.complete(null);
+                }
+            }));
+            done.get(PATIENCE_S, TimeUnit.SECONDS);
+        }
+
+        private void look() {
+            service.expire();
+            List<String> valid = running.values().stream().filter(p -> p.leadership.isValid()).map(p -> p.name).toList();
+            if (valid.size() > 1) {
+                breaches.add("more than one leads: " + valid);
+            }
+            running.values().forEach(p -> bridged += p.leadership.isValid() && p.ownLeaseIsOver() ? 1 : 0);
+        }
+
+        Process start(String node) {
+            Process p = new Process(this, node);
+            running.put(node, p);
+            p.leadership.start();
+            return p;
+        }
+
+        void end(String node) {
+            Process p = running.remove(node);
+            if (p != null) {
+                p.ended = true;
+                p.leadership.stop();
+            }
+        }
+
+        Process leader() {
+            return running.values().stream().filter(p -> p.leadership.isLeading()).findFirst().orElse(null);
+        }
+
+        /** What all others say, each after a while and as it is then; false if one is not there, or its answer is lost. */
+        private Future<Boolean> ask(String asker, java.util.function.Predicate<Process> what) {
+            List<Future<Boolean>> answers = new ArrayList<>();
+            for (String other : NODES) {
+                if (!other.equals(asker)) {
+                    answers.add(delay().map(v -> running.containsKey(other) && what.test(running.get(other)))
+                            .compose(is -> delay().map(v -> is && random.nextInt(20) > 0)));
+                }
+            }
+            return Future.all(answers).map(all -> !all.<Boolean>list().contains(false));
+        }
+
+        private Future<Void> delay() {
+            return vertx.timer(1 + random.nextInt(random.nextInt(4) == 0 ? 300 : 20), TimeUnit.MILLISECONDS).mapEmpty();
+        }
+
+        private void after(double s, Runnable then) {
+            vertx.setTimer(Math.max(1, Math.round(s * 1000)), t -> then.run());
+        }
+    }
+
+    /** One process of a node. */
+    private final class Process {
+        final World world;
+        final String node;
+        final String name;
+        final Leadership leadership;
+        boolean ended;
+        boolean unserved;
+        Moment renewedBefore = Moment.NEVER;
+
+        Process(World world, String node) {
+            this.world = world;
+            this.node = node;
+            this.name = node + "-" + Math.abs(world.random.nextInt());
+            StateClient client = new StateClient(new Caller(vertx, world.doors.get(node), 4),
+                    new Caller(vertx, world.doors.get(node), 2));
+            this.leadership = new Leadership(vertx, client, vertx, client, clock, node, name, NODES.size() - 1, world.life,
+                    new TokenClock(NODES.indexOf(node), clock.timeOfDay(), Span.seconds(0.1)), new Leadership.Listener() {
+                        @Override
+                        public void took(Token token, Stamp key, boolean bounds) {
+                            if (!ended) {
+                                if (token.value() <= world.highest) {
+                                    world.breaches.add(name + " took " + token + " after " + world.highest);
+                                }
+                                world.highest = Math.max(world.highest, token.value());
+                                world.took.add(Process.this);
+                                world.look();
+                            }
+                        }
+
+                        @Override
+                        public void lost(String reason) {
+                        }
+                    });
+            // As Standing does: who was served when it last asked leaves it to the state service.
+            leadership.asking(() -> world.ask(node, other -> other.unserved && other.leadership.pledge()),
+                    () -> world.ask(node, other -> !other.leadership.isLeading()));
+            unserved = false;
+            vertx.setPeriodic(1, 500, t -> {
+                unserved = isRefused();
+                renewedBefore = unserved ? renewedBefore : clock.now();
+                if (ended) {
+                    vertx.cancelTimer(t);
+                }
+            });
+        }
+
+        boolean isRefused() {
+            return world.service.refusing || world.service.refused.contains(node);
+        }
+
+        boolean ownLeaseIsOver() {
+            return isRefused() && clock.now().since(renewedBefore).compareTo(world.life.plus(Span.seconds(0.5))) > 0;
+        }
+    }
+
+    private static <T> T await(Future<T> future) throws Exception {
+        return future.toCompletionStage().toCompletableFuture().get(PATIENCE_S, TimeUnit.SECONDS);
+    }
+
+    /**
+     * Everything at random, several worlds at once: processes end and return at once or later, leaders let go and stand aside with
+     * requests to remove their key that come late and twice, nodes are refused alone, all of them one by one while leases go on
+     * to end, the service is out, transactions are carried out late.
+     */
+    @Test
+    void oneLeadsAndTokensGrowWhateverHappens() throws Exception {
+        List<World> worlds = new ArrayList<>();
+        for (long seed : IntStream.rangeClosed(1, 8).toArray()) {
+            World w = new World(seed, Span.seconds(3));
+            worlds.add(w);
+            w.on(() -> {
+                NODES.forEach(w::start);
+                w.after(0.5, () -> disturb(w));
+                return null;
+            });
+        }
+        Moment over = clock.now().plus(Span.seconds(22));
+        for (World w : worlds) {
+            w.until(() -> clock.now().isAfter(over) || !w.breaches.isEmpty());
+        }
+        for (World w : worlds) {
+            assertEquals(List.of(), w.on(() -> List.copyOf(w.breaches)));
+            assertTrue(w.took.size() >= 4, "leadership changes: " + w.took.size());
+        }
+        assertTrue(worlds.stream().anyMatch(w -> w.bridged > 0), "nobody went on by pledges");
+    }
+
+    private void disturb(World w) {
+        SplittableRandom r = w.random;
+        String any = NODES.get(r.nextInt(NODES.size()));
+        Process leader = w.leader();
+        switch (r.nextInt(8)) {
+            case 0, 1 -> {
+                w.end(any);
+                w.after(r.nextBoolean() ? 0.01 : r.nextDouble(1.2), () -> {
+                    if (!w.running.containsKey(any)) {
+                        w.start(any);
+                    }
+                });
+            }
+            case 2 -> {
+                if (leader != null) {
+                    leader.leadership.abdicate("test");
+                }
+            }
+            case 3 -> {
+                if (leader != null) {
+                    Stamp key = leader.leadership.standAside("test");
+                    for (double late : new double[] {r.nextDouble(0.3), r.nextDouble(6)}) {
+                        w.after(late, () -> {
+                            if (w.running.containsKey(any)) {
+                                w.running.get(any).leadership.release(key);
+                            }
+                        });
+                    }
+                }
+            }
+            case 4 -> refuse(w, any, 0.3 + r.nextDouble(4));
+            case 5 -> {
+                // Not an outage: leases end meanwhile, while the leader goes on by pledges.
+                double least = r.nextDouble(6);
+                NODES.forEach(n -> refuse(w, n, least + r.nextDouble(1.5)));
+            }
+            case 6 -> {
+                if (!w.service.refusing) {
+                    w.service.refusing = true;
+                    w.after(1 + r.nextDouble(4), w.service::serveAgain);
+                }
+            }
+            default -> {
+                w.service.holding = (door, path) -> door.equals(any) && path.equals("/txn");
+                w.after(0.2 + r.nextDouble(3), () -> {
+                    w.service.holding = (door, path) -> false;
+                    w.service.letThrough();
+                });
+            }
+        }
+        w.after(0.1 + r.nextDouble(r.nextInt(3) == 0 ? 3 : 0.8), () -> disturb(w));
+    }
+
+    private void refuse(World w, String node, double s) {
+        if (w.service.refused.add(node)) {
+            w.after(s, () -> w.service.refused.remove(node));
+        }
+    }
+
+    /**
+     * A campaign's transaction is held back until its sender has given up, and carried out then. Another node has led meanwhile
+     * (and may have let go again), or this one has pledged not to lead, or nothing has happened: nobody leads by it.
+     */
+    @ParameterizedTest
+    @CsvSource({"another leads", "another has led", "it has pledged", "nothing"})
+    void aCampaignThatIsCarriedOutLateMakesNobodyLead(String meanwhile) throws Exception {
+        World w = new World(1, Span.seconds(6));
+        w.service.holding = (door, path) -> door.equals("a") && path.equals("/txn");
+        Process a = w.on(() -> w.start("a"));
+        w.until(() -> w.service.heldBack() > 0);
+        assertFalse(w.on(() -> a.leadership.pledge()), "its transaction may be under way");
+        w.on(() -> {
+            // Its requests are refused from here on, so it tries no further; it gives up the first after 2 s.
+            w.service.refused.add("a");
+            return w.service.refused.add(meanwhile.startsWith("another") ? "c" : "b");
+        });
+        w.until(a.leadership::pledge);
+        Moment pledged = clock.now();
+        if (meanwhile.startsWith("another")) {
+            Process b = w.on(() -> w.start("b"));
+            w.until(b.leadership::isValid);
+            if (meanwhile.endsWith("has led")) {
+                w.on(() -> b.leadership.abdicate("test"));
+                w.on(() -> {
+                    w.end("b");
+                    return null;
+                });
+            }
+        }
+        Moment late = w.on(() -> {
+            w.service.holding = (door, path) -> false;
+            w.service.letThrough();
+            assertEquals(meanwhile.startsWith("another") ? meanwhile.endsWith("has led") ? "none" : "b" : "a", w.service.has(RecordCodec.LEADER)
+                    ? w.service.value(RecordCodec.LEADER).text("node") : "none", "whose key stands there");
+            assertFalse(a.leadership.isLeading());
+            w.service.refused.clear();
+            return clock.now();
+        });
+        if (meanwhile.equals("another leads")) {
+            w.until(() -> clock.now().since(late).compareTo(Span.seconds(1)) > 0);
+            assertEquals(List.of("b"), w.took.stream().map(p -> p.node).toList());
+            return;
+        }
+        w.until(a.leadership::isValid);
+        assertTrue(clock.now().since(pledged).compareTo(Leadership.PLEDGE) >= 0, "it had pledged");
+        assertEquals(List.of(), w.breaches);
+    }
+
+    /** The key's removal is asked for late and twice, when the node that stood aside leads again: that leadership goes on. */
+    @Test
+    void aLateHandoverLeavesTheSameNodesNextLeadershipAlone() throws Exception {
+        World w = new World(1, Span.seconds(1));
+        Process a = w.on(() -> w.start("a"));
+        w.until(a.leadership::isValid);
+        Stamp first = w.on(() -> a.leadership.standAside("test"));
+        w.until(() -> w.took.size() == 2 && a.leadership.isValid());
+        Stamp second = w.on(a.leadership::key);
+        for (int times = 0; times < 2; times++) {
+            await(w.on(() -> a.leadership.release(first)));
+        }
+        Moment asked = clock.now();
+        w.until(() -> clock.now().since(asked).compareTo(Span.seconds(1.5)) > 0);
+        assertTrue(w.on(() -> a.leadership.isValid() && a.leadership.key().equals(second)));
+        assertEquals(2, w.took.size());
+        assertEquals(List.of(), w.breaches);
+    }
+
+    /** A renewal is answered when its lease was let go and another taken: what it says of the old one is not said of the new. */
+    @ParameterizedTest
+    @CsvSource({"true", "false"})
+    void aRenewalAnsweredLateSaysNothingOfTheNextLease(boolean ended) throws Exception {
+        World w = new World(1, Span.seconds(6));
+        Process a = w.on(() -> w.start("a"));
+        w.until(a.leadership::isValid);
+        w.on(() -> {
+            w.service.holding = (door, path) -> path.endsWith("/renew");
+            return null;
+        });
+        w.until(() -> w.service.heldBack() > 0);
+        w.on(() -> {
+            a.leadership.deposed();
+            if (ended) {
+                w.service.endLeases();
+            }
+            return null;
+        });
+        w.until(() -> w.took.size() == 2);
+        Moment again = clock.now();
+        w.on(() -> {
+            // All that is held by now is of the first lease, as the duty has not come to renew the second.
+            w.service.letThrough();
+            return null;
+        });
+        w.until(() -> clock.now().since(again).compareTo(Span.seconds(1)) > 0 || w.took.size() > 2);
+        assertEquals(2, w.took.size(), "the second leadership goes on");
+        // No renewal of the second lease gets through: its time runs from when it was asked for, however often the first is renewed.
+        w.until(() -> !a.leadership.isValid());
+        assertTrue(clock.now().since(again).compareTo(w.life) < 0, "valid beyond its own lease");
+    }
+
+    /** What a node remembers as open is the newest there is only if nobody has led since, also where it never read who did. */
+    @ParameterizedTest
+    @CsvSource({"nobody, true", "another, false", "its own try without an answer, true"})
+    void aNodeSucceedsItselfOnlyIfNobodyHasLedSince(String between, boolean itself) throws Exception {
+        World w = new World(1, Span.seconds(2));
+        Process a = w.on(() -> w.start("a"));
+        w.until(a.leadership::isValid);
+        assertTrue(w.on(a.leadership::succeedsItself), "the first of all");
+        switch (between) {
+            case "another" -> {
+                w.on(() -> {
+                    w.service.refused.add("a");
+                    w.service.endLeases();
+                    return w.start("b");
+                });
+                w.until(() -> w.took.size() == 2);
+                await(w.on(() -> w.running.get("b").leadership.abdicate("test")));
+                w.on(() -> {
+                    w.end("b");
+                    w.service.endLeases();
+                    return w.service.refused.remove("a");
+                });
+            }
+            case "nobody" -> w.on(() -> {
+                a.leadership.deposed();
+                return null;
+            });
+            default -> w.on(() -> {
+                w.service.losingAnswers = 1;
+                a.leadership.deposed();
+                return null;
+            });
+        }
+        int before = w.took.size();
+        w.until(() -> w.took.size() > before && a.leadership.isValid());
+        assertEquals(itself, w.on(a.leadership::succeedsItself));
+        assertEquals(List.of(), w.breaches);
+    }
+
+    /** Tries that the service refuses use up no numbers: tokens do not run ahead of the time, from which the next process chooses. */
+    @Test
+    void refusedTriesDoNotTakeTokensAheadOfTheTime() {
+        TokenClock tokens = new TokenClock(1, clock.timeOfDay(), Span.seconds(0.1));
+        Token first = tokens.next(Token.NONE, clock.timeOfDay());
+        Token held = tokens.next(Token.NONE, clock.timeOfDay());
+        for (int n = 0; n < 100; n++) {
+            Token refused = tokens.next(Token.NONE, clock.timeOfDay());
+            assertTrue(refused.value() > held.value() && held.value() > first.value(), "those may still be carried out");
+            tokens.unused(refused);
+        }
+        assertEquals(3 << 5, tokens.next(Token.NONE, clock.timeOfDay()).value() - (first.value() - (1 << 5)));
+    }
+}
--- a/src/test/java/io/indigoreach/state/StateStandIn.java
+++ b/src/test/java/io/indigoreach/state/StateStandIn.java
@@ -6,14 +6,18 @@
 import io.vertx.core.Future;
 import io.vertx.core.Promise;
 import io.vertx.core.Vertx;
+import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpMethod;
 import io.vertx.core.http.HttpServerRequest;
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.TreeMap;
+import java.util.function.BiPredicate;
 
 /** A stand-in for the state service that speaks its protocol; it can refuse requests, or execute them and not answer. */
 public final class StateStandIn {
@@ -21,12 +25,21 @@
     }
 
     private final TreeMap<String, Item> items = new TreeMap<>();
-    private final Map<Long, Boolean> leases = new HashMap<>();
+    /** When each lease ends, by the steady clock in ns; only where they {@link #expiring expire}. */
+    private final Map<Long, Long> leases = new HashMap<>();
+    private final Map<Long, Long> lives = new HashMap<>();
+    private final List<Runnable> held = new ArrayList<>();
     private final List<Promise<Void>> watchers = new ArrayList<>();
     private final List<Map<String, Object>> changes = new ArrayList<>();
     private long revision = 10;
     private long lastLease;
     public boolean refusing;
+    /** Callers that are refused alone, by the names of their {@link #door doors}; their open watches wait. */
+    public final Set<String> refused = new HashSet<>();
+    /** What is held back until it is {@link #letThrough let through}, by the caller's door and the path. */
+    public BiPredicate<String, String> holding = (door, path) -> false;
+    /** Leases end by their time; after an outage each has its full time again. */
+    public boolean expiring;
     /** The answers to the next transactions are lost after these were executed. */
     public int losingAnswers;
     /** Leases are not ended on request: as if it came from a node that is refused. */
@@ -39,12 +52,35 @@
     private Endpoint endpoint;
 
     public Future<StateStandIn> listen(Vertx vertx) {
-        return vertx.createHttpServer().requestHandler(this::handle).listen(0, "127.0.0.1").map(s -> {
-            endpoint = new Endpoint("127.0.0.1", s.actualPort());
+        return door(vertx, "").map(at -> {
+            endpoint = at;
             return this;
         });
     }
 
+    /** A way in for one caller, who can be refused alone. */
+    public Future<Endpoint> door(Vertx vertx, String name) {
+        return vertx.createHttpServer().requestHandler(r -> handle(r, name)).listen(0, "127.0.0.1")
+                .map(s -> new Endpoint("127.0.0.1", s.actualPort()));
+    }
+
+    /** What was held back is executed now, and answered to whoever still waits. */
+    public void letThrough() {
+        List<Runnable> all = new ArrayList<>(held);
+        held.clear();
+        all.forEach(Runnable::run);
+    }
+
+    public int heldBack() {
+        return held.size();
+    }
+
+    /** An outage ends: every lease has its full time again. */
+    public void serveAgain() {
+        refusing = false;
+        leases.replaceAll((lease, ends) -> System.nanoTime() + lives.get(lease));
+    }
+
     public Endpoint endpoint() {
         return endpoint;
     }
@@ -63,42 +99,68 @@
 
     /** Ends every lease, with the keys attached to it. */
     public void endLeases() {
-        leases.clear();
-        List<String> gone = items.entrySet().stream().filter(e -> e.getValue().lease > 0).map(Map.Entry::getKey).toList();
+        List.copyOf(leases.keySet()).forEach(this::endLease);
+    }
+
+    private void endLease(long lease) {
+        leases.remove(lease);
+        List<String> gone = items.entrySet().stream().filter(e -> e.getValue().lease == lease).map(Map.Entry::getKey).toList();
         gone.forEach(this::delete);
         wakeWatchers();
     }
 
-    private void handle(HttpServerRequest request) {
-        String path = request.path();
+    /** Ends the leases whose time is over; none in an outage. */
+    public void expire() {
+        if (refusing) {
+            return;
+        }
+        long now = System.nanoTime();
+        List.copyOf(leases.keySet()).stream().filter(l -> leases.get(l) - now < 0).forEach(this::endLease);
+    }
+
+    private void handle(HttpServerRequest request, String door) {
         request.body().onSuccess(body -> {
-            if (refusing) {
+            if (refusing || refused.contains(door)) {
                 reply(request, 503, Map.of());
-            } else if (path.equals("/txn")) {
-                commit(request, Wire.readMap(body));
-            } else if (path.equals("/store")) {
-                reads++;
-                list(request);
-            } else if (path.startsWith("/store/")) {
-                reads++;
-                Item item = items.get(path.substring(7));
-                reply(request, item == null ? 404 : 200, item == null ? Wire.map("ledger_rev", revision)
-                        : Wire.map("path", path.substring(7), "data", item.data, "stamp", item.stamp));
-            } else if (path.equals("/grants")) {
-                leases.put(++lastLease, true);
-                reply(request, 200, Wire.map("permit", lastLease));
-            } else if (path.startsWith("/grants/")) {
-                long lease = Long.parseLong(path.split("/")[2]);
-                if (request.method() == HttpMethod.DELETE && !keepingLeases) {
-                    endLeases();
-                }
-                reply(request, leases.containsKey(lease) ? 200 : 404, Map.of());
-            } else if (path.equals("/changes")) {
-                watch(request, request.getParam("starts"), Long.parseLong(request.getParam("since")));
+            } else if (holding.test(door, request.path())) {
+                held.add(() -> serve(request, door, body));
+            } else {
+                serve(request, door, body);
             }
         });
     }
 
+    private void serve(HttpServerRequest request, String door, Buffer body) {
+        String path = request.path();
+        if (expiring) {
+            expire();
+        }
+        if (path.equals("/txn")) {
+            commit(request, Wire.readMap(body));
+        } else if (path.equals("/store")) {
+            reads++;
+            list(request);
+        } else if (path.startsWith("/store/")) {
+            reads++;
+            Item item = items.get(path.substring(7));
+            reply(request, item == null ? 404 : 200, item == null ? Wire.map("ledger_rev", revision)
+                    : Wire.map("path", path.substring(7), "data", item.data, "stamp", item.stamp));
+        } else if (path.equals("/grants")) {
+            lives.put(++lastLease, Wire.readMap(body).whole("life_ms") * 1_000_000);
+            leases.put(lastLease, System.nanoTime() + lives.get(lastLease));
+            reply(request, 200, Wire.map("permit", lastLease));
+        } else if (path.startsWith("/grants/")) {
+            long lease = Long.parseLong(path.split("/")[2]);
+            if (request.method() == HttpMethod.DELETE && !keepingLeases) {
+                endLease(lease);
+            }
+            leases.computeIfPresent(lease, (l, ends) -> System.nanoTime() + lives.get(l));
+            reply(request, leases.containsKey(lease) ? 200 : 404, Map.of());
+        } else if (path.equals("/changes")) {
+            watch(request, door, request.getParam("starts"), Long.parseLong(request.getParam("since")));
+        }
+    }
+
     private void commit(HttpServerRequest request, Fields txn) {
         transactions++;
         List<String> failed = new ArrayList<>();
@@ -160,7 +222,10 @@
                 "ledger_rev", revision));
     }
 
-    private void watch(HttpServerRequest request, String prefix, long since) {
+    private void watch(HttpServerRequest request, String door, String prefix, long since) {
+        if (refusing || refused.contains(door)) {
+            return;
+        }
         List<Object> events = new ArrayList<>();
         for (Map<String, Object> change : changes) {
             String key = (String) (change.containsKey("write") ? change.get("write") : change.get("delete"));
@@ -174,7 +239,7 @@
         }
         Promise<Void> change = Promise.promise();
         watchers.add(change);
-        change.future().onSuccess(v -> watch(request, prefix, since));
+        change.future().onSuccess(v -> watch(request, door, prefix, since));
     }
 
     private void wakeWatchers() {
