--- a/src/main/java/io/indigoreach/cluster/Controller.java
+++ b/src/main/java/io/indigoreach/cluster/Controller.java
@@ -8,6 +8,7 @@
 import io.indigoreach.core.Token;
 import io.indigoreach.core.TokenClock;
 import io.indigoreach.core.WorkerReport;
+import io.indigoreach.core.loss.LeaderMemory;
 import io.indigoreach.core.loss.Remains;
 import io.indigoreach.net.Caller;
 import io.indigoreach.state.Leadership;
@@ -36,8 +37,7 @@
     private final WarmUp warmUp;
     private Reign reign;
     private boolean cutOff;
-    /** What this node knew when it last led; what was open then only while nobody else has led since. */
-    private Remains known = new Remains();
+    private final LeaderMemory memory = new LeaderMemory();
 
     /** {@code own}: an event loop for what must not wait for anything else. */
     Controller(Reign.Surroundings env, Vertx own) {
@@ -74,15 +74,15 @@
             return reign.remains(id);
         }
         Remains remains = new Remains();
-        if (known.over().containsKey(id)) {
-            remains.add(id, known.over().get(id));
+        if (memory.known().over().containsKey(id)) {
+            remains.add(id, memory.known().over().get(id));
         }
         return remains;
     }
 
     private Future<Remains> gather() {
         Remains all = new Remains();
-        all.add(known);
+        all.add(memory.known());
         return jobs.get().map(others -> {
             all.add(others);
             return all;
@@ -193,13 +193,7 @@
 
     @Override
     public void took(Token token, Stamp key, boolean bounds) {
-        if (!leadership.succeedsItself()) {
-            // What was open then may be over since; what was over is so for ever. Dropped for good: a leadership that ends before
-            // it has read the records leaves what is known as it is, and the next one succeeds itself.
-            Remains ends = new Remains();
-            known.over().forEach(ends::add);
-            known = ends;
-        }
+        memory.begins(leadership.succeedsItself());
         reign = new Reign(env, token, key, leadership, bounds, this::gather);
         reign.start();
     }
@@ -207,9 +201,7 @@
     @Override
     public void lost(String reason) {
         if (reign != null) {
-            Remains last = reign.remains();
-            // A reign that ended before it had read the records knows less than the one before.
-            known = last.isEmpty() ? known : last;
+            memory.ends(reign.remains());
             reign.close();
             reign = null;
         }
--- a/src/test/java/io/indigoreach/cluster/IntentBookTest.java
+++ b/src/test/java/io/indigoreach/cluster/IntentBookTest.java
@@ -106,6 +106,17 @@
         assertEquals(List.of(), state.keys("i/"));
     }
 
+    /** The same node has taken the key anew: what its earlier leadership had under way fails, and the new one goes on. */
+    @Test
+    void aLeadershipThatIsOverDoesNotDeposeTheNextOne() throws Exception {
+        IntentBook old = leader(3);
+        old.intents().add(RENT);
+        old.cancel();
+        leader(4);
+        assertFalse(await(old.record()));
+        assertFalse(deposed);
+    }
+
     @Test
     void anIntentWhoseAnswerWasLostIsRecordedBeforeItIsAsked() throws Exception {
         IntentBook book = leader(3);
--- /dev/null
+++ b/src/test/java/io/indigoreach/core/loss/LeaderMemoryTest.java
@@ -0,0 +1,44 @@
+package io.indigoreach.core.loss;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import io.indigoreach.core.Demand;
+import io.indigoreach.core.JobId;
+import io.indigoreach.core.JobSpec;
+import io.indigoreach.core.JobStatus;
+import io.indigoreach.core.Shape;
+import io.indigoreach.core.Span;
+import io.indigoreach.core.Urgency;
+import java.util.BitSet;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+/** A node leads, then others or nobody, then it again, perhaps too shortly to read the records: what it may say was open. */
+class LeaderMemoryTest {
+    private static final JobId OPEN = new JobId("run-1");
+    private static final JobId OVER = new JobId("run-2");
+
+    private static Remains remains() {
+        JobSpec spec = new JobSpec(OPEN, "c", "t", Shape.ARRAY, Urgency.STANDARD, 2, new Demand(1, 0, 1), "i", 1, null, null, false,
+                false, true, Span.seconds(9), Span.ZERO, Span.ZERO, null);
+        Remains r = new Remains();
+        r.add(new Remains.Open(spec, 1, new BitSet(), 2));
+        r.add(OVER, new Remains.Over(JobStatus.DONE, 1));
+        return r;
+    }
+
+    /** Of each later leadership: i if this node succeeds itself, o if another led between; it ends before it knows anything. */
+    @ParameterizedTest
+    @CsvSource({"'', true", "i, true", "ii, true", "o, false", "io, false", "oi, false", "oiii, false", "ioi, false"})
+    void whatWasOpenIsKnownAsLongAsNobodyElseHasLed(String later, boolean open) {
+        LeaderMemory memory = new LeaderMemory();
+        memory.begins(false);
+        memory.ends(remains());
+        for (char leadership : later.toCharArray()) {
+            memory.begins(leadership == 'i');
+            memory.ends(new Remains());
+        }
+        assertEquals(open ? 1 : 0, memory.known().open().size());
+        assertEquals(JobStatus.DONE, memory.known().over().get(OVER).status(), "for ever");
+    }
+}
