--- a/src/main/java/io/indigoreach/cluster/Controller.java
+++ b/src/main/java/io/indigoreach/cluster/Controller.java
@@ -9,6 +9,7 @@
 import io.indigoreach.core.Token;
 import io.indigoreach.core.TokenClock;
 import io.indigoreach.core.WorkerReport;
+import io.indigoreach.core.loss.LeaderMemory;
 import io.indigoreach.core.loss.Remains;
 import io.indigoreach.net.Caller;
 import io.indigoreach.state.Leadership;
@@ -37,8 +38,7 @@
     private final WarmUp warmUp;
     private Reign reign;
     private boolean cutOff;
-    /** What this node knew when it last led. */
-    private Remains known = new Remains();
+    private final LeaderMemory memory = new LeaderMemory();
 
     /** {@code own}: an event loop for what must not wait for anything else. */
     Controller(Reign.Surroundings env, Vertx own) {
@@ -75,20 +75,15 @@
             return reign.remains(id);
         }
         Remains remains = new Remains();
-        if (known.over().containsKey(id)) {
-            remains.add(id, known.over().get(id));
+        if (memory.known().over().containsKey(id)) {
+            remains.add(id, memory.known().over().get(id));
         }
         return remains;
     }
 
     private Future<Remains> gather() {
         Remains all = new Remains();
-        if (leadership.succeedsItself()) {
-            all.add(known);
-        } else {
-            // What was open then may be over since; what was over is so for ever.
-            known.over().forEach(all::add);
-        }
+        all.add(memory.known());
         return jobs.get().map(others -> {
             all.add(others);
             return all;
@@ -199,6 +194,7 @@
 
     @Override
     public void took(Token token, Stamp key, boolean bounds) {
+        memory.begins(leadership.succeedsItself());
         reign = new Reign(env, token, key, leadership, bounds, this::gather);
         reign.start();
     }
@@ -206,9 +202,7 @@
     @Override
     public void lost(String reason) {
         if (reign != null) {
-            Remains last = reign.remains();
-            // A reign that ended before it had read the records knows less than the one before.
-            known = last.isEmpty() ? known : last;
+            memory.ends(reign.remains());
             reign.close();
             reign = null;
         }
--- a/src/main/java/io/indigoreach/cluster/Reign.java
+++ b/src/main/java/io/indigoreach/cluster/Reign.java
@@ -80,6 +80,8 @@
     private Moment summarised = Moment.NEVER;
     private final CancellationHorizon horizon = new CancellationHorizon();
     private boolean boundsKept;
+    /** Since when reports are taken; what machines were silent before that is this node's doing, however long the reading took. */
+    private Moment serves = Moment.NEVER;
 
     /**
      * @param boundsKept the start bounds that earlier leaders recorded can be believed
@@ -181,6 +183,7 @@
         core.setTypes(env.catalogue().types());
         return whole().compose(v -> ledger.load()).compose(revision -> fleet.load().map(revision)).map(revision -> {
             core.loaded();
+            serves = env.clock().now();
             LOG.info("records read: {} open jobs, {} machines", core.jobs().size(), core.machineCount());
             watch.start(revision);
             ends.start(revision);
@@ -239,7 +242,8 @@
 
     private Future<Span> tick() {
         Moment now = env.clock().now();
-        core.awakeSince(env.pulse().awakeSince());
+        Moment awake = env.pulse().awakeSince();
+        core.awakeSince(awake.isAfter(serves) ? awake : serves);
         core.expireLeases(now);
         if (leadership.isValid() && !env.config().peers().isEmpty() && core.isDeaf(now)) {
             leadership.abdicate("no worker's report reaches this node");
--- a/src/test/java/io/indigoreach/cluster/LedgerTest.java
+++ b/src/test/java/io/indigoreach/cluster/LedgerTest.java
@@ -157,8 +157,8 @@
         state.refusing = true;
         await(vertx.timer(20, TimeUnit.MILLISECONDS));
         onLoop(() -> ledger.heardGone(job.id()));
-        int refused = state.refused;
-        while (state.refused < refused + 2) {
+        int refused = state.refusals;
+        while (state.refusals < refused + 2) {
             Thread.onSpinWait();
         }
         onLoop(() -> horizon.heard(clock.now()));
--- a/src/test/java/io/indigoreach/emulator/LocalCluster.java
+++ b/src/test/java/io/indigoreach/emulator/LocalCluster.java
@@ -67,10 +67,10 @@
     Settings settings = Settings.standard();
 
     LocalCluster(int controllers, String faults) throws Exception {
-        this(controllers, faults, 9);
+        this(controllers, 9, faults);
     }
 
-    LocalCluster(int controllers, String faults, int cancelS) throws Exception {
+    LocalCluster(int controllers, double cancelS, String faults) throws Exception {
         scenario = TextForm.parse("test", SCENARIO.formatted(controllers, cancelS, faults), Scenario.class);
         emulator = await(Emulator.start(vertx, scenario, Emulator.Place.LOOPBACK, history));
     }
@@ -118,6 +118,10 @@
 
     /** Ends the n-th controller that was started, connections and all. */
     void stop(int n) throws Exception {
+        // Renewals run on a loop of their own, which ends with the process too: else its lease would live on for 10 s.
+        Promise<Void> stopped = Promise.promise();
+        runtimes.get(n).runOnContext(v -> nodes.get(n).stop().onComplete(stopped));
+        await(stopped.future());
         await(runtimes.get(n).close());
     }
 
--- a/src/test/java/io/indigoreach/emulator/UnheardCancellationTest.java
+++ b/src/test/java/io/indigoreach/emulator/UnheardCancellationTest.java
@@ -38,10 +38,10 @@
     @CsvSource({"3, false", "5, false", "3, true"})
     void tasksAreGoneInTime(int controllers, boolean ends) throws Exception {
         try {
-            open(new LocalCluster(controllers, """
+            open(new LocalCluster(controllers, CANCEL_S, """
                     fault { kind: refuse at_s: %s for_s: 6 from: "node-0" to: "state" }
                     fault { kind: outage at_s: %s for_s: %s to: "state" }
-                    """.formatted(REFUSED_S, OUTAGE_S, OVER_S - OUTAGE_S), CANCEL_S));
+                    """.formatted(REFUSED_S, OUTAGE_S, OVER_S - OUTAGE_S)));
             for (int n = 1; n <= RUNNING; n++) {
                 JobSpec spec = LocalCluster.job(n, 2, 300);
                 cluster.history.add(new Event.Submitted(cluster.clock.now(), spec));
--- a/src/test/java/io/indigoreach/state/StateStandIn.java
+++ b/src/test/java/io/indigoreach/state/StateStandIn.java
@@ -8,17 +8,21 @@
 import io.vertx.core.Future;
 import io.vertx.core.Promise;
 import io.vertx.core.Vertx;
+import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpMethod;
 import io.vertx.core.http.HttpServerRequest;
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Queue;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.ConcurrentSkipListMap;
+import java.util.function.BiPredicate;
 import java.util.function.Predicate;
 
 /**
@@ -30,14 +34,23 @@
     }
 
     private final ConcurrentSkipListMap<String, Item> items = new ConcurrentSkipListMap<>();
-    private final Map<Long, Boolean> leases = new HashMap<>();
+    /** When each lease ends, by the steady clock in ns; only where they {@link #expiring expire}. */
+    private final Map<Long, Long> leases = new HashMap<>();
+    private final Map<Long, Long> lives = new HashMap<>();
+    private final List<Runnable> delayed = new ArrayList<>();
     private final List<Promise<Void>> watchers = new ArrayList<>();
     private final List<Map<String, Object>> changes = new ArrayList<>();
     private long revision = 10;
     private long lastLease;
     public volatile boolean refusing;
     /** Requests that were refused. */
-    public volatile int refused;
+    public volatile int refusals;
+    /** Callers that are refused alone, by the names of their {@link #door doors}; their open watches wait. */
+    public final Set<String> refused = new HashSet<>();
+    /** What is delayed until it is {@link #letThrough let through}, by the caller's door and the path. */
+    public BiPredicate<String, String> delaying = (door, path) -> false;
+    /** Leases end by their time; after an outage each has its full time again. */
+    public boolean expiring;
     /** The answers to the next transactions are lost after these were executed. */
     public int losingAnswers;
     /** Leases are not ended on request: as if it came from a node that is refused. */
@@ -54,12 +67,35 @@
     private Endpoint endpoint;
 
     public Future<StateStandIn> listen(Vertx vertx) {
-        return vertx.createHttpServer().requestHandler(this::handle).listen(0, "127.0.0.1").map(s -> {
-            endpoint = new Endpoint("127.0.0.1", s.actualPort());
+        return door(vertx, "").map(at -> {
+            endpoint = at;
             return this;
         });
     }
 
+    /** A way in for one caller, who can be refused alone. */
+    public Future<Endpoint> door(Vertx vertx, String name) {
+        return vertx.createHttpServer().requestHandler(r -> handle(r, name)).listen(0, "127.0.0.1")
+                .map(s -> new Endpoint("127.0.0.1", s.actualPort()));
+    }
+
+    /** What was delayed is executed now, and answered to whoever still waits. */
+    public void letThrough() {
+        List<Runnable> all = new ArrayList<>(delayed);
+        delayed.clear();
+        all.forEach(Runnable::run);
+    }
+
+    public int delayed() {
+        return delayed.size();
+    }
+
+    /** An outage ends: every lease has its full time again. */
+    public void serveAgain() {
+        refusing = false;
+        leases.replaceAll((lease, ends) -> System.nanoTime() + lives.get(lease));
+    }
+
     public Endpoint endpoint() {
         return endpoint;
     }
@@ -105,38 +141,60 @@
         wakeWatchers();
     }
 
-    private void handle(HttpServerRequest request) {
-        String path = request.path();
+    /** Ends the leases whose time is over; none in an outage. */
+    public void expire() {
+        if (refusing) {
+            return;
+        }
+        long now = System.nanoTime();
+        List.copyOf(leases.keySet()).stream().filter(l -> leases.get(l) - now < 0).forEach(this::endLease);
+    }
+
+    private void handle(HttpServerRequest request, String door) {
         loop = Vertx.currentContext();
         request.body().onSuccess(body -> {
-            if (refusing) {
-                refused++;
+            if (refusing || refused.contains(door)) {
+                refusals++;
                 reply(request, 503, Map.of());
-            } else if (path.equals("/txn")) {
-                commit(request, Wire.readMap(body));
-            } else if (path.equals("/store")) {
-                reads++;
-                list(request);
-            } else if (path.startsWith("/store/")) {
-                reads++;
-                Item item = items.get(path.substring(7));
-                reply(request, item == null ? 404 : 200, item == null ? Wire.map("ledger_rev", revision)
-                        : Wire.map("path", path.substring(7), "data", item.data, "stamp", item.stamp));
-            } else if (path.equals("/grants")) {
-                leases.put(++lastLease, true);
-                reply(request, 200, Wire.map("permit", lastLease));
-            } else if (path.startsWith("/grants/")) {
-                long lease = Long.parseLong(path.split("/")[2]);
-                if (request.method() == HttpMethod.DELETE && !keepingLeases) {
-                    endLease(lease);
-                }
-                reply(request, leases.containsKey(lease) ? 200 : 404, Map.of());
-            } else if (path.equals("/changes")) {
-                watch(request, request.getParam("starts"), Long.parseLong(request.getParam("since")));
+            } else if (delaying.test(door, request.path())) {
+                delayed.add(() -> serve(request, door, body));
+            } else {
+                serve(request, door, body);
             }
         });
     }
 
+    private void serve(HttpServerRequest request, String door, Buffer body) {
+        String path = request.path();
+        if (expiring) {
+            expire();
+        }
+        if (path.equals("/txn")) {
+            commit(request, Wire.readMap(body));
+        } else if (path.equals("/store")) {
+            reads++;
+            list(request);
+        } else if (path.startsWith("/store/")) {
+            reads++;
+            Item item = items.get(path.substring(7));
+            reply(request, item == null ? 404 : 200, item == null ? Wire.map("ledger_rev", revision)
+                    : Wire.map("path", path.substring(7), "data", item.data, "stamp", item.stamp));
+        } else if (path.equals("/grants")) {
+            lives.put(++lastLease, Wire.readMap(body).whole("life_ms") * 1_000_000);
+            leases.put(lastLease, System.nanoTime() + lives.get(lastLease));
+            reply(request, 200, Wire.map("permit", lastLease));
+        } else if (path.startsWith("/grants/")) {
+            long lease = Long.parseLong(path.split("/")[2]);
+            if (request.method() == HttpMethod.DELETE && !keepingLeases) {
+                endLease(lease);
+            }
+            leases.computeIfPresent(lease, (l, ends) -> System.nanoTime() + lives.get(l));
+            reply(request, leases.containsKey(lease) ? 200 : 404, Map.of());
+        } else if (path.equals("/changes")) {
+            watch(request, door, request.getParam("starts"), Long.parseLong(request.getParam("since")));
+        }
+    }
+
     private void commit(HttpServerRequest request, Fields txn) {
         transactions++;
         if (holding.test(txn)) {
@@ -206,7 +264,10 @@
                 "ledger_rev", revision));
     }
 
-    private void watch(HttpServerRequest request, String prefix, long since) {
+    private void watch(HttpServerRequest request, String door, String prefix, long since) {
+        if (refusing || refused.contains(door)) {
+            return;
+        }
         List<Object> events = new ArrayList<>();
         for (Map<String, Object> change : changes) {
             String key = (String) (change.containsKey("write") ? change.get("write") : change.get("delete"));
@@ -220,7 +281,7 @@
         }
         Promise<Void> change = Promise.promise();
         watchers.add(change);
-        change.future().onSuccess(v -> watch(request, prefix, since));
+        change.future().onSuccess(v -> watch(request, door, prefix, since));
     }
 
     private void wakeWatchers() {
