A leader that is refused as an outage begins does not stand aside where nobody can follow

Now served is the last question's answer, standing aside takes two verdicts in a row, and a node that is asked for a pledge looks at once. UnheardCancellationTest has the case (outage 2.5 s after the refusal), green now.

--- a/src/main/java/io/indigoreach/cluster/Standing.java
+++ b/src/main/java/io/indigoreach/cluster/Standing.java
@@ -128,8 +128,9 @@
         }
     }
 
+    /** By the last question. Within a second of an outage's begin it is not known yet, so a leader asks twice. */
     private boolean isServed() {
-        return clock.now().since(served).compareTo(PATIENCE) < 0;
+        return !unserved && clock.now().since(served).compareTo(PATIENCE) < 0;
     }
 
     /** Long enough that in an outage the other nodes know of it too, and not because this node itself stood still. */
@@ -159,8 +160,13 @@
                 });
     }
 
-    /** Says what has changed; true if this node alone is refused. */
+    /**
+     * Says what has changed; true if this node alone is refused, by two verdicts in a row. Guards against a leader that was refused just
+     * before an outage: it was told that others are served, as these had not noticed yet, and stood aside where nobody could follow,
+     * so that all work of the fleet was lost. The second verdict costs nothing, as the lease ends by then in any case.
+     */
     private boolean judged(Isolation.Verdict verdict) {
+        boolean again = verdict == said;
         if (verdict != said) {
             said = verdict;
             LOG.info("{}", switch (verdict) {
@@ -169,7 +175,7 @@
                 case TOGETHER -> "other nodes answer, and the state service serves none of them: an outage";
             });
         }
-        return verdict == Isolation.Verdict.REFUSED_ALONE;
+        return again && verdict == Isolation.Verdict.REFUSED_ALONE;
     }
 
     /** Tells the others that data were lost: who leads may not have seen it, and only a leader can mend it. */
@@ -208,6 +214,10 @@
     /** Whoever is served leaves it to the state service to say who leads, but tells of cancellations all the same. */
     private Map<String, Object> pledge(Span back) {
         Moment now = clock.now();
+        if (!unserved) {
+            // An outage may just have begun: whoever asks has little time left, so this node looks now and not when its turn is.
+            duty.wake();
+        }
         return new Pledges(unserved && controller.pledge(), jobs.told().word(back, now)).write(jobs.told().quiet(now));
     }
 
--- a/src/test/java/io/indigoreach/emulator/UnheardCancellationTest.java
+++ b/src/test/java/io/indigoreach/emulator/UnheardCancellationTest.java
@@ -26,22 +26,22 @@
 class UnheardCancellationTest extends AskedJobs {
     private static final int CANCEL_S = 14;
     private static final double REFUSED_S = 12;
-    private static final double OUTAGE_S = 13.2;
     private static final double OVER_S = 34;
     private static final int RUNNING = 5;
 
     /**
      * As long as all controllers answer each other the word travels: the cancelled tasks end at once and nothing else does. Where the one
      * that told the user has ended since, nobody can say what it told: then no worker is answered any more, and all is lost in time.
+     * {@code outageS}: also just before the leader's lease ends, when the others have not noticed yet that nobody is served.
      */
     @ParameterizedTest
-    @CsvSource({"3, false", "5, false", "3, true"})
-    void tasksAreGoneInTime(int controllers, boolean ends) throws Exception {
+    @CsvSource({"3, 14.5, false", "5, 13.2, false", "3, 13.2, true"})
+    void tasksAreGoneInTime(int controllers, double outageS, boolean ends) throws Exception {
         try {
             open(new LocalCluster(controllers, CANCEL_S, """
                     fault { kind: refuse at_s: %s for_s: 6 from: "node-0" to: "state" }
                     fault { kind: outage at_s: %s for_s: %s to: "state" }
-                    """.formatted(REFUSED_S, OUTAGE_S, OVER_S - OUTAGE_S)));
+                    """.formatted(REFUSED_S, outageS, OVER_S - outageS)));
             for (int n = 1; n <= RUNNING; n++) {
                 JobSpec spec = LocalCluster.job(n, 2, 300);
                 cluster.history.add(new Event.Submitted(cluster.clock.now(), spec));
@@ -52,7 +52,7 @@
             makeLeader(0);
             until(REFUSED_S + 0.3);
             Moment told = cancel(1, new JobId("run-1"));
-            assertTrue(told.isBefore(cluster.emulator.startedAt().plus(Span.seconds(OUTAGE_S))), "told before the outage");
+            assertTrue(told.isBefore(cluster.emulator.startedAt().plus(Span.seconds(outageS))), "told before the outage");
             if (ends) {
                 cluster.stop(1);
             }
