--- a/src/main/java/io/indigoreach/api/FrontDoor.java
+++ b/src/main/java/io/indigoreach/api/FrontDoor.java
@@ -37,6 +37,7 @@
     private final BooleanSupplier ready;
     /** What the parts beside the jobs serve, by their names. */
     private final Map<String, Resource> resources;
+
     private final HttpServer server;
     /** Of each kind so many wait for the state service at once; more are told to come back, and go first then. */
     private final Turns questions = new Turns();
@@ -45,15 +46,24 @@
     /** Submissions and cancellations: questions, however many, do not keep them out. */
     private final Turns orders = new Turns();
 
-    public FrontDoor(Vertx vertx, Endpoint endpoint, JobDesk jobs, ReportDesk reports, BooleanSupplier ready,
-                     Map<String, Resource> resources) {
+    public FrontDoor(
+            Vertx vertx,
+            Endpoint endpoint,
+            JobDesk jobs,
+            ReportDesk reports,
+            BooleanSupplier ready,
+            Map<String, Resource> resources) {
         this.endpoint = endpoint;
         this.jobs = jobs;
         this.reports = reports;
         this.ready = ready;
         this.resources = resources;
-        this.server = vertx.createHttpServer(new HttpServerOptions().setIdleTimeout(IDLE_S).setTcpNoDelay(true)
-                .setMaxInitialLineLength(2048).setMaxHeaderSize(8192).setAcceptBacklog(512)
+        this.server = vertx.createHttpServer(new HttpServerOptions()
+                .setIdleTimeout(IDLE_S)
+                .setTcpNoDelay(true)
+                .setMaxInitialLineLength(2048)
+                .setMaxHeaderSize(8192)
+                .setAcceptBacklog(512)
                 .setHandle100ContinueAutomatically(true));
         server.requestHandler(this::handle);
         server.invalidRequestHandler(r -> r.connection().close());
@@ -94,11 +104,22 @@
         } else if (path != null && path.startsWith(API) && resources.containsKey(part(path))) {
             Resource resource = resources.get(part(path));
             if (request.method().equals(HttpMethod.GET)) {
-                answer(request, b -> limited(others, user(request), () -> resource.serve(call(request, path,
-                        new Fields(Map.of())))), null);
+                answer(
+                        request,
+                        b -> limited(
+                                others, user(request), () -> resource.serve(call(request, path, new Fields(Map.of())))),
+                        null);
             } else {
-                withBody(request, request.method(), body -> limited(others, user(request), () -> resource.serve(call(request, path,
-                        body.length() == 0 ? new Fields(Map.of()) : Wire.readMap(body)))));
+                withBody(
+                        request,
+                        request.method(),
+                        body -> limited(
+                                others,
+                                user(request),
+                                () -> resource.serve(call(
+                                        request,
+                                        path,
+                                        body.length() == 0 ? new Fields(Map.of()) : Wire.readMap(body)))));
             }
         } else {
             write(request, Answer.error(404, "no such path"));
@@ -114,8 +135,14 @@
         String rest = path.substring(API.length() + part(path).length());
         Map<String, String> query = new HashMap<>();
         request.params().forEach(e -> query.putIfAbsent(e.getKey(), e.getValue()));
-        return new Resource.Call(request.method().name(), Arrays.stream(rest.split("/")).filter(s -> !s.isEmpty())
-                .map(s -> URLDecoder.decode(s, StandardCharsets.UTF_8)).toList(), query, body);
+        return new Resource.Call(
+                request.method().name(),
+                Arrays.stream(rest.split("/"))
+                        .filter(s -> !s.isEmpty())
+                        .map(s -> URLDecoder.decode(s, StandardCharsets.UTF_8))
+                        .toList(),
+                query,
+                body);
     }
 
     /** Whoever comes back after a refusal does so on the same connection, mostly. */
@@ -156,7 +183,8 @@
 
     private void refuseLong(HttpServerRequest request) {
         request.response().putHeader("Connection", "close");
-        write(request, Answer.error(413, "a body may have 64 KiB")).onComplete(e -> request.connection().close());
+        write(request, Answer.error(413, "a body may have 64 KiB"))
+                .onComplete(e -> request.connection().close());
     }
 
     private void answer(HttpServerRequest request, Function<Buffer, Future<Answer>> work, Buffer body) {
@@ -174,7 +202,11 @@
             if (done.cause() instanceof Refusal r) {
                 write(request, r.answer());
             } else if (done.failed()) {
-                LOG.debug("{} {}: {}", request.method(), request.path(), done.cause().toString());
+                LOG.debug(
+                        "{} {}: {}",
+                        request.method(),
+                        request.path(),
+                        done.cause().toString());
                 write(request, Answer.later("the state service does not answer"));
             } else {
                 write(request, done.result());
--- a/src/main/java/io/indigoreach/api/JobCodec.java
+++ b/src/main/java/io/indigoreach/api/JobCodec.java
@@ -32,28 +32,63 @@
     public static final List<String> MORE = List.of(JobSpec.RECORDS, "plan", JobSpec.WARM);
 
     /** How a job stands, as its user is told. */
-    public record Progress(JobId id, JobStatus status, int done, int running) {
-    }
+    public record Progress(JobId id, JobStatus status, int done, int running) {}
 
-    private JobCodec() {
-    }
+    private JobCodec() {}
 
     /** A submission, as users write it. */
     public static Map<String, Object> write(JobSpec s) {
-        Map<String, Object> map = Wire.map("id", s.id().text(), "jobclass", s.jobClass(), "owner", s.team(), "shape",
-                s.shape().name().toLowerCase(Locale.ROOT), "urgency", s.urgency().name().toLowerCase(Locale.ROOT),
-                "pieces", s.tasks(), "cores", s.demand().cores(), "gpus", s.demand().gpus(), "ram_gb",
-                s.demand().ramGb(), "bundle", s.image(), "pull_gb", s.imageGb(), "boxkinds", s.types(), "hall", s.zone(),
-                "one_zone", s.oneZone(), "spread", s.spread(), "loaners", s.spotAllowed(), "expected_s",
-                s.estimate().seconds(), "snapshot_every_s", s.checkpointEvery().seconds(), "snapshot_s",
-                s.checkpointTime().seconds(), "due_s", s.due() == null ? null : s.due().seconds());
+        Map<String, Object> map = Wire.map(
+                "id",
+                s.id().text(),
+                "jobclass",
+                s.jobClass(),
+                "owner",
+                s.team(),
+                "shape",
+                s.shape().name().toLowerCase(Locale.ROOT),
+                "urgency",
+                s.urgency().name().toLowerCase(Locale.ROOT),
+                "pieces",
+                s.tasks(),
+                "cores",
+                s.demand().cores(),
+                "gpus",
+                s.demand().gpus(),
+                "ram_gb",
+                s.demand().ramGb(),
+                "bundle",
+                s.image(),
+                "pull_gb",
+                s.imageGb(),
+                "boxkinds",
+                s.types(),
+                "hall",
+                s.zone(),
+                "one_zone",
+                s.oneZone(),
+                "spread",
+                s.spread(),
+                "loaners",
+                s.spotAllowed(),
+                "expected_s",
+                s.estimate().seconds(),
+                "snapshot_every_s",
+                s.checkpointEvery().seconds(),
+                "snapshot_s",
+                s.checkpointTime().seconds(),
+                "due_s",
+                s.due() == null ? null : s.due().seconds());
         map.putAll(s.more());
         return map;
     }
 
     public static Progress readProgress(Fields f) {
-        return new Progress(new JobId(f.text("id")), JobStatus.valueOf(f.text("status").toUpperCase(Locale.ROOT)),
-                (int) f.whole("done", 0), (int) f.whole("running", 0));
+        return new Progress(
+                new JobId(f.text("id")),
+                JobStatus.valueOf(f.text("status").toUpperCase(Locale.ROOT)),
+                (int) f.whole("done", 0),
+                (int) f.whole("running", 0));
     }
 
     /** Reads a job; throws {@link WireException} with a short reason if it is malformed. */
@@ -81,12 +116,26 @@
         if (f.has("due_s")) {
             due = Span.seconds(amount(f, "due_s"));
         }
-        return new JobSpec(new JobId(id), name(f, "jobclass"), name(f, "owner"), shape(f.text("shape")),
-                urgency(f.text("urgency")), (int) tasks,
-                new Demand(amount(f, "cores"), amount(f, "gpus"), amount(f, "ram_gb")), name(f, "bundle"),
-                amount(f, "pull_gb"), types, zone, flag(f, "one_zone"), flag(f, "spread"), flag(f, "loaners"),
-                Span.seconds(amount(f, "expected_s")), Span.seconds(amount(f, "snapshot_every_s")),
-                Span.seconds(amount(f, "snapshot_s")), due, more(f));
+        return new JobSpec(
+                new JobId(id),
+                name(f, "jobclass"),
+                name(f, "owner"),
+                shape(f.text("shape")),
+                urgency(f.text("urgency")),
+                (int) tasks,
+                new Demand(amount(f, "cores"), amount(f, "gpus"), amount(f, "ram_gb")),
+                name(f, "bundle"),
+                amount(f, "pull_gb"),
+                types,
+                zone,
+                flag(f, "one_zone"),
+                flag(f, "spread"),
+                flag(f, "loaners"),
+                Span.seconds(amount(f, "expected_s")),
+                Span.seconds(amount(f, "snapshot_every_s")),
+                Span.seconds(amount(f, "snapshot_s")),
+                due,
+                more(f));
     }
 
     private static Map<String, Object> more(Fields f) {
--- a/src/main/java/io/indigoreach/api/JobDesk.java
+++ b/src/main/java/io/indigoreach/api/JobDesk.java
@@ -66,12 +66,18 @@
     };
 
     /** A job's state: open, over, or both null if it was never accepted. */
-    private record Found(JobRecord open, FinalRecord over) {
-    }
+    private record Found(JobRecord open, FinalRecord over) {}
 
     /** {@code questionsPerS}: requests to the state service that this node may spend on users' questions. */
-    public JobDesk(Vertx vertx, StateClient state, JobMender mender, Catalogue catalogue, Collection<Team> teams,
-                   SteadyClock clock, int valueBytes, double questionsPerS) {
+    public JobDesk(
+            Vertx vertx,
+            StateClient state,
+            JobMender mender,
+            Catalogue catalogue,
+            Collection<Team> teams,
+            SteadyClock clock,
+            int valueBytes,
+            double questionsPerS) {
         this.state = state;
         this.mender = mender;
         this.catalogue = catalogue;
@@ -95,19 +101,25 @@
         }
         String refusal = Admission.refusal(spec, teams, catalogue.types());
         if (refusal == null && !spec.more().isEmpty()) {
-            refusal = spec.more().keySet().stream().filter(f -> joinings.stream().noneMatch(j -> j.field().equals(f))).findFirst()
-                    .map(f -> f + ": this is not switched on here").orElse(null);
+            refusal = spec.more().keySet().stream()
+                    .filter(f -> joinings.stream().noneMatch(j -> j.field().equals(f)))
+                    .findFirst()
+                    .map(f -> f + ": this is not switched on here")
+                    .orElse(null);
         }
         long now = clock.timeOfDay();
-        Map<String, Object> record = RecordCodec.writeJob(spec, now, JobStatus.PENDING, new BitSet(), 0, firstBound(spec));
+        Map<String, Object> record =
+                RecordCodec.writeJob(spec, now, JobStatus.PENDING, new BitSet(), 0, firstBound(spec));
         if (refusal == null && Wire.write(record).length() > valueBytes / 2) {
             refusal = "the description is too long";
         }
         if (refusal != null) {
             // Whatever was accepted once stays accepted, even under limits that have become stricter since.
             String reason = refusal;
-            return find(spec.id()).map(found -> found.open == null && found.over == null
-                    ? Answer.error(422, reason) : current(spec.id(), found));
+            return find(spec.id())
+                    .map(found -> found.open == null && found.over == null
+                            ? Answer.error(422, reason)
+                            : current(spec.id(), found));
         }
         return accept(spec, record, now, 1);
     }
@@ -122,16 +134,24 @@
 
     /** Only in an era that is known and whole: a job that was lost may have been over, and must not run once more. */
     private Future<Answer> accept(JobSpec spec, Map<String, Object> record, long now, int attempt) {
-        StateClient.Txn txn = state.inThisEra().when(RecordCodec.open(spec.id()), Stamp.ABSENT)
+        StateClient.Txn txn = state.inThisEra()
+                .when(RecordCodec.open(spec.id()), Stamp.ABSENT)
                 .when(RecordCodec.over(spec.id()), Stamp.ABSENT);
         if (state.losses().isHolding()) {
             return find(spec.id()).map(found -> current(spec.id(), found));
         }
-        return joined(spec).compose(change -> commit(spec, record, now, attempt, txn, change), e ->
-                // Whatever was accepted once stays accepted, also where a part would refuse it by now or cannot say.
-                find(spec.id()).compose(found -> found.open != null || found.over != null
-                        ? Future.succeededFuture(current(spec.id(), found))
-                        : e instanceof Refusal r ? Future.succeededFuture(r.answer()) : Future.failedFuture(e)));
+        return joined(spec)
+                .compose(
+                        change -> commit(spec, record, now, attempt, txn, change),
+                        e ->
+                                // Whatever was accepted once stays accepted, also where a part would refuse it by now
+                                // or cannot say.
+                                find(spec.id())
+                                        .compose(found -> found.open != null || found.over != null
+                                                ? Future.succeededFuture(current(spec.id(), found))
+                                                : e instanceof Refusal r
+                                                        ? Future.succeededFuture(r.answer())
+                                                        : Future.failedFuture(e)));
     }
 
     /** What the parts beside the jobs have to say to this one; nothing for most. */
@@ -145,25 +165,30 @@
         return all;
     }
 
-    private Future<Answer> commit(JobSpec spec, Map<String, Object> record, long now, int attempt, StateClient.Txn txn,
-                                  Change change) {
-        return state.commit(txn.put(RecordCodec.open(spec.id()), record).and(change)).compose(outcome -> {
-            if (outcome.done()) {
-                joinings.stream().filter(j -> spec.more().containsKey(j.field())).forEach(j -> j.accepted(change, outcome.stamp()));
-                BitSet none = new BitSet();
-                accepted.put(spec.id(), new Remains.Open(spec, now, none, spec.tasks()));
-                return Future.succeededFuture(
-                        new Answer(201, JobCodec.accepted(spec.id(), JobStatus.PENDING), 0));
-            }
-            if (outcome.failed().equals(List.of(RecordCodec.ERA)) && attempt < MOST_TRIES) {
-                return state.check().compose(v -> accept(spec, record, now, attempt + 1));
-            }
-            if (outcome.failed().stream().anyMatch(change.conditions()::containsKey) && attempt < MOST_TRIES) {
-                return accept(spec, record, now, attempt + 1);
-            }
-            return find(spec.id(), this::readOpen, spec, 1).map(found -> found.open == null && found.over == null
-                    ? Answer.later("try again") : current(spec.id(), found));
-        });
+    private Future<Answer> commit(
+            JobSpec spec, Map<String, Object> record, long now, int attempt, StateClient.Txn txn, Change change) {
+        return state.commit(txn.put(RecordCodec.open(spec.id()), record).and(change))
+                .compose(outcome -> {
+                    if (outcome.done()) {
+                        joinings.stream()
+                                .filter(j -> spec.more().containsKey(j.field()))
+                                .forEach(j -> j.accepted(change, outcome.stamp()));
+                        BitSet none = new BitSet();
+                        accepted.put(spec.id(), new Remains.Open(spec, now, none, spec.tasks()));
+                        return Future.succeededFuture(
+                                new Answer(201, JobCodec.accepted(spec.id(), JobStatus.PENDING), 0));
+                    }
+                    if (outcome.failed().equals(List.of(RecordCodec.ERA)) && attempt < MOST_TRIES) {
+                        return state.check().compose(v -> accept(spec, record, now, attempt + 1));
+                    }
+                    if (outcome.failed().stream().anyMatch(change.conditions()::containsKey) && attempt < MOST_TRIES) {
+                        return accept(spec, record, now, attempt + 1);
+                    }
+                    return find(spec.id(), this::readOpen, spec, 1)
+                            .map(found -> found.open == null && found.over == null
+                                    ? Answer.later("try again")
+                                    : current(spec.id(), found));
+                });
     }
 
     private static Answer current(JobId id, Found found) {
@@ -180,7 +205,8 @@
                 JobRecord r = found.open;
                 return Answer.ok(JobCodec.progress(id, r.status(), r.doneCount(), r.running()));
             }
-            return found.over == null ? Answer.error(404, "no such job")
+            return found.over == null
+                    ? Answer.error(404, "no such job")
                     : Answer.ok(JobCodec.progress(id, found.over.status(), found.over.done(), 0));
         });
     }
@@ -200,7 +226,8 @@
             if (found.open == null) {
                 return Future.succeededFuture(Answer.error(404, "no such job"));
             }
-            StateClient.Txn txn = new StateClient.Txn().when(RecordCodec.open(id), found.open.stamp())
+            StateClient.Txn txn = new StateClient.Txn()
+                    .when(RecordCodec.open(id), found.open.stamp())
                     .delete(RecordCodec.open(id))
                     .put(RecordCodec.over(id), RecordCodec.writeFinal(JobStatus.CANCELLED, found.open.doneCount()));
             for (int n = 0; n < RecordCodec.blocks(found.open.spec().tasks()); n++) {
@@ -213,7 +240,8 @@
                     return Future.succeededFuture(Answer.ok(JobCodec.accepted(id, JobStatus.CANCELLED)));
                 }
                 // The leader wrote the job's progress in between.
-                return attempt < MOST_TRIES ? cancel(id, attempt + 1)
+                return attempt < MOST_TRIES
+                        ? cancel(id, attempt + 1)
                         : Future.succeededFuture(Answer.later("the job changes at this moment"));
             });
         });
@@ -232,7 +260,8 @@
      * comparing, as a read may come from before it was accepted; so is what is read while the service is in doubt. What cannot
      * be read is mended first; {@code offered}: the job as its user submits it again, or null.
      */
-    private Future<Found> find(JobId id, Function<JobId, Future<StateClient.Entry>> reader, JobSpec offered, int attempt) {
+    private Future<Found> find(
+            JobId id, Function<JobId, Future<StateClient.Entry>> reader, JobSpec offered, int attempt) {
         FinalRecord known = over.get(id);
         if (known != null) {
             return Future.succeededFuture(new Found(null, known));
@@ -247,8 +276,8 @@
                 }
                 if (record.status() == JobStatus.DONE) {
                     // Its end is written; the record has only not been moved yet.
-                    return Future.succeededFuture(new Found(null, remember(new FinalRecord(id, JobStatus.DONE,
-                            record.doneCount()))));
+                    return Future.succeededFuture(
+                            new Found(null, remember(new FinalRecord(id, JobStatus.DONE, record.doneCount()))));
                 }
                 Found found = new Found(record, null);
                 return state.isDoubted() ? confirmed(id, found, open.stamp(), attempt) : Future.succeededFuture(found);
@@ -267,7 +296,8 @@
     }
 
     private Future<Found> again(JobId id, Future<Void> settled, JobSpec offered, int attempt, String failure) {
-        return settled.compose(v -> attempt < MOST_TRIES ? find(id, this::readOpen, offered, attempt + 1)
+        return settled.compose(v -> attempt < MOST_TRIES
+                ? find(id, this::readOpen, offered, attempt + 1)
                 : Future.failedFuture(new WireException(failure)));
     }
 
@@ -277,21 +307,25 @@
         }
         StateClient.Txn txn = found.open == null ? state.inThisEra() : new StateClient.Txn();
         return state.confirm(txn.when(RecordCodec.open(id), open).when(RecordCodec.over(id), Stamp.ABSENT))
-                .compose(holds -> holds ? found.open == null ? unknownToAll(id, attempt) : Future.succeededFuture(found)
+                .compose(holds -> holds
+                        ? found.open == null ? unknownToAll(id, attempt) : Future.succeededFuture(found)
                         : again(id, state.check(), null, attempt, "the state service answers with the past"));
     }
 
     /** Nobody is told that a job does not exist as long as any controller remembers it: its record was lost. */
     private Future<Found> unknownToAll(JobId id, int attempt) {
-        return (knows(id) ? Future.succeededFuture(true) : others.apply(id)).compose(known -> known
-                ? state.confirm(nowhere(id)).compose(still -> {
-                    if (!still) {
-                        // Accepted after it was looked for.
-                        return again(id, Future.succeededFuture(), null, attempt, "the job changes at this moment");
-                    }
-                    state.recordGone(RecordCodec.open(id));
-                    return Future.failedFuture(new WireException("the record of this job was lost"));
-                }) : Future.succeededFuture(new Found(null, null)));
+        return (knows(id) ? Future.succeededFuture(true) : others.apply(id))
+                .compose(known -> known
+                        ? state.confirm(nowhere(id)).compose(still -> {
+                            if (!still) {
+                                // Accepted after it was looked for.
+                                return again(
+                                        id, Future.succeededFuture(), null, attempt, "the job changes at this moment");
+                            }
+                            state.recordGone(RecordCodec.open(id));
+                            return Future.failedFuture(new WireException("the record of this job was lost"));
+                        })
+                        : Future.succeededFuture(new Found(null, null)));
     }
 
     private static StateClient.Txn nowhere(JobId id) {
--- a/src/main/java/io/indigoreach/api/Joining.java
+++ b/src/main/java/io/indigoreach/api/Joining.java
@@ -20,6 +20,5 @@
     Future<Change> accepting(JobSpec spec);
 
     /** The change was written with the acceptance. */
-    default void accepted(Change change, Stamp stamp) {
-    }
+    default void accepted(Change change, Stamp stamp) {}
 }
--- a/src/main/java/io/indigoreach/api/OpenReads.java
+++ b/src/main/java/io/indigoreach/api/OpenReads.java
@@ -39,6 +39,7 @@
     private final Budget pages;
     /** By the keys of the records. */
     private Map<String, Promise<StateClient.Entry>> waiting = new HashMap<>();
+
     private final Round<Promise<StateClient.Entry>> round = new Round<>();
     private boolean listing;
 
@@ -88,13 +89,15 @@
         state.list(RecordCodec.OPEN, RecordCodec.before(from), PAGE).onComplete(read -> {
             if (read.failed()) {
                 round.failed(from);
-                end(new WireException("the open jobs cannot be listed: " + read.cause().getMessage()));
+                end(new WireException(
+                        "the open jobs cannot be listed: " + read.cause().getMessage()));
                 return;
             }
             Map<String, StateClient.Entry> items = new HashMap<>();
             read.result().items().forEach(item -> items.put(item.key(), item));
             String last = read.result().more() && !items.isEmpty()
-                    ? read.result().items().get(items.size() - 1).key() : null;
+                    ? read.result().items().get(items.size() - 1).key()
+                    : null;
             round.answered(from, last).forEach((key, promise) -> promise.complete(items.get(key)));
             if (round.isOver()) {
                 end(null);
--- a/src/main/java/io/indigoreach/calendar/CalendarCodec.java
+++ b/src/main/java/io/indigoreach/calendar/CalendarCodec.java
@@ -43,16 +43,15 @@
     public static final int LONGEST_TEXT = 60_000;
 
     /** A calendar with what a version keeps beside it. */
-    public record Stored(Calendar calendar, Register register, String file) {
-    }
+    public record Stored(Calendar calendar, Register register, String file) {}
 
-    private CalendarCodec() {
-    }
+    private CalendarCodec() {}
 
     public static String pack(Stored stored) {
         Map<String, Object> map = write(stored.calendar());
         List<Object> blocks = new ArrayList<>();
-        new TreeMap<>(stored.register().entries()).forEach((name, e) -> blocks.add(List.of(name, e.block(), e.since())));
+        new TreeMap<>(stored.register().entries())
+                .forEach((name, e) -> blocks.add(List.of(name, e.block(), e.since())));
         map.put("blocks", blocks);
         map.put("next_block", stored.register().next());
         map.put("file", stored.file());
@@ -68,7 +67,8 @@
     /** Throws {@link WireException} if it is not what {@link #pack} makes. */
     public static Stored unpack(String text) {
         byte[] bytes;
-        try (InflaterInputStream in = new InflaterInputStream(new ByteArrayInputStream(Base64.getDecoder().decode(text)))) {
+        try (InflaterInputStream in = new InflaterInputStream(
+                new ByteArrayInputStream(Base64.getDecoder().decode(text)))) {
             bytes = in.readNBytes(LARGEST + 1);
         } catch (IOException | IllegalArgumentException e) {
             throw Fields.invalid("text");
@@ -78,14 +78,16 @@
         }
         Fields f = Wire.readMap(Buffer.buffer(bytes));
         Map<String, Register.Entry> blocks = new LinkedHashMap<>();
-        f.lists("blocks").forEach(b -> blocks.put((String) b.get(0), new Register.Entry(whole(b.get(1)), whole(b.get(2)))));
+        f.lists("blocks")
+                .forEach(b -> blocks.put((String) b.get(0), new Register.Entry(whole(b.get(1)), whole(b.get(2)))));
         return new Stored(read(f), new Register(f.whole("next_block", 1), blocks), f.has("file") ? f.text("file") : "");
     }
 
     /** Names a text by its contents. */
     public static String digest(String text) {
         try {
-            byte[] sum = MessageDigest.getInstance("SHA-256").digest(text.getBytes(java.nio.charset.StandardCharsets.US_ASCII));
+            byte[] sum = MessageDigest.getInstance("SHA-256")
+                    .digest(text.getBytes(java.nio.charset.StandardCharsets.US_ASCII));
             return HexFormat.of().formatHex(sum, 0, 16);
         } catch (NoSuchAlgorithmException e) {
             throw new IllegalStateException(e);
@@ -93,36 +95,120 @@
     }
 
     private static Map<String, Object> write(Calendar c) {
-        return Wire.map("cores", c.cores(),
-                "regions", each(c.regions(), r -> Wire.map("name", r.name(), "years", numbers(r.years()),
-                        "holidays", each(r.holidays(), h -> List.of(h.day().number(), h.name())))),
-                "seasons", each(c.seasons(), s -> Wire.map("name", s.name(),
-                        "years", each(s.years(), d -> List.of(d.from().number(), d.to().number())))),
-                "depots", each(c.depots(), d -> Wire.map("name", d.name(), "zone", d.zone(), "region", d.region(),
-                        "weekly", each(d.weekly(), w -> List.of((long) w.at().minute(), numbers(w.weekdays()))),
-                        "exceptions", each(d.exceptions(), e -> List.of(e.day().number(), minute(e.at()))))),
-                "plans", each(c.plans(), p -> Wire.map("name", p.name(), "depot", p.depot(), "at", minute(p.at()),
-                        "weekdays", numbers(p.days().weekdays()), "month_days", numbers(p.days().daysOfMonth()),
-                        "months", numbers(p.days().months()), "margin_ms", p.margin().ms(),
-                        "on_holiday", p.onHoliday().name().toLowerCase(Locale.ROOT),
-                        "boosts", each(p.boosts(), b -> List.of(b.season(), b.times())), "job", JobCodec.write(p.template()))));
+        return Wire.map(
+                "cores",
+                c.cores(),
+                "regions",
+                each(
+                        c.regions(),
+                        r -> Wire.map(
+                                "name",
+                                r.name(),
+                                "years",
+                                numbers(r.years()),
+                                "holidays",
+                                each(r.holidays(), h -> List.of(h.day().number(), h.name())))),
+                "seasons",
+                each(
+                        c.seasons(),
+                        s -> Wire.map(
+                                "name",
+                                s.name(),
+                                "years",
+                                each(s.years(), d -> List.of(d.from().number(), d.to().number())))),
+                "depots",
+                each(
+                        c.depots(),
+                        d -> Wire.map(
+                                "name",
+                                d.name(),
+                                "zone",
+                                d.zone(),
+                                "region",
+                                d.region(),
+                                "weekly",
+                                each(d.weekly(), w -> List.of((long) w.at().minute(), numbers(w.weekdays()))),
+                                "exceptions",
+                                each(d.exceptions(), e -> List.of(e.day().number(), minute(e.at()))))),
+                "plans",
+                each(
+                        c.plans(),
+                        p -> Wire.map(
+                                "name",
+                                p.name(),
+                                "depot",
+                                p.depot(),
+                                "at",
+                                minute(p.at()),
+                                "weekdays",
+                                numbers(p.days().weekdays()),
+                                "month_days",
+                                numbers(p.days().daysOfMonth()),
+                                "months",
+                                numbers(p.days().months()),
+                                "margin_ms",
+                                p.margin().ms(),
+                                "on_holiday",
+                                p.onHoliday().name().toLowerCase(Locale.ROOT),
+                                "boosts",
+                                each(p.boosts(), b -> List.of(b.season(), b.times())),
+                                "job",
+                                JobCodec.write(p.template()))));
     }
 
     private static Calendar read(Fields f) {
-        return checked("calendar", () -> new Calendar(f.number("cores"),
-                each(f.children("regions"), r -> new Region(r.text("name"), numbers(r, "years"), each(r.lists("holidays"),
-                        h -> new Region.Holiday(new Day(whole(h.get(0))), (String) h.get(1))))),
-                each(f.children("seasons"), s -> new Season(s.text("name"), each(s.lists("years"),
-                        d -> new Season.Dates(new Day(whole(d.get(0))), new Day(whole(d.get(1))))))),
-                each(f.children("depots"), d -> new Depot(d.text("name"), d.text("zone"), d.text("region"),
-                        each(d.lists("weekly"), w -> new Depot.Weekly(numbers((List<?>) w.get(1)), time(whole(w.get(0))))),
-                        each(d.lists("exceptions"), e -> new Depot.Exceptional(new Day(whole(e.get(0))), time(whole(e.get(1))))))),
-                each(f.children("plans"), p -> new Plan(p.text("name"), p.text("depot"), time(p.whole("at")),
-                        new Plan.Days(numbers(p, "weekdays"), numbers(p, "month_days"), numbers(p, "months")),
-                        new Span(p.whole("margin_ms")),
-                        checked("on_holiday", () -> Plan.OnHoliday.valueOf(p.text("on_holiday").toUpperCase(Locale.ROOT))),
-                        each(p.lists("boosts"), b -> new Plan.Boost((String) b.get(0), ((Number) b.get(1)).doubleValue())),
-                        JobCodec.read(p.child("job"))))));
+        return checked(
+                "calendar",
+                () -> new Calendar(
+                        f.number("cores"),
+                        each(
+                                f.children("regions"),
+                                r -> new Region(
+                                        r.text("name"),
+                                        numbers(r, "years"),
+                                        each(
+                                                r.lists("holidays"),
+                                                h -> new Region.Holiday(new Day(whole(h.get(0))), (String) h.get(1))))),
+                        each(
+                                f.children("seasons"),
+                                s -> new Season(
+                                        s.text("name"),
+                                        each(
+                                                s.lists("years"),
+                                                d -> new Season.Dates(
+                                                        new Day(whole(d.get(0))), new Day(whole(d.get(1))))))),
+                        each(
+                                f.children("depots"),
+                                d -> new Depot(
+                                        d.text("name"),
+                                        d.text("zone"),
+                                        d.text("region"),
+                                        each(
+                                                d.lists("weekly"),
+                                                w -> new Depot.Weekly(
+                                                        numbers((List<?>) w.get(1)), time(whole(w.get(0))))),
+                                        each(
+                                                d.lists("exceptions"),
+                                                e -> new Depot.Exceptional(
+                                                        new Day(whole(e.get(0))), time(whole(e.get(1))))))),
+                        each(
+                                f.children("plans"),
+                                p -> new Plan(
+                                        p.text("name"),
+                                        p.text("depot"),
+                                        time(p.whole("at")),
+                                        new Plan.Days(
+                                                numbers(p, "weekdays"), numbers(p, "month_days"), numbers(p, "months")),
+                                        new Span(p.whole("margin_ms")),
+                                        checked(
+                                                "on_holiday",
+                                                () -> Plan.OnHoliday.valueOf(
+                                                        p.text("on_holiday").toUpperCase(Locale.ROOT))),
+                                        each(
+                                                p.lists("boosts"),
+                                                b -> new Plan.Boost(
+                                                        (String) b.get(0), ((Number) b.get(1)).doubleValue())),
+                                        JobCodec.read(p.child("job"))))));
     }
 
     /** Whatever else is not as it should be is a fault of the field that has it. */
--- a/src/main/java/io/indigoreach/calendar/CalendarResource.java
+++ b/src/main/java/io/indigoreach/calendar/CalendarResource.java
@@ -1,6 +1,5 @@
 package io.indigoreach.calendar;
 
-import io.indigoreach.core.records.Listing;
 import io.indigoreach.api.Answer;
 import io.indigoreach.api.Refusal;
 import io.indigoreach.api.Resource;
@@ -18,6 +17,7 @@
 import io.indigoreach.core.calendar.Plan;
 import io.indigoreach.core.calendar.Publishing;
 import io.indigoreach.core.calendar.Register;
+import io.indigoreach.core.records.Listing;
 import io.indigoreach.net.Fields;
 import io.indigoreach.net.Wire;
 import io.indigoreach.state.Records;
@@ -33,6 +33,7 @@
 final class CalendarResource implements Resource {
     /** Rows of one answer; {@code from} asks on. */
     private static final int MOST_ROWS = 300;
+
     private static final int MOST_DAYS = CalendarCheck.AHEAD;
     private static final int OUTLOOK_DAYS = 14;
     private static final int LONGEST_NOTE = 200;
@@ -67,7 +68,9 @@
         }
         return switch (what + path.size()) {
             case "0" -> shelf.read(records).map(this::shown);
-            case "versions2" -> shelf.read(records, number(path.get(1), "version", 1, Integer.MAX_VALUE)).map(this::shown);
+            case "versions2" ->
+                shelf.read(records, number(path.get(1), "version", 1, Integer.MAX_VALUE))
+                        .map(this::shown);
             case "next1" -> shelf.read(records).map(c -> next(c, call.query()));
             case "outlook1" -> shelf.read(records).compose(c -> outlook(c, call.query()));
             case "explain3" -> shelf.read(records).compose(c -> explain(c, path.get(1), day(path.get(2), "day")));
@@ -116,8 +119,8 @@
         }
         CalendarCodec.Stored sent = CalendarCodec.unpack(body.text("text"));
         long now = time.getAsLong();
-        List<CalendarCheck.Finding> findings = CalendarCheck.of(sent.calendar(), zones, Foresight.day(now),
-                CalendarCheck.SOON);
+        List<CalendarCheck.Finding> findings =
+                CalendarCheck.of(sent.calendar(), zones, Foresight.day(now), CalendarCheck.SOON);
         if (!findings.isEmpty()) {
             throw Refusal.of(findings.get(0).field(), findings.get(0).reason());
         }
@@ -125,27 +128,31 @@
             if (c.number() != base) {
                 throw standing(c);
             }
-            CalendarCodec.Stored next = new CalendarCodec.Stored(sent.calendar(),
-                    c.stored().register().forPlans(sent.calendar().plans(), now), sent.file());
+            CalendarCodec.Stored next = new CalendarCodec.Stored(
+                    sent.calendar(),
+                    c.stored().register().forPlans(sent.calendar().plans(), now),
+                    sent.file());
             String text = CalendarCodec.pack(next);
-            return records.run(new Publishing(c.head(), CalendarCodec.digest(text), text, now, note)).compose(done -> {
-                if (done) {
-                    return Future.succeededFuture(Answer.ok(Wire.map("version", base + 1)));
-                }
-                return shelf.read(records).map(other -> {
-                    if (other.number() == base) {
-                        return Answer.later("try again");
-                    }
-                    throw standing(other);
-                });
-            });
+            return records.run(new Publishing(c.head(), CalendarCodec.digest(text), text, now, note))
+                    .compose(done -> {
+                        if (done) {
+                            return Future.succeededFuture(Answer.ok(Wire.map("version", base + 1)));
+                        }
+                        return shelf.read(records).map(other -> {
+                            if (other.number() == base) {
+                                return Answer.later("try again");
+                            }
+                            throw standing(other);
+                        });
+                    });
         });
     }
 
     private static Refusal standing(Shelf.Current c) {
         Head.Version v = c.version();
-        return Refusal.conflict("another version is in force", v == null ? Wire.map("version", 0)
-                : Wire.map("version", v.number(), "at", v.at(), "note", v.note()));
+        return Refusal.conflict(
+                "another version is in force",
+                v == null ? Wire.map("version", 0) : Wire.map("version", v.number(), "at", v.at(), "note", v.note()));
     }
 
     private Answer next(Shelf.Current c, Map<String, String> query) {
@@ -160,16 +167,35 @@
                 rows.add(row(c, o));
             }
         }
-        return Answer.ok(Wire.map("version", c.number(), "occurrences", rows,
-                "more", day.number() < from.number() + days ? day.toString() : null));
+        return Answer.ok(Wire.map(
+                "version",
+                c.number(),
+                "occurrences",
+                rows,
+                "more",
+                day.number() < from.number() + days ? day.toString() : null));
     }
 
     private Map<String, Object> row(Shelf.Current c, Occurrence o) {
         String zone = c.stored().calendar().depot(o.plan().depot()).zone();
         Register.Entry block = c.stored().register().entries().get(o.plan().name());
-        return Wire.map("plan", o.plan().name(), "day", o.day().toString(), "kind", word(o.kind()), "departs", o.departs(),
-                "departs_local", o.runs() ? zones.text(zone, o.departs()) : null, "tasks", o.tasks(), "reason", o.reason(),
-                "id", block.id(o.day(), 0).text());
+        return Wire.map(
+                "plan",
+                o.plan().name(),
+                "day",
+                o.day().toString(),
+                "kind",
+                word(o.kind()),
+                "departs",
+                o.departs(),
+                "departs_local",
+                o.runs() ? zones.text(zone, o.departs()) : null,
+                "tasks",
+                o.tasks(),
+                "reason",
+                o.reason(),
+                "id",
+                block.id(o.day(), 0).text());
     }
 
     private static String word(Enum<?> e) {
@@ -189,45 +215,84 @@
         int days = number(query.getOrDefault("days", "2"), "days", 1, OUTLOOK_DAYS);
         long now = time.getAsLong();
         return seen().compose(runs -> {
-            List<Occurrence> all = Foresight.occurrences(c.stored(), Foresight.day(now).plus(-Foresight.BACK),
+            List<Occurrence> all = Foresight.occurrences(
+                    c.stored(),
+                    Foresight.day(now).plus(-Foresight.BACK),
                     Foresight.day(now).plus(days + Foresight.AHEAD));
             List<Forecast.Entry> entries = foresight.forecast(c.stored().calendar(), all, runs).stream()
-                    .filter(e -> e.occurrence().departs() > now - DAY_MS && e.occurrence().departs() <= now + days * DAY_MS).toList();
-            return marks(entries.stream().filter(e -> e.latestStart() <= now).toList()).map(marks -> {
-                List<Outlook> out = new ArrayList<>();
-                entries.forEach(e -> out.add(Outlook.of(e, marks.get(e.occurrence().name()), now)));
-                List<Object> rows = new ArrayList<>();
-                out.stream().filter(o -> o.verdict().isBad()).limit(MOST_ROWS).forEach(o -> rows.add(row(c, o)));
-                out.stream().filter(o -> !o.verdict().isBad()).limit(MOST_ROWS - rows.size()).forEach(o -> rows.add(row(c, o)));
-                List<String> unknown = all.stream().filter(o -> o.kind() == Occurrence.Kind.UNKNOWN
-                        && o.departs() <= now + days * DAY_MS).map(o -> o.name() + ": " + o.reason()).limit(MOST_ROWS).toList();
-                return Answer.ok(Wire.map("version", c.number(), "bad", out.stream().filter(o -> o.verdict().isBad()).count(),
-                        "unknown", unknown, "occurrences", rows));
-            });
+                    .filter(e -> e.occurrence().departs() > now - DAY_MS
+                            && e.occurrence().departs() <= now + days * DAY_MS)
+                    .toList();
+            return marks(entries.stream().filter(e -> e.latestStart() <= now).toList())
+                    .map(marks -> {
+                        List<Outlook> out = new ArrayList<>();
+                        entries.forEach(e ->
+                                out.add(Outlook.of(e, marks.get(e.occurrence().name()), now)));
+                        List<Object> rows = new ArrayList<>();
+                        out.stream()
+                                .filter(o -> o.verdict().isBad())
+                                .limit(MOST_ROWS)
+                                .forEach(o -> rows.add(row(c, o)));
+                        out.stream()
+                                .filter(o -> !o.verdict().isBad())
+                                .limit(MOST_ROWS - rows.size())
+                                .forEach(o -> rows.add(row(c, o)));
+                        List<String> unknown = all.stream()
+                                .filter(o -> o.kind() == Occurrence.Kind.UNKNOWN && o.departs() <= now + days * DAY_MS)
+                                .map(o -> o.name() + ": " + o.reason())
+                                .limit(MOST_ROWS)
+                                .toList();
+                        return Answer.ok(Wire.map(
+                                "version",
+                                c.number(),
+                                "bad",
+                                out.stream().filter(o -> o.verdict().isBad()).count(),
+                                "unknown",
+                                unknown,
+                                "occurrences",
+                                rows));
+                    });
         });
     }
 
     /** What stands on the pages of these: a page is read once for all that it has. */
     private Future<Map<String, Mark>> marks(List<Forecast.Entry> entries) {
         Map<String, List<Occurrence>> byPage = new LinkedHashMap<>();
-        entries.forEach(e -> byPage.computeIfAbsent(DayPage.key(e.occurrence().day(), e.occurrence().plan().name()),
-                k -> new ArrayList<>()).add(e.occurrence()));
+        entries.forEach(e -> byPage.computeIfAbsent(
+                        DayPage.key(e.occurrence().day(), e.occurrence().plan().name()), k -> new ArrayList<>())
+                .add(e.occurrence()));
         Map<String, Mark> marks = new LinkedHashMap<>();
         Future<Void> done = Future.succeededFuture();
         for (List<Occurrence> ofOne : byPage.values()) {
-            done = done.compose(v -> records.run(PageChange.reading(ofOne.get(0).day(), ofOne.get(0).plan().name())).map(page -> {
-                ofOne.forEach(o -> marks.put(o.name(), page == null ? null : page.mark(o.plan().name())));
-                return null;
-            }));
+            done = done.compose(v -> records.run(PageChange.reading(
+                            ofOne.get(0).day(), ofOne.get(0).plan().name()))
+                    .map(page -> {
+                        ofOne.forEach(o -> marks.put(
+                                o.name(),
+                                page == null ? null : page.mark(o.plan().name())));
+                        return null;
+                    }));
         }
         return done.map(marks);
     }
 
     private Map<String, Object> row(Shelf.Current c, Outlook o) {
         Map<String, Object> row = row(c, o.entry().occurrence());
-        row.putAll(Wire.map("verdict", word(o.verdict()), "late_s", o.lateBy().seconds(), "why", o.why(), "mend", o.mend(),
-                "latest_start", o.entry().latestStart(), "needed_s", o.entry().isPossible() ? o.entry().needed().seconds() : null,
-                "alone_s", o.entry().isPossible() ? o.entry().alone().seconds() : null));
+        row.putAll(Wire.map(
+                "verdict",
+                word(o.verdict()),
+                "late_s",
+                o.lateBy().seconds(),
+                "why",
+                o.why(),
+                "mend",
+                o.mend(),
+                "latest_start",
+                o.entry().latestStart(),
+                "needed_s",
+                o.entry().isPossible() ? o.entry().needed().seconds() : null,
+                "alone_s",
+                o.entry().isPossible() ? o.entry().alone().seconds() : null));
         if (o.mark() != null) {
             row.putAll(decided(o.mark()));
         }
@@ -235,8 +300,21 @@
     }
 
     private static Map<String, Object> decided(Mark m) {
-        return Wire.map("state", word(m.state()), "id", m.id() == null ? null : m.id().text(), "decided_by", m.version(),
-                "decided_departs", m.departs(), "decided_latest", m.latest(), "since", m.at(), "note", m.note());
+        return Wire.map(
+                "state",
+                word(m.state()),
+                "id",
+                m.id() == null ? null : m.id().text(),
+                "decided_by",
+                m.version(),
+                "decided_departs",
+                m.departs(),
+                "decided_latest",
+                m.latest(),
+                "since",
+                m.at(),
+                "note",
+                m.note());
     }
 
     private Future<Answer> explain(Shelf.Current c, String name, Day day) {
@@ -246,17 +324,22 @@
         return records.run(PageChange.reading(day, name)).compose(page -> {
             Mark mark = page == null ? null : page.mark(name);
             if (o == null && mark == null) {
-                throw Refusal.notFound(plan == null ? "no plan " + name + " is in force" : "plan " + name + " has nothing on " + day);
+                throw Refusal.notFound(
+                        plan == null ? "no plan " + name + " is in force" : "plan " + name + " has nothing on " + day);
             }
             if (o == null || !o.runs()) {
-                Map<String, Object> row = o == null ? Wire.map("plan", name, "day", day.toString(), "kind", "removed") : row(c, o);
+                Map<String, Object> row =
+                        o == null ? Wire.map("plan", name, "day", day.toString(), "kind", "removed") : row(c, o);
                 row.putAll(mark == null ? Map.of() : decided(mark));
                 return Future.succeededFuture(Answer.ok(row));
             }
             return seen().map(runs -> {
-                List<Occurrence> around = Foresight.occurrences(c.stored(), day.plus(-Foresight.BACK), day.plus(Foresight.BACK));
+                List<Occurrence> around =
+                        Foresight.occurrences(c.stored(), day.plus(-Foresight.BACK), day.plus(Foresight.BACK));
                 Forecast.Entry entry = foresight.forecast(calendar, around, runs).stream()
-                        .filter(e -> e.occurrence().name().equals(o.name())).findFirst().orElse(null);
+                        .filter(e -> e.occurrence().name().equals(o.name()))
+                        .findFirst()
+                        .orElse(null);
                 if (entry == null) {
                     Map<String, Object> row = row(c, o);
                     row.put("reason", "it departed before its plan was set");
--- a/src/main/java/io/indigoreach/calendar/Foresight.java
+++ b/src/main/java/io/indigoreach/calendar/Foresight.java
@@ -18,6 +18,7 @@
     static final int BACK = 3;
     /** The earliest start of a later day's occurrence: a holiday moves it by 14 days, margin and run by some more. */
     static final int AHEAD = 18;
+
     private static final long DAY_MS = 86_400_000;
 
     private final Catalogue catalogue;
@@ -34,14 +35,18 @@
 
     /** Of the days from one to another; those that departed before their plan was set are not its own. */
     static List<Occurrence> occurrences(CalendarCodec.Stored stored, Day from, Day to) {
-        return new Occurrences(stored.calendar(), new JavaZones()).between(from, to).stream().filter(o -> isOwn(stored, o)).toList();
+        return new Occurrences(stored.calendar(), new JavaZones())
+                .between(from, to).stream().filter(o -> isOwn(stored, o)).toList();
     }
 
     /** Of one day; {@code plan} null: of every plan. */
     static List<Occurrence> occurrences(CalendarCodec.Stored stored, String plan, Day day) {
         Occurrences all = new Occurrences(stored.calendar(), new JavaZones());
-        return stored.calendar().plans().stream().filter(p -> plan == null || plan.equals(p.name())).map(p -> all.of(p, day))
-                .filter(o -> o != null && isOwn(stored, o)).toList();
+        return stored.calendar().plans().stream()
+                .filter(p -> plan == null || plan.equals(p.name()))
+                .map(p -> all.of(p, day))
+                .filter(o -> o != null && isOwn(stored, o))
+                .toList();
     }
 
     /** Without the machine types every plan would seem to have none. */
--- a/src/main/java/io/indigoreach/calendar/JavaZones.java
+++ b/src/main/java/io/indigoreach/calendar/JavaZones.java
@@ -22,7 +22,11 @@
     @Override
     public long instant(String zone, Day day, TimeOfDay time) {
         // Of a time that comes twice java.time gives the first, one that is skipped it moves by the gap.
-        return local(day, time).atZone(ZoneId.of(zone)).withEarlierOffsetAtOverlap().toInstant().toEpochMilli();
+        return local(day, time)
+                .atZone(ZoneId.of(zone))
+                .withEarlierOffsetAtOverlap()
+                .toInstant()
+                .toEpochMilli();
     }
 
     @Override
@@ -32,7 +36,8 @@
 
     @Override
     public Day dayAt(String zone, long ms) {
-        return new Day(Instant.ofEpochMilli(ms).atZone(ZoneId.of(zone)).toLocalDate().toEpochDay());
+        return new Day(
+                Instant.ofEpochMilli(ms).atZone(ZoneId.of(zone)).toLocalDate().toEpochDay());
     }
 
     @Override
--- a/src/main/java/io/indigoreach/calendar/PlanJoining.java
+++ b/src/main/java/io/indigoreach/calendar/PlanJoining.java
@@ -67,8 +67,12 @@
             }
             Mark mark = page == null ? null : page.mark(name(spec));
             throw mark != null && mark.isSettled() && spec.id().equals(mark.id())
-                    ? Refusal.conflict("this occurrence is settled", Map.of("plan", mark.plan(), "state", mark.state().name()))
-                    : Refusal.of(Choice.FIELD, "no occurrence is to be started by this job: plans submit their jobs themselves");
+                    ? Refusal.conflict(
+                            "this occurrence is settled",
+                            Map.of("plan", mark.plan(), "state", mark.state().name()))
+                    : Refusal.of(
+                            Choice.FIELD,
+                            "no occurrence is to be started by this job: plans submit their jobs themselves");
         });
     }
 
--- a/src/main/java/io/indigoreach/calendar/RunTimes.java
+++ b/src/main/java/io/indigoreach/calendar/RunTimes.java
@@ -24,6 +24,7 @@
     static final String PREFIX = "cal/runs/";
     /** Lost ones are learned again. */
     static final Family FAMILY = new Family(PREFIX, 60, false, Family.Mending.NEWER);
+
     private static final double COMPRESSION = 50;
     private static final int HALVED_AT = 2_000;
 
@@ -39,7 +40,10 @@
 
         @Override
         public double mean() {
-            return digest.centroids().stream().mapToDouble(c -> c.mean() * c.count()).sum() / count();
+            return digest.centroids().stream()
+                            .mapToDouble(c -> c.mean() * c.count())
+                            .sum()
+                    / count();
         }
 
         @Override
--- a/src/main/java/io/indigoreach/calendar/Shelf.java
+++ b/src/main/java/io/indigoreach/calendar/Shelf.java
@@ -22,9 +22,12 @@
 
     /** As it stands now: one request where it has not changed. */
     Future<Current> read(Records records) {
-        String known = current == null || current.version() == null ? null : current.version().digest();
+        String known = current == null || current.version() == null
+                ? null
+                : current.version().digest();
         return records.run(new Reading(known)).map(found -> {
-            CalendarCodec.Stored stored = found.version() == null ? NONE
+            CalendarCodec.Stored stored = found.version() == null
+                    ? NONE
                     : found.text() == null ? current.stored() : CalendarCodec.unpack(found.text());
             String text = found.version() == null || found.text() != null ? found.text() : current.text();
             current = new Current(found.head(), found.version(), stored, text);
@@ -34,7 +37,9 @@
 
     /** An older version; null if it is not known any more. */
     Future<Current> read(Records records, int number) {
-        return records.run(new Reading(null, number)).map(found -> found.version() == null ? null
-                : new Current(found.head(), found.version(), CalendarCodec.unpack(found.text()), found.text()));
+        return records.run(new Reading(null, number))
+                .map(found -> found.version() == null
+                        ? null
+                        : new Current(found.head(), found.version(), CalendarCodec.unpack(found.text()), found.text()));
     }
 }
--- a/src/main/java/io/indigoreach/calendar/Steward.java
+++ b/src/main/java/io/indigoreach/calendar/Steward.java
@@ -1,6 +1,5 @@
 package io.indigoreach.calendar;
 
-import io.indigoreach.core.records.Listing;
 import io.indigoreach.api.Answer;
 import io.indigoreach.api.JobCodec;
 import io.indigoreach.core.Job;
@@ -17,6 +16,7 @@
 import io.indigoreach.core.calendar.Outlook;
 import io.indigoreach.core.calendar.PageChange;
 import io.indigoreach.core.calendar.Replacing;
+import io.indigoreach.core.records.Listing;
 import io.indigoreach.net.Duty;
 import io.indigoreach.net.Fields;
 import io.indigoreach.net.SteadyClock;
@@ -51,12 +51,15 @@
     private static final Span STEP = Span.seconds(1);
     /** Between two submissions: 500 plans of one minute leave users most of the changes. See {@link Forecast}. */
     private static final Span PACE = Span.seconds(0.5);
+
     private static final Span LOOK = Span.seconds(5);
     /** Between two writes of run times. */
     private static final Span KEEP = Span.seconds(10);
+
     private static final Span RECKON = Span.seconds(60);
     /** A job that the service refuses is submitted again after this time. */
     private static final Span REFUSED = Span.seconds(30);
+
     private static final long TOLD_AHEAD_MS = 48 * 3_600_000L;
 
     private final LeaderCore core;
@@ -78,12 +81,20 @@
     private List<Forecast.Entry> entries = List.of();
     /** By the occurrence's name, as last read or written. */
     private final Map<String, Mark> marks = new HashMap<>();
+
     private final Map<String, Moment> refused = new HashMap<>();
     private final Map<JobId, Integer> failures = new HashMap<>();
     private final Set<String> told = new HashSet<>();
 
-    Steward(Vertx vertx, LeaderCore core, Records records, Shelf shelf, Foresight foresight,
-            Function<Buffer, Future<Answer>> desk, SteadyClock clock, LongSupplier time) {
+    Steward(
+            Vertx vertx,
+            LeaderCore core,
+            Records records,
+            Shelf shelf,
+            Foresight foresight,
+            Function<Buffer, Future<Answer>> desk,
+            SteadyClock clock,
+            LongSupplier time) {
         this.core = core;
         this.records = records;
         this.shelf = shelf;
@@ -107,8 +118,9 @@
 
     /** Only classes that plans have are kept: their number is bounded. */
     private void ran(Job job, Span run) {
-        if (current != null && current.stored().calendar().plans().stream()
-                .anyMatch(p -> p.template().jobClass().equals(job.spec().jobClass()))) {
+        if (current != null
+                && current.stored().calendar().plans().stream()
+                        .anyMatch(p -> p.template().jobClass().equals(job.spec().jobClass()))) {
             runs.ended(job.spec().jobClass(), job.spec().tasks(), run);
         }
     }
@@ -131,9 +143,11 @@
 
     private Future<Span> work() {
         return learnt().compose(v -> {
-            reckon();
-            return choose();
-        }).compose(v -> submit()).compose(more -> ends().compose(v -> keepRuns()).map(more ? PACE : STEP));
+                    reckon();
+                    return choose();
+                })
+                .compose(v -> submit())
+                .compose(more -> ends().compose(v -> keepRuns()).map(more ? PACE : STEP));
     }
 
     /** What earlier leaders saw of run times. */
@@ -156,15 +170,21 @@
         reckoned = now;
         reckonedFor = current.number();
         long today = time.getAsLong();
-        List<Occurrence> all = Foresight.occurrences(current.stored(), Foresight.day(today).plus(-Foresight.BACK),
+        List<Occurrence> all = Foresight.occurrences(
+                current.stored(),
+                Foresight.day(today).plus(-Foresight.BACK),
                 Foresight.day(today).plus(Foresight.AHEAD));
         entries = foresight.forecast(current.stored().calendar(), all, runs);
         Set<String> names = new HashSet<>();
         all.forEach(o -> names.add(o.name()));
         marks.keySet().retainAll(names);
         told.retainAll(names);
-        all.stream().filter(o -> o.kind() == Occurrence.Kind.UNKNOWN && o.departs() > today && o.departs() < today + TOLD_AHEAD_MS)
-                .forEach(o -> tell(o, "is not started: " + o.reason() + ", and nobody guesses it; set the calendar with it"));
+        all.stream()
+                .filter(o -> o.kind() == Occurrence.Kind.UNKNOWN
+                        && o.departs() > today
+                        && o.departs() < today + TOLD_AHEAD_MS)
+                .forEach(o ->
+                        tell(o, "is not started: " + o.reason() + ", and nobody guesses it; set the calendar with it"));
         entries.forEach(e -> foretell(e, today));
     }
 
@@ -176,8 +196,11 @@
         }
         Outlook outlook = Outlook.of(entry, mark, now);
         if (outlook.verdict().isBad()) {
-            tell(entry.occurrence(), "can't be ready for its departure" + (outlook.lateBy().ms() == 0 ? ""
-                    : ", by " + Outlook.minutes(outlook.lateBy())) + ": " + outlook.why() + "; what would mend it: " + outlook.mend());
+            tell(
+                    entry.occurrence(),
+                    "can't be ready for its departure"
+                            + (outlook.lateBy().ms() == 0 ? "" : ", by " + Outlook.minutes(outlook.lateBy())) + ": "
+                            + outlook.why() + "; what would mend it: " + outlook.mend());
         }
     }
 
@@ -209,7 +232,12 @@
         for (Forecast.Entry e : due(now)) {
             Mark mark = marks.get(e.occurrence().name());
             if (mark == null || e.occurrence().departs() <= now || choice(e).mark(mark, false, now) != null) {
-                byPage.computeIfAbsent(DayPage.key(e.occurrence().day(), e.occurrence().plan().name()), k -> new ArrayList<>()).add(e);
+                byPage.computeIfAbsent(
+                                DayPage.key(
+                                        e.occurrence().day(),
+                                        e.occurrence().plan().name()),
+                                k -> new ArrayList<>())
+                        .add(e);
             }
         }
         Future<Void> done = Future.succeededFuture();
@@ -220,7 +248,10 @@
     }
 
     private Choice choice(Forecast.Entry e) {
-        return new Choice(e, current.number(), current.stored().register().entries().get(e.occurrence().plan().name()));
+        return new Choice(
+                e,
+                current.number(),
+                current.stored().register().entries().get(e.occurrence().plan().name()));
     }
 
     /** {@code taken}: a user's job has the id that was chosen. */
@@ -228,29 +259,37 @@
         Occurrence first = ofOnePage.get(0).occurrence();
         List<Mark> out = new ArrayList<>();
         return records.run(new PageChange(first.day(), first.plan().name(), page -> {
-            out.clear();
-            for (Forecast.Entry e : ofOnePage) {
-                Mark mark = choice(e).mark(page.mark(e.occurrence().plan().name()), taken, time.getAsLong());
-                if (mark != null) {
-                    out.add(mark);
-                }
-            }
-            return out;
-        })).map(page -> {
-            if (page != null) {
-                ofOnePage.forEach(e -> remember(e.occurrence(), page.mark(e.occurrence().plan().name())));
-                out.forEach(mark -> decided(first.day().toString(), mark));
-                ofOnePage.forEach(e -> foretell(e, time.getAsLong()));
-            }
-            return null;
-        });
+                    out.clear();
+                    for (Forecast.Entry e : ofOnePage) {
+                        Mark mark =
+                                choice(e).mark(page.mark(e.occurrence().plan().name()), taken, time.getAsLong());
+                        if (mark != null) {
+                            out.add(mark);
+                        }
+                    }
+                    return out;
+                }))
+                .map(page -> {
+                    if (page != null) {
+                        ofOnePage.forEach(e -> remember(
+                                e.occurrence(), page.mark(e.occurrence().plan().name())));
+                        out.forEach(mark -> decided(first.day().toString(), mark));
+                        ofOnePage.forEach(e -> foretell(e, time.getAsLong()));
+                    }
+                    return null;
+                });
     }
 
     private static void decided(String day, Mark mark) {
         if (mark.state() == Mark.State.MISSED) {
             LOG.error("plan {}@{} is not started: {}", mark.plan(), day, mark.note());
         } else {
-            LOG.info("plan {}@{} is started as {} (calendar {}){}", mark.plan(), day, mark.id(), mark.version(),
+            LOG.info(
+                    "plan {}@{} is started as {} (calendar {}){}",
+                    mark.plan(),
+                    day,
+                    mark.id(),
+                    mark.version(),
                     mark.note().isEmpty() ? "" : ": " + mark.note());
         }
     }
@@ -258,20 +297,30 @@
     private void remember(Occurrence o, Mark mark) {
         Mark before = marks.put(o.name(), mark);
         if (mark != null && before == null && mark.version() > current.number()) {
-            LOG.error("plan {} was decided by calendar {}, and {} is in force: it was rolled back; set the newest again", o.name(),
-                    mark.version(), current.number());
+            LOG.error(
+                    "plan {} was decided by calendar {}, and {} is in force: it was rolled back; set the newest again",
+                    o.name(),
+                    mark.version(),
+                    current.number());
         }
     }
 
     /** Submits one; whether there are more. */
     private Future<Boolean> submit() {
         long now = time.getAsLong();
-        List<Forecast.Entry> ready = due(now).stream().filter(e -> {
-            Mark mark = marks.get(e.occurrence().name());
-            return mark != null && e.occurrence().departs() > now
-                    && !clock.now().isBefore(refused.getOrDefault(e.occurrence().name(), Moment.NEVER));
-        }).toList();
-        return ready.isEmpty() ? Future.succeededFuture(false) : submit(ready.get(0), now).map(ready.size() > 1);
+        List<Forecast.Entry> ready = due(now).stream()
+                .filter(e -> {
+                    Mark mark = marks.get(e.occurrence().name());
+                    return mark != null
+                            && e.occurrence().departs() > now
+                            && !clock.now()
+                                    .isBefore(
+                                            refused.getOrDefault(e.occurrence().name(), Moment.NEVER));
+                })
+                .toList();
+        return ready.isEmpty()
+                ? Future.succeededFuture(false)
+                : submit(ready.get(0), now).map(ready.size() > 1);
     }
 
     private Future<Void> submit(Forecast.Entry entry, long now) {
@@ -292,7 +341,11 @@
                     return decide(List.of(entry), true);
                 } else if (answer.status() != 503) {
                     refused.put(o.name(), clock.now().plus(REFUSED));
-                    LOG.error("plan {}: its job is refused: {} {}", o.name(), answer.status(), answer.body().get("error"));
+                    LOG.error(
+                            "plan {}: its job is refused: {} {}",
+                            o.name(),
+                            answer.status(),
+                            answer.body().get("error"));
                 }
                 return Future.succeededFuture();
             });
@@ -332,21 +385,32 @@
             long now = time.getAsLong();
             failures.remove(mark.id());
             return records.run(new PageChange(o.day(), o.plan().name(), page -> {
-                Mark there = page.mark(o.plan().name());
-                return there == null || there.state() != Mark.State.ACCEPTED ? List.of()
-                        : List.of(there.become(Mark.State.ENDED, now, end.status().name().toLowerCase(Locale.ROOT)));
-            })).map(page -> {
-                if (page != null) {
-                    remember(o, page.mark(o.plan().name()));
-                    long late = now - o.departs();
-                    if (late > 0) {
-                        LOG.error("plan {} was ready {} after its departure", o.name(), Outlook.minutes(new Span(late)));
-                    } else {
-                        LOG.info("plan {} is over, {} before its departure", o.name(), Outlook.minutes(new Span(-late)));
-                    }
-                }
-                return null;
-            });
+                        Mark there = page.mark(o.plan().name());
+                        return there == null || there.state() != Mark.State.ACCEPTED
+                                ? List.of()
+                                : List.of(there.become(
+                                        Mark.State.ENDED,
+                                        now,
+                                        end.status().name().toLowerCase(Locale.ROOT)));
+                    }))
+                    .map(page -> {
+                        if (page != null) {
+                            remember(o, page.mark(o.plan().name()));
+                            long late = now - o.departs();
+                            if (late > 0) {
+                                LOG.error(
+                                        "plan {} was ready {} after its departure",
+                                        o.name(),
+                                        Outlook.minutes(new Span(late)));
+                            } else {
+                                LOG.info(
+                                        "plan {} is over, {} before its departure",
+                                        o.name(),
+                                        Outlook.minutes(new Span(-late)));
+                            }
+                        }
+                        return null;
+                    });
         });
     }
 
--- a/src/main/java/io/indigoreach/checker/Breach.java
+++ b/src/main/java/io/indigoreach/checker/Breach.java
@@ -6,7 +6,15 @@
 public record Breach(Rule rule, long atMs, String what, List<Event> shownBy) {
     /** The rules of the protocol, and those on which they rest. */
     public enum Rule {
-        RAN_TWICE, QUOTA, WRONG_PLACE, RAN_CANCELLED, FORGOTTEN, INVENTED, NOT_DONE, WENT_BACK, NOTHING_RAN,
+        RAN_TWICE,
+        QUOTA,
+        WRONG_PLACE,
+        RAN_CANCELLED,
+        FORGOTTEN,
+        INVENTED,
+        NOT_DONE,
+        WENT_BACK,
+        NOTHING_RAN,
         /** A record was written without a condition on what it replaces. */
         BLIND_WRITE,
         /** Leadership was taken without a lease, without a condition, or without a higher token. */
--- a/src/main/java/io/indigoreach/checker/Checker.java
+++ b/src/main/java/io/indigoreach/checker/Checker.java
@@ -93,8 +93,9 @@
                 }
             }
         }
-        open.values().forEach(r -> stays.add(new Stay(r.task(), r.machine(), r.attempt(), r, r.at(),
-                end.plus(new Span(1)))));
+        open.values()
+                .forEach(
+                        r -> stays.add(new Stay(r.task(), r.machine(), r.attempt(), r, r.at(), end.plus(new Span(1)))));
         stays.sort(Comparator.comparing(Stay::from));
     }
 
@@ -109,8 +110,11 @@
             List<Stay> others = byTask.computeIfAbsent(s.task, t -> new ArrayList<>());
             for (Stay other : others) {
                 if (s.overlaps(other) && !s.machine.equals(other.machine)) {
-                    breach(Rule.RAN_TWICE, s.from, s.task + " starts on " + s.machine + " while it is on "
-                            + other.machine, List.of(other.began, s.began));
+                    breach(
+                            Rule.RAN_TWICE,
+                            s.from,
+                            s.task + " starts on " + s.machine + " while it is on " + other.machine,
+                            List.of(other.began, s.began));
                 }
             }
             others.add(s);
@@ -127,8 +131,11 @@
             if (e instanceof Event.Forgotten f) {
                 forgotten.add(key(f.machine(), f.task(), f.attempt()));
             } else if (e instanceof Event.Started s && forgotten.contains(key(s.machine(), s.task(), s.attempt()))) {
-                breach(Rule.START_AFTER_REAP, s.at(), s.task() + " attempt " + s.attempt() + " is started again on "
-                        + s.machine(), List.of(s));
+                breach(
+                        Rule.START_AFTER_REAP,
+                        s.at(),
+                        s.task() + " attempt " + s.attempt() + " is started again on " + s.machine(),
+                        List.of(s));
             }
         }
     }
@@ -139,9 +146,11 @@
         if (spec == null || pool == null) {
             return;
         }
-        String wrong = !spec.allowsType(pool.type()) ? "type " + pool.type()
-                : !spec.allowsZone(pool.zone()) ? "zone " + pool.zone()
-                : !spec.allowsKind(pool.spot()) ? "a spot machine" : null;
+        String wrong = !spec.allowsType(pool.type())
+                ? "type " + pool.type()
+                : !spec.allowsZone(pool.zone())
+                        ? "zone " + pool.zone()
+                        : !spec.allowsKind(pool.spot()) ? "a spot machine" : null;
         int inZone = 1;
         for (Stay mate : mates) {
             if (s.from.isBefore(mate.to)) {
@@ -162,12 +171,13 @@
 
     /** Sweeps over all beginnings and ends; at one moment, ends come first. */
     private void checkQuota() {
-        record Step(Moment at, boolean begins, Stay stay) {
-        }
+        record Step(Moment at, boolean begins, Stay stay) {}
         List<Step> steps = new ArrayList<>();
         for (Stay s : stays) {
             JobSpec spec = specs.get(s.task.job());
-            if (spec != null && teams.containsKey(spec.team()) && teams.get(spec.team()).isLimited()
+            if (spec != null
+                    && teams.containsKey(spec.team())
+                    && teams.get(spec.team()).isLimited()
                     && s.from.isBefore(s.to)) {
                 steps.add(new Step(s.from, true, s));
                 steps.add(new Step(s.to, false, s));
@@ -182,8 +192,11 @@
             sum[0] += sign * spec.demand().cores();
             sum[1] += sign * spec.demand().gpus();
             if (step.begins && !teams.get(spec.team()).allows(sum[0], sum[1])) {
-                breach(Rule.QUOTA, step.at, String.format("team %s uses %.1f cores and %.1f accelerators", spec.team(),
-                        sum[0], sum[1]), List.of(step.stay.began));
+                breach(
+                        Rule.QUOTA,
+                        step.at,
+                        String.format("team %s uses %.1f cores and %.1f accelerators", spec.team(), sum[0], sum[1]),
+                        List.of(step.stay.began));
             }
         }
     }
@@ -207,8 +220,8 @@
         byJob.forEach((job, answers) -> checkAnswers(job, answers, asked.get(job), completed));
     }
 
-    private void checkAnswers(JobId job, List<Event.Answered> answers, Event.CancelAsked cancel,
-                              Map<TaskId, Moment> completed) {
+    private void checkAnswers(
+            JobId job, List<Event.Answered> answers, Event.CancelAsked cancel, Map<TaskId, Moment> completed) {
         JobSpec spec = specs.get(job);
         Event.Answered accepted = null;
         Event.Answered over = null;
@@ -224,10 +237,20 @@
                 breach(Rule.FORGOTTEN, a.at(), job + " was accepted and is answered " + a.http(), List.of(accepted, a));
             }
             if (a.status() == JobStatus.CANCELLED && cancel == null) {
-                breach(Rule.WENT_BACK, a.at(), job + " is called cancelled though its user did not cancel it", List.of(a));
+                breach(
+                        Rule.WENT_BACK,
+                        a.at(),
+                        job + " is called cancelled though its user did not cancel it",
+                        List.of(a));
             }
-            if (over != null && a.status() != null && a.status() != over.status() && a.asked().isAfter(over.at())) {
-                breach(Rule.WENT_BACK, a.at(), job + " was called " + over.status() + " and is called " + a.status(),
+            if (over != null
+                    && a.status() != null
+                    && a.status() != over.status()
+                    && a.asked().isAfter(over.at())) {
+                breach(
+                        Rule.WENT_BACK,
+                        a.at(),
+                        job + " was called " + over.status() + " and is called " + a.status(),
                         List.of(over, a));
             }
             if (a.status() == JobStatus.DONE && (over == null || over.status() != JobStatus.DONE)) {
@@ -256,7 +279,10 @@
             TaskId task = new TaskId(spec.id(), i);
             Moment at = completed.get(task);
             if (at == null || at.isAfter(a.at())) {
-                breach(Rule.NOT_DONE, a.at(), spec.id() + " is called done, but " + task + " has not completed",
+                breach(
+                        Rule.NOT_DONE,
+                        a.at(),
+                        spec.id() + " is called done, but " + task + " has not completed",
                         List.of(a));
                 return;
             }
@@ -267,8 +293,12 @@
         Moment limit = told.at().plus(cancelWithin);
         for (Stay s : stays) {
             if (s.task.job().equals(job) && s.to.isAfter(limit)) {
-                breach(Rule.RAN_CANCELLED, limit, s.task + " is on " + s.machine + " more than " + cancelWithin.seconds()
-                        + " s after its job was cancelled", List.of(told, s.began));
+                breach(
+                        Rule.RAN_CANCELLED,
+                        limit,
+                        s.task + " is on " + s.machine + " more than " + cancelWithin.seconds()
+                                + " s after its job was cancelled",
+                        List.of(told, s.began));
                 return;
             }
         }
@@ -278,7 +308,9 @@
         int polls = 0;
         int good = 0;
         for (Event e : events) {
-            if (e instanceof Event.Answered a && a.question() == Question.POLL && a.at().isAfter(from)
+            if (e instanceof Event.Answered a
+                    && a.question() == Question.POLL
+                    && a.at().isAfter(from)
                     && a.at().isBefore(to)) {
                 polls++;
                 good += a.status() != null ? 1 : 0;
@@ -297,17 +329,28 @@
             }
             for (Write w : c.txn().writes()) {
                 if (!isGuarded(w.key(), c.txn(), stamps)) {
-                    breach(Rule.BLIND_WRITE, c.at(), c.node() + " writes " + w.key() + " without a condition on what it "
-                            + "replaces", List.of(c));
+                    breach(
+                            Rule.BLIND_WRITE,
+                            c.at(),
+                            c.node() + " writes " + w.key() + " without a condition on what it " + "replaces",
+                            List.of(c));
                 }
                 if (w.key().equals(RecordCodec.LEADER) && !w.isDelete()) {
                     long token = RecordCodec.token(w.value());
-                    boolean counted = c.txn().writes().stream().anyMatch(o -> o.key().equals(RecordCodec.COUNTER)
-                            && RecordCodec.counted(o.value()) == token);
+                    boolean counted = c.txn().writes().stream()
+                            .anyMatch(o ->
+                                    o.key().equals(RecordCodec.COUNTER) && RecordCodec.counted(o.value()) == token);
                     if (w.lease() == 0 || token <= highest || !counted) {
-                        breach(Rule.LEADERSHIP, c.at(), c.node() + " takes leadership " + (w.lease() == 0
-                                ? "without a lease" : !counted ? "without counting its token" : "with token " + token
-                                + " after " + highest), List.of(c));
+                        breach(
+                                Rule.LEADERSHIP,
+                                c.at(),
+                                c.node() + " takes leadership "
+                                        + (w.lease() == 0
+                                                ? "without a lease"
+                                                : !counted
+                                                        ? "without counting its token"
+                                                        : "with token " + token + " after " + highest),
+                                List.of(c));
                     }
                     highest = Math.max(highest, token);
                 }
@@ -348,8 +391,12 @@
                 if (before == null) {
                     of.put(t.token().value(), process);
                 } else if (!before.node().equals(t.node()) || of.get(t.token().value()) != process) {
-                    breach(Rule.TOKEN_REUSED, t.at(), "token " + t.token() + " of " + before.node() + " is used by "
-                            + t.node() + (before.node().equals(t.node()) ? "'s next process" : ""), List.of(before, t));
+                    breach(
+                            Rule.TOKEN_REUSED,
+                            t.at(),
+                            "token " + t.token() + " of " + before.node() + " is used by " + t.node()
+                                    + (before.node().equals(t.node()) ? "'s next process" : ""),
+                            List.of(before, t));
                 }
             }
         }
--- a/src/main/java/io/indigoreach/checker/Event.java
+++ b/src/main/java/io/indigoreach/checker/Event.java
@@ -16,16 +16,16 @@
     Moment at();
 
     /** A user submits a job, for the first time or again. */
-    record Submitted(Moment at, JobSpec spec) implements Event {
-    }
+    record Submitted(Moment at, JobSpec spec) implements Event {}
 
     /** A user asks to cancel a job. */
-    record CancelAsked(Moment at, JobId job) implements Event {
-    }
+    record CancelAsked(Moment at, JobId job) implements Event {}
 
     /** What a user asked. */
     enum Question {
-        SUBMIT, POLL, CANCEL
+        SUBMIT,
+        POLL,
+        CANCEL
     }
 
     /**
@@ -36,46 +36,35 @@
      * @param status what it says of the job; null if nothing
      */
     record Answered(Moment at, Moment asked, Question question, JobId job, String node, int http, JobStatus status)
-            implements Event {
-    }
+            implements Event {}
 
     /** A machine is up. */
-    record MachineUp(Moment at, MachineId machine, Pool pool) implements Event {
-    }
+    record MachineUp(Moment at, MachineId machine, Pool pool) implements Event {}
 
     /** A machine is gone. */
-    record MachineGone(Moment at, MachineId machine, String why) implements Event {
-    }
+    record MachineGone(Moment at, MachineId machine, String why) implements Event {}
 
     /** A worker executes a start order; the task may still be refused or wait for its image. */
-    record Started(Moment at, MachineId machine, TaskId task, Attempt attempt, Token token) implements Event {
-    }
+    record Started(Moment at, MachineId machine, TaskId task, Attempt attempt, Token token) implements Event {}
 
     /** A task has its image and is on its machine from now on. */
-    record Running(Moment at, MachineId machine, TaskId task, Attempt attempt) implements Event {
-    }
+    record Running(Moment at, MachineId machine, TaskId task, Attempt attempt) implements Event {}
 
     /** A task is not on its machine any more; {@code why} is the cause of its exit, or what ended it. */
-    record Off(Moment at, MachineId machine, TaskId task, Attempt attempt, String why) implements Event {
-    }
+    record Off(Moment at, MachineId machine, TaskId task, Attempt attempt, String why) implements Event {}
 
     /** A worker has removed an exited task from its reports. */
-    record Forgotten(Moment at, MachineId machine, TaskId task, Attempt attempt) implements Event {
-    }
+    record Forgotten(Moment at, MachineId machine, TaskId task, Attempt attempt) implements Event {}
 
     /** A node's answer to a worker carried a token. */
-    record TokenSeen(Moment at, String node, Token token) implements Event {
-    }
+    record TokenSeen(Moment at, String node, Token token) implements Event {}
 
     /** A transaction was done. */
-    record Committed(Moment at, String node, Txn txn, long revision) implements Event {
-    }
+    record Committed(Moment at, String node, Txn txn, long revision) implements Event {}
 
     /** A controller's process began, or ended. */
-    record Process(Moment at, String node, boolean begins) implements Event {
-    }
+    record Process(Moment at, String node, boolean begins) implements Event {}
 
     /** Something was made to go wrong. */
-    record Trouble(Moment at, String what) implements Event {
-    }
+    record Trouble(Moment at, String what) implements Event {}
 }
--- a/src/main/java/io/indigoreach/checker/History.java
+++ b/src/main/java/io/indigoreach/checker/History.java
@@ -30,7 +30,6 @@
     /** Keeps nothing, for a service that goes on and on. */
     public static final class Discarded extends History {
         @Override
-        public synchronized void add(Event event) {
-        }
+        public synchronized void add(Event event) {}
     }
 }
--- a/src/main/java/io/indigoreach/cli/Commands.java
+++ b/src/main/java/io/indigoreach/cli/Commands.java
@@ -13,8 +13,7 @@
 final class Commands {
     static final int SERVING = -1;
 
-    private Commands() {
-    }
+    private Commands() {}
 
     /** Validates everything before anything is served. */
     static int serve(String config, String settings) throws ConfigException {
--- a/src/main/java/io/indigoreach/cli/Logging.java
+++ b/src/main/java/io/indigoreach/cli/Logging.java
@@ -2,8 +2,7 @@
 
 /** Sets up the log on standard error; must run before the first logger is made. */
 final class Logging {
-    private Logging() {
-    }
+    private Logging() {}
 
     /** Takes {@code error}, {@code info} or {@code debug}; anything else counts as {@code info}. */
     static void configure(String level) {
@@ -14,8 +13,7 @@
         set("showThreadName", "false");
         set("showShortLogName", "true");
         set("showDateTime", "false");
-        System.setProperty("vertx.logger-delegate-factory-class-name",
-                "io.vertx.core.logging.SLF4JLogDelegateFactory");
+        System.setProperty("vertx.logger-delegate-factory-class-name", "io.vertx.core.logging.SLF4JLogDelegateFactory");
     }
 
     private static void set(String name, String value) {
--- a/src/main/java/io/indigoreach/cli/Main.java
+++ b/src/main/java/io/indigoreach/cli/Main.java
@@ -16,8 +16,7 @@
             + "follows the queue. With 'check', validates the given files without serving.";
     private static final String FOOTER = "The log goes to standard error; LOG_LEVEL is error, info or debug.";
 
-    private Main() {
-    }
+    private Main() {}
 
     public static void main(String[] args) {
         Logging.configure(System.getenv("LOG_LEVEL"));
@@ -25,7 +24,8 @@
         try {
             code = run(args);
         } catch (ParseException | ConfigException e) {
-            System.err.println("indigoreach: " + e.getMessage().lines().findFirst().orElse("bad arguments"));
+            System.err.println(
+                    "indigoreach: " + e.getMessage().lines().findFirst().orElse("bad arguments"));
             code = e instanceof ParseException ? 2 : 1;
         }
         if (code != Commands.SERVING) {
@@ -64,12 +64,22 @@
 
     private static Options options() {
         Options options = new Options();
-        options.addOption(Option.builder().longOpt("config").hasArg().argName("FILE")
-                .desc("the platform's file (TOML)").build());
-        options.addOption(Option.builder().longOpt("settings").hasArg().argName("FILE")
-                .desc("the operators' settings (protobuf text format)").build());
-        options.addOption(Option.builder().longOpt("list")
-                .desc("with 'check': list the operators' settings with units and defaults").build());
+        options.addOption(Option.builder()
+                .longOpt("config")
+                .hasArg()
+                .argName("FILE")
+                .desc("the platform's file (TOML)")
+                .build());
+        options.addOption(Option.builder()
+                .longOpt("settings")
+                .hasArg()
+                .argName("FILE")
+                .desc("the operators' settings (protobuf text format)")
+                .build());
+        options.addOption(Option.builder()
+                .longOpt("list")
+                .desc("with 'check': list the operators' settings with units and defaults")
+                .build());
         options.addOption("h", "help", false, "show this help and exit");
         options.addOption("V", "version", false, "show the version and exit");
         return options;
--- a/src/main/java/io/indigoreach/cli/Rehearsal.java
+++ b/src/main/java/io/indigoreach/cli/Rehearsal.java
@@ -56,15 +56,15 @@
             """;
     private long revision = 1;
 
-    private Rehearsal() {
-    }
+    private Rehearsal() {}
 
     static int run() {
         Vertx vertx = Loop.vertx();
         Rehearsal rehearsal = new Rehearsal();
         HttpServer standIn = vertx.createHttpServer().requestHandler(rehearsal::answer);
         CountDownLatch over = new CountDownLatch(1);
-        standIn.listen(0, "127.0.0.1").compose(s -> rehearsal.serve(vertx, s.actualPort()))
+        standIn.listen(0, "127.0.0.1")
+                .compose(s -> rehearsal.serve(vertx, s.actualPort()))
                 .onComplete(r -> over.countDown());
         try {
             return over.await(20, TimeUnit.SECONDS) ? 0 : 1;
@@ -77,20 +77,26 @@
         Span wait = Span.seconds(3);
         try {
             PlatformConfig config = PlatformConfig.parse("rehearsal", String.format(PLATFORM, port, port));
-            return new Node(vertx, config, Settings.standard()).start().compose(own -> {
-                Caller user = new Caller(vertx, new Endpoint("127.0.0.1", own), 2);
-                return vertx.timer(700, TimeUnit.MILLISECONDS)
-                        .compose(v -> user.get("/ready", wait))
-                        .compose(v -> user.post("/api/jobs", job(), wait))
-                        .compose(v -> user.get("/api/jobs/run-1", wait))
-                        .compose(v -> vertx.timer(400, TimeUnit.MILLISECONDS))
-                        // The first answer tells the token: a list under an older one is not taken, and nothing is started.
-                        .compose(v -> user.post("/checkin", report(1, 0), wait))
-                        .compose(r -> user.post("/checkin", report(2, r.body().whole("baton")), wait))
-                        .compose(r -> user.post("/checkin", report(3, r.body().whole("baton")), wait))
-                        .compose(v -> user.post("/api/jobs/run-1/cancel", Map.of(), wait))
-                        .compose(v -> vertx.timer(700, TimeUnit.MILLISECONDS));
-            }).mapEmpty();
+            return new Node(vertx, config, Settings.standard())
+                    .start()
+                    .compose(own -> {
+                        Caller user = new Caller(vertx, new Endpoint("127.0.0.1", own), 2);
+                        return vertx.timer(700, TimeUnit.MILLISECONDS)
+                                .compose(v -> user.get("/ready", wait))
+                                .compose(v -> user.post("/api/jobs", job(), wait))
+                                .compose(v -> user.get("/api/jobs/run-1", wait))
+                                .compose(v -> vertx.timer(400, TimeUnit.MILLISECONDS))
+                                // The first answer tells the token: a list under an older one is not taken, and nothing
+                                // is started.
+                                .compose(v -> user.post("/checkin", report(1, 0), wait))
+                                .compose(r ->
+                                        user.post("/checkin", report(2, r.body().whole("baton")), wait))
+                                .compose(r ->
+                                        user.post("/checkin", report(3, r.body().whole("baton")), wait))
+                                .compose(v -> user.post("/api/jobs/run-1/cancel", Map.of(), wait))
+                                .compose(v -> vertx.timer(700, TimeUnit.MILLISECONDS));
+                    })
+                    .mapEmpty();
         } catch (ConfigException e) {
             return Future.failedFuture(e);
         }
@@ -108,17 +114,44 @@
             } else if (path.startsWith("/store/")) {
                 reply(request, 404, Wire.map("ledger_rev", revision));
             } else if (path.equals("/catalog")) {
-                reply(request, 200, Wire.map("boxkinds", List.of(Wire.map("label", "k", "cores", 4, "gpus", 0,
-                        "ram_gb", 16, "cache_gb", 40, "fetch_gb_per_s", 0.3, "price", 0.2, "low_price", 0.05,
-                        "boot_s", 20, "halls", List.of("z")))));
+                reply(
+                        request,
+                        200,
+                        Wire.map(
+                                "boxkinds",
+                                List.of(Wire.map(
+                                        "label",
+                                        "k",
+                                        "cores",
+                                        4,
+                                        "gpus",
+                                        0,
+                                        "ram_gb",
+                                        16,
+                                        "cache_gb",
+                                        40,
+                                        "fetch_gb_per_s",
+                                        0.3,
+                                        "price",
+                                        0.2,
+                                        "low_price",
+                                        0.05,
+                                        "boot_s",
+                                        20,
+                                        "halls",
+                                        List.of("z")))));
             } else if (path.equals("/machines")) {
-                reply(request, 200, request.method().name().equals("GET")
-                        ? Wire.map("boxes", List.of(), "truncated", false) : Wire.map("boxes", List.of("vm-1")));
+                reply(
+                        request,
+                        200,
+                        request.method().name().equals("GET")
+                                ? Wire.map("boxes", List.of(), "truncated", false)
+                                : Wire.map("boxes", List.of("vm-1")));
             } else if (path.equals("/grants")) {
                 reply(request, 200, Wire.map("permit", 1L));
             } else if (path.equals("/changes") && !request.getParam("starts").equals("j/")) {
                 // Nothing changes there: the watch stays open.
-                request.response().closeHandler(v -> { });
+                request.response().closeHandler(v -> {});
             } else if (path.equals("/changes") && request.getParam("starts").equals("j/")) {
                 Map<String, Object> event = Wire.map("write", "j/run-1", "data", record(), "stamp", ++revision);
                 reply(request, 200, Wire.map("ledger_rev", revision, "events", List.of(event)));
@@ -133,19 +166,74 @@
     }
 
     private static Map<String, Object> record() {
-        return io.indigoreach.state.RecordCodec.writeJob(io.indigoreach.api.JobCodec.read(Wire.readMap(Wire.write(job()))),
-                1L, io.indigoreach.core.JobStatus.PENDING, new java.util.BitSet(), 0, 4);
+        return io.indigoreach.state.RecordCodec.writeJob(
+                io.indigoreach.api.JobCodec.read(Wire.readMap(Wire.write(job()))),
+                1L,
+                io.indigoreach.core.JobStatus.PENDING,
+                new java.util.BitSet(),
+                0,
+                4);
     }
 
     private static Map<String, Object> job() {
-        return Wire.map("id", "run-1", "jobclass", "c", "owner", "t", "shape", "array", "urgency", "high", "pieces", 4,
-                "cores", 1.0, "gpus", 0.0, "ram_gb", 1.0, "bundle", "i", "pull_gb", 1.0, "one_zone", false, "spread",
-                false, "loaners", true, "expected_s", 10.0, "snapshot_every_s", 0.0, "snapshot_s", 0.0);
+        return Wire.map(
+                "id",
+                "run-1",
+                "jobclass",
+                "c",
+                "owner",
+                "t",
+                "shape",
+                "array",
+                "urgency",
+                "high",
+                "pieces",
+                4,
+                "cores",
+                1.0,
+                "gpus",
+                0.0,
+                "ram_gb",
+                1.0,
+                "bundle",
+                "i",
+                "pull_gb",
+                1.0,
+                "one_zone",
+                false,
+                "spread",
+                false,
+                "loaners",
+                true,
+                "expected_s",
+                10.0,
+                "snapshot_every_s",
+                0.0,
+                "snapshot_s",
+                0.0);
     }
 
     private static Map<String, Object> report(int serial, long token) {
-        return Wire.map("box", "vm-1", "endpoint", "127.0.0.1:9", "boxkind", "k", "hall", "z", "loaners", true, "shift",
-                1, "serial", serial, "baton", token, "warning_s", null, "pieces",
+        return Wire.map(
+                "box",
+                "vm-1",
+                "endpoint",
+                "127.0.0.1:9",
+                "boxkind",
+                "k",
+                "hall",
+                "z",
+                "loaners",
+                true,
+                "shift",
+                1,
+                "serial",
+                serial,
+                "baton",
+                token,
+                "warning_s",
+                null,
+                "pieces",
                 List.of(Wire.map("piece", "run-1/0", "try", 1, "status", "exited", "cause", "done")));
     }
 }
--- a/src/main/java/io/indigoreach/cloud/Catalogue.java
+++ b/src/main/java/io/indigoreach/cloud/Catalogue.java
@@ -69,8 +69,10 @@
         if (copied || types.isEmpty()) {
             return Future.succeededFuture();
         }
-        return state.commit(new StateClient.Txn().when(RecordCodec.CATALOGUE, io.indigoreach.core.Stamp.ABSENT)
-                .put(RecordCodec.CATALOGUE, RecordCodec.writeCatalogue(types))).map(outcome -> {
+        return state.commit(new StateClient.Txn()
+                        .when(RecordCodec.CATALOGUE, io.indigoreach.core.Stamp.ABSENT)
+                        .put(RecordCodec.CATALOGUE, RecordCodec.writeCatalogue(types)))
+                .map(outcome -> {
                     copied = true;
                     return null;
                 });
--- a/src/main/java/io/indigoreach/cloud/CloudClient.java
+++ b/src/main/java/io/indigoreach/cloud/CloudClient.java
@@ -16,8 +16,7 @@
 /** The cloud's protocol. A failed future means no usable answer. */
 public final class CloudClient {
     /** The answer to a rental request: the machines, or none because the pool has no capacity. */
-    public record Rental(List<MachineId> machines, boolean noCapacity) {
-    }
+    public record Rental(List<MachineId> machines, boolean noCapacity) {}
 
     private static final Span TIMEOUT = Span.seconds(4);
 
@@ -37,17 +36,21 @@
 
     /** Rents up to {@code count} machines; a name that was answered once gets the same answer again. */
     public Future<Rental> rent(String name, Pool pool, int count) {
-        return caller.post(CloudCodec.MACHINES, CloudCodec.writeRental(new CloudCodec.Rental(name, pool, count)), TIMEOUT)
-                .map(r -> r.status() == 503 && CloudCodec.NO_CAPACITY.equals(r.body().optionalText("error"))
-                        ? new Rental(List.of(), true) : new Rental(CloudCodec.readNames(ok(r)), false));
+        return caller.post(
+                        CloudCodec.MACHINES, CloudCodec.writeRental(new CloudCodec.Rental(name, pool, count)), TIMEOUT)
+                .map(r -> r.status() == 503
+                                && CloudCodec.NO_CAPACITY.equals(r.body().optionalText("error"))
+                        ? new Rental(List.of(), true)
+                        : new Rental(CloudCodec.readNames(ok(r)), false));
     }
 
     /** When this succeeds, the machines and all that was on them are gone. */
     public Future<Void> giveBack(List<MachineId> machines) {
-        return caller.post(CloudCodec.RETURN, CloudCodec.writeNames(machines), TIMEOUT).map(r -> {
-            ok(r);
-            return null;
-        });
+        return caller.post(CloudCodec.RETURN, CloudCodec.writeNames(machines), TIMEOUT)
+                .map(r -> {
+                    ok(r);
+                    return null;
+                });
     }
 
     /** The whole list, page by page. */
@@ -59,7 +62,8 @@
         return caller.get(CloudCodec.listPath(after), TIMEOUT).compose(r -> {
             CloudCodec.Page page = CloudCodec.readPage(ok(r));
             page.machines().forEach(m -> got.add(m.machine()));
-            return page.more() && !page.machines().isEmpty() ? page(got.get(got.size() - 1).id(), got)
+            return page.more() && !page.machines().isEmpty()
+                    ? page(got.get(got.size() - 1).id(), got)
                     : Future.succeededFuture(got);
         });
     }
--- a/src/main/java/io/indigoreach/cloud/CloudCodec.java
+++ b/src/main/java/io/indigoreach/cloud/CloudCodec.java
@@ -22,23 +22,20 @@
     public static final String NO_CAPACITY = "no capacity";
     /** Machines in one page of the list, in one rental, and names in one return, at most. */
     public static final int MOST_LISTED = 500;
+
     public static final int MOST_RENTED = 50;
     public static final int MOST_RETURNED = 100;
 
     /** A rental request. */
-    public record Rental(String name, Pool pool, int count) {
-    }
+    public record Rental(String name, Pool pool, int count) {}
 
     /** A machine in the list, with its address; null while it is not known. */
-    public record Listed(ListedMachine machine, String address) {
-    }
+    public record Listed(ListedMachine machine, String address) {}
 
     /** A page of the list of machines. */
-    public record Page(List<Listed> machines, boolean more) {
-    }
+    public record Page(List<Listed> machines, boolean more) {}
 
-    private CloudCodec() {
-    }
+    private CloudCodec() {}
 
     static String listPath(MachineId after) {
         return MACHINES + "?" + MOST + "=" + MOST_LISTED + (after == null ? "" : "&" + AFTER + "=" + after);
@@ -47,9 +44,27 @@
     public static Map<String, Object> writeTypes(List<MachineType> types) {
         List<Object> list = new ArrayList<>();
         for (MachineType t : types) {
-            list.add(Wire.map("label", t.name(), "cores", t.capacity().cores(), "gpus", t.capacity().gpus(), "ram_gb",
-                    t.capacity().ramGb(), "cache_gb", t.cacheGb(), "fetch_gb_per_s", t.fetchGbPerS(), "price",
-                    t.price(), "low_price", t.spotPrice(), "boot_s", t.boot().seconds(), "halls", t.zones()));
+            list.add(Wire.map(
+                    "label",
+                    t.name(),
+                    "cores",
+                    t.capacity().cores(),
+                    "gpus",
+                    t.capacity().gpus(),
+                    "ram_gb",
+                    t.capacity().ramGb(),
+                    "cache_gb",
+                    t.cacheGb(),
+                    "fetch_gb_per_s",
+                    t.fetchGbPerS(),
+                    "price",
+                    t.price(),
+                    "low_price",
+                    t.spotPrice(),
+                    "boot_s",
+                    t.boot().seconds(),
+                    "halls",
+                    t.zones()));
         }
         return Wire.map("boxkinds", list);
     }
@@ -58,22 +73,36 @@
         List<MachineType> types = new ArrayList<>();
         for (Fields t : f.children("boxkinds")) {
             List<String> zones = t.optionalTexts("halls");
-            types.add(new MachineType(t.text("label"),
-                    new Demand(t.number("cores"), t.number("gpus", 0), t.number("ram_gb")), t.number("cache_gb", 0),
-                    t.number("fetch_gb_per_s", 0), t.number("price"), t.number("low_price", 0),
-                    Span.seconds(t.number("boot_s", 60)), zones == null ? List.of() : zones));
+            types.add(new MachineType(
+                    t.text("label"),
+                    new Demand(t.number("cores"), t.number("gpus", 0), t.number("ram_gb")),
+                    t.number("cache_gb", 0),
+                    t.number("fetch_gb_per_s", 0),
+                    t.number("price"),
+                    t.number("low_price", 0),
+                    Span.seconds(t.number("boot_s", 60)),
+                    zones == null ? List.of() : zones));
         }
         return types;
     }
 
     static Map<String, Object> writeRental(Rental r) {
-        return Wire.map("hire", r.name(), "boxkind", r.pool().type(), "hall", r.pool().zone(), "loaners",
-                r.pool().spot(), "count", r.count());
+        return Wire.map(
+                "hire",
+                r.name(),
+                "boxkind",
+                r.pool().type(),
+                "hall",
+                r.pool().zone(),
+                "loaners",
+                r.pool().spot(),
+                "count",
+                r.count());
     }
 
     public static Rental readRental(Fields f) {
-        return new Rental(f.text("hire"), new Pool(f.text("boxkind"), f.text("hall"), f.flag("loaners", false)),
-                (int) f.whole("count"));
+        return new Rental(f.text("hire"), new Pool(f.text("boxkind"), f.text("hall"), f.flag("loaners", false)), (int)
+                f.whole("count"));
     }
 
     /** Machines by name: those rented, in an answer; those to be returned, in a request. */
@@ -90,8 +119,20 @@
         List<Object> list = new ArrayList<>(page.machines().size());
         for (Listed l : page.machines()) {
             ListedMachine m = l.machine();
-            list.add(Wire.map("id", m.id().text(), "endpoint", l.address(), "boxkind", m.pool().type(), "hall",
-                    m.pool().zone(), "loaners", m.pool().spot(), "status", word(m.status()), "held_s",
+            list.add(Wire.map(
+                    "id",
+                    m.id().text(),
+                    "endpoint",
+                    l.address(),
+                    "boxkind",
+                    m.pool().type(),
+                    "hall",
+                    m.pool().zone(),
+                    "loaners",
+                    m.pool().spot(),
+                    "status",
+                    word(m.status()),
+                    "held_s",
                     m.held().seconds()));
         }
         return Wire.map("boxes", list, "truncated", page.more());
@@ -100,9 +141,13 @@
     static Page readPage(Fields f) {
         List<Listed> list = new ArrayList<>();
         for (Fields m : f.children("boxes")) {
-            list.add(new Listed(new ListedMachine(new MachineId(m.text("id")),
-                    new Pool(m.text("boxkind"), m.text("hall"), m.flag("loaners", false)), status(m.text("status")),
-                    Span.seconds(m.number("held_s", 0))), m.optionalText("endpoint")));
+            list.add(new Listed(
+                    new ListedMachine(
+                            new MachineId(m.text("id")),
+                            new Pool(m.text("boxkind"), m.text("hall"), m.flag("loaners", false)),
+                            status(m.text("status")),
+                            Span.seconds(m.number("held_s", 0))),
+                    m.optionalText("endpoint")));
         }
         return new Page(list, f.flag("truncated", false));
     }
--- a/src/main/java/io/indigoreach/cluster/Controller.java
+++ b/src/main/java/io/indigoreach/cluster/Controller.java
@@ -44,14 +44,28 @@
     Controller(Reign.Surroundings env, Vertx own) {
         this.env = env;
         this.warmUp = new WarmUp(env, () -> reign != null);
-        String process = Long.toHexString(ThreadLocalRandom.current().nextLong()) + "-" + env.clock().timeOfDay();
+        String process = Long.toHexString(ThreadLocalRandom.current().nextLong()) + "-"
+                + env.clock().timeOfDay();
         PlatformConfig config = env.config();
-        List<String> nodes = Stream.concat(Stream.of(config.node()), config.peers().stream().map(PlatformConfig.Peer::node))
-                .sorted().toList();
+        List<String> nodes = Stream.concat(
+                        Stream.of(config.node()), config.peers().stream().map(PlatformConfig.Peer::node))
+                .sorted()
+                .toList();
         StateClient renewals = new StateClient(new Caller(own, config.state(), 2), null);
-        TokenClock tokens = new TokenClock(nodes.indexOf(config.node()), env.clock().timeOfDay(), config.clockOff());
-        this.leadership = new Leadership(env.vertx(), env.state(), own, renewals, env.clock(), config.node(), process,
-                config.peers().size(), env.lease(), tokens, this);
+        TokenClock tokens =
+                new TokenClock(nodes.indexOf(config.node()), env.clock().timeOfDay(), config.clockOff());
+        this.leadership = new Leadership(
+                env.vertx(),
+                env.state(),
+                own,
+                renewals,
+                env.clock(),
+                config.node(),
+                process,
+                config.peers().size(),
+                env.lease(),
+                tokens,
+                this);
     }
 
     /** Where to ask for what the controllers remember of jobs, besides what this node knew as a leader. */
@@ -92,16 +106,19 @@
 
     /** How to ask every other node for its pledge not to lead, and whether it does not lead now. */
     void asking(Function<Span, Future<Pledges>> others, Supplier<Future<Boolean>> unled) {
-        leadership.asking(() -> {
-            Moment sent = env.clock().now();
-            Reign asking = reign;
-            return others.apply(asking == null ? Span.ZERO : asking.unheard()).map(pledges -> {
-                if (asking != null && asking == reign) {
-                    asking.told(pledges.word(), sent);
-                }
-                return pledges.all();
-            });
-        }, unled);
+        leadership.asking(
+                () -> {
+                    Moment sent = env.clock().now();
+                    Reign asking = reign;
+                    return others.apply(asking == null ? Span.ZERO : asking.unheard())
+                            .map(pledges -> {
+                                if (asking != null && asking == reign) {
+                                    asking.told(pledges.word(), sent);
+                                }
+                                return pledges.all();
+                            });
+                },
+                unled);
     }
 
     boolean leads() {
@@ -127,7 +144,8 @@
 
     private Future<Void> settled(Stamp left, Moment until) {
         boolean begun = leadership.leader() != null && !leadership.key().equals(left);
-        return leadership.isLeading() || begun || !env.clock().now().isBefore(until) ? Future.succeededFuture()
+        return leadership.isLeading() || begun || !env.clock().now().isBefore(until)
+                ? Future.succeededFuture()
                 : env.vertx().timer(50, TimeUnit.MILLISECONDS).compose(t -> settled(left, until));
     }
 
@@ -172,7 +190,8 @@
                 return Answer.elsewhere(null);
             }
             // Checked as the answer is written: the leadership may have ended while a record was waited for.
-            return asked == reign && mayAnswer() && asked.answers(read.machine()) ? new Answer(true, asked.token(), orders, null)
+            return asked == reign && mayAnswer() && asked.answers(read.machine())
+                    ? new Answer(true, asked.token(), orders, null)
                     : Answer.elsewhere(otherLeader());
         });
     }
--- a/src/main/java/io/indigoreach/cluster/EndWatch.java
+++ b/src/main/java/io/indigoreach/cluster/EndWatch.java
@@ -42,7 +42,9 @@
                 });
             }
             since = Math.max(since, changes.revision());
-            changes.changes().stream().filter(c -> c.value() == null && !duty.isCancelled()).findFirst()
+            changes.changes().stream()
+                    .filter(c -> c.value() == null && !duty.isCancelled())
+                    .findFirst()
                     .ifPresent(c -> state.recordGone(c.key()));
             return Future.succeededFuture(PAUSE);
         });
--- a/src/main/java/io/indigoreach/cluster/Fleet.java
+++ b/src/main/java/io/indigoreach/cluster/Fleet.java
@@ -40,6 +40,7 @@
     private final BooleanSupplier mayAct;
     /** Between requests to rent: with its answer's time it leaves room for returns and lists. */
     private final Span pace;
+
     private final Duty renting;
     private final Duty returning;
     private final Duty listing;
@@ -48,6 +49,7 @@
     private final Deque<Request> open = new ArrayDeque<>();
     /** Of them, those of earlier leaders. */
     private final Set<String> inherited = new HashSet<>();
+
     private int requests;
     private Moment checked = Moment.NEVER;
 
@@ -89,7 +91,9 @@
                 inherited.add(r.name());
             }
             if (!page.isEmpty()) {
-                LOG.info("settling what was under way: {} requests to rent, {} machines to be returned", page.rents().size(),
+                LOG.info(
+                        "settling what was under way: {} requests to rent, {} machines to be returned",
+                        page.rents().size(),
                         page.condemned().size());
             }
             return null;
@@ -104,7 +108,8 @@
         if (open.stream().allMatch(Request::isSlow)) {
             think(now);
         }
-        Request request = open.stream().filter(r -> !now.isBefore(r.next)).findFirst().orElse(null);
+        Request request =
+                open.stream().filter(r -> !now.isBefore(r.next)).findFirst().orElse(null);
         return book.record().compose(done -> {
             if (request == null) {
                 Span rest = Span.seconds(0.25);
@@ -126,46 +131,64 @@
                 break;
             }
             Request request = new Request("t" + token + "-" + ++requests, wish, now, 0, now);
-            book.intents().add(new Intents.Rent(request.name, wish.pool(), wish.count(), env.clock().timeOfDay()));
+            book.intents()
+                    .add(new Intents.Rent(
+                            request.name, wish.pool(), wish.count(), env.clock().timeOfDay()));
             open.add(request);
         }
     }
 
     private Future<Span> ask(Request request) {
         open.remove(request);
-        return env.cloud().rent(request.name, request.wish.pool(), request.wish.count()).map(rental -> {
-            if (renting.isCancelled()) {
-                return PAUSE;
-            }
-            LOG.info("rent {} of {}: {}", request.wish.count(), request.wish.pool(),
-                    rental.noCapacity() ? "no capacity" : rental.machines());
-            settled(request);
-            if (rental.noCapacity() || rental.machines().size() < request.wish.count()) {
-                core.refused(request.wish.pool(), env.clock().now());
-                open.removeIf(other -> {
-                    boolean useless = other.tries == 0 && other.wish.pool().equals(request.wish.pool())
-                            && !inherited.contains(other.name);
-                    if (useless) {
-                        settled(other);
+        return env.cloud()
+                .rent(request.name, request.wish.pool(), request.wish.count())
+                .map(rental -> {
+                    if (renting.isCancelled()) {
+                        return PAUSE;
+                    }
+                    LOG.info(
+                            "rent {} of {}: {}",
+                            request.wish.count(),
+                            request.wish.pool(),
+                            rental.noCapacity() ? "no capacity" : rental.machines());
+                    settled(request);
+                    if (rental.noCapacity() || rental.machines().size() < request.wish.count()) {
+                        core.refused(request.wish.pool(), env.clock().now());
+                        open.removeIf(other -> {
+                            boolean useless = other.tries == 0
+                                    && other.wish.pool().equals(request.wish.pool())
+                                    && !inherited.contains(other.name);
+                            if (useless) {
+                                settled(other);
+                            }
+                            return useless;
+                        });
+                        if (rental.noCapacity() && open.isEmpty()) {
+                            // Work waits and the pool is empty: ask the next one at once.
+                            checked = Moment.NEVER;
+                        }
                     }
-                    return useless;
+                    core.rented(
+                            request.wish.pool(),
+                            rental.machines(),
+                            request.asked,
+                            env.clock().now());
+                    return pace;
+                })
+                .recover(e -> {
+                    // Without an answer the machines may be rented all the same: the same name gets the same answer.
+                    LOG.info(
+                            "rent {} of {}: no answer ({})", request.wish.count(), request.wish.pool(), e.getMessage());
+                    Span slow = PAUSE.times(Math.pow(2, Math.max(0, request.tries - MOST_TRIES)));
+                    Span pause = slow.compareTo(LONGEST_PAUSE) < 0 ? slow : LONGEST_PAUSE;
+                    open.addFirst(new Request(
+                            request.name,
+                            request.wish,
+                            request.asked,
+                            request.tries + 1,
+                            env.clock().now().plus(pause)));
+                    return Future.succeededFuture(PAUSE);
                 });
-                if (rental.noCapacity() && open.isEmpty()) {
-                    // Work waits and the pool is empty: ask the next one at once.
-                    checked = Moment.NEVER;
-                }
-            }
-            core.rented(request.wish.pool(), rental.machines(), request.asked, env.clock().now());
-            return pace;
-        }).recover(e -> {
-            // Without an answer the machines may be rented all the same: the same name gets the same answer.
-            LOG.info("rent {} of {}: no answer ({})", request.wish.count(), request.wish.pool(), e.getMessage());
-            Span slow = PAUSE.times(Math.pow(2, Math.max(0, request.tries - MOST_TRIES)));
-            Span pause = slow.compareTo(LONGEST_PAUSE) < 0 ? slow : LONGEST_PAUSE;
-            open.addFirst(new Request(request.name, request.wish, request.asked, request.tries + 1,
-                    env.clock().now().plus(pause)));
-            return Future.succeededFuture(PAUSE);
-        });
     }
 
     private void settled(Request request) {
--- a/src/main/java/io/indigoreach/cluster/IntentBook.java
+++ b/src/main/java/io/indigoreach/cluster/IntentBook.java
@@ -36,11 +36,13 @@
     private final Intents intents = new Intents();
     /** Earlier leaders' records, with their versions. */
     private final Map<String, Stamp> earlier = new LinkedHashMap<>();
+
     private Stamp stamp = Stamp.ABSENT;
     /** The record's version is to be read before the next write. */
     private boolean unsure;
     /** A write had no answer and may be carried out at any time, until a later one has been. */
     private boolean unanswered;
+
     private Future<Boolean> underWay;
     private Moment written = Moment.NEVER;
 
@@ -73,32 +75,38 @@
         List<MachineId> condemned = new ArrayList<>();
         earlier.clear();
         return Ledger.pages(env.state(), key, RecordCodec.INTENTS, e -> {
-            Intents.Page old = RecordCodec.readIntents(e.value());
-            rents.addAll(old.rents());
-            condemned.addAll(old.condemned());
-            earlier.put(e.key(), e.stamp());
-        }).map(revision -> new Intents.Page(rents, condemned));
+                    Intents.Page old = RecordCodec.readIntents(e.value());
+                    rents.addAll(old.rents());
+                    condemned.addAll(old.condemned());
+                    earlier.put(e.key(), e.stamp());
+                })
+                .map(revision -> new Intents.Page(rents, condemned));
     }
 
     /** Everything that earlier leaders had under way is settled: their records are of no use any more. */
     Future<Void> forgetEarlier() {
-        List<String> some = earlier.keySet().stream().limit(env.config().stateLimits().txnOps()).toList();
+        List<String> some = earlier.keySet().stream()
+                .limit(env.config().stateLimits().txnOps())
+                .toList();
         if (some.isEmpty() || !budget.takeSpare(some.size(), env.clock().now())) {
             return Future.succeededFuture();
         }
         StateClient.Txn txn = new StateClient.Txn().when(RecordCodec.LEADER, key);
         some.forEach(name -> txn.when(name, earlier.get(name)).delete(name));
-        return env.state().commit(txn).map(outcome -> {
-            if (outcome.done()) {
-                some.forEach(earlier::remove);
-            } else if (outcome.failed().contains(RecordCodec.LEADER)) {
-                failedOnKey();
-            } else {
-                // Removed by a write whose answer was lost, or added to by a holder that was not replaced then.
-                outcome.failed().forEach(earlier::remove);
-            }
-            return (Void) null;
-        }).otherwiseEmpty();
+        return env.state()
+                .commit(txn)
+                .map(outcome -> {
+                    if (outcome.done()) {
+                        some.forEach(earlier::remove);
+                    } else if (outcome.failed().contains(RecordCodec.LEADER)) {
+                        failedOnKey();
+                    } else {
+                        // Removed by a write whose answer was lost, or added to by a holder that was not replaced then.
+                        outcome.failed().forEach(earlier::remove);
+                    }
+                    return (Void) null;
+                })
+                .otherwiseEmpty();
     }
 
     /** True when the record says all that is intended; false if it cannot be written now. One write at a time. */
@@ -115,7 +123,9 @@
     private Future<Boolean> begin() {
         Moment now = env.clock().now();
         if (!intents.isUnrecorded()) {
-            boolean tidy = (unanswered || intents.isOutdated()) && now.since(written).compareTo(TIDY) >= 0 && budget.takeSpare(1, now);
+            boolean tidy = (unanswered || intents.isOutdated())
+                    && now.since(written).compareTo(TIDY) >= 0
+                    && budget.takeSpare(1, now);
             return tidy ? write(now).map(true).otherwise(true) : Future.succeededFuture(true);
         }
         return budget.take(1, now) ? write(now) : Future.succeededFuture(false);
@@ -130,27 +140,31 @@
             });
         }
         Intents.Page page = intents.page();
-        StateClient.Txn txn = new StateClient.Txn().when(RecordCodec.LEADER, key).when(own, stamp);
+        StateClient.Txn txn =
+                new StateClient.Txn().when(RecordCodec.LEADER, key).when(own, stamp);
         boolean writes = unanswered || !page.isEmpty() || !stamp.equals(Stamp.ABSENT);
         if (writes) {
             txn.put(own, RecordCodec.writeIntents(page));
         }
         written = now;
-        return env.state().commit(txn).map(outcome -> {
-            if (outcome.done()) {
-                stamp = writes ? outcome.stamp() : Stamp.ABSENT;
-                unanswered = false;
-                intents.recorded(page);
-                return true;
-            }
-            if (outcome.failed().contains(RecordCodec.LEADER)) {
-                failedOnKey();
-            }
-            unsure = true;
-            return false;
-        }).onFailure(e -> {
-            unsure |= !StateClient.surelyNotExecuted(e);
-            unanswered |= unsure;
-        });
+        return env.state()
+                .commit(txn)
+                .map(outcome -> {
+                    if (outcome.done()) {
+                        stamp = writes ? outcome.stamp() : Stamp.ABSENT;
+                        unanswered = false;
+                        intents.recorded(page);
+                        return true;
+                    }
+                    if (outcome.failed().contains(RecordCodec.LEADER)) {
+                        failedOnKey();
+                    }
+                    unsure = true;
+                    return false;
+                })
+                .onFailure(e -> {
+                    unsure |= !StateClient.surelyNotExecuted(e);
+                    unanswered |= unsure;
+                });
     }
 }
--- a/src/main/java/io/indigoreach/cluster/JobWatch.java
+++ b/src/main/java/io/indigoreach/cluster/JobWatch.java
@@ -50,22 +50,24 @@
                 return Span.ZERO;
             });
         }
-        return env.state().watch(RecordCodec.OPEN, since, waitFor(env.config().rules().horizonAge())).map(changes -> {
-            if (duty.isCancelled()) {
-                return PAUSE;
-            }
-            if (changes.tooOld()) {
-                readAgain = true;
-                return Span.ZERO;
-            }
-            since = Math.max(since, changes.revision());
-            // First what it brings: a job that is gone holds the horizon until it is known why.
-            for (StateClient.Change change : changes.changes()) {
-                Ledger.unlessUnreadable(change.key(), () -> apply(change));
-            }
-            horizon.heard(sent);
-            return Span.ZERO;
-        });
+        return env.state()
+                .watch(RecordCodec.OPEN, since, waitFor(env.config().rules().horizonAge()))
+                .map(changes -> {
+                    if (duty.isCancelled()) {
+                        return PAUSE;
+                    }
+                    if (changes.tooOld()) {
+                        readAgain = true;
+                        return Span.ZERO;
+                    }
+                    since = Math.max(since, changes.revision());
+                    // First what it brings: a job that is gone holds the horizon until it is known why.
+                    for (StateClient.Change change : changes.changes()) {
+                        Ledger.unlessUnreadable(change.key(), () -> apply(change));
+                    }
+                    horizon.heard(sent);
+                    return Span.ZERO;
+                });
     }
 
     /**
--- a/src/main/java/io/indigoreach/cluster/Ledger.java
+++ b/src/main/java/io/indigoreach/cluster/Ledger.java
@@ -42,9 +42,11 @@
     private static final Span PERIOD = Span.seconds(0.1);
     /** Results of one job are gathered for this long; its end is written at once. */
     private static final Span GATHER = Span.seconds(1);
+
     private static final int MOST_AT_ONCE = 4;
     /** For how long a new leader mends records that it cannot read, before it goes on without the rest. */
     private static final Span MENDING = Span.seconds(2);
+
     private static final int CLOSED_KEPT = 10_000;
 
     /** A record without which nobody may lead: trying again is of no use before somebody has mended it. */
@@ -67,12 +69,14 @@
      * silent or deaf would hold the take-over up for as long as a slow state service takes, and anew with each reading that fails.
      */
     private final Moment took;
+
     private final Duty duty;
     private final Set<Job> touched = new LinkedHashSet<>();
     private final Set<JobId> writing = new HashSet<>();
     private final Map<JobId, Moment> written = new HashMap<>();
     /** Ends written into the open job's record, to be moved when there is room for it. */
     private final Map<JobId, Stamp> unmoved = new LinkedHashMap<>();
+
     private final Map<JobId, JobStatus> shown = new HashMap<>();
     /** Open jobs that stand still, as nobody could read or mend their records. */
     private final Set<JobId> unread = new HashSet<>();
@@ -85,8 +89,15 @@
     };
 
     /** {@code boundsKept}: every leader so far has kept to the jobs' start bounds. */
-    Ledger(Reign.Surroundings env, LeaderCore core, MachineBook book, Stamp key, Runnable deposed, Budget budget,
-           boolean boundsKept, CancellationHorizon horizon) {
+    Ledger(
+            Reign.Surroundings env,
+            LeaderCore core,
+            MachineBook book,
+            Stamp key,
+            Runnable deposed,
+            Budget budget,
+            boolean boundsKept,
+            CancellationHorizon horizon) {
         this.horizon = horizon;
         this.env = env;
         this.core = core;
@@ -121,23 +132,35 @@
         touched.clear();
         shown.clear();
         // Blocks first: one that is written between the two readings would otherwise be newer than its job.
-        return pages(RecordCodec.BITS, e -> unlessUnreadable(e.key(), () -> RecordCodec.readBlock(e.key(), e.value(),
-                bits.computeIfAbsent(RecordCodec.jobOfBlock(e.key()), k -> new BitSet()))))
+        return pages(
+                        RecordCodec.BITS,
+                        e -> unlessUnreadable(
+                                e.key(),
+                                () -> RecordCodec.readBlock(
+                                        e.key(),
+                                        e.value(),
+                                        bits.computeIfAbsent(RecordCodec.jobOfBlock(e.key()), k -> new BitSet()))))
                 .compose(r -> pages(RecordCodec.MACHINES, e -> {
                     List<MachineRecord> machines = RecordCodec.readMachines(e.value());
                     book.inherit(e.key(), e.stamp(), machines);
                     for (MachineRecord m : machines) {
                         // Another node wrote this time, by a clock that may be off as far the other way as this one's.
-                        Moment existed = steady(m.existedMs()).plus(env.config().clockOff().times(2));
+                        Moment existed = steady(m.existedMs())
+                                .plus(env.config().clockOff().times(2));
                         core.inherit(m.id(), m.pool(), steady(m.rentedMs()), existed, took);
                     }
                 }))
                 .compose(r -> listOpen(e -> {
-                    if (!unlessUnreadable(e.key(), () -> inherit(RecordCodec.readJob(RecordCodec.jobOf(e.key()), e.value(),
-                            e.stamp()), bits))) {
+                    if (!unlessUnreadable(
+                            e.key(),
+                            () -> inherit(
+                                    RecordCodec.readJob(RecordCodec.jobOf(e.key()), e.value(), e.stamp()), bits))) {
                         spoilt.add(e);
                     }
-                })).compose(revision -> mend(spoilt.iterator(), bits, env.clock().now().plus(MENDING)).map(revision));
+                }))
+                .compose(revision -> mend(
+                                spoilt.iterator(), bits, env.clock().now().plus(MENDING))
+                        .map(revision));
     }
 
     /** What was cancelled before it is asked for is not in it. */
@@ -164,19 +187,27 @@
         }
         JobId id = RecordCodec.jobOf(entry.key());
         unread.add(id);
-        Future<Void> mended = env.clock().now().isBefore(until) ? env.mender().open(id, entry, null)
-                .compose(v -> env.state().get(entry.key())).map(now -> {
-                    if (now != null) {
-                        inherit(RecordCodec.readJob(id, now.value(), now.stamp()), bits);
-                    }
-                    unread.remove(id);
-                    return null;
-                }) : Future.failedFuture(new WireException("others wait"));
+        Future<Void> mended = env.clock().now().isBefore(until)
+                ? env.mender()
+                        .open(id, entry, null)
+                        .compose(v -> env.state().get(entry.key()))
+                        .map(now -> {
+                            if (now != null) {
+                                inherit(RecordCodec.readJob(id, now.value(), now.stamp()), bits);
+                            }
+                            unread.remove(id);
+                            return null;
+                        })
+                : Future.failedFuture(new WireException("others wait"));
         return mended.recover(e -> {
-            LOG.error("the job of the record {} is not served ({}) until its user asks and a controller remembers it, it is "
-                    + "submitted again, or the record is restored", entry.key(), e.getMessage());
-            return Future.succeededFuture();
-        }).compose(v -> mend(spoilt, bits, until));
+                    LOG.error(
+                            "the job of the record {} is not served ({}) until its user asks and a controller remembers it, it is "
+                                    + "submitted again, or the record is restored",
+                            entry.key(),
+                            e.getMessage());
+                    return Future.succeededFuture();
+                })
+                .compose(v -> mend(spoilt, bits, until));
     }
 
     /**
@@ -189,7 +220,9 @@
             read.run();
             return true;
         } catch (WireException e) {
-            LOG.error("the record {} cannot be read ({}). Was it written by a newer version? Run that, or restore the record", key,
+            LOG.error(
+                    "the record {} cannot be read ({}). Was it written by a newer version? Run that, or restore the record",
+                    key,
                     e.getMessage());
             return false;
         }
@@ -198,18 +231,21 @@
     /** Reads the open jobs once more after the watch has lost its place. */
     Future<Long> readAgain() {
         Set<JobId> present = new HashSet<>();
-        return pages(RecordCodec.OPEN, e -> unlessUnreadable(e.key(), () -> {
-            JobId id = RecordCodec.jobOf(e.key());
-            present.add(id);
-            heard(id, e.value(), e.stamp());
-        })).map(revision -> {
-            for (Job job : new ArrayList<>(core.jobs())) {
-                if (!present.contains(job.id()) && job.stamp().value() <= revision) {
-                    heardGone(job.id());
-                }
-            }
-            return revision;
-        });
+        return pages(
+                        RecordCodec.OPEN,
+                        e -> unlessUnreadable(e.key(), () -> {
+                            JobId id = RecordCodec.jobOf(e.key());
+                            present.add(id);
+                            heard(id, e.value(), e.stamp());
+                        }))
+                .map(revision -> {
+                    for (Job job : new ArrayList<>(core.jobs())) {
+                        if (!present.contains(job.id()) && job.stamp().value() <= revision) {
+                            heardGone(job.id());
+                        }
+                    }
+                    return revision;
+                });
     }
 
     private Future<Long> pages(String prefix, Consumer<StateClient.Entry> each) {
@@ -221,13 +257,13 @@
         return page(state, key, prefix, null, -1, each);
     }
 
-    private static Future<Long> page(StateClient state, Stamp key, String prefix, String after, long first,
-                                     Consumer<StateClient.Entry> each) {
+    private static Future<Long> page(
+            StateClient state, Stamp key, String prefix, String after, long first, Consumer<StateClient.Entry> each) {
         return state.list(prefix, after, PAGE).compose(page -> {
             if (page.revision() < key.value()) {
                 // What an earlier leader recorded last could be missing: machines that hold tasks, above all.
-                return Future.failedFuture(new WireException("the state service lists what was there before this "
-                        + "leadership"));
+                return Future.failedFuture(
+                        new WireException("the state service lists what was there before this " + "leadership"));
             }
             for (StateClient.Entry item : page.items()) {
                 try {
@@ -239,7 +275,13 @@
             // The oldest page counts: the watch then tells whatever a page does not have yet.
             long revision = first < 0 ? page.revision() : Math.min(first, page.revision());
             if (page.more() && !page.items().isEmpty()) {
-                return page(state, key, prefix, page.items().get(page.items().size() - 1).key(), revision, each);
+                return page(
+                        state,
+                        key,
+                        prefix,
+                        page.items().get(page.items().size() - 1).key(),
+                        revision,
+                        each);
             }
             return Future.succeededFuture(revision);
         });
@@ -255,8 +297,14 @@
         done.or(record.done());
         // An earlier leader may have run a version of the program that started tasks without raising their bounds.
         int bound = inherited && !boundsKept ? record.spec().tasks() : record.bound();
-        Job job = new Job(record.spec(), record.submittedMs(), steady(record.submittedMs()), record.stamp(), done,
-                bound, inherited);
+        Job job = new Job(
+                record.spec(),
+                record.submittedMs(),
+                steady(record.submittedMs()),
+                record.stamp(),
+                done,
+                bound,
+                inherited);
         core.addJob(job);
         shown.put(job.id(), record.status());
         if (job.isComplete()) {
@@ -274,7 +322,8 @@
         if (job == null) {
             if (!closed.containsKey(id)) {
                 boolean was = unread.contains(id);
-                if (unlessUnreadable(RecordCodec.open(id), () -> add(RecordCodec.readJob(id, value, stamp), new BitSet(), was))) {
+                if (unlessUnreadable(
+                        RecordCodec.open(id), () -> add(RecordCodec.readJob(id, value, stamp), new BitSet(), was))) {
                     unread.remove(id);
                 } else {
                     unread.add(id);
@@ -308,7 +357,8 @@
                 return;
             }
             if (why.failed()) {
-                // Until the state service says why, this job's tasks may run on although its user was told that it is cancelled.
+                // Until the state service says why, this job's tasks may run on although its user was told that it is
+                // cancelled.
                 env.vertx().setTimer(PERIOD.ms() * 5, t -> heardGone(id));
                 return;
             }
@@ -316,7 +366,7 @@
                 switch (why.result()) {
                     case CANCELLED -> cancelled(id);
                     case LOST -> env.state().recordGone(RecordCodec.open(id));
-                    default -> { }
+                    default -> {}
                 }
             }
             horizon.settled(id);
@@ -325,16 +375,29 @@
 
     /** What became of an open job whose key was heard to be gone. */
     private enum Fate {
-        CANCELLED, LOST, STILL_OPEN
+        CANCELLED,
+        LOST,
+        STILL_OPEN
     }
 
     /** Cancelled by its user, which leaves a record of its end, or lost; or what was heard is from before a loss was mended. */
     private Future<Fate> whyGone(JobId id) {
-        return env.state().get(RecordCodec.over(id)).compose(over -> over != null ? Future.succeededFuture(Fate.CANCELLED)
-                : env.state().get(RecordCodec.open(id)).compose(open -> open != null ? Future.succeededFuture(Fate.STILL_OPEN)
-                : env.state().confirm(new StateClient.Txn().when(RecordCodec.open(id), Stamp.ABSENT)
-                        .when(RecordCodec.over(id), Stamp.ABSENT)).compose(nowhere -> nowhere ? Future.succeededFuture(Fate.LOST)
-                        : Future.failedFuture(new WireException("a read came from the past")))));
+        return env.state()
+                .get(RecordCodec.over(id))
+                .compose(over -> over != null
+                        ? Future.succeededFuture(Fate.CANCELLED)
+                        : env.state()
+                                .get(RecordCodec.open(id))
+                                .compose(open -> open != null
+                                        ? Future.succeededFuture(Fate.STILL_OPEN)
+                                        : env.state()
+                                                .confirm(new StateClient.Txn()
+                                                        .when(RecordCodec.open(id), Stamp.ABSENT)
+                                                        .when(RecordCodec.over(id), Stamp.ABSENT))
+                                                .compose(nowhere -> nowhere
+                                                        ? Future.succeededFuture(Fate.LOST)
+                                                        : Future.failedFuture(
+                                                                new WireException("a read came from the past")))));
     }
 
     /** The user of the job has cancelled it, by its record or by the word of a node that has told so: nothing undoes that. */
@@ -362,7 +425,8 @@
         touched.remove(job);
         shown.remove(job.id());
         written.remove(job.id());
-        closed.put(job.id(), new Remains.Over(job.isCancelled() ? JobStatus.CANCELLED : JobStatus.DONE, job.doneCount()));
+        closed.put(
+                job.id(), new Remains.Over(job.isCancelled() ? JobStatus.CANCELLED : JobStatus.DONE, job.doneCount()));
     }
 
     private Future<Span> step() {
@@ -377,7 +441,8 @@
         List<Job> ready = new ArrayList<>();
         merge(ends, core.boundsToRaise(now), ready);
         for (Job job : touched) {
-            boolean gathered = now.since(written.getOrDefault(job.id(), Moment.NEVER)).compareTo(GATHER) >= 0;
+            boolean gathered =
+                    now.since(written.getOrDefault(job.id(), Moment.NEVER)).compareTo(GATHER) >= 0;
             if (!job.isComplete() && !job.wantsBound() && gathered) {
                 ready.add(job);
             }
@@ -391,7 +456,8 @@
             }
             StateClient.Txn txn = transaction(job, crowded);
             // Progress, which there is always more of, may not take what an end or a start is waiting for.
-            if (!(job.isComplete() || job.wantsBound() ? budget.take(txn.size(), now)
+            if (!(job.isComplete() || job.wantsBound()
+                    ? budget.take(txn.size(), now)
                     : budget.takeSpare(txn.size(), now))) {
                 break;
             }
@@ -423,18 +489,22 @@
         JobId id = job.id();
         BitSet done = job.doneTasks();
         int blocks = RecordCodec.blocks(job.spec().tasks());
-        StateClient.Txn txn = new StateClient.Txn().when(RecordCodec.LEADER, key)
-                .when(RecordCodec.open(id), job.stamp());
+        StateClient.Txn txn =
+                new StateClient.Txn().when(RecordCodec.LEADER, key).when(RecordCodec.open(id), job.stamp());
         if (job.isComplete() && !(crowded && blocks == 0)) {
-            txn.delete(RecordCodec.open(id)).put(RecordCodec.over(id),
-                    RecordCodec.writeFinal(JobStatus.DONE, job.spec().tasks()));
+            txn.delete(RecordCodec.open(id))
+                    .put(
+                            RecordCodec.over(id),
+                            RecordCodec.writeFinal(JobStatus.DONE, job.spec().tasks()));
             for (int n = 0; n < blocks; n++) {
                 txn.delete(RecordCodec.block(id, n));
             }
             return txn;
         }
-        txn.put(RecordCodec.open(id), RecordCodec.writeJob(job.spec(), job.submittedMs(), job.status(), done, job.running(),
-                job.boundToWrite()));
+        txn.put(
+                RecordCodec.open(id),
+                RecordCodec.writeJob(
+                        job.spec(), job.submittedMs(), job.status(), done, job.running(), job.boundToWrite()));
         for (int n : RecordCodec.blocksOf(job.spec().tasks(), job.unrecorded())) {
             txn.put(RecordCodec.block(id, n), RecordCodec.writeBlock(done, n));
         }
@@ -450,8 +520,12 @@
             return;
         }
         writing.add(id);
-        env.state().commit(new StateClient.Txn().when(RecordCodec.LEADER, key).when(RecordCodec.open(id), stamp)
-                .delete(RecordCodec.open(id)).put(RecordCodec.over(id), RecordCodec.writeFinal(end.status(), end.done())))
+        env.state()
+                .commit(new StateClient.Txn()
+                        .when(RecordCodec.LEADER, key)
+                        .when(RecordCodec.open(id), stamp)
+                        .delete(RecordCodec.open(id))
+                        .put(RecordCodec.over(id), RecordCodec.writeFinal(end.status(), end.done())))
                 .onComplete(result -> {
                     writing.remove(id);
                     if (!duty.isCancelled() && result.failed()) {
@@ -506,32 +580,40 @@
             return;
         }
         writing.add(id);
-        env.state().get(RecordCodec.open(id)).compose(open -> {
-            if (open != null) {
-                core.stamped(job, open.stamp());
-                return Future.succeededFuture();
-            }
-            return env.state().get(RecordCodec.over(id)).compose(over -> {
-                if (over == null) {
-                    return env.state().confirm(new StateClient.Txn().when(RecordCodec.open(id), Stamp.ABSENT)
-                            .when(RecordCodec.over(id), Stamp.ABSENT)).onSuccess(gone -> {
-                                if (gone && !duty.isCancelled()) {
-                                    env.state().recordGone(RecordCodec.open(id));
-                                }
-                            }).mapEmpty();
-                }
-                if (!duty.isCancelled()) {
-                    JobStatus status = RecordCodec.readFinal(id, over.value()).status();
-                    LOG.info("job {} is {}", id, status);
-                    if (status == JobStatus.CANCELLED) {
-                        core.cancelJob(id);
-                    } else {
-                        core.closeJob(id);
+        env.state()
+                .get(RecordCodec.open(id))
+                .compose(open -> {
+                    if (open != null) {
+                        core.stamped(job, open.stamp());
+                        return Future.succeededFuture();
                     }
-                    drop(job);
-                }
-                return Future.succeededFuture();
-            });
-        }).onComplete(r -> writing.remove(id));
+                    return env.state().get(RecordCodec.over(id)).compose(over -> {
+                        if (over == null) {
+                            return env.state()
+                                    .confirm(new StateClient.Txn()
+                                            .when(RecordCodec.open(id), Stamp.ABSENT)
+                                            .when(RecordCodec.over(id), Stamp.ABSENT))
+                                    .onSuccess(gone -> {
+                                        if (gone && !duty.isCancelled()) {
+                                            env.state().recordGone(RecordCodec.open(id));
+                                        }
+                                    })
+                                    .mapEmpty();
+                        }
+                        if (!duty.isCancelled()) {
+                            JobStatus status =
+                                    RecordCodec.readFinal(id, over.value()).status();
+                            LOG.info("job {} is {}", id, status);
+                            if (status == JobStatus.CANCELLED) {
+                                core.cancelJob(id);
+                            } else {
+                                core.closeJob(id);
+                            }
+                            drop(job);
+                        }
+                        return Future.succeededFuture();
+                    });
+                })
+                .onComplete(r -> writing.remove(id));
     }
 }
--- a/src/main/java/io/indigoreach/cluster/MachineBook.java
+++ b/src/main/java/io/indigoreach/cluster/MachineBook.java
@@ -36,6 +36,7 @@
     private static final Span GATHER = Span.seconds(0.2);
     /** A report is not kept waiting for its machine's record for longer than this. */
     private static final Span PATIENCE = Span.seconds(1);
+
     private static final Span TIDY = Span.seconds(2);
     private static final int MOST_PAGES = 4;
     /** Part of a value's limit that a page may take. */
@@ -45,9 +46,11 @@
         final String key;
         /** Of this leadership: its first write, made while there was no such page, may still be carried out. */
         final boolean own;
+
         Stamp stamp;
         /** A write of it had no answer: its version is to be read before the next one. */
         boolean unsure;
+
         final Map<MachineId, MachineRecord> lines = new LinkedHashMap<>();
 
         Page(String key, Stamp stamp, boolean own) {
@@ -63,8 +66,7 @@
     }
 
     /** A machine whose report waits for its record. */
-    private record Waiting(Promise<Boolean> done, Moment since) {
-    }
+    private record Waiting(Promise<Boolean> done, Moment since) {}
 
     private final Reign.Surroundings env;
     private final LeaderCore core;
@@ -109,7 +111,8 @@
     void inherit(String pageKey, Stamp stamp, List<MachineRecord> lines) {
         Page page = new Page(pageKey, stamp, pageKey.startsWith(RecordCodec.machinePage(token, "")));
         lines.forEach(line -> page.lines.put(line.id(), line));
-        // Read before, in a try that failed: two copies of a page would write over each other, and take machines off it.
+        // Read before, in a try that failed: two copies of a page would write over each other, and take machines off
+        // it.
         pages.removeIf(p -> p.key.equals(pageKey));
         pages.add(page);
     }
@@ -127,7 +130,8 @@
     private Future<Span> step() {
         Moment now = env.clock().now();
         List<Waiting> late = waiting.values().stream()
-                .filter(w -> now.since(w.since).compareTo(PATIENCE) >= 0).toList();
+                .filter(w -> now.since(w.since).compareTo(PATIENCE) >= 0)
+                .toList();
         late.forEach(w -> w.done.tryComplete(false));
         Page unsure = pages.stream().filter(p -> p.unsure).findFirst().orElse(null);
         if (unsure != null) {
@@ -162,7 +166,10 @@
         Moment now = env.clock().now();
         for (MachineId id : waiting.keySet()) {
             Machine m = core.unrecorded(id);
-            MachineRecord line = new MachineRecord(id, m.pool(), today - now.since(m.rented()).ms(),
+            MachineRecord line = new MachineRecord(
+                    id,
+                    m.pool(),
+                    today - now.since(m.rented()).ms(),
                     today - now.since(m.existed()).ms());
             int bytes = RecordCodec.bytes(line);
             Page page = null;
@@ -229,7 +236,8 @@
                 break;
             }
             page.lines.keySet().removeIf(id -> !core.knows(id));
-            StateClient.Txn txn = new StateClient.Txn().when(RecordCodec.LEADER, key).when(page.key, page.stamp);
+            StateClient.Txn txn =
+                    new StateClient.Txn().when(RecordCodec.LEADER, key).when(page.key, page.stamp);
             if (page.isLeft()) {
                 txn.delete(page.key);
             } else {
@@ -247,22 +255,25 @@
     }
 
     private Future<Span> commit(StateClient.Txn txn, List<Page> touched, java.util.function.Consumer<Stamp> done) {
-        return env.state().commit(txn).map(outcome -> {
-            if (duty.isCancelled()) {
-                return PERIOD;
-            }
-            if (outcome.done()) {
-                done.accept(outcome.stamp());
-            } else if (outcome.failed().contains(RecordCodec.LEADER)) {
-                deposed.run();
-            } else {
-                touched.forEach(p -> p.unsure = true);
-            }
-            return PERIOD;
-        }).recover(e -> {
-            LOG.debug("machine pages: {}", e.toString());
-            touched.forEach(p -> p.unsure |= !StateClient.surelyNotExecuted(e));
-            return Future.succeededFuture(PERIOD);
-        });
+        return env.state()
+                .commit(txn)
+                .map(outcome -> {
+                    if (duty.isCancelled()) {
+                        return PERIOD;
+                    }
+                    if (outcome.done()) {
+                        done.accept(outcome.stamp());
+                    } else if (outcome.failed().contains(RecordCodec.LEADER)) {
+                        deposed.run();
+                    } else {
+                        touched.forEach(p -> p.unsure = true);
+                    }
+                    return PERIOD;
+                })
+                .recover(e -> {
+                    LOG.debug("machine pages: {}", e.toString());
+                    touched.forEach(p -> p.unsure |= !StateClient.surelyNotExecuted(e));
+                    return Future.succeededFuture(PERIOD);
+                });
     }
 }
--- a/src/main/java/io/indigoreach/cluster/Node.java
+++ b/src/main/java/io/indigoreach/cluster/Node.java
@@ -43,16 +43,37 @@
     /** With these parts beside the jobs. */
     public Node(Vertx vertx, PlatformConfig config, Settings settings, List<Parts.Kind> kinds) throws ConfigException {
         this.pulse = new Pulse(vertx, clock);
-        StateClient state = new StateClient(new Caller(vertx, config.state(), 12),
-                new Caller(vertx, config.state(), 3));
+        StateClient state =
+                new StateClient(new Caller(vertx, config.state(), 12), new Caller(vertx, config.state(), 3));
         CloudClient cloud = new CloudClient(new Caller(vertx, config.cloud(), 3));
         this.catalogue = new Catalogue(vertx, state, cloud);
         JobMender mender = new JobMender(state, clock);
         Parts parts = Parts.of(kinds, vertx, state, clock, catalogue, config, settings);
-        this.controller = new Controller(new Reign.Surroundings(vertx, clock, pulse, state, cloud, catalogue, config, settings,
-                settings.leaderLease(config.rules()), parts, mender), own);
-        JobDesk jobs = new JobDesk(vertx, state, mender, catalogue, config.teams(), clock, config.stateLimits().valueBytes(),
-                config.stateLimits().requestsPerS() * QUESTIONS / (config.peers().size() + 1));
+        this.controller = new Controller(
+                new Reign.Surroundings(
+                        vertx,
+                        clock,
+                        pulse,
+                        state,
+                        cloud,
+                        catalogue,
+                        config,
+                        settings,
+                        settings.leaderLease(config.rules()),
+                        parts,
+                        mender),
+                own);
+        JobDesk jobs = new JobDesk(
+                vertx,
+                state,
+                mender,
+                catalogue,
+                config.teams(),
+                clock,
+                config.stateLimits().valueBytes(),
+                config.stateLimits().requestsPerS()
+                        * QUESTIONS
+                        / (config.peers().size() + 1));
         this.standing = new Standing(vertx, clock, pulse, state, config, controller, jobs, parts.copies());
         controller.remembering(standing::gather);
         controller.asking(standing::pledges, standing::othersDoNotLead);
@@ -61,8 +82,13 @@
         parts.all().forEach(p -> p.submitting(jobs::submit));
         jobs.asking(standing::know);
         state.onLoss(controller::onLoss);
-        this.door = new FrontDoor(vertx, config.listen(), jobs, new ReportDesk(controller),
-                () -> catalogue.isKnown() && !standing.isOutOfTouch(), parts.resources());
+        this.door = new FrontDoor(
+                vertx,
+                config.listen(),
+                jobs,
+                new ReportDesk(controller),
+                () -> catalogue.isKnown() && !standing.isOutOfTouch(),
+                parts.resources());
     }
 
     /** Starts serving; the result is the port. */
--- a/src/main/java/io/indigoreach/cluster/PartsDuty.java
+++ b/src/main/java/io/indigoreach/cluster/PartsDuty.java
@@ -33,7 +33,8 @@
     PartsDuty(Reign.Surroundings env, LeaderCore core, Stamp key, Budget budget) {
         this.env = env;
         this.core = core;
-        this.records = env.parts().all().isEmpty() ? null : env.parts().records().leading(RecordCodec.LEADER, key, budget);
+        this.records =
+                env.parts().all().isEmpty() ? null : env.parts().records().leading(RecordCodec.LEADER, key, budget);
         this.duty = new Duty(env.vertx(), "parts", PERIOD, this::step);
     }
 
--- a/src/main/java/io/indigoreach/cluster/Pledges.java
+++ b/src/main/java/io/indigoreach/cluster/Pledges.java
@@ -36,8 +36,15 @@
 
     /** {@code quiet}: for how long this node told of none, which is all that a leader of the version before understands. */
     Map<String, Object> write(Span quiet) {
-        return Wire.map("pledged", all, "quiet_ms", quiet.ms(), "covered_ms", word.covered().ms(),
-                "cancelled", word.cancelled().stream().map(JobId::text).toList());
+        return Wire.map(
+                "pledged",
+                all,
+                "quiet_ms",
+                quiet.ms(),
+                "covered_ms",
+                word.covered().ms(),
+                "cancelled",
+                word.cancelled().stream().map(JobId::text).toList());
     }
 
     /** Throws {@link io.indigoreach.net.WireException} if it cannot be read, or is longer than any node's answer. */
--- a/src/main/java/io/indigoreach/cluster/Rebuilder.java
+++ b/src/main/java/io/indigoreach/cluster/Rebuilder.java
@@ -63,11 +63,13 @@
     private final Map<JobId, Stamp> standing = new HashMap<>();
     /** Jobs whose ends are there. */
     private final Set<JobId> over = new HashSet<>();
+
     private final Map<JobId, BitSet> beside = new HashMap<>();
     private final Set<MachineId> machines = new HashSet<>();
     private final Deque<Step> steps = new ArrayDeque<>();
     /** The version of the era in which data were lost. */
     private Stamp era;
+
     private int pages;
     private int written;
     private int there;
@@ -83,35 +85,55 @@
     /** Succeeds when everything is written and the new era begins. */
     Future<Void> run() {
         LOG.warn("rebuilding what was lost from {}", remains);
-        return env.state().get(RecordCodec.ERA).map(entry -> era = entry == null ? Stamp.ABSENT : entry.stamp())
-                .compose(v -> read(RecordCodec.BITS, e -> Ledger.unlessUnreadable(e.key(), () -> RecordCodec.readBlock(e.key(),
-                        e.value(), beside.computeIfAbsent(RecordCodec.jobOfBlock(e.key()), k -> new BitSet())))))
-                .compose(v -> read(RecordCodec.OPEN, e -> Ledger.unlessUnreadable(e.key(), () -> {
-                    JobId id = RecordCodec.jobOf(e.key());
-                    standing.put(id, e.stamp());
-                    open.put(id, RecordCodec.readJob(id, e.value(), e.stamp()));
-                }))).compose(v -> read(RecordCodec.FINAL, e -> Ledger.unlessUnreadable(e.key(), () -> {
-                    JobId id = RecordCodec.overOf(e.key());
-                    RecordCodec.readFinal(id, e.value());
-                    over.add(id);
-                }))).compose(v -> read(RecordCodec.MACHINES, e -> {
+        return env.state()
+                .get(RecordCodec.ERA)
+                .map(entry -> era = entry == null ? Stamp.ABSENT : entry.stamp())
+                .compose(v -> read(
+                        RecordCodec.BITS,
+                        e -> Ledger.unlessUnreadable(
+                                e.key(),
+                                () -> RecordCodec.readBlock(
+                                        e.key(),
+                                        e.value(),
+                                        beside.computeIfAbsent(RecordCodec.jobOfBlock(e.key()), k -> new BitSet())))))
+                .compose(v -> read(
+                        RecordCodec.OPEN,
+                        e -> Ledger.unlessUnreadable(e.key(), () -> {
+                            JobId id = RecordCodec.jobOf(e.key());
+                            standing.put(id, e.stamp());
+                            open.put(id, RecordCodec.readJob(id, e.value(), e.stamp()));
+                        })))
+                .compose(v -> read(
+                        RecordCodec.FINAL,
+                        e -> Ledger.unlessUnreadable(e.key(), () -> {
+                            JobId id = RecordCodec.overOf(e.key());
+                            RecordCodec.readFinal(id, e.value());
+                            over.add(id);
+                        })))
+                .compose(v -> read(RecordCodec.MACHINES, e -> {
                     // Names of an earlier try of this leadership are among them.
                     pages++;
                     RecordCodec.readMachines(e.value()).forEach(m -> machines.add(m.id()));
-                })).compose(v -> {
-                            // Of thousands that are remembered a few are missing: the others cost no change.
-                            remains.over().forEach((id, end) -> {
-                                if (!over.contains(id) || standing.containsKey(id)) {
-                                    end(id, end);
-                                }
-                            });
-                            enter(remains.machines().stream().filter(m -> !machines.contains(m.id())).toList());
-                            remains.open().forEach(this::reopen);
-                            return next();
-                        }).compose(v -> others()).compose(v -> begin()).map(v -> {
-                            LOG.warn("rebuilt: {} records written, {} were there", written, there);
-                            return null;
-                        });
+                }))
+                .compose(v -> {
+                    // Of thousands that are remembered a few are missing: the others cost no change.
+                    remains.over().forEach((id, end) -> {
+                        if (!over.contains(id) || standing.containsKey(id)) {
+                            end(id, end);
+                        }
+                    });
+                    enter(remains.machines().stream()
+                            .filter(m -> !machines.contains(m.id()))
+                            .toList());
+                    remains.open().forEach(this::reopen);
+                    return next();
+                })
+                .compose(v -> others())
+                .compose(v -> begin())
+                .map(v -> {
+                    LOG.warn("rebuilt: {} records written, {} were there", written, there);
+                    return null;
+                });
     }
 
     /** Records of the parts beside the jobs, by what each family says. */
@@ -126,13 +148,18 @@
         Future<Void> done = Future.succeededFuture();
         for (Map.Entry<Family, List<Kept>> e : remembered.entrySet()) {
             Map<String, Kept> present = new HashMap<>();
-            done = done.compose(v -> read(e.getKey().prefix(), entry -> present.put(entry.key(),
-                    new Kept(entry.key(), entry.value().map(), entry.stamp())))).compose(v -> {
+            done = done.compose(v -> read(
+                            e.getKey().prefix(),
+                            entry -> present.put(
+                                    entry.key(),
+                                    new Kept(entry.key(), entry.value().map(), entry.stamp()))))
+                    .compose(v -> {
                         for (Kept kept : e.getValue()) {
                             Kept there = present.getOrDefault(kept.key(), Kept.absent(kept.key()));
                             Map<String, Object> value = e.getKey().mending().mend(there, kept);
                             if (value != null) {
-                                steps.add(new Step(change().when(kept.key(), there.stamp()).put(kept.key(), value)));
+                                steps.add(new Step(
+                                        change().when(kept.key(), there.stamp()).put(kept.key(), value)));
                             }
                         }
                         return next();
@@ -144,9 +171,15 @@
     /** Begins an era: what is in the state service from now on is all there is. The evidence stays with it. */
     private Future<Void> begin() {
         StateClient state = env.state();
-        List<String> findings = state.losses().findings().stream().map(Object::toString).distinct().toList();
-        return state.commit(change().put(RecordCodec.ERA, RecordCodec.writeEra(token, env.clock().timeOfDay(), findings, written)))
-                .compose(outcome -> outcome.done() ? state.check()
+        List<String> findings = state.losses().findings().stream()
+                .map(Object::toString)
+                .distinct()
+                .toList();
+        return state.commit(change().put(
+                                RecordCodec.ERA,
+                                RecordCodec.writeEra(token, env.clock().timeOfDay(), findings, written)))
+                .compose(outcome -> outcome.done()
+                        ? state.check()
                         : Future.failedFuture(new WireException("another node leads, or the era is another")));
     }
 
@@ -162,7 +195,8 @@
     private void end(JobId id, Remains.Over end) {
         JobRecord kept = open.remove(id);
         Stamp stamp = standing.getOrDefault(id, Stamp.ABSENT);
-        StateClient.Txn txn = change().when(RecordCodec.over(id), Stamp.ABSENT).when(RecordCodec.open(id), stamp)
+        StateClient.Txn txn = change().when(RecordCodec.over(id), Stamp.ABSENT)
+                .when(RecordCodec.open(id), stamp)
                 .put(RecordCodec.over(id), RecordCodec.writeFinal(end.status(), end.done()));
         if (!stamp.equals(Stamp.ABSENT)) {
             txn.delete(RecordCodec.open(id));
@@ -192,8 +226,10 @@
         }
         StateClient.Txn txn = change().when(RecordCodec.over(id), Stamp.ABSENT)
                 .when(RecordCodec.open(id), standing.getOrDefault(id, Stamp.ABSENT))
-                .put(RecordCodec.open(id), RecordCodec.writeJob(whole.spec(), whole.submittedMs(), JobStatus.PENDING,
-                        whole.done(), 0, whole.bound()));
+                .put(
+                        RecordCodec.open(id),
+                        RecordCodec.writeJob(
+                                whole.spec(), whole.submittedMs(), JobStatus.PENDING, whole.done(), 0, whole.bound()));
         for (int n = 0; n < RecordCodec.blocks(whole.spec().tasks()); n++) {
             txn.put(RecordCodec.block(id, n), RecordCodec.writeBlock(whole.done(), n));
         }
@@ -207,7 +243,10 @@
         List<MachineRecord> lines = new ArrayList<>();
         int bytes = 0;
         for (Remains.Rented m : missing) {
-            MachineRecord line = new MachineRecord(m.id(), m.pool(), today - now.since(m.rented()).ms(),
+            MachineRecord line = new MachineRecord(
+                    m.id(),
+                    m.pool(),
+                    today - now.since(m.rented()).ms(),
                     today - now.since(m.existed()).ms());
             bytes += RecordCodec.bytes(line);
             if (bytes > MachineBook.pageBytes(env)) {
@@ -236,8 +275,10 @@
         List<Step> batch = new ArrayList<>();
         int size = 0;
         int bytes = 0;
-        while (!steps.isEmpty() && (batch.isEmpty() || size + steps.peek().txn.size() <= most
-                && bytes + steps.peek().bytes() <= MOST_BYTES)) {
+        while (!steps.isEmpty()
+                && (batch.isEmpty()
+                        || size + steps.peek().txn.size() <= most
+                                && bytes + steps.peek().bytes() <= MOST_BYTES)) {
             size += steps.peek().txn.size();
             bytes += steps.peek().bytes();
             batch.add(steps.poll());
@@ -267,21 +308,30 @@
                 written += batch.size();
                 return Future.succeededFuture();
             }
-            if (outcome.failed().contains(RecordCodec.LEADER) || outcome.failed().contains(RecordCodec.ERA)) {
+            if (outcome.failed().contains(RecordCodec.LEADER)
+                    || outcome.failed().contains(RecordCodec.ERA)) {
                 return Future.failedFuture(new WireException("another node leads, or the era is another"));
             }
-            if (outcome.failed().stream().anyMatch(name -> name.startsWith(RecordCodec.MACHINES) || name.startsWith(RecordCodec.OPEN))) {
-                // A page of a try before, whose answer was lost: it may lack machines that hold tasks. An acceptance that comes late:
+            if (outcome.failed().stream()
+                    .anyMatch(name -> name.startsWith(RecordCodec.MACHINES) || name.startsWith(RecordCodec.OPEN))) {
+                // A page of a try before, whose answer was lost: it may lack machines that hold tasks. An acceptance
+                // that comes late:
                 // it says that nothing of the job was ever ordered. All is read anew.
                 return Future.failedFuture(new WireException("machines or open jobs were written meanwhile"));
             }
             // Written meanwhile, by the answer that was lost or by a user at another node: that is newer, and stays.
-            List<Step> rest = batch.stream().filter(step -> outcome.failed().stream()
-                    .noneMatch(step.txn.conditions()::containsKey)).toList();
+            List<Step> rest = batch.stream()
+                    .filter(step -> outcome.failed().stream().noneMatch(step.txn.conditions()::containsKey))
+                    .toList();
             there += batch.size() - rest.size();
-            return rest.isEmpty() ? Future.succeededFuture() : rest.size() == batch.size()
-                    ? Future.failedFuture(new WireException("the state service does not say what failed"))
-                    : paced(rest.stream().mapToInt(step -> step.txn.size()).sum()).compose(v -> write(rest));
+            return rest.isEmpty()
+                    ? Future.succeededFuture()
+                    : rest.size() == batch.size()
+                            ? Future.failedFuture(new WireException("the state service does not say what failed"))
+                            : paced(rest.stream()
+                                            .mapToInt(step -> step.txn.size())
+                                            .sum())
+                                    .compose(v -> write(rest));
         });
     }
 }
--- a/src/main/java/io/indigoreach/cluster/Reign.java
+++ b/src/main/java/io/indigoreach/cluster/Reign.java
@@ -44,21 +44,60 @@
     private static final double WRITES = 0.6;
     /** What a question to the other nodes and their answers may take and still be of use. */
     private static final Span QUESTION = Span.seconds(3);
+
     private static final Span SUMMARY = Span.seconds(10);
     /** Before records that could not be read are read once more. */
     private static final Span UNREADABLE = Span.seconds(5);
 
     /** What a reign works with. */
-    record Surroundings(Vertx vertx, SteadyClock clock, Pulse pulse, StateClient state, CloudClient cloud, Catalogue catalogue,
-                        PlatformConfig config, Settings settings, Span lease, Parts parts, JobMender mender) {
-        Surroundings(Vertx vertx, SteadyClock clock, Pulse pulse, StateClient state, CloudClient cloud, Catalogue catalogue,
-                     PlatformConfig config, Settings settings, Span lease) {
+    record Surroundings(
+            Vertx vertx,
+            SteadyClock clock,
+            Pulse pulse,
+            StateClient state,
+            CloudClient cloud,
+            Catalogue catalogue,
+            PlatformConfig config,
+            Settings settings,
+            Span lease,
+            Parts parts,
+            JobMender mender) {
+        Surroundings(
+                Vertx vertx,
+                SteadyClock clock,
+                Pulse pulse,
+                StateClient state,
+                CloudClient cloud,
+                Catalogue catalogue,
+                PlatformConfig config,
+                Settings settings,
+                Span lease) {
             this(vertx, clock, pulse, state, cloud, catalogue, config, settings, lease, Parts.NONE);
         }
 
-        Surroundings(Vertx vertx, SteadyClock clock, Pulse pulse, StateClient state, CloudClient cloud, Catalogue catalogue,
-                     PlatformConfig config, Settings settings, Span lease, Parts parts) {
-            this(vertx, clock, pulse, state, cloud, catalogue, config, settings, lease, parts, new JobMender(state, clock));
+        Surroundings(
+                Vertx vertx,
+                SteadyClock clock,
+                Pulse pulse,
+                StateClient state,
+                CloudClient cloud,
+                Catalogue catalogue,
+                PlatformConfig config,
+                Settings settings,
+                Span lease,
+                Parts parts) {
+            this(
+                    vertx,
+                    clock,
+                    pulse,
+                    state,
+                    cloud,
+                    catalogue,
+                    config,
+                    settings,
+                    lease,
+                    parts,
+                    new JobMender(state, clock));
         }
     }
 
@@ -87,21 +126,32 @@
      * @param boundsKept the start bounds that earlier leaders recorded can be believed
      * @param memory what controllers remember, asked for where the state service has lost data
      */
-    Reign(Surroundings env, Token token, Stamp key, Leadership leadership, boolean boundsKept,
-          Supplier<Future<Remains>> memory) {
+    Reign(
+            Surroundings env,
+            Token token,
+            Stamp key,
+            Leadership leadership,
+            boolean boundsKept,
+            Supplier<Future<Remains>> memory) {
         this.memory = memory;
         this.key = key;
         this.env = env;
         this.token = token;
         this.leadership = leadership;
-        this.core = new LeaderCore(token, env.config().rules(), env.settings().tuning(), aims(env.config()),
-                env.config().teams(), this);
-        this.budget = new Budget(env.config().stateLimits().writesPerS() * WRITES, env.clock().now());
+        this.core = new LeaderCore(
+                token,
+                env.config().rules(),
+                env.settings().tuning(),
+                aims(env.config()),
+                env.config().teams(),
+                this);
+        this.budget = new Budget(
+                env.config().stateLimits().writesPerS() * WRITES, env.clock().now());
         this.book = new MachineBook(env, core, token, key, leadership::deposed, budget);
         this.ledger = new Ledger(env, core, book, key, leadership::deposed, budget, boundsKept, horizon);
         this.boundsKept = boundsKept;
-        this.fleet = new Fleet(env, core, token, new IntentBook(env, token, key, leadership::deposed, budget),
-                leadership::isValid);
+        this.fleet = new Fleet(
+                env, core, token, new IntentBook(env, token, key, leadership::deposed, budget), leadership::isValid);
         this.watch = new JobWatch(env, ledger, horizon);
         this.ends = new EndWatch(env);
         this.parts = new PartsDuty(env, core, key, budget);
@@ -110,8 +160,10 @@
     }
 
     private static Aims aims(PlatformConfig config) {
-        return new Aims(config.objectives().stream().filter(o -> o.within().ms() > 0)
-                .map(o -> new Aims.Aim(o.jobClass(), "wait".equals(o.kind()), o.within())).toList());
+        return new Aims(config.objectives().stream()
+                .filter(o -> o.within().ms() > 0)
+                .map(o -> new Aims.Aim(o.jobClass(), "wait".equals(o.kind()), o.within()))
+                .toList());
     }
 
     void start() {
@@ -138,7 +190,12 @@
      * knows of none: an earlier leader may have missed one for long, and an outage that begins now would keep them from being read.
      */
     boolean hearsCancellations() {
-        return core.isLoaded() && env.clock().now().since(horizon.until()).compareTo(env.config().rules().horizonAge()) < 0;
+        return core.isLoaded()
+                && env.clock()
+                                .now()
+                                .since(horizon.until())
+                                .compareTo(env.config().rules().horizonAge())
+                        < 0;
     }
 
     /** How far back this leader wants to be told of cancellations. */
@@ -165,7 +222,8 @@
         return book.record(unrecorded).map(done -> {
             List<Order> all = new ArrayList<>(orders);
             if (done) {
-                all.addAll(core.fill(report.machine(), report.number(), env.clock().now()));
+                all.addAll(
+                        core.fill(report.machine(), report.number(), env.clock().now()));
             }
             return all;
         });
@@ -181,27 +239,34 @@
             return Future.succeededFuture(Span.seconds(0.2));
         }
         core.setTypes(env.catalogue().types());
-        return whole().compose(v -> ledger.load()).compose(revision -> fleet.load().map(revision)).map(revision -> {
-            core.loaded();
-            serves = env.clock().now();
-            LOG.info("records read: {} open jobs, {} machines", core.jobs().size(), core.machineCount());
-            watch.start(revision);
-            ends.start(revision);
-            ledger.start();
-            book.start();
-            fleet.start();
-            parts.start();
-            tick.start();
-            opening.cancel();
-            return TICK;
-        }).recover(e -> {
-            if (!(e instanceof Ledger.Unreadable)) {
-                return Future.failedFuture(e);
-            }
-            LOG.error("this node cannot lead: {}. Was it written by a newer version? Run that, or restore the record",
-                    e.getMessage());
-            return Future.succeededFuture(UNREADABLE);
-        });
+        return whole().compose(v -> ledger.load())
+                .compose(revision -> fleet.load().map(revision))
+                .map(revision -> {
+                    core.loaded();
+                    serves = env.clock().now();
+                    LOG.info(
+                            "records read: {} open jobs, {} machines",
+                            core.jobs().size(),
+                            core.machineCount());
+                    watch.start(revision);
+                    ends.start(revision);
+                    ledger.start();
+                    book.start();
+                    fleet.start();
+                    parts.start();
+                    tick.start();
+                    opening.cancel();
+                    return TICK;
+                })
+                .recover(e -> {
+                    if (!(e instanceof Ledger.Unreadable)) {
+                        return Future.failedFuture(e);
+                    }
+                    LOG.error(
+                            "this node cannot lead: {}. Was it written by a newer version? Run that, or restore the record",
+                            e.getMessage());
+                    return Future.succeededFuture(UNREADABLE);
+                });
     }
 
     /** Before the records are read: what was lost of them is written anew. */
--- a/src/main/java/io/indigoreach/cluster/Standing.java
+++ b/src/main/java/io/indigoreach/cluster/Standing.java
@@ -66,8 +66,15 @@
     /** The state service did not answer this node when it was last asked. */
     private boolean unserved;
 
-    Standing(Vertx vertx, SteadyClock clock, Pulse pulse, StateClient state, PlatformConfig config, Controller controller,
-             JobDesk jobs, Copies copies) {
+    Standing(
+            Vertx vertx,
+            SteadyClock clock,
+            Pulse pulse,
+            StateClient state,
+            PlatformConfig config,
+            Controller controller,
+            JobDesk jobs,
+            Copies copies) {
         this.copies = copies;
         this.pulse = pulse;
         this.jobs = jobs;
@@ -86,8 +93,8 @@
 
     void start() {
         server.listen(config.peerListen().port(), config.peerListen().host())
-                .onFailure(e -> LOG.error("cannot listen for the other nodes on {}: {}", config.peerListen(),
-                        e.getMessage()));
+                .onFailure(e ->
+                        LOG.error("cannot listen for the other nodes on {}: {}", config.peerListen(), e.getMessage()));
         duty.start();
     }
 
@@ -103,27 +110,36 @@
 
     private void answer(HttpServerRequest request) {
         if (HAND_OVER.equals(request.path())) {
-            request.body().map(body -> new Stamp(Wire.readMap(body).whole("stamp"))).compose(controller::release)
-                    .onComplete(done -> request.response().setStatusCode(done.succeeded() ? 200 : 503)
+            request.body()
+                    .map(body -> new Stamp(Wire.readMap(body).whole("stamp")))
+                    .compose(controller::release)
+                    .onComplete(done -> request.response()
+                            .setStatusCode(done.succeeded() ? 200 : 503)
                             .end(Wire.write(Map.of())));
         } else if (PLEDGE.equals(request.path())) {
-            request.body().map(body -> pledge(Pledges.asked(Wire.readMap(body)))).onSuccess(answer ->
-                    request.response().end(Wire.write(answer))).onFailure(e -> {
+            request.body()
+                    .map(body -> pledge(Pledges.asked(Wire.readMap(body))))
+                    .onSuccess(answer -> request.response().end(Wire.write(answer)))
+                    .onFailure(e -> {
                         LOG.warn("a question for a pledge cannot be read: {}", e.getMessage());
                         request.response().setStatusCode(400).end(Wire.write(Map.of()));
                     });
         } else if (LOSS.equals(request.path())) {
-            request.body().onSuccess(body -> state.toldOfLoss(Wire.readMap(body).whole("era")))
+            request.body()
+                    .onSuccess(body -> state.toldOfLoss(Wire.readMap(body).whole("era")))
                     .onComplete(done -> request.response().end(Wire.write(Map.of())));
         } else if (REMAINS.equals(request.path()) && request.getParam("part") != null) {
             request.response().end(Wire.write(RemainsCodec.write(own(), Integer.parseInt(request.getParam("part")))));
         } else if (RECALL.equals(request.path()) && JobId.isValid(request.getParam("id"))) {
             request.response().end(Wire.write(RemainsCodec.write(own(new JobId(request.getParam("id"))), 0)));
-        } else if (KNOWS.equals(request.path()) && request.getParam("id") != null && JobId.isValid(request.getParam("id"))) {
+        } else if (KNOWS.equals(request.path())
+                && request.getParam("id") != null
+                && JobId.isValid(request.getParam("id"))) {
             JobId id = new JobId(request.getParam("id"));
             request.response().end(Wire.write(Wire.map("known", jobs.knows(id) || controller.knows(id))));
         } else {
-            request.response().setStatusCode(PATH.equals(request.path()) ? 200 : 404)
+            request.response()
+                    .setStatusCode(PATH.equals(request.path()) ? 200 : 404)
                     .end(Wire.write(Wire.map("served", isServed(), "leads", controller.leads())));
         }
     }
@@ -135,15 +151,21 @@
 
     /** Long enough that in an outage the other nodes know of it too, and not because this node itself stood still. */
     private boolean isSurelyUnserved() {
-        return pulse.hasTurnedFor(PATIENCE.times(2)) && clock.now().since(served).compareTo(PATIENCE.times(2)) >= 0;
+        return pulse.hasTurnedFor(PATIENCE.times(2))
+                && clock.now().since(served).compareTo(PATIENCE.times(2)) >= 0;
     }
 
     private Future<Span> step() {
-        return state.check().map(v -> {
-            served = clock.now();
-            return false;
-        }).onComplete(r -> unserved = r.failed()).recover(e -> isSurelyUnserved() ? ask("served", null)
-                .map(answers -> judged(isolation.unserved(answers, clock.now()))) : Future.succeededFuture(false)).map(alone -> {
+        return state.check()
+                .map(v -> {
+                    served = clock.now();
+                    return false;
+                })
+                .onComplete(r -> unserved = r.failed())
+                .recover(e -> isSurelyUnserved()
+                        ? ask("served", null).map(answers -> judged(isolation.unserved(answers, clock.now())))
+                        : Future.succeededFuture(false))
+                .map(alone -> {
                     if (!unserved && isolation.served()) {
                         said = Isolation.Verdict.TOGETHER;
                         LOG.info("the state service answers this node again");
@@ -169,11 +191,13 @@
         boolean again = verdict == said;
         if (verdict != said) {
             said = verdict;
-            LOG.info("{}", switch (verdict) {
-                case REFUSED_ALONE -> "the state service serves others but not this node: not ready";
-                case CUT_OFF -> "neither the state service nor another node answers this node: cut off";
-                case TOGETHER -> "other nodes answer, and the state service serves none of them: an outage";
-            });
+            LOG.info(
+                    "{}",
+                    switch (verdict) {
+                        case REFUSED_ALONE -> "the state service serves others but not this node: not ready";
+                        case CUT_OFF -> "neither the state service nor another node answers this node: cut off";
+                        case TOGETHER -> "other nodes answer, and the state service serves none of them: an outage";
+                    });
         }
         return again && verdict == Isolation.Verdict.REFUSED_ALONE;
     }
@@ -189,8 +213,11 @@
         Remains all = own(id);
         List<Future<Boolean>> answers = new ArrayList<>();
         peers.forEach(peer -> answers.add(peer.get(RECALL + "?id=" + id.text(), WORD)
-                .map(r -> r.isOk() && RemainsCodec.read(r.body(), all)).otherwise(false)));
-        return answers.isEmpty() ? Future.succeededFuture(all) : Future.all(answers).map(v -> all);
+                .map(r -> r.isOk() && RemainsCodec.read(r.body(), all))
+                .otherwise(false)));
+        return answers.isEmpty()
+                ? Future.succeededFuture(all)
+                : Future.all(answers).map(v -> all);
     }
 
     private Remains own(JobId id) {
@@ -206,8 +233,10 @@
         }
         List<Future<Boolean>> answers = new ArrayList<>();
         peers.forEach(peer -> answers.add(peer.get(KNOWS + "?id=" + id.text(), WORD)
-                .map(r -> r.isOk() && r.body().flag("known", false)).otherwise(false)));
-        return answers.isEmpty() ? Future.succeededFuture(false)
+                .map(r -> r.isOk() && r.body().flag("known", false))
+                .otherwise(false)));
+        return answers.isEmpty()
+                ? Future.succeededFuture(false)
                 : Future.all(answers).map(all -> all.<Boolean>list().contains(true));
     }
 
@@ -215,24 +244,29 @@
     private Map<String, Object> pledge(Span back) {
         Moment now = clock.now();
         if (!unserved) {
-            // An outage may just have begun: whoever asks has little time left, so this node looks now and not when its turn is.
+            // An outage may just have begun: whoever asks has little time left, so this node looks now and not when its
+            // turn is.
             duty.wake();
         }
-        return new Pledges(unserved && controller.pledge(), jobs.told().word(back, now)).write(jobs.told().quiet(now));
+        return new Pledges(unserved && controller.pledge(), jobs.told().word(back, now))
+                .write(jobs.told().quiet(now));
     }
 
     /** Every other node's pledge not to lead, and its word on cancellations so far back; none without other nodes. */
     Future<Pledges> pledges(Span back) {
         List<Future<Pledges>> answers = new ArrayList<>();
         peers.forEach(peer -> answers.add(peer.post(PLEDGE, Pledges.ask(back), PERIOD)
-                .map(r -> r.isOk() ? readPledge(r.body()) : Pledges.NONE).otherwise(Pledges.NONE)));
-        return answers.isEmpty() ? Future.succeededFuture(Pledges.NONE) : Future.all(answers).map(all -> {
-            Pledges together = new Pledges(true, jobs.told().word(back, clock.now()));
-            for (Pledges one : all.<Pledges>list()) {
-                together = together.and(one);
-            }
-            return together;
-        });
+                .map(r -> r.isOk() ? readPledge(r.body()) : Pledges.NONE)
+                .otherwise(Pledges.NONE)));
+        return answers.isEmpty()
+                ? Future.succeededFuture(Pledges.NONE)
+                : Future.all(answers).map(all -> {
+                    Pledges together = new Pledges(true, jobs.told().word(back, clock.now()));
+                    for (Pledges one : all.<Pledges>list()) {
+                        together = together.and(one);
+                    }
+                    return together;
+                });
     }
 
     private static Pledges readPledge(Fields answer) {
@@ -250,7 +284,9 @@
         all.add(own());
         List<Future<Void>> answers = new ArrayList<>();
         peers.forEach(peer -> answers.add(gather(peer, 0, all).otherwiseEmpty()));
-        return answers.isEmpty() ? Future.succeededFuture(all) : Future.all(answers).map(v -> all);
+        return answers.isEmpty()
+                ? Future.succeededFuture(all)
+                : Future.all(answers).map(v -> all);
     }
 
     private Remains own() {
@@ -260,15 +296,20 @@
     }
 
     private Future<Void> gather(Caller peer, int part, Remains into) {
-        return peer.get(REMAINS + "?part=" + part, PATIENCE).compose(r -> r.isOk() && RemainsCodec.read(r.body(), into)
-                ? gather(peer, part + 1, into) : Future.succeededFuture());
+        return peer.get(REMAINS + "?part=" + part, PATIENCE)
+                .compose(r -> r.isOk() && RemainsCodec.read(r.body(), into)
+                        ? gather(peer, part + 1, into)
+                        : Future.succeededFuture());
     }
 
     /** Asks the others, one after the other, to remove this node's key; failing that, its lease runs out. */
     private void handOver(Stamp key, int asked) {
         if (asked < peers.size()) {
-            peers.get(asked).post(HAND_OVER, Wire.map("stamp", key.value()), PATIENCE)
-                    .map(Reply::isOk).otherwise(false).onSuccess(done -> {
+            peers.get(asked)
+                    .post(HAND_OVER, Wire.map("stamp", key.value()), PATIENCE)
+                    .map(Reply::isOk)
+                    .otherwise(false)
+                    .onSuccess(done -> {
                         if (!done) {
                             handOver(key, asked + 1);
                         }
@@ -285,7 +326,10 @@
     Future<Boolean> leads(String node) {
         for (int n = 0; n < peers.size(); n++) {
             if (config.peers().get(n).node().equals(node)) {
-                return peers.get(n).get(PATH, PERIOD).map(r -> r.isOk() && r.body().flag("leads", false)).otherwise(false);
+                return peers.get(n)
+                        .get(PATH, PERIOD)
+                        .map(r -> r.isOk() && r.body().flag("leads", false))
+                        .otherwise(false);
             }
         }
         return Future.succeededFuture(false);
@@ -295,8 +339,12 @@
     private Future<List<Boolean>> ask(String what, Boolean unheard) {
         List<Future<Boolean>> answers = new ArrayList<>();
         for (Caller peer : peers) {
-            answers.add(peer.get(PATH, PERIOD).map(r -> r.isOk() ? (Boolean) r.body().flag(what, Boolean.TRUE.equals(unheard)) : unheard).otherwise(unheard));
+            answers.add(peer.get(PATH, PERIOD)
+                    .map(r -> r.isOk() ? (Boolean) r.body().flag(what, Boolean.TRUE.equals(unheard)) : unheard)
+                    .otherwise(unheard));
         }
-        return answers.isEmpty() ? Future.succeededFuture(List.of()) : Future.all(answers).map(all -> all.<Boolean>list());
+        return answers.isEmpty()
+                ? Future.succeededFuture(List.of())
+                : Future.all(answers).map(all -> all.<Boolean>list());
     }
 }
