--- a/src/main/java/io/indigoreach/cluster/WarmUp.java
+++ b/src/main/java/io/indigoreach/cluster/WarmUp.java
@@ -90,16 +90,18 @@
     }
 
     private void begin() {
-        core = new LeaderCore(new Token(2), env.config().rules(), env.settings().tuning(),
-                new Aims(List.of(new Aims.Aim("c0", false, Span.seconds(200)))), List.of(new Team("t", 0, 0, 0, 0)),
+        core = new LeaderCore(
+                new Token(2),
+                env.config().rules(),
+                env.settings().tuning(),
+                new Aims(List.of(new Aims.Aim("c0", false, Span.seconds(200)))),
+                List.of(new Team("t", 0, 0, 0, 0)),
                 new Notes() {
                     @Override
-                    public void progress(Job job) {
-                    }
+                    public void progress(Job job) {}
 
                     @Override
-                    public void say(String line) {
-                    }
+                    public void say(String line) {}
                 });
         core.setTypes(List.of(new MachineType("k", SIZE, 40, 0.3, 1, 0.2, Span.seconds(20), List.of("z"))));
         core.loaded();
@@ -111,9 +113,25 @@
         core.rented(pool(), ids, now, now);
         ids.forEach(core::recorded);
         for (int n = 0; n < JOBS; n++) {
-            JobSpec spec = new JobSpec(new JobId("run-" + n), "c" + n % 3, "t", Shape.ARRAY, Urgency.values()[1 + n % 3], 40,
-                    new Demand(1, 0, 1), "i" + n % 4, 1, null, null, false, false, true, Span.seconds(20), Span.ZERO,
-                    Span.ZERO, null);
+            JobSpec spec = new JobSpec(
+                    new JobId("run-" + n),
+                    "c" + n % 3,
+                    "t",
+                    Shape.ARRAY,
+                    Urgency.values()[1 + n % 3],
+                    40,
+                    new Demand(1, 0, 1),
+                    "i" + n % 4,
+                    1,
+                    null,
+                    null,
+                    false,
+                    false,
+                    true,
+                    Span.seconds(20),
+                    Span.ZERO,
+                    Span.ZERO,
+                    null);
             core.addJob(new Job(spec, env.clock().timeOfDay(), now, new Stamp(1), new BitSet(), 40, false));
         }
     }
@@ -128,8 +146,14 @@
 
     /** Every third time a machine reports, its tasks have ended. */
     private void report(int n) {
-        WorkerReport sent = new WorkerReport(machine(n), "0.0.0.0:0", pool(), new ReportNumber(1, reports + 1), new Token(2),
-                null, tasks.getOrDefault(n, List.of()));
+        WorkerReport sent = new WorkerReport(
+                machine(n),
+                "0.0.0.0:0",
+                pool(),
+                new ReportNumber(1, reports + 1),
+                new Token(2),
+                null,
+                tasks.getOrDefault(n, List.of()));
         WorkerReport read = WorkerCodec.read(Wire.readMap(Wire.write(WorkerCodec.write(sent))));
         List<Order> orders = core.onReport(read, env.clock().now());
         Wire.write(WorkerCodec.answer(new Token(2), orders));
@@ -137,13 +161,17 @@
         boolean ended = reports / MACHINES % 3 == 2;
         List<TaskReport> next = new ArrayList<>();
         if (!ended) {
-            tasks.getOrDefault(n, List.of()).stream().filter(t -> t.state() == TaskState.RUNNING).forEach(next::add);
+            tasks.getOrDefault(n, List.of()).stream()
+                    .filter(t -> t.state() == TaskState.RUNNING)
+                    .forEach(next::add);
         }
         for (Order order : orders) {
             if (order instanceof Order.Start) {
                 ordered++;
-                next.add(ended ? new TaskReport(order.task(), order.attempt(), TaskState.EXITED, ExitCause.DONE, false)
-                        : new TaskReport(order.task(), order.attempt(), TaskState.RUNNING, null, false));
+                next.add(
+                        ended
+                                ? new TaskReport(order.task(), order.attempt(), TaskState.EXITED, ExitCause.DONE, false)
+                                : new TaskReport(order.task(), order.attempt(), TaskState.RUNNING, null, false));
             }
         }
         tasks.put(n, next);
--- a/src/main/java/io/indigoreach/config/PlatformConfig.java
+++ b/src/main/java/io/indigoreach/config/PlatformConfig.java
@@ -20,25 +20,33 @@
 /**
  * The platform's file: who this node is, whom it talks to, and the limits it lives under. Unknown fields are ignored.
  */
-public record PlatformConfig(String node, String zone, Endpoint listen, Endpoint peerListen, List<Peer> peers,
-                             Endpoint cloud, Endpoint state, List<String> zones, Span clockOff, List<Team> teams,
-                             List<Objective> objectives, Rules rules, StateLimits stateLimits, CloudLimits cloudLimits,
-                             int maxConnections) {
+public record PlatformConfig(
+        String node,
+        String zone,
+        Endpoint listen,
+        Endpoint peerListen,
+        List<Peer> peers,
+        Endpoint cloud,
+        Endpoint state,
+        List<String> zones,
+        Span clockOff,
+        List<Team> teams,
+        List<Objective> objectives,
+        Rules rules,
+        StateLimits stateLimits,
+        CloudLimits cloudLimits,
+        int maxConnections) {
     /** Another controller node. */
-    public record Peer(String node, String zone, Endpoint endpoint) {
-    }
+    public record Peer(String node, String zone, Endpoint endpoint) {}
 
     /** What the users expect of a class of jobs. */
-    public record Objective(String kind, String jobClass, Span within, double share) {
-    }
+    public record Objective(String kind, String jobClass, Span within, double share) {}
 
     /** The state service's limits. */
-    public record StateLimits(double requestsPerS, double writesPerS, int valueBytes, int txnOps) {
-    }
+    public record StateLimits(double requestsPerS, double writesPerS, int valueBytes, int txnOps) {}
 
     /** The cloud's limits. */
-    public record CloudLimits(double requestsPerS, Span listLag) {
-    }
+    public record CloudLimits(double requestsPerS, Span listLag) {}
 
     /** Reads and checks the file. */
     public static PlatformConfig read(Path file) throws ConfigException {
@@ -56,7 +64,8 @@
         try {
             root = new Section(name, "", new TomlParser().parse(text));
         } catch (ParsingException e) {
-            throw new ConfigException(name + ": not TOML: " + e.getMessage().lines().findFirst().orElse(""));
+            throw new ConfigException(
+                    name + ": not TOML: " + e.getMessage().lines().findFirst().orElse(""));
         }
         Section settings = root.section("settings");
         Section workers = settings.section("workers");
@@ -68,26 +77,45 @@
         }
         List<Team> teams = new ArrayList<>();
         for (Section team : settings.sections("teams")) {
-            teams.add(new Team(team.text("name"), team.amount("cpus", 0), team.amount("cpus_max", 0),
-                    team.amount("gpus", 0), team.amount("gpus_max", 0)));
+            teams.add(new Team(
+                    team.text("name"),
+                    team.amount("cpus", 0),
+                    team.amount("cpus_max", 0),
+                    team.amount("gpus", 0),
+                    team.amount("gpus_max", 0)));
         }
         if (teams.isEmpty()) {
             throw new ConfigException(name + ": settings.teams: no team");
         }
         List<Objective> objectives = new ArrayList<>();
         for (Section o : settings.sections("objectives")) {
-            objectives.add(new Objective(o.text("kind"), o.text("class"), Span.seconds(o.amount("within_s", 0)),
-                    o.amount("share", 0)));
+            objectives.add(new Objective(
+                    o.text("kind"), o.text("class"), Span.seconds(o.amount("within_s", 0)), o.amount("share", 0)));
         }
-        Rules rules = new Rules(workers.span("lease_s"), workers.span("report_s"), workers.span("cancel_s"),
+        Rules rules = new Rules(
+                workers.span("lease_s"),
+                workers.span("report_s"),
+                workers.span("cancel_s"),
                 Span.seconds(cloud.amount("list_lag_s", 0)));
         Section endpoints = root.section("endpoints");
-        return new PlatformConfig(root.text("node"), root.text("domain"), root.endpoint("serve_on"),
-                root.endpoint("cluster_listen"), List.copyOf(peers), endpoints.endpoint("cloud"),
-                endpoints.endpoint("state"), settings.texts("zones"), new Span((long) settings.amount("skew_ms", 100)),
-                List.copyOf(teams), List.copyOf(objectives), rules,
-                new StateLimits(state.positive("rps"), state.positive("write_rps"),
-                        (int) (state.positive("value_kb") * 1024), (int) state.positive("txn_ops")),
+        return new PlatformConfig(
+                root.text("node"),
+                root.text("domain"),
+                root.endpoint("serve_on"),
+                root.endpoint("cluster_listen"),
+                List.copyOf(peers),
+                endpoints.endpoint("cloud"),
+                endpoints.endpoint("state"),
+                settings.texts("zones"),
+                new Span((long) settings.amount("skew_ms", 100)),
+                List.copyOf(teams),
+                List.copyOf(objectives),
+                rules,
+                new StateLimits(
+                        state.positive("rps"),
+                        state.positive("write_rps"),
+                        (int) (state.positive("value_kb") * 1024),
+                        (int) state.positive("txn_ops")),
                 new CloudLimits(cloud.positive("rps"), Span.seconds(cloud.amount("list_lag_s", 0))),
                 (int) settings.optionalSection("machine_limits").amount("max_connections", 1000));
     }
@@ -99,18 +127,54 @@
         root.set("domain", zone);
         root.set("serve_on", listen.toString());
         root.set("cluster_listen", peerListen.toString());
-        root.set("peers", peers.stream().map(p -> table("node", p.node, "domain", p.zone, "endpoint",
-                p.endpoint.toString())).toList());
+        root.set(
+                "peers",
+                peers.stream()
+                        .map(p -> table("node", p.node, "domain", p.zone, "endpoint", p.endpoint.toString()))
+                        .toList());
         root.set("endpoints", table("cloud", cloud.toString(), "state", state.toString()));
         Config settings = table("size", peers.size() + 1, "zones", zones, "skew_ms", (double) clockOff.ms());
-        settings.set("teams", teams.stream().map(t -> table("name", t.name(), "cpus", t.cores(), "cpus_max", t.coresMax(),
-                "gpus", t.gpus(), "gpus_max", t.gpusMax())).toList());
-        settings.set("objectives", objectives.stream().map(o -> table("kind", o.kind, "class", o.jobClass, "within_s",
-                o.within.seconds(), "share", o.share)).toList());
-        settings.set("workers", table("report_s", rules.report().seconds(), "lease_s",
-                rules.workerLease().seconds(), "cancel_s", rules.cancel().seconds()));
-        settings.set("state", table("rps", stateLimits.requestsPerS, "write_rps", stateLimits.writesPerS, "value_kb",
-                stateLimits.valueBytes / 1024.0, "txn_ops", stateLimits.txnOps));
+        settings.set(
+                "teams",
+                teams.stream()
+                        .map(t -> table(
+                                "name",
+                                t.name(),
+                                "cpus",
+                                t.cores(),
+                                "cpus_max",
+                                t.coresMax(),
+                                "gpus",
+                                t.gpus(),
+                                "gpus_max",
+                                t.gpusMax()))
+                        .toList());
+        settings.set(
+                "objectives",
+                objectives.stream()
+                        .map(o -> table(
+                                "kind", o.kind, "class", o.jobClass, "within_s", o.within.seconds(), "share", o.share))
+                        .toList());
+        settings.set(
+                "workers",
+                table(
+                        "report_s",
+                        rules.report().seconds(),
+                        "lease_s",
+                        rules.workerLease().seconds(),
+                        "cancel_s",
+                        rules.cancel().seconds()));
+        settings.set(
+                "state",
+                table(
+                        "rps",
+                        stateLimits.requestsPerS,
+                        "write_rps",
+                        stateLimits.writesPerS,
+                        "value_kb",
+                        stateLimits.valueBytes / 1024.0,
+                        "txn_ops",
+                        stateLimits.txnOps));
         settings.set("cloud", table("rps", cloudLimits.requestsPerS, "list_lag_s", cloudLimits.listLag.seconds()));
         settings.set("machine_limits", table("max_connections", maxConnections));
         root.set("settings", settings);
@@ -140,9 +204,7 @@
         }
 
         Section optionalSection(String field) throws ConfigException {
-            return config.get(List.of(field)) == null
-                    ? new Section(file, field, Config.inMemory())
-                    : section(field);
+            return config.get(List.of(field)) == null ? new Section(file, field, Config.inMemory()) : section(field);
         }
 
         List<Section> sections(String field) throws ConfigException {
--- a/src/main/java/io/indigoreach/config/Settings.java
+++ b/src/main/java/io/indigoreach/config/Settings.java
@@ -17,16 +17,22 @@
         CHECK_S(2, 0.5, 600, "s", "period of the check that rents and returns machines"),
         BOOT_PATIENCE(2, 1, 100, "boot times", "a machine not up after this long is no longer counted on"),
         BOOT_LIMIT(4, 1, 100, "boot times", "a machine not up after this long is returned"),
-        SPOT_PATIENCE_S(600, 0, 3600, "s", "how long a job waits for spot capacity before ordinary machines are rented"),
+        SPOT_PATIENCE_S(
+                600, 0, 3600, "s", "how long a job waits for spot capacity before ordinary machines are rented"),
         URGENT_SPOT_PATIENCE_S(15, 0, 3600, "s", "the same for jobs of urgency high or production"),
         BACKLOG_LIMIT_S(350, 1, 86400, "s", "a queue that takes longer to drain gets ordinary machines too"),
-        AIM_SHARE(1.4, 0, 10, "of the time left until an aim",
+        AIM_SHARE(
+                1.4,
+                0,
+                10,
+                "of the time left until an aim",
                 "a queue that does not fit into this part gets ordinary machines too"),
         REFUSED_FOR_S(10, 0, 3600, "s", "how long a pool without capacity is not asked again"),
         LEADER_LEASE_S(4.5, 1, 120, "s", "length of the leader's lease in the state service"),
         LIST_EVERY_S(3, 0.5, 600, "s", "period of reading the cloud's list of machines"),
         CALENDAR(0, 0, 1, "", "1: plans of the deadline calendar are started, and people may set it"),
-        RECORD_OWNERSHIP(0, 0, 1, "off or on", "keeps which job or export run may bill a record; the same at all nodes"),
+        RECORD_OWNERSHIP(
+                0, 0, 1, "off or on", "keeps which job or export run may bill a record; the same at all nodes"),
         WARM_POOLS(0, 0, 1, "1 or 0", "whether teams may keep machines that hold an image ahead of its replicas");
 
         final double standard;
@@ -49,8 +55,15 @@
 
         /** A line for help texts. */
         public String help() {
-            return String.format(java.util.Locale.ROOT, "%-22s %s%s (default %s, %s to %s)", field(), meaning,
-                    unit.isEmpty() ? "" : ", in " + unit, plain(standard), plain(least), plain(most));
+            return String.format(
+                    java.util.Locale.ROOT,
+                    "%-22s %s%s (default %s, %s to %s)",
+                    field(),
+                    meaning,
+                    unit.isEmpty() ? "" : ", in " + unit,
+                    plain(standard),
+                    plain(least),
+                    plain(most));
         }
 
         private static String plain(double d) {
@@ -86,10 +99,19 @@
     }
 
     public Tuning tuning() {
-        return new Tuning(span(Knob.WAIT_LIMIT_S), span(Knob.SHORT_JOB_S), span(Knob.LEAST_PAID_S),
-                span(Knob.TERM_S), span(Knob.CHECK_S), get(Knob.BOOT_PATIENCE), get(Knob.BOOT_LIMIT),
-                span(Knob.SPOT_PATIENCE_S), span(Knob.URGENT_SPOT_PATIENCE_S),
-                span(Knob.BACKLOG_LIMIT_S), get(Knob.AIM_SHARE), span(Knob.REFUSED_FOR_S));
+        return new Tuning(
+                span(Knob.WAIT_LIMIT_S),
+                span(Knob.SHORT_JOB_S),
+                span(Knob.LEAST_PAID_S),
+                span(Knob.TERM_S),
+                span(Knob.CHECK_S),
+                get(Knob.BOOT_PATIENCE),
+                get(Knob.BOOT_LIMIT),
+                span(Knob.SPOT_PATIENCE_S),
+                span(Knob.URGENT_SPOT_PATIENCE_S),
+                span(Knob.BACKLOG_LIMIT_S),
+                get(Knob.AIM_SHARE),
+                span(Knob.REFUSED_FOR_S));
     }
 
     /**
--- a/src/main/java/io/indigoreach/config/SettingsFile.java
+++ b/src/main/java/io/indigoreach/config/SettingsFile.java
@@ -15,8 +15,7 @@
  * so that each setting is declared in one place. Loaded only when there is such a file.
  */
 public final class SettingsFile {
-    private SettingsFile() {
-    }
+    private SettingsFile() {}
 
     public static Settings read(Path file) throws ConfigException {
         String text;
@@ -53,12 +52,17 @@
     private static Descriptors.Descriptor descriptor() throws Descriptors.DescriptorValidationException {
         DescriptorProto.Builder message = DescriptorProto.newBuilder().setName("Settings");
         for (Settings.Knob knob : Settings.Knob.values()) {
-            message.addField(FieldDescriptorProto.newBuilder().setName(knob.field()).setNumber(knob.ordinal() + 1)
+            message.addField(FieldDescriptorProto.newBuilder()
+                    .setName(knob.field())
+                    .setNumber(knob.ordinal() + 1)
                     .setType(FieldDescriptorProto.Type.TYPE_DOUBLE)
                     .setLabel(FieldDescriptorProto.Label.LABEL_OPTIONAL));
         }
-        FileDescriptorProto file = FileDescriptorProto.newBuilder().setName("settings.proto")
-                .setPackage("io.indigoreach").addMessageType(message).build();
+        FileDescriptorProto file = FileDescriptorProto.newBuilder()
+                .setName("settings.proto")
+                .setPackage("io.indigoreach")
+                .addMessageType(message)
+                .build();
         return Descriptors.FileDescriptor.buildFrom(file, new Descriptors.FileDescriptor[0])
                 .findMessageTypeByName("Settings");
     }
--- a/src/main/java/io/indigoreach/core/Admission.java
+++ b/src/main/java/io/indigoreach/core/Admission.java
@@ -4,12 +4,14 @@
 
 /** Whether a well-formed job can ever run here. */
 public final class Admission {
-    private Admission() {
-    }
+    private Admission() {}
 
     /** Why the job can never run, or null if it can. */
     public static String refusal(JobSpec spec, Collection<Team> teams, Collection<MachineType> types) {
-        Team team = teams.stream().filter(t -> t.name().equals(spec.team())).findFirst().orElse(null);
+        Team team = teams.stream()
+                .filter(t -> t.name().equals(spec.team()))
+                .findFirst()
+                .orElse(null);
         if (team == null) {
             return "unknown team " + spec.team();
         }
@@ -24,7 +26,8 @@
     }
 
     private static boolean fits(JobSpec spec, MachineType type) {
-        return spec.allowsType(type.name()) && spec.demand().fitsIn(type.capacity())
+        return spec.allowsType(type.name())
+                && spec.demand().fitsIn(type.capacity())
                 && type.zones().stream().anyMatch(spec::allowsZone);
     }
 }
--- a/src/main/java/io/indigoreach/core/Aims.java
+++ b/src/main/java/io/indigoreach/core/Aims.java
@@ -8,8 +8,7 @@
 /** What the users expect of each class of jobs: tasks started, or jobs finished, within a time. */
 public final class Aims {
     /** One expectation; {@code start}: of each task's start, else of the whole job's end. */
-    public record Aim(String jobClass, boolean start, Span within) {
-    }
+    public record Aim(String jobClass, boolean start, Span within) {}
 
     /** A job past all its aims counts as expected this long after its arrival. */
     private static final Span SOMETIME = Span.seconds(600);
@@ -17,6 +16,7 @@
     private static final Span WITHOUT = Span.seconds(400);
     /** A job of which nothing has run after this part of that goes first with one task. */
     private static final double BEGIN = 0.3;
+
     private final Map<String, List<Aim>> byClass = new HashMap<>();
 
     public Aims(List<Aim> aims) {
@@ -35,7 +35,8 @@
         Moment next = job.arrived.plus(SOMETIME);
         Moment lastRound = now.plus(run.times(Math.max(0, rounds - 1)));
         for (Aim aim : byClass.getOrDefault(job.spec.jobClass(), List.of())) {
-            Moment latest = job.arrived.plus(aim.start() ? aim.within() : aim.within().minus(run));
+            Moment latest =
+                    job.arrived.plus(aim.start() ? aim.within() : aim.within().minus(run));
             next = earlier(next, latest, aim.start() ? now : lastRound);
         }
         if (job.spec.due() != null) {
@@ -51,7 +52,8 @@
     Moment lastChance(Job job, Span run) {
         Moment last = null;
         for (Aim aim : byClass.getOrDefault(job.spec.jobClass(), List.of())) {
-            Moment latest = job.arrived.plus(aim.start() ? aim.within() : aim.within().minus(run));
+            Moment latest =
+                    job.arrived.plus(aim.start() ? aim.within() : aim.within().minus(run));
             last = last == null || latest.isAfter(last) ? latest : last;
         }
         if (job.spec.due() != null) {
@@ -73,13 +75,17 @@
 
     /** Nothing says by when it should be served. */
     boolean isWithout(Job job) {
-        return job.spec.due() == null && byClass.getOrDefault(job.spec.jobClass(), List.of()).isEmpty();
+        return job.spec.due() == null
+                && byClass.getOrDefault(job.spec.jobClass(), List.of()).isEmpty();
     }
 
     /** The moment by which the job's tasks should have started by its users' nearest word on starts, or null. */
     Moment startBy(Job job) {
-        return byClass.getOrDefault(job.spec.jobClass(), List.of()).stream().filter(Aim::start)
-                .map(aim -> job.arrived.plus(aim.within())).min(Moment::compareTo).orElse(null);
+        return byClass.getOrDefault(job.spec.jobClass(), List.of()).stream()
+                .filter(Aim::start)
+                .map(aim -> job.arrived.plus(aim.within()))
+                .min(Moment::compareTo)
+                .orElse(null);
     }
 
     private static Moment earlier(Moment next, Moment latest, Moment soonest) {
--- a/src/main/java/io/indigoreach/core/BestSize.java
+++ b/src/main/java/io/indigoreach/core/BestSize.java
@@ -30,6 +30,7 @@
     private final Silence silence;
     /** Ordinary machines kept, per share and type: it follows the need up at once, and down over some time. */
     private final Map<String, Kept> kept = new HashMap<>();
+
     private final Map<Pool, Moment> refusedUntil = new HashMap<>();
 
     BestSize(Cluster cluster, Dispatcher dispatcher, Estimates estimates, Tuning tuning, Silence silence) {
@@ -114,7 +115,8 @@
             need.machines += behind;
             need.ordinary += need.shortOnOrdinary ? behind : 0;
             int atHand = atHand(share, name, false, now);
-            int only = need.firstOrdinary == null ? 0
+            int only = need.firstOrdinary == null
+                    ? 0
                     : Math.max(0, whole(need.ordinaryOnly) - atHand(share, name, true, now));
             if (only > 0) {
                 spread(need.firstOrdinary, type, false, only, now, wanted);
@@ -126,7 +128,12 @@
             }
             Backlog backlog = backlogs.get(name);
             int missing = (int) Math.floor(backlog.needed - backlog.ordinary.machines());
-            spread(job, type, false, Math.min(rest, Math.max(missing, whole(need.ordinary) - atHand) - only), now,
+            spread(
+                    job,
+                    type,
+                    false,
+                    Math.min(rest, Math.max(missing, whole(need.ordinary) - atHand) - only),
+                    now,
                     wanted);
         });
     }
@@ -178,6 +185,7 @@
         final Capacity ordinary;
         /** Machines busy all the time with the work of jobs whose aims are too near to rent for them. */
         final double flow;
+
         double work;
         /** Ordinary machines that are needed so that everything added so far starts in time for its aims. */
         double needed;
@@ -214,8 +222,12 @@
     private Map<String, Backlog> backlogs(Share share, Moment now) {
         Map<String, Backlog> backlogs = new HashMap<>();
         for (MachineType type : cluster.types.values()) {
-            backlogs.put(type.name(), new Backlog(capacity(share, type, true, now), capacity(share, type, false, now),
-                    flow(share, type, now)));
+            backlogs.put(
+                    type.name(),
+                    new Backlog(
+                            capacity(share, type, true, now),
+                            capacity(share, type, false, now),
+                            flow(share, type, now)));
         }
         for (Job job : dispatcher.queue(share, now)) {
             MachineType type = cheapest(job.spec);
@@ -225,8 +237,11 @@
             Backlog backlog = backlogs.get(type.name());
             backlog.work += job.waiting() * run(job, type);
             Moment latest = dispatcher.latestStart(job, now.plus(dispatcher.reach(type)));
-            backlog.mustStartWithin(latest.since(now).seconds() * tuning.aimShare(), type.boot().seconds(),
-                    tuning.leastPaid().seconds(), dispatcher.isNear(job, type) ? 0 : backlog.flow);
+            backlog.mustStartWithin(
+                    latest.since(now).seconds() * tuning.aimShare(),
+                    type.boot().seconds(),
+                    tuning.leastPaid().seconds(),
+                    dispatcher.isNear(job, type) ? 0 : backlog.flow);
         }
         for (Backlog backlog : backlogs.values()) {
             double whole = Math.floor(backlog.work / tuning.backlogLimit().seconds()) - backlog.spot.machines();
@@ -236,8 +251,12 @@
     }
 
     private double flow(Share share, MachineType type, Moment now) {
-        return share.inflow().perSecond(job -> cheapest(job.spec) == type && dispatcher.isNear(job, type),
-                job -> job.spec.tasks() * run(job, type), tuning.leastPaid(), now);
+        return share.inflow()
+                .perSecond(
+                        job -> cheapest(job.spec) == type && dispatcher.isNear(job, type),
+                        job -> job.spec.tasks() * run(job, type),
+                        tuning.leastPaid(),
+                        now);
     }
 
     /** A task's run time in seconds of a whole machine. */
@@ -250,8 +269,7 @@
         return run(job, type) * (estimates.hasSeen(job) ? 1 : UNSEEN);
     }
 
-    private record Kept(double machines, Moment at) {
-    }
+    private record Kept(double machines, Moment at) {}
 
     /**
      * What to keep for a need. One let go and rented again costs a boot and the least that a machine costs, so the
@@ -279,7 +297,8 @@
             Backlog backlog = backlogs.get(type);
             Need need = needs.get(type);
             double needed = backlog.needed + (need == null ? 0 : need.ordinary);
-            double there = machines.stream().mapToDouble(m -> 1 - heldByReplicas(m)).sum();
+            double there =
+                    machines.stream().mapToDouble(m -> 1 - heldByReplicas(m)).sum();
             double keep = kept(share.name + " " + type, needed, there, now);
             if (ordinaryOnly || cluster.types.get(type).spotPrice() <= 0) {
                 keep = there;
@@ -326,8 +345,10 @@
                 up += 1 - heldByReplicas(m);
                 idle += m.isIdle() ? 1 : 0;
                 for (Placement p : m.tasks().values()) {
-                    busy += p.job.spec.isService() ? 0 : estimates.end(p, now).since(now).seconds()
-                            / Math.max(1, p.demand().timesIn(type.capacity()));
+                    busy += p.job.spec.isService()
+                            ? 0
+                            : estimates.end(p, now).since(now).seconds()
+                                    / Math.max(1, p.demand().timesIn(type.capacity()));
                 }
             } else if (m.isComing(now, tuning.bootPatience())) {
                 coming++;
@@ -353,8 +374,13 @@
      */
     private boolean bootsTooLate(Job job, Moment now) {
         MachineType type = job.spec.isPlanned() && job.hasStartable() && !job.isSuspect() ? cheapest(job.spec) : null;
-        return type != null && !now.plus(type.boot()).plus(estimates.run(job)).plus(Estimates.fetch(job, type))
-                .plus(tuning.waitLimit()).isBefore(job.arrived.plus(job.spec.due())) && dispatcher.mayStart(job, now);
+        return type != null
+                && !now.plus(type.boot())
+                        .plus(estimates.run(job))
+                        .plus(Estimates.fetch(job, type))
+                        .plus(tuning.waitLimit())
+                        .isBefore(job.arrived.plus(job.spec.due()))
+                && dispatcher.mayStart(job, now);
     }
 
     /**
@@ -363,9 +389,11 @@
      * other over a single ordinary machine.
      */
     private boolean mayTakeOrdinary(Job job, Moment now) {
-        Span patience = job.spec.urgency().isMoreUrgentThan(Urgency.STANDARD) ? tuning.urgentSpotPatience()
+        Span patience = job.spec.urgency().isMoreUrgentThan(Urgency.STANDARD)
+                ? tuning.urgentSpotPatience()
                 : tuning.spotPatience();
-        if ((dispatcher.isUnderTheRuleAlone(job, now) || job.spec.isPlanned()) && tuning.waitLimit().compareTo(patience) < 0) {
+        if ((dispatcher.isUnderTheRuleAlone(job, now) || job.spec.isPlanned())
+                && tuning.waitLimit().compareTo(patience) < 0) {
             patience = tuning.waitLimit();
         }
         return !job.spec.spotAllowed() || now.since(job.arrived).compareTo(patience) >= 0;
@@ -373,20 +401,24 @@
 
     private boolean isDue(Share share, Job top, Moment now) {
         Moment start = dispatcher.reservation(share, top, now).lastStart();
-        return start == null || start.since(top.arrived).compareTo(tuning.waitLimit()) > 0
+        return start == null
+                || start.since(top.arrived).compareTo(tuning.waitLimit()) > 0
                 || share.jobs().stream().anyMatch(job -> waitsTooLong(job, now) || bootsTooLate(job, now));
     }
 
     /** Behind an urgent job that is served at once others may wait for ever: their wait is past the limit, not predicted. */
     private boolean waitsTooLong(Job job, Moment now) {
-        return job.hasStartable() && !job.isSuspect() && now.since(job.arrived).compareTo(tuning.waitLimit()) > 0
+        return job.hasStartable()
+                && !job.isSuspect()
+                && now.since(job.arrived).compareTo(tuning.waitLimit()) > 0
                 && dispatcher.mayStart(job, now);
     }
 
     private double machinesFor(Job job, MachineType type, int waiting) {
         int perMachine = Math.max(1, job.spec.demand().timesIn(type.capacity()));
         double run = estimates.run(job).seconds();
-        double share = job.spec.isService() ? 1 : Math.min(1, run / tuning.leastPaid().seconds());
+        double share =
+                job.spec.isService() ? 1 : Math.min(1, run / tuning.leastPaid().seconds());
         return waiting * share / perMachine;
     }
 
@@ -394,7 +426,9 @@
     private int atHand(Share share, String type, boolean ordinaryOnly, Moment now) {
         int n = 0;
         for (Machine m : cluster.serving(share)) {
-            if (!m.pool.type().equals(type) || ordinaryOnly && m.pool.spot() || m.seat != null && !isWarmFor(share, m)) {
+            if (!m.pool.type().equals(type)
+                    || ordinaryOnly && m.pool.spot()
+                    || m.seat != null && !isWarmFor(share, m)) {
                 continue;
             }
             if (m.isComing(now, tuning.bootPatience()) || m.isSound() && m.isIdle() && isOfUse(share, m)) {
@@ -406,7 +440,8 @@
 
     /** A machine of a warm pool is at hand for who waits for what it holds. */
     private static boolean isWarmFor(Share share, Machine m) {
-        return share.jobs().stream().anyMatch(j -> j.hasWaiting() && j.spec.image().equals(m.seat.image()) && m.allows(j.spec));
+        return share.jobs().stream()
+                .anyMatch(j -> j.hasWaiting() && j.spec.image().equals(m.seat.image()) && m.allows(j.spec));
     }
 
     /** Not if every job that waits has failed on it. */
@@ -456,7 +491,10 @@
         }
         for (int left = count; left > 0; left -= MOST_PER_REQUEST) {
             int n = Math.min(left, MOST_PER_REQUEST);
-            Pool fewest = have.entrySet().stream().min(Map.Entry.comparingByValue()).orElseThrow().getKey();
+            Pool fewest = have.entrySet().stream()
+                    .min(Map.Entry.comparingByValue())
+                    .orElseThrow()
+                    .getKey();
             wanted.merge(fewest, n, Integer::sum);
             have.merge(fewest, n, Integer::sum);
         }
--- a/src/main/java/io/indigoreach/core/CancellationHorizon.java
+++ b/src/main/java/io/indigoreach/core/CancellationHorizon.java
@@ -54,6 +54,8 @@
 
     /** How far back other nodes must tell of cancellations to be of use, {@code way} being what question and answer may take. */
     public Span missing(Moment now, Span way) {
-        return heard.equals(Moment.NEVER) ? Span.ZERO : now.since(heard).plus(way).withDrift();
+        return heard.equals(Moment.NEVER)
+                ? Span.ZERO
+                : now.since(heard).plus(way).withDrift();
     }
 }
--- a/src/main/java/io/indigoreach/core/Cluster.java
+++ b/src/main/java/io/indigoreach/core/Cluster.java
@@ -19,6 +19,7 @@
     private final Map<String, Integer> holders = new HashMap<>();
     /** Jobs whose tasks only keep images: in no queue. */
     final List<Job> holderJobs = new ArrayList<>();
+
     Keeper keeper = Keeper.NONE;
     private int strangers;
     private long visits;
@@ -45,7 +46,8 @@
     }
 
     private Share shareOf(TeamUse use) {
-        return shares.computeIfAbsent(use.hasGuarantee() ? use.team.name() : Share.COMMON,
+        return shares.computeIfAbsent(
+                use.hasGuarantee() ? use.team.name() : Share.COMMON,
                 name -> new Share(name, use.hasGuarantee() ? use : null));
     }
 
--- a/src/main/java/io/indigoreach/core/Consolidation.java
+++ b/src/main/java/io/indigoreach/core/Consolidation.java
@@ -44,14 +44,18 @@
             // Until what was told to save has left it.
             m.emptying &= m.tasks().values().stream().anyMatch(p -> p.stopping);
             m.aside = null;
-            if (m.isUsable() && m.accounted && m.seat == null && (m.share != null || cluster.shares().size() == 1)) {
+            if (m.isUsable()
+                    && m.accounted
+                    && m.seat == null
+                    && (m.share != null || cluster.shares().size() == 1)) {
                 machines.add(m);
             }
         }
         if (!dispatcher.isSettled() || !dispatcher.fits(share, room(machines), now)) {
             return;
         }
-        machines.sort(Comparator.comparing((Machine m) -> m.spare ? 1 : 0).thenComparing(m -> m.pool.spot() ? 0 : 1)
+        machines.sort(Comparator.comparing((Machine m) -> m.spare ? 1 : 0)
+                .thenComparing(m -> m.pool.spot() ? 0 : 1)
                 .thenComparing(m -> -m.used().shareOf(m.type.capacity())));
         empty(share, machines, now);
         for (Machine m : machines) {
@@ -80,7 +84,11 @@
             Machine m = machines.get(i);
             // Its tasks take room elsewhere, and its own is no room any more.
             double cost = m.used().cores() + roomOn(m);
-            if (m.isIdle() || m.emptying || free.containsKey(m) || spareRoom < cost || !isMovable(m, now)
+            if (m.isIdle()
+                    || m.emptying
+                    || free.containsKey(m)
+                    || spareRoom < cost
+                    || !isMovable(m, now)
                     || !place(m, machines.subList(0, i), free)) {
                 continue;
             }
@@ -98,8 +106,12 @@
     private boolean isMovable(Machine m, Moment now) {
         for (Placement p : m.tasks().values()) {
             Span move = p.job.spec.checkpointTime().plus(rules.report().times(2));
-            if (p.state != TaskState.RUNNING || p.stopping || !p.job.spec.savesProgress() || p.job.cancelled
-                    || p.job.spec.oneZone() || p.job.spec.spread()
+            if (p.state != TaskState.RUNNING
+                    || p.stopping
+                    || !p.job.spec.savesProgress()
+                    || p.job.cancelled
+                    || p.job.spec.oneZone()
+                    || p.job.spec.spread()
                     || now.since(p.since).compareTo(Dispatcher.LEAST_RUN) < 0
                     || estimates.end(p, now).since(now).compareTo(move.times(WORTH)) < 0) {
                 return false;
@@ -114,8 +126,13 @@
         for (Placement p : m.tasks().values()) {
             Machine target = null;
             for (Machine t : fuller) {
-                if (!t.isIdle() && !t.emptying && !t.spare && t.images.contains(p.job.spec.image()) && t.allows(p.job.spec)
-                        && !FaultJudge.bars(p.job, t) && p.demand().fitsIn(after.getOrDefault(t, t.free()))) {
+                if (!t.isIdle()
+                        && !t.emptying
+                        && !t.spare
+                        && t.images.contains(p.job.spec.image())
+                        && t.allows(p.job.spec)
+                        && !FaultJudge.bars(p.job, t)
+                        && p.demand().fitsIn(after.getOrDefault(t, t.free()))) {
                     target = t;
                     break;
                 }
@@ -136,7 +153,8 @@
             for (Placement p : m.tasksCopy()) {
                 p.stopping = true;
                 p.job.leftToHoldersUntil = now.plus(rules.report().times(3)).plus(p.job.spec.checkpointTime());
-                orders.add(new Order.Stop(p.task(), p.attempt, p.job.spec.checkpointTime().times(2)));
+                orders.add(new Order.Stop(
+                        p.task(), p.attempt, p.job.spec.checkpointTime().times(2)));
             }
         }
         return orders;
--- a/src/main/java/io/indigoreach/core/Corner.java
+++ b/src/main/java/io/indigoreach/core/Corner.java
@@ -19,8 +19,7 @@
     private static final Span LIFE = Span.seconds(1);
 
     /** Counted at a moment; empty where no such job waits. The jobs are those with the least work left first. */
-    private record Counted(Set<MachineId> machines, List<Job> jobs, Moment at) {
-    }
+    private record Counted(Set<MachineId> machines, List<Job> jobs, Moment at) {}
 
     private final Cluster cluster;
     private final Aims aims;
@@ -41,8 +40,10 @@
     boolean has(Machine m, Share share, List<Job> queue, Moment now) {
         Counted counted = byShare.get(share);
         if (counted == null || !now.isBefore(counted.at.plus(LIFE))) {
-            List<Job> waiting = queue.stream().filter(job -> isFor(job, now) && job.hasStartable())
-                    .sorted(Comparator.comparingDouble(this::left)).toList();
+            List<Job> waiting = queue.stream()
+                    .filter(job -> isFor(job, now) && job.hasStartable())
+                    .sorted(Comparator.comparingDouble(this::left))
+                    .toList();
             counted = new Counted(waiting.isEmpty() ? Set.of() : choose(share, now), waiting, now);
             byShare.put(share, counted);
         }
@@ -68,7 +69,12 @@
         for (Machine m : cluster.serving(share)) {
             if (m.isUsable()) {
                 usable.add(m);
-                work.put(m, m.tasks().values().stream().filter(p -> isFor(p.job, now)).mapToDouble(p -> p.demand().cores()).sum());
+                work.put(
+                        m,
+                        m.tasks().values().stream()
+                                .filter(p -> isFor(p.job, now))
+                                .mapToDouble(p -> p.demand().cores())
+                                .sum());
             }
         }
         usable.sort(Comparator.<Machine>comparingDouble(m -> -work.get(m)).thenComparing(m -> m.id));
--- a/src/main/java/io/indigoreach/core/Dispatcher.java
+++ b/src/main/java/io/indigoreach/core/Dispatcher.java
@@ -33,11 +33,9 @@
     private static final Span SHORTAGE_LIFE = Span.seconds(0.5);
 
     /** Places that the top job lacks, less those for which room is being made since they were counted. */
-    private record Shortage(Job top, Moment counted, int places) {
-    }
+    private record Shortage(Job top, Moment counted, int places) {}
 
-    private record Reserved(Reservation reservation, Moment made) {
-    }
+    private record Reserved(Reservation reservation, Moment made) {}
 
     private final Cluster cluster;
     private final Aims aims;
@@ -50,14 +48,15 @@
     private final Map<Share, Shortage> claims = new HashMap<>();
     /** Usable machines of each pool, counted once in a while. */
     private Map<Pool, Integer> usable = Map.of();
+
     private Moment usableAt = Moment.NEVER;
     /** Cores that each share's fillers may still take, counted once in a while. */
     private final Map<Share, Room> fillerRoom = new HashMap<>();
+
     private final Corner corner;
     private long attempts;
 
-    private record Room(double cores, Moment counted) {
-    }
+    private record Room(double cores, Moment counted) {}
 
     Dispatcher(Cluster cluster, Aims aims, Estimates estimates, TakeOver takeOver, Token token, Span leastPaid) {
         this.cluster = cluster;
@@ -93,13 +92,24 @@
     private void tendHolder(Machine m, ReportNumber number, Moment now, List<Order> orders) {
         Job due = m.seat == null ? null : m.seat.holder();
         Placement sits = m.holder();
-        if (sits != null && cluster.keeper.isKnown() && (sits.job != due || sits.isRunning()
-                && (!m.images.holds(sits.job.spec.image()) || m.images.isCrowded(sits.job.spec.image())))) {
+        if (sits != null
+                && cluster.keeper.isKnown()
+                && (sits.job != due
+                        || sits.isRunning()
+                                && (!m.images.holds(sits.job.spec.image())
+                                        || m.images.isCrowded(sits.job.spec.image())))) {
             // Started anew, it shows that its image is here, or fetches it, and the image counts as used last.
             stop(sits, orders);
-        } else if (due != null && !due.isCancelled() && !m.hasTaskWith(m.seat.image()) && due.hasStartable()
-                && mayStart(due, now) && !due.isSuspect() && FaultJudge.allows(due, m, now) && m.allows(due.spec)
-                && due.spec.demand().fitsIn(m.free()) && placeable(due, m)) {
+        } else if (due != null
+                && !due.isCancelled()
+                && !m.hasTaskWith(m.seat.image())
+                && due.hasStartable()
+                && mayStart(due, now)
+                && !due.isSuspect()
+                && FaultJudge.allows(due, m, now)
+                && m.allows(due.spec)
+                && due.spec.demand().fitsIn(m.free())
+                && placeable(due, m)) {
             if (due.hasOrderable()) {
                 place(due, m, number, now, orders);
             } else {
@@ -114,7 +124,8 @@
     }
 
     private Placement place(Job job, Machine m, ReportNumber number, Moment now, List<Order> orders) {
-        Placement p = new Placement(job, job.nextStartable(), m, token.attempt(++attempts), TaskState.ORDERED, number, now);
+        Placement p =
+                new Placement(job, job.nextStartable(), m, token.attempt(++attempts), TaskState.ORDERED, number, now);
         cluster.keeper.starting(job, m);
         cluster.place(p);
         orders.add(new Order.Start(p.task(), p.attempt));
@@ -133,8 +144,12 @@
         }
         Share share = cluster.share(m);
         Job top = share == null || !m.isUsable() ? null : top(share, now);
-        if (top == null || !mayAskForRoom(top, m.type) || !m.allows(top.spec)
-                || !FaultJudge.allows(top, m, now) || !placeable(top, m) || isLeftToHolders(top, m, now)) {
+        if (top == null
+                || !mayAskForRoom(top, m.type)
+                || !m.allows(top.spec)
+                || !FaultJudge.allows(top, m, now)
+                || !placeable(top, m)
+                || isLeftToHolders(top, m, now)) {
             return orders;
         }
         List<Placement> victims = m.tasksCopy();
@@ -152,7 +167,8 @@
                 break;
             }
             p.stopping = true;
-            orders.add(new Order.Stop(p.task(), p.attempt, p.job.spec.checkpointTime().times(2)));
+            orders.add(new Order.Stop(
+                    p.task(), p.attempt, p.job.spec.checkpointTime().times(2)));
             wanted -= top.spec.demand().timesIn(room) - before;
         }
         shortage = new Shortage(top, shortage.counted, wanted);
@@ -178,18 +194,27 @@
         for (Share due : cluster.shares()) {
             Job top = due.guaranteed != null ? top(due, now) : null;
             yieldSeat(due, top, m, now);
-            if (top == null || !m.isUsable() || !due.isDue(top.spec.demand()) || !m.allows(top.spec)
-                    || !FaultJudge.allows(top, m, now) || !placeable(top, m) || isProvidedFor(due, top, now)) {
+            if (top == null
+                    || !m.isUsable()
+                    || !due.isDue(top.spec.demand())
+                    || !m.allows(top.spec)
+                    || !FaultJudge.allows(top, m, now)
+                    || !placeable(top, m)
+                    || isProvidedFor(due, top, now)) {
                 continue;
             }
             Demand room = m.free();
             for (Placement p : m.tasksCopy()) {
                 Share borrower = cluster.share(p.job);
-                if (!top.spec.demand().fitsIn(room) && borrower != due && !p.stopping && p.state == TaskState.RUNNING
+                if (!top.spec.demand().fitsIn(room)
+                        && borrower != due
+                        && !p.stopping
+                        && p.state == TaskState.RUNNING
                         && !borrower.isDue(Demand.NOTHING)) {
                     room = room.plus(p.demand());
                     p.stopping = true;
-                    orders.add(new Order.Stop(p.task(), p.attempt, p.job.spec.checkpointTime().times(2)));
+                    orders.add(new Order.Stop(
+                            p.task(), p.attempt, p.job.spec.checkpointTime().times(2)));
                 }
             }
             if (top.spec.demand().fitsIn(room)) {
@@ -203,9 +228,17 @@
     /** An idle machine of a pool goes to a team that waits for its guarantee, as work beyond the payer's own would be stopped. */
     private void yieldSeat(Share due, Job top, Machine m, Moment now) {
         Job holder = m.seat == null ? null : m.seat.holder();
-        if (top != null && holder != null && m.isIdle() && m.isUsable() && cluster.share(holder) != due
-                && !cluster.share(holder).isDue(Demand.NOTHING) && due.isDue(top.spec.demand()) && m.isOfKind(top.spec)
-                && !m.allows(top.spec) && top.spec.demand().fitsIn(m.type.capacity()) && !isProvidedFor(due, top, now)) {
+        if (top != null
+                && holder != null
+                && m.isIdle()
+                && m.isUsable()
+                && cluster.share(holder) != due
+                && !cluster.share(holder).isDue(Demand.NOTHING)
+                && due.isDue(top.spec.demand())
+                && m.isOfKind(top.spec)
+                && !m.allows(top.spec)
+                && top.spec.demand().fitsIn(m.type.capacity())
+                && !isProvidedFor(due, top, now)) {
             cluster.keeper.yield(m, now);
             claims.computeIfPresent(due, (d, claim) -> new Shortage(top, claim.counted, claim.places - 1));
         }
@@ -222,16 +255,24 @@
     }
 
     private boolean mayYield(Placement p, Job top, Moment now) {
-        if (p.state != TaskState.RUNNING || p.stopping || p.job.owed
+        if (p.state != TaskState.RUNNING
+                || p.stopping
+                || p.job.owed
                 || !top.spec.urgency().isMoreUrgentThan(p.job.spec.urgency())) {
             return false;
         }
         if (!p.job.spec.savesProgress()) {
-            return timeToStart(top, now).ms() > 0 && now.since(p.since).compareTo(HARDLY_BEGUN) <= 0
-                    && aims.startBy(p.job) == null && !p.job.spec.isService();
+            return timeToStart(top, now).ms() > 0
+                    && now.since(p.since).compareTo(HARDLY_BEGUN) <= 0
+                    && aims.startBy(p.job) == null
+                    && !p.job.spec.isService();
         }
         return now.since(p.since).compareTo(LEAST_RUN) >= 0
-                && estimates.end(p, now).since(now).compareTo(p.job.spec.checkpointTime().times(2)) > 0;
+                && estimates
+                                .end(p, now)
+                                .since(now)
+                                .compareTo(p.job.spec.checkpointTime().times(2))
+                        > 0;
     }
 
     /** What is left until an aim on the job's starts is lost, if that is soon; else zero. */
@@ -252,7 +293,8 @@
             }
             Demand room = m.freeFor(top.spec);
             for (Placement p : m.tasks().values()) {
-                if (p.stopping || p.state == TaskState.SAVING
+                if (p.stopping
+                        || p.state == TaskState.SAVING
                         || estimates.end(p, now).since(now).compareTo(soon) <= 0) {
                     room = room.plus(p.demand());
                 }
@@ -266,7 +308,8 @@
     private List<Share> candidates(Machine m) {
         List<Share> out = new ArrayList<>(cluster.shares());
         out.sort(Comparator.<Share>comparingInt(s -> s.isDue(Demand.NOTHING) ? 0 : 1)
-                .thenComparingInt(s -> s.name.equals(m.share) ? 0 : 1).thenComparingDouble(Share::beyond));
+                .thenComparingInt(s -> s.name.equals(m.share) ? 0 : 1)
+                .thenComparingDouble(Share::beyond));
         return out;
     }
 
@@ -293,10 +336,12 @@
             if (!job.hasStartable() || !mayStart(job, now) || job.hadItsTurn()) {
                 continue;
             }
-            start(share, job, m, top == null ? null : reservation(share, top, now), number, now, orders,
-                    false);
+            start(share, job, m, top == null ? null : reservation(share, top, now), number, now, orders, false);
             // One that is kept waiting for the others must not keep places from them.
-            if (top == null && job.hasStartable() && !job.hadItsTurn() && (!isFiller(job, now) || leavesRoom(share, job, now))) {
+            if (top == null
+                    && job.hasStartable()
+                    && !job.hadItsTurn()
+                    && (!isFiller(job, now) || leavesRoom(share, job, now))) {
                 top = job;
             }
         }
@@ -307,16 +352,30 @@
      * nobody had ordered yet and that it could not push aside.
      */
     private boolean keepsRoom(Job job, Machine m) {
-        return !takeOver.isSettled() && job.spec.isService() && job.hasWaiting() && !job.hasStartable()
-                && m.allows(job.spec) && job.spec.demand().fitsIn(m.freeFor(job.spec));
-    }
-
-    private void start(Share share, Job job, Machine m, Reservation reservation, ReportNumber number, Moment now,
-                       List<Order> orders, boolean beforeAll) {
+        return !takeOver.isSettled()
+                && job.spec.isService()
+                && job.hasWaiting()
+                && !job.hasStartable()
+                && m.allows(job.spec)
+                && job.spec.demand().fitsIn(m.freeFor(job.spec));
+    }
+
+    private void start(
+            Share share,
+            Job job,
+            Machine m,
+            Reservation reservation,
+            ReportNumber number,
+            Moment now,
+            List<Order> orders,
+            boolean beforeAll) {
         boolean suits = m.allows(job.spec) && FaultJudge.allows(job, m, now) && !isLeftToHolders(job, m, now);
         Span time = estimates.onMachine(job, m);
         boolean filler = suits && !beforeAll && isFiller(job, now);
-        while (suits && job.hasStartable() && job.spec.demand().fitsIn(m.freeFor(job.spec)) && placeable(job, m)
+        while (suits
+                && job.hasStartable()
+                && job.spec.demand().fitsIn(m.freeFor(job.spec))
+                && placeable(job, m)
                 && (!filler || leavesRoom(share, job, now))
                 && (reservation == null || reservation.allows(m, job.spec.demand(), time, estimates, now))) {
             if (!job.hasOrderable()) {
@@ -329,7 +388,8 @@
             }
             Placement p = place(job, m, number, now, orders);
             if (filler) {
-                fillerRoom.computeIfPresent(share, (s, room) -> new Room(room.cores - p.demand().cores(), room.counted));
+                fillerRoom.computeIfPresent(
+                        share, (s, room) -> new Room(room.cores - p.demand().cores(), room.counted));
             }
             job.begunFirst |= job.toBegin;
             suits = !job.isSuspect() && !job.toBegin;
@@ -341,7 +401,10 @@
      * machine they keep all who have an aim waiting until they end.
      */
     private boolean isFiller(Job job, Moment now) {
-        return aims.isWithout(job) && !job.owed && !job.toBegin && !job.spec.isService()
+        return aims.isWithout(job)
+                && !job.owed
+                && !job.toBegin
+                && !job.spec.isService()
                 && !job.spec.urgency().isMoreUrgentThan(Urgency.STANDARD)
                 && estimates.run(job).compareTo(leastPaid) >= 0;
     }
@@ -363,8 +426,14 @@
                     aimed += (other.active().size() + (other.late ? 0 : other.startable())) * each;
                 }
             }
-            double flow = share.inflow().perSecond(other -> !aims.isWithout(other),
-                    other -> other.spec.tasks() * estimates.run(other).seconds() * other.spec.demand().cores(), leastPaid, now);
+            double flow = share.inflow()
+                    .perSecond(
+                            other -> !aims.isWithout(other),
+                            other -> other.spec.tasks()
+                                    * estimates.run(other).seconds()
+                                    * other.spec.demand().cores(),
+                            leastPaid,
+                            now);
             double aside = Math.max(aimed, flow);
             room = new Room(aside > 0 ? cores - aside : Double.MAX_VALUE, now);
             fillerRoom.put(share, room);
@@ -381,14 +450,19 @@
             return true;
         }
         Moment due = m.images.contains(job.spec.image()) ? null : aims.startBy(job);
-        return due != null && now.plus(Estimates.fetch(job, m.type)).isAfter(due) && now.isBefore(due)
+        return due != null
+                && now.plus(Estimates.fetch(job, m.type)).isAfter(due)
+                && now.isBefore(due)
                 && cluster.isHeld(job.spec.image());
     }
 
     List<Job> queue(Share share, Moment now) {
-        return share.queue(job -> aims.latestStart(job, estimates.run(job), rounds(job, now), now)
-                .minus(clearing(job)), job -> aims.lastChance(job, estimates.run(job)),
-                job -> aims.isAged(job, now), now);
+        return share.queue(
+                job -> aims.latestStart(job, estimates.run(job), rounds(job, now), now)
+                        .minus(clearing(job)),
+                job -> aims.lastChance(job, estimates.run(job)),
+                job -> aims.isAged(job, now),
+                now);
     }
 
     /** A task that takes a whole machine starts only when everything else on one has ended. */
@@ -412,9 +486,13 @@
         int places = 0;
         for (Map.Entry<Pool, Integer> e : usable.entrySet()) {
             Pool pool = e.getKey();
-            if (job.spec.allowsType(pool.type()) && job.spec.allowsZone(pool.zone())
+            if (job.spec.allowsType(pool.type())
+                    && job.spec.allowsZone(pool.zone())
                     && job.spec.allowsKind(pool.spot())) {
-                places += e.getValue() * job.spec.demand().timesIn(cluster.types.get(pool.type()).capacity());
+                places += e.getValue()
+                        * job.spec
+                                .demand()
+                                .timesIn(cluster.types.get(pool.type()).capacity());
             }
         }
         return places == 0 ? 1 : (job.waiting() + places - 1) / places;
@@ -516,13 +594,17 @@
                 continue;
             }
             Moment due = aims.startBy(job);
-            if (job.spec.urgency().isMoreUrgentThan(Urgency.STANDARD) || job.spec.isService() || !job.spec.spotAllowed()
-                    || job.spec.zone() != null || job.spec.types() != null || due != null && now.isBefore(due)) {
+            if (job.spec.urgency().isMoreUrgentThan(Urgency.STANDARD)
+                    || job.spec.isService()
+                    || !job.spec.spotAllowed()
+                    || job.spec.zone() != null
+                    || job.spec.types() != null
+                    || due != null && now.isBefore(due)) {
                 return false;
             }
             cores -= job.startable() * job.spec.demand().cores();
             int lacking = job.startable();
-            for (Iterator<Demand> rooms = free.iterator(); lacking > 0 && rooms.hasNext();) {
+            for (Iterator<Demand> rooms = free.iterator(); lacking > 0 && rooms.hasNext(); ) {
                 lacking -= job.spec.demand().timesIn(rooms.next());
             }
             if (cores < 0 || lacking > 0) {
@@ -547,8 +629,12 @@
                 continue;
             }
             for (Job job : share.jobs()) {
-                if (job.hasWaiting() && !job.isSuspect() && m.allows(job.spec) && job.spec.demand().fitsIn(m.freeFor(job.spec))
-                        && !job.failedOn.contains(m.id) && placeable(job, m)) {
+                if (job.hasWaiting()
+                        && !job.isSuspect()
+                        && m.allows(job.spec)
+                        && job.spec.demand().fitsIn(m.freeFor(job.spec))
+                        && !job.failedOn.contains(m.id)
+                        && placeable(job, m)) {
                     return true;
                 }
             }
--- a/src/main/java/io/indigoreach/core/Estimates.java
+++ b/src/main/java/io/indigoreach/core/Estimates.java
@@ -13,8 +13,9 @@
     private static final int ENOUGH = 3;
     /** A replica has no end of its own: longer than anything that is waited for. */
     private static final Span UNTIL_CANCELLED = Span.seconds(1e8);
+
     private final Map<String, Double> logFactor = new HashMap<>();
-    private BiConsumer<Job, Span> listener = (job, run) -> { };
+    private BiConsumer<Job, Span> listener = (job, run) -> {};
 
     /** Who else learns of each task's run time, without the image's fetch. */
     void onRun(BiConsumer<Job, Span> told) {
@@ -52,7 +53,8 @@
         job.observe(run);
         listener.accept(job, run);
         if (job.spec.estimate().ms() > 0) {
-            double ratio = Math.log(Math.max(0.05, run.seconds()) / job.spec.estimate().seconds());
+            double ratio =
+                    Math.log(Math.max(0.05, run.seconds()) / job.spec.estimate().seconds());
             logFactor.merge(job.spec.jobClass(), ratio * WEIGHT, (old, add) -> old * (1 - WEIGHT) + add);
         }
     }
--- a/src/main/java/io/indigoreach/core/ExitCause.java
+++ b/src/main/java/io/indigoreach/core/ExitCause.java
@@ -2,5 +2,11 @@
 
 /** Why a task ended on its machine. */
 public enum ExitCause {
-    DONE, STOPPED, ERROR, FULL, IN_USE, UNKNOWN, OTHER
+    DONE,
+    STOPPED,
+    ERROR,
+    FULL,
+    IN_USE,
+    UNKNOWN,
+    OTHER
 }
--- a/src/main/java/io/indigoreach/core/FaultJudge.java
+++ b/src/main/java/io/indigoreach/core/FaultJudge.java
@@ -8,8 +8,7 @@
     private static final Span FIRST_PAUSE = Span.seconds(2);
     private static final Span LONGEST_PAUSE = Span.seconds(30);
 
-    private FaultJudge() {
-    }
+    private FaultJudge() {}
 
     static void failed(Placement p, Moment now) {
         Job job = p.job;
--- a/src/main/java/io/indigoreach/core/Floors.java
+++ b/src/main/java/io/indigoreach/core/Floors.java
@@ -20,6 +20,7 @@
     private static final double FLOOR = 0.7;
     /** Of the jobs served so many times those open are remembered: months of good service would hide a flood of today. */
     private static final int REMEMBERED = 4;
+
     private static final int REMEMBERED_LEAST = 20;
     /** A job that has waited for this part of its time is not counted on any more: many are lost together. */
     private static final double DANGER = 0.75;
@@ -91,11 +92,12 @@
         double first = 0;
         double begun = 0;
         for (Job job : jobs) {
-            job.owed = !job.spec.isService()
-                    && (aged.test(job) || !job.late && owed.contains(job.spec.jobClass()));
+            job.owed = !job.spec.isService() && (aged.test(job) || !job.late && owed.contains(job.spec.jobClass()));
             job.toBegin = Aims.isToBegin(job, now) && !job.hasBegun();
             first += job.owed ? job.active().size() * job.spec.demand().cores() : 0;
-            begun += job.begunFirst && !job.active().isEmpty() ? job.spec.demand().cores() : 0;
+            begun += job.begunFirst && !job.active().isEmpty()
+                    ? job.spec.demand().cores()
+                    : 0;
         }
         owedFirst = first < PART * cores;
         boolean begin = begun < PART_TO_BEGIN * cores;
--- a/src/main/java/io/indigoreach/core/Inflow.java
+++ b/src/main/java/io/indigoreach/core/Inflow.java
@@ -16,6 +16,7 @@
     private static final double LEAST = 0.67;
     /** How many times that long jobs are remembered for their usual size: sizes differ far more than numbers do. */
     private static final double MEMORY = 5;
+
     private Moment began;
     private final Deque<Job> jobs = new ArrayDeque<>();
 
--- a/src/main/java/io/indigoreach/core/Isolation.java
+++ b/src/main/java/io/indigoreach/core/Isolation.java
@@ -15,7 +15,9 @@
 public final class Isolation {
     /** What the node is. */
     public enum Verdict {
-        TOGETHER, REFUSED_ALONE, CUT_OFF
+        TOGETHER,
+        REFUSED_ALONE,
+        CUT_OFF
     }
 
     /** Silence of all others before a node calls itself cut off: more than one question of theirs lost. */
@@ -61,7 +63,8 @@
         if (silentSince.equals(Moment.NEVER)) {
             silentSince = now;
         }
-        boolean again = !lastCutOff.equals(Moment.NEVER) && now.since(lastCutOff).compareTo(REMEMBERED) < 0;
+        boolean again =
+                !lastCutOff.equals(Moment.NEVER) && now.since(lastCutOff).compareTo(REMEMBERED) < 0;
         Span enough = again && verdict != Verdict.CUT_OFF ? SILENT_AGAIN : SILENT;
         if (now.since(silentSince).compareTo(enough) >= 0) {
             verdict = Verdict.CUT_OFF;
--- a/src/main/java/io/indigoreach/core/Job.java
+++ b/src/main/java/io/indigoreach/core/Job.java
@@ -18,12 +18,14 @@
     final long submittedMs;
     /** It was there before this leader took over: tasks below its bound may be on machines that have not reported yet. */
     final boolean inherited;
+
     private final BitSet done;
     private final BitSet durable;
     /** Done, on a machine, or withheld: all that nobody is to start. */
     private final BitSet busy;
     /** Tasks that wait for something else than machines: they are not there for whoever starts, reserves or rents. */
     private final BitSet withheld = new BitSet();
+
     private final Map<Integer, Placement> active = new HashMap<>();
     private final Map<String, Integer> byZone = new HashMap<>();
     private int doneCount;
@@ -34,10 +36,12 @@
     private int boundWanted;
     /** Tasks below may be on a machine that this leader has not heard yet. */
     private int heldBelow;
+
     Stamp stamp;
     boolean cancelled;
     /** Machines on which one of its tasks has failed since one last completed there. */
     final Set<MachineId> failedOn = new HashSet<>();
+
     int failures;
     Moment retryAt = Moment.NEVER;
     /** Until then its tasks wait for a machine that has their image: they were moved there. */
@@ -52,6 +56,7 @@
     boolean toBegin;
     /** It began that way. */
     boolean begunFirst;
+
     private long observedMs;
     private int observed;
 
@@ -228,7 +233,9 @@
 
     /** Waiting tasks that surely are on no machine. */
     int startable() {
-        int taken = heldBelow == 0 ? busy.cardinality() : heldBelow + busy.get(heldBelow, spec.tasks()).cardinality();
+        int taken = heldBelow == 0
+                ? busy.cardinality()
+                : heldBelow + busy.get(heldBelow, spec.tasks()).cardinality();
         return cancelled ? 0 : spec.tasks() - taken;
     }
 
--- a/src/main/java/io/indigoreach/core/JobSpec.java
+++ b/src/main/java/io/indigoreach/core/JobSpec.java
@@ -16,10 +16,26 @@
  * @param due time allowed from submission to completion, or null
  * @param more further fields that the parts beside the jobs read, as they came; empty for most jobs
  */
-public record JobSpec(JobId id, String jobClass, String team, Shape shape, Urgency urgency, int tasks, Demand demand,
-                      String image, double imageGb, List<String> types, String zone, boolean oneZone, boolean spread,
-                      boolean spotAllowed, Span estimate, Span checkpointEvery, Span checkpointTime, Span due,
-                      Map<String, Object> more) {
+public record JobSpec(
+        JobId id,
+        String jobClass,
+        String team,
+        Shape shape,
+        Urgency urgency,
+        int tasks,
+        Demand demand,
+        String image,
+        double imageGb,
+        List<String> types,
+        String zone,
+        boolean oneZone,
+        boolean spread,
+        boolean spotAllowed,
+        Span estimate,
+        Span checkpointEvery,
+        Span checkpointTime,
+        Span due,
+        Map<String, Object> more) {
     /** The further field that names records; the part that knows them says which tasks may start. */
     public static final String RECORDS = "records";
     /** The further field that names a holder's pool. */
@@ -31,19 +47,71 @@
     }
 
     /** A job without further fields. */
-    public JobSpec(JobId id, String jobClass, String team, Shape shape, Urgency urgency, int tasks, Demand demand,
-                   String image, double imageGb, List<String> types, String zone, boolean oneZone, boolean spread,
-                   boolean spotAllowed, Span estimate, Span checkpointEvery, Span checkpointTime, Span due) {
-        this(id, jobClass, team, shape, urgency, tasks, demand, image, imageGb, types, zone, oneZone, spread, spotAllowed,
-                estimate, checkpointEvery, checkpointTime, due, Map.of());
+    public JobSpec(
+            JobId id,
+            String jobClass,
+            String team,
+            Shape shape,
+            Urgency urgency,
+            int tasks,
+            Demand demand,
+            String image,
+            double imageGb,
+            List<String> types,
+            String zone,
+            boolean oneZone,
+            boolean spread,
+            boolean spotAllowed,
+            Span estimate,
+            Span checkpointEvery,
+            Span checkpointTime,
+            Span due) {
+        this(
+                id,
+                jobClass,
+                team,
+                shape,
+                urgency,
+                tasks,
+                demand,
+                image,
+                imageGb,
+                types,
+                zone,
+                oneZone,
+                spread,
+                spotAllowed,
+                estimate,
+                checkpointEvery,
+                checkpointTime,
+                due,
+                Map.of());
     }
 
     /** The same job with one further field. */
     public JobSpec with(String field, Object value) {
         Map<String, Object> all = new LinkedHashMap<>(more);
         all.put(field, value);
-        return new JobSpec(id, jobClass, team, shape, urgency, tasks, demand, image, imageGb, types, zone, oneZone, spread,
-                spotAllowed, estimate, checkpointEvery, checkpointTime, due, all);
+        return new JobSpec(
+                id,
+                jobClass,
+                team,
+                shape,
+                urgency,
+                tasks,
+                demand,
+                image,
+                imageGb,
+                types,
+                zone,
+                oneZone,
+                spread,
+                spotAllowed,
+                estimate,
+                checkpointEvery,
+                checkpointTime,
+                due,
+                all);
     }
 
     /** Its tasks run until the job is cancelled. */
--- a/src/main/java/io/indigoreach/core/JobStatus.java
+++ b/src/main/java/io/indigoreach/core/JobStatus.java
@@ -2,7 +2,10 @@
 
 /** What a user is told of a job. */
 public enum JobStatus {
-    PENDING, RUNNING, DONE, CANCELLED;
+    PENDING,
+    RUNNING,
+    DONE,
+    CANCELLED;
 
     public boolean isFinal() {
         return this == DONE || this == CANCELLED;
--- a/src/main/java/io/indigoreach/core/Keeper.java
+++ b/src/main/java/io/indigoreach/core/Keeper.java
@@ -6,12 +6,10 @@
 
 /** Who keeps machines ahead of the work that will need them. Without pools there is {@link #NONE}, which costs nothing. */
 public interface Keeper {
-    Keeper NONE = new Keeper() {
-    };
+    Keeper NONE = new Keeper() {};
 
     /** Once a check, before idle machines are returned: {@code termEnds} tells those whose paid term ends before the next. */
-    default void plan(Collection<Machine> machines, Collection<Job> jobs, Predicate<Machine> termEnds, Moment now) {
-    }
+    default void plan(Collection<Machine> machines, Collection<Job> jobs, Predicate<Machine> termEnds, Moment now) {}
 
     /** It is paid for ahead of its work, and stays though nothing that waits can use it. */
     default boolean keeps(Machine m) {
@@ -24,15 +22,12 @@
     }
 
     /** A team waits for what it is guaranteed, and this machine would do. */
-    default void yield(Machine m, Moment now) {
-    }
+    default void yield(Machine m, Moment now) {}
 
-    default void refused(Pool pool) {
-    }
+    default void refused(Pool pool) {}
 
     /** A task is ordered to start there. */
-    default void starting(Job job, Machine m) {
-    }
+    default void starting(Job job, Machine m) {}
 
     /** Whether it is known which machines are kept: before that what sits on them is left alone. */
     default boolean isKnown() {
--- a/src/main/java/io/indigoreach/core/LeaderCore.java
+++ b/src/main/java/io/indigoreach/core/LeaderCore.java
@@ -30,6 +30,7 @@
     private final TakeOver takeOver;
     /** Inherited jobs that were read after the records are not released yet. */
     private boolean late;
+
     private final Dispatcher dispatcher;
     private final Reconciler reconciler;
     private final BestSize bestSize;
@@ -49,13 +50,12 @@
     private final Set<MachineId> condemned = new HashSet<>();
     /** What was answered before the records were read, whether its machine was known by then or not. */
     private final Map<MachineId, Early> early = new HashMap<>();
+
     private boolean loaded;
 
-    private record Early(ReportNumber number, Moment heard) {
-    }
+    private record Early(ReportNumber number, Moment heard) {}
 
-    public LeaderCore(Token token, Rules rules, Tuning tuning, Aims aims, Collection<Team> teams,
-                      Notes notes) {
+    public LeaderCore(Token token, Rules rules, Tuning tuning, Aims aims, Collection<Team> teams, Notes notes) {
         this.token = token;
         this.rules = rules;
         this.notes = notes;
@@ -97,7 +97,8 @@
         early.forEach((id, answered) -> {
             Machine m = cluster.machines.get(id);
             if (m != null) {
-                // Against a lease that counts as over while the answer has renewed it, and against a report that comes after it.
+                // Against a lease that counts as over while the answer has renewed it, and against a report that comes
+                // after it.
                 m.heard = answered.heard;
                 m.last = answered.number;
             } else {
@@ -185,7 +186,9 @@
         }
         if (!loaded) {
             // It is answered all the same, and that renews its lease; a copy of an older one renews nothing.
-            early.merge(report.machine(), new Early(report.number(), now),
+            early.merge(
+                    report.machine(),
+                    new Early(report.number(), now),
                     (a, b) -> b.number.compareTo(a.number) > 0 ? b : a);
             return List.of();
         }
@@ -199,7 +202,8 @@
         if (m == null || isOld(m, report.number())) {
             return List.of();
         }
-        if (!m.pool.equals(report.pool()) && cluster.types.containsKey(report.pool().type())) {
+        if (!m.pool.equals(report.pool())
+                && cluster.types.containsKey(report.pool().type())) {
             m = replace(m, report.pool(), now);
         }
         ReportNumber before = m.last;
@@ -246,8 +250,7 @@
      * has killed its tasks and begun another session, so what comes then under the old one was sent before.
      */
     private static boolean isOld(Machine m, ReportNumber number) {
-        return number.compareTo(m.last) <= 0
-                || number.session() == m.last.session() && m.expired;
+        return number.compareTo(m.last) <= 0 || number.session() == m.last.session() && m.expired;
     }
 
     private void hears(Machine m, WorkerReport report, ReportNumber before, Moment now) {
@@ -383,7 +386,10 @@
             }
             if (m == null && cluster.types.containsKey(listed.pool().type())) {
                 notes.say("machine " + listed.id() + " is listed and not known: taken on");
-                m = new Machine(listed.id(), listed.pool(), cluster.types.get(listed.pool().type()),
+                m = new Machine(
+                        listed.id(),
+                        listed.pool(),
+                        cluster.types.get(listed.pool().type()),
                         now.minus(listed.held()));
                 m.heard = now;
                 cluster.machines.put(m.id, m);
@@ -475,7 +481,8 @@
     public void check(Moment now) {
         if (loaded) {
             consolidation.plan(now);
-            cluster.keeper.plan(cluster.machines.values(), cluster.jobs.values(), m -> releaseCheck.termEnds(m, now), now);
+            cluster.keeper.plan(
+                    cluster.machines.values(), cluster.jobs.values(), m -> releaseCheck.termEnds(m, now), now);
             for (String reason : releaseCheck.check(now, takeOver.isSettled())) {
                 notes.say("returning machine " + reason);
             }
--- a/src/main/java/io/indigoreach/core/ListedMachine.java
+++ b/src/main/java/io/indigoreach/core/ListedMachine.java
@@ -4,6 +4,8 @@
 public record ListedMachine(MachineId id, Pool pool, Status status, Span held) {
     /** FAILED: it stopped by itself, with everything on it. */
     public enum Status {
-        STARTING, RUNNING, FAILED
+        STARTING,
+        RUNNING,
+        FAILED
     }
 }
--- a/src/main/java/io/indigoreach/core/Machine.java
+++ b/src/main/java/io/indigoreach/core/Machine.java
@@ -13,7 +13,10 @@
 public final class Machine {
     /** BOOTING: no report yet. LOST: its lease ran out unanswered. LEAVING: being returned, never used again. */
     public enum Phase {
-        BOOTING, UP, LOST, LEAVING
+        BOOTING,
+        UP,
+        LOST,
+        LEAVING
     }
 
     final MachineId id;
@@ -24,6 +27,7 @@
     Moment rented;
     /** Known in the state service; only then may it get tasks, so that a later leader knows to wait for its report. */
     boolean recorded;
+
     ReportNumber last = ReportNumber.NONE;
     /** When its last answered report came; its lease cannot outlast this by more than the lease bound. */
     Moment heard;
@@ -33,11 +37,13 @@
     boolean accounted;
     /** When the cloud is to take it away, or null. */
     Moment notice;
+
     Moment idleSince;
     String share;
     final Cache images;
     /** Its place in a warm pool, or null. */
     Seat seat;
+
     final Set<JobId> failedJobs = new HashSet<>();
     boolean condemned;
     final OneWay oneWay = new OneWay();
@@ -53,6 +59,7 @@
     Moment existed;
     /** In how many lists in a row it was missing. */
     int missing;
+
     Moment leavingSince;
     private final Map<TaskId, Placement> tasks = new HashMap<>();
     private int holders;
--- a/src/main/java/io/indigoreach/core/Newcomers.java
+++ b/src/main/java/io/indigoreach/core/Newcomers.java
@@ -24,6 +24,7 @@
     };
     /** The newest machine of an earlier list, and when it was surely there. */
     private MachineId newest;
+
     private Moment seen;
     /** Machines up to this one were all known to a whole list that is new enough: an unknown one of them is gone. */
     private MachineId settled;
--- a/src/main/java/io/indigoreach/core/OneWay.java
+++ b/src/main/java/io/indigoreach/core/OneWay.java
@@ -18,19 +18,24 @@
     private static final int MISSED = 3;
 
     private enum Sign {
-        TAKEN, MISSED, NOTHING
+        TAKEN,
+        MISSED,
+        NOTHING
     }
 
     /** An order of the last answer, by which the next report shows whether it was taken; or null. */
     private Order witness;
     /** When the report before was answered; null if it was not, or too late. */
     private Moment answered;
+
     private int missed;
     /** When the first of the answers was given that were not taken, and when the last one showed. */
     private Moment since;
+
     private Moment lastMiss;
     /** It has taken an answer of this leader. */
     private boolean proved;
+
     private boolean told;
 
     /** A report newer than {@code before}; {@code awake}: until then the leader stood still, and may have answered late. */
@@ -47,7 +52,8 @@
             lastMiss = now;
             missed++;
             int times = proved ? 1 : 2;
-            told = missed >= MISSED * times && now.since(since).compareTo(rules.workerLease().times(0.5 * times)) >= 0;
+            told = missed >= MISSED * times
+                    && now.since(since).compareTo(rules.workerLease().times(0.5 * times)) >= 0;
         }
         answered = null;
         witness = null;
@@ -70,10 +76,13 @@
     }
 
     private Sign shown(List<TaskReport> tasks) {
-        TaskReport shown = tasks.stream().filter(t -> t.task().equals(witness.task())
-                && t.attempt().equals(witness.attempt())).findFirst().orElse(null);
+        TaskReport shown = tasks.stream()
+                .filter(t -> t.task().equals(witness.task()) && t.attempt().equals(witness.attempt()))
+                .findFirst()
+                .orElse(null);
         if (witness instanceof Order.Stop) {
-            boolean goesOn = shown != null && (shown.state() == TaskState.RUNNING || shown.state() == TaskState.FETCHING);
+            boolean goesOn =
+                    shown != null && (shown.state() == TaskState.RUNNING || shown.state() == TaskState.FETCHING);
             return goesOn ? Sign.MISSED : Sign.NOTHING;
         }
         return (shown != null) == witness instanceof Order.Start ? Sign.TAKEN : Sign.MISSED;
--- a/src/main/java/io/indigoreach/core/Order.java
+++ b/src/main/java/io/indigoreach/core/Order.java
@@ -6,14 +6,11 @@
 
     Attempt attempt();
 
-    record Start(TaskId task, Attempt attempt) implements Order {
-    }
+    record Start(TaskId task, Attempt attempt) implements Order {}
 
     /** Stop, letting the task save its progress if it can within {@code grace}. */
-    record Stop(TaskId task, Attempt attempt, Span grace) implements Order {
-    }
+    record Stop(TaskId task, Attempt attempt, Span grace) implements Order {}
 
     /** Removes an exited task from the worker's reports. */
-    record Forget(TaskId task, Attempt attempt) implements Order {
-    }
+    record Forget(TaskId task, Attempt attempt) implements Order {}
 }
--- a/src/main/java/io/indigoreach/core/Placement.java
+++ b/src/main/java/io/indigoreach/core/Placement.java
@@ -11,10 +11,17 @@
     final ReportNumber orderedIn;
     /** When the task was ordered or first seen; once it runs, when that was first reported. */
     Moment since;
+
     boolean stopping;
 
-    Placement(Job job, int index, Machine machine, Attempt attempt, TaskState state, ReportNumber orderedIn,
-              Moment since) {
+    Placement(
+            Job job,
+            int index,
+            Machine machine,
+            Attempt attempt,
+            TaskState state,
+            ReportNumber orderedIn,
+            Moment since) {
         this.job = job;
         this.index = index;
         this.machine = machine;
--- a/src/main/java/io/indigoreach/core/Reconciler.java
+++ b/src/main/java/io/indigoreach/core/Reconciler.java
@@ -52,7 +52,8 @@
     }
 
     private static Order ending(TaskReport t) {
-        return t.state() == TaskState.EXITED ? new Order.Forget(t.task(), t.attempt())
+        return t.state() == TaskState.EXITED
+                ? new Order.Forget(t.task(), t.attempt())
                 : new Order.Stop(t.task(), t.attempt(), Span.ZERO);
     }
 
--- a/src/main/java/io/indigoreach/core/ReleaseCheck.java
+++ b/src/main/java/io/indigoreach/core/ReleaseCheck.java
@@ -46,8 +46,9 @@
     }
 
     private String reason(Machine m, Moment now, boolean settled, boolean mostAreLost) {
-        if (m.oneWay.isTold() && (!silence.isUnreached(m.pool.zone())
-                || now.since(m.oneWay.since()).compareTo(behindCut(m)) > 0)) {
+        if (m.oneWay.isTold()
+                && (!silence.isUnreached(m.pool.zone())
+                        || now.since(m.oneWay.since()).compareTo(behindCut(m)) > 0)) {
             return "reports but has taken none of " + m.oneWay.missed() + " answers";
         }
         switch (m.phase) {
@@ -60,7 +61,8 @@
             case LOST:
                 // When most are silent the fault is likely between them and this leader: then keep them.
                 return !mostAreLost && now.since(m.heard).compareTo(patience(m)) > 0
-                        ? "silent since its lease ran out" : null;
+                        ? "silent since its lease ran out"
+                        : null;
             default:
                 if (silence.isItsOwn(m, now) && !m.isIdle()) {
                     return "silent with " + m.taskCount() + " tasks";
@@ -74,8 +76,9 @@
                 if (!settled) {
                     return null;
                 }
-                return termEnds(m, now) && !cluster.keeper.keeps(m)
-                        && !dispatcher.isWanted(m, now) ? "idle at the end of its term" : null;
+                return termEnds(m, now) && !cluster.keeper.keeps(m) && !dispatcher.isWanted(m, now)
+                        ? "idle at the end of its term"
+                        : null;
         }
     }
 
--- a/src/main/java/io/indigoreach/core/RentWish.java
+++ b/src/main/java/io/indigoreach/core/RentWish.java
@@ -1,5 +1,4 @@
 package io.indigoreach.core;
 
 /** A wish for {@code count} more machines of a pool. */
-public record RentWish(Pool pool, int count) {
-}
+public record RentWish(Pool pool, int count) {}
--- a/src/main/java/io/indigoreach/core/Reservation.java
+++ b/src/main/java/io/indigoreach/core/Reservation.java
@@ -12,8 +12,7 @@
  */
 final class Reservation {
     /** From {@code at} on, {@code tasks} of the top job have a place on this machine. */
-    record Hold(Moment at, int tasks) {
-    }
+    record Hold(Moment at, int tasks) {}
 
     private final Job top;
     private final Map<MachineId, Hold> holds;
@@ -40,8 +39,7 @@
 
     /** Reserves the earliest places for the waiting tasks of {@code top}. */
     static Reservation of(Job top, Iterable<Machine> machines, Estimates estimates, Moment now) {
-        record Place(Machine machine, Moment at, int tasks) {
-        }
+        record Place(Machine machine, Moment at, int tasks) {}
         List<Place> places = new ArrayList<>();
         int slots = 0;
         for (Machine m : machines) {
--- a/src/main/java/io/indigoreach/core/Share.java
+++ b/src/main/java/io/indigoreach/core/Share.java
@@ -17,8 +17,7 @@
     private static final Span ORDER_LIFE = Span.seconds(1);
 
     /** A job with what its place in the queue depends on. */
-    private record Ranked(Job job, int turn, Urgency urgency, Moment latestStart) {
-    }
+    private record Ranked(Job job, int turn, Urgency urgency, Moment latestStart) {}
 
     /**
      * The paper's priority queue, its priority from urgency and time: urgent jobs first, the others mixed, each by the
@@ -26,7 +25,9 @@
      * before that one task of each job of which nothing has run for too long, in the order of arrival.
      */
     private static final Comparator<Ranked> ORDER = Comparator.<Ranked, Integer>comparing(r -> r.turn)
-            .thenComparing(r -> r.urgency).thenComparing(r -> r.latestStart).thenComparingLong(r -> r.job.submittedMs)
+            .thenComparing(r -> r.urgency)
+            .thenComparing(r -> r.latestStart)
+            .thenComparingLong(r -> r.job.submittedMs)
             .thenComparing(r -> r.job.id());
 
     /** The name of the share of all teams without a guarantee; no team can have it. */
@@ -35,6 +36,7 @@
     final String name;
     /** Its team, if it has a guarantee; else null. */
     final TeamUse guaranteed;
+
     private final List<Job> jobs = new ArrayList<>();
     private final Inflow inflow = new Inflow();
     private final Floors floors = new Floors();
@@ -70,7 +72,8 @@
     }
 
     /** The queue in the order in which it is served. */
-    List<Job> queue(Function<Job, Moment> latestStart, Function<Job, Moment> lastChance, Predicate<Job> aged, Moment now) {
+    List<Job> queue(
+            Function<Job, Moment> latestStart, Function<Job, Moment> lastChance, Predicate<Job> aged, Moment now) {
         if (!now.isBefore(orderedAt.plus(ORDER_LIFE))) {
             floors.count(jobs, cores, lastChance, aged, now);
             List<Ranked> ranked = new ArrayList<>(jobs.size());
@@ -79,8 +82,10 @@
                 // A replica that is down is worth more than any job that is late.
                 boolean first = floors.isOwedFirst() && (job.owed || job.spec.isService());
                 int turn = job.toBegin ? 0 : first ? 1 : 2;
-                ranked.add(turn == 0 ? new Ranked(job, turn, Urgency.PRODUCTION, job.arrived)
-                        : new Ranked(job, turn, urgency, latestStart.apply(job)));
+                ranked.add(
+                        turn == 0
+                                ? new Ranked(job, turn, Urgency.PRODUCTION, job.arrived)
+                                : new Ranked(job, turn, urgency, latestStart.apply(job)));
             }
             ranked.sort(ORDER);
             ordered = ranked.stream().map(Ranked::job).toList();
--- a/src/main/java/io/indigoreach/core/Silence.java
+++ b/src/main/java/io/indigoreach/core/Silence.java
@@ -10,6 +10,7 @@
 final class Silence {
     /** Part of a zone's machines whose reports may be overdue together by their own fault. */
     private static final double MOST_OVERDUE = 0.25;
+
     private static final double NEARLY_NONE = 0.1;
     private static final double NEARLY_ALL = 0.9;
 
@@ -71,9 +72,13 @@
             return false;
         }
         double part = overdue.getOrDefault(m.pool.zone(), 0.0);
-        Span patience = m.accounted ? rules.silence() : part > NEARLY_NONE
-                ? rules.silence().plus(rules.workerPatience()) : Span.longer(rules.silence(), rules.findsLeader());
-        return part <= MOST_OVERDUE && now.since(m.heard).compareTo(patience) > 0
+        Span patience = m.accounted
+                ? rules.silence()
+                : part > NEARLY_NONE
+                        ? rules.silence().plus(rules.workerPatience())
+                        : Span.longer(rules.silence(), rules.findsLeader());
+        return part <= MOST_OVERDUE
+                && now.since(m.heard).compareTo(patience) > 0
                 && now.since(cluster.awake).compareTo(rules.silence()) > 0;
     }
 
--- a/src/main/java/io/indigoreach/core/StartBounds.java
+++ b/src/main/java/io/indigoreach/core/StartBounds.java
@@ -12,6 +12,7 @@
 final class StartBounds {
     /** A bound is raised when less than this part of what should be ahead is left. */
     private static final double LOW = 0.5;
+
     private static final Span COUNT_LIFE = Span.seconds(0.5);
 
     private final Cluster cluster;
--- a/src/main/java/io/indigoreach/core/TeamUse.java
+++ b/src/main/java/io/indigoreach/core/TeamUse.java
@@ -21,7 +21,8 @@
 
     /** How many more such tasks the team's limit allows, beside {@code more} that are planned. */
     int room(Demand demand, double more) {
-        return team.coresMax() > 0 && demand.cores() > 0 ? (int) ((team.coresMax() - cores - more) / demand.cores())
+        return team.coresMax() > 0 && demand.cores() > 0
+                ? (int) ((team.coresMax() - cores - more) / demand.cores())
                 : Integer.MAX_VALUE;
     }
 
--- a/src/main/java/io/indigoreach/core/TokenClock.java
+++ b/src/main/java/io/indigoreach/core/TokenClock.java
@@ -13,12 +13,14 @@
 public final class TokenClock {
     /** 2020 began, in seconds since 1970. With 28 bits for attempts and those for nodes 30 are left: until 2054. */
     private static final long BEGINNING_S = 1_577_836_800L;
+
     private static final int NODE_BITS = 5;
 
     private final long node;
     private final long firstS;
     /** The highest that was in use, and the highest that was tried here and may be in use or not. */
     private long highest;
+
     private long tried;
     /** {@link #tried} before the last try. */
     private long triedBefore;
--- a/src/main/java/io/indigoreach/core/ToldCancellations.java
+++ b/src/main/java/io/indigoreach/core/ToldCancellations.java
@@ -12,8 +12,7 @@
     /** What fits into one answer; more are told within an outage's first seconds by no state service that we know of. */
     public static final int MOST = 1000;
 
-    private record Told(JobId job, Moment at) {
-    }
+    private record Told(JobId job, Moment at) {}
 
     private final ArrayDeque<Told> told = new ArrayDeque<>();
     /** All told after this moment are kept. */
--- a/src/main/java/io/indigoreach/core/Tuning.java
+++ b/src/main/java/io/indigoreach/core/Tuning.java
@@ -16,7 +16,16 @@
  * @param aimShare part of the time left until an aim into which the queue must fit, else ordinary machines are rented
  * @param refusedFor how long a pool that had no capacity is left alone
  */
-public record Tuning(Span waitLimit, Span shortJob, Span leastPaid, Span term, Span check, double bootPatience,
-                     double bootLimit, Span spotPatience, Span urgentSpotPatience,
-                     Span backlogLimit, double aimShare, Span refusedFor) {
-}
+public record Tuning(
+        Span waitLimit,
+        Span shortJob,
+        Span leastPaid,
+        Span term,
+        Span check,
+        double bootPatience,
+        double bootLimit,
+        Span spotPatience,
+        Span urgentSpotPatience,
+        Span backlogLimit,
+        double aimShare,
+        Span refusedFor) {}
--- a/src/main/java/io/indigoreach/core/Turns.java
+++ b/src/main/java/io/indigoreach/core/Turns.java
@@ -12,6 +12,7 @@
     static final int PLACES = 100;
     /** Further places for each refusal before, up to {@link #STEPS} times: with questions 5 s apart, all after 25 s. */
     static final int STEP = 20;
+
     static final int STEPS = 5;
     private static final int REMEMBERED = 4_000;
 
--- a/src/main/java/io/indigoreach/core/Urgency.java
+++ b/src/main/java/io/indigoreach/core/Urgency.java
@@ -2,7 +2,10 @@
 
 /** A job's priority, the most urgent first. */
 public enum Urgency {
-    PRODUCTION, HIGH, STANDARD, BEST_EFFORT;
+    PRODUCTION,
+    HIGH,
+    STANDARD,
+    BEST_EFFORT;
 
     public boolean isMoreUrgentThan(Urgency other) {
         return ordinal() < other.ordinal();
--- a/src/main/java/io/indigoreach/core/accounts/Line.java
+++ b/src/main/java/io/indigoreach/core/accounts/Line.java
@@ -11,8 +11,15 @@
  * @param image the image it is kept for, {@code gb} its size; empty if it is in no pool
  * @param session the worker's session in which the image was held; 0: not known to be held
  */
-public record Line(MachineId machine, Pool where, long begunMs, long paidToMs, Account payer, String image, double gb,
-                   long session) {
+public record Line(
+        MachineId machine,
+        Pool where,
+        long begunMs,
+        long paidToMs,
+        Account payer,
+        String image,
+        double gb,
+        long session) {
     public Line paidTo(long ms) {
         return new Line(machine, where, begunMs, ms, payer, image, gb, session);
     }
--- a/src/main/java/io/indigoreach/core/accounts/Meter.java
+++ b/src/main/java/io/indigoreach/core/accounts/Meter.java
@@ -28,9 +28,18 @@
     private static final long GRACE_MS = 20_000;
 
     /** A machine as it is at a look. {@code seconds}: paid for at least so long if it is returned. */
-    public record Look(MachineId machine, Pool where, long rentedMs, Account payer, String image, double gb, long session,
-                       Map<String, Double> coresByTeam, double cores, double perHour, boolean returned) {
-    }
+    public record Look(
+            MachineId machine,
+            Pool where,
+            long rentedMs,
+            Account payer,
+            String image,
+            double gb,
+            long session,
+            Map<String, Double> coresByTeam,
+            double cores,
+            double perHour,
+            boolean returned) {}
 
     /** What is left of a sum of which all was taken away. */
     private static final double NOTHING = 1e-12;
@@ -45,6 +54,7 @@
          * twice: any one of them may be carried out, also late, after newer ones were tried; then no other one will be.
          */
         final TreeMap<Long, Map<Account, Double>> tried = new TreeMap<>();
+
         boolean triedEnd;
         long lookedMs;
         double perHour;
@@ -103,8 +113,19 @@
         Map<MachineId, Boolean> there = new HashMap<>();
         for (Look m : machines) {
             there.put(m.machine(), true);
-            Open o = open.computeIfAbsent(m.machine(), id -> new Open(new Line(id, m.where(), Math.min(m.rentedMs(), nowMs),
-                    Math.min(m.rentedMs(), nowMs), m.payer(), m.image(), m.gb(), m.session()), page()));
+            Open o = open.computeIfAbsent(
+                    m.machine(),
+                    id -> new Open(
+                            new Line(
+                                    id,
+                                    m.where(),
+                                    Math.min(m.rentedMs(), nowMs),
+                                    Math.min(m.rentedMs(), nowMs),
+                                    m.payer(),
+                                    m.image(),
+                                    m.gb(),
+                                    m.session()),
+                            page()));
             count(o, m, nowMs);
         }
         for (Open o : open.values()) {
@@ -118,7 +139,8 @@
         double money = m.perHour() * Math.max(0, nowMs - o.lookedMs) / 3_600_000.0;
         double part = 0;
         // What was before this leader's first look is the payer's: who used it is not known.
-        double used = o.met ? m.coresByTeam().values().stream().mapToDouble(d -> d).sum() : 0;
+        double used =
+                o.met ? m.coresByTeam().values().stream().mapToDouble(d -> d).sum() : 0;
         for (Map.Entry<String, Double> e : (used > 0 ? m.coresByTeam() : Map.<String, Double>of()).entrySet()) {
             double share = e.getValue() / Math.max(used, m.cores());
             o.owe(new Account(o.line.payer().pool(), e.getKey()), money * share);
@@ -126,8 +148,17 @@
         }
         // An interval is its payer's until the look at which another pays.
         o.owe(o.line.payer(), money * Math.max(0, 1 - part));
-        o.changed |= !o.line.payer().equals(m.payer()) || !o.line.image().equals(m.image()) || o.line.session() != m.session();
-        o.line = new Line(o.line.machine(), m.where(), o.line.begunMs(), o.line.paidToMs(), m.payer(), m.image(), m.gb(),
+        o.changed |= !o.line.payer().equals(m.payer())
+                || !o.line.image().equals(m.image())
+                || o.line.session() != m.session();
+        o.line = new Line(
+                o.line.machine(),
+                m.where(),
+                o.line.begunMs(),
+                o.line.paidToMs(),
+                m.payer(),
+                m.image(),
+                m.gb(),
                 m.session());
         o.lookedMs = Math.max(o.lookedMs, nowMs);
         o.perHour = m.perHour();
@@ -174,7 +205,7 @@
         sheets.put(page, read);
         Map<MachineId, Line> lines = new LinkedHashMap<>();
         Map<Account, Double> sums = new TreeMap<>(read.sums());
-        for (Iterator<Open> i = open.values().iterator(); i.hasNext();) {
+        for (Iterator<Open> i = open.values().iterator(); i.hasNext(); ) {
             Open o = i.next();
             if (o.page != page) {
                 continue;
@@ -201,7 +232,7 @@
     /** What {@link #next} gave is in the record. */
     public void written(int page, Sheet sheet) {
         sheets.put(page, sheet);
-        for (Iterator<Open> i = open.values().iterator(); i.hasNext();) {
+        for (Iterator<Open> i = open.values().iterator(); i.hasNext(); ) {
             Open o = i.next();
             if (o.page == page && o.triedEnd) {
                 i.remove();
@@ -216,7 +247,9 @@
     /** Whether the record says of the machine that it is in a pool. */
     public boolean isRecordedInPool(MachineId machine) {
         Open o = open.get(machine);
-        Line there = o == null ? null : sheets.getOrDefault(o.page, Sheet.EMPTY).lines().get(machine);
+        Line there = o == null
+                ? null
+                : sheets.getOrDefault(o.page, Sheet.EMPTY).lines().get(machine);
         return there != null && !there.image().isEmpty();
     }
 
--- a/src/main/java/io/indigoreach/core/calendar/CalendarCheck.java
+++ b/src/main/java/io/indigoreach/core/calendar/CalendarCheck.java
@@ -17,9 +17,11 @@
     public static final int AHEAD = 400;
     /** The same at a node, which has little processor time; and a year that is not entered is a reason to refuse. */
     public static final int SOON = 60;
+
     private static final int MOST_PLANS = 500;
     /** Bytes of a day's page, and of a mark beside its plan's name, with a note of usual length. */
     private static final int PAGE = 7_500;
+
     private static final int MARK = 170;
     private static final Span LONGEST_MARGIN = Span.seconds(3 * 86_400);
     private static final Pattern NAME = Pattern.compile("[a-z0-9][a-z0-9._-]{0,59}");
@@ -64,8 +66,12 @@
 
     /** Lines on years that are not entered, as far as {@link #AHEAD}: not wrong yet, but to be entered in time. */
     public static List<String> missing(Calendar calendar, Zones zones, Day today) {
-        return new Occurrences(calendar, zones).between(today, today.plus(AHEAD)).stream()
-                .filter(o -> o.kind() == Occurrence.Kind.UNKNOWN).map(o -> o.plan().name() + ": " + o.reason()).distinct().toList();
+        return new Occurrences(calendar, zones)
+                .between(today, today.plus(AHEAD)).stream()
+                        .filter(o -> o.kind() == Occurrence.Kind.UNKNOWN)
+                        .map(o -> o.plan().name() + ": " + o.reason())
+                        .distinct()
+                        .toList();
     }
 
     private void wrong(String field, String reason) {
@@ -107,11 +113,12 @@
             wrong(field + ".region", "there is no region \"" + depot.region() + "\"");
         }
         Set<Integer> weekdays = new HashSet<>();
-        depot.weekly().forEach(w -> w.weekdays().forEach(d -> {
-            if (!weekdays.add(d)) {
-                wrong(field + ".departure", "weekday " + d + " has two");
-            }
-        }));
+        depot.weekly()
+                .forEach(w -> w.weekdays().forEach(d -> {
+                    if (!weekdays.add(d)) {
+                        wrong(field + ".departure", "weekday " + d + " has two");
+                    }
+                }));
         Set<Day> days = new HashSet<>();
         depot.exceptions().forEach(e -> {
             if (!days.add(e.day())) {
@@ -125,8 +132,10 @@
 
     private void exists(String field, Depot depot, Day day, TimeOfDay time) {
         if (time != null && zones.isSkipped(depot.zone(), day, time)) {
-            wrong(field, time + " does not exist on " + day + " in " + depot.zone() + ", where the clock is put on; "
-                    + "give that day another time");
+            wrong(
+                    field,
+                    time + " does not exist on " + day + " in " + depot.zone() + ", where the clock is put on; "
+                            + "give that day another time");
         }
     }
 
@@ -135,7 +144,9 @@
         Depot depot = calendar.depot(plan.depot());
         if (depot == null) {
             wrong(field + ".depot", "there is no depot \"" + plan.depot() + "\"");
-        } else if (plan.at() == null && depot.weekly().isEmpty() && depot.exceptions().isEmpty()) {
+        } else if (plan.at() == null
+                && depot.weekly().isEmpty()
+                && depot.exceptions().isEmpty()) {
             wrong(field + ".at", "depot " + depot.name() + " has no departures, so a time is needed");
         } else if (plan.at() != null && zones.isKnown(depot.zone())) {
             for (Day day = today; day.number() <= today.number() + ahead; day = day.plus(1)) {
@@ -157,7 +168,9 @@
             }
             for (Season other : named) {
                 if (other.years().stream().anyMatch(a -> season.years().stream().anyMatch(a::overlaps))) {
-                    wrong(field + ".season", season.name() + " and " + other.name() + " overlap: which size holds is not clear");
+                    wrong(
+                            field + ".season",
+                            season.name() + " and " + other.name() + " overlap: which size holds is not clear");
                 }
             }
             named.add(season);
@@ -177,8 +190,13 @@
     }
 
     private void years() {
-        new Occurrences(calendar, zones).between(today, today.plus(SOON)).stream()
-                .filter(o -> o.kind() == Occurrence.Kind.UNKNOWN).map(o -> new Finding("plan " + o.plan().name(),
-                        o.reason() + "; it is not guessed, and needed from " + o.day() + " on")).findFirst().ifPresent(found::add);
+        new Occurrences(calendar, zones)
+                .between(today, today.plus(SOON)).stream()
+                        .filter(o -> o.kind() == Occurrence.Kind.UNKNOWN)
+                        .map(o -> new Finding(
+                                "plan " + o.plan().name(),
+                                o.reason() + "; it is not guessed, and needed from " + o.day() + " on"))
+                        .findFirst()
+                        .ifPresent(found::add);
     }
 }
--- a/src/main/java/io/indigoreach/core/calendar/Choice.java
+++ b/src/main/java/io/indigoreach/core/calendar/Choice.java
@@ -23,16 +23,32 @@
             return null;
         }
         if (o.departs() <= now) {
-            return new Mark(o.plan().name(), Mark.State.MISSED, there == null ? null : there.id(), version, o.departs(),
-                    entry.latestStart(), now, o.tasks(), "its departure had passed");
+            return new Mark(
+                    o.plan().name(),
+                    Mark.State.MISSED,
+                    there == null ? null : there.id(),
+                    version,
+                    o.departs(),
+                    entry.latestStart(),
+                    now,
+                    o.tasks(),
+                    "its departure had passed");
         }
         if (there != null && !taken && there.tasks() == o.tasks() && there.departs() == o.departs()) {
             return null;
         }
         int attempt = there == null ? 0 : attempt(there.id()) + (taken ? 1 : 0);
         long late = now - entry.latestStart();
-        return new Mark(o.plan().name(), Mark.State.CHOSEN, block.id(o.day(), attempt), version, o.departs(), entry.latestStart(),
-                now, o.tasks(), late > LATE.ms() ? "late by " + Outlook.minutes(new Span(late)) : o.reason());
+        return new Mark(
+                o.plan().name(),
+                Mark.State.CHOSEN,
+                block.id(o.day(), attempt),
+                version,
+                o.departs(),
+                entry.latestStart(),
+                now,
+                o.tasks(),
+                late > LATE.ms() ? "late by " + Outlook.minutes(new Span(late)) : o.reason());
     }
 
     private static int attempt(JobId id) {
@@ -44,8 +60,25 @@
         JobSpec t = o.plan().template();
         Map<String, Object> more = new LinkedHashMap<>(t.more());
         more.put(FIELD, Map.of("name", mark.plan(), "day", o.day().toString()));
-        return new JobSpec(mark.id(), t.jobClass(), t.team(), t.shape(), t.urgency(), mark.tasks(), t.demand(), t.image(), t.imageGb(),
-                t.types(), t.zone(), t.oneZone(), t.spread(), t.spotAllowed(), t.estimate(), t.checkpointEvery(), t.checkpointTime(),
-                new Span(mark.departs() - now), more);
+        return new JobSpec(
+                mark.id(),
+                t.jobClass(),
+                t.team(),
+                t.shape(),
+                t.urgency(),
+                mark.tasks(),
+                t.demand(),
+                t.image(),
+                t.imageGb(),
+                t.types(),
+                t.zone(),
+                t.oneZone(),
+                t.spread(),
+                t.spotAllowed(),
+                t.estimate(),
+                t.checkpointEvery(),
+                t.checkpointTime(),
+                new Span(mark.departs() - now),
+                more);
     }
 }
--- a/src/main/java/io/indigoreach/core/calendar/Day.java
+++ b/src/main/java/io/indigoreach/core/calendar/Day.java
@@ -18,7 +18,8 @@
         long era = Math.floorDiv(y, 400);
         long yearOfEra = y - era * 400;
         long dayOfYear = (153L * (month > 2 ? month - 3 : month + 9) + 2) / 5 + dayOfMonth - 1;
-        Day day = new Day(era * DAYS_400_YEARS + yearOfEra * 365 + yearOfEra / 4 - yearOfEra / 100 + dayOfYear - TO_1970);
+        Day day =
+                new Day(era * DAYS_400_YEARS + yearOfEra * 365 + yearOfEra / 4 - yearOfEra / 100 + dayOfYear - TO_1970);
         if (day.year() != year || day.month() != month || day.dayOfMonth() != dayOfMonth) {
             throw new IllegalArgumentException("there is no such day");
         }
--- a/src/main/java/io/indigoreach/core/calendar/DayPage.java
+++ b/src/main/java/io/indigoreach/core/calendar/DayPage.java
@@ -21,6 +21,7 @@
     static final int PAGES = 32;
     /** Pages that a controller remembers: three days of a full calendar. */
     private static final int REMEMBERED = 3 * PAGES;
+
     public static final Family FAMILY = new Family(PREFIX, REMEMBERED, true, Family.Mending.NEWER);
 
     private final Kept read;
@@ -81,7 +82,8 @@
     /** The change that goes with the acceptance of this job; null if it is not the occurrence's job, or no more to be accepted. */
     public Change accepting(String plan, JobId id, int tasks, long now) {
         Mark mark = marks.get(plan);
-        return mark == null || mark.state() != Mark.State.CHOSEN || !mark.id().equals(id) || mark.tasks() != tasks ? null
+        return mark == null || mark.state() != Mark.State.CHOSEN || !mark.id().equals(id) || mark.tasks() != tasks
+                ? null
                 : with(List.of(mark.become(Mark.State.ACCEPTED, now, mark.note())));
     }
 }
--- a/src/main/java/io/indigoreach/core/calendar/Depot.java
+++ b/src/main/java/io/indigoreach/core/calendar/Depot.java
@@ -18,8 +18,7 @@
     }
 
     /** The first departure of one day; {@code at} null: nobody leaves. */
-    public record Exceptional(Day day, TimeOfDay at) {
-    }
+    public record Exceptional(Day day, TimeOfDay at) {}
 
     public Depot {
         weekly = List.copyOf(weekly);
@@ -33,6 +32,10 @@
                 return e.at();
             }
         }
-        return weekly.stream().filter(w -> w.weekdays().contains(day.weekday())).map(Weekly::at).findFirst().orElse(null);
+        return weekly.stream()
+                .filter(w -> w.weekdays().contains(day.weekday()))
+                .map(Weekly::at)
+                .findFirst()
+                .orElse(null);
     }
 }
--- a/src/main/java/io/indigoreach/core/calendar/Forecast.java
+++ b/src/main/java/io/indigoreach/core/calendar/Forecast.java
@@ -19,11 +19,13 @@
     private static final Span BEGIN = Span.seconds(5);
     /** Between two acceptances of plans, as they leave users their part of the changes. */
     private static final Span PACE = Span.seconds(0.5);
+
     private static final double UNSURE = 0.05;
     /** Fewer ends than this say less than the estimate does. */
     private static final int ENOUGH = 5;
     /** Estimates are often wrong by half. */
     private static final double UNSEEN_MEAN = 1.5;
+
     private static final double UNSEEN_LONGEST = 2;
 
     /**
@@ -32,7 +34,8 @@
      * @param unlimited the same with a place for every task
      * @param besides another plan that needs most of what it needs itself at that time; null if there is none
      */
-    public record Entry(Occurrence occurrence, Span needed, Span alone, Span unlimited, Occurrence besides, String obstacle) {
+    public record Entry(
+            Occurrence occurrence, Span needed, Span alone, Span unlimited, Occurrence besides, String obstacle) {
         public boolean isPossible() {
             return needed != null;
         }
@@ -43,7 +46,14 @@
     }
 
     /** A job's time by the places it gets. */
-    private record Work(Occurrence occurrence, Span ahead, double mean, double longest, double failed, int places, String obstacle) {
+    private record Work(
+            Occurrence occurrence,
+            Span ahead,
+            double mean,
+            double longest,
+            double failed,
+            int places,
+            String obstacle) {
         Span on(int n) {
             int tasks = occurrence.tasks();
             double retries = Math.min(1, failed * tasks) * longest;
@@ -72,8 +82,7 @@
         }
     }
 
-    private Forecast() {
-    }
+    private Forecast() {}
 
     /** For those that run, in the order of their latest starts. */
     public static List<Entry> of(List<Occurrence> occurrences, Means means) {
@@ -126,8 +135,13 @@
         }
         double part = Math.min(means.cores() > 0 ? means.cores() / all : 1, means.teamMost(teamOf(own)) / team);
         int places = part >= 1 ? own.places : (int) Math.max(1, Math.floor(own.places * part));
-        return new Entry(own.occurrence, own.on(places).plus(PACE.times(before)), own.alone(), own.on(own.occurrence.tasks()),
-                places < own.places ? most.occurrence : null, "");
+        return new Entry(
+                own.occurrence,
+                own.on(places).plus(PACE.times(before)),
+                own.alone(),
+                own.on(own.occurrence.tasks()),
+                places < own.places ? most.occurrence : null,
+                "");
     }
 
     private static String teamOf(Work work) {
@@ -147,12 +161,21 @@
         }
         double cores = means.coresOf(job.team());
         int places = (int) Math.min(o.tasks(), Math.floor(cores / Math.max(1e-3, demand.cores()) + 1e-9));
-        String obstacle = ahead == null ? "no machine type that it allows can take a task"
-                : places == 0 ? "its team's limit, or the cores that plans may count on, are less than one task takes" : "";
+        String obstacle = ahead == null
+                ? "no machine type that it allows can take a task"
+                : places == 0
+                        ? "its team's limit, or the cores that plans may count on, are less than one task takes"
+                        : "";
         Means.Runs runs = means.seen().of(job.jobClass(), o.tasks());
         boolean known = runs != null && runs.count() >= ENOUGH;
         double estimate = job.estimate().seconds();
-        return new Work(o, ahead == null ? BEGIN : ahead.plus(BEGIN), known ? runs.mean() : UNSEEN_MEAN * estimate,
-                known ? runs.quantile(1 - UNSURE / o.tasks()) : UNSEEN_LONGEST * estimate, known ? runs.failed() : 0, places, obstacle);
+        return new Work(
+                o,
+                ahead == null ? BEGIN : ahead.plus(BEGIN),
+                known ? runs.mean() : UNSEEN_MEAN * estimate,
+                known ? runs.quantile(1 - UNSURE / o.tasks()) : UNSEEN_LONGEST * estimate,
+                known ? runs.failed() : 0,
+                places,
+                obstacle);
     }
 }
--- a/src/main/java/io/indigoreach/core/calendar/Head.java
+++ b/src/main/java/io/indigoreach/core/calendar/Head.java
@@ -17,6 +17,7 @@
     private static final String TEXTS = "cal/text/";
     /** Pieces that a controller remembers: the version in force, and a few before it. */
     public static final Family TEXT_FAMILY = new Family(TEXTS, 40, true, Family.Mending.NEWER);
+
     private static final int VERSIONS = 40;
 
     /**
@@ -47,8 +48,9 @@
         if (read.isThere()) {
             for (Object row : (List<?>) read.value().get("versions")) {
                 List<?> r = (List<?>) row;
-                out.add(new Version((int) whole(r.get(0)), (String) r.get(1), (int) whole(r.get(2)), whole(r.get(3)),
-                        (String) r.get(4)));
+                out.add(new Version(
+                        (int) whole(r.get(0)), (String) r.get(1), (int) whole(r.get(2)), whole(r.get(3)), (String)
+                                r.get(4)));
             }
         }
         return out;
--- a/src/main/java/io/indigoreach/core/calendar/Mark.java
+++ b/src/main/java/io/indigoreach/core/calendar/Mark.java
@@ -11,7 +11,8 @@
  * @param departs the departure then, in milliseconds since 1970, and {@code latest} the latest start
  * @param at when it came to this state
  */
-public record Mark(String plan, State state, JobId id, int version, long departs, long latest, long at, int tasks, String note) {
+public record Mark(
+        String plan, State state, JobId id, int version, long departs, long latest, long at, int tasks, String note) {
     /** An occurrence that is not on its page has nothing decided yet. */
     public enum State {
         /** Its job's id is chosen; there may be no such job yet. */
@@ -41,13 +42,29 @@
 
     /** Short, as a page holds many. */
     List<Object> toList() {
-        return List.of(plan, state.name(), id == null ? "" : id.text(), (long) version, departs, latest, at, (long) tasks, note);
+        return List.of(
+                plan,
+                state.name(),
+                id == null ? "" : id.text(),
+                (long) version,
+                departs,
+                latest,
+                at,
+                (long) tasks,
+                note);
     }
 
     static Mark of(List<?> list) {
         String id = (String) list.get(2);
-        return new Mark((String) list.get(0), State.valueOf((String) list.get(1)), id.isEmpty() ? null : new JobId(id),
-                (int) whole(list.get(3)), whole(list.get(4)), whole(list.get(5)), whole(list.get(6)), (int) whole(list.get(7)),
+        return new Mark(
+                (String) list.get(0),
+                State.valueOf((String) list.get(1)),
+                id.isEmpty() ? null : new JobId(id),
+                (int) whole(list.get(3)),
+                whole(list.get(4)),
+                whole(list.get(5)),
+                whole(list.get(6)),
+                (int) whole(list.get(7)),
                 (String) list.get(8));
     }
 
--- a/src/main/java/io/indigoreach/core/calendar/Means.java
+++ b/src/main/java/io/indigoreach/core/calendar/Means.java
@@ -31,8 +31,11 @@
     }
 
     double coresOf(String team) {
-        double most = teams.stream().filter(t -> t.name().equals(team) && t.coresMax() > 0).mapToDouble(Team::coresMax)
-                .findFirst().orElse(Double.MAX_VALUE);
+        double most = teams.stream()
+                .filter(t -> t.name().equals(team) && t.coresMax() > 0)
+                .mapToDouble(Team::coresMax)
+                .findFirst()
+                .orElse(Double.MAX_VALUE);
         return cores > 0 ? Math.min(most, cores) : most;
     }
 
--- a/src/main/java/io/indigoreach/core/calendar/Occurrence.java
+++ b/src/main/java/io/indigoreach/core/calendar/Occurrence.java
@@ -11,7 +11,8 @@
 public record Occurrence(Plan plan, Day day, Kind kind, long departs, int tasks, String reason) {
     /** What the calendar says of it. */
     public enum Kind {
-        RUNS, SKIPPED,
+        RUNS,
+        SKIPPED,
         /** It rests on a year that nobody entered: it is not started on a guess. */
         UNKNOWN
     }
--- a/src/main/java/io/indigoreach/core/calendar/Occurrences.java
+++ b/src/main/java/io/indigoreach/core/calendar/Occurrences.java
@@ -8,6 +8,7 @@
     private static final int MOST_TASKS = 100_000;
     /** A holiday's departure is moved back by this many days at most. */
     private static final int FURTHEST = 14;
+
     private static final TimeOfDay LAST = new TimeOfDay(24 * 60 - 1);
 
     private final Calendar calendar;
@@ -48,7 +49,8 @@
                 leaves = leaves.plus(-1);
                 time = departure(plan, depot, leaves);
                 if (plan.onHoliday() == Plan.OnHoliday.SKIP || day.number() - leaves.number() > FURTHEST) {
-                    return new Occurrence(plan, day, Occurrence.Kind.SKIPPED, zones.instant(depot.zone(), day, LAST), 0, reason);
+                    return new Occurrence(
+                            plan, day, Occurrence.Kind.SKIPPED, zones.instant(depot.zone(), day, LAST), 0, reason);
                 }
             }
             if (!region.isEntered(leaves.year())) {
@@ -68,7 +70,8 @@
             }
         }
         int tasks = (int) Math.min(MOST_TASKS, Math.ceil(plan.template().tasks() * times - 1e-9));
-        return new Occurrence(plan, day, Occurrence.Kind.RUNS, zones.instant(depot.zone(), leaves, time), Math.max(1, tasks), reason);
+        return new Occurrence(
+                plan, day, Occurrence.Kind.RUNS, zones.instant(depot.zone(), leaves, time), Math.max(1, tasks), reason);
     }
 
     private Occurrence unknown(Plan plan, Day day, Depot depot, String reason) {
--- a/src/main/java/io/indigoreach/core/calendar/Outlook.java
+++ b/src/main/java/io/indigoreach/core/calendar/Outlook.java
@@ -27,16 +27,27 @@
     public static Outlook of(Forecast.Entry entry, Mark mark, long now) {
         Occurrence o = entry.occurrence();
         if (mark != null && mark.state() == Mark.State.MISSED) {
-            return new Outlook(entry, mark, Verdict.NEVER, Span.ZERO, "it could not be started before its departure",
+            return new Outlook(
+                    entry,
+                    mark,
+                    Verdict.NEVER,
+                    Span.ZERO,
+                    "it could not be started before its departure",
                     "if it is still of use, submit its job by hand");
         }
         if (mark != null && mark.state() == Mark.State.ENDED) {
             Span late = new Span(Math.max(0, mark.at() - o.departs()));
-            return new Outlook(entry, mark, late.ms() > 0 ? Verdict.LATE : mark.at() > o.readyBy() ? Verdict.TIGHT : Verdict.READY,
-                    late, mark.note(), "");
+            return new Outlook(
+                    entry,
+                    mark,
+                    late.ms() > 0 ? Verdict.LATE : mark.at() > o.readyBy() ? Verdict.TIGHT : Verdict.READY,
+                    late,
+                    mark.note(),
+                    "");
         }
         if (!entry.isPossible()) {
-            return new Outlook(entry, mark, Verdict.NEVER, Span.ZERO, entry.obstacle(), "change the plan's job, or the limit");
+            return new Outlook(
+                    entry, mark, Verdict.NEVER, Span.ZERO, entry.obstacle(), "change the plan's job, or the limit");
         }
         boolean begun = mark != null && mark.state() == Mark.State.ACCEPTED;
         long start = begun ? mark.at() : Math.max(now, entry.latestStart());
@@ -45,8 +56,15 @@
         if (late.ms() == 0) {
             return new Outlook(entry, mark, ready > o.readyBy() ? Verdict.TIGHT : Verdict.READY, late, "", "");
         }
-        return new Outlook(entry, mark, Verdict.LATE, late, begun ? "it runs, and takes longer than there is time"
-                : "it takes " + minutes(entry.needed()) + " and there are " + minutes(new Span(o.departs() - now)),
+        return new Outlook(
+                entry,
+                mark,
+                Verdict.LATE,
+                late,
+                begun
+                        ? "it runs, and takes longer than there is time"
+                        : "it takes " + minutes(entry.needed()) + " and there are "
+                                + minutes(new Span(o.departs() - now)),
                 mend(entry, begun ? mark.at() : now));
     }
 
--- a/src/main/java/io/indigoreach/core/calendar/PageChange.java
+++ b/src/main/java/io/indigoreach/core/calendar/PageChange.java
@@ -37,7 +37,8 @@
     public Step<DayPage> next(Seen seen) {
         if (seen.isWritten()) {
             // What was written is what stands: the version that a further change needs is this write's.
-            return new Step.End<>(DayPage.of(new Kept(key, page.with(decided).writes().get(key), seen.written()), day));
+            return new Step.End<>(
+                    DayPage.of(new Kept(key, page.with(decided).writes().get(key), seen.written()), day));
         }
         if (!seen.records().containsKey(key)) {
             return tries++ == MOST_TRIES ? new Step.End<>(null) : new Step.Read<>(List.of(key));
--- a/src/main/java/io/indigoreach/core/calendar/Plan.java
+++ b/src/main/java/io/indigoreach/core/calendar/Plan.java
@@ -12,11 +12,19 @@
  * @param margin time between its end and the departure
  * @param template the job; its id stands for nothing
  */
-public record Plan(String name, String depot, TimeOfDay at, Days days, Span margin, OnHoliday onHoliday, List<Boost> boosts,
-                   JobSpec template) {
+public record Plan(
+        String name,
+        String depot,
+        TimeOfDay at,
+        Days days,
+        Span margin,
+        OnHoliday onHoliday,
+        List<Boost> boosts,
+        JobSpec template) {
     /** What becomes of it on a holiday of the depot's region. */
     public enum OnHoliday {
-        RUN, SKIP,
+        RUN,
+        SKIP,
         /** Ready for the last departure before that is no holiday's. */
         EARLIER
     }
@@ -30,7 +38,9 @@
         }
 
         boolean has(Day day) {
-            return allows(weekdays, day.weekday()) && allows(daysOfMonth, day.dayOfMonth()) && allows(months, day.month());
+            return allows(weekdays, day.weekday())
+                    && allows(daysOfMonth, day.dayOfMonth())
+                    && allows(months, day.month());
         }
 
         private static boolean allows(List<Integer> any, int value) {
@@ -39,8 +49,7 @@
     }
 
     /** In a season it has so many times the tasks. */
-    public record Boost(String season, double times) {
-    }
+    public record Boost(String season, double times) {}
 
     public Plan {
         boosts = List.copyOf(boosts);
--- a/src/main/java/io/indigoreach/core/calendar/Publishing.java
+++ b/src/main/java/io/indigoreach/core/calendar/Publishing.java
@@ -22,6 +22,7 @@
     private final String text;
     /** Pieces still to be written; null before it is known which are there. */
     private List<String> missing;
+
     private int tries;
     private boolean naming;
 
@@ -39,7 +40,8 @@
         }
         List<String> keys = version.keys();
         if (!seen.records().isEmpty()) {
-            missing = new ArrayList<>(keys.stream().filter(k -> !seen.record(k).isThere()).toList());
+            missing = new ArrayList<>(
+                    keys.stream().filter(k -> !seen.record(k).isThere()).toList());
         } else if (seen.isWritten()) {
             missing.remove(0);
         } else if (tries++ == MOST_TRIES) {
@@ -53,7 +55,9 @@
     }
 
     private Change piece(String key, int n) {
-        return new Change().replace(Kept.absent(key), Map.of("text",
-                text.substring(n * PIECE, Math.min(text.length(), (n + 1) * PIECE))));
+        return new Change()
+                .replace(
+                        Kept.absent(key),
+                        Map.of("text", text.substring(n * PIECE, Math.min(text.length(), (n + 1) * PIECE))));
     }
 }
--- a/src/main/java/io/indigoreach/core/calendar/Reading.java
+++ b/src/main/java/io/indigoreach/core/calendar/Reading.java
@@ -9,8 +9,7 @@
 /** Reads which version is in force, and its text unless the reader has it. */
 public final class Reading implements Routine<Reading.Found> {
     /** {@code text}: null if the reader has it, or there is none. */
-    public record Found(Head head, Head.Version version, String text) {
-    }
+    public record Found(Head head, Head.Version version, String text) {}
 
     private final String known;
     private final int wanted;
@@ -35,15 +34,20 @@
                 return new Step.Read<>(List.of(Head.KEY));
             }
             head = new Head(seen.record(Head.KEY));
-            version = head.versions().stream().filter(v -> wanted == 0 || v.number() == wanted).findFirst().orElse(null);
-            return version == null || version.digest().equals(known) ? new Step.End<>(new Found(head, version, null))
+            version = head.versions().stream()
+                    .filter(v -> wanted == 0 || v.number() == wanted)
+                    .findFirst()
+                    .orElse(null);
+            return version == null || version.digest().equals(known)
+                    ? new Step.End<>(new Found(head, version, null))
                     : new Step.Read<>(version.keys());
         }
         StringBuilder text = new StringBuilder();
         for (String key : version.keys()) {
             Kept piece = seen.record(key);
             if (!piece.isThere()) {
-                throw new IllegalStateException("calendar version " + version.number() + " lacks " + key + ": set it again");
+                throw new IllegalStateException(
+                        "calendar version " + version.number() + " lacks " + key + ": set it again");
             }
             text.append(piece.value().get("text"));
         }
--- a/src/main/java/io/indigoreach/core/calendar/Region.java
+++ b/src/main/java/io/indigoreach/core/calendar/Region.java
@@ -8,8 +8,7 @@
  * @param years those that are entered, though they may have no holiday
  */
 public record Region(String name, List<Integer> years, List<Holiday> holidays) {
-    public record Holiday(Day day, String name) {
-    }
+    public record Holiday(Day day, String name) {}
 
     public Region {
         years = List.copyOf(years);
@@ -22,6 +21,10 @@
 
     /** Its name; null if the day is none. */
     public String holiday(Day day) {
-        return holidays.stream().filter(h -> h.day().equals(day)).map(Holiday::name).findFirst().orElse(null);
+        return holidays.stream()
+                .filter(h -> h.day().equals(day))
+                .map(Holiday::name)
+                .findFirst()
+                .orElse(null);
     }
 }
--- a/src/main/java/io/indigoreach/core/calendar/Register.java
+++ b/src/main/java/io/indigoreach/core/calendar/Register.java
@@ -15,6 +15,7 @@
     public static final Register EMPTY = new Register(1, Map.of());
     /** Ids that may turn out to be a user's job are left: so many can be tried for one occurrence. */
     public static final int TRIES = 100;
+
     private static final long FIRST = 9_000_000L;
     private static final long DAYS = 1_000_000L;
 
--- a/src/main/java/io/indigoreach/core/calendar/Replacing.java
+++ b/src/main/java/io/indigoreach/core/calendar/Replacing.java
@@ -22,7 +22,8 @@
         if (seen.isWritten() || !seen.failed().isEmpty()) {
             return new Step.End<>(seen.isWritten());
         }
-        return seen.records().isEmpty() ? new Step.Read<>(List.of(key))
+        return seen.records().isEmpty()
+                ? new Step.Read<>(List.of(key))
                 : new Step.Write<>(new Change().replace(seen.record(key), value));
     }
 }
--- a/src/main/java/io/indigoreach/core/calendar/TimeSense.java
+++ b/src/main/java/io/indigoreach/core/calendar/TimeSense.java
@@ -16,6 +16,7 @@
     private boolean begun;
     /** The time of day at the steady clock's zero. */
     private long zero;
+
     private long jumped;
     private Moment since;
 
--- a/src/main/java/io/indigoreach/core/duty/Intents.java
+++ b/src/main/java/io/indigoreach/core/duty/Intents.java
@@ -19,8 +19,7 @@
  */
 public final class Intents {
     /** A request to rent; {@code askedMs}: when it was thought of, by the time of day. */
-    public record Rent(String name, Pool pool, int count, long askedMs) {
-    }
+    public record Rent(String name, Pool pool, int count, long askedMs) {}
 
     /** What is to be recorded, or is. */
     public record Page(List<Rent> rents, List<MachineId> condemned) {
@@ -31,6 +30,7 @@
 
     /** As many as fit into the smallest record that a state service takes. */
     public static final int MOST_RENTS = 30;
+
     public static final int MOST_CONDEMNED = 100;
 
     private final Map<String, Rent> rents = new LinkedHashMap<>();
--- a/src/main/java/io/indigoreach/core/loss/LeaderMemory.java
+++ b/src/main/java/io/indigoreach/core/loss/LeaderMemory.java
@@ -10,7 +10,8 @@
     /** {@code succeedsItself}: nobody else has led since this node's last leadership. */
     public void begins(boolean succeedsItself) {
         if (!succeedsItself) {
-            // Not only left out now: a leadership that ends before it has read the records adds nothing, and the next one
+            // Not only left out now: a leadership that ends before it has read the records adds nothing, and the next
+            // one
             // succeeds itself. It would take for the newest what was open two leaderships ago.
             Remains ends = new Remains();
             known.over().forEach(ends::add);
--- a/src/main/java/io/indigoreach/core/loss/Remains.java
+++ b/src/main/java/io/indigoreach/core/loss/Remains.java
@@ -35,12 +35,10 @@
     }
 
     /** A job that is over. */
-    public record Over(JobStatus status, int done) {
-    }
+    public record Over(JobStatus status, int done) {}
 
     /** A machine that may hold tasks. */
-    public record Rented(MachineId id, Pool pool, Moment rented, Moment existed) {
-    }
+    public record Rented(MachineId id, Pool pool, Moment rented, Moment existed) {}
 
     private final Map<JobId, Open> open = new LinkedHashMap<>();
     private final Map<JobId, Over> over = new LinkedHashMap<>();
--- a/src/main/java/io/indigoreach/core/loss/Salvage.java
+++ b/src/main/java/io/indigoreach/core/loss/Salvage.java
@@ -14,11 +14,9 @@
  */
 public final class Salvage {
     /** What can still be read of a record; null where it cannot. */
-    public record Rest(JobStatus status, Long done, Long submittedMs) {
-    }
+    public record Rest(JobStatus status, Long done, Long submittedMs) {}
 
-    private Salvage() {
-    }
+    private Salvage() {}
 
     /**
      * For the record of an open job, which is not among the jobs that are over. An end is written into it only in a flood of ends,
@@ -35,7 +33,9 @@
         if (end != null) {
             out.add(id, end);
         } else if (rest.status == JobStatus.DONE || rest.status == null && allDone(rest, job)) {
-            out.add(id, new Remains.Over(JobStatus.DONE, job != null ? job.spec().tasks() : count(rest)));
+            out.add(
+                    id,
+                    new Remains.Over(JobStatus.DONE, job != null ? job.spec().tasks() : count(rest)));
         } else if (job != null) {
             long since = rest.submittedMs == null ? job.submittedMs() : Math.min(rest.submittedMs, job.submittedMs());
             out.add(new Remains.Open(job.spec(), since, job.done(), job.spec().tasks()));
@@ -56,17 +56,23 @@
             return new Remains.Over(rest.status, count(rest));
         }
         Remains.Open job = job(id, remembered, offered, 0);
-        return rest.done == null || job == null ? null
+        return rest.done == null || job == null
+                ? null
                 : new Remains.Over(allDone(rest, job) ? JobStatus.DONE : JobStatus.CANCELLED, count(rest));
     }
 
     private static Remains.Open job(JobId id, Remains remembered, JobSpec offered, long nowMs) {
-        return remembered.open().stream().filter(o -> o.spec().id().equals(id)).findFirst()
+        return remembered.open().stream()
+                .filter(o -> o.spec().id().equals(id))
+                .findFirst()
                 .orElse(offered == null ? null : new Remains.Open(offered, nowMs, new BitSet(), offered.tasks()));
     }
 
     private static boolean allDone(Rest rest, Remains.Open job) {
-        return rest.done != null && job != null && job.spec().shape() == Shape.ARRAY && rest.done == job.spec().tasks();
+        return rest.done != null
+                && job != null
+                && job.spec().shape() == Shape.ARRAY
+                && rest.done == job.spec().tasks();
     }
 
     private static int count(Rest rest) {
--- a/src/main/java/io/indigoreach/core/ownership/Beginning.java
+++ b/src/main/java/io/indigoreach/core/ownership/Beginning.java
@@ -31,14 +31,17 @@
         }
         Kept read = seen.record(Registry.ROOT);
         if (!read.isThere()) {
-            return anew ? write(read, new Registry.Root(seen.era(), Registry.baseOf(seen.timeOfDayMs()), reason))
-                    : new Step.End<>(Outcome.refused(List.of("no registry has begun here: an operator begins it with records begin")));
+            return anew
+                    ? write(read, new Registry.Root(seen.era(), Registry.baseOf(seen.timeOfDayMs()), reason))
+                    : new Step.End<>(Outcome.refused(
+                            List.of("no registry has begun here: an operator begins it with records begin")));
         }
         Registry.Root root = Registry.Root.read(read.value());
         if (root.reason().equals(reason) && root.era() == seen.era()) {
             return new Step.End<>(Outcome.refused(List.of()));
         }
-        return anew ? new Step.End<>(Outcome.refused(List.of("a registry has begun here already: " + root.reason())))
+        return anew
+                ? new Step.End<>(Outcome.refused(List.of("a registry has begun here already: " + root.reason())))
                 : write(read, new Registry.Root(seen.era(), root.base(), reason));
     }
 
--- a/src/main/java/io/indigoreach/core/ownership/Claim.java
+++ b/src/main/java/io/indigoreach/core/ownership/Claim.java
@@ -16,9 +16,20 @@
  * @param reason why it has ended, in lines for a person
  * @param clean it has ended, and no page names it any more
  */
-record Claim(State state, long life, long startedMs, long touchedMs, long records, List<String> groups,
-             List<String> reason, boolean clean) {
-    enum State { OPEN, HELD, ENDED }
+record Claim(
+        State state,
+        long life,
+        long startedMs,
+        long touchedMs,
+        long records,
+        List<String> groups,
+        List<String> reason,
+        boolean clean) {
+    enum State {
+        OPEN,
+        HELD,
+        ENDED
+    }
 
     private static final int MOST_GROUPS = 50;
 
@@ -29,9 +40,17 @@
 
     @SuppressWarnings("unchecked")
     static Claim read(Map<String, Object> value) {
-        return value == null ? null : new Claim(State.values()[(int) number(value, "s")], number(value, "i"),
-                number(value, "b"), number(value, "t"), number(value, "n"), (List<String>) value.get("g"),
-                (List<String>) value.get("y"), value.get("z") != null);
+        return value == null
+                ? null
+                : new Claim(
+                        State.values()[(int) number(value, "s")],
+                        number(value, "i"),
+                        number(value, "b"),
+                        number(value, "t"),
+                        number(value, "n"),
+                        (List<String>) value.get("g"),
+                        (List<String>) value.get("y"),
+                        value.get("z") != null);
     }
 
     private static long number(Map<String, Object> value, String field) {
@@ -73,7 +92,14 @@
                 all.add(group);
             }
         }
-        return new Claim(state, life, startedMs, touchedMs, records + more, all == null || all.size() > MOST_GROUPS ? null : all, reason,
+        return new Claim(
+                state,
+                life,
+                startedMs,
+                touchedMs,
+                records + more,
+                all == null || all.size() > MOST_GROUPS ? null : all,
+                reason,
                 clean);
     }
 
--- a/src/main/java/io/indigoreach/core/ownership/Edit.java
+++ b/src/main/java/io/indigoreach/core/ownership/Edit.java
@@ -42,7 +42,8 @@
      * The first step, before the effect: from now on nobody else gets the record. A later attempt of the same task, or the same
      * run, goes on under the same name with a higher fence; an earlier one is refused.
      */
-    public static Edit billing(Registry registry, int most, String holder, String task, long attempt, Collection<RecordId> ids) {
+    public static Edit billing(
+            Registry registry, int most, String holder, String task, long attempt, Collection<RecordId> ids) {
         Edit edit = new Edit(registry, most, ids);
         edit.ask = look -> {
             if (!look.isOf(holder, task) || look.standing() == Look.Standing.PREPARED) {
@@ -52,16 +53,20 @@
             return switch (look.standing()) {
                 case BILLED -> Verdict.STANDS;
                 case CLAIMED -> Verdict.becomes(fence -> e.begun(e.fence(), attempt, edit.now()));
-                default -> look.standing() == Look.Standing.BILLING && e.attempt() == attempt ? Verdict.STANDS
-                        : e.attempt() > attempt ? Verdict.refused(look, "attempt " + attempt + " was replaced by " + e.attempt())
-                        : Verdict.becomes(fence -> e.begun(fence, attempt, edit.now()));
+                default ->
+                    look.standing() == Look.Standing.BILLING && e.attempt() == attempt
+                            ? Verdict.STANDS
+                            : e.attempt() > attempt
+                                    ? Verdict.refused(look, "attempt " + attempt + " was replaced by " + e.attempt())
+                                    : Verdict.becomes(fence -> e.begun(fence, attempt, edit.now()));
             };
         };
         return edit;
     }
 
     /** The second step, after the effect: final. {@code fences} are those that the first step gave. */
-    public static Edit billed(Registry registry, int most, String holder, String task, long attempt, Map<RecordId, Long> fences) {
+    public static Edit billed(
+            Registry registry, int most, String holder, String task, long attempt, Map<RecordId, Long> fences) {
         Edit edit = new Edit(registry, most, fences.keySet());
         edit.ask = look -> {
             if (!look.isOf(holder, task)) {
@@ -69,9 +74,13 @@
             }
             return switch (look.standing()) {
                 case BILLED -> Verdict.STANDS;
-                case BILLING, DOUBT -> look.entry().attempt() == attempt && look.entry().fence() == fences.get(look.id())
-                        ? Verdict.becomes(fence -> look.entry().as(Entry.State.BILLED, edit.now()))
-                        : Verdict.refused(look, "fence " + fences.get(look.id()) + " was replaced by " + look.entry().fence());
+                case BILLING, DOUBT ->
+                    look.entry().attempt() == attempt && look.entry().fence() == fences.get(look.id())
+                            ? Verdict.becomes(fence -> look.entry().as(Entry.State.BILLED, edit.now()))
+                            : Verdict.refused(
+                                    look,
+                                    "fence " + fences.get(look.id()) + " was replaced by "
+                                            + look.entry().fence());
                 default -> Verdict.refused(look, "billing comes first");
             };
         };
@@ -82,9 +91,14 @@
     public static Edit release(Registry registry, int most, String holder, Collection<RecordId> ids) {
         Edit edit = new Edit(registry, most, ids);
         edit.ask = look -> switch (look.standing()) {
-            case CLAIMED -> !look.entry().holder().equals(holder) ? Verdict.STANDS : edit.isDoubtful(look.entry())
-                    ? Verdict.becomes(fence -> look.entry().as(Entry.State.DOUBT, edit.now())) : Verdict.becomes(fence -> null);
-            case BILLING, BILLED -> look.entry().holder().equals(holder) ? Verdict.refused(look, "it was begun") : Verdict.STANDS;
+            case CLAIMED ->
+                !look.entry().holder().equals(holder)
+                        ? Verdict.STANDS
+                        : edit.isDoubtful(look.entry())
+                                ? Verdict.becomes(fence -> look.entry().as(Entry.State.DOUBT, edit.now()))
+                                : Verdict.becomes(fence -> null);
+            case BILLING, BILLED ->
+                look.entry().holder().equals(holder) ? Verdict.refused(look, "it was begun") : Verdict.STANDS;
             default -> Verdict.STANDS;
         };
         return edit;
@@ -97,7 +111,8 @@
      * @param state free, billed or in doubt
      * @param reason who, and why: text with a space
      */
-    public static Edit resolve(Registry registry, int most, Entry.State state, String reason, Collection<RecordId> ids) {
+    public static Edit resolve(
+            Registry registry, int most, Entry.State state, String reason, Collection<RecordId> ids) {
         Edit edit = new Edit(registry, most, ids);
         edit.ask = look -> {
             Entry e = look.entry();
@@ -107,9 +122,11 @@
             return switch (look.standing()) {
                 case BILLED -> Verdict.refused(look, "that is final");
                 case FREE -> state == Entry.State.FREE ? Verdict.STANDS : edit.says(state, reason);
-                case UNKNOWN, BILLING, DOUBT -> state == Entry.State.DOUBT || e != null && e.isSaidByPerson()
-                        && look.standing() == Look.Standing.DOUBT ? edit.says(state, reason)
-                        : Verdict.refused(look, "resolve it as doubt first, then compare it with the books");
+                case UNKNOWN, BILLING, DOUBT ->
+                    state == Entry.State.DOUBT
+                                    || e != null && e.isSaidByPerson() && look.standing() == Look.Standing.DOUBT
+                            ? edit.says(state, reason)
+                            : Verdict.refused(look, "resolve it as doubt first, then compare it with the books");
                 default -> edit.says(state, reason);
             };
         };
--- a/src/main/java/io/indigoreach/core/ownership/Ending.java
+++ b/src/main/java/io/indigoreach/core/ownership/Ending.java
@@ -26,8 +26,13 @@
         Kept read = seen.record(Registry.claimKey(run));
         Claim claim = Claim.read(read.value());
         // A claim that nobody has begun is ended before: a request of its own that comes late finds it so.
-        return claim != null && claim.state() == Claim.State.ENDED ? new Step.End<>(Outcome.refused(List.of()))
-                : new Step.Write<>(new Change().replace(read, (claim == null ? Claim.begun(null, seen.timeOfDayMs()) : claim)
-                        .ended(List.of("released by " + run), seen.timeOfDayMs()).write()));
+        return claim != null && claim.state() == Claim.State.ENDED
+                ? new Step.End<>(Outcome.refused(List.of()))
+                : new Step.Write<>(new Change()
+                        .replace(
+                                read,
+                                (claim == null ? Claim.begun(null, seen.timeOfDayMs()) : claim)
+                                        .ended(List.of("released by " + run), seen.timeOfDayMs())
+                                        .write()));
     }
 }
--- a/src/main/java/io/indigoreach/core/ownership/Entry.java
+++ b/src/main/java/io/indigoreach/core/ownership/Entry.java
@@ -13,7 +13,9 @@
     /** {@link #CLAIMED} holds only as its claim's own record says ({@link Claim}). */
     public enum State {
         /** Said by a person, after it was something else. */
-        FREE('f'), CLAIMED('c'), BILLING('b'),
+        FREE('f'),
+        CLAIMED('c'),
+        BILLING('b'),
         /** Final. */
         BILLED('p'),
         /** Begun, or perhaps begun, by somebody who is not there any more. */
--- a/src/main/java/io/indigoreach/core/ownership/Grant.java
+++ b/src/main/java/io/indigoreach/core/ownership/Grant.java
@@ -24,8 +24,7 @@
      * @param against whom they wait for, some lines
      * @param never records that others have billed: the job can never run whole
      */
-    public record Given(Change commit, BitSet held, List<String> against, List<String> never) {
-    }
+    public record Given(Change commit, BitSet held, List<String> against, List<String> never) {}
 
     private static final int MOST_LINES = 10;
 
@@ -90,7 +89,8 @@
                 free.forEach(id -> wanted.put(id, fence -> Entry.claimed(fence, job, name, mine, now())));
                 added.addAll(free);
             } else {
-                own.stream().filter(id -> look(id).entry().state() == Entry.State.CLAIMED)
+                own.stream()
+                        .filter(id -> look(id).entry().state() == Entry.State.CLAIMED)
                         .forEach(id -> wanted.put(id, fence -> null));
             }
         }
@@ -98,17 +98,34 @@
             return end(new Change(), held, against, List.of());
         }
         if (accepting && !never.isEmpty()) {
-            return known == null || known.state() == Claim.State.ENDED ? end(new Change(), held, against, never)
-                    : new Step.Write<>(new Change().replace(kept(Registry.claimKey(job)), known.ended(never, now()).write()));
+            return known == null || known.state() == Claim.State.ENDED
+                    ? end(new Change(), held, against, never)
+                    : new Step.Write<>(new Change()
+                            .replace(
+                                    kept(Registry.claimKey(job)),
+                                    known.ended(never, now()).write()));
         }
         if (known != null && wanted.isEmpty() && known.state() == (accepting ? Claim.State.OPEN : Claim.State.HELD)) {
-            return end(accepting ? new Change().replace(kept(Registry.claimKey(job)),
-                    known.in(Claim.State.HELD, now()).write()) : new Change(), held, against, never);
+            return end(
+                    accepting
+                            ? new Change()
+                                    .replace(
+                                            kept(Registry.claimKey(job)),
+                                            known.in(Claim.State.HELD, now()).write())
+                            : new Change(),
+                    held,
+                    against,
+                    never);
         }
         Batch batch = batch(wanted, 1);
-        batch.change.replace(kept(Registry.claimKey(job)), mine.with(
-                (int) batch.records.stream().filter(added::contains).count(),
-                batch.records.stream().map(RecordId::group).toList()).write());
+        batch.change.replace(
+                kept(Registry.claimKey(job)),
+                mine.with(
+                                (int) batch.records.stream()
+                                        .filter(added::contains)
+                                        .count(),
+                                batch.records.stream().map(RecordId::group).toList())
+                        .write());
         return new Step.Write<>(batch.change);
     }
 
--- a/src/main/java/io/indigoreach/core/ownership/Look.java
+++ b/src/main/java/io/indigoreach/core/ownership/Look.java
@@ -9,12 +9,19 @@
 record Look(RecordId id, Standing standing, Entry entry, Claim claim) {
     enum Standing {
         /** Not known in this era: it may have been lost with what was claimed or billed. */
-        UNKNOWN, FREE,
+        UNKNOWN,
+        FREE,
         /** Named by a claim that is not decided yet. */
-        PREPARED, CLAIMED, BILLING, BILLED, DOUBT;
+        PREPARED,
+        CLAIMED,
+        BILLING,
+        BILLED,
+        DOUBT;
 
         String word() {
-            return this == DOUBT ? "in doubt" : this == PREPARED ? "being claimed" : name().toLowerCase(java.util.Locale.ROOT);
+            return this == DOUBT
+                    ? "in doubt"
+                    : this == PREPARED ? "being claimed" : name().toLowerCase(java.util.Locale.ROOT);
         }
     }
 
@@ -25,8 +32,10 @@
 
     /** For a person: the record, how it stands, by whom and since when. */
     String words() {
-        String by = standing == Standing.UNKNOWN || standing == Standing.FREE ? ""
-                : (standing == Standing.DOUBT ? ", last by " : " by ") + entry.billingName() + " since " + entry.sinceMs() / 1000;
+        String by = standing == Standing.UNKNOWN || standing == Standing.FREE
+                ? ""
+                : (standing == Standing.DOUBT ? ", last by " : " by ") + entry.billingName() + " since "
+                        + entry.sinceMs() / 1000;
         return id + " is " + standing.word() + by;
     }
 }
--- a/src/main/java/io/indigoreach/core/ownership/Page.java
+++ b/src/main/java/io/indigoreach/core/ownership/Page.java
@@ -19,6 +19,7 @@
     static final int MOST = 6_500;
     /** Of a line: letter, the holder's place, spaces and the semicolon. */
     private static final int LINE = 10;
+
     static final Page EMPTY = new Page(0, false, new TreeMap<>());
     private static final int RADIX = 36;
 
@@ -35,8 +36,15 @@
         String text = (String) value.get("r");
         for (String line : text.isEmpty() ? new String[0] : text.split(";")) {
             String[] part = line.split(" ", -1);
-            entries.put(part[0], new Entry(Entry.State.of(part[1].charAt(0)), number(part[2]),
-                    (String) holders.get((int) number(part[3])), part[4], number(part[5]), number(part[6])));
+            entries.put(
+                    part[0],
+                    new Entry(
+                            Entry.State.of(part[1].charAt(0)),
+                            number(part[2]),
+                            (String) holders.get((int) number(part[3])),
+                            part[4],
+                            number(part[5]),
+                            number(part[6])));
         }
         return new Page(floor, false, entries);
     }
@@ -56,9 +64,20 @@
                 holder = holders.size();
                 holders.add(e.holder());
             }
-            text.append(text.length() == 0 ? "" : ";").append(id).append(' ').append(e.state().letter).append(' ')
-                    .append(text(e.fence())).append(' ').append(text(holder)).append(' ').append(e.task()).append(' ')
-                    .append(text(e.attempt())).append(' ').append(text(e.sinceMs()));
+            text.append(text.length() == 0 ? "" : ";")
+                    .append(id)
+                    .append(' ')
+                    .append(e.state().letter)
+                    .append(' ')
+                    .append(text(e.fence()))
+                    .append(' ')
+                    .append(text(holder))
+                    .append(' ')
+                    .append(e.task())
+                    .append(' ')
+                    .append(text(e.attempt()))
+                    .append(' ')
+                    .append(text(e.sinceMs()));
         });
         value.put("h", holders);
         value.put("r", text.toString());
@@ -75,8 +94,15 @@
 
     /** What a record takes of a page at most; its holder's name is written once for all that it holds there. */
     static int cost(String id, Entry entry) {
-        return entry == null ? 0 : id.length() + entry.task().length() + entry.holder().length() + LINE + digits(entry.fence())
-                + digits(entry.attempt()) + digits(entry.sinceMs());
+        return entry == null
+                ? 0
+                : id.length()
+                        + entry.task().length()
+                        + entry.holder().length()
+                        + LINE
+                        + digits(entry.fence())
+                        + digits(entry.attempt())
+                        + digits(entry.sinceMs());
     }
 
     private static int digits(long n) {
--- a/src/main/java/io/indigoreach/core/ownership/Registry.java
+++ b/src/main/java/io/indigoreach/core/ownership/Registry.java
@@ -25,11 +25,13 @@
     static final String ROOT = ROOTS + "root";
     /** A leader's token, which an era is, has its seconds from the sixth bit on; a fence leaves 16 more for counting. */
     private static final int COUNTED = 16;
+
     private static final int NODE_BITS = 5;
     private static final long BEGINNING_S = 1_577_836_800L;
     private static final int SPLITS_KEPT = 50_000;
     /** Pages of up to 5 KB, as one text each: 4 MB at most. */
     private static final int PAGES_KEPT = 800;
+
     private static final int CLAIMS_KEPT = 400;
 
     /** A billing in either copy is true whatever was written after it. */
@@ -42,8 +44,10 @@
         return counted(Page.read(remembered.value()).and(Page.read(present.value())), present, remembered);
     };
 
-    public static final List<Family> FAMILIES = List.of(new Family(PAGES, PAGES_KEPT, true, PAGE),
-            new Family(CLAIMS, CLAIMS_KEPT, false, Family.Mending.NEWER), new Family(ROOTS, 1, true, Family.Mending.NEWER));
+    public static final List<Family> FAMILIES = List.of(
+            new Family(PAGES, PAGES_KEPT, true, PAGE),
+            new Family(CLAIMS, CLAIMS_KEPT, false, Family.Mending.NEWER),
+            new Family(ROOTS, 1, true, Family.Mending.NEWER));
 
     /**
      * The registry's beginning.
@@ -54,7 +58,8 @@
      */
     record Root(long era, long base, String reason) {
         static Root read(Map<String, Object> value) {
-            return new Root(((Number) value.get("e")).longValue(), ((Number) value.get("f")).longValue(), (String) value.get("y"));
+            return new Root(((Number) value.get("e")).longValue(), ((Number) value.get("f")).longValue(), (String)
+                    value.get("y"));
         }
 
         Map<String, Object> write() {
@@ -101,8 +106,8 @@
 
     /** Records that lie on one page follow each other: what comes in parts, in this order, writes each page once or twice. */
     public Comparator<RecordId> order() {
-        return Comparator.comparing(RecordId::group).thenComparing((a, b) -> Long.compareUnsigned(hash.applyAsLong(a.text()),
-                hash.applyAsLong(b.text())));
+        return Comparator.comparing(RecordId::group)
+                .thenComparing((a, b) -> Long.compareUnsigned(hash.applyAsLong(a.text()), hash.applyAsLong(b.text())));
     }
 
     /** On which half of a page that is divided a record lies. */
--- a/src/main/java/io/indigoreach/core/ownership/Survey.java
+++ b/src/main/java/io/indigoreach/core/ownership/Survey.java
@@ -17,8 +17,7 @@
      *
      * @param after where to go on; null: that was all
      */
-    public record Part(Map<RecordId, Shown> records, String after) {
-    }
+    public record Part(Map<RecordId, Shown> records, String after) {}
 
     private final Registry registry;
     private final String group;
@@ -57,7 +56,8 @@
             shown = Edit.show(registry, ids);
         }
         Step<Map<RecordId, Shown>> step = shown.next(seen);
-        return step instanceof Step.End<Map<RecordId, Shown>> end ? new Step.End<>(new Part(end.result(), last))
+        return step instanceof Step.End<Map<RecordId, Shown>> end
+                ? new Step.End<>(new Part(end.result(), last))
                 : new Step.Read<>(((Step.Read<Map<RecordId, Shown>>) step).keys());
     }
 }
--- a/src/main/java/io/indigoreach/core/ownership/Take.java
+++ b/src/main/java/io/indigoreach/core/ownership/Take.java
@@ -53,16 +53,21 @@
                 if (!mine.isOlderThan(look.claim(), run, look.entry().holder())) {
                     return new Step.End<>(Outcome.waiting(look.words()));
                 }
-                return new Step.Write<>(new Change().replace(
-                        kept(Registry.claimKey(look.entry().holder())),
-                        look.claim().ended(List.of("gave way to the older claim of " + run), now()).write()));
+                return new Step.Write<>(new Change()
+                        .replace(
+                                kept(Registry.claimKey(look.entry().holder())),
+                                look.claim()
+                                        .ended(List.of("gave way to the older claim of " + run), now())
+                                        .write()));
             } else if (against.size() < MOST_LINES) {
                 against.add(look.words());
             }
         }
         if (mine.state() == Claim.State.HELD) {
-            return new Step.End<>(wanted.isEmpty() && against.isEmpty() ? Outcome.of(done, against)
-                    : Outcome.refused(List.of("the claim of " + run + " was concluded without some of these")));
+            return new Step.End<>(
+                    wanted.isEmpty() && against.isEmpty()
+                            ? Outcome.of(done, against)
+                            : Outcome.refused(List.of("the claim of " + run + " was concluded without some of these")));
         }
         if (!against.isEmpty()) {
             return write(new Batch(), mine.ended(against, now()));
@@ -71,7 +76,9 @@
             return new Step.End<>(Outcome.of(done, against));
         }
         Batch batch = batch(wanted, 1);
-        Claim next = mine.with(batch.records.size(), batch.records.stream().map(RecordId::group).toList());
+        Claim next = mine.with(
+                batch.records.size(),
+                batch.records.stream().map(RecordId::group).toList());
         return write(batch, next.in(last && batch.whole ? Claim.State.HELD : Claim.State.OPEN, now()));
     }
 
--- a/src/main/java/io/indigoreach/core/ownership/Tidy.java
+++ b/src/main/java/io/indigoreach/core/ownership/Tidy.java
@@ -24,6 +24,7 @@
     private static final long PREPARED_MS = 60_000;
     /** Of a run, whose claim takes several requests. */
     private static final long RUN_PREPARED_MS = 600_000;
+
     private static final long KEPT_MS = 7 * 24 * 3_600_000L;
     private static final Span SOON = Span.seconds(0.2);
     private static final Span LATER = Span.seconds(5);
@@ -31,8 +32,7 @@
     private static final int PAGES = 40;
 
     /** Where jobs' records stand: what part A and the leader write, and nobody else. */
-    public record Jobs(Predicate<String> isJob, UnaryOperator<String> open, UnaryOperator<String> over) {
-    }
+    public record Jobs(Predicate<String> isJob, UnaryOperator<String> open, UnaryOperator<String> over) {}
 
     private final Jobs jobs;
     private String after;
@@ -48,7 +48,16 @@
 
     /** Brings each of some claims as far as it can be brought. */
     private final class Round implements Routine<Span> {
-        private enum Phase { BEGIN, LISTED, JOB_OPEN, JOB_OVER, ROOT, PAGES, PAGE_WRITTEN, CLAIM_WRITTEN }
+        private enum Phase {
+            BEGIN,
+            LISTED,
+            JOB_OPEN,
+            JOB_OVER,
+            ROOT,
+            PAGES,
+            PAGE_WRITTEN,
+            CLAIM_WRITTEN
+        }
 
         private final Deque<Kept> claims = new ArrayDeque<>();
         private final Deque<String> prefixes = new ArrayDeque<>();
@@ -72,11 +81,13 @@
                     after = more ? claims.getLast().key() : null;
                     return nextClaim(seen);
                 case JOB_OPEN:
-                    return seen.record(jobs.open.apply(name)).isThere() ? nextClaim(seen)
+                    return seen.record(jobs.open.apply(name)).isThere()
+                            ? nextClaim(seen)
                             : read(Phase.JOB_OVER, jobs.over.apply(name));
                 case JOB_OVER:
                     return seen.record(jobs.over.apply(name)).isThere()
-                            ? write(claim.ended(List.of("its job is over"), seen.timeOfDayMs())) : nextClaim(seen);
+                            ? write(claim.ended(List.of("its job is over"), seen.timeOfDayMs()))
+                            : nextClaim(seen);
                 case ROOT:
                     if (!seen.record(Registry.ROOT).isThere()) {
                         return new Step.End<>(LATER);
@@ -149,7 +160,9 @@
                 Map<String, Entry> cleaned = cleaned(page, seen);
                 if (!cleaned.isEmpty()) {
                     phase = Phase.PAGE_WRITTEN;
-                    return new Step.Write<>(new Change().replace(kept, page.with(cleaned).write()).when(at));
+                    return new Step.Write<>(new Change()
+                            .replace(kept, page.with(cleaned).write())
+                            .when(at));
                 }
                 pageAfter = kept.key();
             }
@@ -165,7 +178,8 @@
             Map<String, Entry> cleaned = new LinkedHashMap<>();
             page.entries().forEach((id, e) -> {
                 boolean old = root.era() < seen.era() && !Registry.isOf(seen.era(), e.fence());
-                if (e.holder().equals(name) && (e.state() == Entry.State.BILLING || e.state() == Entry.State.CLAIMED && old)) {
+                if (e.holder().equals(name)
+                        && (e.state() == Entry.State.BILLING || e.state() == Entry.State.CLAIMED && old)) {
                     cleaned.put(id, e.as(Entry.State.DOUBT, seen.timeOfDayMs()));
                 } else if (e.holder().equals(name) && e.state() == Entry.State.CLAIMED) {
                     cleaned.put(id, null);
--- a/src/main/java/io/indigoreach/core/ownership/Work.java
+++ b/src/main/java/io/indigoreach/core/ownership/Work.java
@@ -34,6 +34,7 @@
     private final Map<RecordId, String> leaves = new HashMap<>();
     /** What a refused write depended on. */
     private final Set<String> again = new LinkedHashSet<>();
+
     private Change underWay;
     private int refused;
     private long era;
@@ -140,7 +141,9 @@
 
     final Registry.Root root() {
         Registry.Root known = registry.root(era);
-        return known != null ? known : Registry.Root.read(have.get(Registry.ROOT).value());
+        return known != null
+                ? known
+                : Registry.Root.read(have.get(Registry.ROOT).value());
     }
 
     /** A claim that was read; null if there is none. */
@@ -162,17 +165,26 @@
             return new Look(id, gone, null, null);
         }
         Claim claim = entry.state() == Entry.State.CLAIMED ? claim(entry.holder()) : null;
-        return new Look(id, switch (entry.state()) {
-            case FREE -> gone;
-            case BILLING -> Look.Standing.BILLING;
-            case BILLED -> Look.Standing.BILLED;
-            case DOUBT -> Look.Standing.DOUBT;
-            case CLAIMED -> claim == null ? Look.Standing.DOUBT : claim.life() != entry.attempt() ? gone : switch (claim.state()) {
-                case OPEN -> Look.Standing.PREPARED;
-                case HELD -> Look.Standing.CLAIMED;
-                case ENDED -> gone;
-            };
-        }, entry, claim);
+        return new Look(
+                id,
+                switch (entry.state()) {
+                    case FREE -> gone;
+                    case BILLING -> Look.Standing.BILLING;
+                    case BILLED -> Look.Standing.BILLED;
+                    case DOUBT -> Look.Standing.DOUBT;
+                    case CLAIMED ->
+                        claim == null
+                                ? Look.Standing.DOUBT
+                                : claim.life() != entry.attempt()
+                                        ? gone
+                                        : switch (claim.state()) {
+                                            case OPEN -> Look.Standing.PREPARED;
+                                            case HELD -> Look.Standing.CLAIMED;
+                                            case ENDED -> gone;
+                                        };
+                },
+                entry,
+                claim);
     }
 
     /** The next fence of a page: above all that were given there, and all that may have been given before a loss. */
@@ -191,7 +203,9 @@
      */
     final Batch batch(Map<RecordId, Become> wanted, int beside) {
         Map<String, List<RecordId>> byPage = new TreeMap<>();
-        wanted.keySet().forEach(id -> byPage.computeIfAbsent(leaf(id), k -> new ArrayList<>()).add(id));
+        wanted.keySet()
+                .forEach(id ->
+                        byPage.computeIfAbsent(leaf(id), k -> new ArrayList<>()).add(id));
         Batch batch = new Batch();
         int bytes = 0;
         for (Map.Entry<String, List<RecordId>> e : byPage.entrySet()) {
@@ -213,8 +227,10 @@
                 return batch.records.isEmpty() ? divide(e.getKey()) : batch;
             }
             bytes += cost;
-            if (!batch.records.isEmpty() && (batch.change.writes().size() + 1 + beside > most || bytes > MOST_BYTES
-                    || batch.change.conditions().size() > most * MOST_CONDITIONS)) {
+            if (!batch.records.isEmpty()
+                    && (batch.change.writes().size() + 1 + beside > most
+                            || bytes > MOST_BYTES
+                            || batch.change.conditions().size() > most * MOST_CONDITIONS)) {
                 return batch;
             }
             batch.change.replace(kept(e.getKey()), page.with(fitted).write());
@@ -255,8 +271,11 @@
         batch.change.replace(kept(key), new Page(page.floor(), true, page.entries()).write());
         halves.forEach((half, entries) -> {
             Page there = page(half);
-            batch.change.replace(kept(half),
-                    new Page(Math.max(page.floor(), there.floor()), there.divided(), there.entries()).with(entries).write());
+            batch.change.replace(
+                    kept(half),
+                    new Page(Math.max(page.floor(), there.floor()), there.divided(), there.entries())
+                            .with(entries)
+                            .write());
         });
         return batch;
     }
--- a/src/main/java/io/indigoreach/core/records/Listing.java
+++ b/src/main/java/io/indigoreach/core/records/Listing.java
@@ -22,6 +22,7 @@
             return new Step.End<>(found);
         }
         begun = true;
-        return new Step.Scan<>(prefix, found.isEmpty() ? null : found.get(found.size() - 1).key(), AT_ONCE);
+        return new Step.Scan<>(
+                prefix, found.isEmpty() ? null : found.get(found.size() - 1).key(), AT_ONCE);
     }
 }
--- a/src/main/java/io/indigoreach/core/records/Seen.java
+++ b/src/main/java/io/indigoreach/core/records/Seen.java
@@ -14,7 +14,8 @@
  * @param written the version of what was written; null if nothing was
  * @param failed the keys that did not have the given version when a write was refused
  */
-public record Seen(long era, long timeOfDayMs, Map<String, Kept> records, boolean more, Stamp written, List<String> failed) {
+public record Seen(
+        long era, long timeOfDayMs, Map<String, Kept> records, boolean more, Stamp written, List<String> failed) {
     public static Seen nothing(long era, long timeOfDayMs) {
         return new Seen(era, timeOfDayMs, Map.of(), false, null, List.of());
     }
--- a/src/main/java/io/indigoreach/core/warm/Cache.java
+++ b/src/main/java/io/indigoreach/core/warm/Cache.java
@@ -23,8 +23,7 @@
         DOUBTED
     }
 
-    private record Entry(double gb, State state) {
-    }
+    private record Entry(double gb, State state) {}
 
     private final double capacity;
     /** The least recently used first. */
@@ -45,7 +44,7 @@
     private List<String> pushOut(String kept) {
         List<String> out = new ArrayList<>();
         double total = total();
-        for (Iterator<Map.Entry<String, Entry>> i = entries.entrySet().iterator(); i.hasNext();) {
+        for (Iterator<Map.Entry<String, Entry>> i = entries.entrySet().iterator(); i.hasNext(); ) {
             Map.Entry<String, Entry> oldest = i.next();
             if (entries.size() <= MOST && (capacity <= 0 || total <= capacity)) {
                 break;
--- a/src/main/java/io/indigoreach/core/warm/Plan.java
+++ b/src/main/java/io/indigoreach/core/warm/Plan.java
@@ -42,6 +42,7 @@
     private static final double BOOT_PATIENCE = 2;
     /** For so long a request to rent is waited for; {@link #ANSWERED}: what it brought after its answer. */
     private static final Span ASKED = Span.seconds(60);
+
     private static final Span ANSWERED = Span.seconds(5);
     /** Before a new leader rents for pools: the cloud's list, and machines on their way, are known by then. */
     private static final Span FIRST = Span.seconds(5);
@@ -49,13 +50,14 @@
     private static final Span INHERITS = Span.seconds(30);
     /** Part of a pool that changes its image at a time, beyond which it may grow meanwhile. */
     private static final double ROLLED = 0.1;
+
     private static final double LOSSES_HALVE_H = 1;
     /** So long a pool takes no idle machine after one was asked of it for a guarantee. */
     private static final Span YIELDED = Span.seconds(30);
+
     private static final Span HALF_HOUR = Span.seconds(1800);
 
-    private record Asked(int count, Moment since, Moment until) {
-    }
+    private record Asked(int count, Moment since, Moment until) {}
 
     private static final class State {
         PoolSpec spec;
@@ -73,17 +75,22 @@
         final Set<MachineId> had = new HashSet<>();
         /** Of its holders, those that are open, by image. */
         Map<String, Job> holders = Map.of();
+
         final List<Machine> live = new ArrayList<>();
         final Map<String, Integer> zones = new HashMap<>();
         int demand;
         String said = "";
 
         int fresh() {
-            return (int) live.stream().filter(m -> m.seat().image().equals(spec.image())).count();
+            return (int) live.stream()
+                    .filter(m -> m.seat().image().equals(spec.image()))
+                    .count();
         }
 
         int ready() {
-            return (int) live.stream().filter(m -> m.images().holds(m.seat().image())).count();
+            return (int) live.stream()
+                    .filter(m -> m.images().holds(m.seat().image()))
+                    .count();
         }
 
         int zone(String name) {
@@ -120,9 +127,11 @@
     private final Map<MachineId, Line> recalled = new HashMap<>();
     /** Machines that left a pool, and whose holder has not yet. */
     private final Set<MachineId> letGo = new HashSet<>();
+
     private final Map<Pool, Moment> refusedUntil = new HashMap<>();
     /** Who has the least of what it wants is first. */
     private List<State> fair = List.of();
+
     private Moment knownSince;
     private Moment planned;
 
@@ -130,8 +139,12 @@
      * @param term a paid term
      * @param timeOfDay in ms
      */
-    public Plan(Collection<Team> teams, Supplier<? extends Collection<MachineType>> types, Span term,
-                ToLongFunction<Moment> timeOfDay, Consumer<String> say) {
+    public Plan(
+            Collection<Team> teams,
+            Supplier<? extends Collection<MachineType>> types,
+            Span term,
+            ToLongFunction<Moment> timeOfDay,
+            Consumer<String> say) {
         teams.forEach(t -> this.teams.put(t.name(), t));
         this.types = types;
         this.term = term;
@@ -231,7 +244,9 @@
         }
         // Who has the least of what it wants is asked first; the last machine goes to it.
         fair.sort(Comparator.comparingDouble(State::per));
-        List<Machine> takeable = machines.stream().filter(m -> m.seat() == null && isLive(m, now)).toList();
+        List<Machine> takeable = machines.stream()
+                .filter(m -> m.seat() == null && isLive(m, now))
+                .toList();
         boolean more = true;
         while (more) {
             more = false;
@@ -270,8 +285,9 @@
     }
 
     private static boolean isLive(Machine m, Moment now) {
-        return m.isCountedOn() && (m.phase() != Machine.Phase.BOOTING
-                || now.isBefore(m.rented().plus(m.type().boot().times(BOOT_PATIENCE))));
+        return m.isCountedOn()
+                && (m.phase() != Machine.Phase.BOOTING
+                        || now.isBefore(m.rented().plus(m.type().boot().times(BOOT_PATIENCE))));
     }
 
     private void count(Collection<Machine> machines, Collection<Job> jobs, Moment now) {
@@ -288,7 +304,8 @@
                 own.holders.putIfAbsent(job.spec().image(), job);
             }
             for (State s : job.spec().isHolder() ? List.<State>of() : states.values()) {
-                s.demand += s.spec.image().equals(job.spec().image()) ? job.spec().tasks() - job.doneCount() : 0;
+                s.demand +=
+                        s.spec.image().equals(job.spec().image()) ? job.spec().tasks() - job.doneCount() : 0;
             }
         }
         Set<MachineId> there = new HashSet<>();
@@ -312,7 +329,10 @@
     }
 
     private MachineType type(State s) {
-        return types.get().stream().filter(t -> s.spec.types().contains(t.name())).findFirst().orElse(null);
+        return types.get().stream()
+                .filter(t -> s.spec.types().contains(t.name()))
+                .findFirst()
+                .orElse(null);
     }
 
     /** Losses a machine and hour; one machine-hour without any is taken to have been seen before. */
@@ -328,10 +348,16 @@
         }
         long at = timeOfDay.applyAsLong(now);
         Span lead = Sizing.lead(type, p.gb(), false).plus(SPREAD.times(p.most() / (double) AT_ONCE));
-        double expected = p.windows().stream().filter(w -> w.opensWithin(at, lead)).mapToDouble(Window::replicas).max().orElse(0);
-        int replicas = Math.max(Sizing.poisson(expected, p.wanted()), p.learned() ? s.seen.expected(at, lead, p.wanted()) : 0);
+        double expected = p.windows().stream()
+                .filter(w -> w.opensWithin(at, lead))
+                .mapToDouble(Window::replicas)
+                .max()
+                .orElse(0);
+        int replicas =
+                Math.max(Sizing.poisson(expected, p.wanted()), p.learned() ? s.seen.expected(at, lead, p.wanted()) : 0);
         int need = Sizing.machines(replicas, p.replica().timesIn(type.capacity()));
-        int want = Math.min(p.most(), Math.max(p.least(), p.spot() ? Sizing.withLosses(need, lossRate(s), lead) : need));
+        int want =
+                Math.min(p.most(), Math.max(p.least(), p.spot() ? Sizing.withLosses(need, lossRate(s), lead) : need));
         String why = replicas + " replicas expected within " + Math.round(lead.seconds()) + " s at " + p.wanted()
                 + ", at least " + p.least() + ", at most " + p.most();
         Job holder = s.holders.get(p.image());
@@ -339,7 +365,8 @@
         boolean atOnce = true;
         if (s.holders.isEmpty()) {
             want = 0;
-            why = "no holder: submit a service of team " + p.team() + " with image " + p.image() + " and warm " + p.name();
+            why = "no holder: submit a service of team " + p.team() + " with image " + p.image() + " and warm "
+                    + p.name();
         } else if (p.budget() > 0 && s.spent >= p.budget()) {
             want = 0;
             why = "its budget is over: " + Math.round(s.spent * 100) / 100.0 + " of " + p.budget();
@@ -348,10 +375,12 @@
             Job any = holder == null ? s.holders.values().iterator().next() : holder;
             int tasks = any.spec().tasks();
             double each = any.spec().demand().cores();
-            int allowed = team == null || team.coresMax() <= 0 || each <= 0 ? PoolSpec.MOST : (int) (team.coresMax() / each);
+            int allowed =
+                    team == null || team.coresMax() <= 0 || each <= 0 ? PoolSpec.MOST : (int) (team.coresMax() / each);
             if (Math.min(tasks, allowed) < want) {
                 want = Math.min(tasks, allowed);
-                why = allowed < tasks ? "the limit of team " + p.team() + " allows " + allowed + " holders"
+                why = allowed < tasks
+                        ? "the limit of team " + p.team() + " allows " + allowed + " holders"
                         : "the holder has " + tasks + " tasks";
             }
         }
@@ -378,7 +407,8 @@
 
     private void shrink(State s, Predicate<Machine> termEnds) {
         s.live.sort(Comparator.comparing((Machine m) -> m.seat().image().equals(s.spec.image()))
-                .thenComparing(m -> m.images().holds(m.seat().image())).thenComparing(m -> -s.zone(m.pool().zone())));
+                .thenComparing(m -> m.images().holds(m.seat().image()))
+                .thenComparing(m -> -s.zone(m.pool().zone())));
         boolean rolls = s.holders.containsKey(s.spec.image());
         int ready = s.ready();
         int under = s.live.size() - ready;
@@ -412,13 +442,17 @@
             Asked asked = s.asked.get(m.pool());
             // Where it boots within seconds it may be up by now.
             boolean free = m.phase() == Machine.Phase.BOOTING || m.isUsable() && m.isIdle();
-            boolean inherits = now.since(knownSince).compareTo(INHERITS) < 0 && m.rented().isAfter(knownSince.minus(ASKED));
+            boolean inherits =
+                    now.since(knownSince).compareTo(INHERITS) < 0 && m.rented().isAfter(knownSince.minus(ASKED));
             boolean ordered = asked != null && !m.rented().isBefore(asked.since);
-            boolean ends = now.since(s.yielded).compareTo(YIELDED) >= 0 && m.isUsable() && m.isIdle()
+            boolean ends = now.since(s.yielded).compareTo(YIELDED) >= 0
+                    && m.isUsable()
+                    && m.isIdle()
                     && (m.images().holds(s.spec.image()) || termEnds.test(m));
             if (free && (ordered || inherits) || ends) {
                 if (free && ordered) {
-                    s.asked.computeIfPresent(m.pool(), (p, a) -> a.count <= 1 ? null : new Asked(a.count - 1, a.since, a.until));
+                    s.asked.computeIfPresent(
+                            m.pool(), (p, a) -> a.count <= 1 ? null : new Asked(a.count - 1, a.since, a.until));
                 }
                 m.seat(new Seat(s.spec));
                 s.join(m);
@@ -435,11 +469,12 @@
 
     private static int missing(State s) {
         return s.holders.containsKey(s.spec.image())
-                ? Math.min(s.target - s.fresh(), s.target + surge(s) - s.live.size()) : 0;
+                ? Math.min(s.target - s.fresh(), s.target + surge(s) - s.live.size())
+                : 0;
     }
 
     private void rent(State s, List<RentWish> out, Moment now) {
-        for (int left = Math.min(AT_ONCE, missing(s) - s.asked()); left > 0;) {
+        for (int left = Math.min(AT_ONCE, missing(s) - s.asked()); left > 0; ) {
             Pool from = fewest(s, out, now);
             if (from == null) {
                 return;
@@ -458,8 +493,11 @@
             for (String zone : t.zones()) {
                 Pool pool = new Pool(t.name(), zone, s.spec.spot());
                 Moment refused = refusedUntil.get(pool);
-                if (s.spec.allows(pool) && s.zone(zone) < most(s) && !s.asked.containsKey(pool)
-                        && (refused == null || !now.isBefore(refused)) && chosen.stream().noneMatch(w -> w.pool().equals(pool))
+                if (s.spec.allows(pool)
+                        && s.zone(zone) < most(s)
+                        && !s.asked.containsKey(pool)
+                        && (refused == null || !now.isBefore(refused))
+                        && chosen.stream().noneMatch(w -> w.pool().equals(pool))
                         && (best == null || s.zone(zone) < s.zone(best.zone()))) {
                     best = pool;
                 }
@@ -471,8 +509,12 @@
     private void seatHolders(State s, Moment now) {
         long at = timeOfDay.applyAsLong(now);
         boolean unknown = s.spec.learned() && s.seen.expected(at, HALF_HOUR, s.spec.wanted()) > 0;
-        Span guest = unknown ? Span.ZERO
-                : s.spec.windows().stream().map(w -> w.untilOpen(at)).min(Span::compareTo).orElse(Span.ZERO);
+        Span guest = unknown
+                ? Span.ZERO
+                : s.spec.windows().stream()
+                        .map(w -> w.untilOpen(at))
+                        .min(Span::compareTo)
+                        .orElse(Span.ZERO);
         int offered = 0;
         for (Machine m : s.live) {
             Seat seat = m.seat();
@@ -489,8 +531,18 @@
 
     /** How each pool stands. */
     public List<Told> told() {
-        return states.values().stream().map(s -> new Told(s.spec.name(), s.target, s.why, s.live.size(), s.ready(),
-                s.live.size() - s.ready(), s.hits, s.misses, lossRate(s))).toList();
+        return states.values().stream()
+                .map(s -> new Told(
+                        s.spec.name(),
+                        s.target,
+                        s.why,
+                        s.live.size(),
+                        s.ready(),
+                        s.live.size() - s.ready(),
+                        s.hits,
+                        s.misses,
+                        lossRate(s)))
+                .toList();
     }
 
     /** What was learned of a pool's bursts. */
--- a/src/main/java/io/indigoreach/core/warm/PoolSpec.java
+++ b/src/main/java/io/indigoreach/core/warm/PoolSpec.java
@@ -21,9 +21,22 @@
  * @param budget money that the pool's account may reach; then it shrinks
  * @param spot on spot machines, else on ordinary ones
  */
-public record PoolSpec(String name, String team, String image, double gb, Demand replica, List<String> types,
-                       List<String> zones, double zonePart, int least, int most, double wanted, List<Window> windows,
-                       boolean learned, double budget, boolean spot) {
+public record PoolSpec(
+        String name,
+        String team,
+        String image,
+        double gb,
+        Demand replica,
+        List<String> types,
+        List<String> zones,
+        double zonePart,
+        int least,
+        int most,
+        double wanted,
+        List<Window> windows,
+        boolean learned,
+        double budget,
+        boolean spot) {
     public static final int MOST = 2000;
     public static final int MOST_WINDOWS = 24;
     private static final int LONGEST_NAME = 60;
@@ -35,8 +48,7 @@
     }
 
     /** A field that cannot be as it is. */
-    public record Fault(String field, String reason) {
-    }
+    public record Fault(String field, String reason) {}
 
     public static boolean isName(String text) {
         return text.matches("[a-z0-9][a-z0-9.-]{0," + (LONGEST_NAME - 1) + "}");
@@ -74,7 +86,10 @@
             }
         }
         for (String name : types) {
-            MachineType type = catalogue.stream().filter(t -> t.name().equals(name)).findFirst().orElse(null);
+            MachineType type = catalogue.stream()
+                    .filter(t -> t.name().equals(name))
+                    .findFirst()
+                    .orElse(null);
             if (type == null) {
                 return new Fault("types", "unknown machine type " + name);
             }
@@ -97,6 +112,8 @@
     }
 
     boolean allows(Pool where) {
-        return types.contains(where.type()) && (zones.isEmpty() || zones.contains(where.zone())) && where.spot() == spot;
+        return types.contains(where.type())
+                && (zones.isEmpty() || zones.contains(where.zone()))
+                && where.spot() == spot;
     }
 }
--- a/src/main/java/io/indigoreach/core/warm/Seen.java
+++ b/src/main/java/io/indigoreach/core/warm/Seen.java
@@ -11,6 +11,7 @@
 
     /** Per slot the peaks of as many days, the newest last; -1: not seen. */
     private final int[][] peaks = new int[SLOTS][DAYS];
+
     private long slot = -1;
     private int peak;
     private long changes;
@@ -58,7 +59,10 @@
     int expected(long atMs, Span ahead, double ratio) {
         int most = 0;
         for (long s = atMs / SLOT_MS; s <= (atMs + ahead.ms()) / SLOT_MS; s++) {
-            int[] days = Arrays.stream(peaks[(int) (s % SLOTS)]).filter(n -> n >= 0).sorted().toArray();
+            int[] days = Arrays.stream(peaks[(int) (s % SLOTS)])
+                    .filter(n -> n >= 0)
+                    .sorted()
+                    .toArray();
             most = Math.max(most, Sizing.seen(days, ratio));
         }
         return most;
--- a/src/main/java/io/indigoreach/core/warm/Sizing.java
+++ b/src/main/java/io/indigoreach/core/warm/Sizing.java
@@ -16,13 +16,14 @@
 public final class Sizing {
     /** Boots take up to 1.5 times the usual time, fetches go down to two thirds of the usual rate (the cloud's catalogue). */
     private static final double LATE_BOOT = 1.5;
+
     private static final double SLOW_FETCH = 0.67;
     /** Above this the Poisson distribution is taken as normal: off by less than a machine. */
     private static final double MANY = 400;
+
     private static final double MOST_LOST = 0.5;
 
-    private Sizing() {
-    }
+    private Sizing() {}
 
     /** From a request to rent until the image is there, as late as is usual; another fetch may share the rate. */
     public static Span lead(MachineType type, double gb, boolean shared) {
@@ -53,7 +54,8 @@
     private static double normal(double ratio) {
         double tail = Math.min(ratio, 1 - ratio);
         double t = Math.sqrt(-2 * Math.log(tail));
-        double z = t - (2.515517 + t * (0.802853 + t * 0.010328)) / (1 + t * (1.432788 + t * (0.189269 + t * 0.001308)));
+        double z =
+                t - (2.515517 + t * (0.802853 + t * 0.010328)) / (1 + t * (1.432788 + t * (0.189269 + t * 0.001308)));
         return ratio < 0.5 ? -z : z;
     }
 
--- a/src/main/java/io/indigoreach/emulator/CloudServer.java
+++ b/src/main/java/io/indigoreach/emulator/CloudServer.java
@@ -32,8 +32,14 @@
     private final long ticks;
 
     /** To be made on the event loop that is to serve; machine names go on after {@code names}. */
-    public CloudServer(Vertx vertx, SteadyClock clock, Deployment deployment, Gate gate, RandomGenerator random, long names,
-                       Consumer<CloudModel.Event> events) {
+    public CloudServer(
+            Vertx vertx,
+            SteadyClock clock,
+            Deployment deployment,
+            Gate gate,
+            RandomGenerator random,
+            long names,
+            Consumer<CloudModel.Event> events) {
         this.vertx = vertx;
         this.clock = clock;
         this.gate = gate;
@@ -60,7 +66,8 @@
 
     public Future<Void> close() {
         vertx.cancelTimer(ticks);
-        return Future.join(listeners.stream().map(GatedListener::close).toList()).mapEmpty();
+        return Future.join(listeners.stream().map(GatedListener::close).toList())
+                .mapEmpty();
     }
 
     private void serve(GatedListener.Request r, Consumer<Reply> reply) {
@@ -71,9 +78,13 @@
             answer = switch (r.path()) {
                 case CloudCodec.TYPES -> model.types(now);
                 case CloudCodec.RETURN -> model.giveBack(now, CloudCodec.readNames(r.body()));
-                case CloudCodec.MACHINES -> post ? model.rent(now, CloudCodec.readRental(r.body()))
-                        : model.list(now, r.text(CloudCodec.AFTER) == null ? null
-                                : new MachineId(r.text(CloudCodec.AFTER)), (int) r.number(CloudCodec.MOST, 500));
+                case CloudCodec.MACHINES ->
+                    post
+                            ? model.rent(now, CloudCodec.readRental(r.body()))
+                            : model.list(
+                                    now,
+                                    r.text(CloudCodec.AFTER) == null ? null : new MachineId(r.text(CloudCodec.AFTER)),
+                                    (int) r.number(CloudCodec.MOST, 500));
                 default -> new Reply(404, new Fields(Wire.map("error", "no such path")));
             };
         } catch (IllegalArgumentException e) {
--- a/src/main/java/io/indigoreach/emulator/DepotCodec.java
+++ b/src/main/java/io/indigoreach/emulator/DepotCodec.java
@@ -14,15 +14,12 @@
     public static final String SUMMARY = "/summary";
 
     /** A job's description and how its tasks behave. */
-    public record Upload(JobSpec spec, Depot.Conduct conduct) {
-    }
+    public record Upload(JobSpec spec, Depot.Conduct conduct) {}
 
     /** How the emulated cloud stands: machines that boot, are up and have failed, and the money spent so far. */
-    public record Summary(int booting, int up, int failed, double spent) {
-    }
+    public record Summary(int booting, int up, int failed, double spent) {}
 
-    private DepotCodec() {
-    }
+    private DepotCodec() {}
 
     public static Map<String, Object> write(Upload u) {
         Map<String, Object> map = JobCodec.write(u.spec);
@@ -33,8 +30,12 @@
     }
 
     static Upload read(Fields f) {
-        return new Upload(JobCodec.read(f), new Depot.Conduct(Span.seconds(f.number("really_s", 0)),
-                f.number("differ", Depot.Conduct.AS_ESTIMATED.spread()), f.flag("fails", false)));
+        return new Upload(
+                JobCodec.read(f),
+                new Depot.Conduct(
+                        Span.seconds(f.number("really_s", 0)),
+                        f.number("differ", Depot.Conduct.AS_ESTIMATED.spread()),
+                        f.flag("fails", false)));
     }
 
     static Map<String, Object> write(Summary s) {
--- a/src/main/java/io/indigoreach/emulator/DiskDurability.java
+++ b/src/main/java/io/indigoreach/emulator/DiskDurability.java
@@ -1,6 +1,5 @@
 package io.indigoreach.emulator;
 
-import io.indigoreach.core.Moment;
 import io.indigoreach.emulator.model.Mutation;
 import io.indigoreach.emulator.model.StateModel;
 import io.indigoreach.net.Fields;
@@ -52,8 +51,14 @@
             throws IOException {
         RecordStore store = new RecordStore(directory, record -> restore.accept(read(record)));
         RecordStore.Found found = store.found();
-        LOG.info("{}: {} records, {} bytes{}", directory, found.records(), found.bytes(), found.tornBytes() == 0 ? ""
-                : "; the last write was cut short, its " + found.tornBytes() + " bytes are left out");
+        LOG.info(
+                "{}: {} records, {} bytes{}",
+                directory,
+                found.records(),
+                found.bytes(),
+                found.tornBytes() == 0
+                        ? ""
+                        : "; the last write was cut short, its " + found.tornBytes() + " bytes are left out");
         return new DiskDurability(vertx, store, found.bytes() - store.logBytes(), broken);
     }
 
@@ -94,23 +99,24 @@
         List<Mutation> contents = isLong() ? model.contents() : null;
         basing |= contents != null;
         context.executeBlocking(() -> {
-            for (byte[] record : batch) {
-                store.append(record);
-            }
-            store.sync();
-            return contents == null ? -1L : store.beginLog();
-        }).onComplete(done -> {
-            busy = false;
-            if (done.failed()) {
-                broken.accept(done.cause());
-                return;
-            }
-            if (contents != null) {
-                base(done.result(), contents);
-            }
-            after.forEach(Runnable::run);
-            flush();
-        });
+                    for (byte[] record : batch) {
+                        store.append(record);
+                    }
+                    store.sync();
+                    return contents == null ? -1L : store.beginLog();
+                })
+                .onComplete(done -> {
+                    busy = false;
+                    if (done.failed()) {
+                        broken.accept(done.cause());
+                        return;
+                    }
+                    if (contents != null) {
+                        base(done.result(), contents);
+                    }
+                    after.forEach(Runnable::run);
+                    flush();
+                });
     }
 
     private boolean isLong() {
@@ -119,20 +125,24 @@
 
     private void base(long n, List<Mutation> contents) {
         long[] bytes = new long[1];
-        context.<Void>executeBlocking(() -> {
-            store.writeBase(n, (Iterable<byte[]>) contents.stream().map(m -> {
-                byte[] record = write(m);
-                bytes[0] += record.length;
-                return record;
-            })::iterator);
-            return null;
-        }, false).onComplete(done -> {
-            basing = false;
-            baseBytes = bytes[0];
-            if (done.failed()) {
-                broken.accept(done.cause());
-            }
-        });
+        context.<Void>executeBlocking(
+                        () -> {
+                            store.writeBase(n, (Iterable<byte[]>)
+                                    contents.stream().map(m -> {
+                                        byte[] record = write(m);
+                                        bytes[0] += record.length;
+                                        return record;
+                                    })::iterator);
+                            return null;
+                        },
+                        false)
+                .onComplete(done -> {
+                    basing = false;
+                    baseBytes = bytes[0];
+                    if (done.failed()) {
+                        broken.accept(done.cause());
+                    }
+                });
     }
 
     Future<Void> close() {
@@ -158,7 +168,11 @@
 
     static Mutation read(byte[] record) {
         Fields f = Wire.readMap(Buffer.buffer(record));
-        return new Mutation(f.whole("revision"), StateCodec.readTxn(f).writes(), f.whole("lease"), f.whole("life"),
+        return new Mutation(
+                f.whole("revision"),
+                StateCodec.readTxn(f).writes(),
+                f.whole("lease"),
+                f.whole("life"),
                 f.whole("version"));
     }
 }
--- a/src/main/java/io/indigoreach/emulator/Durability.java
+++ b/src/main/java/io/indigoreach/emulator/Durability.java
@@ -7,8 +7,7 @@
     /** Nothing is kept: what was changed counts as kept at once. */
     Durability NONE = new Durability() {
         @Override
-        public void keep(Mutation change) {
-        }
+        public void keep(Mutation change) {}
 
         @Override
         public void whenKept(Runnable then) {
