--- a/src/main/java/io/indigoreach/emulator/Emulator.java
+++ b/src/main/java/io/indigoreach/emulator/Emulator.java
@@ -6,7 +6,6 @@
 import io.indigoreach.core.Moment;
 import io.indigoreach.core.Rules;
 import io.indigoreach.core.Span;
-import io.indigoreach.emulator.model.CloudModel;
 import io.indigoreach.emulator.model.Depot;
 import io.indigoreach.emulator.model.Gate;
 import io.indigoreach.net.Endpoint;
@@ -167,24 +166,35 @@
         int[] ports;
         try {
             ports = ports(4 * n + 1);
-            book = place.data() == null ? null : new DepotBook(vertx, place.data().resolve("depot"), depot);
+            book = place.data() == null
+                    ? null
+                    : new DepotBook(vertx, place.data().resolve("depot"), depot);
         } catch (IOException e) {
             return Future.failedFuture(e);
         }
-        return openState(ports).compose(state -> openCloud(ports).compose(cloud -> openRelays(ports).map(ways -> {
-            for (int i = 0; i < n; i++) {
-                nodes.add(node(i, ports, state.get(i), cloud.get(i), ways.get(i)));
-            }
-            return null;
-        })));
+        return openState(ports)
+                .compose(state -> openCloud(ports)
+                        .compose(cloud -> openRelays(ports).map(ways -> {
+                            for (int i = 0; i < n; i++) {
+                                nodes.add(node(i, ports, state.get(i), cloud.get(i), ways.get(i)));
+                            }
+                            return null;
+                        })));
     }
 
     private Future<List<Integer>> openState(int[] ports) {
         return deploy(context -> {
             stateContext = context;
             try {
-                state = new StateServer(vertx, clock, scenario.deployment().state().limits(), gate, random.split(),
-                        history, place.data() == null ? null : place.data().resolve("state"), broken::tryFail);
+                state = new StateServer(
+                        vertx,
+                        clock,
+                        scenario.deployment().state().limits(),
+                        gate,
+                        random.split(),
+                        history,
+                        place.data() == null ? null : place.data().resolve("state"),
+                        broken::tryFail);
             } catch (IOException e) {
                 throw new UncheckedIOException(e);
             }
@@ -199,13 +209,28 @@
             for (int i = 0; i < scenario.deployment().controllers(); i++) {
                 known.add(new WorkerPool.Node(Deployment.node(i), new Endpoint(place.host(), ports[4 * i])));
             }
-            workers = new WorkerPool(vertx, clock, gate, scenario.deployment().workers(), depot, random.split(), history,
-                    place.host(), known);
-            cloud = new CloudServer(vertx, clock, scenario.deployment(), gate, random.split(),
-                    book == null ? 0 : book.startsBefore() * NAMES, workers::on);
+            workers = new WorkerPool(
+                    vertx,
+                    clock,
+                    gate,
+                    scenario.deployment().workers(),
+                    depot,
+                    random.split(),
+                    history,
+                    place.host(),
+                    known);
+            cloud = new CloudServer(
+                    vertx,
+                    clock,
+                    scenario.deployment(),
+                    gate,
+                    random.split(),
+                    book == null ? 0 : book.startsBefore() * NAMES,
+                    workers::on);
             depotListener = new GatedListener(vertx, clock, gate, "users", "depot", this::serveDepot);
             scenario.fault().forEach(this::plan);
-            return depotListener.listen(place.host(), ports[ports.length - 1])
+            return depotListener
+                    .listen(place.host(), ports[ports.length - 1])
                     .onSuccess(port -> depotEndpoint = new Endpoint(place.host(), port))
                     .compose(p -> each(i -> cloud.listen(Deployment.node(i), place.host(), ports[3 + 4 * i])));
         });
@@ -214,8 +239,10 @@
     /** The ways from each node to the others; relays only where something may go wrong between nodes. */
     private Future<List<List<Endpoint>>> openRelays(int[] ports) {
         int n = scenario.deployment().controllers();
-        boolean direct = scenario.fault().stream().noneMatch(f -> f.isOnMessages()
-                && (f.to().isEmpty() || f.to().startsWith("node-")) && (f.from().isEmpty() || f.from().startsWith("node-")));
+        boolean direct = scenario.fault().stream()
+                .noneMatch(f -> f.isOnMessages()
+                        && (f.to().isEmpty() || f.to().startsWith("node-"))
+                        && (f.from().isEmpty() || f.from().startsWith("node-")));
         List<Future<List<Endpoint>>> all = new ArrayList<>();
         for (int from = 0; from < n; from++) {
             int a = from;
@@ -240,23 +267,37 @@
                 peers.add(new PlatformConfig.Peer(Deployment.node(p), d.zoneOf(p), ways.get(p)));
             }
         }
-        return new PlatformConfig(Deployment.node(i), d.zoneOf(i), new Endpoint(place.host(), ports[4 * i]),
-                new Endpoint(place.host(), ports[1 + 4 * i]), peers, new Endpoint(place.host(), cloud),
-                new Endpoint(place.host(), state), d.zones(), new Span((long) d.skewMs()),
+        return new PlatformConfig(
+                Deployment.node(i),
+                d.zoneOf(i),
+                new Endpoint(place.host(), ports[4 * i]),
+                new Endpoint(place.host(), ports[1 + 4 * i]),
+                peers,
+                new Endpoint(place.host(), cloud),
+                new Endpoint(place.host(), state),
+                d.zones(),
+                new Span((long) d.skewMs()),
                 d.team().stream().map(Deployment.Team::rules).toList(),
-                d.aim().stream().map(a -> new PlatformConfig.Objective(a.kind(), a.jobClass(), Span.seconds(a.withinS()),
-                        a.share())).toList(),
-                new Rules(Span.seconds(d.workers().leaseS()), Span.seconds(d.workers().reportS()),
-                        Span.seconds(d.workers().cancelS()), Span.seconds(d.cloud().listLagS())),
-                d.state().limits(), d.cloud().limits(), CONNECTIONS);
+                d.aim().stream()
+                        .map(a -> new PlatformConfig.Objective(
+                                a.kind(), a.jobClass(), Span.seconds(a.withinS()), a.share()))
+                        .toList(),
+                new Rules(
+                        Span.seconds(d.workers().leaseS()),
+                        Span.seconds(d.workers().reportS()),
+                        Span.seconds(d.workers().cancelS()),
+                        Span.seconds(d.cloud().listLagS())),
+                d.state().limits(),
+                d.cloud().limits(),
+                CONNECTIONS);
     }
 
     private void plan(Fault f) {
         Span in = start.plus(Span.seconds(f.atS())).since(clock.now());
         vertx.setTimer(Math.max(1, in.ms()), t -> {
             Moment now = clock.now();
-            history.add(new Event.Trouble(now, f.kind().name().toLowerCase(java.util.Locale.ROOT) + " " + f.from() + " "
-                    + f.to()));
+            history.add(new Event.Trouble(
+                    now, f.kind().name().toLowerCase(java.util.Locale.ROOT) + " " + f.from() + " " + f.to()));
             switch (f.kind()) {
                 case TAKE -> cloud.model().take(now, f.share(), f.noticeS());
                 case DIE -> cloud.model().die(now, f.share());
@@ -265,10 +306,11 @@
                 case SPOIL -> workers.spoil(f.share());
                 case NO_BOOT -> {
                     cloud.model().noBoot(true);
-                    vertx.setTimer(Math.max(1, Span.seconds(f.forS()).ms()), over -> cloud.model().noBoot(false));
-                }
-                default -> {
+                    vertx.setTimer(
+                            Math.max(1, Span.seconds(f.forS()).ms()),
+                            over -> cloud.model().noBoot(false));
                 }
+                default -> {}
             }
             cloud.advance();
         });
@@ -279,7 +321,8 @@
             DepotCodec.Upload upload = DepotCodec.read(request.body());
             depot.upload(upload.spec(), upload.conduct());
             Future<Void> kept = book == null ? Future.succeededFuture() : book.keep(upload);
-            kept.onSuccess(v -> reply.accept(new Reply(200, new Fields(Wire.map())))).onFailure(broken::tryFail);
+            kept.onSuccess(v -> reply.accept(new Reply(200, new Fields(Wire.map()))))
+                    .onFailure(broken::tryFail);
         } else if (request.path().equals(DepotCodec.SUMMARY)) {
             reply.accept(new Reply(200, new Fields(DepotCodec.write(summaryNow()))));
         } else {
@@ -295,11 +338,12 @@
     private <T> Future<T> deploy(Opening<T> opening) {
         Promise<T> opened = Promise.promise();
         return vertx.deployVerticle(new VerticleBase() {
-            @Override
-            public Future<?> start() {
-                return opening.on(context).onComplete(opened);
-            }
-        }).compose(id -> opened.future());
+                    @Override
+                    public Future<?> start() {
+                        return opening.on(context).onComplete(opened);
+                    }
+                })
+                .compose(id -> opened.future());
     }
 
     private <T> Future<List<T>> each(java.util.function.IntFunction<Future<T>> what) {
@@ -312,15 +356,19 @@
 
     /** The nodes' ports must be known before anything listens, as everybody is told of them. */
     private int[] ports(int n) throws IOException {
-        return place.firstPort() > 0 ? IntStream.range(place.firstPort(), place.firstPort() + n).toArray()
+        return place.firstPort() > 0
+                ? IntStream.range(place.firstPort(), place.firstPort() + n).toArray()
                 : Ports.free(place.host(), n);
     }
 
     /** Stops in order: the workers, the cloud, then the state service once all it was told is kept. */
     public Future<Void> close() {
-        return on(cloudContext, () -> workers.close()).compose(f -> f)
-                .compose(v -> cloud.close()).compose(v -> depotListener.close())
-                .compose(v -> Future.join(relays.stream().map(Relay::close).toList()).<Void>mapEmpty())
+        return on(cloudContext, () -> workers.close())
+                .compose(f -> f)
+                .compose(v -> cloud.close())
+                .compose(v -> depotListener.close())
+                .compose(v ->
+                        Future.join(relays.stream().map(Relay::close).toList()).<Void>mapEmpty())
                 .compose(v -> book == null ? Future.succeededFuture() : book.close())
                 .compose(v -> state.close());
     }
--- a/src/main/java/io/indigoreach/emulator/GatedListener.java
+++ b/src/main/java/io/indigoreach/emulator/GatedListener.java
@@ -16,7 +16,6 @@
 import io.vertx.core.http.HttpServer;
 import io.vertx.core.http.HttpServerOptions;
 import io.vertx.core.http.HttpServerRequest;
-import java.util.Map;
 import java.util.function.Consumer;
 
 /** The listener of one party for one caller: what becomes of each message is for the {@link Gate} to say. */
@@ -106,7 +105,9 @@
     }
 
     private HttpServer server() {
-        HttpServer server = vertx.createHttpServer(new HttpServerOptions().setIdleTimeout(IDLE_S).setTcpNoDelay(true)
+        HttpServer server = vertx.createHttpServer(new HttpServerOptions()
+                .setIdleTimeout(IDLE_S)
+                .setTcpNoDelay(true)
                 .setAcceptBacklog(4096));
         server.requestHandler(this::take);
         server.invalidRequestHandler(r -> r.connection().close());
@@ -139,30 +140,35 @@
     }
 
     private void take(HttpServerRequest http) {
-        Body.gather(http, body -> {
-            Verdict verdict = gate.judge(clock.now(), from, to, !http.method().equals(HttpMethod.GET));
-            Fields fields;
-            try {
-                fields = body.length() == 0 ? null : Wire.readMap(body);
-            } catch (WireException e) {
-                write(http, malformed(e));
-                return;
-            }
-            pass(http, new Request(http, fields, from, verdict.behind()), verdict);
-        }, () -> {
-            http.response().putHeader("Connection", "close");
-            write(http, new Reply(413, new Fields(Wire.map("error", "a body may have 64 KiB"))));
-        });
+        Body.gather(
+                http,
+                body -> {
+                    Verdict verdict =
+                            gate.judge(clock.now(), from, to, !http.method().equals(HttpMethod.GET));
+                    Fields fields;
+                    try {
+                        fields = body.length() == 0 ? null : Wire.readMap(body);
+                    } catch (WireException e) {
+                        write(http, malformed(e));
+                        return;
+                    }
+                    pass(http, new Request(http, fields, from, verdict.behind()), verdict);
+                },
+                () -> {
+                    http.response().putHeader("Connection", "close");
+                    write(http, new Reply(413, new Fields(Wire.map("error", "a body may have 64 KiB"))));
+                });
     }
 
     private void pass(HttpServerRequest http, Request request, Verdict verdict) {
-        Consumer<Reply> nobody = reply -> {
-        };
+        Consumer<Reply> nobody = reply -> {};
         Consumer<Reply> back = reply -> writeWhenServed(http, reply);
         switch (verdict.fate()) {
             case PASS -> after(verdict.delay(), () -> serve(request, back));
-            case REFUSE -> after(verdict.delay(), () -> write(http, new Reply(verdict.status(),
-                    new Fields(Wire.map("error", "trouble")))));
+            case REFUSE ->
+                after(
+                        verdict.delay(),
+                        () -> write(http, new Reply(verdict.status(), new Fields(Wire.map("error", "trouble")))));
             case LOSE_ANSWER -> serve(request, nobody);
             case LATE -> after(verdict.delay(), () -> serve(request, nobody));
             case REPEAT -> {
@@ -171,8 +177,7 @@
             }
             case HOLD -> after(verdict.until().since(clock.now()), () -> serve(request, back));
             case RESET -> http.connection().close();
-            case LOSE_REQUEST -> {
-            }
+            case LOSE_REQUEST -> {}
         }
     }
 
@@ -209,7 +214,9 @@
 
     private static void write(HttpServerRequest http, Reply reply) {
         if (!http.response().ended() && !http.response().closed()) {
-            http.response().setStatusCode(reply.status()).putHeader("Content-Type", "application/msgpack")
+            http.response()
+                    .setStatusCode(reply.status())
+                    .putHeader("Content-Type", "application/msgpack")
                     .end(Wire.write(reply.body().map()));
         }
     }
--- a/src/main/java/io/indigoreach/emulator/Measurements.java
+++ b/src/main/java/io/indigoreach/emulator/Measurements.java
@@ -7,7 +7,6 @@
 import io.indigoreach.config.PlatformConfig.StateLimits;
 import io.indigoreach.core.Moment;
 import io.indigoreach.core.Pool;
-import io.indigoreach.core.Span;
 import io.indigoreach.core.Stamp;
 import io.indigoreach.core.Token;
 import io.indigoreach.emulator.model.Depot;
@@ -51,8 +50,7 @@
     private static final StateLimits UNLIMITED = new StateLimits(1e9, 1e9, 8192, 16);
     private static final long KEYS = 100_000;
 
-    private Measurements() {
-    }
+    private Measurements() {}
 
     private static <T> T await(Future<T> future) throws InterruptedException, ExecutionException {
         return future.toCompletionStage().toCompletableFuture().get();
@@ -80,17 +78,27 @@
         SteadyClock clock = new SteadyClock();
         Vertx vertx = Vertx.vertx();
         try {
-            int bare = await(vertx.createHttpServer().requestHandler(r -> r.body().onSuccess(body -> r.response()
-                    .putHeader("Content-Type", "application/msgpack").end(Wire.write(StateCodec.writeRevision(1)))))
-                    .listen(0, HOST)).actualPort();
+            int bare = await(vertx.createHttpServer()
+                            .requestHandler(r -> r.body()
+                                    .onSuccess(body -> r.response()
+                                            .putHeader("Content-Type", "application/msgpack")
+                                            .end(Wire.write(StateCodec.writeRevision(1)))))
+                            .listen(0, HOST))
+                    .actualPort();
             StateServer[] servers = new StateServer[2];
             int[] ports = new int[2];
             for (int i = 0; i < 2; i++) {
                 int n = i;
                 ports[i] = on(vertx, () -> {
-                    servers[n] = new StateServer(vertx, clock, UNLIMITED, open(clock), new SplittableRandom(1),
-                            new History.Discarded(), n == 0 ? null : data, e -> {
-                            });
+                    servers[n] = new StateServer(
+                            vertx,
+                            clock,
+                            UNLIMITED,
+                            open(clock),
+                            new SplittableRandom(1),
+                            new History.Discarded(),
+                            n == 0 ? null : data,
+                            e -> {});
                     return servers[n].listen("node-0", HOST, 0);
                 });
             }
@@ -100,9 +108,18 @@
                 rates[0] = rate(vertx, bare, connections, seconds);
                 rates[1] = rate(vertx, ports[0], connections, seconds);
                 rates[2] = rate(vertx, ports[1], connections, seconds);
-                lines.add(String.format(Locale.ROOT, "round %d, %d connections, %d s each: bare server %.0f a second; in "
-                        + "memory %.0f, ratio %.2f; on disk %.0f, ratio %.2f", round + 1, connections, seconds, rates[0],
-                        rates[1], rates[1] / rates[0], rates[2], rates[2] / rates[0]));
+                lines.add(String.format(
+                        Locale.ROOT,
+                        "round %d, %d connections, %d s each: bare server %.0f a second; in "
+                                + "memory %.0f, ratio %.2f; on disk %.0f, ratio %.2f",
+                        round + 1,
+                        connections,
+                        seconds,
+                        rates[0],
+                        rates[1],
+                        rates[1] / rates[0],
+                        rates[2],
+                        rates[2] / rates[0]));
             }
             return lines;
         } finally {
@@ -116,9 +133,18 @@
         Vertx vertx = Vertx.vertx();
         Vertx others = Vertx.vertx();
         try {
-            int port = on(vertx, () -> new StateServer(vertx, clock, UNLIMITED, open(clock), new SplittableRandom(1),
-                    new History.Discarded(), null, e -> {
-                    }).listen("node-0", HOST, 0));
+            int port = on(
+                    vertx,
+                    () -> new StateServer(
+                                    vertx,
+                                    clock,
+                                    UNLIMITED,
+                                    open(clock),
+                                    new SplittableRandom(1),
+                                    new History.Discarded(),
+                                    null,
+                                    e -> {})
+                            .listen("node-0", HOST, 0));
             double before = rate(others, port, 8, seconds);
             NetClient client = others.createNetClient();
             int open = 0;
@@ -129,8 +155,12 @@
                 }
                 await(Future.all(some));
             }
-            return String.format(Locale.ROOT, "%.0f transactions a second over 8 connections; %.0f with %d silent ones "
-                    + "besides", before, rate(others, port, 8, seconds), open);
+            return String.format(
+                    Locale.ROOT,
+                    "%.0f transactions a second over 8 connections; %.0f with %d silent ones " + "besides",
+                    before,
+                    rate(others, port, 8, seconds),
+                    open);
         } finally {
             await(others.close());
             await(vertx.close());
@@ -142,7 +172,8 @@
         long end = System.nanoTime() + seconds * 1_000_000_000L;
         List<Future<Void>> all = new ArrayList<>();
         for (int c = 0; c < connections; c++) {
-            HttpClient client = vertx.createHttpClient(new HttpClientOptions().setDefaultHost(HOST).setDefaultPort(port),
+            HttpClient client = vertx.createHttpClient(
+                    new HttpClientOptions().setDefaultHost(HOST).setDefaultPort(port),
                     new PoolOptions().setHttp1MaxSize(1));
             Promise<Void> over = Promise.promise();
             all.add(over.future().eventually(client::close));
@@ -157,13 +188,17 @@
             over.complete();
             return;
         }
-        Buffer body = Wire.write(StateCodec.writeTxn(new StateClient.Txn().when("absent", Stamp.ABSENT)
+        Buffer body = Wire.write(StateCodec.writeTxn(new StateClient.Txn()
+                .when("absent", Stamp.ABSENT)
                 .put("j/run-" + n, Wire.map("class", "c", "team", "t", "tasks", 16, "status", "RUNNING", "done", 3))));
-        client.request(HttpMethod.POST, StateCodec.TXN).compose(r -> r.send(body)).compose(r -> r.body())
+        client.request(HttpMethod.POST, StateCodec.TXN)
+                .compose(r -> r.send(body))
+                .compose(r -> r.body())
                 .onSuccess(b -> {
                     done.incrementAndGet();
                     post(client, n, end, done, over);
-                }).onFailure(over::tryFail);
+                })
+                .onFailure(over::tryFail);
     }
 
     /** Workers of one process, reporting to a server that only says yes; processor time is of both. */
@@ -172,18 +207,32 @@
         Vertx vertx = Vertx.vertx();
         try {
             Buffer yes = Wire.write(WorkerCodec.answer(new Token(1), List.of()));
-            int port = await(vertx.createHttpServer().requestHandler(r -> r.body()
-                    .onSuccess(body -> r.response().end(yes))).listen(0, HOST)).actualPort();
+            int port = await(vertx.createHttpServer()
+                            .requestHandler(
+                                    r -> r.body().onSuccess(body -> r.response().end(yes)))
+                            .listen(0, HOST))
+                    .actualPort();
             Deployment d = deployment(count);
             WorkerPool[] pool = new WorkerPool[1];
             CloudServer[] cloud = new CloudServer[1];
             on(vertx, () -> {
-                pool[0] = new WorkerPool(vertx, clock, open(clock), d.workers(), new Depot(1), new SplittableRandom(2),
-                        new History.Discarded(), HOST, List.of(new WorkerPool.Node("node-0", new Endpoint(HOST, port))));
+                pool[0] = new WorkerPool(
+                        vertx,
+                        clock,
+                        open(clock),
+                        d.workers(),
+                        new Depot(1),
+                        new SplittableRandom(2),
+                        new History.Discarded(),
+                        HOST,
+                        List.of(new WorkerPool.Node("node-0", new Endpoint(HOST, port))));
                 cloud[0] = new CloudServer(vertx, clock, d, open(clock), new SplittableRandom(3), 0, pool[0]::on);
                 for (int rented = 0; rented < count; rented += CloudCodec.MOST_RENTED) {
-                    cloud[0].model().rent(clock.now(), new CloudCodec.Rental("r-" + rented, new Pool("m", "z", false),
-                            CloudCodec.MOST_RENTED));
+                    cloud[0].model()
+                            .rent(
+                                    clock.now(),
+                                    new CloudCodec.Rental(
+                                            "r-" + rented, new Pool("m", "z", false), CloudCodec.MOST_RENTED));
                 }
                 return vertx.timer(8, java.util.concurrent.TimeUnit.SECONDS);
             });
@@ -194,9 +243,15 @@
             await(vertx.timer(seconds, java.util.concurrent.TimeUnit.SECONDS));
             double took = clock.now().since(from).seconds();
             double reports = (pool[0].reports() - before) / took;
-            return String.format(Locale.ROOT, "%d workers that report every %.0f s: %.0f reports a second of %.0f due, %.2f "
-                    + "cores with the server that answers", pool[0].size(), d.workers().reportS(), reports,
-                    pool[0].size() / d.workers().reportS(), (system.getProcessCpuTime() - cpu) / 1e9 / took);
+            return String.format(
+                    Locale.ROOT,
+                    "%d workers that report every %.0f s: %.0f reports a second of %.0f due, %.2f "
+                            + "cores with the server that answers",
+                    pool[0].size(),
+                    d.workers().reportS(),
+                    reports,
+                    pool[0].size() / d.workers().reportS(),
+                    (system.getProcessCpuTime() - cpu) / 1e9 / took);
         } finally {
             await(vertx.close());
         }
@@ -217,19 +272,26 @@
         List<String> lines = new ArrayList<>();
         StateModel[] model = new StateModel[1];
         long began = System.nanoTime();
-        try (RecordStore store = new RecordStore(directory, r -> {
-        })) {
+        try (RecordStore store = new RecordStore(directory, r -> {})) {
             SplittableRandom random = new SplittableRandom(1);
             for (long n = 1; n <= changes; n++) {
-                store.append(DiskDurability.write(new Mutation(n, List.of(new Write("j/run-" + random.nextLong(KEYS),
-                        Wire.map("class", "tally", "team", "t", "tasks", 16L, "status", "RUNNING", "done", n % 16), 0)), 0,
-                        0, 0)));
+                store.append(DiskDurability.write(new Mutation(
+                        n,
+                        List.of(new Write(
+                                "j/run-" + random.nextLong(KEYS),
+                                Wire.map(
+                                        "class", "tally", "team", "t", "tasks", 16L, "status", "RUNNING", "done",
+                                        n % 16),
+                                0)),
+                        0,
+                        0,
+                        0)));
             }
         }
-        lines.add(String.format(Locale.ROOT, "%d changes written in %.1f s", changes, (System.nanoTime() - began) / 1e9));
+        lines.add(
+                String.format(Locale.ROOT, "%d changes written in %.1f s", changes, (System.nanoTime() - began) / 1e9));
         lines.add("through the log:  " + reopened(directory, model));
-        try (RecordStore store = new RecordStore(directory, r -> {
-        })) {
+        try (RecordStore store = new RecordStore(directory, r -> {})) {
             long n = store.beginLog();
             store.writeBase(n, (Iterable<byte[]>) model[0].contents().stream().map(DiskDurability::write)::iterator);
         }
@@ -240,8 +302,7 @@
     private static String reopened(Path directory, StateModel[] model) throws IOException {
         Moment now = new SteadyClock().now();
         long began = System.nanoTime();
-        model[0] = new StateModel(UNLIMITED, new SplittableRandom(1), now, change -> {
-        });
+        model[0] = new StateModel(UNLIMITED, new SplittableRandom(1), now, change -> {});
         try (RecordStore store = new RecordStore(directory, r -> model[0].restore(DiskDurability.read(r), now))) {
             double took = (System.nanoTime() - began) / 1e9;
             long bytes = 0;
@@ -250,8 +311,13 @@
                     bytes += Files.size(p);
                 }
             }
-            return String.format(Locale.ROOT, "%d keys at revision %d in %.2f s, %.1f MiB on disk", model[0].size(),
-                    model[0].revision(), took, bytes / 1048576.0);
+            return String.format(
+                    Locale.ROOT,
+                    "%d keys at revision %d in %.2f s, %.1f MiB on disk",
+                    model[0].size(),
+                    model[0].revision(),
+                    took,
+                    bytes / 1048576.0);
         }
     }
 }
--- a/src/main/java/io/indigoreach/emulator/Ports.java
+++ b/src/main/java/io/indigoreach/emulator/Ports.java
@@ -14,10 +14,10 @@
     private static final int FIRST = 10_000;
     private static final int COUNT = 20_000;
     /** Each process begins elsewhere. */
-    private static final AtomicInteger NEXT = new AtomicInteger((int) (ProcessHandle.current().pid() * 97 % COUNT));
+    private static final AtomicInteger NEXT =
+            new AtomicInteger((int) (ProcessHandle.current().pid() * 97 % COUNT));
 
-    private Ports() {
-    }
+    private Ports() {}
 
     static int[] free(String host, int n) throws IOException {
         int[] ports = new int[n];
--- a/src/main/java/io/indigoreach/emulator/Relay.java
+++ b/src/main/java/io/indigoreach/emulator/Relay.java
@@ -43,11 +43,14 @@
 
     private void connect(NetSocket caller) {
         caller.pause();
-        vertx.createNetClient().connect(target.port(), target.host()).onSuccess(called -> {
-            called.pause();
-            pass(caller, called);
-            pass(called, caller);
-        }).onFailure(e -> caller.close());
+        vertx.createNetClient()
+                .connect(target.port(), target.host())
+                .onSuccess(called -> {
+                    called.pause();
+                    pass(caller, called);
+                    pass(called, caller);
+                })
+                .onFailure(e -> caller.close());
     }
 
     private void pass(NetSocket in, NetSocket out) {
--- a/src/main/java/io/indigoreach/emulator/StateServer.java
+++ b/src/main/java/io/indigoreach/emulator/StateServer.java
@@ -44,8 +44,16 @@
      * @param data the directory in which the contents are kept, or null to keep them in memory only
      * @param broken told if they cannot be kept any more: the service must end then
      */
-    public StateServer(Vertx vertx, SteadyClock clock, StateLimits limits, Gate gate, RandomGenerator random,
-                       History history, Path data, Consumer<Throwable> broken) throws IOException {
+    public StateServer(
+            Vertx vertx,
+            SteadyClock clock,
+            StateLimits limits,
+            Gate gate,
+            RandomGenerator random,
+            History history,
+            Path data,
+            Consumer<Throwable> broken)
+            throws IOException {
         this.vertx = vertx;
         this.clock = clock;
         this.gate = gate;
@@ -71,7 +79,8 @@
 
     public Future<Void> close() {
         vertx.cancelTimer(ticks);
-        return Future.join(listeners.stream().map(GatedListener::close).toList()).<Void>mapEmpty()
+        return Future.join(listeners.stream().map(GatedListener::close).toList())
+                .<Void>mapEmpty()
                 .eventually(() -> durability instanceof DiskDurability disk ? disk.close() : Future.succeededFuture());
     }
 
@@ -88,8 +97,7 @@
             model.outage(now, isOut);
         }
         model.advance(now);
-        durability.whenKept(() -> {
-        });
+        durability.whenKept(() -> {});
     }
 
     private void serve(GatedListener.Request r, Consumer<Reply> reply) {
@@ -105,13 +113,21 @@
             }
             kept.accept(answer);
         } else if (path.equals(StateCodec.STORE) && r.is(HttpMethod.GET)) {
-            kept.accept(model.list(now, r.text(StateCodec.PREFIX), r.text(StateCodec.SINCE),
-                    (int) Math.min(Integer.MAX_VALUE, r.number(StateCodec.MOST, 1000)), asOf));
+            kept.accept(model.list(
+                    now,
+                    r.text(StateCodec.PREFIX),
+                    r.text(StateCodec.SINCE),
+                    (int) Math.min(Integer.MAX_VALUE, r.number(StateCodec.MOST, 1000)),
+                    asOf));
         } else if (path.startsWith(StateCodec.STORE + "/") && r.is(HttpMethod.GET)) {
             kept.accept(model.get(now, path.substring(StateCodec.STORE.length() + 1), asOf));
         } else if (path.equals(StateCodec.WATCH) && r.is(HttpMethod.GET)) {
-            StateModel.Watch watch = model.watch(now, r.text(StateCodec.PREFIX), r.number(StateCodec.SINCE, -1),
-                    new Span(r.number(StateCodec.WAIT, 0)), kept);
+            StateModel.Watch watch = model.watch(
+                    now,
+                    r.text(StateCodec.PREFIX),
+                    r.number(StateCodec.SINCE, -1),
+                    new Span(r.number(StateCodec.WAIT, 0)),
+                    kept);
             if (watch != null) {
                 r.whenClosed(() -> model.giveUp(watch));
             }
@@ -132,8 +148,10 @@
         } catch (NumberFormatException e) {
             return new Reply(404, new Fields(Wire.map("error", "no such path")));
         }
-        return renews && r.is(HttpMethod.POST) ? model.renew(now, lease)
-                : r.is(HttpMethod.DELETE) ? model.drop(now, lease)
-                : new Reply(405, new Fields(Wire.map("error", "method not allowed")));
+        return renews && r.is(HttpMethod.POST)
+                ? model.renew(now, lease)
+                : r.is(HttpMethod.DELETE)
+                        ? model.drop(now, lease)
+                        : new Reply(405, new Fields(Wire.map("error", "method not allowed")));
     }
 }
--- a/src/main/java/io/indigoreach/emulator/WorkerPool.java
+++ b/src/main/java/io/indigoreach/emulator/WorkerPool.java
@@ -40,8 +40,7 @@
     private static final Span MOVES_WITHIN = Span.seconds(0.5);
 
     /** A controller as the workers know it. */
-    public record Node(String name, Endpoint endpoint) {
-    }
+    public record Node(String name, Endpoint endpoint) {}
 
     /** The routine of one worker. */
     private final class Routine {
@@ -60,10 +59,12 @@
         }
 
         void start() {
-            listener.listen(host, 0).onSuccess(port -> {
-                model.machine().address(host + ":" + port);
-                step();
-            }).onFailure(e -> step());
+            listener.listen(host, 0)
+                    .onSuccess(port -> {
+                        model.machine().address(host + ":" + port);
+                        step();
+                    })
+                    .onFailure(e -> step());
         }
 
         void end(String why) {
@@ -103,8 +104,10 @@
                 default -> {
                     // It arrives, perhaps late, but the worker hears nothing in time.
                     after(PATIENCE, () -> missed(report));
-                    after(verdict.fate() == Verdict.Fate.HOLD ? verdict.until().since(sent)
-                            : verdict.fate() == Verdict.Fate.LATE ? verdict.delay() : Span.ZERO,
+                    after(
+                            verdict.fate() == Verdict.Fate.HOLD
+                                    ? verdict.until().since(sent)
+                                    : verdict.fate() == Verdict.Fate.LATE ? verdict.delay() : Span.ZERO,
                             () -> call(node, report, sent, false));
                 }
             }
@@ -225,8 +228,16 @@
     private long reports;
 
     /** To be made on the event loop on which the workers are to run. */
-    public WorkerPool(Vertx vertx, SteadyClock clock, Gate gate, Deployment.Workers times, Depot depot,
-                      RandomGenerator random, History history, String host, List<Node> nodes) {
+    public WorkerPool(
+            Vertx vertx,
+            SteadyClock clock,
+            Gate gate,
+            Deployment.Workers times,
+            Depot depot,
+            RandomGenerator random,
+            History history,
+            String host,
+            List<Node> nodes) {
         this.vertx = vertx;
         this.clock = clock;
         this.gate = gate;
@@ -244,8 +255,14 @@
         MachineId id = event.machine().id();
         if (event instanceof CloudModel.Event.Up) {
             history.add(new Event.MachineUp(now, id, event.machine().pool()));
-            Routine routine = new Routine(new WorkerModel(event.machine(), depot, Span.seconds(times.leaseS()),
-                    Span.seconds(times.reportS()), random, listener(), now));
+            Routine routine = new Routine(new WorkerModel(
+                    event.machine(),
+                    depot,
+                    Span.seconds(times.leaseS()),
+                    Span.seconds(times.reportS()),
+                    random,
+                    listener(),
+                    now));
             routines.put(id, routine);
             routine.start();
         } else if (event instanceof CloudModel.Event.Notice notice) {
--- a/src/main/java/io/indigoreach/emulator/model/CloudModel.java
+++ b/src/main/java/io/indigoreach/emulator/model/CloudModel.java
@@ -32,16 +32,13 @@
         Machine machine();
 
         /** It is up: its worker starts. */
-        record Up(Machine machine) implements Event {
-        }
+        record Up(Machine machine) implements Event {}
 
         /** It is taken away at a time. */
-        record Notice(Machine machine, Moment until) implements Event {
-        }
+        record Notice(Machine machine, Moment until) implements Event {}
 
         /** It is gone with all that was on it. */
-        record Gone(Machine machine, String why) implements Event {
-        }
+        record Gone(Machine machine, String why) implements Event {}
     }
 
     /** A rented machine. */
@@ -144,8 +141,17 @@
         if (!requests.take(1, now)) {
             return tooMany();
         }
-        return ok(CloudCodec.writeTypes(types.stream().map(t -> new MachineType(t.name(), t.capacity(), t.cacheGb(),
-                t.fetchGbPerS(), t.price(), price.get(t.name()), t.boot(), t.zones())).toList()));
+        return ok(CloudCodec.writeTypes(types.stream()
+                .map(t -> new MachineType(
+                        t.name(),
+                        t.capacity(),
+                        t.cacheGb(),
+                        t.fetchGbPerS(),
+                        t.price(),
+                        price.get(t.name()),
+                        t.boot(),
+                        t.zones()))
+                .toList()));
     }
 
     public Reply rent(Moment now, CloudCodec.Rental r) {
@@ -153,19 +159,29 @@
         if (!requests.take(1, now)) {
             return tooMany();
         }
-        MachineType type = types.stream().filter(t -> t.name().equals(r.pool().type())).findFirst().orElse(null);
-        if (type == null || !deployment.zones().contains(r.pool().zone()) || r.count() < 1
-                || r.count() > CloudCodec.MOST_RENTED || r.name().isEmpty()) {
+        MachineType type = types.stream()
+                .filter(t -> t.name().equals(r.pool().type()))
+                .findFirst()
+                .orElse(null);
+        if (type == null
+                || !deployment.zones().contains(r.pool().zone())
+                || r.count() < 1
+                || r.count() > CloudCodec.MOST_RENTED
+                || r.name().isEmpty()) {
             return new Reply(400, new Fields(Wire.map("error", "no such type or zone, or not 1 to 50 machines")));
         }
         List<MachineId> known = answered.get(r.name());
         if (known != null) {
             return ok(CloudCodec.writeNames(known));
         }
-        long used = machines.values().stream().filter(m -> m.gone == null && m.pool.equals(r.pool())).count();
+        long used = machines.values().stream()
+                .filter(m -> m.gone == null && m.pool.equals(r.pool()))
+                .count();
         long there = deployment.capacity().stream()
-                .filter(c -> c.type().equals(r.pool().type()) && c.zone().equals(r.pool().zone()))
-                .mapToLong(c -> r.pool().spot() ? c.spot() : c.count()).sum();
+                .filter(c -> c.type().equals(r.pool().type())
+                        && c.zone().equals(r.pool().zone()))
+                .mapToLong(c -> r.pool().spot() ? c.spot() : c.count())
+                .sum();
         int n = (int) Math.min(r.count(), there - used);
         if (n <= 0) {
             return new Reply(503, new Fields(Wire.map("error", CloudCodec.NO_CAPACITY)));
@@ -183,13 +199,17 @@
         Machine m = new Machine(id, type, pool, now, meter(pool), 0.95 + 0.1 * random.nextDouble());
         double boots = random.nextDouble();
         boolean never = noBoot || random.nextDouble() < deployment.cloud().bootNever();
-        double factor = boots < deployment.cloud().bootLate() ? 3 + 3 * random.nextDouble()
-                : 0.6 + 0.9 * random.nextDouble();
+        double factor =
+                boots < deployment.cloud().bootLate() ? 3 + 3 * random.nextDouble() : 0.6 + 0.9 * random.nextDouble();
         m.up = never ? null : now.plus(type.boot().times(factor));
         double perHour = deployment.spot().perHour();
         if (pool.spot() && perHour > 0) {
-            plan(m, now.plus(Span.seconds(random.nextExponential() * HOUR_S / perHour)),
-                    random.nextDouble() < deployment.spot().silent() ? 0 : deployment.spot().noticeS());
+            plan(
+                    m,
+                    now.plus(Span.seconds(random.nextExponential() * HOUR_S / perHour)),
+                    random.nextDouble() < deployment.spot().silent()
+                            ? 0
+                            : deployment.spot().noticeS());
         }
         machines.put(id, m);
         return m;
@@ -224,8 +244,8 @@
             return tooMany();
         }
         double lag = deployment.cloud().listLagS();
-        Moment then = now.minus(Span.seconds(lag * (random.nextInt(6) == 0 ? 1 + random.nextDouble()
-                : 0.3 + 0.7 * random.nextDouble())));
+        Moment then = now.minus(Span.seconds(
+                lag * (random.nextInt(6) == 0 ? 1 + random.nextDouble() : 0.3 + 0.7 * random.nextDouble())));
         List<CloudCodec.Listed> page = new ArrayList<>();
         boolean more = false;
         for (Machine m : (after == null ? machines : machines.tailMap(after, false)).values()) {
@@ -240,16 +260,23 @@
             m.listed = true;
             boolean booted = m.isUp && !m.up.isAfter(then);
             boolean stopped = m.failed != null && !m.failed.plus(STILL_LISTED).isAfter(then);
-            page.add(new CloudCodec.Listed(new ListedMachine(m.id, m.pool, stopped ? ListedMachine.Status.FAILED
-                    : booted ? ListedMachine.Status.RUNNING : ListedMachine.Status.STARTING,
-                    then.isBefore(m.rented) ? Span.ZERO : then.since(m.rented)), m.address()));
+            page.add(new CloudCodec.Listed(
+                    new ListedMachine(
+                            m.id,
+                            m.pool,
+                            stopped
+                                    ? ListedMachine.Status.FAILED
+                                    : booted ? ListedMachine.Status.RUNNING : ListedMachine.Status.STARTING,
+                            then.isBefore(m.rented) ? Span.ZERO : then.since(m.rented)),
+                    m.address()));
         }
         return ok(CloudCodec.writePage(new CloudCodec.Page(page, more)));
     }
 
     /** Spot machines are taken back: each with this chance, after {@code noticeS} or without notice. */
     public void take(Moment now, double share, double noticeS) {
-        machines.values().stream().filter(m -> m.isUp() && m.pool.spot() && random.nextDouble() < share)
+        machines.values().stream()
+                .filter(m -> m.isUp() && m.pool.spot() && random.nextDouble() < share)
                 .forEach(m -> {
                     plan(m, now.plus(Span.seconds(noticeS)), noticeS);
                     m.notice = noticeS > 0 ? now : null;
@@ -305,7 +332,9 @@
 
     private void end(Machine m, Moment now, String why) {
         if (m.failed == null) {
-            double least = why.equals("returned") ? Math.max(0, LEAST_PAID.minus(now.since(m.rented)).seconds()) : 0;
+            double least = why.equals("returned")
+                    ? Math.max(0, LEAST_PAID.minus(now.since(m.rented)).seconds())
+                    : 0;
             m.cost = cost(m, now) + least / HOUR_S * (m.pool.spot() ? price.get(m.type.name()) : m.type.price());
             events.add(new Event.Gone(m, why));
         }
@@ -315,7 +344,8 @@
     /** The money spent so far, on all machines. */
     public double spent(Moment now) {
         advance(now);
-        return machines.values().stream().mapToDouble(m -> m.gone != null || m.failed != null ? m.cost : cost(m, now))
+        return machines.values().stream()
+                .mapToDouble(m -> m.gone != null || m.failed != null ? m.cost : cost(m, now))
                 .sum();
     }
 
@@ -336,7 +366,8 @@
     }
 
     private double cost(Machine m, Moment now) {
-        return m.pool.spot() ? meter(m.pool) - m.meterAtStart
+        return m.pool.spot()
+                ? meter(m.pool) - m.meterAtStart
                 : m.type.price() * m.chargedUntil(now).since(m.rented).seconds() / HOUR_S;
     }
 
--- a/src/main/java/io/indigoreach/emulator/model/Depot.java
+++ b/src/main/java/io/indigoreach/emulator/model/Depot.java
@@ -26,8 +26,7 @@
         public static final Conduct AS_ESTIMATED = new Conduct(Span.ZERO, 0.2, false);
     }
 
-    private record Upload(JobSpec spec, Conduct conduct) {
-    }
+    private record Upload(JobSpec spec, Conduct conduct) {}
 
     private final long seed;
     private final Map<JobId, Upload> uploads = new HashMap<>();
@@ -55,10 +54,12 @@
     /** How long a task runs on a machine of usual speed: the same whenever and wherever it runs. */
     Span runTime(TaskId task) {
         Upload upload = uploads.get(task.job());
-        double mean = upload.conduct.run.ms() > 0 ? upload.conduct.run.seconds() : upload.spec.estimate().seconds();
+        double mean = upload.conduct.run.ms() > 0
+                ? upload.conduct.run.seconds()
+                : upload.spec.estimate().seconds();
         double spread = upload.conduct.spread;
-        double factor = Math.exp(spread * new SplittableRandom(seed * 31 + task.hashCode()).nextGaussian()
-                - spread * spread / 2);
+        double factor = Math.exp(
+                spread * new SplittableRandom(seed * 31 + task.hashCode()).nextGaussian() - spread * spread / 2);
         return Span.seconds(Math.max(0.01, mean * factor));
     }
 
--- a/src/main/java/io/indigoreach/emulator/model/Gate.java
+++ b/src/main/java/io/indigoreach/emulator/model/Gate.java
@@ -15,7 +15,9 @@
 
     /** Times in {@code faults} count from {@code start}. */
     public Gate(List<Fault> faults, RandomGenerator random, Moment start) {
-        this.faults = faults.stream().filter(f -> f.isOnMessages() || f.kind() == Fault.Kind.OUTAGE).toList();
+        this.faults = faults.stream()
+                .filter(f -> f.isOnMessages() || f.kind() == Fault.Kind.OUTAGE)
+                .toList();
         this.random = random;
         this.start = start;
     }
@@ -25,7 +27,10 @@
         Span delay = Span.ZERO;
         int behind = 0;
         for (Fault f : faults) {
-            if (!isOn(f, now) || !names(f.from(), from) || !names(f.to(), to) || f.writes() && !writes
+            if (!isOn(f, now)
+                    || !names(f.from(), from)
+                    || !names(f.to(), to)
+                    || f.writes() && !writes
                     || f.share() < 1 && random.nextDouble() >= f.share()) {
                 continue;
             }
@@ -54,9 +59,13 @@
     public Moment heldUntil(Moment now, String from, String to) {
         Moment until = now;
         for (Fault f : faults) {
-            boolean holds = f.kind() == Fault.Kind.OUTAGE || f.kind() == Fault.Kind.HOLD
+            boolean holds = f.kind() == Fault.Kind.OUTAGE
+                    || f.kind() == Fault.Kind.HOLD
                     || f.kind() == Fault.Kind.REFUSE && f.share() >= 1 && !f.writes();
-            if (holds && isOn(f, now) && names(f.from(), from) && names(f.to(), to)
+            if (holds
+                    && isOn(f, now)
+                    && names(f.from(), from)
+                    && names(f.to(), to)
                     && at(f.endsS()).isAfter(until)) {
                 until = at(f.endsS());
             }
@@ -65,13 +74,14 @@
     }
 
     /** A time in which the one called refuses connections. */
-    public record Closing(Moment from, Moment until) {
-    }
+    public record Closing(Moment from, Moment until) {}
 
     /** When {@code to} refuses the connections of {@code from}. */
     public List<Closing> closings(String from, String to) {
-        return faults.stream().filter(f -> f.kind() == Fault.Kind.CLOSED && names(f.from(), from) && names(f.to(), to))
-                .map(f -> new Closing(at(f.atS()), at(f.endsS()))).toList();
+        return faults.stream()
+                .filter(f -> f.kind() == Fault.Kind.CLOSED && names(f.from(), from) && names(f.to(), to))
+                .map(f -> new Closing(at(f.atS()), at(f.endsS())))
+                .toList();
     }
 
     private boolean isOn(Fault f, Moment now) {
--- a/src/main/java/io/indigoreach/emulator/model/JsonSize.java
+++ b/src/main/java/io/indigoreach/emulator/model/JsonSize.java
@@ -5,8 +5,7 @@
 
 /** How long a body would be as JSON: the form in which the protocol counts its limits. */
 final class JsonSize {
-    private JsonSize() {
-    }
+    private JsonSize() {}
 
     static int of(Object value) {
         if (value instanceof String s) {
--- a/src/main/java/io/indigoreach/emulator/model/StateModel.java
+++ b/src/main/java/io/indigoreach/emulator/model/StateModel.java
@@ -36,6 +36,7 @@
 public final class StateModel {
     /** Changes that a watch can still be told of. */
     public static final int CHANGES_KEPT = 10_000;
+
     private static final int MOST_ITEMS = 1000;
     private static final int PAGE_BYTES = 512 * 1024;
     private static final int TXN_BYTES = 64 * 1024;
@@ -46,11 +47,9 @@
     private static final long LEASE_LATE_MS = 80;
 
     /** A key's value. Values are never changed in place. */
-    private record Item(Map<String, Object> data, long stamp, long lease) {
-    }
+    private record Item(Map<String, Object> data, long stamp, long lease) {}
 
-    private record Logged(String key, Item before, Item after, long revision) {
-    }
+    private record Logged(String key, Item before, Item after, long revision) {}
 
     private static final class Lease {
         final long lifeMs;
@@ -122,8 +121,8 @@
         List<Mutation> all = new ArrayList<>();
         all.add(new Mutation(revision, List.of(), lastLease, 0, 0));
         leases.forEach((id, lease) -> all.add(new Mutation(revision, List.of(), id, lease.lifeMs, 0)));
-        items.forEach((key, item) -> all.add(new Mutation(revision,
-                List.of(new Write(key, item.data, item.lease)), 0, 0, item.stamp)));
+        items.forEach((key, item) ->
+                all.add(new Mutation(revision, List.of(new Write(key, item.data, item.lease)), 0, 0, item.stamp)));
         return all;
     }
 
@@ -144,7 +143,8 @@
             return malformed("not a key");
         }
         Item item = asOf < 0 ? items.get(key) : past(asOf).get(key);
-        return item == null ? reply(404, StateCodec.writeRevision(asOf < 0 ? revision : asOf))
+        return item == null
+                ? reply(404, StateCodec.writeRevision(asOf < 0 ? revision : asOf))
                 : reply(200, StateCodec.writeEntry(entry(key, item)));
     }
 
@@ -160,7 +160,8 @@
         List<Entry> page = new ArrayList<>();
         int bytes = 0;
         boolean more = false;
-        for (Map.Entry<String, Item> e : from.tailMap(start, !start.equals(after)).entrySet()) {
+        for (Map.Entry<String, Item> e :
+                from.tailMap(start, !start.equals(after)).entrySet()) {
             if (!e.getKey().startsWith(prefix)) {
                 break;
             }
@@ -269,10 +270,11 @@
 
     /** Answers at once or when something happens; the result can be given up, and is null if nothing is left to. */
     public Watch watch(Moment now, String prefix, long since, Span wait, Consumer<Reply> reply) {
-        Reply refusal = !requests.take(1, now) ? tooMany()
-                : prefix == null || since < 0 || wait.ms() < 0 || wait.ms() > 60_000 ? malformed("a watch needs a prefix, "
-                        + "a revision and a wait of at most 60,000 ms")
-                : since < forgotten ? reply(410, StateCodec.writeRevision(revision)) : null;
+        Reply refusal = !requests.take(1, now)
+                ? tooMany()
+                : prefix == null || since < 0 || wait.ms() < 0 || wait.ms() > 60_000
+                        ? malformed("a watch needs a prefix, " + "a revision and a wait of at most 60,000 ms")
+                        : since < forgotten ? reply(410, StateCodec.writeRevision(revision)) : null;
         if (refusal != null) {
             reply.accept(refusal);
             return null;
@@ -304,7 +306,9 @@
         if (out) {
             return;
         }
-        for (long id : leases.entrySet().stream().filter(e -> !now.isBefore(e.getValue().ends)).map(Map.Entry::getKey)
+        for (long id : leases.entrySet().stream()
+                .filter(e -> !now.isBefore(e.getValue().ends))
+                .map(Map.Entry::getKey)
                 .toList()) {
             end(id);
         }
@@ -317,13 +321,14 @@
 
     private boolean answer(Watch watch, Moment now) {
         List<Change> changes = new ArrayList<>();
-        for (Iterator<Logged> i = log.descendingIterator(); i.hasNext();) {
+        for (Iterator<Logged> i = log.descendingIterator(); i.hasNext(); ) {
             Logged l = i.next();
             if (l.revision <= watch.since) {
                 break;
             }
             if (l.key.startsWith(watch.prefix)) {
-                changes.add(new Change(l.key, l.after == null ? null : new Fields(l.after.data), new Stamp(l.revision)));
+                changes.add(
+                        new Change(l.key, l.after == null ? null : new Fields(l.after.data), new Stamp(l.revision)));
             }
         }
         if (changes.isEmpty() && now.isBefore(watch.until)) {
@@ -354,7 +359,9 @@
 
     /** Makes one change of all the writes, tells the sink, and then those who watch. */
     private void apply(List<Write> changes, long lease, long lifeMs) {
-        List<Write> real = changes.stream().filter(w -> !w.isDelete() || items.containsKey(w.key())).toList();
+        List<Write> real = changes.stream()
+                .filter(w -> !w.isDelete() || items.containsKey(w.key()))
+                .toList();
         if (real.isEmpty() && lease == 0) {
             return;
         }
@@ -379,8 +386,7 @@
     }
 
     private void put(Write w, long stamp) {
-        Item before = w.isDelete() ? items.remove(w.key())
-                : items.put(w.key(), new Item(w.value(), stamp, w.lease()));
+        Item before = w.isDelete() ? items.remove(w.key()) : items.put(w.key(), new Item(w.value(), stamp, w.lease()));
         if (before != null && before.lease > 0 && leases.containsKey(before.lease)) {
             leases.get(before.lease).keys.remove(w.key());
         }
@@ -392,7 +398,7 @@
     /** All keys as they were; as far back as the changes are kept. */
     private NavigableMap<String, Item> past(long asOf) {
         Map<String, Item> undone = new HashMap<>();
-        for (Iterator<Logged> i = log.descendingIterator(); i.hasNext();) {
+        for (Iterator<Logged> i = log.descendingIterator(); i.hasNext(); ) {
             Logged l = i.next();
             if (l.revision <= asOf) {
                 break;
--- a/src/main/java/io/indigoreach/emulator/model/Verdict.java
+++ b/src/main/java/io/indigoreach/emulator/model/Verdict.java
@@ -14,7 +14,14 @@
 public record Verdict(Fate fate, Span delay, Moment until, int status, int behind) {
     /** The fates of messages, as {@code scenario.Fault.Kind} describes them. */
     public enum Fate {
-        PASS, REFUSE, LOSE_REQUEST, LOSE_ANSWER, LATE, REPEAT, HOLD, RESET
+        PASS,
+        REFUSE,
+        LOSE_REQUEST,
+        LOSE_ANSWER,
+        LATE,
+        REPEAT,
+        HOLD,
+        RESET
     }
 
     public static final Verdict PASS = new Verdict(Fate.PASS, Span.ZERO, Moment.NEVER, 0, 0);
--- a/src/main/java/io/indigoreach/emulator/model/WorkerModel.java
+++ b/src/main/java/io/indigoreach/emulator/model/WorkerModel.java
@@ -38,8 +38,7 @@
         void forgotten(Moment at, MachineId machine, TaskId task, Attempt attempt);
     }
 
-    private record Key(TaskId task, Attempt attempt) {
-    }
+    private record Key(TaskId task, Attempt attempt) {}
 
     private static final class Held {
         final JobSpec spec;
@@ -48,6 +47,7 @@
         boolean saved;
         /** When it began to run, and with how much progress. */
         Moment since;
+
         Span before = Span.ZERO;
         /** When its present state is over, if time ends it. */
         Moment ends;
@@ -82,8 +82,14 @@
     private Moment tokenTold = Moment.NEVER;
     private boolean underWay;
 
-    public WorkerModel(CloudModel.Machine machine, Depot depot, Span lease, Span reportEvery, RandomGenerator random,
-                       Listener listener, Moment now) {
+    public WorkerModel(
+            CloudModel.Machine machine,
+            Depot depot,
+            Span lease,
+            Span reportEvery,
+            RandomGenerator random,
+            Listener listener,
+            Moment now) {
         this.machine = machine;
         this.depot = depot;
         this.lease = lease;
@@ -194,8 +200,11 @@
     }
 
     private double depotSize(String image) {
-        return tasks.values().stream().filter(h -> h.spec != null && h.spec.image().equals(image))
-                .mapToDouble(h -> h.spec.imageGb()).findFirst().orElse(0);
+        return tasks.values().stream()
+                .filter(h -> h.spec != null && h.spec.image().equals(image))
+                .mapToDouble(h -> h.spec.imageGb())
+                .findFirst()
+                .orElse(0);
     }
 
     /** One image after the other; one that nobody waits for any more is given up. */
@@ -210,8 +219,10 @@
             }
         }
         fetching = waiting == null ? null : waiting.spec.image();
-        fetched = waiting == null ? null : at.plus(Span.seconds(waiting.spec.imageGb()
-                / (machine.type().fetchGbPerS() * (0.67 + 0.66 * random.nextDouble()))));
+        fetched = waiting == null
+                ? null
+                : at.plus(Span.seconds(
+                        waiting.spec.imageGb() / (machine.type().fetchGbPerS() * (0.67 + 0.66 * random.nextDouble()))));
     }
 
     private void run(Key key, Held h, Moment at) {
@@ -321,8 +332,14 @@
     public WorkerReport state(Moment now) {
         List<TaskReport> list = new ArrayList<>(tasks.size());
         tasks.forEach((key, h) -> list.add(new TaskReport(key.task, key.attempt, h.state, h.cause, h.saved)));
-        return new WorkerReport(machine.id(), machine.address(), machine.pool(), new ReportNumber(session, ++serial), token,
-                noticeUntil == null ? null : noticeUntil.isBefore(now) ? Span.ZERO : noticeUntil.since(now), list);
+        return new WorkerReport(
+                machine.id(),
+                machine.address(),
+                machine.pool(),
+                new ReportNumber(session, ++serial),
+                token,
+                noticeUntil == null ? null : noticeUntil.isBefore(now) ? Span.ZERO : noticeUntil.since(now),
+                list);
     }
 
     /** Its report was not taken; it goes on at another node after {@code pause}. */
@@ -429,8 +446,7 @@
 
     private void stop(Key key, Held h, Span grace, Moment now) {
         changed = true;
-        if (h.state == TaskState.RUNNING && h.spec.savesProgress()
-                && grace.compareTo(h.spec.checkpointTime()) >= 0) {
+        if (h.state == TaskState.RUNNING && h.spec.savesProgress() && grace.compareTo(h.spec.checkpointTime()) >= 0) {
             h.state = TaskState.SAVING;
             h.ends = now.plus(h.spec.checkpointTime());
         } else if (h.state == TaskState.SAVING ? grace.ms() == 0 : h.state != TaskState.EXITED) {
--- a/src/main/java/io/indigoreach/experiment/Controllers.java
+++ b/src/main/java/io/indigoreach/experiment/Controllers.java
@@ -64,7 +64,8 @@
         Files.writeString(settings, node.toText());
         List<String> arguments = new ArrayList<>(command);
         arguments.add(settings.toString());
-        ProcessBuilder builder = new ProcessBuilder(arguments).directory(home.toFile())
+        ProcessBuilder builder = new ProcessBuilder(arguments)
+                .directory(home.toFile())
                 .redirectError(ProcessBuilder.Redirect.appendTo(log(node.node()).toFile()))
                 .redirectOutput(ProcessBuilder.Redirect.DISCARD);
         builder.redirectInput(ProcessBuilder.Redirect.from(new java.io.File("/dev/null")));
@@ -112,7 +113,9 @@
     /** Processor time used so far, in seconds; 0 for a node that does not run. */
     public synchronized double cpuS(String node) {
         Process p = processes.get(node);
-        return p == null ? 0 : p.info().totalCpuDuration().map(d -> d.toMillis() / 1000.0).orElse(0.0);
+        return p == null
+                ? 0
+                : p.info().totalCpuDuration().map(d -> d.toMillis() / 1000.0).orElse(0.0);
     }
 
     private synchronized void endAll() {
--- a/src/main/java/io/indigoreach/experiment/Experiment.java
+++ b/src/main/java/io/indigoreach/experiment/Experiment.java
@@ -38,21 +38,28 @@
     private static final Span SAMPLE = Span.seconds(1);
 
     /** How things stood at a time, counted from the start. */
-    public record Sample(double atS, DepotCodec.Summary cloud) {
-    }
+    public record Sample(double atS, DepotCodec.Summary cloud) {}
 
     /** What an experiment brought. */
-    public record Outcome(Scenario scenario, Moment start, History history, List<Breach> breaches, List<Users.Mine> jobs,
-                          List<Sample> samples, List<String> endedBySelf, double nodesCpuS, long reports, Span took,
-                          Span checking) {
+    public record Outcome(
+            Scenario scenario,
+            Moment start,
+            History history,
+            List<Breach> breaches,
+            List<Users.Mine> jobs,
+            List<Sample> samples,
+            List<String> endedBySelf,
+            double nodesCpuS,
+            long reports,
+            Span took,
+            Span checking) {
         public double spent() {
             return samples.isEmpty() ? 0 : samples.get(samples.size() - 1).cloud.spent();
         }
     }
 
     /** Told now and then how it goes. */
-    public interface Progress extends Consumer<String> {
-    }
+    public interface Progress extends Consumer<String> {}
 
     private final Vertx vertx;
     private final Scenario scenario;
@@ -83,42 +90,54 @@
 
     /** Runs these jobs; the result comes when all are over, or when the time is. */
     public Future<Outcome> run(List<Arrivals.Arrival> arrivals) {
-        return Emulator.start(vertx, scenario, Emulator.Place.LOOPBACK, history).compose(started -> {
-            emulator = started;
-            start = started.startedAt();
-            try {
-                controllers = new Controllers(home, directory, history);
-                for (PlatformConfig node : emulator.nodes()) {
-                    controllers.start(node);
-                }
-            } catch (IOException | ConfigException e) {
-                return Future.failedFuture(e);
-            }
-            return vertx.deployVerticle(new VerticleBase() {
-                @Override
-                public Future<?> start() {
-                    begin(arrivals);
-                    return Future.succeededFuture();
-                }
-            });
-        }).compose(id -> over.future().compose(v -> sample()).compose(v -> emulator.workers())
-                .compose(workers -> finish(workers[1])))
+        return Emulator.start(vertx, scenario, Emulator.Place.LOOPBACK, history)
+                .compose(started -> {
+                    emulator = started;
+                    start = started.startedAt();
+                    try {
+                        controllers = new Controllers(home, directory, history);
+                        for (PlatformConfig node : emulator.nodes()) {
+                            controllers.start(node);
+                        }
+                    } catch (IOException | ConfigException e) {
+                        return Future.failedFuture(e);
+                    }
+                    return vertx.deployVerticle(new VerticleBase() {
+                        @Override
+                        public Future<?> start() {
+                            begin(arrivals);
+                            return Future.succeededFuture();
+                        }
+                    });
+                })
+                .compose(id -> over.future()
+                        .compose(v -> sample())
+                        .compose(v -> emulator.workers())
+                        .compose(workers -> finish(workers[1])))
                 .eventually(this::close);
     }
 
     private void begin(List<Arrivals.Arrival> arrivals) {
-        users = new Users(vertx, clock, emulator.gate(), new SplittableRandom(scenario.seed() + 29), history,
+        users = new Users(
+                vertx,
+                clock,
+                emulator.gate(),
+                new SplittableRandom(scenario.seed() + 29),
+                history,
                 emulator.nodes().stream().map(PlatformConfig::node).toList(),
                 emulator.nodes().stream().map(PlatformConfig::listen).toList());
         open = arrivals.size();
         for (Arrivals.Arrival a : arrivals) {
-            at(a.at(), () -> emulator.upload(new DepotCodec.Upload(a.spec(), a.conduct()))
-                    .compose(v -> users.run(a.spec(), a.cancelAfter())).onSuccess(done -> {
-                        open--;
-                        if (open == 0) {
-                            over.tryComplete();
-                        }
-                    }));
+            at(
+                    a.at(),
+                    () -> emulator.upload(new DepotCodec.Upload(a.spec(), a.conduct()))
+                            .compose(v -> users.run(a.spec(), a.cancelAfter()))
+                            .onSuccess(done -> {
+                                open--;
+                                if (open == 0) {
+                                    over.tryComplete();
+                                }
+                            }));
         }
         scenario.fault().forEach(this::plan);
         vertx.setPeriodic(SAMPLE.ms(), t -> sample());
@@ -152,18 +171,29 @@
     /** By the service's own protocol: to the controllers it looks the same as a loss inside it. */
     private void lose(StateClient state, Fault f, String after, RandomGenerator random) {
         int most = Math.min(100, scenario.deployment().state().txnOps());
-        state.list(f.to(), after, most).compose(page -> {
-            StateClient.Txn loss = new StateClient.Txn();
-            page.items().stream().filter(e -> random.nextDouble() < f.share())
-                    .forEach(e -> loss.when(e.key(), e.stamp()).delete(e.key()));
-            // What has changed meanwhile is tried again; what is spared is passed over.
-            return state.commit(loss).map(outcome -> outcome.done() ? page.items().isEmpty() ? null
-                    : page.items().get(page.items().size() - 1).key() : after == null ? "" : after);
-        }).onSuccess(next -> {
-            if (next != null) {
-                lose(state, f, next.isEmpty() ? null : next, random);
-            }
-        }).onFailure(e -> at(clock.now().since(start).plus(Span.seconds(0.2)), () -> lose(state, f, after, random)));
+        state.list(f.to(), after, most)
+                .compose(page -> {
+                    StateClient.Txn loss = new StateClient.Txn();
+                    page.items().stream()
+                            .filter(e -> random.nextDouble() < f.share())
+                            .forEach(e -> loss.when(e.key(), e.stamp()).delete(e.key()));
+                    // What has changed meanwhile is tried again; what is spared is passed over.
+                    return state.commit(loss)
+                            .map(outcome -> outcome.done()
+                                    ? page.items().isEmpty()
+                                            ? null
+                                            : page.items()
+                                                    .get(page.items().size() - 1)
+                                                    .key()
+                                    : after == null ? "" : after);
+                })
+                .onSuccess(next -> {
+                    if (next != null) {
+                        lose(state, f, next.isEmpty() ? null : next, random);
+                    }
+                })
+                .onFailure(
+                        e -> at(clock.now().since(start).plus(Span.seconds(0.2)), () -> lose(state, f, after, random)));
     }
 
     /** Something done to a process. */
@@ -180,7 +210,10 @@
     }
 
     private PlatformConfig node(String name) {
-        return emulator.nodes().stream().filter(n -> n.node().equals(name)).findFirst().orElseThrow();
+        return emulator.nodes().stream()
+                .filter(n -> n.node().equals(name))
+                .findFirst()
+                .orElseThrow();
     }
 
     private Future<Void> sample() {
@@ -188,15 +221,23 @@
             samples.add(new Sample(clock.now().since(start).seconds(), s));
             List<Users.Mine> jobs = users.jobs();
             long ended = jobs.stream().filter(Users.Mine::isOver).count();
-            progress.accept(String.format(java.util.Locale.ROOT, "%6.1f s  jobs %d of %d over; machines %d up, %d "
-                    + "booting; %.4f spent", clock.now().since(start).seconds(), ended, jobs.size(), s.up(), s.booting(),
+            progress.accept(String.format(
+                    java.util.Locale.ROOT,
+                    "%6.1f s  jobs %d of %d over; machines %d up, %d " + "booting; %.4f spent",
+                    clock.now().since(start).seconds(),
+                    ended,
+                    jobs.size(),
+                    s.up(),
+                    s.booting(),
                     s.spent()));
             return null;
         });
     }
 
     private Future<Outcome> finish(long reports) {
-        double cpu = emulator.nodes().stream().mapToDouble(n -> controllers.cpuS(n.node())).sum();
+        double cpu = emulator.nodes().stream()
+                .mapToDouble(n -> controllers.cpuS(n.node()))
+                .sum();
         controllers.close();
         Span took = clock.now().since(start);
         List<String> ended = controllers.endedBySelf();
@@ -204,10 +245,23 @@
         return vertx.executeBlocking(() -> {
             Moment began = clock.now();
             Deployment d = scenario.deployment();
-            List<Breach> breaches = Checker.check(history, start, Span.seconds(d.workers().cancelS()),
+            List<Breach> breaches = Checker.check(
+                    history,
+                    start,
+                    Span.seconds(d.workers().cancelS()),
                     d.team().stream().map(Deployment.Team::rules).toList());
-            return new Outcome(scenario, start, history, breaches, jobs, List.copyOf(samples), ended, cpu, reports,
-                    took, clock.now().since(began));
+            return new Outcome(
+                    scenario,
+                    start,
+                    history,
+                    breaches,
+                    jobs,
+                    List.copyOf(samples),
+                    ended,
+                    cpu,
+                    reports,
+                    took,
+                    clock.now().since(began));
         });
     }
 
--- a/src/main/java/io/indigoreach/experiment/Figures.java
+++ b/src/main/java/io/indigoreach/experiment/Figures.java
@@ -29,8 +29,7 @@
     private static final int DIGITS = 3;
 
     /** Tasks that wait and run at a time in seconds. */
-    record Point(double atS, int waiting, int running) {
-    }
+    record Point(double atS, int waiting, int running) {}
 
     /** How an aim was met: the share that did. */
     record AimResult(String text, double wanted, double met, int of) {
@@ -70,51 +69,81 @@
         }
         walk();
         for (Users.Mine m : outcome.jobs()) {
-            record("submission accepted", m.acceptedAfter() == null ? -1 : m.acceptedAfter().ms());
+            record(
+                    "submission accepted",
+                    m.acceptedAfter() == null ? -1 : m.acceptedAfter().ms());
             record("job over", m.overAfter() == null ? -1 : m.overAfter().ms());
         }
         outcome.scenario().deployment().aim().forEach(a -> aims.add(judge(a)));
-        outcome.scenario().jobs().stream().map(JobClass::name).distinct()
-                .forEach(c -> {
-                    served.add(served("class " + c, spec -> spec.jobClass().equals(c)));
-                    largest(c, "tasks", JobSpec::tasks);
-                    largest(c, "cores a task", spec -> spec.demand().cores());
-                    largest(c, "work", spec -> spec.tasks() * spec.demand().cores() * spec.estimate().seconds());
-                });
-        outcome.scenario().deployment().team()
-                .forEach(t -> served.add(served("team " + t.name(), spec -> spec.team().equals(t.name()))));
+        outcome.scenario().jobs().stream().map(JobClass::name).distinct().forEach(c -> {
+            served.add(served("class " + c, spec -> spec.jobClass().equals(c)));
+            largest(c, "tasks", JobSpec::tasks);
+            largest(c, "cores a task", spec -> spec.demand().cores());
+            largest(
+                    c,
+                    "work",
+                    spec -> spec.tasks()
+                            * spec.demand().cores()
+                            * spec.estimate().seconds());
+        });
+        outcome.scenario()
+                .deployment()
+                .team()
+                .forEach(t -> served.add(
+                        served("team " + t.name(), spec -> spec.team().equals(t.name()))));
     }
 
     /** The top tenth of a class, at least one job. */
     private void largest(String jobClass, String by, ToDoubleFunction<JobSpec> size) {
-        List<Double> sizes = outcome.jobs().stream().map(Users.Mine::spec).filter(s -> s.jobClass().equals(jobClass))
-                .map(size::applyAsDouble).sorted(Comparator.reverseOrder()).toList();
+        List<Double> sizes = outcome.jobs().stream()
+                .map(Users.Mine::spec)
+                .filter(s -> s.jobClass().equals(jobClass))
+                .map(size::applyAsDouble)
+                .sorted(Comparator.reverseOrder())
+                .toList();
         if (!sizes.isEmpty()) {
             double least = sizes.get((sizes.size() - 1) / 10);
-            served.add(served("largest of " + jobClass + " by " + by,
+            served.add(served(
+                    "largest of " + jobClass + " by " + by,
                     spec -> spec.jobClass().equals(jobClass) && size.applyAsDouble(spec) >= least));
         }
     }
 
     /** Cancelled jobs and replicas aside; a job that was never accepted was not served. */
     private Served served(String name, Predicate<JobSpec> which) {
-        List<Users.Mine> mine = outcome.jobs().stream().filter(m -> which.test(m.spec())
-                && m.status() != JobStatus.CANCELLED && !m.spec().isService()).toList();
-        List<Users.Mine> over = mine.stream().filter(m -> m.overAfter() != null && !m.isRefused()).toList();
-        return new Served(name, mine.size(), over.size(), (int) over.stream().filter(m ->
-                m.overAfter().seconds() <= longestAim(m.spec())).count(),
+        List<Users.Mine> mine = outcome.jobs().stream()
+                .filter(m -> which.test(m.spec())
+                        && m.status() != JobStatus.CANCELLED
+                        && !m.spec().isService())
+                .toList();
+        List<Users.Mine> over = mine.stream()
+                .filter(m -> m.overAfter() != null && !m.isRefused())
+                .toList();
+        return new Served(
+                name,
+                mine.size(),
+                over.size(),
+                (int) over.stream()
+                        .filter(m -> m.overAfter().seconds() <= longestAim(m.spec()))
+                        .count(),
                 mine.stream().mapToDouble(this::beginsAfter).max().orElse(0));
     }
 
     private double beginsAfter(Users.Mine m) {
-        return IntStream.range(0, m.spec().tasks()).mapToObj(i -> firstRun.get(new TaskId(m.spec().id(), i)))
-                .filter(Objects::nonNull).mapToDouble(at -> at.since(m.asked()).seconds()).min()
+        return IntStream.range(0, m.spec().tasks())
+                .mapToObj(i -> firstRun.get(new TaskId(m.spec().id(), i)))
+                .filter(Objects::nonNull)
+                .mapToDouble(at -> at.since(m.asked()).seconds())
+                .min()
                 .orElse(Double.POSITIVE_INFINITY);
     }
 
     private double longestAim(JobSpec spec) {
-        return outcome.scenario().deployment().aim().stream().filter(a -> a.jobClass().equals(spec.jobClass())
-                && a.kind().equals("finished")).mapToDouble(Deployment.Aim::withinS).max().orElse(Double.MAX_VALUE);
+        return outcome.scenario().deployment().aim().stream()
+                .filter(a -> a.jobClass().equals(spec.jobClass()) && a.kind().equals("finished"))
+                .mapToDouble(Deployment.Aim::withinS)
+                .max()
+                .orElse(Double.MAX_VALUE);
     }
 
     private void record(String name, long ms) {
@@ -140,8 +169,11 @@
                 starts++;
                 running.put(r.machine() + " " + r.task() + " " + r.attempt(), r.at());
                 waiting[0]--;
-                if (firstRun.putIfAbsent(r.task(), r.at()) == null && submitted.containsKey(r.task().job())) {
-                    record("task waits", r.at().since(submitted.get(r.task().job())).ms());
+                if (firstRun.putIfAbsent(r.task(), r.at()) == null
+                        && submitted.containsKey(r.task().job())) {
+                    record(
+                            "task waits",
+                            r.at().since(submitted.get(r.task().job())).ms());
                 }
             } else if (e instanceof Event.Off off) {
                 Moment from = running.remove(off.machine() + " " + off.task() + " " + off.attempt());
@@ -154,7 +186,8 @@
                     waiting[0]++;
                 }
                 if (from != null && spec != null) {
-                    double coreS = off.at().since(from).seconds() * spec.demand().cores();
+                    double coreS =
+                            off.at().since(from).seconds() * spec.demand().cores();
                     usefulCoreS += isDone || spec.isService() ? coreS : 0;
                     lostCoreS += isDone || spec.isService() ? 0 : coreS;
                 }
@@ -163,7 +196,9 @@
                 for (int i = 0; i < specs.get(c.job()).tasks(); i++) {
                     over += done.contains(new TaskId(c.job(), i)) ? 1 : 0;
                 }
-                int runs = (int) running.keySet().stream().filter(k -> k.contains(" " + c.job() + "/")).count();
+                int runs = (int) running.keySet().stream()
+                        .filter(k -> k.contains(" " + c.job() + "/"))
+                        .count();
                 waiting[0] -= specs.get(c.job()).tasks() - over - runs;
             } else if (e instanceof Event.Answered a && a.question() == Event.Question.POLL && a.status() != null) {
                 record("poll answered", a.at().since(a.asked()).ms());
@@ -180,8 +215,7 @@
         int met = 0;
         for (Users.Mine m : outcome.jobs()) {
             JobSpec spec = m.spec();
-            if (!spec.jobClass().equals(aim.jobClass()) || m.isRefused()
-                    || m.status() == JobStatus.CANCELLED) {
+            if (!spec.jobClass().equals(aim.jobClass()) || m.isRefused() || m.status() == JobStatus.CANCELLED) {
                 continue;
             }
             if (aim.kind().equals("wait")) {
@@ -191,14 +225,15 @@
                     met += ran != null && ran.since(m.asked()).seconds() <= aim.withinS() ? 1 : 0;
                 }
             } else {
-                double within = aim.kind().equals("deadline") ? spec.due() == null ? Double.MAX_VALUE
-                        : spec.due().seconds() : aim.withinS();
+                double within = aim.kind().equals("deadline")
+                        ? spec.due() == null ? Double.MAX_VALUE : spec.due().seconds()
+                        : aim.withinS();
                 of++;
                 met += m.overAfter() != null && m.overAfter().seconds() <= within ? 1 : 0;
             }
         }
-        String text = aim.kind() + " " + aim.jobClass() + (aim.kind().equals("deadline") ? "" : " within "
-                + aim.withinS() + " s");
+        String text = aim.kind() + " " + aim.jobClass()
+                + (aim.kind().equals("deadline") ? "" : " within " + aim.withinS() + " s");
         return new AimResult(text, aim.share(), of == 0 ? 1 : (double) met / of, of);
     }
 }
--- a/src/main/java/io/indigoreach/load/Arrivals.java
+++ b/src/main/java/io/indigoreach/load/Arrivals.java
@@ -23,11 +23,9 @@
      * @param at from the start
      * @param cancelAfter when its user cancels it, counted from its submission; null: never
      */
-    public record Arrival(Span at, JobSpec spec, Depot.Conduct conduct, Span cancelAfter) {
-    }
+    public record Arrival(Span at, JobSpec spec, Depot.Conduct conduct, Span cancelAfter) {}
 
-    private Arrivals() {
-    }
+    private Arrivals() {}
 
     /** All jobs, the first to come first. Ids do not follow the order of arrival. */
     public static List<Arrival> of(Scenario scenario) {
@@ -66,28 +64,65 @@
         for (int i = 0; i < all.size(); i++) {
             Arrival a = all.get(i);
             JobSpec s = a.spec;
-            out.add(new Arrival(a.at, new JobSpec(new JobId("run-" + ids.get(i)), s.jobClass(), s.team(), s.shape(),
-                    s.urgency(), s.tasks(), s.demand(), s.image(), s.imageGb(), s.types(), s.zone(), s.oneZone(),
-                    s.spread(), s.spotAllowed(), s.estimate(), s.checkpointEvery(), s.checkpointTime(), s.due()),
-                    a.conduct, a.cancelAfter));
+            out.add(new Arrival(
+                    a.at,
+                    new JobSpec(
+                            new JobId("run-" + ids.get(i)),
+                            s.jobClass(),
+                            s.team(),
+                            s.shape(),
+                            s.urgency(),
+                            s.tasks(),
+                            s.demand(),
+                            s.image(),
+                            s.imageGb(),
+                            s.types(),
+                            s.zone(),
+                            s.oneZone(),
+                            s.spread(),
+                            s.spotAllowed(),
+                            s.estimate(),
+                            s.checkpointEvery(),
+                            s.checkpointTime(),
+                            s.due()),
+                    a.conduct,
+                    a.cancelAfter));
         }
         return out;
     }
 
     private static Arrival arrival(JobClass c, Span at, RandomGenerator random) {
-        int tasks = (int) Math.min(c.mostTasks(), Math.max(1, Math.round(c.tasks() * (0.5 + random.nextExponential() / 2))));
+        int tasks = (int) Math.min(
+                c.mostTasks(), Math.max(1, Math.round(c.tasks() * (0.5 + random.nextExponential() / 2))));
         boolean service = c.shape() == io.indigoreach.core.Shape.SERVICE;
         double run = c.runS() * logNormal(c.runSpread() / 2, random);
         double estimate = service ? 0 : run * logNormal(c.estimateSpread(), random);
         boolean cancels = service ? run > 0 : random.nextDouble() < c.cancelShare();
         Span cancelAfter = !cancels ? null : Span.seconds(service ? run : 2 * run * random.nextDouble());
-        JobSpec spec = new JobSpec(new JobId("run-0"), c.name(), c.team(), c.shape(), c.urgency(), tasks,
-                new Demand(c.cores(), c.gpus(), c.ramGb()), c.name() + "-" + random.nextInt(c.images()), c.imageGb(), null,
-                null, c.oneZone(), c.spread(), c.spot(), Span.seconds(estimate),
-                Span.seconds(service ? 0 : c.checkpointEveryS()), Span.seconds(c.checkpointS()),
+        JobSpec spec = new JobSpec(
+                new JobId("run-0"),
+                c.name(),
+                c.team(),
+                c.shape(),
+                c.urgency(),
+                tasks,
+                new Demand(c.cores(), c.gpus(), c.ramGb()),
+                c.name() + "-" + random.nextInt(c.images()),
+                c.imageGb(),
+                null,
+                null,
+                c.oneZone(),
+                c.spread(),
+                c.spot(),
+                Span.seconds(estimate),
+                Span.seconds(service ? 0 : c.checkpointEveryS()),
+                Span.seconds(c.checkpointS()),
                 c.dueTimes() <= 0 ? null : Span.seconds(estimate * c.dueTimes()));
-        return new Arrival(at, spec, new Depot.Conduct(Span.seconds(run), c.runSpread(),
-                random.nextDouble() < c.mistakeShare()), cancelAfter);
+        return new Arrival(
+                at,
+                spec,
+                new Depot.Conduct(Span.seconds(run), c.runSpread(), random.nextDouble() < c.mistakeShare()),
+                cancelAfter);
     }
 
     private static double logNormal(double spread, RandomGenerator random) {
--- a/src/main/java/io/indigoreach/load/Users.java
+++ b/src/main/java/io/indigoreach/load/Users.java
@@ -113,8 +113,14 @@
     private int turn;
 
     /** The nodes by name and address. */
-    public Users(Vertx vertx, SteadyClock clock, Gate gate, RandomGenerator random, History history,
-                 List<String> names, List<Endpoint> endpoints) {
+    public Users(
+            Vertx vertx,
+            SteadyClock clock,
+            Gate gate,
+            RandomGenerator random,
+            History history,
+            List<String> names,
+            List<Endpoint> endpoints) {
         this.vertx = vertx;
         this.clock = clock;
         this.gate = gate;
@@ -132,7 +138,9 @@
     private void probe() {
         for (int i = 0; i < probes.size(); i++) {
             int node = i;
-            probes.get(i).get(JobCodec.READY, PROBE).onComplete(r -> ready[node] = r.succeeded() && r.result().isOk());
+            probes.get(i)
+                    .get(JobCodec.READY, PROBE)
+                    .onComplete(r -> ready[node] = r.succeeded() && r.result().isOk());
         }
     }
 
@@ -180,7 +188,9 @@
                         mine.accepted = now;
                         take(mine, r, over);
                         vertx.setTimer(pause(mine.pollEvery), t -> poll(mine, over));
-                    } else if (r.status() == 400 || r.status() == 422 || now.since(mine.asked).compareTo(GIVES_UP) > 0) {
+                    } else if (r.status() == 400
+                            || r.status() == 422
+                            || now.since(mine.asked).compareTo(GIVES_UP) > 0) {
                         mine.refused = true;
                         over.tryComplete(mine);
                     } else {
@@ -193,12 +203,13 @@
         if (closed || mine.isOver()) {
             return;
         }
-        ask(Question.POLL, mine.spec.id(), JobCodec.JOBS + "/" + mine.spec.id(), null, POLL_PATIENCE).onSuccess(r -> {
-            if (r.isOk()) {
-                take(mine, r, over);
-            }
-            vertx.setTimer(pause(mine.pollEvery), t -> poll(mine, over));
-        });
+        ask(Question.POLL, mine.spec.id(), JobCodec.JOBS + "/" + mine.spec.id(), null, POLL_PATIENCE)
+                .onSuccess(r -> {
+                    if (r.isOk()) {
+                        take(mine, r, over);
+                    }
+                    vertx.setTimer(pause(mine.pollEvery), t -> poll(mine, over));
+                });
     }
 
     private void cancel(Mine mine, Promise<Mine> over) {
@@ -209,8 +220,13 @@
             mine.cancelling = true;
             history.add(new Event.CancelAsked(clock.now(), mine.spec.id()));
         }
-        ask(Question.CANCEL, mine.spec.id(), JobCodec.JOBS + "/" + mine.spec.id() + JobCodec.CANCEL, Map.of(),
-                SUBMIT_PATIENCE).onSuccess(r -> {
+        ask(
+                        Question.CANCEL,
+                        mine.spec.id(),
+                        JobCodec.JOBS + "/" + mine.spec.id() + JobCodec.CANCEL,
+                        Map.of(),
+                        SUBMIT_PATIENCE)
+                .onSuccess(r -> {
                     if (r.isOk()) {
                         take(mine, r, over);
                     } else {
@@ -243,8 +259,11 @@
         Moment asked = clock.now();
         Promise<Reply> answer = Promise.promise();
         Verdict verdict = gate.judge(asked, PARTY, names.get(node), body != null);
-        Runnable send = () -> (body == null ? nodes.get(node).get(path, patience)
-                : nodes.get(node).post(path, body, patience)).otherwise(new Reply(0, null)).onSuccess(r -> {
+        Runnable send = () -> (body == null
+                        ? nodes.get(node).get(path, patience)
+                        : nodes.get(node).post(path, body, patience))
+                .otherwise(new Reply(0, null))
+                .onSuccess(r -> {
                     if (verdict.answers()) {
                         answer.tryComplete(r);
                     }
@@ -257,8 +276,7 @@
         switch (verdict.fate()) {
             case REFUSE -> answer.tryComplete(new Reply(verdict.status(), null));
             case RESET -> answer.tryComplete(new Reply(0, null));
-            case LOSE_REQUEST -> {
-            }
+            case LOSE_REQUEST -> {}
             default -> {
                 if (delay > 0) {
                     vertx.setTimer(delay, t -> send.run());
@@ -274,7 +292,9 @@
             vertx.setTimer(patience.ms(), t -> answer.tryComplete(new Reply(0, null)));
         }
         return answer.future().onSuccess(r -> {
-            JobStatus status = r.isOk() || r.status() == 201 ? JobCodec.readProgress(r.body()).status() : null;
+            JobStatus status = r.isOk() || r.status() == 201
+                    ? JobCodec.readProgress(r.body()).status()
+                    : null;
             history.add(new Event.Answered(clock.now(), asked, question, job, names.get(node), r.status(), status));
         });
     }
--- a/src/main/java/io/indigoreach/net/Body.java
+++ b/src/main/java/io/indigoreach/net/Body.java
@@ -9,8 +9,7 @@
     /** What the protocol allows, in bytes. */
     public static final int MOST = 64 * 1024;
 
-    private Body() {
-    }
+    private Body() {}
 
     /** Hands over the whole body, or tells that it is longer than {@link #MOST}; a longer one is not kept. */
     public static void gather(HttpServerRequest request, Consumer<Buffer> whole, Runnable tooLong) {
--- a/src/main/java/io/indigoreach/net/Caller.java
+++ b/src/main/java/io/indigoreach/net/Caller.java
@@ -24,8 +24,8 @@
                 .setKeepAliveTimeout(30)
                 .setTcpNoDelay(true)
                 .setDecompressionSupported(false);
-        this.client = vertx.createHttpClient(options, new PoolOptions().setHttp1MaxSize(connections)
-                .setMaxWaitQueueSize(200));
+        this.client = vertx.createHttpClient(
+                options, new PoolOptions().setHttp1MaxSize(connections).setMaxWaitQueueSize(200));
     }
 
     public Future<Reply> get(String path, Span timeout) {
@@ -42,8 +42,10 @@
 
     private Future<Reply> call(HttpMethod method, String path, Map<String, Object> body, Span timeout) {
         RequestOptions options = new RequestOptions()
-                .setHost(endpoint.host()).setPort(endpoint.port())
-                .setMethod(method).setURI(path)
+                .setHost(endpoint.host())
+                .setPort(endpoint.port())
+                .setMethod(method)
+                .setURI(path)
                 .setConnectTimeout(CONNECT.ms())
                 .setIdleTimeout(timeout.ms());
         return client.request(options).compose(request -> {
--- a/src/main/java/io/indigoreach/net/Wire.java
+++ b/src/main/java/io/indigoreach/net/Wire.java
@@ -17,11 +17,10 @@
 public final class Wire {
     private static final int MAX_DEPTH = 16;
     /** A reader's buffer for text that lies in pieces, in characters: a whole body never does, and 8,192 is the default. */
-    private static final MessagePack.UnpackerConfig READER = new MessagePack.UnpackerConfig()
-            .withStringDecoderBufferSize(128);
+    private static final MessagePack.UnpackerConfig READER =
+            new MessagePack.UnpackerConfig().withStringDecoderBufferSize(128);
 
-    private Wire() {
-    }
+    private Wire() {}
 
     /** The body's map; throws {@link WireException} if it is anything else. */
     public static Fields readMap(Buffer body) {
--- a/src/main/java/io/indigoreach/ownership/Desk.java
+++ b/src/main/java/io/indigoreach/ownership/Desk.java
@@ -38,6 +38,7 @@
 final class Desk implements Resource {
     /** Requests that work at the same time: each holds the pages of its records. */
     private static final int MOST_AT_ONCE = 4;
+
     private static final int SHOWN_PAGES = 6;
     private static final int COUNTED_PAGES = 40;
     private static final long OVERDUE_S = 600;
@@ -58,7 +59,8 @@
     @Override
     public Future<Answer> serve(Call call) {
         String verb = call.path().isEmpty() ? "" : call.path().get(0);
-        Future<Answer> done = call.isPost() && call.path().size() == 1 ? change(verb, call.body())
+        Future<Answer> done = call.isPost() && call.path().size() == 1
+                ? change(verb, call.body())
                 : call.isGet() ? look(verb, call) : null;
         if (done == null) {
             throw Refusal.notFound("no such path: see the operators' page on records");
@@ -69,22 +71,33 @@
     private Future<Answer> change(String verb, Fields f) {
         switch (verb) {
             case "claim":
-                return outcome(new Take(registry, most, RecordsCodec.run(f), RecordsCodec.ids(f, RecordsCodec.MOST_IDS),
+                return outcome(new Take(
+                        registry,
+                        most,
+                        RecordsCodec.run(f),
+                        RecordsCodec.ids(f, RecordsCodec.MOST_IDS),
                         f.flag("last", true)));
             case "release":
-                return outcome(f.has("ids") || f.has("prefix") ? Edit.release(registry, most, RecordsCodec.run(f),
-                        RecordsCodec.ids(f, RecordsCodec.MOST_IDS)) : new Ending(RecordsCodec.run(f)));
+                return outcome(
+                        f.has("ids") || f.has("prefix")
+                                ? Edit.release(
+                                        registry, most, RecordsCodec.run(f), RecordsCodec.ids(f, RecordsCodec.MOST_IDS))
+                                : new Ending(RecordsCodec.run(f)));
             case "billing": {
                 RecordsCodec.Holder h = RecordsCodec.holder(f);
-                return outcome(Edit.billing(registry, most, h.name(), h.task(), h.attempt(),
-                        RecordsCodec.ids(f, RecordsCodec.MOST_IDS)));
+                return outcome(Edit.billing(
+                        registry, most, h.name(), h.task(), h.attempt(), RecordsCodec.ids(f, RecordsCodec.MOST_IDS)));
             }
             case "billed": {
                 RecordsCodec.Holder h = RecordsCodec.holder(f);
                 return outcome(Edit.billed(registry, most, h.name(), h.task(), h.attempt(), RecordsCodec.fences(f)));
             }
             case "resolve":
-                return outcome(Edit.resolve(registry, most, RecordsCodec.state(f), RecordsCodec.reason(f),
+                return outcome(Edit.resolve(
+                        registry,
+                        most,
+                        RecordsCodec.state(f),
+                        RecordsCodec.reason(f),
                         RecordsCodec.ids(f, RecordsCodec.MOST_IDS)));
             case "begin":
                 return outcome(new Beginning(true, RecordsCodec.reason(f)));
@@ -104,22 +117,29 @@
             case "show":
                 return run(Edit.show(registry, asked(call))).map(shown -> Answer.ok(Wire.map("records", lines(shown))));
             case "doubt":
-                return run(new Survey(registry, group, call.query().get("after"), SHOWN_PAGES)).map(part -> {
-                    Map<RecordId, Shown> doubtful = new LinkedHashMap<>(part.records());
-                    long now = clock.timeOfDay();
-                    doubtful.values().removeIf(s -> !isDoubtful(s, now));
-                    return Answer.ok(Wire.map("records", lines(doubtful), "after", part.after()));
-                });
+                return run(new Survey(registry, group, call.query().get("after"), SHOWN_PAGES))
+                        .map(part -> {
+                            Map<RecordId, Shown> doubtful = new LinkedHashMap<>(part.records());
+                            long now = clock.timeOfDay();
+                            doubtful.values().removeIf(s -> !isDoubtful(s, now));
+                            return Answer.ok(Wire.map("records", lines(doubtful), "after", part.after()));
+                        });
             case "holders":
-                return run(new Survey(registry, group, call.query().get("after"), COUNTED_PAGES)).map(part -> {
-                    Map<String, Object> counts = new LinkedHashMap<>();
-                    part.records().values().stream().filter(s -> !s.state().equals("free"))
-                            .forEach(s -> counts.merge(s.name().replaceAll("^(run-\\d+)/.*", "$1") + " " + s.state(), 1L,
-                                    (a, b) -> (Long) a + (Long) b));
-                    return Answer.ok(Wire.map("holders", counts, "after", part.after()));
-                });
+                return run(new Survey(registry, group, call.query().get("after"), COUNTED_PAGES))
+                        .map(part -> {
+                            Map<String, Object> counts = new LinkedHashMap<>();
+                            part.records().values().stream()
+                                    .filter(s -> !s.state().equals("free"))
+                                    .forEach(s -> counts.merge(
+                                            s.name().replaceAll("^(run-\\d+)/.*", "$1") + " " + s.state(),
+                                            1L,
+                                            (a, b) -> (Long) a + (Long) b));
+                            return Answer.ok(Wire.map("holders", counts, "after", part.after()));
+                        });
             case "jobs":
-                return call.path().size() == 2 && JobId.isValid(call.path().get(1)) ? job(new JobId(call.path().get(1))) : null;
+                return call.path().size() == 2 && JobId.isValid(call.path().get(1))
+                        ? job(new JobId(call.path().get(1)))
+                        : null;
             default:
                 return null;
         }
@@ -127,7 +147,8 @@
 
     /** What nobody goes on with, as far as can be seen from here. */
     private static boolean isDoubtful(Shown s, long now) {
-        return s.state().equals("in doubt") || s.state().equals("unknown")
+        return s.state().equals("in doubt")
+                || s.state().equals("unknown")
                 || (s.state().equals("billing") || s.state().equals("claimed")) && now - s.sinceMs() > OVERDUE_S * 1000;
     }
 
@@ -150,7 +171,8 @@
             if (!kept.isThere()) {
                 throw Refusal.notFound("no open job " + id);
             }
-            JobSpec spec = RecordCodec.readJob(id, new Fields(kept.value()), kept.stamp()).spec();
+            JobSpec spec = RecordCodec.readJob(id, new Fields(kept.value()), kept.stamp())
+                    .spec();
             if (!spec.isGuarded()) {
                 throw Refusal.notFound("job " + id + " names no records");
             }
@@ -159,8 +181,15 @@
                 Map<RecordId, Shown> waited = new LinkedHashMap<>(shown);
                 waited.entrySet().removeIf(e -> e.getValue().name().startsWith(id + "/"));
                 List<Object> some = lines(waited);
-                return Answer.ok(Wire.map("id", id.text(), "records", wants.list().size(), "lacking", waited.size(),
-                        "waits_for", some.subList(0, Math.min(some.size(), RecordsCodec.MOST_IDS / 2))));
+                return Answer.ok(Wire.map(
+                        "id",
+                        id.text(),
+                        "records",
+                        wants.list().size(),
+                        "lacking",
+                        waited.size(),
+                        "waits_for",
+                        some.subList(0, Math.min(some.size(), RecordsCodec.MOST_IDS / 2))));
             });
         });
     }
@@ -181,9 +210,13 @@
     }
 
     private Future<Answer> outcome(Routine<Outcome> routine) {
-        return run(routine).map(o -> o.waits() ? Answer.later(o.against().get(0))
-                : new Answer(o.isDone() ? 200 : 409, RecordsCodec.write(o), 0)).recover(e -> e instanceof Unsettled
-                        ? Future.succeededFuture(Answer.later(e.getMessage())) : Future.failedFuture(e));
+        return run(routine)
+                .map(o -> o.waits()
+                        ? Answer.later(o.against().get(0))
+                        : new Answer(o.isDone() ? 200 : 409, RecordsCodec.write(o), 0))
+                .recover(e -> e instanceof Unsettled
+                        ? Future.succeededFuture(Answer.later(e.getMessage()))
+                        : Future.failedFuture(e));
     }
 
     private <R> Future<R> run(Routine<R> routine) {
--- a/src/main/java/io/indigoreach/ownership/OwnershipPart.java
+++ b/src/main/java/io/indigoreach/ownership/OwnershipPart.java
@@ -24,6 +24,7 @@
     private static final double LEADERS = 0.3;
     /** A page that is divided takes three changes, and its claim one. */
     private static final int LEAST = 4;
+
     private static final int MOST = 12;
 
     private final Parts.Ground ground;
@@ -35,12 +36,15 @@
     public OwnershipPart(Parts.Ground ground) {
         this.ground = ground;
         int most = Math.max(LEAST, Math.min(MOST, ground.config().stateLimits().txnOps()));
-        double perS = ground.config().stateLimits().writesPerS() * WRITES / (ground.config().peers().size() + 1);
-        Records within = ground.records().within(new Budget(perS, 2 * most / perS, ground.clock().now()));
+        double perS = ground.config().stateLimits().writesPerS()
+                * WRITES
+                / (ground.config().peers().size() + 1);
+        Records within = ground.records()
+                .within(new Budget(perS, 2 * most / perS, ground.clock().now()));
         this.desk = new Desk(within, registry, most, ground.clock());
         this.field = new RecordsField(within, registry, most);
-        this.tidy = new Tidy(new Tidy.Jobs(JobId::isValid, id -> RecordCodec.open(new JobId(id)),
-                id -> RecordCodec.over(new JobId(id))));
+        this.tidy = new Tidy(new Tidy.Jobs(
+                JobId::isValid, id -> RecordCodec.open(new JobId(id)), id -> RecordCodec.over(new JobId(id))));
     }
 
     /** With the hash by which all records are found. */
@@ -75,7 +79,8 @@
 
     @Override
     public Reigning reigning(LeaderCore core, Records records) {
-        int most = (int) Math.max(LEAST, Math.min(MOST, ground.config().stateLimits().writesPerS() * LEADERS));
+        int most = (int)
+                Math.max(LEAST, Math.min(MOST, ground.config().stateLimits().writesPerS() * LEADERS));
         return new Withholding(ground, core, records, registry, most).start();
     }
 }
--- a/src/main/java/io/indigoreach/ownership/RecordsCodec.java
+++ b/src/main/java/io/indigoreach/ownership/RecordsCodec.java
@@ -22,15 +22,14 @@
 public final class RecordsCodec {
     /** Of one request: its body and its answer have 64 KiB. */
     public static final int MOST_IDS = 400;
+
     private static final Pattern RUN = Pattern.compile("[A-Za-z0-9._-]{1,60}");
     private static final int LONGEST_REASON = 120;
 
     /** Who bills: a run, or a job's task. */
-    record Holder(String name, String task, long attempt) {
-    }
+    record Holder(String name, String task, long attempt) {}
 
-    private RecordsCodec() {
-    }
+    private RecordsCodec() {}
 
     /** The records that a job names; throws {@link WireException} if they are malformed. */
     static JobRecords readField(JobSpec spec) {
@@ -48,7 +47,11 @@
             long from = f.whole("from");
             long to = f.whole("to");
             String prefix = f.text("prefix");
-            if (from < 0 || to < from || to - from >= most || to > Integer.MAX_VALUE || !RecordId.isValid(prefix + to)) {
+            if (from < 0
+                    || to < from
+                    || to - from >= most
+                    || to > Integer.MAX_VALUE
+                    || !RecordId.isValid(prefix + to)) {
                 throw Fields.invalid("to");
             }
             ids = List.copyOf(JobRecords.range(prefix, (int) from, (int) to));
@@ -115,7 +118,9 @@
         if (!RUN.matcher(by).matches()) {
             throw Fields.invalid("by");
         }
-        if (reason.isEmpty() || reason.length() > LONGEST_REASON || reason.chars().anyMatch(c -> c < ' ' || c == '"' || c == '\\')) {
+        if (reason.isEmpty()
+                || reason.length() > LONGEST_REASON
+                || reason.chars().anyMatch(c -> c < ' ' || c == '"' || c == '\\')) {
             throw Fields.invalid("reason");
         }
         return by + ": " + reason;
--- a/src/main/java/io/indigoreach/ownership/RecordsField.java
+++ b/src/main/java/io/indigoreach/ownership/RecordsField.java
@@ -48,8 +48,10 @@
         if (known != null) {
             return known;
         }
-        Future<Change> begun = records.run(new Grant(registry, most, spec.id().text(), RecordsCodec.readField(spec), new BitSet(), true))
-                .compose(given -> given.never().isEmpty() ? Future.succeededFuture(given.commit())
+        Future<Change> begun = records.run(
+                        new Grant(registry, most, spec.id().text(), RecordsCodec.readField(spec), new BitSet(), true))
+                .compose(given -> given.never().isEmpty()
+                        ? Future.succeededFuture(given.commit())
                         : Future.failedFuture(Refusal.of(JobSpec.RECORDS, String.join("; ", given.never()))));
         preparing.put(spec.id(), begun);
         begun.onComplete(r -> preparing.remove(spec.id()));
--- a/src/main/java/io/indigoreach/ownership/Withholding.java
+++ b/src/main/java/io/indigoreach/ownership/Withholding.java
@@ -65,14 +65,18 @@
     /** The oldest job that is due: what becomes free goes to those that came first. */
     private Future<Span> step() {
         Moment now = ground.clock().now();
-        List<Job> guarded = new ArrayList<>(core.jobs().stream().filter(j -> j.spec().isGuarded()).toList());
+        List<Job> guarded = new ArrayList<>(
+                core.jobs().stream().filter(j -> j.spec().isGuarded()).toList());
         Set<JobId> open = new HashSet<>();
         guarded.forEach(j -> open.add(j.id()));
         whole.retainAll(open);
         due.keySet().retainAll(open);
-        Job next = guarded.stream().filter(j -> !whole.contains(j.id()) && !j.isCancelled()
-                && !now.isBefore(due.getOrDefault(j.id(), Moment.NEVER)))
-                .min(java.util.Comparator.comparingLong(Job::submittedMs).thenComparing(Job::id)).orElse(null);
+        Job next = guarded.stream()
+                .filter(j -> !whole.contains(j.id())
+                        && !j.isCancelled()
+                        && !now.isBefore(due.getOrDefault(j.id(), Moment.NEVER)))
+                .min(java.util.Comparator.comparingLong(Job::submittedMs).thenComparing(Job::id))
+                .orElse(null);
         if (next == null) {
             return Future.succeededFuture(PERIOD);
         }
@@ -86,17 +90,23 @@
             return Future.succeededFuture(PERIOD);
         }
         due.put(id, now.plus(AGAIN).plus(Span.seconds(wants.list().size() * PER_RECORD_S)));
-        return records.run(new Grant(registry, most, id.text(), wants, next.doneTasks(), false)).map(given -> {
-            if (!duty.isCancelled()) {
-                core.withhold(id, given.held());
-                if (given.held().isEmpty()) {
-                    whole.add(id);
-                } else {
-                    LOG.info("job {}: {} tasks wait for records: {}", id, given.held().cardinality(),
-                            given.never().isEmpty() ? given.against().get(0) : given.never().get(0));
-                }
-            }
-            return new Span(1);
-        });
+        return records.run(new Grant(registry, most, id.text(), wants, next.doneTasks(), false))
+                .map(given -> {
+                    if (!duty.isCancelled()) {
+                        core.withhold(id, given.held());
+                        if (given.held().isEmpty()) {
+                            whole.add(id);
+                        } else {
+                            LOG.info(
+                                    "job {}: {} tasks wait for records: {}",
+                                    id,
+                                    given.held().cardinality(),
+                                    given.never().isEmpty()
+                                            ? given.against().get(0)
+                                            : given.never().get(0));
+                        }
+                    }
+                    return new Span(1);
+                });
     }
 }
--- a/src/main/java/io/indigoreach/parts/Part.java
+++ b/src/main/java/io/indigoreach/parts/Part.java
@@ -31,8 +31,7 @@
     }
 
     /** Where it may submit jobs: the desk at which users' come in. */
-    default void submitting(Function<Buffer, Future<Answer>> desk) {
-    }
+    default void submitting(Function<Buffer, Future<Answer>> desk) {}
 
     /** The leader's clean-up; null if there is none. */
     default Sweep sweep() {
@@ -41,7 +40,7 @@
 
     /** A leadership of this node begins, its records read. What the part does for it ends when the result is closed. */
     default Reigning reigning(LeaderCore core, Records records) {
-        return () -> { };
+        return () -> {};
     }
 
     /** A part's work for one leadership. */
--- a/src/main/java/io/indigoreach/parts/Parts.java
+++ b/src/main/java/io/indigoreach/parts/Parts.java
@@ -25,9 +25,13 @@
 /** The parts of a node beside the jobs: those that the settings switch on. */
 public final class Parts {
     /** What a part is built from. */
-    public record Ground(Vertx vertx, SteadyClock clock, Records records, Catalogue catalogue, PlatformConfig config,
-                         Settings settings) {
-    }
+    public record Ground(
+            Vertx vertx,
+            SteadyClock clock,
+            Records records,
+            Catalogue catalogue,
+            PlatformConfig config,
+            Settings settings) {}
 
     /**
      * A part that can be switched on.
@@ -35,8 +39,7 @@
      * @param knob the setting that does, by being 1
      * @param families its records
      */
-    public record Kind(Settings.Knob knob, List<Family> families, Function<Ground, Part> maker) {
-    }
+    public record Kind(Settings.Knob knob, List<Family> families, Function<Ground, Part> maker) {}
 
     /** Every part there is: each adds itself here, and nowhere else. */
     private static final List<Kind> KINDS = List.of(
@@ -62,9 +65,16 @@
     }
 
     /** Of these kinds. */
-    public static Parts of(List<Kind> kinds, Vertx vertx, StateClient state, SteadyClock clock, Catalogue catalogue,
-                           PlatformConfig config, Settings settings) {
-        Copies copies = new Copies(kinds.stream().flatMap(k -> k.families().stream()).toList());
+    public static Parts of(
+            List<Kind> kinds,
+            Vertx vertx,
+            StateClient state,
+            SteadyClock clock,
+            Catalogue catalogue,
+            PlatformConfig config,
+            Settings settings) {
+        Copies copies =
+                new Copies(kinds.stream().flatMap(k -> k.families().stream()).toList());
         Records records = new Records(vertx, state, clock, copies);
         Ground ground = new Ground(vertx, clock, records, catalogue, config, settings);
         return new Parts(kinds.stream().map(k -> k.maker().apply(ground)).toList(), copies, records);
--- a/src/main/java/io/indigoreach/scenario/Fault.java
+++ b/src/main/java/io/indigoreach/scenario/Fault.java
@@ -5,14 +5,30 @@
         @Setting("what goes wrong") Kind kind,
         @Setting(value = "when, s from the start") double atS,
         @Setting(value = "for how long, s", standard = "0") double forS,
-        @Setting(value = "who calls; empty: anyone", standard = "") String from,
-        @Setting(value = "who is called; empty: anyone", standard = "") String to,
-        @Setting(value = "share of the messages or machines hit", standard = "1", most = 1) double share,
-        @Setting(value = "refuse: the status", standard = "503", least = 400, most = 599) int status,
-        @Setting(value = "slow, late, repeat: by how much, s", standard = "1", most = 600) double delayS,
-        @Setting(value = "stale, roll_back: how many revisions", standard = "3", least = 1, most = 10_000) int behind,
-        @Setting(value = "only requests that change something", standard = "false") boolean writes,
-        @Setting(value = "take: notice, s; 0: none", standard = "0") double noticeS) {
+
+        @Setting(value = "who calls; empty: anyone", standard = "")
+        String from,
+
+        @Setting(value = "who is called; empty: anyone", standard = "")
+        String to,
+
+        @Setting(value = "share of the messages or machines hit", standard = "1", most = 1)
+        double share,
+
+        @Setting(value = "refuse: the status", standard = "503", least = 400, most = 599)
+        int status,
+
+        @Setting(value = "slow, late, repeat: by how much, s", standard = "1", most = 600)
+        double delayS,
+
+        @Setting(value = "stale, roll_back: how many revisions", standard = "3", least = 1, most = 10_000)
+        int behind,
+
+        @Setting(value = "only requests that change something", standard = "false")
+        boolean writes,
+
+        @Setting(value = "take: notice, s; 0: none", standard = "0")
+        double noticeS) {
 
     /** The kinds of faults. */
     public enum Kind {
--- a/src/main/java/io/indigoreach/scenario/TextForm.java
+++ b/src/main/java/io/indigoreach/scenario/TextForm.java
@@ -33,8 +33,7 @@
  * field.
  */
 public final class TextForm {
-    private TextForm() {
-    }
+    private TextForm() {}
 
     /** Reads and checks a file. */
     public static <R extends Record> R read(Path file, Class<R> form) throws ConfigException {
@@ -52,9 +51,14 @@
         DynamicMessage.Builder message = DynamicMessage.newBuilder(descriptor);
         TextFormatParseInfoTree.Builder places = TextFormatParseInfoTree.builder();
         try {
-            TextFormat.Parser.newBuilder().setParseInfoTreeBuilder(places).build().merge(text, message);
+            TextFormat.Parser.newBuilder()
+                    .setParseInfoTreeBuilder(places)
+                    .build()
+                    .merge(text, message);
         } catch (TextFormat.ParseException e) {
-            String what = e.getMessage().replaceAll("\\s+", " ").replaceFirst("^\\d+:\\d+: ", "")
+            String what = e.getMessage()
+                    .replaceAll("\\s+", " ")
+                    .replaceFirst("^\\d+:\\d+: ", "")
                     .replaceFirst("Input contains unknown fields and/or extensions: \\d+:\\d+: ?", "unknown field ")
                     .replace("io.indigoreach.", "");
             throw new ConfigException(name + ":" + e.getLine() + ": " + what);
@@ -73,10 +77,14 @@
         for (RecordComponent c : form.getRecordComponents()) {
             Setting setting = c.getAnnotation(Setting.class);
             Class<?> type = element(c);
-            String standard = isList(c) ? "any number" : setting.standard().equals(Setting.REQUIRED) ? "needed"
-                    : "default " + (setting.standard().isEmpty() ? "none" : setting.standard());
+            String standard = isList(c)
+                    ? "any number"
+                    : setting.standard().equals(Setting.REQUIRED)
+                            ? "needed"
+                            : "default " + (setting.standard().isEmpty() ? "none" : setting.standard());
             String choice = type.isEnum() ? "; one of " + String.join(", ", words(type)) : "";
-            lines.add(String.format(Locale.ROOT, "%-28s %s (%s%s)", indent + field(c), setting.value(), standard, choice));
+            lines.add(String.format(
+                    Locale.ROOT, "%-28s %s (%s%s)", indent + field(c), setting.value(), standard, choice));
             if (type.isRecord()) {
                 describe(type, indent + "  ", lines);
             }
@@ -114,8 +122,9 @@
         }
     }
 
-    private static Object value(String name, RecordComponent c, Object raw, TextFormatParseInfoTree places,
-                                FieldDescriptor fd, int index) throws ConfigException {
+    private static Object value(
+            String name, RecordComponent c, Object raw, TextFormatParseInfoTree places, FieldDescriptor fd, int index)
+            throws ConfigException {
         TextFormatParseLocation at = places.getLocation(fd, index);
         int line = at.getLine() + 1;
         Class<?> type = element(c);
@@ -142,14 +151,22 @@
         if (type.isRecord()) {
             return text.isEmpty() ? null : parse("default of " + field(c), "", type.asSubclass(Record.class));
         }
-        return type == String.class ? text : type == double.class ? (Object) Double.parseDouble(text)
-                : type == int.class ? (Object) Integer.parseInt(text) : type == long.class ? (Object) Long.parseLong(text)
-                : type == boolean.class ? (Object) Boolean.parseBoolean(text) : constant(type, text);
+        return type == String.class
+                ? text
+                : type == double.class
+                        ? (Object) Double.parseDouble(text)
+                        : type == int.class
+                                ? (Object) Integer.parseInt(text)
+                                : type == long.class
+                                        ? (Object) Long.parseLong(text)
+                                        : type == boolean.class
+                                                ? (Object) Boolean.parseBoolean(text)
+                                                : constant(type, text);
     }
 
     private static Descriptors.Descriptor descriptor(Class<?> form) {
-        FileDescriptorProto.Builder file = FileDescriptorProto.newBuilder().setName("form.proto")
-                .setPackage("io.indigoreach");
+        FileDescriptorProto.Builder file =
+                FileDescriptorProto.newBuilder().setName("form.proto").setPackage("io.indigoreach");
         Map<Class<?>, String> declared = new LinkedHashMap<>();
         declare(form, file, declared);
         try {
@@ -169,26 +186,37 @@
             EnumDescriptorProto.Builder words = EnumDescriptorProto.newBuilder().setName("Word");
             int n = 0;
             for (String word : words(type)) {
-                words.addValue(EnumValueDescriptorProto.newBuilder().setName(word).setNumber(n++));
+                words.addValue(
+                        EnumValueDescriptorProto.newBuilder().setName(word).setNumber(n++));
             }
-            file.addMessageType(DescriptorProto.newBuilder().setName(type.getSimpleName()).addEnumType(words));
+            file.addMessageType(
+                    DescriptorProto.newBuilder().setName(type.getSimpleName()).addEnumType(words));
             return;
         }
         DescriptorProto.Builder message = DescriptorProto.newBuilder().setName(type.getSimpleName());
         int number = 1;
         for (RecordComponent c : type.getRecordComponents()) {
             Class<?> element = element(c);
-            FieldDescriptorProto.Builder fd = FieldDescriptorProto.newBuilder().setName(field(c)).setNumber(number++)
-                    .setLabel(isList(c) ? FieldDescriptorProto.Label.LABEL_REPEATED
-                            : FieldDescriptorProto.Label.LABEL_OPTIONAL);
+            FieldDescriptorProto.Builder fd = FieldDescriptorProto.newBuilder()
+                    .setName(field(c))
+                    .setNumber(number++)
+                    .setLabel(
+                            isList(c)
+                                    ? FieldDescriptorProto.Label.LABEL_REPEATED
+                                    : FieldDescriptorProto.Label.LABEL_OPTIONAL);
             if (element.isRecord() || element.isEnum()) {
                 declare(element, file, declared);
-                fd.setType(element.isEnum() ? Type.TYPE_ENUM : Type.TYPE_MESSAGE).setTypeName(
-                        ".io.indigoreach." + element.getSimpleName() + (element.isEnum() ? ".Word" : ""));
+                fd.setType(element.isEnum() ? Type.TYPE_ENUM : Type.TYPE_MESSAGE)
+                        .setTypeName(".io.indigoreach." + element.getSimpleName() + (element.isEnum() ? ".Word" : ""));
             } else {
-                fd.setType(element == double.class || element == Double.class ? Type.TYPE_DOUBLE
-                        : element == int.class || element == Integer.class ? Type.TYPE_INT32 : element == long.class ? Type.TYPE_INT64
-                        : element == boolean.class ? Type.TYPE_BOOL : Type.TYPE_STRING);
+                fd.setType(
+                        element == double.class || element == Double.class
+                                ? Type.TYPE_DOUBLE
+                                : element == int.class || element == Integer.class
+                                        ? Type.TYPE_INT32
+                                        : element == long.class
+                                                ? Type.TYPE_INT64
+                                                : element == boolean.class ? Type.TYPE_BOOL : Type.TYPE_STRING);
             }
             message.addField(fd);
         }
@@ -200,7 +228,9 @@
     }
 
     private static Class<?> element(RecordComponent c) {
-        return isList(c) ? (Class<?>) ((ParameterizedType) c.getGenericType()).getActualTypeArguments()[0] : c.getType();
+        return isList(c)
+                ? (Class<?>) ((ParameterizedType) c.getGenericType()).getActualTypeArguments()[0]
+                : c.getType();
     }
 
     /** {@code reportS} stands in the file as {@code report_s}. */
--- a/src/main/java/io/indigoreach/state/JobMender.java
+++ b/src/main/java/io/indigoreach/state/JobMender.java
@@ -43,13 +43,20 @@
      */
     public Future<Void> open(JobId id, StateClient.Entry spoilt, JobSpec offered) {
         return memory.apply(id).compose(remembered -> {
-            Remains known = Salvage.open(id, RecordCodec.readRest(spoilt.value()), remembered, offered, clock.timeOfDay());
-            StateClient.Txn txn = state.inThisEra().when(spoilt.key(), spoilt.stamp()).when(RecordCodec.over(id), Stamp.ABSENT);
-            known.over().values().forEach(end -> txn.delete(spoilt.key()).put(RecordCodec.over(id),
-                    RecordCodec.writeFinal(end.status(), end.done())));
+            Remains known =
+                    Salvage.open(id, RecordCodec.readRest(spoilt.value()), remembered, offered, clock.timeOfDay());
+            StateClient.Txn txn =
+                    state.inThisEra().when(spoilt.key(), spoilt.stamp()).when(RecordCodec.over(id), Stamp.ABSENT);
+            known.over()
+                    .values()
+                    .forEach(end -> txn.delete(spoilt.key())
+                            .put(RecordCodec.over(id), RecordCodec.writeFinal(end.status(), end.done())));
             // Blocks of bits that stand beside the record are left as they are: what they say is done stays so.
-            known.open().forEach(job -> txn.put(spoilt.key(), RecordCodec.writeJob(job.spec(), job.submittedMs(),
-                    JobStatus.PENDING, job.done(), 0, job.bound())));
+            known.open()
+                    .forEach(job -> txn.put(
+                            spoilt.key(),
+                            RecordCodec.writeJob(
+                                    job.spec(), job.submittedMs(), JobStatus.PENDING, job.done(), 0, job.bound())));
             return write(txn, spoilt.key());
         });
     }
@@ -59,13 +66,16 @@
         return memory.apply(id).compose(remembered -> {
             Remains.Over end = Salvage.end(id, RecordCodec.readRest(spoilt.value()), remembered, offered);
             StateClient.Txn txn = state.inThisEra().when(spoilt.key(), spoilt.stamp());
-            return write(end == null ? txn : txn.put(spoilt.key(), RecordCodec.writeFinal(end.status(), end.done())), spoilt.key());
+            return write(
+                    end == null ? txn : txn.put(spoilt.key(), RecordCodec.writeFinal(end.status(), end.done())),
+                    spoilt.key());
         });
     }
 
     private Future<Void> write(StateClient.Txn txn, String key) {
         if (txn.size() == 0) {
-            return Future.failedFuture(new WireException("the record " + key + " cannot be read, and nobody remembers the job"));
+            return Future.failedFuture(
+                    new WireException("the record " + key + " cannot be read, and nobody remembers the job"));
         }
         return state.commit(txn).map(outcome -> {
             if (outcome.done()) {
--- a/src/main/java/io/indigoreach/state/JobRecord.java
+++ b/src/main/java/io/indigoreach/state/JobRecord.java
@@ -14,8 +14,15 @@
  * @param running how many ran when it was last written, for display
  * @param bound the start bound: no task from this one on was ever ordered; all of them may have been where none is kept
  */
-public record JobRecord(JobSpec spec, long submittedMs, JobStatus status, BitSet done, int doneCount, int running,
-                        int bound, Stamp stamp) {
+public record JobRecord(
+        JobSpec spec,
+        long submittedMs,
+        JobStatus status,
+        BitSet done,
+        int doneCount,
+        int running,
+        int bound,
+        Stamp stamp) {
     public JobId id() {
         return spec.id();
     }
--- a/src/main/java/io/indigoreach/state/Leadership.java
+++ b/src/main/java/io/indigoreach/state/Leadership.java
@@ -43,6 +43,7 @@
     private static final Span GRACE = Span.seconds(0.6);
     /** For how long a pledge binds: some questions of {@link #BEAT} apart, and no longer than a process takes to start. */
     static final Span PLEDGE = Span.seconds(2);
+
     private static final Span BEAT = Span.seconds(0.5);
     /** Renewals that have not been answered for so long are reason to ask the others for pledges. */
     private static final Span OVERDUE = Span.seconds(1.5);
@@ -75,19 +76,32 @@
     private Moment pledgedUntil = Moment.NEVER;
     /** Until then this node has pledged not to lead. */
     private Moment bound = Moment.NEVER;
+
     private boolean campaigning;
     private Moment standAsideUntil = Moment.NEVER;
     /** Until then nobody else may have led, as far as the time of this node's own last lease tells. */
     private Moment ledUntil = Moment.NEVER;
+
     private Token ledAs = Token.NONE;
     /** A try without an answer, before which nobody else had led since {@link #ledAs}; null if there was none. */
     private Token unanswered;
+
     private Moment lossSeen = Moment.NEVER;
     private boolean succeedsItself;
 
     /** {@code own}: an event loop for renewals alone, and {@code renewals} the state service as it is called from there. */
-    public Leadership(Vertx vertx, StateClient state, Vertx own, StateClient renewals, SteadyClock clock, String node,
-                      String process, int peers, Span life, TokenClock tokens, Listener listener) {
+    public Leadership(
+            Vertx vertx,
+            StateClient state,
+            Vertx own,
+            StateClient renewals,
+            SteadyClock clock,
+            String node,
+            String process,
+            int peers,
+            Span life,
+            TokenClock tokens,
+            Listener listener) {
         this.state = state;
         this.clock = clock;
         this.node = node;
@@ -191,8 +205,11 @@
 
     /** Tells later leaders that start bounds can be believed again; in vain if the leadership has changed meanwhile. */
     public Future<Void> vouchForBounds() {
-        return leading ? state.commit(new StateClient.Txn().when(RecordCodec.LEADER, current.stamp())
-                .put(RecordCodec.COUNTER, RecordCodec.writeCounter(current.token(), true))).mapEmpty()
+        return leading
+                ? state.commit(new StateClient.Txn()
+                                .when(RecordCodec.LEADER, current.stamp())
+                                .put(RecordCodec.COUNTER, RecordCodec.writeCounter(current.token(), true)))
+                        .mapEmpty()
                 : Future.succeededFuture();
     }
 
@@ -201,7 +218,8 @@
      * the key of a later leadership has another version.
      */
     public Future<Void> release(Stamp key) {
-        return state.commit(new StateClient.Txn().when(RecordCodec.LEADER, key).delete(RecordCodec.LEADER)).mapEmpty();
+        return state.commit(new StateClient.Txn().when(RecordCodec.LEADER, key).delete(RecordCodec.LEADER))
+                .mapEmpty();
     }
 
     /**
@@ -211,16 +229,20 @@
      * names: a leader that ended lately may have left its key. Never fails.
      */
     public Future<Boolean> clear(Function<String, Future<Boolean>> leads) {
-        return Future.all(state.get(RecordCodec.LEADER), state.get(RecordCodec.COUNTER)).compose(read -> {
-            read(read.resultAt(0));
-            if (peers == 0) {
-                return Future.succeededFuture(false);
-            }
-            if (current == null) {
-                return Future.succeededFuture(read.resultAt(1) != null);
-            }
-            return current.node().equals(node) ? letGo().map(true) : leads.apply(current.node()).map(is -> !is);
-        }).otherwise(false);
+        return Future.all(state.get(RecordCodec.LEADER), state.get(RecordCodec.COUNTER))
+                .compose(read -> {
+                    read(read.resultAt(0));
+                    if (peers == 0) {
+                        return Future.succeededFuture(false);
+                    }
+                    if (current == null) {
+                        return Future.succeededFuture(read.resultAt(1) != null);
+                    }
+                    return current.node().equals(node)
+                            ? letGo().map(true)
+                            : leads.apply(current.node()).map(is -> !is);
+                })
+                .otherwise(false);
     }
 
     /** The version of the key by which somebody leads as far as is known; {@link Stamp#ABSENT} if nobody does. */
@@ -271,8 +293,9 @@
     private Future<Span> guard() {
         Stamp own = current.stamp();
         return state.watch(RecordCodec.LEADER, own.value(), OWN_WATCH).map(changes -> {
-            boolean changed = changes.changes().stream().anyMatch(c -> c.key().equals(RecordCodec.LEADER)
-                    && !c.stamp().equals(own));
+            boolean changed = changes.changes().stream()
+                    .anyMatch(c ->
+                            c.key().equals(RecordCodec.LEADER) && !c.stamp().equals(own));
             if (leading && current.stamp().equals(own) && changed) {
                 lose("the leadership key was removed or replaced");
             }
@@ -289,7 +312,8 @@
         LOG.info("removing the leadership key of the process before this one");
         Stamp key = current.stamp();
         current = null;
-        return state.commit(new StateClient.Txn().when(RecordCodec.LEADER, key).delete(RecordCodec.LEADER)).map(GRACE);
+        return state.commit(new StateClient.Txn().when(RecordCodec.LEADER, key).delete(RecordCodec.LEADER))
+                .map(GRACE);
     }
 
     private Future<Span> campaign() {
@@ -306,16 +330,20 @@
      */
     private Future<Span> stand() {
         mayBeBound &= clock.now().isBefore(born.plus(PLEDGE));
-        return !mayBeBound ? stand(false) : unled.get().compose(none -> {
-            mayBeBound &= !none;
-            return stand(mayBeBound);
-        });
+        return !mayBeBound
+                ? stand(false)
+                : unled.get().compose(none -> {
+                    mayBeBound &= !none;
+                    return stand(mayBeBound);
+                });
     }
 
     private Future<Span> stand(boolean boundUnlessNew) {
         Stamp held = current == null ? Stamp.ABSENT : current.stamp();
         return state.get(RecordCodec.COUNTER).compose(counter -> {
-            Token counted = counter == null ? Token.NONE : new Token(RecordCodec.counted(counter.value().map()));
+            Token counted = counter == null
+                    ? Token.NONE
+                    : new Token(RecordCodec.counted(counter.value().map()));
             if (counted.equals(unanswered)) {
                 // That try did take the key, and nobody has led since: no leadership of another's comes between.
                 ledAs = unanswered;
@@ -325,13 +353,15 @@
             }
             Stamp counterStamp = counter == null ? Stamp.ABSENT : counter.stamp();
             if (tokens.isBehind(counted) && !mayTakeAgain()) {
-                return state.confirm(new StateClient.Txn().when(RecordCodec.COUNTER, counterStamp)).map(is -> {
-                    // A read may come from the past; then nothing is lost.
-                    lossSeen = is ? lossSeen : Moment.NEVER;
-                    return RETRY;
-                });
+                return state.confirm(new StateClient.Txn().when(RecordCodec.COUNTER, counterStamp))
+                        .map(is -> {
+                            // A read may come from the past; then nothing is lost.
+                            lossSeen = is ? lossSeen : Moment.NEVER;
+                            return RETRY;
+                        });
             }
-            // Who led between this node's last leadership and now may have let its key go before this node ever read it: the
+            // Who led between this node's last leadership and now may have let its key go before this node ever read
+            // it: the
             // counter knows. Else what this node remembers as open would count as the newest there is.
             tokens.seen(counted);
             Token before = tokens.highest();
@@ -340,15 +370,18 @@
             return state.grant(life).compose(granted -> {
                 Token token = tokens.next(counted, clock.timeOfDay());
                 return state.commit(new StateClient.Txn()
-                        .when(RecordCodec.LEADER, held).when(RecordCodec.COUNTER, counterStamp)
-                        .put(RecordCodec.LEADER, LeaderKey.write(node, process, token), granted)
-                        .put(RecordCodec.COUNTER, RecordCodec.writeCounter(token, bounds))).onFailure(e -> {
+                                .when(RecordCodec.LEADER, held)
+                                .when(RecordCodec.COUNTER, counterStamp)
+                                .put(RecordCodec.LEADER, LeaderKey.write(node, process, token), granted)
+                                .put(RecordCodec.COUNTER, RecordCodec.writeCounter(token, bounds)))
+                        .onFailure(e -> {
                             if (StateClient.surelyNotExecuted(e)) {
                                 tokens.unused(token);
                             } else if (before.equals(ledAs)) {
                                 unanswered = token;
                             }
-                        }).map(outcome -> {
+                        })
+                        .map(outcome -> {
                             watchedTo = -1;
                             hasLetGo = true;
                             if (outcome.done()) {
--- a/src/main/java/io/indigoreach/state/LeaseKeeper.java
+++ b/src/main/java/io/indigoreach/state/LeaseKeeper.java
@@ -16,6 +16,7 @@
 final class LeaseKeeper {
     /** The node's loop has not turned for so long that another node had better lead. */
     private static final Span HUNG = Span.seconds(10);
+
     private static final Span IDLE = Span.seconds(0.25);
 
     /**
@@ -26,6 +27,7 @@
         final long lease;
         /** Told on the node's loop when the service says that it has ended. */
         final Runnable ended;
+
         volatile Moment renewed;
 
         Held(long lease, Runnable ended, Moment renewed) {
--- a/src/main/java/io/indigoreach/state/RecordCodec.java
+++ b/src/main/java/io/indigoreach/state/RecordCodec.java
@@ -35,6 +35,7 @@
     public static final String COUNTER = "counter";
     /** Which contents these are: {@link io.indigoreach.core.loss.LossJudge}. */
     public static final String ERA = "era";
+
     public static final String CATALOGUE = "catalogue";
     public static final String OPEN = "j/";
     public static final String BITS = "p/";
@@ -46,10 +47,10 @@
 
     /** Up to this many tasks, the bits fit into the job's own record; a block beside it holds as many as {@link #BLOCK}. */
     static final int IN_RECORD = 8192;
+
     static final int BLOCK = 32768;
 
-    private RecordCodec() {
-    }
+    private RecordCodec() {}
 
     public static String open(JobId id) {
         return OPEN + id.text();
@@ -119,8 +120,8 @@
         List<String> findings = era.optionalTexts("findings");
         List<String> out = new ArrayList<>();
         if (findings != null) {
-            out.add("found and rebuilt by " + java.time.Instant.ofEpochMilli(era.whole("at")) + ": " + era.whole("written")
-                    + " records written anew");
+            out.add("found and rebuilt by " + java.time.Instant.ofEpochMilli(era.whole("at")) + ": "
+                    + era.whole("written") + " records written anew");
             out.addAll(findings);
         }
         return out;
@@ -153,7 +154,8 @@
         try {
             return reading.get();
         } catch (IllegalArgumentException | ClassCastException | IndexOutOfBoundsException e) {
-            throw new WireException(e.getClass().getSimpleName() + (e.getMessage() == null ? "" : " " + e.getMessage()));
+            throw new WireException(
+                    e.getClass().getSimpleName() + (e.getMessage() == null ? "" : " " + e.getMessage()));
         }
     }
 
@@ -195,13 +197,41 @@
         }
     }
 
-    public static Map<String, Object> writeJob(JobSpec s, long submittedMs, JobStatus status, BitSet done, int running,
-                                               int bound) {
-        Map<String, Object> map = Wire.map("class", s.jobClass(), "team", s.team(), "shape", s.shape().name(),
-                "urgency", s.urgency().name(), "tasks", s.tasks(), "cores", s.demand().cores(),
-                "gpus", s.demand().gpus(), "ram", s.demand().ramGb(), "image", s.image(), "gb", s.imageGb(),
-                "est", s.estimate().ms(), "at", submittedMs, "status", status.name(), "done", done.cardinality(),
-                "running", running, "bound", bound);
+    public static Map<String, Object> writeJob(
+            JobSpec s, long submittedMs, JobStatus status, BitSet done, int running, int bound) {
+        Map<String, Object> map = Wire.map(
+                "class",
+                s.jobClass(),
+                "team",
+                s.team(),
+                "shape",
+                s.shape().name(),
+                "urgency",
+                s.urgency().name(),
+                "tasks",
+                s.tasks(),
+                "cores",
+                s.demand().cores(),
+                "gpus",
+                s.demand().gpus(),
+                "ram",
+                s.demand().ramGb(),
+                "image",
+                s.image(),
+                "gb",
+                s.imageGb(),
+                "est",
+                s.estimate().ms(),
+                "at",
+                submittedMs,
+                "status",
+                status.name(),
+                "done",
+                done.cardinality(),
+                "running",
+                running,
+                "bound",
+                bound);
         putIf(map, "types", s.types(), s.types() != null);
         putIf(map, "zone", s.zone(), s.zone() != null);
         putIf(map, "one_zone", true, s.oneZone());
@@ -228,7 +258,9 @@
 
     /** What a record that cannot be read as a whole still says; null where it does not. */
     public static Salvage.Rest readRest(Fields f) {
-        return new Salvage.Rest(orNull(() -> JobStatus.valueOf(f.text("status"))), orNull(() -> f.whole("done")),
+        return new Salvage.Rest(
+                orNull(() -> JobStatus.valueOf(f.text("status"))),
+                orNull(() -> f.whole("done")),
                 orNull(() -> f.whole("at")));
     }
 
@@ -244,16 +276,35 @@
         if (f.whole("tasks") < 1) {
             throw Fields.invalid("tasks");
         }
-        JobSpec spec = new JobSpec(id, f.text("class"), f.text("team"), Shape.valueOf(f.text("shape")),
-                Urgency.valueOf(f.text("urgency")), (int) f.whole("tasks"),
-                new Demand(f.number("cores"), f.number("gpus"), f.number("ram")), f.text("image"), f.number("gb"),
-                f.optionalTexts("types"), f.optionalText("zone"), f.flag("one_zone", false), f.flag("spread", false),
-                f.flag("spot", false), new Span(f.whole("est")), new Span(f.whole("save_every", 0)),
-                new Span(f.whole("save", 0)), f.has("due") ? new Span(f.whole("due")) : null,
+        JobSpec spec = new JobSpec(
+                id,
+                f.text("class"),
+                f.text("team"),
+                Shape.valueOf(f.text("shape")),
+                Urgency.valueOf(f.text("urgency")),
+                (int) f.whole("tasks"),
+                new Demand(f.number("cores"), f.number("gpus"), f.number("ram")),
+                f.text("image"),
+                f.number("gb"),
+                f.optionalTexts("types"),
+                f.optionalText("zone"),
+                f.flag("one_zone", false),
+                f.flag("spread", false),
+                f.flag("spot", false),
+                new Span(f.whole("est")),
+                new Span(f.whole("save_every", 0)),
+                new Span(f.whole("save", 0)),
+                f.has("due") ? new Span(f.whole("due")) : null,
                 f.has("more") ? f.child("more").map() : Map.of());
-        return new JobRecord(spec, f.whole("at"), JobStatus.valueOf(f.text("status")), bits(f.optionalText("bits")),
-                (int) f.whole("done", 0), (int) f.whole("running", 0),
-                (int) f.whole("bound", spec.tasks()), stamp);
+        return new JobRecord(
+                spec,
+                f.whole("at"),
+                JobStatus.valueOf(f.text("status")),
+                bits(f.optionalText("bits")),
+                (int) f.whole("done", 0),
+                (int) f.whole("running", 0),
+                (int) f.whole("bound", spec.tasks()),
+                stamp);
     }
 
     public static Map<String, Object> writeFinal(JobStatus status, int done) {
@@ -269,8 +320,8 @@
     public static Map<String, Object> writeMachines(Collection<MachineRecord> machines) {
         List<Object> lines = new ArrayList<>(machines.size());
         for (MachineRecord m : machines) {
-            lines.add(List.of(m.id().text(), m.pool().type(), m.pool().zone(), m.pool().spot(), m.rentedMs(),
-                    m.existedMs()));
+            lines.add(List.of(
+                    m.id().text(), m.pool().type(), m.pool().zone(), m.pool().spot(), m.rentedMs(), m.existedMs()));
         }
         return Wire.map("machines", lines);
     }
@@ -282,8 +333,10 @@
     private static List<MachineRecord> machines(Fields f) {
         List<MachineRecord> out = new ArrayList<>();
         for (List<?> m : f.lists("machines")) {
-            out.add(new MachineRecord(new MachineId((String) m.get(0)),
-                    new Pool((String) m.get(1), (String) m.get(2), (Boolean) m.get(3)), (Long) m.get(4),
+            out.add(new MachineRecord(
+                    new MachineId((String) m.get(0)),
+                    new Pool((String) m.get(1), (String) m.get(2), (Boolean) m.get(3)),
+                    (Long) m.get(4),
                     (Long) m.get(5)));
         }
         return out;
@@ -296,34 +349,66 @@
     /** Requests to rent and machines to be returned; lists, as there may be a hundred. */
     public static Map<String, Object> writeIntents(Intents.Page page) {
         List<Object> rents = new ArrayList<>();
-        page.rents().forEach(r -> rents.add(List.of(r.name(), r.pool().type(), r.pool().zone(), r.pool().spot(),
-                (long) r.count(), r.askedMs())));
-        return Wire.map("rents", rents, "condemned", page.condemned().stream().map(MachineId::text).toList());
+        page.rents()
+                .forEach(r -> rents.add(List.of(
+                        r.name(), r.pool().type(), r.pool().zone(), r.pool().spot(), (long) r.count(), r.askedMs())));
+        return Wire.map(
+                "rents",
+                rents,
+                "condemned",
+                page.condemned().stream().map(MachineId::text).toList());
     }
 
     public static Intents.Page readIntents(Fields f) {
         List<Intents.Rent> rents = new ArrayList<>();
         for (List<?> r : f.lists("rents")) {
-            rents.add(new Intents.Rent((String) r.get(0), new Pool((String) r.get(1), (String) r.get(2), (Boolean) r.get(3)),
-                    ((Long) r.get(4)).intValue(), (Long) r.get(5)));
+            rents.add(new Intents.Rent(
+                    (String) r.get(0),
+                    new Pool((String) r.get(1), (String) r.get(2), (Boolean) r.get(3)),
+                    ((Long) r.get(4)).intValue(),
+                    (Long) r.get(5)));
         }
         List<String> names = f.optionalTexts("condemned");
-        return new Intents.Page(rents, names == null ? List.of() : names.stream().map(MachineId::new).toList());
+        return new Intents.Page(
+                rents,
+                names == null ? List.of() : names.stream().map(MachineId::new).toList());
     }
 
     /** What a machine takes of its page's value, counted as JSON. */
     public static int bytes(MachineRecord m) {
         int marks = 16;
         int numbers = 2 * 19 + 5;
-        return m.id().text().length() + m.pool().type().length() + m.pool().zone().length() + marks + numbers;
+        return m.id().text().length()
+                + m.pool().type().length()
+                + m.pool().zone().length()
+                + marks
+                + numbers;
     }
 
     public static Map<String, Object> writeCatalogue(List<MachineType> types) {
         List<Object> list = new ArrayList<>();
         for (MachineType t : types) {
-            list.add(Wire.map("name", t.name(), "cores", t.capacity().cores(), "gpus", t.capacity().gpus(),
-                    "ram", t.capacity().ramGb(), "cache", t.cacheGb(), "fetch", t.fetchGbPerS(), "price", t.price(),
-                    "spot", t.spotPrice(), "boot", t.boot().ms(), "zones", t.zones()));
+            list.add(Wire.map(
+                    "name",
+                    t.name(),
+                    "cores",
+                    t.capacity().cores(),
+                    "gpus",
+                    t.capacity().gpus(),
+                    "ram",
+                    t.capacity().ramGb(),
+                    "cache",
+                    t.cacheGb(),
+                    "fetch",
+                    t.fetchGbPerS(),
+                    "price",
+                    t.price(),
+                    "spot",
+                    t.spotPrice(),
+                    "boot",
+                    t.boot().ms(),
+                    "zones",
+                    t.zones()));
         }
         return Wire.map("types", list);
     }
@@ -331,9 +416,14 @@
     public static List<MachineType> readCatalogue(Fields f) {
         List<MachineType> types = new ArrayList<>();
         for (Fields t : f.children("types")) {
-            types.add(new MachineType(t.text("name"),
-                    new Demand(t.number("cores"), t.number("gpus"), t.number("ram")), t.number("cache"),
-                    t.number("fetch"), t.number("price"), t.number("spot"), new Span(t.whole("boot")),
+            types.add(new MachineType(
+                    t.text("name"),
+                    new Demand(t.number("cores"), t.number("gpus"), t.number("ram")),
+                    t.number("cache"),
+                    t.number("fetch"),
+                    t.number("price"),
+                    t.number("spot"),
+                    new Span(t.whole("boot")),
                     t.optionalTexts("zones")));
         }
         return types;
--- a/src/main/java/io/indigoreach/state/Records.java
+++ b/src/main/java/io/indigoreach/state/Records.java
@@ -36,6 +36,7 @@
     private final Copies copies;
     /** Key and version of the leadership for which this writes; null where any node may. */
     private final Kept leadership;
+
     private final Budget budget;
 
     public Records(Vertx vertx, StateClient state, SteadyClock clock, Copies copies) {
@@ -105,29 +106,34 @@
         return readSome(some, 1).compose(read -> {
             read.forEach(k -> into.put(k.key(), k));
             // Hundreds of reads at once would be refused, and leases' renewals with them.
-            return from + READ_AT_ONCE < keys.size() && budget != null ? pause().compose(v -> read(keys, from + READ_AT_ONCE, into))
+            return from + READ_AT_ONCE < keys.size() && budget != null
+                    ? pause().compose(v -> read(keys, from + READ_AT_ONCE, into))
                     : read(keys, from + READ_AT_ONCE, into);
         });
     }
 
     private Future<List<Kept>> readSome(List<String> keys, int attempt) {
         List<Future<Kept>> reads = new ArrayList<>();
-        keys.forEach(key -> reads.add(state.get(key).map(e -> e == null ? Kept.absent(key)
-                : new Kept(key, e.value().map(), e.stamp()))));
+        keys.forEach(key -> reads.add(state.get(key)
+                .map(e -> e == null ? Kept.absent(key) : new Kept(key, e.value().map(), e.stamp()))));
         return Future.all(reads).compose(all -> {
             List<Kept> read = all.list();
-            List<Kept> doubtful = read.stream().filter(k -> !k.isThere() || state.isDoubted() || isOlderThanCopy(k)).toList();
+            List<Kept> doubtful = read.stream()
+                    .filter(k -> !k.isThere() || state.isDoubted() || isOlderThanCopy(k))
+                    .toList();
             if (doubtful.isEmpty()) {
                 read.forEach(copies::saw);
                 return Future.succeededFuture(read);
             }
-            // Judged by what was known before the comparison was sent: what another routine writes meanwhile is newer than it.
+            // Judged by what was known before the comparison was sent: what another routine writes meanwhile is newer
+            // than it.
             List<Kept> older = doubtful.stream().filter(this::isOlderThanCopy).toList();
             StateClient.Txn comparison = state.inThisEra();
             doubtful.forEach(k -> comparison.when(k.key(), k.stamp()));
             return state.confirm(comparison).compose(holds -> {
                 if (!holds) {
-                    return attempt < MOST_TRIES ? state.check().compose(v -> readSome(keys, attempt + 1))
+                    return attempt < MOST_TRIES
+                            ? state.check().compose(v -> readSome(keys, attempt + 1))
                             : Future.failedFuture(new WireException("the records change at this moment"));
                 }
                 older.forEach(this::lost);
@@ -185,8 +191,8 @@
         return state.commit(txn).compose(outcome -> {
             if (outcome.done()) {
                 wrote(change, outcome.stamp());
-                return Future.succeededFuture(new Seen(state.losses().era(), clock.timeOfDay(), Map.of(), false,
-                        outcome.stamp(), List.of()));
+                return Future.succeededFuture(
+                        new Seen(state.losses().era(), clock.timeOfDay(), Map.of(), false, outcome.stamp(), List.of()));
             }
             if (leadership != null && outcome.failed().contains(leadership.key())) {
                 return Future.failedFuture(new WireException("another node leads"));
@@ -194,8 +200,8 @@
             if (outcome.failed().equals(List.of(RecordCodec.ERA)) && attempt < MOST_TRIES) {
                 return state.check().compose(v -> write(change, attempt + 1));
             }
-            return Future.succeededFuture(new Seen(state.losses().era(), clock.timeOfDay(), Map.of(), false, null,
-                    outcome.failed()));
+            return Future.succeededFuture(
+                    new Seen(state.losses().era(), clock.timeOfDay(), Map.of(), false, null, outcome.failed()));
         });
     }
 
--- a/src/main/java/io/indigoreach/state/StateClient.java
+++ b/src/main/java/io/indigoreach/state/StateClient.java
@@ -30,20 +30,16 @@
     }
 
     /** A key with its value, its version and the lease that it is attached to, or 0. */
-    public record Entry(String key, Fields value, Stamp stamp, long lease) {
-    }
+    public record Entry(String key, Fields value, Stamp stamp, long lease) {}
 
     /** A page of a listing. */
-    public record Page(List<Entry> items, boolean more, long revision) {
-    }
+    public record Page(List<Entry> items, boolean more, long revision) {}
 
     /** A change of a key; the value is null if it was deleted. */
-    public record Change(String key, Fields value, Stamp stamp) {
-    }
+    public record Change(String key, Fields value, Stamp stamp) {}
 
     /** What a watch brought; {@code tooOld}: the keys are to be read again. */
-    public record Changes(List<Change> changes, long revision, boolean tooOld) {
-    }
+    public record Changes(List<Change> changes, long revision, boolean tooOld) {}
 
     /** A transaction's outcome: done at a revision, or the keys that did not have the given version. */
     public record Outcome(boolean done, long revision, List<String> failed, boolean leaseGone) {
@@ -105,6 +101,7 @@
 
     /** The era of a deployment in which nothing was ever lost: below every leader's token. */
     private static final Token FIRST = new Token(1);
+
     private static final Span TIMEOUT = Span.seconds(2);
 
     private final Caller caller;
@@ -113,7 +110,8 @@
     private final LossJudge losses = new LossJudge();
     /** The era's version as it was last confirmed. */
     private Stamp eraStamp = Stamp.ABSENT;
-    private Runnable onLoss = () -> { };
+
+    private Runnable onLoss = () -> {};
     private Future<Void> checking;
 
     /** Watches stay open, so they have connections of their own. */
@@ -134,7 +132,8 @@
 
     private void judge(boolean lost) {
         if (lost) {
-            LOG.error("the state service has lost data: {}; nobody is told that a job does not exist until it is mended",
+            LOG.error(
+                    "the state service has lost data: {}; nobody is told that a job does not exist until it is mended",
                     losses.findings().get(losses.findings().size() - 1));
             onLoss.run();
         }
@@ -192,8 +191,8 @@
             if (stamp.equals(eraStamp) && era == losses.era()) {
                 return Future.succeededFuture();
             }
-            return commit(new Txn().when(RecordCodec.ERA, stamp)).compose(outcome -> outcome.done() ? adopted(era, stamp)
-                    : Future.succeededFuture());
+            return commit(new Txn().when(RecordCodec.ERA, stamp))
+                    .compose(outcome -> outcome.done() ? adopted(era, stamp) : Future.succeededFuture());
         });
     }
 
@@ -210,7 +209,8 @@
      */
     private Future<Void> firstEra() {
         return commit(new Txn().when(RecordCodec.ERA, Stamp.ABSENT).put(RecordCodec.ERA, RecordCodec.writeEra(FIRST)))
-                .compose(outcome -> outcome.done() ? adopted(FIRST.value(), outcome.stamp()) : Future.succeededFuture());
+                .compose(
+                        outcome -> outcome.done() ? adopted(FIRST.value(), outcome.stamp()) : Future.succeededFuture());
     }
 
     /** The entry of a key; null if there is none. */
@@ -227,11 +227,12 @@
 
     public Future<Page> list(String prefix, String after, int most) {
         long known = freshness.highest();
-        return caller.get(StateCodec.listPath(prefix, after, most), Span.seconds(4)).map(r -> {
-            Page page = StateCodec.readPage(ok(r));
-            freshness.told(known, page.revision());
-            return page;
-        });
+        return caller.get(StateCodec.listPath(prefix, after, most), Span.seconds(4))
+                .map(r -> {
+                    Page page = StateCodec.readPage(ok(r));
+                    freshness.told(known, page.revision());
+                    return page;
+                });
     }
 
     /** Whether the service has lately answered with what was there before something it had told already. */
@@ -278,18 +279,20 @@
     }
 
     public Future<Long> grant(Span life) {
-        return caller.post(StateCodec.LEASES, StateCodec.writeLife(life), TIMEOUT).map(r -> StateCodec.readLease(ok(r)));
+        return caller.post(StateCodec.LEASES, StateCodec.writeLife(life), TIMEOUT)
+                .map(r -> StateCodec.readLease(ok(r)));
     }
 
     /** Whether the lease goes on; false if it has ended. */
     public Future<Boolean> renew(long lease, Span patience) {
-        return caller.post(StateCodec.leasePath(lease) + StateCodec.RENEW, Map.of(), patience).map(r -> {
-            if (r.status() == 404) {
-                return false;
-            }
-            ok(r);
-            return true;
-        });
+        return caller.post(StateCodec.leasePath(lease) + StateCodec.RENEW, Map.of(), patience)
+                .map(r -> {
+                    if (r.status() == 404) {
+                        return false;
+                    }
+                    ok(r);
+                    return true;
+                });
     }
 
     public Future<Void> drop(long lease) {
@@ -297,8 +300,8 @@
     }
 
     public Future<Changes> watch(String prefix, long since, Span wait) {
-        return watcher.get(StateCodec.watchPath(prefix, since, wait), wait.plus(TIMEOUT)).map(r -> r.status() == 410
-                ? new Changes(List.of(), 0, true) : StateCodec.readChanges(ok(r)));
+        return watcher.get(StateCodec.watchPath(prefix, since, wait), wait.plus(TIMEOUT))
+                .map(r -> r.status() == 410 ? new Changes(List.of(), 0, true) : StateCodec.readChanges(ok(r)));
     }
 
     private static Fields ok(Reply reply) {
@@ -312,5 +315,4 @@
     public static boolean surelyNotExecuted(Throwable failure) {
         return failure instanceof Refused;
     }
-
 }
--- a/src/main/java/io/indigoreach/state/StateCodec.java
+++ b/src/main/java/io/indigoreach/state/StateCodec.java
@@ -27,8 +27,7 @@
 
     private static final String NAMELESS = "";
 
-    private StateCodec() {
-    }
+    private StateCodec() {}
 
     /**
      * A value as it is kept: this project's are maps, the protocol allows any data. What is no map becomes the only
@@ -39,7 +38,9 @@
             return f.child(name);
         }
         Object value = f.map().get(name);
-        return value instanceof Map<?, ?> map && !isWrapped(map) ? f.child(name) : new Fields(Wire.map(NAMELESS, value));
+        return value instanceof Map<?, ?> map && !isWrapped(map)
+                ? f.child(name)
+                : new Fields(Wire.map(NAMELESS, value));
     }
 
     /** A kept value as it is on the wire. */
@@ -69,7 +70,13 @@
     }
 
     public static Map<String, Object> writeEntry(StateClient.Entry e) {
-        Map<String, Object> map = Wire.map("path", e.key(), "data", plain(e.value().map()), "stamp", e.stamp().value());
+        Map<String, Object> map = Wire.map(
+                "path",
+                e.key(),
+                "data",
+                plain(e.value().map()),
+                "stamp",
+                e.stamp().value());
         if (e.lease() > 0) {
             map.put("permit", e.lease());
         }
@@ -77,8 +84,8 @@
     }
 
     public static StateClient.Entry readEntry(Fields f) {
-        return new StateClient.Entry(f.text("path"), kept(f, "data"), new Stamp(f.whole("stamp")),
-                f.whole("permit", 0));
+        return new StateClient.Entry(
+                f.text("path"), kept(f, "data"), new Stamp(f.whole("stamp")), f.whole("permit", 0));
     }
 
     /** What is said where there is only the revision to tell: a key that is absent, a transaction that is done. */
@@ -97,8 +104,10 @@
     }
 
     static StateClient.Page readPage(Fields f) {
-        return new StateClient.Page(f.children("items").stream().map(StateCodec::readEntry).toList(),
-                f.flag("truncated", false), readRevision(f));
+        return new StateClient.Page(
+                f.children("items").stream().map(StateCodec::readEntry).toList(),
+                f.flag("truncated", false),
+                readRevision(f));
     }
 
     public static Map<String, Object> writeTxn(StateClient.Txn txn) {
@@ -165,9 +174,16 @@
     public static Map<String, Object> writeChanges(StateClient.Changes changes) {
         List<Object> events = new ArrayList<>(changes.changes().size());
         for (StateClient.Change c : changes.changes()) {
-            events.add(c.value() == null ? Wire.map("delete", c.key(), "stamp", c.stamp().value())
-                    : Wire.map("write", c.key(), "data", plain(c.value().map()), "stamp",
-                            c.stamp().value()));
+            events.add(
+                    c.value() == null
+                            ? Wire.map("delete", c.key(), "stamp", c.stamp().value())
+                            : Wire.map(
+                                    "write",
+                                    c.key(),
+                                    "data",
+                                    plain(c.value().map()),
+                                    "stamp",
+                                    c.stamp().value()));
         }
         return Wire.map("ledger_rev", changes.revision(), "events", events);
     }
@@ -176,8 +192,10 @@
         List<StateClient.Change> changes = new ArrayList<>();
         for (Fields e : f.children("events")) {
             Stamp stamp = new Stamp(e.whole("stamp"));
-            changes.add(e.has("write") ? new StateClient.Change(e.text("write"), kept(e, "data"), stamp)
-                    : new StateClient.Change(e.text("delete"), null, stamp));
+            changes.add(
+                    e.has("write")
+                            ? new StateClient.Change(e.text("write"), kept(e, "data"), stamp)
+                            : new StateClient.Change(e.text("delete"), null, stamp));
         }
         return new StateClient.Changes(changes, readRevision(f), false);
     }
--- a/src/main/java/io/indigoreach/store/RecordFile.java
+++ b/src/main/java/io/indigoreach/store/RecordFile.java
@@ -25,8 +25,7 @@
     private static final int BUFFER = 256 * 1024;
 
     /** How a file ended. */
-    public record Ending(long records, long goodBytes, long tornBytes) {
-    }
+    public record Ending(long records, long goodBytes, long tornBytes) {}
 
     private final FileChannel channel;
     private final ByteBuffer buffer = ByteBuffer.allocate(BUFFER);
@@ -55,7 +54,7 @@
         }
         int at = buffer.position();
         buffer.putInt(body.length).putInt(checksum(buffer.array(), at, 4)).putInt(checksum(body, 0, body.length));
-        for (int done = 0; done < body.length;) {
+        for (int done = 0; done < body.length; ) {
             if (!buffer.hasRemaining()) {
                 drain();
             }
--- a/src/main/java/io/indigoreach/store/RecordStore.java
+++ b/src/main/java/io/indigoreach/store/RecordStore.java
@@ -29,8 +29,7 @@
     private static final byte[] END = "end of base".getBytes(StandardCharsets.UTF_8);
 
     /** What was found at the start. */
-    public record Found(long records, long bytes, long tornBytes) {
-    }
+    public record Found(long records, long bytes, long tornBytes) {}
 
     private final Path directory;
     private final FileChannel lockFile;
@@ -41,7 +40,8 @@
     /** Opens a directory, making it if need be, and hands over the records it holds, the oldest first. */
     public RecordStore(Path directory, Consumer<byte[]> records) throws IOException {
         this.directory = Files.createDirectories(directory);
-        this.lockFile = FileChannel.open(directory.resolve("lock"), StandardOpenOption.CREATE, StandardOpenOption.WRITE);
+        this.lockFile =
+                FileChannel.open(directory.resolve("lock"), StandardOpenOption.CREATE, StandardOpenOption.WRITE);
         try {
             lock();
             this.found = recover(records);
@@ -77,8 +77,8 @@
         RecordFile.Ending last = new RecordFile.Ending(0, 0, 0);
         for (var e : logs.tailMap(number, true).entrySet()) {
             if (torn > 0) {
-                throw new DamagedFileException(logs.get(number), last.goodBytes(), "cut short, though a later log "
-                        + "follows");
+                throw new DamagedFileException(
+                        logs.get(number), last.goodBytes(), "cut short, though a later log " + "follows");
             }
             number = e.getKey();
             last = RecordFile.read(e.getValue(), records);
--- a/src/main/java/io/indigoreach/tools/CancelVerb.java
+++ b/src/main/java/io/indigoreach/tools/CancelVerb.java
@@ -7,7 +7,10 @@
 import picocli.CommandLine.Parameters;
 
 /** Cancels a job. */
-@Command(name = "cancel", mixinStandardHelpOptions = true, description = "Cancels a job, and tells how it stands.",
+@Command(
+        name = "cancel",
+        mixinStandardHelpOptions = true,
+        description = "Cancels a job, and tells how it stands.",
         footer = {"", "Example:", "  indigoreach cancel run-000412"})
 final class CancelVerb implements Callable<Integer> {
     @Mixin
--- a/src/main/java/io/indigoreach/tools/CheckVerb.java
+++ b/src/main/java/io/indigoreach/tools/CheckVerb.java
@@ -14,14 +14,24 @@
 import picocli.CommandLine.Option;
 
 /** Validates files without doing anything with them. */
-@Command(name = "check", mixinStandardHelpOptions = true,
+@Command(
+        name = "check",
+        mixinStandardHelpOptions = true,
         description = "Validates files without doing anything else, or lists what may stand in them.",
-        footer = {"", "Examples:", "  indigoreach check --job examples/jobs/refill-routes.textproto",
-            "  indigoreach check --list scenario"})
+        footer = {
+            "",
+            "Examples:",
+            "  indigoreach check --job examples/jobs/refill-routes.textproto",
+            "  indigoreach check --list scenario"
+        })
 final class CheckVerb implements Callable<Integer> {
     /** The files that there are. */
     enum Form {
-        SETTINGS, SCENARIO, JOB, CLUSTER, POOL
+        SETTINGS,
+        SCENARIO,
+        JOB,
+        CLUSTER,
+        POOL
     }
 
     @Option(names = "--config", paramLabel = "FILE", description = "a platform's file (TOML)")
@@ -64,7 +74,10 @@
 
     private static List<String> fields(Form form) {
         return switch (form) {
-            case SETTINGS -> java.util.Arrays.stream(Settings.Knob.values()).map(Settings.Knob::help).toList();
+            case SETTINGS ->
+                java.util.Arrays.stream(Settings.Knob.values())
+                        .map(Settings.Knob::help)
+                        .toList();
             case SCENARIO -> TextForm.fields(Scenario.class);
             case JOB -> TextForm.fields(JobFile.class);
             case POOL -> TextForm.fields(PoolFile.class);
--- a/src/main/java/io/indigoreach/tools/Cluster.java
+++ b/src/main/java/io/indigoreach/tools/Cluster.java
@@ -37,9 +37,12 @@
 
     /** The option that names the cluster. */
     static final class Choice {
-        @Option(names = "--cluster", paramLabel = "FILE", defaultValue = "${env:INDIGOREACH_CLUSTER:-.indigoreach/"
-                + ClusterFile.NAME + "}", description = "where the cluster is reached; default: $INDIGOREACH_CLUSTER, or "
-                + ".indigoreach/" + ClusterFile.NAME)
+        @Option(
+                names = "--cluster",
+                paramLabel = "FILE",
+                defaultValue = "${env:INDIGOREACH_CLUSTER:-.indigoreach/" + ClusterFile.NAME + "}",
+                description = "where the cluster is reached; default: $INDIGOREACH_CLUSTER, or " + ".indigoreach/"
+                        + ClusterFile.NAME)
         private Path file;
 
         @Option(names = "--json", description = "print JSON")
@@ -71,9 +74,11 @@
     void upload(JobSpec spec, Depot.Conduct conduct) {
         if (!file.depot().isEmpty()) {
             Caller depot = new Caller(vertx, Endpoint.parse(file.depot()), 1);
-            Reply r = await(depot.post(DepotCodec.UPLOAD, DepotCodec.write(new DepotCodec.Upload(spec, conduct)), PATIENCE));
+            Reply r = await(
+                    depot.post(DepotCodec.UPLOAD, DepotCodec.write(new DepotCodec.Upload(spec, conduct)), PATIENCE));
             if (!r.isOk()) {
-                throw new Failure(Tool.WRONG, "the depot refuses the job: " + r.body().optionalText("error"));
+                throw new Failure(
+                        Tool.WRONG, "the depot refuses the job: " + r.body().optionalText("error"));
             }
         }
     }
@@ -100,8 +105,10 @@
         while (clock.now().isBefore(until)) {
             Caller node = nodes.get(turn % nodes.size());
             try {
-                Reply r = await("DELETE".equals(method) ? node.delete(path, PATIENCE) : body == null ? node.get(path, PATIENCE)
-                        : node.post(path, body, PATIENCE));
+                Reply r = await(
+                        "DELETE".equals(method)
+                                ? node.delete(path, PATIENCE)
+                                : body == null ? node.get(path, PATIENCE) : node.post(path, body, PATIENCE));
                 if (r.status() != 429 && r.status() != 503 && r.status() != 504) {
                     return r;
                 }
@@ -120,7 +127,7 @@
         StateClient state = state();
         List<io.indigoreach.state.JobRecord> jobs = new ArrayList<>();
         String after = null;
-        for (boolean more = true; more;) {
+        for (boolean more = true; more; ) {
             StateClient.Page page = await(state.list(RecordCodec.OPEN, after, PAGE));
             for (StateClient.Entry e : page.items()) {
                 jobs.add(RecordCodec.readJob(RecordCodec.jobOf(e.key()), e.value(), e.stamp()));
@@ -136,13 +143,19 @@
         StateClient state = state();
         List<String> lines = new ArrayList<>();
         StateClient.Entry leader = await(state.get(RecordCodec.LEADER));
-        lines.add("leads      " + (leader == null ? "nobody" : leader.value().text("node") + ", token "
-                + RecordCodec.token(leader.value().map())));
-        for (StateClient.Entry e : await(state.list(RecordCodec.INTENTS, null, PAGE)).items()) {
+        lines.add("leads      "
+                + (leader == null
+                        ? "nobody"
+                        : leader.value().text("node") + ", token "
+                                + RecordCodec.token(leader.value().map())));
+        for (StateClient.Entry e :
+                await(state.list(RecordCodec.INTENTS, null, PAGE)).items()) {
             String by = " (token " + e.key().substring(RecordCodec.INTENTS.length()) + ")";
             Intents.Page page = RecordCodec.readIntents(e.value());
-            page.rents().forEach(r -> lines.add("renting    " + r.name() + ": " + r.count() + " " + (r.pool().spot() ? "spot " : "") + r.pool().type() + " in " + r.pool().zone() + ", for "
-                    + (clock.timeOfDay() - r.askedMs()) / 1000 + " s" + by));
+            page.rents()
+                    .forEach(r -> lines.add("renting    " + r.name() + ": " + r.count() + " "
+                            + (r.pool().spot() ? "spot " : "") + r.pool().type() + " in "
+                            + r.pool().zone() + ", for " + (clock.timeOfDay() - r.askedMs()) / 1000 + " s" + by));
             page.condemned().forEach(id -> lines.add("returning  " + id + by));
         }
         StateClient.Entry era = await(state.get(RecordCodec.ERA));
--- a/src/main/java/io/indigoreach/tools/ClusterFile.java
+++ b/src/main/java/io/indigoreach/tools/ClusterFile.java
@@ -10,9 +10,15 @@
 /** Where a cluster is reached, for the verbs that speak to one. */
 public record ClusterFile(
         @Setting("addresses of the controllers, for users") List<String> node,
-        @Setting(value = "address of the state service, for jobs", standard = "") String state,
-        @Setting(value = "address of the cloud, for machines", standard = "") String cloud,
-        @Setting(value = "address of the emulator's depot; empty: a real cluster", standard = "") String depot) {
+
+        @Setting(value = "address of the state service, for jobs", standard = "")
+        String state,
+
+        @Setting(value = "address of the cloud, for machines", standard = "")
+        String cloud,
+
+        @Setting(value = "address of the emulator's depot; empty: a real cluster", standard = "")
+        String depot) {
     static final String NAME = "cluster.textproto";
 
     public ClusterFile {
@@ -29,7 +35,13 @@
     String toText() {
         StringBuilder out = new StringBuilder("# Where the cluster is reached. Written anew at each start.\n");
         node.forEach(n -> out.append("node: \"").append(n).append("\"\n"));
-        return out.append("state: \"").append(state).append("\"\ncloud: \"").append(cloud).append("\"\ndepot: \"")
-                .append(depot).append("\"\n").toString();
+        return out.append("state: \"")
+                .append(state)
+                .append("\"\ncloud: \"")
+                .append(cloud)
+                .append("\"\ndepot: \"")
+                .append(depot)
+                .append("\"\n")
+                .toString();
     }
 }
--- a/src/main/java/io/indigoreach/tools/Console.java
+++ b/src/main/java/io/indigoreach/tools/Console.java
@@ -6,8 +6,7 @@
     private static final int EVERY = 10;
     private static int lines;
 
-    private Console() {
-    }
+    private Console() {}
 
     static synchronized void progress(String line) {
         if (LIVE) {
--- a/src/main/java/io/indigoreach/tools/DutiesVerb.java
+++ b/src/main/java/io/indigoreach/tools/DutiesVerb.java
@@ -8,8 +8,13 @@
 import picocli.CommandLine.Mixin;
 
 /** Tells what only one controller may do: who does it, and what is under way. */
-@Command(name = "duties", mixinStandardHelpOptions = true, description = {"Tells which controller leads, which requests to the "
-        + "cloud are under way and under whose token, and what was lost and rebuilt last, by the state service's records."},
+@Command(
+        name = "duties",
+        mixinStandardHelpOptions = true,
+        description = {
+            "Tells which controller leads, which requests to the "
+                    + "cloud are under way and under whose token, and what was lost and rebuilt last, by the state service's records."
+        },
         footer = {"", "Example:", "  indigoreach duties --json"})
 final class DutiesVerb implements Callable<Integer> {
     private static final int LABEL = 11;
@@ -24,8 +29,13 @@
             lines = c.duties();
         }
         for (String line : lines) {
-            System.out.println(cluster.json ? new JsonObject().put("what", line.substring(0, LABEL).strip())
-                    .put("is", line.substring(LABEL)).encode() : line);
+            System.out.println(
+                    cluster.json
+                            ? new JsonObject()
+                                    .put("what", line.substring(0, LABEL).strip())
+                                    .put("is", line.substring(LABEL))
+                                    .encode()
+                            : line);
         }
         return Tool.DONE;
     }
--- a/src/main/java/io/indigoreach/tools/JobsVerb.java
+++ b/src/main/java/io/indigoreach/tools/JobsVerb.java
@@ -9,7 +9,9 @@
 import picocli.CommandLine.Mixin;
 
 /** Lists the open jobs. */
-@Command(name = "jobs", mixinStandardHelpOptions = true,
+@Command(
+        name = "jobs",
+        mixinStandardHelpOptions = true,
         description = "Lists the open jobs as the state service has them; their counts lag by some seconds.")
 final class JobsVerb implements Callable<Integer> {
     @Mixin
@@ -20,13 +22,27 @@
         try (Cluster c = cluster.open()) {
             for (JobRecord r : c.openJobs()) {
                 String status = r.status().name().toLowerCase(Locale.ROOT);
-                System.out.println(cluster.json
-                        ? new JsonObject().put("id", r.id().text()).put("class", r.spec().jobClass())
-                                .put("team", r.spec().team()).put("status", status).put("tasks", r.spec().tasks())
-                                .put("done", r.doneCount()).put("running", r.running()).encode()
-                        : String.format(Locale.ROOT, "%-24s %-20s %-14s %-8s %6d tasks %6d done %6d running", r.id(),
-                                r.spec().jobClass(), r.spec().team(), status, r.spec().tasks(), r.doneCount(),
-                                r.running()));
+                System.out.println(
+                        cluster.json
+                                ? new JsonObject()
+                                        .put("id", r.id().text())
+                                        .put("class", r.spec().jobClass())
+                                        .put("team", r.spec().team())
+                                        .put("status", status)
+                                        .put("tasks", r.spec().tasks())
+                                        .put("done", r.doneCount())
+                                        .put("running", r.running())
+                                        .encode()
+                                : String.format(
+                                        Locale.ROOT,
+                                        "%-24s %-20s %-14s %-8s %6d tasks %6d done %6d running",
+                                        r.id(),
+                                        r.spec().jobClass(),
+                                        r.spec().team(),
+                                        status,
+                                        r.spec().tasks(),
+                                        r.doneCount(),
+                                        r.running()));
             }
         }
         return Tool.DONE;
--- a/src/main/java/io/indigoreach/tools/Lines.java
+++ b/src/main/java/io/indigoreach/tools/Lines.java
@@ -6,13 +6,17 @@
 
 /** How jobs are shown, each on a line or as JSON. */
 final class Lines {
-    private Lines() {
-    }
+    private Lines() {}
 
     static String of(JobCodec.Progress p, boolean json) {
         String status = p.status().name().toLowerCase(Locale.ROOT);
-        return json ? new JsonObject().put("id", p.id().text()).put("status", status).put("done", p.done())
-                .put("running", p.running()).encode()
+        return json
+                ? new JsonObject()
+                        .put("id", p.id().text())
+                        .put("status", status)
+                        .put("done", p.done())
+                        .put("running", p.running())
+                        .encode()
                 : String.format(Locale.ROOT, "%-24s %-10s %6d done %6d running", p.id(), status, p.done(), p.running());
     }
 }
--- a/src/main/java/io/indigoreach/tools/Logs.java
+++ b/src/main/java/io/indigoreach/tools/Logs.java
@@ -4,8 +4,7 @@
 
 /** Chooses how the log is written; must run before the first logger is made. */
 final class Logs {
-    private Logs() {
-    }
+    private Logs() {}
 
     /** Plain lines as the node writes them, or JSON lines; tools for people are quiet unless asked otherwise. */
     static void configure(String format, String level, String... args) {
@@ -25,7 +24,6 @@
             System.setProperty("org.slf4j.simpleLogger.showThreadName", "false");
             System.setProperty("org.slf4j.simpleLogger.showShortLogName", "true");
         }
-        System.setProperty("vertx.logger-delegate-factory-class-name",
-                "io.vertx.core.logging.SLF4JLogDelegateFactory");
+        System.setProperty("vertx.logger-delegate-factory-class-name", "io.vertx.core.logging.SLF4JLogDelegateFactory");
     }
 }
--- a/src/main/java/io/indigoreach/tools/MachinesVerb.java
+++ b/src/main/java/io/indigoreach/tools/MachinesVerb.java
@@ -9,7 +9,9 @@
 import picocli.CommandLine.Mixin;
 
 /** Lists the rented machines. */
-@Command(name = "machines", mixinStandardHelpOptions = true,
+@Command(
+        name = "machines",
+        mixinStandardHelpOptions = true,
         description = "Lists the rented machines as the cloud does, which lags by some seconds.")
 final class MachinesVerb implements Callable<Integer> {
     @Mixin
@@ -20,12 +22,25 @@
         try (Cluster c = cluster.open()) {
             for (ListedMachine m : c.machines()) {
                 String status = m.status().name().toLowerCase(Locale.ROOT);
-                System.out.println(cluster.json
-                        ? new JsonObject().put("id", m.id().text()).put("type", m.pool().type())
-                                .put("zone", m.pool().zone()).put("spot", m.pool().spot()).put("status", status)
-                                .put("age_s", m.held().seconds()).encode()
-                        : String.format(Locale.ROOT, "%-12s %-16s %-18s %-8s %-9s %8.1f s", m.id(), m.pool().type(),
-                                m.pool().zone(), m.pool().spot() ? "spot" : "ordinary", status, m.held().seconds()));
+                System.out.println(
+                        cluster.json
+                                ? new JsonObject()
+                                        .put("id", m.id().text())
+                                        .put("type", m.pool().type())
+                                        .put("zone", m.pool().zone())
+                                        .put("spot", m.pool().spot())
+                                        .put("status", status)
+                                        .put("age_s", m.held().seconds())
+                                        .encode()
+                                : String.format(
+                                        Locale.ROOT,
+                                        "%-12s %-16s %-18s %-8s %-9s %8.1f s",
+                                        m.id(),
+                                        m.pool().type(),
+                                        m.pool().zone(),
+                                        m.pool().spot() ? "spot" : "ordinary",
+                                        status,
+                                        m.held().seconds()));
             }
         }
         return Tool.DONE;
--- a/src/main/java/io/indigoreach/tools/PoolsVerb.java
+++ b/src/main/java/io/indigoreach/tools/PoolsVerb.java
@@ -17,7 +17,10 @@
 import picocli.CommandLine.Parameters;
 
 /** Machines that hold an image ahead of its replicas. */
-@Command(name = "pools", mixinStandardHelpOptions = true, synopsisSubcommandLabel = "VERB",
+@Command(
+        name = "pools",
+        mixinStandardHelpOptions = true,
+        synopsisSubcommandLabel = "VERB",
         description = "Warm pools: machines that hold an image ahead of its replicas, and who pays for them.",
         subcommands = {PoolsVerb.Set.class, PoolsVerb.Show.class, PoolsVerb.Explain.class, PoolsVerb.Pay.class},
         footer = {"", "Example:", "  indigoreach pools set examples/pools/pool.textproto"})
@@ -38,9 +41,11 @@
             if (r.isOk()) {
                 return r.body();
             }
-            String against = r.body().has("against") ? "; it is: "
-                    + new JsonObject(r.body().child("against").map()).encode() : "";
-            throw new Failure(Tool.WRONG, "refused: " + r.status() + " " + r.body().optionalText("error") + against);
+            String against = r.body().has("against")
+                    ? "; it is: " + new JsonObject(r.body().child("against").map()).encode()
+                    : "";
+            throw new Failure(
+                    Tool.WRONG, "refused: " + r.status() + " " + r.body().optionalText("error") + against);
         }
     }
 
@@ -50,7 +55,10 @@
         @Mixin
         private Cluster.Choice cluster;
 
-        @Option(names = "--if-version", paramLabel = "N", defaultValue = "-1",
+        @Option(
+                names = "--if-version",
+                paramLabel = "N",
+                defaultValue = "-1",
                 description = "only if the pool is at this version; 0: only if there is none")
         private long version;
 
@@ -65,8 +73,10 @@
                 body.put("if_version", version);
             }
             Fields f = ask(cluster, PATH + "/" + pool.name(), body);
-            System.out.println(cluster.json ? new JsonObject(f.map()).encode()
-                    : "pool " + f.text("name") + " is at version " + f.whole("version"));
+            System.out.println(
+                    cluster.json
+                            ? new JsonObject(f.map()).encode()
+                            : "pool " + f.text("name") + " is at version " + f.whole("version"));
             return Tool.DONE;
         }
     }
@@ -80,13 +90,22 @@
         @Override
         public Integer call() throws ConfigException {
             String after = "";
-            for (boolean more = true; more;) {
+            for (boolean more = true; more; ) {
                 Fields f = ask(cluster, PATH + (after.isEmpty() ? "" : "?after=" + after), null);
                 for (Fields p : f.children("pools")) {
                     after = p.text("name");
-                    System.out.println(cluster.json ? new JsonObject(p.map()).encode() : String.format(Locale.ROOT,
-                            "%-24s %-14s %-24s least %4d most %4d version %d", after, p.text("team"), p.text("image"),
-                            p.whole("least"), p.whole("most"), p.whole("version")));
+                    System.out.println(
+                            cluster.json
+                                    ? new JsonObject(p.map()).encode()
+                                    : String.format(
+                                            Locale.ROOT,
+                                            "%-24s %-14s %-24s least %4d most %4d version %d",
+                                            after,
+                                            p.text("team"),
+                                            p.text("image"),
+                                            p.whole("least"),
+                                            p.whole("most"),
+                                            p.whole("version")));
                 }
                 more = f.flag("more", false);
             }
@@ -95,7 +114,9 @@
     }
 
     /** Tells how a pool stands. */
-    @Command(name = "explain", mixinStandardHelpOptions = true,
+    @Command(
+            name = "explain",
+            mixinStandardHelpOptions = true,
             description = "Tells how many machines a pool wants and has, and why; some seconds old.")
     static final class Explain implements Callable<Integer> {
         @Mixin
@@ -113,17 +134,22 @@
             }
             Fields s = f.child("stands");
             System.out.println("wanted     " + s.whole("target", 0) + " machines: " + s.text("why"));
-            System.out.println("has        " + s.whole("machines", 0) + ", of which " + s.whole("ready", 0)
-                    + " hold " + f.text("image") + " and " + s.whole("coming", 0) + " boot or fetch it");
-            System.out.println("started    " + s.whole("hits", 0) + " replicas where it was held, " + s.whole("misses", 0)
-                    + " where it was not, since the last change of leader");
+            System.out.println("has        " + s.whole("machines", 0) + ", of which " + s.whole("ready", 0) + " hold "
+                    + f.text("image") + " and " + s.whole("coming", 0) + " boot or fetch it");
+            System.out.println("started    " + s.whole("hits", 0) + " replicas where it was held, "
+                    + s.whole("misses", 0) + " where it was not, since the last change of leader");
             return Tool.DONE;
         }
     }
 
     /** Tells who pays. */
-    @Command(name = "pay", mixinStandardHelpOptions = true, description = {
-        "Tells what machines have cost so far, by pool and team;", "without a pool: those rented for the queue; without a team: idle ones of those."})
+    @Command(
+            name = "pay",
+            mixinStandardHelpOptions = true,
+            description = {
+                "Tells what machines have cost so far, by pool and team;",
+                "without a pool: those rented for the queue; without a team: idle ones of those."
+            })
     static final class Pay implements Callable<Integer> {
         @Mixin
         private Cluster.Choice cluster;
@@ -134,8 +160,14 @@
             for (List<?> s : ask(cluster, PATH + "?sums=1", null).lists("sums")) {
                 double money = ((Number) s.get(2)).doubleValue();
                 all += money;
-                System.out.println(cluster.json ? new JsonObject().put("pool", s.get(0)).put("team", s.get(1)).put("money", money)
-                        .encode() : String.format(Locale.ROOT, "%-24s %-14s %12.4f", s.get(0), s.get(1), money));
+                System.out.println(
+                        cluster.json
+                                ? new JsonObject()
+                                        .put("pool", s.get(0))
+                                        .put("team", s.get(1))
+                                        .put("money", money)
+                                        .encode()
+                                : String.format(Locale.ROOT, "%-24s %-14s %12.4f", s.get(0), s.get(1), money));
             }
             if (!cluster.json) {
                 System.out.printf(Locale.ROOT, "%-24s %-14s %12.4f%n", "all", "", all);
