--- a/src/main/java/io/indigoreach/tools/RecordsVerb.java
+++ b/src/main/java/io/indigoreach/tools/RecordsVerb.java
@@ -29,16 +29,37 @@
 import picocli.CommandLine.Parameters;
 
 /** The registry of records, for people and for exports' scripts. */
-@Command(name = "records", mixinStandardHelpOptions = true, description = "Who may bill which record: one at any time.",
+@Command(
+        name = "records",
+        mixinStandardHelpOptions = true,
+        description = "Who may bill which record: one at any time.",
         synopsisSubcommandLabel = "WHAT",
-        subcommands = {RecordsVerb.Begin.class, RecordsVerb.Compared.class, RecordsVerb.Claim.class, RecordsVerb.Release.class,
-            RecordsVerb.Billing.class, RecordsVerb.Billed.class, RecordsVerb.Show.class, RecordsVerb.Holders.class,
-            RecordsVerb.Doubt.class, RecordsVerb.Resolve.class},
+        subcommands = {
+            RecordsVerb.Begin.class,
+            RecordsVerb.Compared.class,
+            RecordsVerb.Claim.class,
+            RecordsVerb.Release.class,
+            RecordsVerb.Billing.class,
+            RecordsVerb.Billed.class,
+            RecordsVerb.Show.class,
+            RecordsVerb.Holders.class,
+            RecordsVerb.Doubt.class,
+            RecordsVerb.Resolve.class
+        },
         exitCodeListHeading = "%nExit codes:%n",
-        exitCodeList = {"0:done, or done before under the same name", "1:malformed, or refused for good", "2:a wrong command line",
-            "4:not decided in time: say the same again", "5:refused: another has it, it was replaced, or it is in doubt"},
-        footer = {"", "Example:", "  indigoreach records claim --run export-0412 --file ids.txt && \\",
-            "  indigoreach records billing --run export-0412 --file ids.txt > fences.txt"})
+        exitCodeList = {
+            "0:done, or done before under the same name",
+            "1:malformed, or refused for good",
+            "2:a wrong command line",
+            "4:not decided in time: say the same again",
+            "5:refused: another has it, it was replaced, or it is in doubt"
+        },
+        footer = {
+            "",
+            "Example:",
+            "  indigoreach records claim --run export-0412 --file ids.txt && \\",
+            "  indigoreach records billing --run export-0412 --file ids.txt > fences.txt"
+        })
 final class RecordsVerb implements Runnable {
     private static final String PATH = "/api/records/";
     /** A request takes 400; fences are longer than ids. */
@@ -56,6 +77,7 @@
     private abstract static class Verb implements Callable<Integer> {
         @Mixin
         Cluster.Choice cluster;
+
         private int code = Tool.DONE;
 
         @Override
@@ -121,7 +143,11 @@
         @Option(names = "--file", description = "a record a line, as first word; - is standard input")
         private Path file;
 
-        @Option(names = "--range", arity = "3", paramLabel = "PREFIX FROM TO", description = "PREFIXn for these numbers",
+        @Option(
+                names = "--range",
+                arity = "3",
+                paramLabel = "PREFIX FROM TO",
+                description = "PREFIXn for these numbers",
                 hideParamSyntax = true)
         private List<String> range;
 
@@ -135,9 +161,14 @@
                 }
             }
             if (file != null) {
-                List<String> read = file.toString().equals("-") ? new BufferedReader(new InputStreamReader(System.in,
-                        StandardCharsets.UTF_8)).lines().toList() : Files.readAllLines(file);
-                read.stream().filter(l -> !l.isBlank()).forEach(l -> lines.add(l.trim().split("\\s+")));
+                List<String> read = file.toString().equals("-")
+                        ? new BufferedReader(new InputStreamReader(System.in, StandardCharsets.UTF_8))
+                                .lines()
+                                .toList()
+                        : Files.readAllLines(file);
+                read.stream()
+                        .filter(l -> !l.isBlank())
+                        .forEach(l -> lines.add(l.trim().split("\\s+")));
             }
             return lines;
         }
@@ -176,7 +207,10 @@
         @Option(names = "--task", description = "the task's number")
         private Long task;
 
-        @Option(names = "--attempt", defaultValue = "0", description = "raised by a run or task that was begun again (default 0)")
+        @Option(
+                names = "--attempt",
+                defaultValue = "0",
+                description = "raised by a run or task that was begun again (default 0)")
         private long attempt;
 
         Map<String, Object> body() {
@@ -184,7 +218,10 @@
         }
     }
 
-    @Command(name = "begin", mixinStandardHelpOptions = true, description = "Begins the registry, once: until then nothing is free.")
+    @Command(
+            name = "begin",
+            mixinStandardHelpOptions = true,
+            description = "Begins the registry, once: until then nothing is free.")
     static final class Begin extends Verb {
         @Mixin
         private Person person;
@@ -195,8 +232,11 @@
         }
     }
 
-    @Command(name = "compared", mixinStandardHelpOptions = true,
-            description = "After lost data: says that the registry was compared with the books, so that what it lacks is free.")
+    @Command(
+            name = "compared",
+            mixinStandardHelpOptions = true,
+            description =
+                    "After lost data: says that the registry was compared with the books, so that what it lacks is free.")
     static final class Compared extends Verb {
         @Mixin
         private Person person;
@@ -207,9 +247,15 @@
         }
     }
 
-    @Command(name = "claim", mixinStandardHelpOptions = true, description = "Claims records for an export run, all or none.")
+    @Command(
+            name = "claim",
+            mixinStandardHelpOptions = true,
+            description = "Claims records for an export run, all or none.")
     static final class Claim extends Verb {
-        @Option(names = "--run", required = true, description = "the export run: a name used for one claim, and never again")
+        @Option(
+                names = "--run",
+                required = true,
+                description = "the export run: a name used for one claim, and never again")
         private String run;
 
         @Mixin
@@ -229,7 +275,9 @@
         }
     }
 
-    @Command(name = "release", mixinStandardHelpOptions = true,
+    @Command(
+            name = "release",
+            mixinStandardHelpOptions = true,
             description = "Gives back what was not begun: these records, or without any the whole claim.")
     static final class Release extends Verb {
         @Option(names = "--run", required = true, description = "the export run")
@@ -250,8 +298,11 @@
         }
     }
 
-    @Command(name = "billing", mixinStandardHelpOptions = true,
-            description = "Before the effect: prints each record with its fence, or with the word billed if it is already.")
+    @Command(
+            name = "billing",
+            mixinStandardHelpOptions = true,
+            description =
+                    "Before the effect: prints each record with its fence, or with the word billed if it is already.")
     static final class Billing extends Verb {
         @Mixin
         private Holder holder;
@@ -266,13 +317,18 @@
                 body.put("ids", Ids.first(part));
                 Fields f = post(c, "billing", body);
                 List<String> billed = f.optionalTexts("billed");
-                f.child("fences").map().forEach((id, fence) -> print(Wire.map("id", id, "fence", fence, "billed",
-                        billed.contains(id)), id + " " + (billed.contains(id) ? "billed" : fence)));
+                f.child("fences")
+                        .map()
+                        .forEach((id, fence) -> print(
+                                Wire.map("id", id, "fence", fence, "billed", billed.contains(id)),
+                                id + " " + (billed.contains(id) ? "billed" : fence)));
             }
         }
     }
 
-    @Command(name = "billed", mixinStandardHelpOptions = true,
+    @Command(
+            name = "billed",
+            mixinStandardHelpOptions = true,
             description = "After the effect: ID=FENCE, or with --file the lines that billing printed.")
     static final class Billed extends Verb {
         @Mixin
@@ -302,7 +358,10 @@
         }
     }
 
-    @Command(name = "show", mixinStandardHelpOptions = true, description = "How records stand; with --job, for whom its tasks wait.")
+    @Command(
+            name = "show",
+            mixinStandardHelpOptions = true,
+            description = "How records stand; with --job, for whom its tasks wait.")
     static final class Show extends Verb {
         @Option(names = "--job", description = "an open job that names records")
         private String job;
@@ -314,8 +373,10 @@
         void ask(Cluster c) throws IOException {
             if (job != null) {
                 Fields f = get(c, "jobs/" + job);
-                print(f.map(), job + " has " + (f.whole("records") - f.whole("lacking")) + " of " + f.whole("records")
-                        + " records; it waits for");
+                print(
+                        f.map(),
+                        job + " has " + (f.whole("records") - f.whole("lacking")) + " of " + f.whole("records")
+                                + " records; it waits for");
                 if (!cluster.json) {
                     f.children("waits_for").forEach(r -> print(r.map(), line(r)));
                 }
@@ -323,8 +384,11 @@
             }
             for (List<String[]> part : ids.parts()) {
                 for (int from = 0; from < part.size(); from += 12) {
-                    String some = String.join(",", part.subList(from, Math.min(part.size(), from + 12)).stream().map(l -> l[0])
-                            .toList());
+                    String some = String.join(
+                            ",",
+                            part.subList(from, Math.min(part.size(), from + 12)).stream()
+                                    .map(l -> l[0])
+                                    .toList());
                     get(c, "show?id=" + some).children("records").forEach(r -> print(r.map(), line(r)));
                 }
             }
@@ -332,11 +396,18 @@
     }
 
     private static String line(Fields r) {
-        return String.format(Locale.ROOT, "%-40s %-13s %s", r.text("id"), r.text("state"), !r.has("by") ? ""
-                : r.text("by") + " since " + Instant.ofEpochSecond(r.whole("since_s")));
+        return String.format(
+                Locale.ROOT,
+                "%-40s %-13s %s",
+                r.text("id"),
+                r.text("state"),
+                !r.has("by") ? "" : r.text("by") + " since " + Instant.ofEpochSecond(r.whole("since_s")));
     }
 
-    @Command(name = "holders", mixinStandardHelpOptions = true, description = "How many records each job, run or person has, by state.")
+    @Command(
+            name = "holders",
+            mixinStandardHelpOptions = true,
+            description = "How many records each job, run or person has, by state.")
     static final class Holders extends Verb {
         @Option(names = "--group", description = "only of this group")
         private String group;
@@ -350,7 +421,8 @@
                 f.child("holders").map().forEach((k, n) -> counts.merge(k, n, (a, b) -> (Long) a + (Long) b));
                 after = f.optionalText("after");
             } while (after != null);
-            counts.forEach((who, n) -> print(Wire.map("holder", who, "records", n), String.format(Locale.ROOT, "%8d  %s", n, who)));
+            counts.forEach((who, n) ->
+                    print(Wire.map("holder", who, "records", n), String.format(Locale.ROOT, "%8d  %s", n, who)));
         }
     }
 
@@ -358,8 +430,11 @@
         return "?" + (group == null ? "" : "group=" + group + "&") + (after == null ? "" : "after=" + after);
     }
 
-    @Command(name = "doubt", mixinStandardHelpOptions = true,
-            description = "What is in doubt, unknown, or claimed or being billed for over ten minutes; exit code 5 if there is any.")
+    @Command(
+            name = "doubt",
+            mixinStandardHelpOptions = true,
+            description =
+                    "What is in doubt, unknown, or claimed or being billed for over ten minutes; exit code 5 if there is any.")
     static final class Doubt extends Verb {
         @Option(names = "--group", description = "only of this group")
         private String group;
@@ -378,7 +453,9 @@
         }
     }
 
-    @Command(name = "resolve", mixinStandardHelpOptions = true,
+    @Command(
+            name = "resolve",
+            mixinStandardHelpOptions = true,
             description = "Says how records stand. What was begun is put in doubt first, then compared with the books.")
     static final class Resolve extends Verb {
         @Option(names = "--as", required = true, description = "doubt, free or billed")
@@ -397,7 +474,9 @@
                 body.put("as", as);
                 body.put("ids", Ids.first(part));
                 Fields f = post(c, "resolve", body);
-                f.child("fences").map().forEach((id, fence) -> print(Wire.map("id", id, "fence", fence), id + " " + fence));
+                f.child("fences")
+                        .map()
+                        .forEach((id, fence) -> print(Wire.map("id", id, "fence", fence), id + " " + fence));
             }
         }
     }
--- a/src/main/java/io/indigoreach/tools/ServeVerb.java
+++ b/src/main/java/io/indigoreach/tools/ServeVerb.java
@@ -7,7 +7,10 @@
 import picocli.CommandLine.Option;
 
 /** Serves as a controller node; the same as the node's own program. */
-@Command(name = "serve", mixinStandardHelpOptions = true, description = "Serves as a controller node until it is ended.",
+@Command(
+        name = "serve",
+        mixinStandardHelpOptions = true,
+        description = "Serves as a controller node until it is ended.",
         footer = {"", "Example:", "  indigoreach serve --config .indigoreach/node-0.toml"})
 final class ServeVerb implements Callable<Integer> {
     static final int SERVING = -1;
--- a/src/main/java/io/indigoreach/tools/StatusVerb.java
+++ b/src/main/java/io/indigoreach/tools/StatusVerb.java
@@ -9,7 +9,10 @@
 import picocli.CommandLine.Parameters;
 
 /** Tells how a job stands. */
-@Command(name = "status", mixinStandardHelpOptions = true, description = "Tells how a job stands.",
+@Command(
+        name = "status",
+        mixinStandardHelpOptions = true,
+        description = "Tells how a job stands.",
         footer = {"", "Example:", "  indigoreach status run-000412"})
 final class StatusVerb implements Callable<Integer> {
     @Mixin
--- a/src/main/java/io/indigoreach/tools/SubmitVerb.java
+++ b/src/main/java/io/indigoreach/tools/SubmitVerb.java
@@ -19,7 +19,10 @@
 import picocli.CommandLine.Parameters;
 
 /** Submits jobs. */
-@Command(name = "submit", mixinStandardHelpOptions = true, description = "Submits jobs, and prints their ids.",
+@Command(
+        name = "submit",
+        mixinStandardHelpOptions = true,
+        description = "Submits jobs, and prints their ids.",
         footer = {"", "Example:", "  indigoreach submit examples/jobs/refill-routes.textproto --wait"})
 final class SubmitVerb implements Callable<Integer> {
     private static final long FIRST_ID = 100_000_000_000L;
@@ -56,6 +59,7 @@
     }
 
     static Depot.Conduct conduct(JobFile job) {
-        return new Depot.Conduct(Span.seconds(job.emulatedS()), Depot.Conduct.AS_ESTIMATED.spread(), job.emulatedFails());
+        return new Depot.Conduct(
+                Span.seconds(job.emulatedS()), Depot.Conduct.AS_ESTIMATED.spread(), job.emulatedFails());
     }
 }
--- a/src/main/java/io/indigoreach/tools/WatchVerb.java
+++ b/src/main/java/io/indigoreach/tools/WatchVerb.java
@@ -13,7 +13,9 @@
 import picocli.CommandLine.Parameters;
 
 /** Follows jobs until they are over. */
-@Command(name = "watch", mixinStandardHelpOptions = true,
+@Command(
+        name = "watch",
+        mixinStandardHelpOptions = true,
         description = "Prints a line whenever a job's state changes, until all are over.",
         footer = {"", "Example:", "  indigoreach watch run-000412 run-000413"})
 final class WatchVerb implements Callable<Integer> {
--- a/src/main/java/io/indigoreach/warm/HolderJoining.java
+++ b/src/main/java/io/indigoreach/warm/HolderJoining.java
@@ -50,15 +50,22 @@
         PoolSpec pool = PoolCodec.read(name, new Fields(kept.value()));
         check(spec.isService(), "shape", "a holder is a service");
         check(spec.team().equals(pool.team()), JobSpec.WARM, "pool " + name + " is paid for by team " + pool.team());
-        check(spec.image().equals(pool.image()) && spec.imageGb() == pool.gb(), JobSpec.WARM,
+        check(
+                spec.image().equals(pool.image()) && spec.imageGb() == pool.gb(),
+                JobSpec.WARM,
                 "pool " + name + " holds image " + pool.image() + " of " + pool.gb() + " GB");
         check(spec.demand().cores() <= MOST_CORES, "cores", "a holder takes at most " + MOST_CORES);
         check(spec.demand().gpus() == 0, "gpus", "a holder takes none");
         check(spec.demand().ramGb() <= MOST_RAM_GB, "ram_gb", "a holder takes at most " + MOST_RAM_GB);
         check(!spec.oneZone(), "one_zone", "the pool says how its machines are spread");
         check(!spec.spread(), "spread", "the pool says how its machines are spread");
-        check(spec.spotAllowed() || !pool.spot(), JobSpec.WARM, "pool " + name + " is on spot machines, which this job refuses");
-        check(spec.zone() == null && (spec.types() == null || spec.types().containsAll(pool.types())), JobSpec.WARM,
+        check(
+                spec.spotAllowed() || !pool.spot(),
+                JobSpec.WARM,
+                "pool " + name + " is on spot machines, which this job refuses");
+        check(
+                spec.zone() == null && (spec.types() == null || spec.types().containsAll(pool.types())),
+                JobSpec.WARM,
                 "the job must allow every type and zone of pool " + name);
     }
 
--- a/src/main/java/io/indigoreach/warm/PoolCodec.java
+++ b/src/main/java/io/indigoreach/warm/PoolCodec.java
@@ -26,16 +26,44 @@
     private static final double LARGEST = 1e9;
     private static final int LONGEST = 200;
 
-    private PoolCodec() {
-    }
+    private PoolCodec() {}
 
     public static Map<String, Object> write(PoolSpec p) {
         List<Object> windows = new ArrayList<>();
         p.windows().forEach(w -> windows.add(List.of(clock(w.from()), clock(w.to()), w.replicas())));
-        return Wire.map("team", p.team(), "image", p.image(), "gb", p.gb(), "cores", p.replica().cores(), "gpus",
-                p.replica().gpus(), "ram_gb", p.replica().ramGb(), "types", p.types(), "zones", p.zones(), "zone_part",
-                p.zonePart(), "least", p.least(), "most", p.most(), "wanted", p.wanted(), "windows", windows, "learned",
-                p.learned(), "budget", p.budget(), "spot", p.spot());
+        return Wire.map(
+                "team",
+                p.team(),
+                "image",
+                p.image(),
+                "gb",
+                p.gb(),
+                "cores",
+                p.replica().cores(),
+                "gpus",
+                p.replica().gpus(),
+                "ram_gb",
+                p.replica().ramGb(),
+                "types",
+                p.types(),
+                "zones",
+                p.zones(),
+                "zone_part",
+                p.zonePart(),
+                "least",
+                p.least(),
+                "most",
+                p.most(),
+                "wanted",
+                p.wanted(),
+                "windows",
+                windows,
+                "learned",
+                p.learned(),
+                "budget",
+                p.budget(),
+                "spot",
+                p.spot());
     }
 
     /** Throws {@link io.indigoreach.net.WireException} with the name of a field that is missing or of the wrong kind. */
@@ -49,11 +77,25 @@
         }
         List<String> types = f.optionalTexts("types");
         List<String> zones = f.optionalTexts("zones");
-        return new PoolSpec(name, text(f, "team"), text(f, "image"), amount(f, "gb"),
-                new Demand(amount(f, "cores"), f.has("gpus") ? amount(f, "gpus") : 0, f.has("ram_gb") ? amount(f, "ram_gb") : 0),
-                types == null ? List.of() : types, zones == null ? List.of() : zones, f.number("zone_part", 1),
-                count(f, "least"), count(f, "most"), f.number("wanted", 0.95), windows, f.flag("learned", false),
-                f.number("budget", 0), f.flag("spot", false));
+        return new PoolSpec(
+                name,
+                text(f, "team"),
+                text(f, "image"),
+                amount(f, "gb"),
+                new Demand(
+                        amount(f, "cores"),
+                        f.has("gpus") ? amount(f, "gpus") : 0,
+                        f.has("ram_gb") ? amount(f, "ram_gb") : 0),
+                types == null ? List.of() : types,
+                zones == null ? List.of() : zones,
+                f.number("zone_part", 1),
+                count(f, "least"),
+                count(f, "most"),
+                f.number("wanted", 0.95),
+                windows,
+                f.flag("learned", false),
+                f.number("budget", 0),
+                f.flag("spot", false));
     }
 
     private static String text(Fields f, String name) {
@@ -95,9 +137,20 @@
     /** Lines are lists, as a thousand of them are written. */
     static Map<String, Object> write(Sheet sheet) {
         List<Object> lines = new ArrayList<>();
-        sheet.lines().values().forEach(l -> lines.add(List.of(l.machine().text(), l.where().type(), l.where().zone(),
-                l.where().spot(), l.begunMs(), l.paidToMs(), l.payer().pool(), l.payer().team(), l.image(), l.gb(),
-                l.session())));
+        sheet.lines()
+                .values()
+                .forEach(l -> lines.add(List.of(
+                        l.machine().text(),
+                        l.where().type(),
+                        l.where().zone(),
+                        l.where().spot(),
+                        l.begunMs(),
+                        l.paidToMs(),
+                        l.payer().pool(),
+                        l.payer().team(),
+                        l.image(),
+                        l.gb(),
+                        l.session())));
         return Wire.map("lines", lines, "sums", writeSums(sheet.sums()));
     }
 
@@ -112,9 +165,17 @@
         Map<MachineId, Line> lines = new LinkedHashMap<>();
         for (List<?> l : f.lists("lines")) {
             MachineId id = new MachineId((String) l.get(0));
-            lines.put(id, new Line(id, new Pool((String) l.get(1), (String) l.get(2), (Boolean) l.get(3)), whole(l, 4),
-                    whole(l, 5), new Account((String) l.get(6), (String) l.get(7)), (String) l.get(8),
-                    ((Number) l.get(9)).doubleValue(), whole(l, 10)));
+            lines.put(
+                    id,
+                    new Line(
+                            id,
+                            new Pool((String) l.get(1), (String) l.get(2), (Boolean) l.get(3)),
+                            whole(l, 4),
+                            whole(l, 5),
+                            new Account((String) l.get(6), (String) l.get(7)),
+                            (String) l.get(8),
+                            ((Number) l.get(9)).doubleValue(),
+                            whole(l, 10)));
         }
         return new Sheet(lines, readSums(f));
     }
@@ -122,7 +183,8 @@
     static Map<Account, Double> readSums(Fields f) {
         Map<Account, Double> sums = new LinkedHashMap<>();
         for (List<?> s : f.lists("sums")) {
-            sums.merge(new Account((String) s.get(0), (String) s.get(1)), ((Number) s.get(2)).doubleValue(), Double::sum);
+            sums.merge(
+                    new Account((String) s.get(0), (String) s.get(1)), ((Number) s.get(2)).doubleValue(), Double::sum);
         }
         return sums;
     }
@@ -132,8 +194,23 @@
     }
 
     static Map<String, Object> write(Told t) {
-        return Wire.map("target", t.target(), "why", t.why(), "machines", t.seats(), "ready", t.ready(), "coming", t.coming(),
-                "hits", t.hits(), "misses", t.misses(), "lost_per_hour", t.lost());
+        return Wire.map(
+                "target",
+                t.target(),
+                "why",
+                t.why(),
+                "machines",
+                t.seats(),
+                "ready",
+                t.ready(),
+                "coming",
+                t.coming(),
+                "hits",
+                t.hits(),
+                "misses",
+                t.misses(),
+                "lost_per_hour",
+                t.lost());
     }
 
     static Map<String, Object> write(Seen seen) {
@@ -146,6 +223,7 @@
 
     static Seen readSeen(Map<String, Object> value) {
         return value != null && value.get("peaks") instanceof List<?> l
-                ? Seen.of(l.stream().mapToInt(n -> ((Number) n).intValue()).toArray()) : new Seen();
+                ? Seen.of(l.stream().mapToInt(n -> ((Number) n).intValue()).toArray())
+                : new Seen();
     }
 }
--- a/src/main/java/io/indigoreach/warm/PoolRecords.java
+++ b/src/main/java/io/indigoreach/warm/PoolRecords.java
@@ -13,12 +13,13 @@
     /** What was learned of their bursts. */
     static final String SEEN = "warm/seen/";
 
-    public static final List<Family> FAMILIES = List.of(new Family(POOLS, 300, true, Family.Mending.NEWER),
-            new Family(SHEETS, 300, true, Family.Mending.NEWER), new Family(TOLD, 0, false, Family.Mending.NEWER),
+    public static final List<Family> FAMILIES = List.of(
+            new Family(POOLS, 300, true, Family.Mending.NEWER),
+            new Family(SHEETS, 300, true, Family.Mending.NEWER),
+            new Family(TOLD, 0, false, Family.Mending.NEWER),
             new Family(SEEN, 100, false, Family.Mending.NEWER));
 
-    private PoolRecords() {
-    }
+    private PoolRecords() {}
 
     static String sheet(int n) {
         return SHEETS + String.format("%04d", n);
--- a/src/main/java/io/indigoreach/warm/PoolRoutines.java
+++ b/src/main/java/io/indigoreach/warm/PoolRoutines.java
@@ -6,7 +6,6 @@
 import io.indigoreach.core.records.Routine;
 import io.indigoreach.core.records.Seen;
 import io.indigoreach.core.records.Step;
-import java.util.ArrayList;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -18,8 +17,7 @@
     private static final int COMPARED = 40;
     private static final int MOST_TRIES = 5;
 
-    private PoolRoutines() {
-    }
+    private PoolRoutines() {}
 
     /** A record as it stands. */
     static Routine<Kept> read(String key) {
@@ -65,8 +63,10 @@
                 }
                 Change comparison = new Change();
                 for (int n = 0; n < COMPARED && compared <= found.size(); n++, compared++) {
-                    comparison.when(compared < found.size() ? found.get(compared)
-                            : Kept.absent(PoolRecords.sheet(found.size())));
+                    comparison.when(
+                            compared < found.size()
+                                    ? found.get(compared)
+                                    : Kept.absent(PoolRecords.sheet(found.size())));
                 }
                 return new Step.Write<>(comparison);
             }
@@ -74,7 +74,8 @@
     }
 
     /** Puts a value in place of what is there; told of it once that is known. False if something else was written meanwhile. */
-    static Routine<Boolean> replace(String key, Function<Kept, Map<String, Object>> value, Consumer<Map<String, Object>> done) {
+    static Routine<Boolean> replace(
+            String key, Function<Kept, Map<String, Object>> value, Consumer<Map<String, Object>> done) {
         return new Routine<>() {
             private Map<String, Object> wanted;
 
@@ -90,7 +91,9 @@
                     return new Step.End<>(seen.isWritten());
                 }
                 wanted = value.apply(seen.record(key));
-                return wanted == null ? new Step.End<>(true) : new Step.Write<>(new Change().replace(seen.record(key), wanted));
+                return wanted == null
+                        ? new Step.End<>(true)
+                        : new Step.Write<>(new Change().replace(seen.record(key), wanted));
             }
         };
     }
--- a/src/main/java/io/indigoreach/warm/PoolsResource.java
+++ b/src/main/java/io/indigoreach/warm/PoolsResource.java
@@ -23,6 +23,7 @@
 final class PoolsResource implements Resource {
     /** A pool that is set only if it is still at this version; 0: if there is none. */
     private static final String EXPECTED = "if_version";
+
     private static final int LISTED = 100;
 
     private final Parts.Ground ground;
@@ -43,8 +44,11 @@
         if (!PoolSpec.isName(name)) {
             throw Refusal.of("name", "small letters, digits, dots and dashes, up to 60");
         }
-        return call.isGet() ? explain(name) : set(PoolCodec.read(name, call.body()),
-                call.body().has(EXPECTED) ? call.body().whole(EXPECTED) : -1);
+        return call.isGet()
+                ? explain(name)
+                : set(
+                        PoolCodec.read(name, call.body()),
+                        call.body().has(EXPECTED) ? call.body().whole(EXPECTED) : -1);
     }
 
     private Future<Answer> list(String after) {
@@ -57,8 +61,19 @@
                     more |= pools.size() >= LISTED;
                     if (pools.size() < LISTED) {
                         PoolSpec p = PoolCodec.read(name, new Fields(k.value()));
-                        pools.add(Wire.map("name", name, "team", p.team(), "image", p.image(), "least", p.least(),
-                                "most", p.most(), "version", k.version()));
+                        pools.add(Wire.map(
+                                "name",
+                                name,
+                                "team",
+                                p.team(),
+                                "image",
+                                p.image(),
+                                "least",
+                                p.least(),
+                                "most",
+                                p.most(),
+                                "version",
+                                k.version()));
                     }
                 }
             }
@@ -72,7 +87,8 @@
             Map<Account, Double> sums = new TreeMap<>();
             long lines = 0;
             for (Kept k : all) {
-                PoolCodec.readSums(new Fields(k.value())).forEach((account, money) -> sums.merge(account, money, Double::sum));
+                PoolCodec.readSums(new Fields(k.value()))
+                        .forEach((account, money) -> sums.merge(account, money, Double::sum));
                 lines += new Fields(k.value()).lists("lines").size();
             }
             return Answer.ok(Wire.map("sums", PoolCodec.writeSums(sums), "machines", lines));
@@ -84,14 +100,19 @@
             if (!pool.isThere()) {
                 throw Refusal.notFound("no pool " + name);
             }
-            return ground.records().run(PoolRoutines.read(PoolRecords.TOLD + name)).map(told -> {
-                Map<String, Object> answer = new LinkedHashMap<>(Map.of("name", name));
-                answer.putAll(PoolRoutines.plain(pool));
-                answer.put("version", pool.version());
-                answer.put("stands", told.isThere() ? PoolRoutines.plain(told)
-                        : Wire.map("why", "no leader has planned it yet"));
-                return Answer.ok(answer);
-            });
+            return ground.records()
+                    .run(PoolRoutines.read(PoolRecords.TOLD + name))
+                    .map(told -> {
+                        Map<String, Object> answer = new LinkedHashMap<>(Map.of("name", name));
+                        answer.putAll(PoolRoutines.plain(pool));
+                        answer.put("version", pool.version());
+                        answer.put(
+                                "stands",
+                                told.isThere()
+                                        ? PoolRoutines.plain(told)
+                                        : Wire.map("why", "no leader has planned it yet"));
+                        return Answer.ok(answer);
+                    });
         });
     }
 
@@ -99,7 +120,8 @@
         if (!ground.catalogue().isKnown()) {
             return Future.succeededFuture(Answer.later("the machine types are not known yet"));
         }
-        PoolSpec.Fault fault = pool.fault(ground.config().teams(), ground.catalogue().types());
+        PoolSpec.Fault fault =
+                pool.fault(ground.config().teams(), ground.catalogue().types());
         if (fault != null) {
             throw Refusal.of(fault.field(), fault.reason());
         }
@@ -108,22 +130,31 @@
             throw Refusal.of("windows", "the description is too long");
         }
         long[] version = new long[1];
-        return ground.records().run(PoolRoutines.replace(PoolRecords.POOLS + pool.name(), there -> {
-            PoolSpec old = there.isThere() ? PoolCodec.read(pool.name(), new Fields(there.value())) : null;
-            version[0] = there.version();
-            if (pool.equals(old)) {
-                return null;
-            }
-            if (old != null && !old.team().equals(pool.team())) {
-                throw Refusal.of("team", "the account is that of team " + old.team() + "; set another pool");
-            }
-            if (expected >= 0 && expected != there.version()) {
-                throw Refusal.conflict("the pool was changed: it is at version " + there.version(), old == null ? Map.of()
-                        : PoolCodec.write(old));
-            }
-            version[0]++;
-            return value;
-        }, written -> { })).map(done -> done ? Answer.ok(Wire.map("name", pool.name(), "version", version[0]))
-                : Answer.later("the pool changes at this moment"));
+        return ground.records()
+                .run(PoolRoutines.replace(
+                        PoolRecords.POOLS + pool.name(),
+                        there -> {
+                            PoolSpec old =
+                                    there.isThere() ? PoolCodec.read(pool.name(), new Fields(there.value())) : null;
+                            version[0] = there.version();
+                            if (pool.equals(old)) {
+                                return null;
+                            }
+                            if (old != null && !old.team().equals(pool.team())) {
+                                throw Refusal.of(
+                                        "team", "the account is that of team " + old.team() + "; set another pool");
+                            }
+                            if (expected >= 0 && expected != there.version()) {
+                                throw Refusal.conflict(
+                                        "the pool was changed: it is at version " + there.version(),
+                                        old == null ? Map.of() : PoolCodec.write(old));
+                            }
+                            version[0]++;
+                            return value;
+                        },
+                        written -> {}))
+                .map(done -> done
+                        ? Answer.ok(Wire.map("name", pool.name(), "version", version[0]))
+                        : Answer.later("the pool changes at this moment"));
     }
 }
--- a/src/main/java/io/indigoreach/warm/WarmReign.java
+++ b/src/main/java/io/indigoreach/warm/WarmReign.java
@@ -54,6 +54,7 @@
     private boolean loaded;
     /** From when on hits and misses are counted. */
     private long sinceMs;
+
     private Moment poolsRead = Moment.NEVER;
     private Moment toldAt = Moment.NEVER;
     private Moment pricesAsked = Moment.NEVER;
@@ -64,8 +65,12 @@
         this.core = core;
         this.records = records;
         this.moneyAt = ground.clock().now();
-        this.plan = new Plan(ground.config().teams(), ground.catalogue()::types, ground.settings().tuning().term(),
-                this::timeOfDay, LOG::info);
+        this.plan = new Plan(
+                ground.config().teams(),
+                ground.catalogue()::types,
+                ground.settings().tuning().term(),
+                this::timeOfDay,
+                LOG::info);
         this.meter = new Meter(ground.settings().tuning().leastPaid().ms());
         this.duty = new Duty(ground.vertx(), "pools", PERIOD, this::step);
         core.keeping(plan);
@@ -95,22 +100,29 @@
         }
         ask(now);
         look(now);
-        return readPools(now).compose(v -> writePages(now)).compose(v -> tell(now)).map(PERIOD);
+        return readPools(now)
+                .compose(v -> writePages(now))
+                .compose(v -> tell(now))
+                .map(PERIOD);
     }
 
     private Future<Void> load() {
         Moment now = ground.clock().now();
-        return records.run(PoolRoutines.sheets()).compose(sheets -> readPools(now).map(v -> {
-            ground.catalogue().types().forEach(t -> prices.put(t.name(), t));
-            for (Kept k : sheets) {
-                meter.recall(PoolRecords.sheetOf(k.key()), PoolCodec.readSheet(k.value()), this::perHour);
-            }
-            plan.recall(meter.lines(), ground.clock().now());
-            loaded = true;
-            sinceMs = ground.clock().timeOfDay();
-            LOG.info("pools: {}; {} machines in the accounts", pools.size(), meter.lines().size());
-            return null;
-        }));
+        return records.run(PoolRoutines.sheets())
+                .compose(sheets -> readPools(now).map(v -> {
+                    ground.catalogue().types().forEach(t -> prices.put(t.name(), t));
+                    for (Kept k : sheets) {
+                        meter.recall(PoolRecords.sheetOf(k.key()), PoolCodec.readSheet(k.value()), this::perHour);
+                    }
+                    plan.recall(meter.lines(), ground.clock().now());
+                    loaded = true;
+                    sinceMs = ground.clock().timeOfDay();
+                    LOG.info(
+                            "pools: {}; {} machines in the accounts",
+                            pools.size(),
+                            meter.lines().size());
+                    return null;
+                }));
     }
 
     private Future<Void> readPools(Moment now) {
@@ -118,14 +130,16 @@
             return Future.succeededFuture();
         }
         return records.run(PoolRoutines.all(PoolRecords.POOLS)).compose(all -> {
-            List<PoolSpec> read = all.stream().map(k -> PoolCodec.read(k.key().substring(PoolRecords.POOLS.length()),
-                    new Fields(k.value()))).toList();
+            List<PoolSpec> read = all.stream()
+                    .map(k -> PoolCodec.read(k.key().substring(PoolRecords.POOLS.length()), new Fields(k.value())))
+                    .toList();
             boolean isNew = read.size() > pools.size();
-            Future<List<Kept>> earlier = isNew ? records.run(PoolRoutines.all(PoolRecords.SEEN))
-                    : Future.succeededFuture(List.of());
+            Future<List<Kept>> earlier =
+                    isNew ? records.run(PoolRoutines.all(PoolRecords.SEEN)) : Future.succeededFuture(List.of());
             return earlier.map(seen -> {
                 Map<String, Seen> known = new HashMap<>();
-                seen.forEach(k -> known.put(k.key().substring(PoolRecords.SEEN.length()), PoolCodec.readSeen(k.value())));
+                seen.forEach(
+                        k -> known.put(k.key().substring(PoolRecords.SEEN.length()), PoolCodec.readSeen(k.value())));
                 pools = read;
                 plan.pools(read, name -> known.getOrDefault(name, new Seen()));
                 poolsRead = now;
@@ -153,10 +167,20 @@
         pools.forEach(p -> teams.put(p.name(), p.team()));
         for (Machine m : core.machines()) {
             Seat seat = m.seat() == null || m.seat().isDropped() ? null : m.seat();
-            Account payer = seat == null ? new Account("", "") : new Account(seat.pool(), teams.getOrDefault(seat.pool(), ""));
-            looks.add(new Meter.Look(m.id(), m.pool(), timeOfDay(m.rented()), payer, seat == null ? "" : seat.image(),
-                    seat == null ? 0 : seat.gb(), seat != null && m.images().holds(seat.image()) ? m.session() : 0,
-                    m.coresByTeam(), m.type().capacity().cores(), perHour(m.pool()), m.phase() == Machine.Phase.LEAVING));
+            Account payer =
+                    seat == null ? new Account("", "") : new Account(seat.pool(), teams.getOrDefault(seat.pool(), ""));
+            looks.add(new Meter.Look(
+                    m.id(),
+                    m.pool(),
+                    timeOfDay(m.rented()),
+                    payer,
+                    seat == null ? "" : seat.image(),
+                    seat == null ? 0 : seat.gb(),
+                    seat != null && m.images().holds(seat.image()) ? m.session() : 0,
+                    m.coresByTeam(),
+                    m.type().capacity().cores(),
+                    perHour(m.pool()),
+                    m.phase() == Machine.Phase.LEAVING));
         }
         meter.look(looks, timeOfDay(now));
         Map<String, Double> spent = new HashMap<>();
@@ -186,13 +210,17 @@
         }
         int page = pages.poll();
         Sheet[] next = new Sheet[1];
-        return records.run(PoolRoutines.replace(PoolRecords.sheet(page), read -> {
-            next[0] = meter.next(page, PoolCodec.readSheet(read.value()));
-            return PoolCodec.write(next[0]);
-        }, written -> {
-            meter.written(page, next[0]);
-            release();
-        })).mapEmpty();
+        return records.run(PoolRoutines.replace(
+                        PoolRecords.sheet(page),
+                        read -> {
+                            next[0] = meter.next(page, PoolCodec.readSheet(read.value()));
+                            return PoolCodec.write(next[0]);
+                        },
+                        written -> {
+                            meter.written(page, next[0]);
+                            release();
+                        }))
+                .mapEmpty();
     }
 
     /** Machines that left a pool take any image once no record names them. */
@@ -217,16 +245,20 @@
         for (Told t : plan.told()) {
             if (!t.equals(told.get(t.pool()))) {
                 toldAt = now;
-                return records.run(PoolRoutines.replace(PoolRecords.TOLD + t.pool(), read -> told(t),
-                        written -> told.put(t.pool(), t))).mapEmpty();
+                return records.run(PoolRoutines.replace(
+                                PoolRecords.TOLD + t.pool(), read -> told(t), written -> told.put(t.pool(), t)))
+                        .mapEmpty();
             }
         }
         for (PoolSpec p : pools) {
             Seen seen = plan.seen(p.name());
             if (p.learned() && seen.changes() > learned.getOrDefault(p.name(), 0L)) {
                 long changes = seen.changes();
-                return records.run(PoolRoutines.replace(PoolRecords.SEEN + p.name(), read -> PoolCodec.write(seen),
-                        written -> learned.put(p.name(), changes))).mapEmpty();
+                return records.run(PoolRoutines.replace(
+                                PoolRecords.SEEN + p.name(),
+                                read -> PoolCodec.write(seen),
+                                written -> learned.put(p.name(), changes)))
+                        .mapEmpty();
             }
         }
         return Future.succeededFuture();
--- a/src/main/java/io/indigoreach/worker/ReportDesk.java
+++ b/src/main/java/io/indigoreach/worker/ReportDesk.java
@@ -16,8 +16,10 @@
 
     /** The answer to a report; throws {@link io.indigoreach.net.WireException} if it cannot be read. */
     public Future<Answer> report(Buffer body) {
-        return controller.onReport(() -> WorkerCodec.read(Wire.readMap(body))).map(answer -> answer.accepted()
-                ? new Answer(200, WorkerCodec.answer(answer.token(), answer.orders()), 0)
-                : new Answer(421, WorkerCodec.elsewhere(answer.leader()), 0));
+        return controller
+                .onReport(() -> WorkerCodec.read(Wire.readMap(body)))
+                .map(answer -> answer.accepted()
+                        ? new Answer(200, WorkerCodec.answer(answer.token(), answer.orders()), 0)
+                        : new Answer(421, WorkerCodec.elsewhere(answer.leader()), 0));
     }
 }
--- a/src/main/java/io/indigoreach/worker/WorkerCodec.java
+++ b/src/main/java/io/indigoreach/worker/WorkerCodec.java
@@ -27,21 +27,18 @@
     public static final String INSPECT = "/inspect";
 
     /** The answer to a report that was taken: orders under a token. */
-    public record Answer(Token token, List<Order> orders) {
-    }
+    public record Answer(Token token, List<Order> orders) {}
 
     /** Orders sent to a worker's own address, for one of its sessions. Without a token or session, these are null. */
-    public record Direct(Token token, Long session, List<Order> orders) {
-    }
+    public record Direct(Token token, Long session, List<Order> orders) {}
 
-    private WorkerCodec() {
-    }
+    private WorkerCodec() {}
 
     public static Map<String, Object> write(WorkerReport r) {
         List<Object> tasks = new ArrayList<>(r.tasks().size());
         for (TaskReport t : r.tasks()) {
-            Map<String, Object> map = Wire.map("piece", t.task().toString(), "try", t.attempt().value(), "status",
-                    word(t.state()));
+            Map<String, Object> map =
+                    Wire.map("piece", t.task().toString(), "try", t.attempt().value(), "status", word(t.state()));
             if (t.state() == TaskState.EXITED) {
                 map.put("cause", t.cause().name().toLowerCase(Locale.ROOT));
                 if (t.saved()) {
@@ -50,10 +47,27 @@
             }
             tasks.add(map);
         }
-        return Wire.map("box", r.machine().text(), "endpoint", r.address(), "boxkind", r.pool().type(), "hall",
-                r.pool().zone(), "loaners", r.pool().spot(), "shift", r.number().session(), "serial",
-                r.number().serial(), "baton", r.token().value(), "warning_s",
-                r.notice() == null ? null : r.notice().seconds(), "pieces", tasks);
+        return Wire.map(
+                "box",
+                r.machine().text(),
+                "endpoint",
+                r.address(),
+                "boxkind",
+                r.pool().type(),
+                "hall",
+                r.pool().zone(),
+                "loaners",
+                r.pool().spot(),
+                "shift",
+                r.number().session(),
+                "serial",
+                r.number().serial(),
+                "baton",
+                r.token().value(),
+                "warning_s",
+                r.notice() == null ? null : r.notice().seconds(),
+                "pieces",
+                tasks);
     }
 
     public static WorkerReport read(Fields f) {
@@ -61,13 +75,21 @@
         try {
             for (Fields t : f.children("pieces")) {
                 TaskState state = state(t.text("status"));
-                tasks.add(new TaskReport(TaskId.parse(t.text("piece")), new Attempt(t.whole("try")), state,
-                        state == TaskState.EXITED ? cause(t.optionalText("cause")) : null, t.flag("kept", false)));
+                tasks.add(new TaskReport(
+                        TaskId.parse(t.text("piece")),
+                        new Attempt(t.whole("try")),
+                        state,
+                        state == TaskState.EXITED ? cause(t.optionalText("cause")) : null,
+                        t.flag("kept", false)));
             }
-            return new WorkerReport(new MachineId(f.text("box")), f.text("endpoint"),
+            return new WorkerReport(
+                    new MachineId(f.text("box")),
+                    f.text("endpoint"),
                     new Pool(f.text("boxkind"), f.text("hall"), f.flag("loaners", false)),
-                    new ReportNumber(f.whole("shift"), f.whole("serial")), new Token(f.whole("baton", 0)),
-                    f.has("warning_s") ? Span.seconds(Math.max(0, f.number("warning_s"))) : null, tasks);
+                    new ReportNumber(f.whole("shift"), f.whole("serial")),
+                    new Token(f.whole("baton", 0)),
+                    f.has("warning_s") ? Span.seconds(Math.max(0, f.number("warning_s"))) : null,
+                    tasks);
         } catch (IllegalArgumentException e) {
             throw new WireException(e.getMessage());
         }
@@ -105,7 +127,11 @@
     }
 
     public static Map<String, Object> answer(Token token, List<Order> orders) {
-        return Wire.map("baton", token.value(), "orders", orders.stream().map(WorkerCodec::write).toList());
+        return Wire.map(
+                "baton",
+                token.value(),
+                "orders",
+                orders.stream().map(WorkerCodec::write).toList());
     }
 
     /** An answer without a token is to be dropped: its token is lower than any. */
@@ -120,13 +146,20 @@
     }
 
     public static Direct readDirect(Fields f) {
-        return new Direct(f.has("baton") ? new Token(f.whole("baton")) : null,
-                f.has("shift") ? (Long) f.whole("shift") : null, orders(f));
+        return new Direct(
+                f.has("baton") ? new Token(f.whole("baton")) : null,
+                f.has("shift") ? (Long) f.whole("shift") : null,
+                orders(f));
     }
 
     private static Map<String, Object> write(Order order) {
         String verb = order instanceof Order.Start ? "start" : order instanceof Order.Stop ? "stop" : "reap";
-        Map<String, Object> map = Wire.map("verb", verb, "piece", order.task().toString(), "try",
+        Map<String, Object> map = Wire.map(
+                "verb",
+                verb,
+                "piece",
+                order.task().toString(),
+                "try",
                 order.attempt().value());
         if (order instanceof Order.Stop stop) {
             map.put("wind_down_s", Math.max(0, stop.grace().seconds()));
--- a/src/test/java/io/indigoreach/ArchitectureTest.java
+++ b/src/test/java/io/indigoreach/ArchitectureTest.java
@@ -21,66 +21,180 @@
 
 /** The layers: what may use what. */
 class ArchitectureTest {
-    private static final String[] NODE = {"io.indigoreach.core..", "io.indigoreach.state..", "io.indigoreach.cloud..",
-        "io.indigoreach.worker..", "io.indigoreach.api..", "io.indigoreach.cluster..", "io.indigoreach.net..",
-        "io.indigoreach.config..", "io.indigoreach.cli..", "io.indigoreach.parts..", "io.indigoreach.ownership..",
-        "io.indigoreach.calendar..", "io.indigoreach.warm..", "io.indigoreach.accounts.."};
-    private static final String[] TOOLS = {"io.indigoreach.emulator..", "io.indigoreach.scenario..",
-        "io.indigoreach.checker..", "io.indigoreach.load..", "io.indigoreach.experiment..", "io.indigoreach.tools..",
-        "io.indigoreach.store.."};
+    private static final String[] NODE = {
+        "io.indigoreach.core..",
+        "io.indigoreach.state..",
+        "io.indigoreach.cloud..",
+        "io.indigoreach.worker..",
+        "io.indigoreach.api..",
+        "io.indigoreach.cluster..",
+        "io.indigoreach.net..",
+        "io.indigoreach.config..",
+        "io.indigoreach.cli..",
+        "io.indigoreach.parts..",
+        "io.indigoreach.ownership..",
+        "io.indigoreach.calendar..",
+        "io.indigoreach.warm..",
+        "io.indigoreach.accounts.."
+    };
+    private static final String[] TOOLS = {
+        "io.indigoreach.emulator..",
+        "io.indigoreach.scenario..",
+        "io.indigoreach.checker..",
+        "io.indigoreach.load..",
+        "io.indigoreach.experiment..",
+        "io.indigoreach.tools..",
+        "io.indigoreach.store.."
+    };
     /** The wire's own words, where the code has others. Words that both use, such as cores, tell nothing. */
-    private static final Set<String> WORDS = Set.of("baton", "hire", "permit", "shift", "boxes", "box", "boxkind",
-            "boxkinds", "loaners", "hall", "halls", "pieces", "piece", "bundle", "pull_gb", "ledger_rev", "stamp", "foreman",
-            "warning_s", "wind_down_s", "jobclass", "owner", "expected_s", "snapshot_s", "snapshot_every_s", "low_price",
-            "held_s", "truncated", "verb", "reap", "kept", "in_use", "starts", "life_ms", "pulling", "exited", "orders");
-    private static final Set<String> CODECS = Set.of("JobCodec.java", "WorkerCodec.java", "CloudCodec.java",
-            "StateCodec.java", "Rehearsal.java", "Standing.java");
+    private static final Set<String> WORDS = Set.of(
+            "baton",
+            "hire",
+            "permit",
+            "shift",
+            "boxes",
+            "box",
+            "boxkind",
+            "boxkinds",
+            "loaners",
+            "hall",
+            "halls",
+            "pieces",
+            "piece",
+            "bundle",
+            "pull_gb",
+            "ledger_rev",
+            "stamp",
+            "foreman",
+            "warning_s",
+            "wind_down_s",
+            "jobclass",
+            "owner",
+            "expected_s",
+            "snapshot_s",
+            "snapshot_every_s",
+            "low_price",
+            "held_s",
+            "truncated",
+            "verb",
+            "reap",
+            "kept",
+            "in_use",
+            "starts",
+            "life_ms",
+            "pulling",
+            "exited",
+            "orders");
+
+    private static final Set<String> CODECS = Set.of(
+            "JobCodec.java",
+            "WorkerCodec.java",
+            "CloudCodec.java",
+            "StateCodec.java",
+            "Rehearsal.java",
+            "Standing.java");
     private static JavaClasses classes;
 
     @BeforeAll
     static void read() {
-        classes = new ClassFileImporter().withImportOption(new ImportOption.DoNotIncludeTests())
+        classes = new ClassFileImporter()
+                .withImportOption(new ImportOption.DoNotIncludeTests())
                 .importPackages("io.indigoreach");
     }
 
     @Test
     void theCoreIsPure() {
-        noClasses().that().resideInAPackage("io.indigoreach.core..").should().dependOnClassesThat()
-                .resideInAnyPackage("java.io..", "java.nio..", "java.net..", "java.time..", "java.util.concurrent..",
-                        "io.vertx..", "io.netty..", "org.slf4j..", "com.google..", "org.msgpack..").check(classes);
-        noClasses().that().resideInAPackage("io.indigoreach.core..").should().dependOnClassesThat()
+        noClasses()
+                .that()
+                .resideInAPackage("io.indigoreach.core..")
+                .should()
+                .dependOnClassesThat()
+                .resideInAnyPackage(
+                        "java.io..",
+                        "java.nio..",
+                        "java.net..",
+                        "java.time..",
+                        "java.util.concurrent..",
+                        "io.vertx..",
+                        "io.netty..",
+                        "org.slf4j..",
+                        "com.google..",
+                        "org.msgpack..")
+                .check(classes);
+        noClasses()
+                .that()
+                .resideInAPackage("io.indigoreach.core..")
+                .should()
+                .dependOnClassesThat()
                 .resideInAnyPackage("io.indigoreach.net..", "io.indigoreach.state..", "io.indigoreach.cluster..")
                 .check(classes);
-        noClasses().that().resideInAPackage("io.indigoreach.core..").should().callMethod(System.class, "nanoTime")
-                .orShould().callMethod(System.class, "currentTimeMillis").orShould().accessClassesThat()
-                .areAssignableTo(Thread.class).check(classes);
+        noClasses()
+                .that()
+                .resideInAPackage("io.indigoreach.core..")
+                .should()
+                .callMethod(System.class, "nanoTime")
+                .orShould()
+                .callMethod(System.class, "currentTimeMillis")
+                .orShould()
+                .accessClassesThat()
+                .areAssignableTo(Thread.class)
+                .check(classes);
     }
 
     /** The rooms of the core use what they rest on, and none of them the other way round too. */
     @Test
     void theRoomsOfTheCoreFormNoCircle() {
-        slices().matching("io.indigoreach.core.(*)..")
-                .should().beFreeOfCycles().check(classes);
+        slices().matching("io.indigoreach.core.(*)..").should().beFreeOfCycles().check(classes);
     }
 
     /** The emulator's model decides by what it is told: no sockets, files, threads or clocks. */
     @Test
     void theModelIsPure() {
-        noClasses().that().resideInAPackage("io.indigoreach.emulator.model..").should().dependOnClassesThat()
-                .resideInAnyPackage("java.io..", "java.nio.file..", "java.nio.channels..", "java.net..", "java.time..",
-                        "java.util.concurrent..", "io.vertx..", "io.netty..", "org.slf4j..").check(classes);
-        noClasses().that().resideInAPackage("io.indigoreach.emulator.model..").should()
-                .callMethod(System.class, "nanoTime").orShould().callMethod(System.class, "currentTimeMillis")
-                .orShould().callMethod(Math.class, "random").check(classes);
+        noClasses()
+                .that()
+                .resideInAPackage("io.indigoreach.emulator.model..")
+                .should()
+                .dependOnClassesThat()
+                .resideInAnyPackage(
+                        "java.io..",
+                        "java.nio.file..",
+                        "java.nio.channels..",
+                        "java.net..",
+                        "java.time..",
+                        "java.util.concurrent..",
+                        "io.vertx..",
+                        "io.netty..",
+                        "org.slf4j..")
+                .check(classes);
+        noClasses()
+                .that()
+                .resideInAPackage("io.indigoreach.emulator.model..")
+                .should()
+                .callMethod(System.class, "nanoTime")
+                .orShould()
+                .callMethod(System.class, "currentTimeMillis")
+                .orShould()
+                .callMethod(Math.class, "random")
+                .check(classes);
     }
 
     /** A node carries nothing that it does not need. */
     @Test
     void theNodeUsesNoTools() {
-        noClasses().that().resideInAnyPackage(NODE).should().dependOnClassesThat().resideInAnyPackage(TOOLS)
+        noClasses()
+                .that()
+                .resideInAnyPackage(NODE)
+                .should()
+                .dependOnClassesThat()
+                .resideInAnyPackage(TOOLS)
+                .check(classes);
+        noClasses()
+                .that()
+                .resideInAnyPackage(NODE)
+                .should()
+                .dependOnClassesThat()
+                .resideInAnyPackage("picocli..", "org.HdrHistogram..", "ch.qos.logback..")
                 .check(classes);
-        noClasses().that().resideInAnyPackage(NODE).should().dependOnClassesThat().resideInAnyPackage("picocli..",
-                "org.HdrHistogram..", "ch.qos.logback..").check(classes);
     }
 
     @Test
@@ -93,7 +207,8 @@
                 files++;
                 Matcher m = literal.matcher(Files.readString(p));
                 while (m.find()) {
-                    if (WORDS.contains(m.group(1)) && !CODECS.contains(p.getFileName().toString())) {
+                    if (WORDS.contains(m.group(1))
+                            && !CODECS.contains(p.getFileName().toString())) {
                         strays.add(p.getFileName() + ": " + m.group(1));
                     }
                 }
--- a/src/test/java/io/indigoreach/CodecsTest.java
+++ b/src/test/java/io/indigoreach/CodecsTest.java
@@ -47,16 +47,69 @@
 
     @Test
     void jobs() {
-        JobSpec full = new JobSpec(new JobId("run-000412"), "train", "vision", Shape.SERVICE, Urgency.BEST_EFFORT, 16,
-                new Demand(8, 1, 64), "img-07", 6.2, List.of("g8"), "a", true, true, true, Span.seconds(240),
-                Span.seconds(30), Span.seconds(4), Span.seconds(900));
-        JobSpec bare = new JobSpec(new JobId("run-1"), "c", "t", Shape.ARRAY, Urgency.HIGH, 1, new Demand(1, 0, 1), "i", 0,
-                null, null, false, false, false, Span.ZERO, Span.ZERO, Span.ZERO, null);
+        JobSpec full = new JobSpec(
+                new JobId("run-000412"),
+                "train",
+                "vision",
+                Shape.SERVICE,
+                Urgency.BEST_EFFORT,
+                16,
+                new Demand(8, 1, 64),
+                "img-07",
+                6.2,
+                List.of("g8"),
+                "a",
+                true,
+                true,
+                true,
+                Span.seconds(240),
+                Span.seconds(30),
+                Span.seconds(4),
+                Span.seconds(900));
+        JobSpec bare = new JobSpec(
+                new JobId("run-1"),
+                "c",
+                "t",
+                Shape.ARRAY,
+                Urgency.HIGH,
+                1,
+                new Demand(1, 0, 1),
+                "i",
+                0,
+                null,
+                null,
+                false,
+                false,
+                false,
+                Span.ZERO,
+                Span.ZERO,
+                Span.ZERO,
+                null);
         assertEquals(full, JobCodec.read(sent(JobCodec.write(full))));
         assertEquals(bare, JobCodec.read(sent(JobCodec.write(bare))));
-        assertEquals(List.of("id", "jobclass", "owner", "shape", "urgency", "pieces", "cores", "gpus", "ram_gb", "bundle",
-                "pull_gb", "boxkinds", "hall", "one_zone", "spread", "loaners", "expected_s", "snapshot_every_s",
-                "snapshot_s", "due_s"), new ArrayList<>(JobCodec.write(full).keySet()));
+        assertEquals(
+                List.of(
+                        "id",
+                        "jobclass",
+                        "owner",
+                        "shape",
+                        "urgency",
+                        "pieces",
+                        "cores",
+                        "gpus",
+                        "ram_gb",
+                        "bundle",
+                        "pull_gb",
+                        "boxkinds",
+                        "hall",
+                        "one_zone",
+                        "spread",
+                        "loaners",
+                        "expected_s",
+                        "snapshot_every_s",
+                        "snapshot_s",
+                        "due_s"),
+                new ArrayList<>(JobCodec.write(full).keySet()));
     }
 
     @Test
@@ -69,15 +122,23 @@
             tasks.add(new TaskReport(TASK, new Attempt(3), TaskState.EXITED, c, c == ExitCause.STOPPED));
         }
         for (Span notice : new Span[] {null, Span.seconds(7)}) {
-            WorkerReport r = new WorkerReport(new MachineId("vm-000231"), "10.1.0.232:9000", new Pool("g8", "a", true),
-                    new ReportNumber(1, 88), new Token(41), notice, tasks);
+            WorkerReport r = new WorkerReport(
+                    new MachineId("vm-000231"),
+                    "10.1.0.232:9000",
+                    new Pool("g8", "a", true),
+                    new ReportNumber(1, 88),
+                    new Token(41),
+                    notice,
+                    tasks);
             assertEquals(r, WorkerCodec.read(sent(WorkerCodec.write(r))));
         }
     }
 
     static Stream<Arguments> orders() {
-        return Stream.of(Arguments.of(new Order.Start(TASK, new Attempt(2)), "{verb=start, piece=run-000412/3, try=2}"),
-                Arguments.of(new Order.Stop(TASK, new Attempt(2), Span.seconds(10)),
+        return Stream.of(
+                Arguments.of(new Order.Start(TASK, new Attempt(2)), "{verb=start, piece=run-000412/3, try=2}"),
+                Arguments.of(
+                        new Order.Stop(TASK, new Attempt(2), Span.seconds(10)),
                         "{verb=stop, piece=run-000412/3, try=2, wind_down_s=10.0}"),
                 Arguments.of(new Order.Forget(TASK, new Attempt(2)), "{verb=reap, piece=run-000412/3, try=2}"));
     }
@@ -88,7 +149,9 @@
         WorkerCodec.Answer a = WorkerCodec.readAnswer(sent(WorkerCodec.answer(new Token(41), List.of(order))));
         assertEquals(List.of(order), a.orders());
         assertEquals(41, a.token().value());
-        assertEquals("[" + words + "]", WorkerCodec.answer(new Token(41), List.of(order)).get("orders").toString());
+        assertEquals(
+                "[" + words + "]",
+                WorkerCodec.answer(new Token(41), List.of(order)).get("orders").toString());
         WorkerCodec.Direct d = new WorkerCodec.Direct(new Token(41), 5L, List.of(order));
         assertEquals(d, WorkerCodec.readDirect(sent(WorkerCodec.direct(d))));
     }
@@ -97,20 +160,29 @@
     @Test
     void answersThatLackSomething() {
         assertEquals(-1, WorkerCodec.readAnswer(sent(Map.of())).token().value());
-        assertThrows(WireException.class, () -> WorkerCodec.readAnswer(sent(Wire.map("orders",
-                List.of(Wire.map("verb", "dance", "piece", "run-1/0", "try", 1))))));
-        assertThrows(WireException.class, () -> WorkerCodec.readAnswer(sent(Wire.map("orders",
-                List.of(Wire.map("verb", "reap", "piece", "nonsense", "try", 1))))));
+        assertThrows(
+                WireException.class,
+                () -> WorkerCodec.readAnswer(
+                        sent(Wire.map("orders", List.of(Wire.map("verb", "dance", "piece", "run-1/0", "try", 1))))));
+        assertThrows(
+                WireException.class,
+                () -> WorkerCodec.readAnswer(
+                        sent(Wire.map("orders", List.of(Wire.map("verb", "reap", "piece", "nonsense", "try", 1))))));
     }
 
     @Test
     void transactions() {
-        Txn txn = new Txn().when("a/b", Stamp.ABSENT).put("a/b", Wire.map("n", 1L), 7).put("x", Wire.map("n", 2L))
+        Txn txn = new Txn()
+                .when("a/b", Stamp.ABSENT)
+                .put("a/b", Wire.map("n", 1L), 7)
+                .put("x", Wire.map("n", 2L))
                 .delete("c/d");
         Txn read = StateCodec.readTxn(sent(StateCodec.writeTxn(txn)));
         assertEquals(txn.conditions(), read.conditions());
         assertEquals(txn.writes(), read.writes());
-        assertEquals("{when=[{path=a/b, stamp=0}], writes=[{write=a/b, data={n=1}, permit=7}, {write=x, data={n=2}}, "
-                + "{delete=c/d}]}", StateCodec.writeTxn(txn).toString());
+        assertEquals(
+                "{when=[{path=a/b, stamp=0}], writes=[{write=a/b, data={n=1}, permit=7}, {write=x, data={n=2}}, "
+                        + "{delete=c/d}]}",
+                StateCodec.writeTxn(txn).toString());
     }
 }
--- a/src/test/java/io/indigoreach/api/JobCodecTest.java
+++ b/src/test/java/io/indigoreach/api/JobCodecTest.java
@@ -25,10 +25,49 @@
 /** What users may send, what is malformed, and what can never run. */
 class JobCodecTest {
     static Map<String, Object> job() {
-        return Wire.map("id", "run-000412", "jobclass", "c", "owner", "t", "shape", "array", "urgency", "high", "pieces",
-                16, "cores", 4.0, "gpus", 0.0, "ram_gb", 6.0, "bundle", "i", "pull_gb", 6.2, "boxkinds",
-                List.of("quad"), "hall", null, "one_zone", true, "spread", false, "loaners", true, "expected_s", 240.0,
-                "snapshot_every_s", 30.0, "snapshot_s", 4.0, "due_s", 900.0, "unheard_of", 1);
+        return Wire.map(
+                "id",
+                "run-000412",
+                "jobclass",
+                "c",
+                "owner",
+                "t",
+                "shape",
+                "array",
+                "urgency",
+                "high",
+                "pieces",
+                16,
+                "cores",
+                4.0,
+                "gpus",
+                0.0,
+                "ram_gb",
+                6.0,
+                "bundle",
+                "i",
+                "pull_gb",
+                6.2,
+                "boxkinds",
+                List.of("quad"),
+                "hall",
+                null,
+                "one_zone",
+                true,
+                "spread",
+                false,
+                "loaners",
+                true,
+                "expected_s",
+                240.0,
+                "snapshot_every_s",
+                30.0,
+                "snapshot_s",
+                4.0,
+                "due_s",
+                900.0,
+                "unheard_of",
+                1);
     }
 
     static List<Object[]> malformed() {
@@ -78,17 +117,23 @@
     }
 
     @ParameterizedTest
-    @CsvSource(nullValues = "-", value = {
-        "owner, other, unknown team other",
-        "cores, 4.5, a task fits no allowed machine type",
-        "ram_gb, 17, a task fits no allowed machine type",
-        "hall, nowhere, a task fits no allowed machine type",
-        "shape, service, more than the limit of team t",
-        "pieces, 20, -"})
+    @CsvSource(
+            nullValues = "-",
+            value = {
+                "owner, other, unknown team other",
+                "cores, 4.5, a task fits no allowed machine type",
+                "ram_gb, 17, a task fits no allowed machine type",
+                "hall, nowhere, a task fits no allowed machine type",
+                "shape, service, more than the limit of team t",
+                "pieces, 20, -"
+            })
     void whatCanNeverRunIsRefused(String field, String value, String reason) {
         Map<String, Object> job = job();
-        job.put(field, value.matches("[0-9.]+") ? (Object) (field.equals("pieces") ? (Object) 20
-                : (Object) Double.valueOf(value)) : value);
+        job.put(
+                field,
+                value.matches("[0-9.]+")
+                        ? (Object) (field.equals("pieces") ? (Object) 20 : (Object) Double.valueOf(value))
+                        : value);
         JobSpec spec = JobCodec.read(Wire.readMap(Wire.write(job)));
         MachineType type = new MachineType("quad", new Demand(4, 0, 16), 40, 1, 1, 1, Span.seconds(20), List.of("a"));
         String refusal = Admission.refusal(spec, List.of(new Team("t", 0, 8, 0, 0)), List.of(type));
@@ -101,9 +146,23 @@
 
     /** Empty, cut short, bytes left over, not a map, a key that is no text, a list that claims to be huge, binary. */
     @ParameterizedTest
-    @ValueSource(strings = {"", "81", "80c0", "93010203", "8101c0", "ddffffffff", "81a161dd7fffffff", "81a161c403010203",
-        "c1", "dfffffffff", "81a161dbffffffff"})
+    @ValueSource(
+            strings = {
+                "",
+                "81",
+                "80c0",
+                "93010203",
+                "8101c0",
+                "ddffffffff",
+                "81a161dd7fffffff",
+                "81a161c403010203",
+                "c1",
+                "dfffffffff",
+                "81a161dbffffffff"
+            })
     void bodiesThatAreNotMessagePackMaps(String hex) {
-        assertThrows(WireException.class, () -> Wire.readMap(Buffer.buffer(java.util.HexFormat.of().parseHex(hex))));
+        assertThrows(
+                WireException.class,
+                () -> Wire.readMap(Buffer.buffer(java.util.HexFormat.of().parseHex(hex))));
     }
 }
--- a/src/test/java/io/indigoreach/api/JobDeskTest.java
+++ b/src/test/java/io/indigoreach/api/JobDeskTest.java
@@ -43,6 +43,7 @@
     private final Vertx vertx = Vertx.vertx();
     /** Vert.x closes a client that nothing refers to any more, in the middle of a call too: so all are kept. */
     private final List<Object> kept = new ArrayList<>();
+
     private StateStandIn service;
     private Endpoint first;
     private Endpoint second;
@@ -51,7 +52,8 @@
     void serve() throws Exception {
         service = await(new StateStandIn().listen(vertx));
         MachineType type = new MachineType("quad", new Demand(4, 0, 16), 40, 1, 1, 1, Span.seconds(20), List.of("a"));
-        await(client().commit(new StateClient.Txn().when(RecordCodec.CATALOGUE, Stamp.ABSENT)
+        await(client().commit(new StateClient.Txn()
+                .when(RecordCodec.CATALOGUE, Stamp.ABSENT)
                 .put(RecordCodec.CATALOGUE, RecordCodec.writeCatalogue(List.of(type)))));
         first = node();
         second = node();
@@ -63,8 +65,8 @@
     }
 
     private StateClient client() {
-        return keep(new StateClient(new Caller(vertx, service.endpoint(), 4),
-                new Caller(vertx, service.endpoint(), 1)));
+        return keep(
+                new StateClient(new Caller(vertx, service.endpoint(), 4), new Caller(vertx, service.endpoint(), 1)));
     }
 
     private <T> T keep(T client) {
@@ -79,11 +81,20 @@
     private Endpoint node(double questionsPerS) throws Exception {
         Catalogue catalogue = new Catalogue(vertx, client(), new CloudClient(new Caller(vertx, service.endpoint(), 1)));
         StateClient state = client();
-        JobDesk desk = new JobDesk(vertx, state, new JobMender(state, new SteadyClock()), catalogue,
-                List.of(new Team("t", 0, 0, 0, 0)), new SteadyClock(), 8192, questionsPerS);
+        JobDesk desk = new JobDesk(
+                vertx,
+                state,
+                new JobMender(state, new SteadyClock()),
+                catalogue,
+                List.of(new Team("t", 0, 0, 0, 0)),
+                new SteadyClock(),
+                8192,
+                questionsPerS);
         Endpoint any = new Endpoint("127.0.0.1", 0);
-        Endpoint endpoint = new Endpoint("127.0.0.1",
-                await(keep(new FrontDoor(vertx, any, desk, null, catalogue::isKnown, Map.of())).open()));
+        Endpoint endpoint = new Endpoint(
+                "127.0.0.1",
+                await(keep(new FrontDoor(vertx, any, desk, null, catalogue::isKnown, Map.of()))
+                        .open()));
         catalogue.start();
         while (call(endpoint, HttpMethod.GET, "/ready", null).status() != 200) {
             Thread.onSpinWait();
@@ -97,8 +108,10 @@
 
     private Reply call(Endpoint at, HttpMethod method, String path, Map<String, Object> body) throws Exception {
         Caller caller = keep(new Caller(vertx, at, 1));
-        return await(method == HttpMethod.GET ? caller.get(path, WAIT) : method == HttpMethod.DELETE
-                ? caller.delete(path, WAIT) : caller.post(path, body, WAIT));
+        return await(
+                method == HttpMethod.GET
+                        ? caller.get(path, WAIT)
+                        : method == HttpMethod.DELETE ? caller.delete(path, WAIT) : caller.post(path, body, WAIT));
     }
 
     private String status(Reply reply) {
@@ -115,8 +128,14 @@
         assertEquals("records: this is not switched on here", reply.body().optionalText("error"));
         JobSpec spec = JobCodec.read(Wire.readMap(Wire.write(job)));
         assertEquals(Map.of("records", Map.of("group", "g")), spec.more());
-        assertEquals(spec, RecordCodec.readJob(spec.id(), Wire.readMap(Wire.write(RecordCodec.writeJob(spec, 1,
-                JobStatus.PENDING, new java.util.BitSet(), 0, 0))), Stamp.ABSENT).spec());
+        assertEquals(
+                spec,
+                RecordCodec.readJob(
+                                spec.id(),
+                                Wire.readMap(Wire.write(RecordCodec.writeJob(
+                                        spec, 1, JobStatus.PENDING, new java.util.BitSet(), 0, 0))),
+                                Stamp.ABSENT)
+                        .spec());
     }
 
     @Test
@@ -155,11 +174,12 @@
     @Test
     void anEndThatIsNotMovedYetIsAnEnd() throws Exception {
         call(first, HttpMethod.POST, "/api/jobs", JobCodecTest.job());
-        JobSpec spec = RecordCodec.readJob(new JobId("run-000412"), service.value("j/run-000412"), Stamp.ABSENT).spec();
+        JobSpec spec = RecordCodec.readJob(new JobId("run-000412"), service.value("j/run-000412"), Stamp.ABSENT)
+                .spec();
         BitSet all = new BitSet();
         all.set(0, spec.tasks());
-        await(client().commit(new StateClient.Txn().put("j/run-000412",
-                RecordCodec.writeJob(spec, 1, JobStatus.DONE, all, 0, spec.tasks()))));
+        await(client().commit(new StateClient.Txn()
+                .put("j/run-000412", RecordCodec.writeJob(spec, 1, JobStatus.DONE, all, 0, spec.tasks()))));
         assertEquals("200 done", status(call(first, HttpMethod.POST, "/api/jobs/run-000412/cancel", Map.of())));
         assertEquals("200 done", status(call(second, HttpMethod.GET, "/api/jobs/run-000412", null)));
         assertEquals("200 done", status(call(second, HttpMethod.POST, "/api/jobs", JobCodecTest.job())));
@@ -169,7 +189,9 @@
     @Test
     void aLostAnswerIsNoAcceptanceAndNoSecondJob() throws Exception {
         service.losingAnswers = 1;
-        assertEquals(503, call(first, HttpMethod.POST, "/api/jobs", JobCodecTest.job()).status());
+        assertEquals(
+                503,
+                call(first, HttpMethod.POST, "/api/jobs", JobCodecTest.job()).status());
         assertEquals("200 pending", status(call(first, HttpMethod.POST, "/api/jobs", JobCodecTest.job())));
     }
 
@@ -181,18 +203,27 @@
         call(first, HttpMethod.POST, "/api/jobs", other);
         call(first, HttpMethod.POST, "/api/jobs/run-5/cancel", Map.of());
         service.refusing = true;
-        assertEquals(503, call(first, HttpMethod.GET, "/api/jobs/run-000412", null).status());
+        assertEquals(
+                503, call(first, HttpMethod.GET, "/api/jobs/run-000412", null).status());
         assertEquals(503, call(second, HttpMethod.GET, "/api/jobs/run-5", null).status());
         assertEquals(503, call(first, HttpMethod.GET, "/api/jobs/run-404", null).status(), "404 only on its word");
         assertEquals("200 cancelled", status(call(first, HttpMethod.GET, "/api/jobs/run-5", null)));
     }
 
     @ParameterizedTest
-    @CsvSource({"GET, /nowhere, 404", "GET, /api/jobs, 405", "DELETE, /api/jobs/run-1, 405", "POST, /ready, 405",
-        "GET, /api/jobs/run-1/cancel, 405", "GET, /api/jobs/strange, 404", "GET, /api/jobs/a/b, 404",
-        "POST, /api/jobs, 400"})
+    @CsvSource({
+        "GET, /nowhere, 404",
+        "GET, /api/jobs, 405",
+        "DELETE, /api/jobs/run-1, 405",
+        "POST, /ready, 405",
+        "GET, /api/jobs/run-1/cancel, 405",
+        "GET, /api/jobs/strange, 404",
+        "GET, /api/jobs/a/b, 404",
+        "POST, /api/jobs, 400"
+    })
     void wrongPathsAndMethods(String method, String path, int status) throws Exception {
-        assertEquals(status, call(first, HttpMethod.valueOf(method), path, Map.of()).status());
+        assertEquals(
+                status, call(first, HttpMethod.valueOf(method), path, Map.of()).status());
     }
 
     /** A long body is refused, announced or not, and others are served meanwhile. */
@@ -200,16 +231,20 @@
     @CsvSource({"true", "false"})
     void aLongBodyIsRefused(boolean announced) throws Exception {
         Promise<Integer> status = Promise.promise();
-        vertx.createHttpClient().request(HttpMethod.POST, first.port(), first.host(), "/api/jobs").onSuccess(request -> {
-            request.response().onSuccess(r -> status.tryComplete(r.statusCode())).onFailure(status::tryFail);
-            if (announced) {
-                request.putHeader("Content-Length", "70000");
-                request.write(Buffer.buffer(new byte[10]));
-            } else {
-                request.setChunked(true);
-                request.write(Buffer.buffer(new byte[70_000]));
-            }
-        });
+        vertx.createHttpClient()
+                .request(HttpMethod.POST, first.port(), first.host(), "/api/jobs")
+                .onSuccess(request -> {
+                    request.response()
+                            .onSuccess(r -> status.tryComplete(r.statusCode()))
+                            .onFailure(status::tryFail);
+                    if (announced) {
+                        request.putHeader("Content-Length", "70000");
+                        request.write(Buffer.buffer(new byte[10]));
+                    } else {
+                        request.setChunked(true);
+                        request.write(Buffer.buffer(new byte[70_000]));
+                    }
+                });
         assertEquals(413, await(status.future()));
         assertTrue(call(first, HttpMethod.GET, "/ready", null).isOk());
     }
--- a/src/test/java/io/indigoreach/api/LossDeskTest.java
+++ b/src/test/java/io/indigoreach/api/LossDeskTest.java
@@ -5,10 +5,13 @@
 import io.indigoreach.cloud.Catalogue;
 import io.indigoreach.cloud.CloudClient;
 import io.indigoreach.core.Demand;
+import io.indigoreach.core.JobId;
+import io.indigoreach.core.JobStatus;
 import io.indigoreach.core.MachineType;
 import io.indigoreach.core.Span;
 import io.indigoreach.core.Team;
 import io.indigoreach.core.Token;
+import io.indigoreach.core.loss.Remains;
 import io.indigoreach.net.Caller;
 import io.indigoreach.net.SteadyClock;
 import io.indigoreach.net.Wire;
@@ -18,18 +21,15 @@
 import io.indigoreach.state.StateStandIn;
 import io.vertx.core.Future;
 import io.vertx.core.Vertx;
-import io.indigoreach.core.JobId;
-import io.indigoreach.core.JobStatus;
-import io.indigoreach.core.loss.Remains;
 import io.vertx.core.buffer.Buffer;
-import org.junit.jupiter.params.ParameterizedTest;
-import org.junit.jupiter.params.provider.CsvSource;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 
 /** What users are told while the state service has lost data, by one node and without a leader. */
 class LossDeskTest {
@@ -45,10 +45,12 @@
         service = await(new StateStandIn().listen(vertx));
         state = client();
         MachineType type = new MachineType("quad", new Demand(4, 0, 16), 40, 1, 1, 1, Span.seconds(20), List.of("a"));
-        await(state.commit(new StateClient.Txn().put(RecordCodec.CATALOGUE, RecordCodec.writeCatalogue(List.of(type)))));
+        await(state.commit(
+                new StateClient.Txn().put(RecordCodec.CATALOGUE, RecordCodec.writeCatalogue(List.of(type)))));
         catalogue = new Catalogue(vertx, state, new CloudClient(new Caller(vertx, service.endpoint(), 1)));
         mender = new JobMender(state, new SteadyClock());
-        desk = new JobDesk(vertx, state, mender, catalogue, List.of(new Team("t", 0, 0, 0, 0)), new SteadyClock(), 8192, 100);
+        desk = new JobDesk(
+                vertx, state, mender, catalogue, List.of(new Team("t", 0, 0, 0, 0)), new SteadyClock(), 8192, 100);
         catalogue.start();
         while (!catalogue.isKnown()) {
             Thread.onSpinWait();
@@ -79,9 +81,40 @@
     }
 
     private static Buffer job(int id) {
-        return Wire.write(Wire.map("id", "run-" + id, "jobclass", "c", "owner", "t", "shape", "array",
-                "urgency", "standard", "pieces", 2, "cores", 1.0, "gpus", 0.0, "ram_gb", 1.0, "bundle", "i", "pull_gb", 0.0,
-                "one_zone", false, "spread", false, "loaners", true, "expected_s", 5.0, "snapshot_every_s", 0.0, "snapshot_s",
+        return Wire.write(Wire.map(
+                "id",
+                "run-" + id,
+                "jobclass",
+                "c",
+                "owner",
+                "t",
+                "shape",
+                "array",
+                "urgency",
+                "standard",
+                "pieces",
+                2,
+                "cores",
+                1.0,
+                "gpus",
+                0.0,
+                "ram_gb",
+                1.0,
+                "bundle",
+                "i",
+                "pull_gb",
+                0.0,
+                "one_zone",
+                false,
+                "spread",
+                false,
+                "loaners",
+                true,
+                "expected_s",
+                5.0,
+                "snapshot_every_s",
+                0.0,
+                "snapshot_s",
                 0.0));
     }
 
@@ -122,8 +155,14 @@
      * remembers stays the end. Before, its user's questions got 503 for good.
      */
     @ParameterizedTest
-    @CsvSource({"here, j/, 200 pending", "elsewhere, j/, 200 pending", "nowhere, j/, 503 null", "ended, j/, 200 done", "ended, f/, 200 done",
-        "nowhere, f/, 503 null"})
+    @CsvSource({
+        "here, j/, 200 pending",
+        "elsewhere, j/, 200 pending",
+        "nowhere, j/, 503 null",
+        "ended, j/, 200 done",
+        "ended, f/, 200 done",
+        "nowhere, f/, 503 null"
+    })
     void aRecordThatCannotBeReadIsMended(String remembered, String prefix, String answered) throws Exception {
         JobDesk asked = remembered.equals("here") ? desk : other();
         assertEquals(201, submit(1));
@@ -142,15 +181,21 @@
         }
         await(client().commit(txn.put(prefix + "run-1", Wire.map("status", "SPOILT", "class", 5L))));
         assertEquals(answered, told(asked.query("run-1")));
-        assertEquals(prefix.equals("f/") && answered.startsWith("503") ? "503 null" : answered.startsWith("503") ? "200 pending" : answered,
-                told(asked.submit(job(1))), "its user submits it again");
-        assertEquals(answered.endsWith("done") || prefix.equals("f/") ? List.of() : List.of("j/run-1"), service.keys("j/"));
+        assertEquals(
+                prefix.equals("f/") && answered.startsWith("503")
+                        ? "503 null"
+                        : answered.startsWith("503") ? "200 pending" : answered,
+                told(asked.submit(job(1))),
+                "its user submits it again");
+        assertEquals(
+                answered.endsWith("done") || prefix.equals("f/") ? List.of() : List.of("j/run-1"), service.keys("j/"));
         assertEquals(false, state.losses().isHolding());
     }
 
     /** Another node's desk, which has accepted nothing; with the same mender. */
     private JobDesk other() {
-        return new JobDesk(vertx, state, mender, catalogue, List.of(new Team("t", 0, 0, 0, 0)), new SteadyClock(), 8192, 100);
+        return new JobDesk(
+                vertx, state, mender, catalogue, List.of(new Team("t", 0, 0, 0, 0)), new SteadyClock(), 8192, 100);
     }
 
     private static String told(Future<Answer> answer) throws Exception {
--- a/src/test/java/io/indigoreach/checker/CheckerTest.java
+++ b/src/test/java/io/indigoreach/checker/CheckerTest.java
@@ -42,15 +42,32 @@
             // Whether spot machines are allowed, one zone is wanted, tasks are to be spread.
             boolean[] is = {true, false, false};
             kind.accept(is);
-            history.add(new Event.Submitted(at(0), new JobSpec(id(n), "c", "t", Shape.ARRAY, Urgency.STANDARD, 2,
-                    new Demand(1, 0, 1), "i", 0, List.of("m"), null, is[1], is[2], is[0], Span.seconds(5), Span.ZERO,
-                    Span.ZERO, null)));
+            history.add(new Event.Submitted(
+                    at(0),
+                    new JobSpec(
+                            id(n),
+                            "c",
+                            "t",
+                            Shape.ARRAY,
+                            Urgency.STANDARD,
+                            2,
+                            new Demand(1, 0, 1),
+                            "i",
+                            0,
+                            List.of("m"),
+                            null,
+                            is[1],
+                            is[2],
+                            is[0],
+                            Span.seconds(5),
+                            Span.ZERO,
+                            Span.ZERO,
+                            null)));
             return answer(0.1, 0, Question.SUBMIT, n, 201, JobStatus.PENDING);
         }
 
         Story job(int n) {
-            return job(n, is -> {
-            });
+            return job(n, is -> {});
         }
 
         Story machine(String name, String type, String zone, boolean spot) {
@@ -66,14 +83,14 @@
         }
 
         Story off(double s, String machine, int job, int index, long attempt, String why) {
-            history.add(new Event.Off(at(s), new MachineId(machine), new TaskId(id(job), index), new Attempt(attempt),
-                    why));
+            history.add(new Event.Off(
+                    at(s), new MachineId(machine), new TaskId(id(job), index), new Attempt(attempt), why));
             return this;
         }
 
         Story reaped(double s, String machine, int job, int index, long attempt) {
-            history.add(new Event.Forgotten(at(s), new MachineId(machine), new TaskId(id(job), index),
-                    new Attempt(attempt)));
+            history.add(new Event.Forgotten(
+                    at(s), new MachineId(machine), new TaskId(id(job), index), new Attempt(attempt)));
             return this;
         }
 
@@ -116,8 +133,12 @@
     }
 
     private static Story base() {
-        return new Story().job(1).machine("vm-1", "m", "a", true).machine("vm-2", "m", "b", false)
-                .machine("vm-3", "q", "a", false).on(1, "vm-1", 1, 0, 1);
+        return new Story()
+                .job(1)
+                .machine("vm-1", "m", "a", true)
+                .machine("vm-2", "m", "b", false)
+                .machine("vm-3", "q", "a", false)
+                .on(1, "vm-1", 1, 0, 1);
     }
 
     private static Txn lead(long token, long lease, boolean counts, boolean conditional) {
@@ -134,68 +155,177 @@
 
     static Stream<Arguments> stories() {
         List<Arguments> all = new ArrayList<>();
-        add(all, "moved once it was gone", null, base().off(5, "vm-1", 1, 0, 1, "lease").on(5, "vm-2", 1, 0, 2));
-        add(all, "twice", Rule.RAN_TWICE, base().off(5, "vm-1", 1, 0, 1, "lease").on(4.9, "vm-2", 1, 0, 2));
+        add(
+                all,
+                "moved once it was gone",
+                null,
+                base().off(5, "vm-1", 1, 0, 1, "lease").on(5, "vm-2", 1, 0, 2));
+        add(
+                all,
+                "twice",
+                Rule.RAN_TWICE,
+                base().off(5, "vm-1", 1, 0, 1, "lease").on(4.9, "vm-2", 1, 0, 2));
         add(all, "twice, the first for ever", Rule.RAN_TWICE, base().on(4, "vm-2", 1, 0, 2));
-        add(all, "as much as the limit", null, base().job(2).on(2, "vm-1", 1, 1, 2).on(2, "vm-2", 2, 0, 3)
-                .off(3, "vm-2", 2, 0, 3, "done").on(3, "vm-2", 2, 1, 4));
-        add(all, "over the limit", Rule.QUOTA, base().job(2).on(2, "vm-1", 1, 1, 2).on(2, "vm-2", 2, 0, 3)
-                .on(2.5, "vm-2", 2, 1, 4));
+        add(
+                all,
+                "as much as the limit",
+                null,
+                base().job(2)
+                        .on(2, "vm-1", 1, 1, 2)
+                        .on(2, "vm-2", 2, 0, 3)
+                        .off(3, "vm-2", 2, 0, 3, "done")
+                        .on(3, "vm-2", 2, 1, 4));
+        add(
+                all,
+                "over the limit",
+                Rule.QUOTA,
+                base().job(2).on(2, "vm-1", 1, 1, 2).on(2, "vm-2", 2, 0, 3).on(2.5, "vm-2", 2, 1, 4));
         add(all, "a type not allowed", Rule.WRONG_PLACE, base().on(2, "vm-3", 1, 1, 2));
-        add(all, "a spot machine not allowed", Rule.WRONG_PLACE, base().job(2, is -> is[0] = false)
-                .on(2, "vm-1", 2, 0, 2));
+        add(
+                all,
+                "a spot machine not allowed",
+                Rule.WRONG_PLACE,
+                base().job(2, is -> is[0] = false).on(2, "vm-1", 2, 0, 2));
         add(all, "an ordinary machine", null, base().job(2, is -> is[0] = false).on(2, "vm-2", 2, 0, 2));
-        add(all, "two zones", Rule.WRONG_PLACE, base().job(2, is -> is[1] = true).on(2, "vm-1", 2, 0, 2)
-                .on(3, "vm-2", 2, 1, 3));
-        add(all, "two zones one after the other", null, base().job(2, is -> is[1] = true).on(2, "vm-1", 2, 0, 2)
-                .off(3, "vm-1", 2, 0, 2, "stopped").on(3, "vm-2", 2, 1, 3));
-        add(all, "not spread", Rule.WRONG_PLACE, base().job(2, is -> is[2] = true).on(2, "vm-1", 2, 0, 2)
-                .on(3, "vm-1", 2, 1, 3));
+        add(
+                all,
+                "two zones",
+                Rule.WRONG_PLACE,
+                base().job(2, is -> is[1] = true).on(2, "vm-1", 2, 0, 2).on(3, "vm-2", 2, 1, 3));
+        add(
+                all,
+                "two zones one after the other",
+                null,
+                base().job(2, is -> is[1] = true)
+                        .on(2, "vm-1", 2, 0, 2)
+                        .off(3, "vm-1", 2, 0, 2, "stopped")
+                        .on(3, "vm-2", 2, 1, 3));
+        add(
+                all,
+                "not spread",
+                Rule.WRONG_PLACE,
+                base().job(2, is -> is[2] = true).on(2, "vm-1", 2, 0, 2).on(3, "vm-1", 2, 1, 3));
         add(all, "cancelled and gone in time", null, base().cancel(5, 1).off(14, "vm-1", 1, 0, 1, "stopped"));
-        add(all, "cancelled and still there", Rule.RAN_CANCELLED, base().cancel(5, 1).off(16, "vm-1", 1, 0, 1, "stopped"));
-        add(all, "cancelled and started late", Rule.RAN_CANCELLED, base().cancel(5, 1).off(6, "vm-1", 1, 0, 1, "stopped")
-                .on(20, "vm-2", 1, 1, 2).off(21, "vm-2", 1, 1, 2, "stopped"));
+        add(
+                all,
+                "cancelled and still there",
+                Rule.RAN_CANCELLED,
+                base().cancel(5, 1).off(16, "vm-1", 1, 0, 1, "stopped"));
+        add(
+                all,
+                "cancelled and started late",
+                Rule.RAN_CANCELLED,
+                base().cancel(5, 1)
+                        .off(6, "vm-1", 1, 0, 1, "stopped")
+                        .on(20, "vm-2", 1, 1, 2)
+                        .off(21, "vm-2", 1, 1, 2, "stopped"));
         add(all, "forgotten", Rule.FORGOTTEN, base().answer(3, 2.9, Question.POLL, 1, 404, null));
         add(all, "not known while it was being accepted", null, base().answer(3, 0.05, Question.POLL, 1, 404, null));
         add(all, "refused when repeated", Rule.FORGOTTEN, base().answer(3, 2.9, Question.SUBMIT, 1, 422, null));
         add(all, "unanswered for long, alone", Rule.FORGOTTEN, unanswered(true));
         add(all, "unanswered for long, like all", null, unanswered(false));
         add(all, "invented", Rule.INVENTED, base().poll(3, 8, JobStatus.PENDING));
-        add(all, "done", null, base().on(1, "vm-1", 1, 1, 2).off(4, "vm-1", 1, 0, 1, "done")
-                .off(5, "vm-1", 1, 1, 2, "done").poll(6, 1, JobStatus.DONE));
-        add(all, "done too soon", Rule.NOT_DONE, base().on(1, "vm-1", 1, 1, 2).off(4, "vm-1", 1, 0, 1, "done")
-                .off(6.1, "vm-1", 1, 1, 2, "done").poll(6, 1, JobStatus.DONE));
-        add(all, "back from cancelled", Rule.WENT_BACK, base().cancel(5, 1).off(6, "vm-1", 1, 0, 1, "stopped")
-                .poll(7, 1, JobStatus.RUNNING));
-        add(all, "an older answer under way", null, base().cancel(5, 1).off(6, "vm-1", 1, 0, 1, "stopped")
-                .answer(7, 5.05, Question.POLL, 1, 200, JobStatus.RUNNING));
-        add(all, "cancelled by nobody", Rule.WENT_BACK, base().poll(3, 1, JobStatus.CANCELLED)
-                .off(6, "vm-1", 1, 0, 1, "stopped"));
+        add(
+                all,
+                "done",
+                null,
+                base().on(1, "vm-1", 1, 1, 2)
+                        .off(4, "vm-1", 1, 0, 1, "done")
+                        .off(5, "vm-1", 1, 1, 2, "done")
+                        .poll(6, 1, JobStatus.DONE));
+        add(
+                all,
+                "done too soon",
+                Rule.NOT_DONE,
+                base().on(1, "vm-1", 1, 1, 2)
+                        .off(4, "vm-1", 1, 0, 1, "done")
+                        .off(6.1, "vm-1", 1, 1, 2, "done")
+                        .poll(6, 1, JobStatus.DONE));
+        add(
+                all,
+                "back from cancelled",
+                Rule.WENT_BACK,
+                base().cancel(5, 1).off(6, "vm-1", 1, 0, 1, "stopped").poll(7, 1, JobStatus.RUNNING));
+        add(
+                all,
+                "an older answer under way",
+                null,
+                base().cancel(5, 1)
+                        .off(6, "vm-1", 1, 0, 1, "stopped")
+                        .answer(7, 5.05, Question.POLL, 1, 200, JobStatus.RUNNING));
+        add(
+                all,
+                "cancelled by nobody",
+                Rule.WENT_BACK,
+                base().poll(3, 1, JobStatus.CANCELLED).off(6, "vm-1", 1, 0, 1, "stopped"));
         add(all, "nothing ran", Rule.NOTHING_RAN, new Story().job(1));
-        add(all, "started again after reap", Rule.START_AFTER_REAP, base().off(3, "vm-1", 1, 0, 1, "error")
-                .reaped(4, "vm-1", 1, 0, 1).on(5, "vm-1", 1, 0, 1));
-        add(all, "another attempt after reap", null, base().off(3, "vm-1", 1, 0, 1, "error")
-                .reaped(4, "vm-1", 1, 0, 1).on(5, "vm-1", 1, 0, 2));
-        add(all, "a blind write", Rule.BLIND_WRITE, base().commit(1, put("j/run-1").when("j/run-1", Stamp.ABSENT))
-                .commit(2, put("j/run-1")));
-        add(all, "written on its version", null, base().commit(1, put("j/run-1").when("j/run-1", Stamp.ABSENT))
-                .commit(2, put("j/run-1").when("j/run-1", new Stamp(1)))
-                .commit(3, put("f/run-1").delete("j/run-1").when("j/run-1", new Stamp(2))));
-        add(all, "an end on the absence of the open job", Rule.BLIND_WRITE,
+        add(
+                all,
+                "started again after reap",
+                Rule.START_AFTER_REAP,
+                base().off(3, "vm-1", 1, 0, 1, "error")
+                        .reaped(4, "vm-1", 1, 0, 1)
+                        .on(5, "vm-1", 1, 0, 1));
+        add(
+                all,
+                "another attempt after reap",
+                null,
+                base().off(3, "vm-1", 1, 0, 1, "error")
+                        .reaped(4, "vm-1", 1, 0, 1)
+                        .on(5, "vm-1", 1, 0, 2));
+        add(
+                all,
+                "a blind write",
+                Rule.BLIND_WRITE,
+                base().commit(1, put("j/run-1").when("j/run-1", Stamp.ABSENT)).commit(2, put("j/run-1")));
+        add(
+                all,
+                "written on its version",
+                null,
+                base().commit(1, put("j/run-1").when("j/run-1", Stamp.ABSENT))
+                        .commit(2, put("j/run-1").when("j/run-1", new Stamp(1)))
+                        .commit(3, put("f/run-1").delete("j/run-1").when("j/run-1", new Stamp(2))));
+        add(
+                all,
+                "an end on the absence of the open job",
+                Rule.BLIND_WRITE,
                 base().commit(1, put("f/run-1").when("j/run-1", Stamp.ABSENT)));
-        add(all, "machines as a leader", null, base().commit(1, lead(1, 7, true, true))
-                .commit(2, put("m/1-1").when("leader", new Stamp(1))));
+        add(
+                all,
+                "machines as a leader",
+                null,
+                base().commit(1, lead(1, 7, true, true)).commit(2, put("m/1-1").when("leader", new Stamp(1))));
         add(all, "machines as nobody", Rule.BLIND_WRITE, base().commit(1, put("m/1-1")));
-        add(all, "leading with the same token", Rule.LEADERSHIP, base().commit(1, lead(4, 7, true, true))
-                .commit(2, lead(4, 8, true, true)));
+        add(
+                all,
+                "leading with the same token",
+                Rule.LEADERSHIP,
+                base().commit(1, lead(4, 7, true, true)).commit(2, lead(4, 8, true, true)));
         add(all, "leading without a lease", Rule.LEADERSHIP, base().commit(1, lead(4, 0, true, true)));
         add(all, "leading without counting", Rule.LEADERSHIP, base().commit(1, lead(4, 7, false, true)));
         add(all, "leading without a condition", Rule.BLIND_WRITE, base().commit(1, lead(4, 7, true, false)));
-        add(all, "tokens in turn", null, base().process(0, "node-0", true).token(1, "node-0", 1).token(2, "node-1", 2)
-                .token(3, "node-0", 1));
-        add(all, "another's token", Rule.TOKEN_REUSED, base().token(1, "node-0", 1).token(2, "node-1", 1));
-        add(all, "the token of the process before", Rule.TOKEN_REUSED, base().process(0, "node-0", true)
-                .token(1, "node-0", 1).process(2, "node-0", false).process(3, "node-0", true).token(4, "node-0", 1));
+        add(
+                all,
+                "tokens in turn",
+                null,
+                base().process(0, "node-0", true)
+                        .token(1, "node-0", 1)
+                        .token(2, "node-1", 2)
+                        .token(3, "node-0", 1));
+        add(
+                all,
+                "another's token",
+                Rule.TOKEN_REUSED,
+                base().token(1, "node-0", 1).token(2, "node-1", 1));
+        add(
+                all,
+                "the token of the process before",
+                Rule.TOKEN_REUSED,
+                base().process(0, "node-0", true)
+                        .token(1, "node-0", 1)
+                        .process(2, "node-0", false)
+                        .process(3, "node-0", true)
+                        .token(4, "node-0", 1));
         return all.stream();
     }
 
@@ -217,7 +347,9 @@
     @MethodSource("stories")
     void findsWhatIsBroken(String name, Rule broken, History history) {
         List<Breach> found = Checker.check(history, T, Span.seconds(10), List.of(TEAM));
-        assertEquals(broken == null ? List.of() : List.of(broken), found.stream().map(Breach::rule).distinct().toList(),
+        assertEquals(
+                broken == null ? List.of() : List.of(broken),
+                found.stream().map(Breach::rule).distinct().toList(),
                 found.toString());
     }
 }
--- a/src/test/java/io/indigoreach/cluster/IntentBookTest.java
+++ b/src/test/java/io/indigoreach/cluster/IntentBookTest.java
@@ -41,7 +41,8 @@
         state = await(new StateStandIn().listen(vertx));
         client = new StateClient(new Caller(vertx, state.endpoint(), 4), new Caller(vertx, state.endpoint(), 1));
         PlatformConfig config = MachineBookTest.config();
-        env = new Reign.Surroundings(vertx, clock, null, client, null, null, config, Settings.standard(), Span.seconds(10));
+        env = new Reign.Surroundings(
+                vertx, clock, null, client, null, null, config, Settings.standard(), Span.seconds(10));
     }
 
     @AfterEach
@@ -55,7 +56,8 @@
 
     /** The book of a leader that has just taken the key. */
     private IntentBook leader(long token) throws Exception {
-        StateClient.Outcome taken = await(client.commit(new StateClient.Txn().put(RecordCodec.LEADER, Wire.map("t", token))));
+        StateClient.Outcome taken =
+                await(client.commit(new StateClient.Txn().put(RecordCodec.LEADER, Wire.map("t", token))));
         return new IntentBook(env, new Token(token), taken.stamp(), () -> deposed = true, new Budget(100, clock.now()));
     }
 
--- a/src/test/java/io/indigoreach/cluster/LateTransactionsTest.java
+++ b/src/test/java/io/indigoreach/cluster/LateTransactionsTest.java
@@ -91,6 +91,7 @@
     private final SteadyClock clock = new SteadyClock();
     /** Vert.x closes a client that nothing refers to any more. */
     private final List<Object> kept = new ArrayList<>();
+
     private final BlockingQueue<String> events = new ArrayBlockingQueue<>(100);
     private StateStandIn service;
     private StateClient client;
@@ -106,18 +107,30 @@
     void start() throws Exception {
         service = await(new StateStandIn().listen(vertx));
         client = client();
-        Catalogue catalogue = new Catalogue(vertx, client, keep(new CloudClient(keep(new Caller(vertx, service.endpoint(), 1)))));
-        env = new Reign.Surroundings(vertx, clock, null, client, null, catalogue, MachineBookTest.config(), Settings.standard(),
+        Catalogue catalogue =
+                new Catalogue(vertx, client, keep(new CloudClient(keep(new Caller(vertx, service.endpoint(), 1)))));
+        env = new Reign.Surroundings(
+                vertx,
+                clock,
+                null,
+                client,
+                null,
+                catalogue,
+                MachineBookTest.config(),
+                Settings.standard(),
                 Span.seconds(10));
-        core = new LeaderCore(new Token(3), env.config().rules(), env.settings().tuning(), new Aims(List.of()),
-                List.of(new Team("t", 0, 0, 0, 0)), new Notes() {
+        core = new LeaderCore(
+                new Token(3),
+                env.config().rules(),
+                env.settings().tuning(),
+                new Aims(List.of()),
+                List.of(new Team("t", 0, 0, 0, 0)),
+                new Notes() {
                     @Override
-                    public void progress(Job job) {
-                    }
+                    public void progress(Job job) {}
 
                     @Override
-                    public void say(String line) {
-                    }
+                    public void say(String line) {}
                 });
         core.setTypes(List.of(type()));
         core.loaded();
@@ -138,7 +151,8 @@
     }
 
     private StateClient client() {
-        return keep(new StateClient(keep(new Caller(vertx, service.endpoint(), 4)), keep(new Caller(vertx, service.endpoint(), 2))));
+        return keep(new StateClient(
+                keep(new Caller(vertx, service.endpoint(), 4)), keep(new Caller(vertx, service.endpoint(), 2))));
     }
 
     private static <T> T await(Future<T> future) throws Exception {
@@ -160,7 +174,8 @@
     // The state service.
 
     private static boolean touches(Fields txn, String key) {
-        return txn.children("writes").stream().anyMatch(w -> (w.has("delete") ? w.text("delete") : w.text("write")).startsWith(key));
+        return txn.children("writes").stream()
+                .anyMatch(w -> (w.has("delete") ? w.text("delete") : w.text("write")).startsWith(key));
     }
 
     /** The next transaction that writes or deletes such a key gets no answer. */
@@ -193,15 +208,26 @@
 
     /** Another leadership begins. */
     private Stamp lead(long token) throws Exception {
-        return await(client.commit(new StateClient.Txn().put(RecordCodec.LEADER, Wire.map("t", token)))).stamp();
+        return await(client.commit(new StateClient.Txn().put(RecordCodec.LEADER, Wire.map("t", token))))
+                .stamp();
     }
 
     // Leadership.
 
     private Leadership node(String node, int peers) {
         Leadership[] made = new Leadership[1];
-        made[0] = new Leadership(vertx, client, vertx, client, clock, node, node + "1", peers, Span.seconds(10),
-                new TokenClock(node.charAt(0) - 'a', clock.timeOfDay(), Span.seconds(0.1)), new Leadership.Listener() {
+        made[0] = new Leadership(
+                vertx,
+                client,
+                vertx,
+                client,
+                clock,
+                node,
+                node + "1",
+                peers,
+                Span.seconds(10),
+                new TokenClock(node.charAt(0) - 'a', clock.timeOfDay(), Span.seconds(0.1)),
+                new Leadership.Listener() {
                     @Override
                     public void took(Token token, Stamp key, boolean bounds) {
                         events.add(node + " took");
@@ -270,7 +296,8 @@
         });
         LEADERSHIP.put("the removal of a predecessor's key, after its node took it", t -> {
             t.lead(1);
-            await(t.client.commit(new StateClient.Txn().put(RecordCodec.LEADER, Wire.map("node", "a", "process", "a0", "token", 1L))));
+            await(t.client.commit(new StateClient.Txn()
+                    .put(RecordCodec.LEADER, Wire.map("node", "a", "process", "a0", "token", 1L))));
             Leadership a = t.node("a", 2);
             t.holdOne(RecordCodec.LEADER);
             await(a.clear(node -> Future.succeededFuture(false)));
@@ -286,7 +313,11 @@
             Leadership b = t.node("b", 0);
             Stamp key = a.key();
             t.holdOne(RecordCodec.LEADER);
-            assertTrue(b.release(key).toCompletionStage().toCompletableFuture().handle((v, e) -> e != null).get(20, TimeUnit.SECONDS));
+            assertTrue(b.release(key)
+                    .toCompletionStage()
+                    .toCompletableFuture()
+                    .handle((v, e) -> e != null)
+                    .get(20, TimeUnit.SECONDS));
             t.run(a::stop);
             t.run(() -> a.abdicate("test"));
             t.lost("a");
@@ -308,7 +339,9 @@
             t.lost("a");
             t.took("a");
             t.lateIsRefused();
-            assertFalse(t.service.value(RecordCodec.COUNTER).flag("bounds", false), "an older version may have led in between");
+            assertFalse(
+                    t.service.value(RecordCodec.COUNTER).flag("bounds", false),
+                    "an older version may have led in between");
         });
     }
 
@@ -338,21 +371,48 @@
     // Jobs.
 
     private JobDesk desk() throws Exception {
-        JobDesk desk = keep(new JobDesk(vertx, client, new JobMender(client, clock), env.catalogue(),
-                List.of(new Team("t", 0, 0, 0, 0)), clock, 8192, 100));
-        await(client.commit(new StateClient.Txn().put(RecordCodec.CATALOGUE, RecordCodec.writeCatalogue(List.of(type())))));
+        JobDesk desk = keep(new JobDesk(
+                vertx,
+                client,
+                new JobMender(client, clock),
+                env.catalogue(),
+                List.of(new Team("t", 0, 0, 0, 0)),
+                clock,
+                8192,
+                100));
+        await(client.commit(
+                new StateClient.Txn().put(RecordCodec.CATALOGUE, RecordCodec.writeCatalogue(List.of(type())))));
         env.catalogue().start();
         until(env.catalogue()::isKnown);
         return desk;
     }
 
     private static JobSpec spec(String id, int tasks) {
-        return new JobSpec(new JobId(id), "c", "t", Shape.ARRAY, Urgency.STANDARD, tasks, new Demand(1, 0, 1), "img", 0, null, null,
-                false, false, true, Span.seconds(10), Span.ZERO, Span.ZERO, null);
+        return new JobSpec(
+                new JobId(id),
+                "c",
+                "t",
+                Shape.ARRAY,
+                Urgency.STANDARD,
+                tasks,
+                new Demand(1, 0, 1),
+                "img",
+                0,
+                null,
+                null,
+                false,
+                false,
+                true,
+                Span.seconds(10),
+                Span.ZERO,
+                Span.ZERO,
+                null);
     }
 
     private int submit(JobDesk desk) throws Exception {
-        return await(desk.submit(Wire.write(JobCodec.write(spec(JOB.text(), 4)))).map(a -> a.status()).otherwise(503));
+        return await(desk.submit(Wire.write(JobCodec.write(spec(JOB.text(), 4))))
+                .map(a -> a.status())
+                .otherwise(503));
     }
 
     private int cancel(JobDesk desk) throws Exception {
@@ -368,8 +428,11 @@
         JobSpec spec = spec(id, tasks);
         Predicate<Fields> holding = service.holding;
         service.holding = txn -> false;
-        Stamp stamp = await(client.commit(new StateClient.Txn().put(RecordCodec.open(spec.id()),
-                RecordCodec.writeJob(spec, 1, JobStatus.PENDING, new BitSet(), 0, bound)))).stamp();
+        Stamp stamp = await(client.commit(new StateClient.Txn()
+                        .put(
+                                RecordCodec.open(spec.id()),
+                                RecordCodec.writeJob(spec, 1, JobStatus.PENDING, new BitSet(), 0, bound))))
+                .stamp();
         service.holding = holding;
         BitSet over = new BitSet();
         over.set(0, done);
@@ -379,8 +442,15 @@
     }
 
     private Ledger ledger(Stamp key) throws Exception {
-        return keep(new Ledger(env, core, new MachineBook(env, core, new Token(3), key, () -> { }, new Budget(100, clock.now())), key,
-                () -> events.add("deposed"), new Budget(100, clock.now()), true, new CancellationHorizon()));
+        return keep(new Ledger(
+                env,
+                core,
+                new MachineBook(env, core, new Token(3), key, () -> {}, new Budget(100, clock.now())),
+                key,
+                () -> events.add("deposed"),
+                new Budget(100, clock.now()),
+                true,
+                new CancellationHorizon()));
     }
 
     private void begin(Ledger ledger, Job... jobs) {
@@ -391,7 +461,8 @@
     }
 
     private int recorded(JobId id) {
-        return RecordCodec.readJob(id, service.value(RecordCodec.open(id)), Stamp.ABSENT).doneCount();
+        return RecordCodec.readJob(id, service.value(RecordCodec.open(id)), Stamp.ABSENT)
+                .doneCount();
     }
 
     private static final Map<String, Case> JOBS = new LinkedHashMap<>();
@@ -451,16 +522,21 @@
             t.begin(ledger, job);
             t.untilOver(JOB);
             t.lateIsRefused();
-            assertEquals(JobStatus.DONE, RecordCodec.readFinal(JOB, t.service.value(RecordCodec.over(JOB))).status());
+            assertEquals(
+                    JobStatus.DONE,
+                    RecordCodec.readFinal(JOB, t.service.value(RecordCodec.over(JOB)))
+                            .status());
         });
         for (boolean ended : new boolean[] {false, true}) {
             JOBS.put("the mending of an open job's record, after another" + (ended ? " and the job's end" : ""), t -> {
                 JobDesk desk = t.desk();
-                StateClient.Outcome spoilt = await(t.client.commit(new StateClient.Txn().put(OPEN, Wire.map("class", 5L))));
+                StateClient.Outcome spoilt =
+                        await(t.client.commit(new StateClient.Txn().put(OPEN, Wire.map("class", 5L))));
                 StateClient.Entry entry = new StateClient.Entry(OPEN, t.service.value(OPEN), spoilt.stamp(), 0);
                 JobMender mender = new JobMender(t.client, t.clock);
                 t.holdOne(OPEN);
-                assertTrue(await(mender.open(JOB, entry, spec(JOB.text(), 4)).map(false).otherwise(true)));
+                assertTrue(await(
+                        mender.open(JOB, entry, spec(JOB.text(), 4)).map(false).otherwise(true)));
                 await(mender.open(JOB, entry, spec(JOB.text(), 4)));
                 if (ended) {
                     assertEquals(200, t.cancel(desk));
@@ -471,7 +547,8 @@
         }
         JOBS.put("the mending of an end, after another", t -> {
             String over = RecordCodec.over(JOB);
-            StateClient.Outcome spoilt = await(t.client.commit(new StateClient.Txn().put(over, Wire.map("status", "DONE"))));
+            StateClient.Outcome spoilt =
+                    await(t.client.commit(new StateClient.Txn().put(over, Wire.map("status", "DONE"))));
             StateClient.Entry entry = new StateClient.Entry(over, t.service.value(over), spoilt.stamp(), 0);
             JobMender mender = new JobMender(t.client, t.clock);
             t.holdOne(over);
@@ -554,7 +631,10 @@
             t.pass();
             assertEquals(200, t.cancel(desk));
             t.lateIsRefused();
-            assertEquals(JobStatus.CANCELLED, RecordCodec.readFinal(JOB, t.service.value(RecordCodec.over(JOB))).status());
+            assertEquals(
+                    JobStatus.CANCELLED,
+                    RecordCodec.readFinal(JOB, t.service.value(RecordCodec.over(JOB)))
+                            .status());
         });
         JOBS.put("an end in the open record, and its move, each after its repeat", t -> {
             Ledger ledger = t.ledger(t.lead(1));
@@ -566,7 +646,9 @@
             AtomicBoolean move = new AtomicBoolean(true);
             // A mark puts the open record; the first transaction after it that deletes that record moves it.
             t.service.holding = txn -> touches(txn, OPEN)
-                    && (touches(txn, RecordCodec.over(JOB)) ? !mark.get() && move.getAndSet(false) : mark.getAndSet(false));
+                    && (touches(txn, RecordCodec.over(JOB))
+                            ? !mark.get() && move.getAndSet(false)
+                            : mark.getAndSet(false));
             t.begin(ledger, jobs);
             for (Job job : jobs) {
                 t.untilOver(job.id());
@@ -583,7 +665,8 @@
         MachineId id = new MachineId("vm-" + n);
         Moment now = clock.now();
         core.rented(POOL, List.of(id), now, now);
-        core.onReport(new WorkerReport(id, "10.0.0.1:1", POOL, new ReportNumber(1, 1), new Token(3), null, List.of()), now);
+        core.onReport(
+                new WorkerReport(id, "10.0.0.1:1", POOL, new ReportNumber(1, 1), new Token(3), null, List.of()), now);
         return book.record(core.unrecorded(id));
     }
 
@@ -596,14 +679,16 @@
     }
 
     private MachineBook machines(Stamp key) {
-        MachineBook book = keep(new MachineBook(env, core, new Token(3), key, () -> events.add("deposed"),
-                new Budget(100, clock.now())));
+        MachineBook book = keep(new MachineBook(
+                env, core, new Token(3), key, () -> events.add("deposed"), new Budget(100, clock.now())));
         run(book::start);
         return book;
     }
 
     private int lines() {
-        return service.keys(RecordCodec.MACHINES).stream().mapToInt(k -> RecordCodec.readMachines(service.value(k)).size()).sum();
+        return service.keys(RecordCodec.MACHINES).stream()
+                .mapToInt(k -> RecordCodec.readMachines(service.value(k)).size())
+                .sum();
     }
 
     private IntentBook intents(Stamp key) {
@@ -615,7 +700,9 @@
     }
 
     private Intents.Page intended() throws Exception {
-        return service.has("i/3") ? RecordCodec.readIntents(service.value("i/3")) : new Intents.Page(List.of(), List.of());
+        return service.has("i/3")
+                ? RecordCodec.readIntents(service.value("i/3"))
+                : new Intents.Page(List.of(), List.of());
     }
 
     private static final Map<String, Case> CLOUD = new LinkedHashMap<>();
@@ -662,12 +749,17 @@
             t.run(first::cancel);
             t.run(() -> t.gone(1));
             Stamp key = t.lead(4);
-            MachineBook next = new MachineBook(t.env, t.core, new Token(4), key, () -> { }, new Budget(100, t.clock.now()));
+            MachineBook next =
+                    new MachineBook(t.env, t.core, new Token(4), key, () -> {}, new Budget(100, t.clock.now()));
             t.holdOne(RecordCodec.MACHINES);
-            await(Ledger.pages(t.client, key, RecordCodec.MACHINES,
+            await(Ledger.pages(
+                    t.client,
+                    key,
+                    RecordCodec.MACHINES,
                     e -> next.inherit(e.key(), e.stamp(), RecordCodec.readMachines(e.value()))));
             t.run(next::start);
-            t.until(() -> t.service.held() == 1 && t.service.keys(RecordCodec.MACHINES).isEmpty());
+            t.until(() -> t.service.held() == 1
+                    && t.service.keys(RecordCodec.MACHINES).isEmpty());
             t.lateIsRefused();
         });
         CLOUD.put("an intent's first record, after its repeat", t -> {
@@ -712,7 +804,7 @@
             IntentBook old = t.intents(t.lead(1));
             old.intents().add(RENT);
             assertTrue(record(old));
-            IntentBook next = new IntentBook(t.env, new Token(4), t.lead(4), () -> { }, new Budget(100, t.clock.now()));
+            IntentBook next = new IntentBook(t.env, new Token(4), t.lead(4), () -> {}, new Budget(100, t.clock.now()));
             await(next.load());
             t.holdOne(RecordCodec.INTENTS);
             await(next.forgetEarlier());
@@ -739,7 +831,10 @@
     }
 
     private boolean rebuilds(Stamp key, Remains remains) throws Exception {
-        return await(new Rebuilder(env, new Token(3), key, new Budget(100, clock.now()), remains).run().map(true).otherwise(false));
+        return await(new Rebuilder(env, new Token(3), key, new Budget(100, clock.now()), remains)
+                .run()
+                .map(true)
+                .otherwise(false));
     }
 
     private static final Map<String, Case> LOSS = new LinkedHashMap<>();
@@ -769,8 +864,12 @@
             t.holdOne(RecordCodec.MACHINES);
             assertFalse(t.rebuilds(leader));
             assertTrue(t.rebuilds(leader));
-            MachineBook book = new MachineBook(t.env, t.core, new Token(3), leader, () -> { }, new Budget(100, t.clock.now()));
-            await(Ledger.pages(t.client, leader, RecordCodec.MACHINES,
+            MachineBook book =
+                    new MachineBook(t.env, t.core, new Token(3), leader, () -> {}, new Budget(100, t.clock.now()));
+            await(Ledger.pages(
+                    t.client,
+                    leader,
+                    RecordCodec.MACHINES,
                     e -> book.inherit(e.key(), e.stamp(), RecordCodec.readMachines(e.value()))));
             t.run(book::start);
             t.until(() -> t.lines() == 0);
@@ -829,8 +928,11 @@
     }
 
     private static Routine<Boolean> removing(String key) {
-        return seen -> seen.isWritten() || !seen.failed().isEmpty() ? new Step.End<>(seen.isWritten()) : seen.records().isEmpty()
-                ? new Step.Read<>(List.of(key)) : new Step.Write<>(new Change().when(seen.record(key)).delete(key));
+        return seen -> seen.isWritten() || !seen.failed().isEmpty()
+                ? new Step.End<>(seen.isWritten())
+                : seen.records().isEmpty()
+                        ? new Step.Read<>(List.of(key))
+                        : new Step.Write<>(new Change().when(seen.record(key)).delete(key));
     }
 
     /** A part's write without an answer, then the same once more, then it comes late. */
@@ -844,7 +946,8 @@
     private static final Map<String, Case> PARTS = new LinkedHashMap<>();
 
     static {
-        PARTS.put("a record's first write, after its repeat",
+        PARTS.put(
+                "a record's first write, after its repeat",
                 t -> t.twice("x/", t.records(), () -> new Replacing("x/1", Wire.map("n", 1L))));
         PARTS.put("a record's change, after its repeat", t -> {
             Records records = t.records();
@@ -854,7 +957,9 @@
         PARTS.put("a leader's write, after a change of leader", t -> {
             Records records = t.records().leading(RecordCodec.LEADER, t.lead(1), new Budget(100, t.clock.now()));
             t.holdOne("x/");
-            assertTrue(await(records.run(new Replacing("x/1", Wire.map("n", 1L))).map(false).otherwise(true)));
+            assertTrue(await(records.run(new Replacing("x/1", Wire.map("n", 1L)))
+                    .map(false)
+                    .otherwise(true)));
             t.lead(4);
             t.lateIsRefused();
         });
@@ -869,16 +974,26 @@
         PARTS.put("a write, after a loss and a new era", t -> {
             Records records = t.records();
             t.holdOne("x/");
-            assertTrue(await(records.run(new Replacing("x/1", Wire.map("n", 1L))).map(false).otherwise(true)));
+            assertTrue(await(records.run(new Replacing("x/1", Wire.map("n", 1L)))
+                    .map(false)
+                    .otherwise(true)));
             assertTrue(t.rebuilds(t.lead(1), new Remains()));
             t.lateIsRefused();
         });
         PARTS.put("the registry's beginning", t -> t.twice("own/", t.records(), () -> new Beginning(true, "by test")));
         PARTS.put("a claim's end before it began", t -> t.twice("own/", t.records(), () -> new Ending("export-1")));
-        PARTS.put("a calendar's text", t -> t.twice("cal/text/", t.records(),
-                () -> new Publishing(new Head(Kept.absent(Head.KEY)), "d", "text", 1, "note")));
-        PARTS.put("a calendar's head", t -> t.twice(Head.KEY, t.records(),
-                () -> new Publishing(new Head(Kept.absent(Head.KEY)), "d", "text", 1, "note")));
+        PARTS.put(
+                "a calendar's text",
+                t -> t.twice(
+                        "cal/text/",
+                        t.records(),
+                        () -> new Publishing(new Head(Kept.absent(Head.KEY)), "d", "text", 1, "note")));
+        PARTS.put(
+                "a calendar's head",
+                t -> t.twice(
+                        Head.KEY,
+                        t.records(),
+                        () -> new Publishing(new Head(Kept.absent(Head.KEY)), "d", "text", 1, "note")));
     }
 
     /** Its bound says that nothing was ever ordered, while a controller remembers that all of it was. */
@@ -899,7 +1014,8 @@
         remains.add(new Remains.Open(spec(JOB.text(), 4), 1, new BitSet(), 4));
         until(() -> rebuilds(leader, remains));
         assertEquals(List.of(200), late);
-        assertEquals(4, RecordCodec.readJob(JOB, service.value(OPEN), Stamp.ABSENT).bound());
+        assertEquals(
+                4, RecordCodec.readJob(JOB, service.value(OPEN), Stamp.ABSENT).bound());
     }
 
     static List<Object[]> cases() {
--- a/src/test/java/io/indigoreach/cluster/LedgerTest.java
+++ b/src/test/java/io/indigoreach/cluster/LedgerTest.java
@@ -65,22 +65,35 @@
     void start() throws Exception {
         state = await(new StateStandIn().listen(vertx));
         client = new StateClient(new Caller(vertx, state.endpoint(), 4), new Caller(vertx, state.endpoint(), 1));
-        env = new Reign.Surroundings(vertx, clock, null, client, null, null, MachineBookTest.config(),
-                Settings.standard(), Span.seconds(10));
-        StateClient.Outcome taken = await(client.commit(new StateClient.Txn().put(RecordCodec.LEADER, Wire.map("t", 1L))));
-        core = new LeaderCore(new Token(3), MachineBookTest.config().rules(), Settings.standard().tuning(),
-                new Aims(List.of()), List.of(new Team("t", 0, 0, 0, 0)), new Notes() {
+        env = new Reign.Surroundings(
+                vertx,
+                clock,
+                null,
+                client,
+                null,
+                null,
+                MachineBookTest.config(),
+                Settings.standard(),
+                Span.seconds(10));
+        StateClient.Outcome taken =
+                await(client.commit(new StateClient.Txn().put(RecordCodec.LEADER, Wire.map("t", 1L))));
+        core = new LeaderCore(
+                new Token(3),
+                MachineBookTest.config().rules(),
+                Settings.standard().tuning(),
+                new Aims(List.of()),
+                List.of(new Team("t", 0, 0, 0, 0)),
+                new Notes() {
                     @Override
-                    public void progress(Job job) {
-                    }
+                    public void progress(Job job) {}
 
                     @Override
-                    public void say(String line) {
-                    }
+                    public void say(String line) {}
                 });
-        core.setTypes(List.of(new MachineType("quad", new Demand(4, 0, 16), 40, 1, 1, 1, Span.seconds(20), List.of("a"))));
+        core.setTypes(
+                List.of(new MachineType("quad", new Demand(4, 0, 16), 40, 1, 1, 1, Span.seconds(20), List.of("a"))));
         core.loaded();
-        ledger = new Ledger(env, core, null, taken.stamp(), () -> { }, new Budget(20, clock.now()), true, horizon);
+        ledger = new Ledger(env, core, null, taken.stamp(), () -> {}, new Budget(20, clock.now()), true, horizon);
     }
 
     @AfterEach
@@ -93,10 +106,30 @@
     }
 
     private Job job(int id, int tasks, int done, int bound) throws Exception {
-        JobSpec spec = new JobSpec(new JobId("run-" + id), "c", "t", Shape.ARRAY, Urgency.STANDARD, tasks,
-                new Demand(1, 0, 1), "img", 0, null, null, false, false, true, Span.seconds(10), Span.ZERO, Span.ZERO, null);
-        Stamp stamp = await(client.commit(new StateClient.Txn().put(RecordCodec.open(spec.id()),
-                RecordCodec.writeJob(spec, 1, JobStatus.PENDING, new BitSet(), 0, bound)))).stamp();
+        JobSpec spec = new JobSpec(
+                new JobId("run-" + id),
+                "c",
+                "t",
+                Shape.ARRAY,
+                Urgency.STANDARD,
+                tasks,
+                new Demand(1, 0, 1),
+                "img",
+                0,
+                null,
+                null,
+                false,
+                false,
+                true,
+                Span.seconds(10),
+                Span.ZERO,
+                Span.ZERO,
+                null);
+        Stamp stamp = await(client.commit(new StateClient.Txn()
+                        .put(
+                                RecordCodec.open(spec.id()),
+                                RecordCodec.writeJob(spec, 1, JobStatus.PENDING, new BitSet(), 0, bound))))
+                .stamp();
         BitSet over = new BitSet();
         over.set(0, done);
         return new Job(spec, 1, clock.now(), stamp, over, bound, false);
@@ -150,7 +183,8 @@
     void aJobThatIsGoneHoldsTheHorizonUntilItIsKnownWhy(boolean told) throws Exception {
         Job job = job(1, 2, 0, 2);
         core.addJob(job);
-        await(client.commit(new StateClient.Txn().delete(RecordCodec.open(job.id()))
+        await(client.commit(new StateClient.Txn()
+                .delete(RecordCodec.open(job.id()))
                 .put(RecordCodec.over(job.id()), RecordCodec.writeFinal(JobStatus.CANCELLED, 0))));
         Moment before = clock.now();
         horizon.heard(before);
@@ -170,10 +204,12 @@
         }
         state.refusing = told;
         while (horizon.until().equals(before)) {
-            onLoop(() -> { });
+            onLoop(() -> {});
         }
         assertTrue(job.isCancelled());
-        onLoop(() -> ledger.heard(job.id(), new Fields(RecordCodec.writeJob(job.spec(), 1, JobStatus.PENDING, new BitSet(), 0, 2)),
+        onLoop(() -> ledger.heard(
+                job.id(),
+                new Fields(RecordCodec.writeJob(job.spec(), 1, JobStatus.PENDING, new BitSet(), 0, 2)),
                 new Stamp(99)));
         assertNull(core.job(job.id()), "nothing opens it again");
     }
@@ -192,7 +228,8 @@
     void aKnownJobsRecordThatIsSpoiltIsWrittenAnew() throws Exception {
         Job job = job(1, 4, 2, 4);
         core.addJob(job);
-        Stamp spoilt = await(client.commit(new StateClient.Txn().put("j/run-1", Wire.map("class", 5L)))).stamp();
+        Stamp spoilt = await(client.commit(new StateClient.Txn().put("j/run-1", Wire.map("class", 5L))))
+                .stamp();
         ledger.heard(job.id(), new Fields(Wire.map("class", 5L)), spoilt);
         vertx.runOnContext(v -> ledger.start());
         while (state.value("j/run-1").optionalText("team") == null) {
@@ -208,35 +245,53 @@
         job(2, 2, 0, 1);
         await(ledger.load());
         assertEquals(2, core.jobs().size());
-        await(client.commit(new StateClient.Txn().delete("j/run-1").put("f/run-1",
-                RecordCodec.writeFinal(JobStatus.CANCELLED, 0))));
+        await(client.commit(new StateClient.Txn()
+                .delete("j/run-1")
+                .put("f/run-1", RecordCodec.writeFinal(JobStatus.CANCELLED, 0))));
         BitSet done = new BitSet();
         done.set(0);
-        await(client.commit(new StateClient.Txn().put("j/run-2", RecordCodec.writeJob(core.job(new JobId("run-2")).spec(), 1,
-                JobStatus.RUNNING, done, 1, 2))));
+        await(client.commit(new StateClient.Txn()
+                .put(
+                        "j/run-2",
+                        RecordCodec.writeJob(core.job(new JobId("run-2")).spec(), 1, JobStatus.RUNNING, done, 1, 2))));
         await(ledger.load());
         assertEquals(null, core.job(cancelled.id()), "its tasks are to be stopped, and no watch will tell");
-        assertEquals(List.of(1, 2), List.of(core.job(new JobId("run-2")).doneCount(), core.job(new JobId("run-2")).boundToWrite()));
+        assertEquals(
+                List.of(1, 2),
+                List.of(
+                        core.job(new JobId("run-2")).doneCount(),
+                        core.job(new JobId("run-2")).boundToWrite()));
     }
 
     /** Written by a newer version, or spoilt: one job stands still, the others are served; nobody guesses what machines hold. */
     @Test
     void aRecordThatCannotBeReadStopsItsOwnJobOnly() throws Exception {
         job(1, 1, 0, 0);
-        await(client.commit(new StateClient.Txn().put("j/run-2", Wire.map("class", 5L)).put("j/what", Wire.map())
-                .put("j/run-5", Wire.map("class", "c", "status", "NONE")).put("p/run-1/x", Wire.map("bits", "*"))));
+        await(client.commit(new StateClient.Txn()
+                .put("j/run-2", Wire.map("class", 5L))
+                .put("j/what", Wire.map())
+                .put("j/run-5", Wire.map("class", "c", "status", "NONE"))
+                .put("p/run-1/x", Wire.map("bits", "*"))));
         await(ledger.load());
-        assertEquals(List.of("run-1"), core.jobs().stream().map(j -> j.id().text()).toList());
+        assertEquals(
+                List.of("run-1"), core.jobs().stream().map(j -> j.id().text()).toList());
         ledger.heard(new JobId("run-3"), new Fields(Wire.map("class", 5L)), new Stamp(9));
         assertEquals(1, core.jobs().size(), "nor does it end the watch");
-        Fields mended = Wire.readMap(Wire.write(RecordCodec.writeJob(core.job(new JobId("run-1")).spec(), 1, JobStatus.PENDING,
-                new BitSet(), 0, 1)));
+        Fields mended = Wire.readMap(Wire.write(
+                RecordCodec.writeJob(core.job(new JobId("run-1")).spec(), 1, JobStatus.PENDING, new BitSet(), 0, 1)));
         ledger.heard(new JobId("run-3"), mended, new Stamp(10));
         ledger.heard(new JobId("run-4"), mended, new Stamp(11));
-        assertEquals(List.of(true, false), List.of(core.job(new JobId("run-3")).isInherited(), core.job(new JobId("run-4")).isInherited()),
+        assertEquals(
+                List.of(true, false),
+                List.of(
+                        core.job(new JobId("run-3")).isInherited(),
+                        core.job(new JobId("run-4")).isInherited()),
                 "what could not be read may be on machines, what is new cannot");
         await(client.commit(new StateClient.Txn().put("m/3-1", Wire.map("machines", "many"))));
         Exception failed = assertThrows(Exception.class, () -> await(ledger.load()));
-        assertTrue(failed.getCause() instanceof Ledger.Unreadable && failed.getCause().getMessage().contains("m/3-1"), failed.getMessage());
+        assertTrue(
+                failed.getCause() instanceof Ledger.Unreadable
+                        && failed.getCause().getMessage().contains("m/3-1"),
+                failed.getMessage());
     }
 }
--- a/src/test/java/io/indigoreach/cluster/MachineBookTest.java
+++ b/src/test/java/io/indigoreach/cluster/MachineBookTest.java
@@ -102,22 +102,29 @@
         PlatformConfig config = config();
         silent = new Notes() {
             @Override
-            public void progress(Job job) {
-            }
+            public void progress(Job job) {}
 
             @Override
-            public void say(String line) {
-            }
+            public void say(String line) {}
         };
         Settings settings = Settings.standard();
-        core = new LeaderCore(new Token(3), config.rules(), settings.tuning(), new Aims(List.of()), config.teams(), silent);
-        core.setTypes(List.of(new MachineType("quad", new Demand(4, 0, 16), 40, 0.5, 0.2, 0.05, Span.seconds(20),
-                List.of(POOL.zone()))));
+        core = new LeaderCore(
+                new Token(3), config.rules(), settings.tuning(), new Aims(List.of()), config.teams(), silent);
+        core.setTypes(List.of(new MachineType(
+                "quad", new Demand(4, 0, 16), 40, 0.5, 0.2, 0.05, Span.seconds(20), List.of(POOL.zone()))));
         core.loaded();
         CloudClient cloud = new CloudClient(new Caller(vertx, state.endpoint(), 1));
-        env = new Reign.Surroundings(vertx, clock, null, client, cloud, new Catalogue(vertx, client, cloud),
-                config, settings, Span.seconds(10));
-        book = new MachineBook(env, core, new Token(3), NOBODY, () -> { }, new Budget(12, clock.now()));
+        env = new Reign.Surroundings(
+                vertx,
+                clock,
+                null,
+                client,
+                cloud,
+                new Catalogue(vertx, client, cloud),
+                config,
+                settings,
+                Span.seconds(10));
+        book = new MachineBook(env, core, new Token(3), NOBODY, () -> {}, new Budget(12, clock.now()));
         onLoop(() -> {
             book.start();
             return Future.succeededFuture();
@@ -141,8 +148,8 @@
         MachineId id = new MachineId(String.format("vm-%06d", n));
         Moment now = clock.now();
         core.rented(POOL, List.of(id), now, now);
-        core.onReport(new WorkerReport(id, "10.0.0.1:1", POOL, new ReportNumber(1, 1), new Token(3), null, List.of()),
-                now);
+        core.onReport(
+                new WorkerReport(id, "10.0.0.1:1", POOL, new ReportNumber(1, 1), new Token(3), null, List.of()), now);
         return book.record(core.unrecorded(id));
     }
 
@@ -181,7 +188,11 @@
         Future<Boolean> first = onLoop(() -> Future.succeededFuture(report(1)));
         await(first);
         assertTrue(onLoop(() -> report(2)));
-        assertEquals(List.of(1, 2), written().stream().map(m -> Integer.parseInt(m.id().text().substring(3))).toList());
+        assertEquals(
+                List.of(1, 2),
+                written().stream()
+                        .map(m -> Integer.parseInt(m.id().text().substring(3)))
+                        .toList());
         assertEquals(1, state.keys(RecordCodec.MACHINES).size());
     }
 
@@ -190,11 +201,13 @@
     @ValueSource(ints = {70, 90, 110})
     void aPageThatIsReadTwiceLosesNoMachine(int machines) throws Exception {
         Moment now = clock.now();
-        MachineRecord earlier = new MachineRecord(new MachineId("vm-000900"), POOL, clock.timeOfDay(), clock.timeOfDay());
-        long revision = await(client.commit(new StateClient.Txn().put(RecordCodec.machinePage(new Token(2), 1),
-                RecordCodec.writeMachines(List.of(earlier))))).revision();
-        Ledger ledger = new Ledger(env, core, book, new Stamp(revision), () -> { }, new Budget(12, now), true,
-                new CancellationHorizon());
+        MachineRecord earlier =
+                new MachineRecord(new MachineId("vm-000900"), POOL, clock.timeOfDay(), clock.timeOfDay());
+        long revision = await(client.commit(new StateClient.Txn()
+                        .put(RecordCodec.machinePage(new Token(2), 1), RecordCodec.writeMachines(List.of(earlier)))))
+                .revision();
+        Ledger ledger = new Ledger(
+                env, core, book, new Stamp(revision), () -> {}, new Budget(12, now), true, new CancellationHorizon());
         onLoop(ledger::load);
         onLoop(ledger::load);
         assertTrue(onLoop(() -> report(0)));
@@ -206,19 +219,39 @@
             return Future.all(all).map(c -> c.<Boolean>list());
         });
         assertFalse(done.contains(false));
-        assertEquals(machines + 1, written().stream().map(MachineRecord::id).distinct().count(), "told as recorded, and is not");
+        assertEquals(
+                machines + 1,
+                written().stream().map(MachineRecord::id).distinct().count(),
+                "told as recorded, and is not");
     }
 
     /** Earlier leaders' leases run from when this leadership began, however long its records take to be read. */
     @Test
     void aSlowReadingPutsNoTakeOverOff() throws Exception {
         Moment before = clock.now();
-        long revision = await(client.commit(new StateClient.Txn().put(RecordCodec.machinePage(new Token(2), 1), RecordCodec.writeMachines(
-                List.of(new MachineRecord(new MachineId("vm-000900"), POOL, clock.timeOfDay(), clock.timeOfDay())))))).revision();
-        LeaderCore fresh = new LeaderCore(new Token(3), env.config().rules(), env.settings().tuning(), new Aims(List.of()),
-                env.config().teams(), silent);
-        fresh.setTypes(List.of(new MachineType("quad", new Demand(4, 0, 16), 40, 0.5, 0.2, 0.05, Span.seconds(20), List.of("z"))));
-        Ledger ledger = new Ledger(env, fresh, book, new Stamp(revision), () -> { }, new Budget(12, clock.now()), true,
+        long revision = await(client.commit(new StateClient.Txn()
+                        .put(
+                                RecordCodec.machinePage(new Token(2), 1),
+                                RecordCodec.writeMachines(List.of(new MachineRecord(
+                                        new MachineId("vm-000900"), POOL, clock.timeOfDay(), clock.timeOfDay()))))))
+                .revision();
+        LeaderCore fresh = new LeaderCore(
+                new Token(3),
+                env.config().rules(),
+                env.settings().tuning(),
+                new Aims(List.of()),
+                env.config().teams(),
+                silent);
+        fresh.setTypes(List.of(
+                new MachineType("quad", new Demand(4, 0, 16), 40, 0.5, 0.2, 0.05, Span.seconds(20), List.of("z"))));
+        Ledger ledger = new Ledger(
+                env,
+                fresh,
+                book,
+                new Stamp(revision),
+                () -> {},
+                new Budget(12, clock.now()),
+                true,
                 new CancellationHorizon());
         Moment begun = clock.now();
         while (clock.now().since(begun).ms() < 50) {
@@ -240,7 +273,8 @@
     @Test
     void aPageThatIsReadTwiceLosesNoMachine() throws Exception {
         List<MachineRecord> gone = List.of(new MachineRecord(new MachineId("vm-900"), POOL, 1, 1));
-        StateClient.Outcome pages = await(client.commit(new StateClient.Txn().put("m/2-1", RecordCodec.writeMachines(gone))
+        StateClient.Outcome pages = await(client.commit(new StateClient.Txn()
+                .put("m/2-1", RecordCodec.writeMachines(gone))
                 .put("m/2-2", RecordCodec.writeMachines(gone))));
         assertTrue(onLoop(() -> {
             book.inherit("m/2-1", pages.stamp(), gone);
@@ -252,7 +286,8 @@
         while (state.has("m/2-2") && System.nanoTime() < end) {
             Thread.onSpinWait();
         }
-        assertEquals(List.of("vm-000001"), written().stream().map(m -> m.id().text()).toList());
+        assertEquals(
+                List.of("vm-000001"), written().stream().map(m -> m.id().text()).toList());
     }
 
     /**
@@ -261,25 +296,66 @@
      */
     @Test
     void recordsOlderThanTheLeadershipAreNotBelieved() throws Exception {
-        long revision = await(client.commit(new StateClient.Txn().put("leader", Wire.map("n", 1L)))).revision();
+        long revision = await(client.commit(new StateClient.Txn().put("leader", Wire.map("n", 1L))))
+                .revision();
         for (long key : new long[] {revision, revision + 1}) {
-            Ledger ledger = new Ledger(env, core, book, new Stamp(key), () -> { }, new Budget(12, clock.now()), true,
+            Ledger ledger = new Ledger(
+                    env,
+                    core,
+                    book,
+                    new Stamp(key),
+                    () -> {},
+                    new Budget(12, clock.now()),
+                    true,
                     new CancellationHorizon());
-            assertEquals(key == revision, onLoop(() -> ledger.load().map(r -> true).otherwise(false)));
+            assertEquals(
+                    key == revision, onLoop(() -> ledger.load().map(r -> true).otherwise(false)));
         }
     }
 
     /** Of a job whose record says that nothing of it was ever ordered: not believed while an older version may have led. */
     @Test
     void startBoundsAreReadOnlyWhereEveryLeaderKeptToThem() throws Exception {
-        JobSpec spec = new JobSpec(new JobId("run-1"), "c", "t", Shape.ARRAY, Urgency.STANDARD, 3, new Demand(1, 0, 1), "i",
-                0, null, null, false, false, true, Span.seconds(9), Span.ZERO, Span.ZERO, null);
-        long revision = await(client.commit(new StateClient.Txn().put(RecordCodec.open(spec.id()),
-                RecordCodec.writeJob(spec, 1, JobStatus.PENDING, new BitSet(), 0, 0)))).revision();
+        JobSpec spec = new JobSpec(
+                new JobId("run-1"),
+                "c",
+                "t",
+                Shape.ARRAY,
+                Urgency.STANDARD,
+                3,
+                new Demand(1, 0, 1),
+                "i",
+                0,
+                null,
+                null,
+                false,
+                false,
+                true,
+                Span.seconds(9),
+                Span.ZERO,
+                Span.ZERO,
+                null);
+        long revision = await(client.commit(new StateClient.Txn()
+                        .put(
+                                RecordCodec.open(spec.id()),
+                                RecordCodec.writeJob(spec, 1, JobStatus.PENDING, new BitSet(), 0, 0))))
+                .revision();
         for (boolean kept : new boolean[] {false, true}) {
-            LeaderCore fresh = new LeaderCore(new Token(3), env.config().rules(), env.settings().tuning(),
-                    new Aims(List.of()), env.config().teams(), silent);
-            Ledger ledger = new Ledger(env, fresh, book, new Stamp(revision), () -> { }, new Budget(12, clock.now()), kept,
+            LeaderCore fresh = new LeaderCore(
+                    new Token(3),
+                    env.config().rules(),
+                    env.settings().tuning(),
+                    new Aims(List.of()),
+                    env.config().teams(),
+                    silent);
+            Ledger ledger = new Ledger(
+                    env,
+                    fresh,
+                    book,
+                    new Stamp(revision),
+                    () -> {},
+                    new Budget(12, clock.now()),
+                    kept,
                     new CancellationHorizon());
             onLoop(ledger::load);
             assertEquals(kept ? 0 : 3, fresh.job(spec.id()).boundToWrite());
--- a/src/test/java/io/indigoreach/cluster/PledgesTest.java
+++ b/src/test/java/io/indigoreach/cluster/PledgesTest.java
@@ -27,7 +27,8 @@
 
     @Test
     void anAnswerIsReadAsItWasWritten() {
-        Pledges said = new Pledges(true, new CancellationWord(Set.of(new JobId("run-1"), new JobId("run-22")), Span.seconds(7)));
+        Pledges said = new Pledges(
+                true, new CancellationWord(Set.of(new JobId("run-1"), new JobId("run-22")), Span.seconds(7)));
         assertEquals(said, Pledges.read(wire(said.write(Span.seconds(2)))));
         assertEquals(Span.seconds(7), Pledges.asked(wire(Pledges.ask(Span.seconds(7)))));
     }
@@ -35,9 +36,11 @@
     /** A leader of the version before reads these fields, and a node of that version writes no others. */
     @Test
     void theVersionBeforeKeepsItsBackstop() {
-        Fields toOlder = wire(new Pledges(true, new CancellationWord(Set.of(new JobId("run-1")), Span.seconds(7))).write(Span.seconds(2)));
+        Fields toOlder = wire(new Pledges(true, new CancellationWord(Set.of(new JobId("run-1")), Span.seconds(7)))
+                .write(Span.seconds(2)));
         assertEquals(List.of(true, 2000L), List.of(toOlder.flag("pledged", false), toOlder.whole("quiet_ms")));
-        assertEquals(new Pledges(true, new CancellationWord(Set.of(), Span.seconds(2))),
+        assertEquals(
+                new Pledges(true, new CancellationWord(Set.of(), Span.seconds(2))),
                 Pledges.read(wire(Map.of("pledged", true, "quiet_ms", 2000L))));
         assertEquals(Span.ZERO, Pledges.asked(wire(Map.of())));
     }
@@ -47,8 +50,13 @@
         for (int n = 0; n <= ToldCancellations.MOST; n++) {
             tooMany.add("run-" + n);
         }
-        return Stream.of(Map.of("cancelled", List.of("no id")), Map.of("cancelled", List.of(5L)), Map.of("cancelled", "run-1"),
-                Map.of("cancelled", tooMany, "covered_ms", 5000L), Map.of("pledged", "yes"), Map.of("cancelled", List.of(), "covered_ms", "long"),
+        return Stream.of(
+                Map.of("cancelled", List.of("no id")),
+                Map.of("cancelled", List.of(5L)),
+                Map.of("cancelled", "run-1"),
+                Map.of("cancelled", tooMany, "covered_ms", 5000L),
+                Map.of("pledged", "yes"),
+                Map.of("cancelled", List.of(), "covered_ms", "long"),
                 Map.of("quiet_ms", "long"));
     }
 
--- a/src/test/java/io/indigoreach/cluster/WarmUpTest.java
+++ b/src/test/java/io/indigoreach/cluster/WarmUpTest.java
@@ -17,8 +17,18 @@
     void ordersStartsUntilTheNodeLeads(boolean leads, int least) throws Exception {
         Vertx vertx = Vertx.vertx();
         try {
-            WarmUp warmUp = new WarmUp(new Reign.Surroundings(vertx, new SteadyClock(), null, null, null, null,
-                    MachineBookTest.config(), Settings.standard(), Span.seconds(10)), () -> leads);
+            WarmUp warmUp = new WarmUp(
+                    new Reign.Surroundings(
+                            vertx,
+                            new SteadyClock(),
+                            null,
+                            null,
+                            null,
+                            null,
+                            MachineBookTest.config(),
+                            Settings.standard(),
+                            Span.seconds(10)),
+                    () -> leads);
             for (int n = 0; n < 400; n++) {
                 warmUp.step();
             }
--- a/src/test/java/io/indigoreach/config/ConfigTest.java
+++ b/src/test/java/io/indigoreach/config/ConfigTest.java
@@ -63,21 +63,28 @@
     }
 
     @ParameterizedTest
-    @CsvSource(delimiter = '|', value = {
-        "node = \"n0\"               |                    | f: node: missing",
-        "serve_on = \"10.0.0.1:8080\" | serve_on = \"here\" | f: serve_on: not an address with a port",
-        "write_rps = 20.0           | write_rps = 0      | f: settings.state.write_rps: must be above 0",
-        "lease_s = 12.0             | lease_s = \"long\" | f: settings.workers.lease_s: not a number of at least 0",
-        "name = \"t\"               | name = 3           | f: settings.teams[0].name: not a text",
-        "[settings.cloud]           | [settings.cloudy]  | f: settings.cloud: missing"})
+    @CsvSource(
+            delimiter = '|',
+            value = {
+                "node = \"n0\"               |                    | f: node: missing",
+                "serve_on = \"10.0.0.1:8080\" | serve_on = \"here\" | f: serve_on: not an address with a port",
+                "write_rps = 20.0           | write_rps = 0      | f: settings.state.write_rps: must be above 0",
+                "lease_s = 12.0             | lease_s = \"long\" | f: settings.workers.lease_s: not a number of at least 0",
+                "name = \"t\"               | name = 3           | f: settings.teams[0].name: not a text",
+                "[settings.cloud]           | [settings.cloudy]  | f: settings.cloud: missing"
+            })
     void aWrongPlatformFileNamesItsField(String line, String instead, String message) {
         String text = PLATFORM.replace(line.strip(), instead == null ? "" : instead.strip());
-        assertEquals(message, assertThrows(ConfigException.class, () -> PlatformConfig.parse("f", text)).getMessage());
+        assertEquals(
+                message,
+                assertThrows(ConfigException.class, () -> PlatformConfig.parse("f", text))
+                        .getMessage());
     }
 
     @Test
     void textThatIsNotTomlIsOneLine() {
-        String message = assertThrows(ConfigException.class, () -> PlatformConfig.parse("f", "node = = 3")).getMessage();
+        String message = assertThrows(ConfigException.class, () -> PlatformConfig.parse("f", "node = = 3"))
+                .getMessage();
         assertTrue(message.startsWith("f: not TOML") && message.lines().count() == 1, message);
     }
 
@@ -90,11 +97,21 @@
     }
 
     @ParameterizedTest
-    @CsvSource({"no_such_setting: 3, no_such_setting", "wait_limit_s: -1, wait_limit_s", "term_s: 'x', s:",
-        "check_s 5, s:", "check_s: nan, check_s"})
+    @CsvSource({
+        "no_such_setting: 3, no_such_setting",
+        "wait_limit_s: -1, wait_limit_s",
+        "term_s: 'x', s:",
+        "check_s 5, s:",
+        "check_s: nan, check_s"
+    })
     void wrongOperatorsSettingsNameFileAndField(String text, String named) {
-        String message = assertThrows(ConfigException.class, () -> SettingsFile.parse("s", text)).getMessage();
-        assertTrue(message.startsWith("s: ") && message.contains(named) && message.lines().count() == 1, message);
+        String message = assertThrows(ConfigException.class, () -> SettingsFile.parse("s", text))
+                .getMessage();
+        assertTrue(
+                message.startsWith("s: ")
+                        && message.contains(named)
+                        && message.lines().count() == 1,
+                message);
     }
 
     /** An isolated leader cannot hear of cancellations: its lease, the workers' and a margin must fit into cancel_s. */
@@ -102,8 +119,10 @@
     @CsvSource({"12, 32, 5, 5", "12, 32, 60, 15.688", "22, 42, 60, 15.678"})
     void theLeadersLeaseLeavesTimeForCancellations(double lease, double cancel, double wanted, double length)
             throws ConfigException {
-        PlatformConfig config = PlatformConfig.parse("f", PLATFORM.replace("lease_s = 12.0", "lease_s = " + lease)
-                .replace("cancel_s = 32.0", "cancel_s = " + cancel));
+        PlatformConfig config = PlatformConfig.parse(
+                "f",
+                PLATFORM.replace("lease_s = 12.0", "lease_s = " + lease)
+                        .replace("cancel_s = 32.0", "cancel_s = " + cancel));
         Settings settings = SettingsFile.parse("s", "leader_lease_s: " + wanted);
         assertEquals(Span.seconds(length), settings.leaderLease(config.rules()));
     }
--- a/src/test/java/io/indigoreach/core/AimsTest.java
+++ b/src/test/java/io/indigoreach/core/AimsTest.java
@@ -18,10 +18,11 @@
         "40,  5,  130, five rounds still do",
         "60,  5,  230, five rounds are too many for the first",
         "0,   20, 600, out of reach of both however soon it starts",
-        "240, 1,  600, both are missed"})
+        "240, 1,  600, both are missed"
+    })
     void aimsOutOfReachGiveNoPrecedence(double now, int rounds, double latest, String why) {
-        Aims aims = new Aims(List.of(new Aims.Aim("c", false, Span.seconds(250)),
-                new Aims.Aim("c", false, Span.seconds(150))));
+        Aims aims = new Aims(
+                List.of(new Aims.Aim("c", false, Span.seconds(250)), new Aims.Aim("c", false, Span.seconds(150))));
         Job job = new Job(spec(1, 9, 1, 20), 1, at(0), Stamp.ABSENT, new BitSet(), 99, false);
         assertEquals(at(latest), aims.latestStart(job, Span.seconds(20), rounds, at(now)), why);
     }
--- a/src/test/java/io/indigoreach/core/CancellationHorizonTest.java
+++ b/src/test/java/io/indigoreach/core/CancellationHorizonTest.java
@@ -12,9 +12,13 @@
 class CancellationHorizonTest {
     /** Heard of everything until 10 s; all nodes asked at 20 s have answered at 21 s. */
     @ParameterizedTest
-    @CsvSource({"30, 20, what was told since is known", "11.2, 20, nor is one missing from just before",
-        "11, 10, one may have been told as the watch ended", "3, 10, one was told before that is not among them",
-        "0, 10, a process is new, or did not answer"})
+    @CsvSource({
+        "30, 20, what was told since is known",
+        "11.2, 20, nor is one missing from just before",
+        "11, 10, one may have been told as the watch ended",
+        "3, 10, one was told before that is not among them",
+        "0, 10, a process is new, or did not answer"
+    })
     void whatEveryNodeSaysStandsInForTheWatch(double covered, double until, String why) {
         CancellationHorizon horizon = new CancellationHorizon();
         horizon.heard(at(10));
--- a/src/test/java/io/indigoreach/core/CancellationRun.java
+++ b/src/test/java/io/indigoreach/core/CancellationRun.java
@@ -140,11 +140,13 @@
     private void check() {
         for (Worker w : workers) {
             if (now - w.answered > rules.workerLease().seconds()) {
-                lost += (int) w.tasks.stream().filter(j -> !cancelled.containsKey(j)).count();
+                lost += (int)
+                        w.tasks.stream().filter(j -> !cancelled.containsKey(j)).count();
                 w.tasks.clear();
             }
             for (JobId job : w.tasks) {
-                double limit = told.getOrDefault(job, Double.MAX_VALUE) + rules.cancel().seconds();
+                double limit = told.getOrDefault(job, Double.MAX_VALUE)
+                        + rules.cancel().seconds();
                 if (now > limit) {
                     broken.add(job + " runs at " + now + ", told at " + told.get(job));
                 }
@@ -306,8 +308,12 @@
         List<CancellationWord> words = new ArrayList<>();
         for (Node other : nodes) {
             if (other != mine.node) {
-                after(random.nextDouble() * 0.4, () -> words.add(now < other.downUntil || now < other.silentUntil
-                        ? CancellationWord.NONE : other.told.word(back, other.at(now))));
+                after(
+                        random.nextDouble() * 0.4,
+                        () -> words.add(
+                                now < other.downUntil || now < other.silentUntil
+                                        ? CancellationWord.NONE
+                                        : other.told.word(back, other.at(now))));
             }
         }
         after(0.4 + random.nextDouble() * 0.6, () -> {
@@ -344,7 +350,8 @@
     }
 
     private boolean mayAnswer(Reign mine) {
-        return without == Without.BACKSTOP || (mine.loaded || without == Without.RECORDS)
-                && mine.node.at(now).since(mine.horizon.until()).compareTo(rules.horizonAge()) < 0;
+        return without == Without.BACKSTOP
+                || (mine.loaded || without == Without.RECORDS)
+                        && mine.node.at(now).since(mine.horizon.until()).compareTo(rules.horizonAge()) < 0;
     }
 }
--- a/src/test/java/io/indigoreach/core/CancellationRunTest.java
+++ b/src/test/java/io/indigoreach/core/CancellationRunTest.java
@@ -42,8 +42,20 @@
         "22, 5, 42, 30.5, 1, 0.1, 0,   0,  0,  31, -1, true, the leader ends: the next one has no records",
         "22, 5, 42, 29,   0, 0.1, 0,   0,  -1, 0,  -1, false, told by the leader's own node just before",
     })
-    void tasksAreGoneInTime(double lease, double report, double cancel, double toldAt, int by, double way, double later, double poll,
-                            int restarted, double restartsAt, int silent, boolean lost, String what) {
+    void tasksAreGoneInTime(
+            double lease,
+            double report,
+            double cancel,
+            double toldAt,
+            int by,
+            double way,
+            double later,
+            double poll,
+            int restarted,
+            double restartsAt,
+            int silent,
+            boolean lost,
+            String what) {
         CancellationRun run = new CancellationRun(rules(lease, report, cancel), 3, JOBS, 7, Without.NOTHING);
         run.refuse(30, 0, 14);
         run.outage(32, 60);
--- a/src/test/java/io/indigoreach/core/ConsolidationTest.java
+++ b/src/test/java/io/indigoreach/core/ConsolidationTest.java
@@ -45,9 +45,17 @@
         "3, 300, 10, false, 20, 0, false, it has hardly run",
         "3, 55,  10, false, 40, 0, false, it ends soon",
         "3, 300, 10, true,  40, 0, false, its place depends on others",
-        "3, 300, 10, false, 40, 2, false, what waits needs the room"})
-    void isMovedWhereThatIsWorthIt(int tasksOnA, double estimate, double saveEvery, boolean oneZone, double when,
-                                   int waiting, boolean moved, String why) {
+        "3, 300, 10, false, 40, 2, false, what waits needs the room"
+    })
+    void isMovedWhereThatIsWorthIt(
+            int tasksOnA,
+            double estimate,
+            double saveEvery,
+            boolean oneZone,
+            double when,
+            int waiting,
+            boolean moved,
+            String why) {
         place(tasksOnA, estimate, saveEvery, oneZone);
         hearBoth(when - 1);
         if (waiting > 0) {
@@ -70,7 +78,10 @@
         assertEquals(List.of(), starts(w.hear("b", 42, exited(stop, ExitCause.STOPPED))), "b is being emptied");
         assertEquals(List.of("run-2/0"), starts(w.hear("a", 43, onA)));
         w.core.check(at(58));
-        assertEquals(List.of("b"), w.core.leaving(9).stream().map(MachineId::toString).toList(), "returned with its term");
+        assertEquals(
+                List.of("b"),
+                w.core.leaving(9).stream().map(MachineId::toString).toList(),
+                "returned with its term");
     }
 
     /** One task of four cores fits b only; five of one core are more than the three places on a that are left beside. */
--- a/src/test/java/io/indigoreach/core/FleetCostTest.java
+++ b/src/test/java/io/indigoreach/core/FleetCostTest.java
@@ -28,7 +28,8 @@
         long before = w.core.visits();
         int stops = 0;
         for (int i = 0; i < machines; i++) {
-            stops += World.stops(w.hear("m" + i, 40 + 0.9 * i / machines, tasks.get("m" + i))).size();
+            stops += World.stops(w.hear("m" + i, 40 + 0.9 * i / machines, tasks.get("m" + i)))
+                    .size();
         }
         assertTrue(stops > machines / 2, stops + " tasks make room");
         assertTrue(w.core.visits() - before <= 10L * machines, (w.core.visits() - before) + " machines looked at");
@@ -41,12 +42,32 @@
         World w = new World(World.team(0), new Team("due", 4 * machines, 0, 0, 0));
         Map<String, TaskReport[]> tasks = busy(w, machines);
         JobSpec s = spec(3, 4 * machines, 1, 20);
-        w.submit(new JobSpec(s.id(), s.jobClass(), "due", s.shape(), s.urgency(), s.tasks(), s.demand(), s.image(),
-                s.imageGb(), null, null, false, false, true, s.estimate(), Span.ZERO, Span.ZERO, null), 3);
+        w.submit(
+                new JobSpec(
+                        s.id(),
+                        s.jobClass(),
+                        "due",
+                        s.shape(),
+                        s.urgency(),
+                        s.tasks(),
+                        s.demand(),
+                        s.image(),
+                        s.imageGb(),
+                        null,
+                        null,
+                        false,
+                        false,
+                        true,
+                        s.estimate(),
+                        Span.ZERO,
+                        Span.ZERO,
+                        null),
+                3);
         long before = w.core.visits();
         int stops = 0;
         for (int i = 0; i < machines; i++) {
-            stops += World.stops(w.hear("m" + i, 5 + 0.9 * i / machines, tasks.get("m" + i))).size();
+            stops += World.stops(w.hear("m" + i, 5 + 0.9 * i / machines, tasks.get("m" + i)))
+                    .size();
         }
         assertTrue(stops >= machines, stops + " tasks make room");
         assertTrue(w.core.visits() - before <= 10L * machines, (w.core.visits() - before) + " machines looked at");
--- a/src/test/java/io/indigoreach/core/IsolationTest.java
+++ b/src/test/java/io/indigoreach/core/IsolationTest.java
@@ -14,11 +14,28 @@
      * service answers this node; a number repeats the word before it. Then the last verdict, and how often the node was removed.
      */
     @ParameterizedTest
-    @CsvSource({"nn 30, TOGETHER, 0", "-- 3, TOGETHER, 0", "-- 5, CUT_OFF, 1", "-n 30, TOGETHER, 0", "-s 1, REFUSED_ALONE, 1",
-        "ns 1, REFUSED_ALONE, 1", "-- 3 nn 1 -- 3, TOGETHER, 0", "-- 3 ok 1 -- 3, TOGETHER, 0", "-- 60, CUT_OFF, 1",
-        "-- 6 ok 1, TOGETHER, 1", "-- 6 nn 1, TOGETHER, 1", "-- 6 -s 1, REFUSED_ALONE, 1", "-- 6 ok 5 -- 6, TOGETHER, 1",
-        "-- 6 ok 5 -- 16, CUT_OFF, 2", "-- 6 ok 120 -- 6, CUT_OFF, 2", "-- 6 ok 9 -- 9 ok 9 -- 9 ok 9 -- 9 ok 9 -- 9, TOGETHER, 1",
-        "alone 60, TOGETHER, 0", "- 5, CUT_OFF, 1", "---- 5, CUT_OFF, 1", "---n 9, TOGETHER, 0"})
+    @CsvSource({
+        "nn 30, TOGETHER, 0",
+        "-- 3, TOGETHER, 0",
+        "-- 5, CUT_OFF, 1",
+        "-n 30, TOGETHER, 0",
+        "-s 1, REFUSED_ALONE, 1",
+        "ns 1, REFUSED_ALONE, 1",
+        "-- 3 nn 1 -- 3, TOGETHER, 0",
+        "-- 3 ok 1 -- 3, TOGETHER, 0",
+        "-- 60, CUT_OFF, 1",
+        "-- 6 ok 1, TOGETHER, 1",
+        "-- 6 nn 1, TOGETHER, 1",
+        "-- 6 -s 1, REFUSED_ALONE, 1",
+        "-- 6 ok 5 -- 6, TOGETHER, 1",
+        "-- 6 ok 5 -- 16, CUT_OFF, 2",
+        "-- 6 ok 120 -- 6, CUT_OFF, 2",
+        "-- 6 ok 9 -- 9 ok 9 -- 9 ok 9 -- 9 ok 9 -- 9, TOGETHER, 1",
+        "alone 60, TOGETHER, 0",
+        "- 5, CUT_OFF, 1",
+        "---- 5, CUT_OFF, 1",
+        "---n 9, TOGETHER, 0"
+    })
     void verdicts(String seconds, Isolation.Verdict last, int removals) {
         Isolation node = new Isolation();
         Moment now = World.at(100);
@@ -36,8 +53,9 @@
                 now = now.plus(Span.seconds(1));
             }
         }
-        Isolation.Verdict is = node.isCutOff() ? Isolation.Verdict.CUT_OFF : node.isOutOfTouch()
-                ? Isolation.Verdict.REFUSED_ALONE : Isolation.Verdict.TOGETHER;
+        Isolation.Verdict is = node.isCutOff()
+                ? Isolation.Verdict.CUT_OFF
+                : node.isOutOfTouch() ? Isolation.Verdict.REFUSED_ALONE : Isolation.Verdict.TOGETHER;
         assertEquals(last + " " + removals, is + " " + removed);
     }
 
--- a/src/test/java/io/indigoreach/core/LateCopyTest.java
+++ b/src/test/java/io/indigoreach/core/LateCopyTest.java
@@ -27,8 +27,15 @@
 
     /** Its task ran, and the machine is dead since 4 s; the report of 3 s comes at 30 s, once more or for the first time. */
     @ParameterizedTest
-    @CsvSource({"after the task was reaped, true", "first time after its lease, true", "after it was returned, false",
-        "its name forgotten, false", "under a new leader, false", "two in the wrong order, true", "its session ended, true"})
+    @CsvSource({
+        "after the task was reaped, true",
+        "first time after its lease, true",
+        "after it was returned, false",
+        "its name forgotten, false",
+        "under a new leader, false",
+        "two in the wrong order, true",
+        "its session ended, true"
+    })
     void raiseNoDeadMachine(String when, boolean known) {
         World w = new World();
         w.up(A.text(), "east", 0);
@@ -82,8 +89,15 @@
 
     /** Nobody rented or listed it: one report or a copy of it is no proof, one that shows our answer is. */
     @ParameterizedTest
-    @CsvSource({"once, 0", "twice the same, 0", "two with the older token, 0", "wrong order, 0", "shows the answer, 1",
-        "then listed, 1", "then rented, 1"})
+    @CsvSource({
+        "once, 0",
+        "twice the same, 0",
+        "two with the older token, 0",
+        "wrong order, 0",
+        "shows the answer, 1",
+        "then listed, 1",
+        "then rented, 1"
+    })
     void anUnknownMachineMustShowOurAnswer(String what, int machines) {
         World w = new World();
         w.core.loaded();
@@ -100,8 +114,7 @@
             case "shows the answer" -> w.core.onReport(second, at(2));
             case "then listed" -> w.core.onList(List.of(listed("x")), at(2), at(2));
             case "then rented" -> w.core.rented(EAST, List.of(new MachineId("x")), at(1), at(2));
-            default -> {
-            }
+            default -> {}
         }
         assertEquals(machines, w.core.machineCount());
         // It counts as none on order: what waits is rented for all the same.
--- a/src/test/java/io/indigoreach/core/LedSite.java
+++ b/src/test/java/io/indigoreach/core/LedSite.java
@@ -18,10 +18,10 @@
 final class LedSite implements Notes {
     /** A worker drops an answer after this long. */
     static final double PATIENCE_S = 4;
+
     private static final double LEASE_S = World.RULES.workerLease().seconds();
 
-    record Answer(long token, ReportNumber number, List<Order> orders) {
-    }
+    record Answer(long token, ReportNumber number, List<Order> orders) {}
 
     final class Box {
         final String name;
@@ -34,6 +34,7 @@
         boolean deaf;
         /** The last report that it sent. */
         WorkerReport sent;
+
         private long serial;
 
         Box(String name, double now) {
@@ -42,7 +43,13 @@
         }
 
         WorkerReport write() {
-            sent = new WorkerReport(new MachineId(name), "x:1", POOL, new ReportNumber(session, ++serial), new Token(token), null,
+            sent = new WorkerReport(
+                    new MachineId(name),
+                    "x:1",
+                    POOL,
+                    new ReportNumber(session, ++serial),
+                    new Token(token),
+                    null,
                     new ArrayList<>(tasks.values()));
             return sent;
         }
@@ -77,9 +84,12 @@
 
         private void execute(Order o, double now) {
             TaskReport t = tasks.get(o.task());
-            if (o instanceof Order.Start && (t == null || t.state() == TaskState.EXITED && !t.attempt().equals(o.attempt()))) {
-                boxes.values().stream().filter(b -> b.isOn(o.task(), now)).forEach(b -> broken.add(now + ": ran_twice " + o.task()
-                        + " on " + name + " and " + b.name));
+            if (o instanceof Order.Start
+                    && (t == null
+                            || t.state() == TaskState.EXITED && !t.attempt().equals(o.attempt()))) {
+                boxes.values().stream()
+                        .filter(b -> b.isOn(o.task(), now))
+                        .forEach(b -> broken.add(now + ": ran_twice " + o.task() + " on " + name + " and " + b.name));
                 if (reaped.contains(o.task())) {
                     broken.add(now + ": started after its result was reaped " + o.task());
                 }
@@ -145,16 +155,20 @@
 
     /** A new leader has taken the key and answers, and has not read the records yet. */
     void begin(double now) {
-        core = new LeaderCore(new Token(++token), World.RULES, World.TUNING, World.NO_AIMS, List.of(World.team(0)), this);
+        core = new LeaderCore(
+                new Token(++token), World.RULES, World.TUNING, World.NO_AIMS, List.of(World.team(0)), this);
         core.setTypes(List.of(World.TYPE));
         begun = now;
     }
 
     /** It has read them: every machine, every open job. */
     void load() {
-        boxes.keySet().forEach(name -> core.inherit(new MachineId(name), POOL, World.at(-100), World.at(-100), World.at(begun)));
-        records.values().stream().filter(r -> !r.closed).forEach(r -> core.addJob(new Job(r.spec, 1, World.at(begun),
-                Stamp.ABSENT, r.done, r.bound, true)));
+        boxes.keySet()
+                .forEach(name ->
+                        core.inherit(new MachineId(name), POOL, World.at(-100), World.at(-100), World.at(begun)));
+        records.values().stream()
+                .filter(r -> !r.closed)
+                .forEach(r -> core.addJob(new Job(r.spec, 1, World.at(begun), Stamp.ABSENT, r.done, r.bound, true)));
         core.loaded();
     }
 
@@ -237,18 +251,22 @@
     }
 
     int startsOf(JobId id) {
-        return starts.entrySet().stream().filter(e -> e.getKey().job().equals(id)).mapToInt(Map.Entry::getValue).sum();
+        return starts.entrySet().stream()
+                .filter(e -> e.getKey().job().equals(id))
+                .mapToInt(Map.Entry::getValue)
+                .sum();
     }
 
     /** Where a task is and has not ended; or null. */
     Box runs(TaskId task) {
-        return boxes.values().stream().filter(b -> b.tasks.containsKey(task) && b.tasks.get(task).state() != TaskState.EXITED)
-                .findFirst().orElse(null);
+        return boxes.values().stream()
+                .filter(b -> b.tasks.containsKey(task) && b.tasks.get(task).state() != TaskState.EXITED)
+                .findFirst()
+                .orElse(null);
     }
 
     @Override
-    public void progress(Job job) {
-    }
+    public void progress(Job job) {}
 
     @Override
     public void say(String line) {
--- a/src/test/java/io/indigoreach/core/MeetingsTest.java
+++ b/src/test/java/io/indigoreach/core/MeetingsTest.java
@@ -24,11 +24,28 @@
      * more ends at once. The machine that ran it is reached, or is lost with what it has not told.
      */
     @ParameterizedTest
-    @CsvSource({"2, 1, running, 1, true", "2, 1, ended, 1, true", "2, 1, seen, 1, true", "2, 1, recorded, 1, true",
-        "2, 1, reaped, 1, true", "2, 4, ended, 1, true", "2, 4, seen, 1, true", "2, 4, recorded, 1, true",
-        "2, 4, reaped, 1, true", "3, 4, seen, 2, true", "3, 4, recorded, 2, true", "3, 4, reaped, 2, true",
-        "3, 1, seen, 2, true", "3, 1, reaped, 2, true", "2, 4, ended, 1, false", "2, 4, seen, 1, false",
-        "2, 4, recorded, 1, false", "2, 4, reaped, 1, false", "3, 4, seen, 2, false", "3, 4, reaped, 2, false"})
+    @CsvSource({
+        "2, 1, running, 1, true",
+        "2, 1, ended, 1, true",
+        "2, 1, seen, 1, true",
+        "2, 1, recorded, 1, true",
+        "2, 1, reaped, 1, true",
+        "2, 4, ended, 1, true",
+        "2, 4, seen, 1, true",
+        "2, 4, recorded, 1, true",
+        "2, 4, reaped, 1, true",
+        "3, 4, seen, 2, true",
+        "3, 4, recorded, 2, true",
+        "3, 4, reaped, 2, true",
+        "3, 1, seen, 2, true",
+        "3, 1, reaped, 2, true",
+        "2, 4, ended, 1, false",
+        "2, 4, seen, 1, false",
+        "2, 4, recorded, 1, false",
+        "2, 4, reaped, 1, false",
+        "3, 4, seen, 2, false",
+        "3, 4, reaped, 2, false"
+    })
     void tasksThatEndFarApart(int tasks, double cores, String point, int changes, boolean reached) {
         for (String name : List.of("a", "b", "c", "d")) {
             site.box(name, 0);
@@ -80,7 +97,10 @@
             assertEquals(site.ended(new JobId("run-1")) == tasks, site.isClosed(new JobId("run-1")), "at " + now);
         }
         boolean lost = !reached && (point.equals("ended") || point.equals("seen"));
-        assertEquals(lost ? 2 : 1, site.starts(first), "a result that nobody recorded and whose machine is lost is made anew");
+        assertEquals(
+                lost ? 2 : 1,
+                site.starts(first),
+                "a result that nobody recorded and whose machine is lost is made anew");
         assertTrue(!lost || again >= 7 + changes + RULES.leaseBound().seconds(), "started again at " + again);
         assertTrue(site.isClosed(new JobId("run-1")));
         assertEquals(List.of(), site.broken);
@@ -91,8 +111,18 @@
      * another machine is idle. The inherited task starts there by the time, and never before the worker has killed it.
      */
     @ParameterizedTest
-    @CsvSource({"hears, 1, 2, 1, -1", "cut, 1, 2, 1, 14", "deaf, 1, 2, 1, 14", "deaf, 1, 3.5, 1, 14", "deaf, 1, 5.5, 1, 18",
-        "deaf, 6, 2, 1, 14", "cut, 6, 2, 1, 14", "deaf, 1, 2, 2, 20", "deaf, 6, 3.5, 2, 22", "cut, 6, 2, 2, 20"})
+    @CsvSource({
+        "hears, 1, 2, 1, -1",
+        "cut, 1, 2, 1, 14",
+        "deaf, 1, 2, 1, 14",
+        "deaf, 1, 3.5, 1, 14",
+        "deaf, 1, 5.5, 1, 18",
+        "deaf, 6, 2, 1, 14",
+        "cut, 6, 2, 1, 14",
+        "deaf, 1, 2, 2, 20",
+        "deaf, 6, 3.5, 2, 22",
+        "cut, 6, 2, 2, 20"
+    })
     void aTakeOverWaitsForALeaseAndNoLonger(String trouble, int machines, double every, int changes, double started) {
         for (int i = 0; i < machines; i++) {
             site.box("m" + i, 0);
@@ -141,8 +171,14 @@
      * earlier reports come until then.
      */
     @ParameterizedTest
-    @CsvSource({"0.5, true, false, 14", "3, true, false, 16", "5.5, true, false, 18", "5.5, false, false, 18",
-        "0.5, true, true, 14", "3, false, true, 16"})
+    @CsvSource({
+        "0.5, true, false, 14",
+        "3, true, false, 16",
+        "5.5, true, false, 18",
+        "5.5, false, false, 18",
+        "0.5, true, true, 14",
+        "3, false, true, 16"
+    })
     void whatIsAnsweredWhileTheRecordsAreReadRenewsLeases(double heard, boolean taken, boolean copied, double started) {
         site.box("m", 0);
         site.box("n", 0);
@@ -169,7 +205,9 @@
         assertEquals(started, inherited);
         site.core.onReport(late, at(40));
         assertEquals(1, site.core.job(new JobId("run-1")).active().size());
-        assertTrue(site.said.stream().noneMatch(line -> line.contains("while it may be on")), "a report from before its lease ended");
+        assertTrue(
+                site.said.stream().noneMatch(line -> line.contains("while it may be on")),
+                "a report from before its lease ended");
         assertEquals(List.of(), site.broken);
     }
 
@@ -178,10 +216,24 @@
      * another session or is silent; under the same leader or the next. Everything goes as without the copies.
      */
     @ParameterizedTest
-    @CsvSource({"runs, 2, false", "runs, 13, false", "runs, 30, false", "runs, 2, true", "runs, 13, true", "runs, 30, true",
-        "new attempt, 2, false", "new attempt, 13, false", "new attempt, 30, true", "new session, 2, false",
-        "new session, 13, false", "new session, 2, true", "new session, 30, true", "silent, 2, false", "silent, 13, false",
-        "silent, 30, false"})
+    @CsvSource({
+        "runs, 2, false",
+        "runs, 13, false",
+        "runs, 30, false",
+        "runs, 2, true",
+        "runs, 13, true",
+        "runs, 30, true",
+        "new attempt, 2, false",
+        "new attempt, 13, false",
+        "new attempt, 30, true",
+        "new session, 2, false",
+        "new session, 13, false",
+        "new session, 2, true",
+        "new session, 30, true",
+        "silent, 2, false",
+        "silent, 13, false",
+        "silent, 30, false"
+    })
     void copiesOfReportsChangeNothing(String what, double delay, boolean change) {
         List<String> without = copies(what, Double.MAX_VALUE, change);
         assertEquals(without, copies(what, delay, change));
@@ -273,7 +325,10 @@
             settled = site.core.isSettled() ? now : -1;
             assertEquals(settled >= 0, site.startsOf(new JobId("run-1")) > 1);
         }
-        assertTrue(settled > RULES.leaseBound().seconds() && settled <= RULES.leaseBound().seconds() + every, "" + settled);
+        assertTrue(
+                settled > RULES.leaseBound().seconds()
+                        && settled <= RULES.leaseBound().seconds() + every,
+                "" + settled);
     }
 
     /**
@@ -281,9 +336,19 @@
      * its session is over or under an older leader's token; an order is for an earlier attempt. So often it is ordered.
      */
     @ParameterizedTest
-    @CsvSource({"lease, 11.9, false, 1", "lease, 12.1, false, 2", "report, 3.9, false, 1", "report, 7, false, 1",
-        "report, 12.2, false, 2", "answer, 3.9, false, 1", "answer, 4.1, false, 2", "token, 3.9, true, 1", "token, 4.1, true, 2",
-        "session, 3, false, 2", "attempt, 3, false, 2"})
+    @CsvSource({
+        "lease, 11.9, false, 1",
+        "lease, 12.1, false, 2",
+        "report, 3.9, false, 1",
+        "report, 7, false, 1",
+        "report, 12.2, false, 2",
+        "answer, 3.9, false, 1",
+        "answer, 4.1, false, 2",
+        "token, 3.9, true, 1",
+        "token, 4.1, true, 2",
+        "session, 3, false, 2",
+        "attempt, 3, false, 2"
+    })
     void whatIsHeldUp(String what, double held, boolean change, int orders) {
         LedSite.Box a = site.box("a", 0);
         site.box("n", 0);
@@ -349,7 +414,8 @@
         }
         for (ExitCause cause : ExitCause.values()) {
             if (cause != ExitCause.DONE) {
-                List<Order> orders = w.hear("a", 3 + cause.ordinal(), World.running(second), World.exited(first, cause));
+                List<Order> orders =
+                        w.hear("a", 3 + cause.ordinal(), World.running(second), World.exited(first, cause));
                 assertEquals(List.of(new Order.Forget(first.task(), first.attempt())), orders);
                 assertEquals(second.attempt(), job.active(0).attempt);
             }
--- a/src/test/java/io/indigoreach/core/NearAimTest.java
+++ b/src/test/java/io/indigoreach/core/NearAimTest.java
@@ -24,7 +24,8 @@
         "5 15 25 35 45 55,             0.1",
         "31 32 33 34 35 36 37 38 39,   0",
         "5 15 25 35 45 55 56 57 58,    0.1",
-        "'',                           0"})
+        "'',                           0"
+    })
     void aBurstIsNoFlow(String arrivals, double perSecond) {
         Inflow inflow = new Inflow();
         inflow.perSecond(j -> true, j -> 1, Span.seconds(60), at(0));
@@ -52,9 +53,34 @@
         World w = new World(World.TUNING, new Aims(List.of(new Aims.Aim("c", false, Span.seconds(within)))));
         w.core.loaded();
         JobSpec low = spec(1, 2, 2, 300);
-        w.submit(with(new JobSpec(low.id(), "low", "t", low.shape(), low.urgency(), 2, low.demand(), "img", 0, null,
-                null, false, false, true, low.estimate(), Span.ZERO, Span.ZERO, null), Urgency.BEST_EFFORT, false,
-                false, true, null, 5), 0);
+        w.submit(
+                with(
+                        new JobSpec(
+                                low.id(),
+                                "low",
+                                "t",
+                                low.shape(),
+                                low.urgency(),
+                                2,
+                                low.demand(),
+                                "img",
+                                0,
+                                null,
+                                null,
+                                false,
+                                false,
+                                true,
+                                low.estimate(),
+                                Span.ZERO,
+                                Span.ZERO,
+                                null),
+                        Urgency.BEST_EFFORT,
+                        false,
+                        false,
+                        true,
+                        null,
+                        5),
+                0);
         w.up("a", "east", 0);
         List<Order> orders = w.hear("a", 1);
         w.hear("a", 2, running(orders));
@@ -75,6 +101,7 @@
         TaskReport[] tasks = running(w.ordinary("a", 20));
         w.hearOrdinary("a", 20, tasks);
         w.submit(World.service(2, 1), 20 + begun - waited);
-        assertEquals(stopped, World.stops(w.hearOrdinary("a", 20 + begun, tasks)).size());
+        assertEquals(
+                stopped, World.stops(w.hearOrdinary("a", 20 + begun, tasks)).size());
     }
 }
--- a/src/test/java/io/indigoreach/core/OneWayTest.java
+++ b/src/test/java/io/indigoreach/core/OneWayTest.java
@@ -24,9 +24,15 @@
 
     /** Reports come every {@code every} s: how many starts it was given, by when it is given none, and is to be returned. */
     @ParameterizedTest
-    @CsvSource({"takes no start, 2, 12, 6", "takes no start, 5.5, 12, 16.5", "keeps what is reaped, 2, 0, 6",
-        "goes on with what is stopped, 2, 0, 6", "never follows the token, 2, 0, 12", "never follows the token, 5.5, 0, 33",
-        "its sessions end, 15, 12, 45"})
+    @CsvSource({
+        "takes no start, 2, 12, 6",
+        "takes no start, 5.5, 12, 16.5",
+        "keeps what is reaped, 2, 0, 6",
+        "goes on with what is stopped, 2, 0, 6",
+        "never follows the token, 2, 0, 12",
+        "never follows the token, 5.5, 0, 33",
+        "its sessions end, 15, 12, 45"
+    })
     void isToldWithinAFewReports(String sign, double every, int started, double told) {
         World w = new World();
         w.up("a", "east", 0);
@@ -37,15 +43,23 @@
         double last = -1;
         for (int i = 0; last < 0 && i < 150; i++) {
             double now = i * every;
-            TaskReport[] tasks = sign.startsWith("keeps") ? new TaskReport[] {exited(foreign, ExitCause.DONE)}
+            TaskReport[] tasks = sign.startsWith("keeps")
+                    ? new TaskReport[] {exited(foreign, ExitCause.DONE)}
                     : sign.startsWith("goes") ? new TaskReport[] {running(foreign)} : new TaskReport[0];
             boolean mute = tasks.length > 0;
             if (mute && i == 0) {
                 w.core.cancelJob(new JobId("run-1"));
             }
             w.core.expireLeases(at(now));
-            given += starts(w.core.onReport(w.report("a", "east", sign.startsWith("its") ? 1 + i : 1,
-                    sign.startsWith("never") ? OLDER : TOKEN, tasks), at(now))).size();
+            given += starts(w.core.onReport(
+                            w.report(
+                                    "a",
+                                    "east",
+                                    sign.startsWith("its") ? 1 + i : 1,
+                                    sign.startsWith("never") ? OLDER : TOKEN,
+                                    tasks),
+                            at(now)))
+                    .size();
             w.core.check(at(now));
             last = w.core.leaving(9).isEmpty() ? -1 : now;
         }
@@ -85,8 +99,15 @@
 
     /** What must not be taken for it; each for three minutes, with the fault again and again. */
     @ParameterizedTest
-    @CsvSource({"every third answer is lost", "two answers in a row of three are lost", "every start is refused",
-        "two reports with the older token", "its record takes a minute", "hangs beyond its lease", "the leader stands still"})
+    @CsvSource({
+        "every third answer is lost",
+        "two answers in a row of three are lost",
+        "every start is refused",
+        "two reports with the older token",
+        "its record takes a minute",
+        "hangs beyond its lease",
+        "the leader stands still"
+    })
     void otherTroublesAreNotTakenForIt(String trouble) {
         World w = new World();
         w.core.inherit(new MachineId("a"), new Pool("quad", "east", true), at(0), at(0), at(0));
@@ -110,7 +131,8 @@
                 w.core.awakeSince(at(now - 0.1));
             }
             Token token = trouble.startsWith("two reports") && round < 2 ? OLDER : TOKEN;
-            List<Order> orders = w.core.onReport(w.report("a", "east", session, token, held.toArray(new TaskReport[0])), at(now));
+            List<Order> orders =
+                    w.core.onReport(w.report("a", "east", session, token, held.toArray(new TaskReport[0])), at(now));
             if (trouble.startsWith("its record") && now > 60) {
                 w.core.recorded(new MachineId("a"));
             }
@@ -153,7 +175,10 @@
                 w.core.check(at(now));
             }
             boolean leaving = !w.core.leaving(9).isEmpty();
-            assertEquals(!leaving, w.core.answers(new MachineId("a")), "no answer renews its lease once it is being returned");
+            assertEquals(
+                    !leaving,
+                    w.core.answers(new MachineId("a")),
+                    "no answer renews its lease once it is being returned");
             if (leaving && answered) {
                 w.core.returned(w.core.leaving(9), at(now));
             }
@@ -182,8 +207,9 @@
         for (double now = 0; again < 0 && now < 60; now += 2) {
             for (int i = 0; i < 4; i++) {
                 // What is lost until 20 s; then the session goes on, as answers arrive.
-                boolean given = !starts(w.core.onReport(w.report("m" + i, "east", now < 12 ? 1 : now < 24 ? 2 : 3, TOKEN),
-                        at(now))).isEmpty();
+                boolean given = !starts(w.core.onReport(
+                                w.report("m" + i, "east", now < 12 ? 1 : now < 24 ? 2 : 3, TOKEN), at(now)))
+                        .isEmpty();
                 before += given && now < 20 ? 1 : 0;
                 again = given && now > 20 ? now : again;
             }
--- a/src/test/java/io/indigoreach/core/OthersRequestsTest.java
+++ b/src/test/java/io/indigoreach/core/OthersRequestsTest.java
@@ -42,8 +42,11 @@
         w.core.loaded();
         w.submit(spec(1, 4, 1, 50), 1);
         assertEquals(List.of(), starts(w.hear("a", 2)));
-        w.core.onList(List.of(new ListedMachine(id, new Pool("quad", "east", true), ListedMachine.Status.RUNNING,
-                Span.seconds(9))), at(2), at(3));
+        w.core.onList(
+                List.of(new ListedMachine(
+                        id, new Pool("quad", "east", true), ListedMachine.Status.RUNNING, Span.seconds(9))),
+                at(2),
+                at(3));
         w.core.rented(new Pool("quad", "east", true), List.of(id), at(0), at(3));
         assertEquals(List.of(), starts(w.hear("a", 4)));
         assertEquals(List.of(id), w.core.leaving(9), "its return is finished");
