--- a/src/test/java/io/indigoreach/core/PlacementTest.java
+++ b/src/test/java/io/indigoreach/core/PlacementTest.java
@@ -25,15 +25,24 @@
         "one zone, true,  false, true,  ,     4, 0",
         "spread,   false, true,  true,  ,     3, 3",
         "a zone,   false, false, true,  west, 0, 4",
-        "ordinary, false, false, false, ,     0, 0"})
+        "ordinary, false, false, false, ,     0, 0"
+    })
     void placementRules(String name, boolean oneZone, boolean spread, boolean spot, String zone, int east, int west) {
         World w = new World();
         w.core.loaded();
         w.up("e", "east", 0);
         w.up("w", "west", 0);
         w.submit(with(spec(1, 6, 1, 50), Urgency.STANDARD, oneZone, spread, spot, zone, 0), 0);
-        assertEquals(east, starts(w.core.onReport(w.report("e", "east", 1, World.TOKEN), at(1))).size(), name);
-        assertEquals(west, starts(w.core.onReport(w.report("w", "west", 1, World.TOKEN), at(1))).size(), name);
+        assertEquals(
+                east,
+                starts(w.core.onReport(w.report("e", "east", 1, World.TOKEN), at(1)))
+                        .size(),
+                name);
+        assertEquals(
+                west,
+                starts(w.core.onReport(w.report("w", "west", 1, World.TOKEN), at(1)))
+                        .size(),
+                name);
     }
 
     @ParameterizedTest
@@ -53,12 +62,33 @@
         w.core.loaded();
         w.up("a", "east", 0);
         JobSpec batch = spec(1, 8, 1, 300);
-        w.submit(new JobSpec(batch.id(), "g", "guest", batch.shape(), Urgency.BEST_EFFORT, 8, batch.demand(), "img", 0,
-                null, null, false, false, true, batch.estimate(), Span.ZERO, Span.ZERO, null), 0);
+        w.submit(
+                new JobSpec(
+                        batch.id(),
+                        "g",
+                        "guest",
+                        batch.shape(),
+                        Urgency.BEST_EFFORT,
+                        8,
+                        batch.demand(),
+                        "img",
+                        0,
+                        null,
+                        null,
+                        false,
+                        false,
+                        true,
+                        batch.estimate(),
+                        Span.ZERO,
+                        Span.ZERO,
+                        null),
+                0);
         List<Order> guests = w.hear("a", 1);
         assertEquals(List.of("run-1/0", "run-1/1"), starts(guests), "its limit still holds");
         w.submit(with(spec(2, 8, 1, 20), Urgency.HIGH, false, false, true, null, 0), 2);
-        assertEquals(List.of("run-2/0", "run-2/1"), starts(w.hear("a", 3, World.running(guests))),
+        assertEquals(
+                List.of("run-2/0", "run-2/1"),
+                starts(w.hear("a", 3, World.running(guests))),
                 "the rest of a machine that a guest was given first is not left empty");
     }
 
@@ -80,8 +110,27 @@
         World w = new World(World.TUNING, new Aims(List.of(new Aims.Aim("c", true, Span.seconds(1000)))));
         w.core.loaded();
         JobSpec s = spec(1, 1, 4, 300);
-        w.submit(new JobSpec(s.id(), "g", s.team(), s.shape(), Urgency.BEST_EFFORT, 1, s.demand(), "img", 0, null, null,
-                false, false, true, s.estimate(), Span.ZERO, Span.ZERO, null), 0);
+        w.submit(
+                new JobSpec(
+                        s.id(),
+                        "g",
+                        s.team(),
+                        s.shape(),
+                        Urgency.BEST_EFFORT,
+                        1,
+                        s.demand(),
+                        "img",
+                        0,
+                        null,
+                        null,
+                        false,
+                        false,
+                        true,
+                        s.estimate(),
+                        Span.ZERO,
+                        Span.ZERO,
+                        null),
+                0);
         w.submit(spec(2, 1, 1, 50), 100);
         w.up("a", "east", 100);
         assertEquals(List.of("run-2/0"), starts(w.hear("a", 101)));
@@ -92,8 +141,11 @@
      * machine, and half of a class with an aim waited for them (a guest's day at 500 machines).
      */
     @ParameterizedTest
-    @CsvSource({"g, 300, 0, leaves room for what waits with an aim", "c, 300, 1, has an aim itself",
-        "g, 50, 1, soon over"})
+    @CsvSource({
+        "g, 300, 0, leaves room for what waits with an aim",
+        "c, 300, 1, has an aim itself",
+        "g, 50, 1, soon over"
+    })
     void longTasksWithoutAnAimLeaveRoomForThoseWithOne(String jobClass, double estimate, int started, String why) {
         World w = new World(World.TUNING, new Aims(List.of(new Aims.Aim("c", true, Span.seconds(200)))));
         w.core.loaded();
@@ -105,10 +157,32 @@
         w.submit(spec(2, 1, 4, 50), 2);
         w.submit(spec(3, 1, 4, 50), 2);
         JobSpec s = spec(4, 2, 1, estimate);
-        w.submit(new JobSpec(s.id(), jobClass, s.team(), s.shape(), Urgency.BEST_EFFORT, 2, s.demand(), "img", 0, null, null,
-                false, false, true, s.estimate(), Span.ZERO, Span.ZERO, null), 3);
-        assertEquals(started, starts(w.hear("a", 3, World.running(a))).size()
-                + starts(w.hear("b", 3, World.running(b))).size(), why);
+        w.submit(
+                new JobSpec(
+                        s.id(),
+                        jobClass,
+                        s.team(),
+                        s.shape(),
+                        Urgency.BEST_EFFORT,
+                        2,
+                        s.demand(),
+                        "img",
+                        0,
+                        null,
+                        null,
+                        false,
+                        false,
+                        true,
+                        s.estimate(),
+                        Span.ZERO,
+                        Span.ZERO,
+                        null),
+                3);
+        assertEquals(
+                started,
+                starts(w.hear("a", 3, World.running(a))).size()
+                        + starts(w.hear("b", 3, World.running(b))).size(),
+                why);
     }
 
     @ParameterizedTest
@@ -140,8 +214,9 @@
         assertEquals(List.of(), stops(w.hear("b", 41, running(losing))));
         assertEquals(List.of("run-1/0"), stops(w.hear("a", 41, running(saving))));
         assertEquals(List.of("run-1/0"), stops(w.hear("a", 42, running(saving))), "the first stop was lost");
-        assertEquals(List.of(), stops(w.hear("a", 43, new TaskReport(saving.task(), saving.attempt(), TaskState.SAVING,
-                null, false))));
+        assertEquals(
+                List.of(),
+                stops(w.hear("a", 43, new TaskReport(saving.task(), saving.attempt(), TaskState.SAVING, null, false))));
     }
 
     @ParameterizedTest
@@ -154,8 +229,27 @@
         Order borrowed = w.hear("a", 1).get(0);
         w.hear("a", 2, running(borrowed));
         JobSpec s = spec(2, 1, 4, 50);
-        w.submit(new JobSpec(s.id(), "c", "owner", s.shape(), s.urgency(), 1, s.demand(), "i", 0, null, null, false,
-                false, true, s.estimate(), Span.ZERO, Span.ZERO, null), 3);
+        w.submit(
+                new JobSpec(
+                        s.id(),
+                        "c",
+                        "owner",
+                        s.shape(),
+                        s.urgency(),
+                        1,
+                        s.demand(),
+                        "i",
+                        0,
+                        null,
+                        null,
+                        false,
+                        false,
+                        true,
+                        s.estimate(),
+                        Span.ZERO,
+                        Span.ZERO,
+                        null),
+                3);
         assertEquals(stopped, stops(w.hear("a", 4, running(borrowed))).size(), why);
         if (stopped > 0) {
             assertEquals(List.of("run-2/0"), starts(w.hear("a", 5, exited(borrowed, ExitCause.STOPPED))));
@@ -205,7 +299,8 @@
         int started = 0;
         for (int m = 0; m < 4; m++) {
             started += starts(w.hear("m" + m, 101, pending.get(m).toArray(TaskReport[]::new))).stream()
-                    .filter(s -> s.startsWith("run-2")).count();
+                    .filter(s -> s.startsWith("run-2"))
+                    .count();
         }
         assertTrue(started >= 3, "started: " + started);
     }
@@ -219,8 +314,10 @@
         Order start = w.hear("a", 1).get(0);
         w.submit(spec(2, 1, 1, 50), 2);
         WorkerReport r = w.report("a", "east", 1, World.TOKEN, running(start));
-        List<Order> orders = w.core.onReport(new WorkerReport(r.machine(), r.address(), r.pool(), r.number(), r.token(),
-                Span.seconds(12), r.tasks()), at(40));
+        List<Order> orders = w.core.onReport(
+                new WorkerReport(
+                        r.machine(), r.address(), r.pool(), r.number(), r.token(), Span.seconds(12), r.tasks()),
+                at(40));
         assertEquals(List.of(), starts(orders));
         assertEquals(List.of("run-1/0"), stops(orders));
     }
--- a/src/test/java/io/indigoreach/core/RandomRun.java
+++ b/src/test/java/io/indigoreach/core/RandomRun.java
@@ -27,11 +27,19 @@
     /** A worker drops an answer after this long. */
     private static final double PATIENCE_S = 4;
     /** A machine that answered within the first lease of a take-over may be silent for one more. */
-    private static final double LONGEST_TAKE_OVER_S = 2 * World.RULES.leaseBound().seconds() + 0.2;
+    private static final double LONGEST_TAKE_OVER_S =
+            2 * World.RULES.leaseBound().seconds() + 0.2;
 
     /** A guard that a run can do without, to see that the rules then break. */
     enum Without {
-        NOTHING, TAKE_OVER, LEASE_BOUND, TEAM_LIMIT, ANSWERED_RETURN, START_BOUND, REPORT_NUMBER, EARLY_ANSWER,
+        NOTHING,
+        TAKE_OVER,
+        LEASE_BOUND,
+        TEAM_LIMIT,
+        ANSWERED_RETURN,
+        START_BOUND,
+        REPORT_NUMBER,
+        EARLY_ANSWER,
         RECORD_BEFORE_REAP
     }
 
@@ -67,6 +75,7 @@
         double cutUntil;
         /** Its report under way; or null. */
         Flight flight;
+
         final Map<TaskId, TaskReport> tasks = new LinkedHashMap<>();
         final Map<TaskId, Double> ends = new HashMap<>();
 
@@ -99,6 +108,7 @@
     private final Without without;
     /** Under a limit a new leader starts nothing before it has heard all; without one, what nobody ever ordered. */
     private final boolean limited;
+
     private final Map<String, Worker> workers = new TreeMap<>();
     private final Set<String> recorded = new LinkedHashSet<>();
     private final Map<JobId, Stored> store = new TreeMap<>();
@@ -110,11 +120,13 @@
     private double ledSince;
     /** Until then the leader reads the records. */
     private double loadedAt;
+
     private boolean loaded;
     /** No new troubles, and no new jobs. */
     private boolean calm;
     /** Tasks of arrays that have completed, and those of them that a worker was told to forget. */
     private final Set<TaskId> completed = new HashSet<>();
+
     private final Set<TaskId> reaped = new HashSet<>();
     private int machines;
     private int jobs;
@@ -181,7 +193,8 @@
             }
             checkRules();
         }
-        store.values().stream().filter(Stored::isOpen)
+        store.values().stream()
+                .filter(Stored::isOpen)
                 .forEach(s -> broken.add("lost " + s.spec.id() + " with " + s.done + " of " + s.spec.tasks()));
     }
 
@@ -192,7 +205,9 @@
     /** Services end by their users alone, and hold places. */
     private void calmDown() {
         calm = true;
-        store.values().stream().filter(s -> s.spec.isService() && s.cancelledAt < 0).forEach(this::cancel);
+        store.values().stream()
+                .filter(s -> s.spec.isService() && s.cancelledAt < 0)
+                .forEach(this::cancel);
     }
 
     /**
@@ -201,16 +216,15 @@
      */
     private void takeOver() {
         Team team = new Team("t", 0, limited && without != Without.TEAM_LIMIT ? CORES_MAX : 0, 0, 0);
-        Rules rules = without == Without.LEASE_BOUND ? new Rules(Span.seconds(3), World.RULES.report(),
-                World.RULES.cancel(), World.RULES.listLag()) : World.RULES;
+        Rules rules = without == Without.LEASE_BOUND
+                ? new Rules(Span.seconds(3), World.RULES.report(), World.RULES.cancel(), World.RULES.listLag())
+                : World.RULES;
         leader = new LeaderCore(new Token(++token), rules, World.TUNING, World.NO_AIMS, List.of(team), new Notes() {
             @Override
-            public void progress(Job job) {
-            }
+            public void progress(Job job) {}
 
             @Override
-            public void say(String line) {
-            }
+            public void say(String line) {}
         });
         leader.setTypes(List.of(World.TYPE));
         loaded = false;
@@ -261,12 +275,34 @@
     private void submit() {
         JobSpec s = World.spec(++jobs, 1 + random.nextInt(12), 1 + random.nextInt(4), 3 + random.nextInt(20));
         boolean oneZone = random.nextInt(4) == 0;
-        s = World.with(s, Urgency.values()[random.nextInt(4)], oneZone, !oneZone && random.nextInt(4) == 0, true,
-                random.nextInt(6) == 0 ? "east" : null, random.nextInt(2) * 5);
+        s = World.with(
+                s,
+                Urgency.values()[random.nextInt(4)],
+                oneZone,
+                !oneZone && random.nextInt(4) == 0,
+                true,
+                random.nextInt(6) == 0 ? "east" : null,
+                random.nextInt(2) * 5);
         if (jobs % 4 == 0) {
-            s = new JobSpec(s.id(), s.jobClass(), s.team(), Shape.SERVICE, s.urgency(), 1 + random.nextInt(3),
-                    new Demand(1, 0, 1), s.image(), 0, null, s.zone(), oneZone, false, true, Span.ZERO, Span.ZERO,
-                    Span.ZERO, null);
+            s = new JobSpec(
+                    s.id(),
+                    s.jobClass(),
+                    s.team(),
+                    Shape.SERVICE,
+                    s.urgency(),
+                    1 + random.nextInt(3),
+                    new Demand(1, 0, 1),
+                    s.image(),
+                    0,
+                    null,
+                    s.zone(),
+                    oneZone,
+                    false,
+                    true,
+                    Span.ZERO,
+                    Span.ZERO,
+                    Span.ZERO,
+                    null);
         }
         store.put(s.id(), new Stored(s, jobs));
         if (!loaded) {
@@ -413,8 +449,14 @@
      * and the worker sends none meanwhile.
      */
     private void report(Worker w) {
-        WorkerReport r = new WorkerReport(new MachineId(w.name), "x:1", pool(w.name),
-                new ReportNumber(w.session, ++w.serial), new Token(w.token), null, new ArrayList<>(w.tasks.values()));
+        WorkerReport r = new WorkerReport(
+                new MachineId(w.name),
+                "x:1",
+                pool(w.name),
+                new ReportNumber(w.session, ++w.serial),
+                new Token(w.token),
+                null,
+                new ArrayList<>(w.tasks.values()));
         int fate = calm ? 12 : random.nextInt(12);
         if (now < w.cutUntil) {
             return;
@@ -546,7 +588,8 @@
                         broken.add(now + ": counted as over " + task + " on " + w.name);
                     }
                     cores += s.spec.demand().cores();
-                    if (s.cancelledAt >= 0 && now - s.cancelledAt > World.RULES.cancel().seconds()) {
+                    if (s.cancelledAt >= 0
+                            && now - s.cancelledAt > World.RULES.cancel().seconds()) {
                         broken.add(now + ": ran_cancelled " + task);
                     }
                 }
--- a/src/test/java/io/indigoreach/core/ServedTest.java
+++ b/src/test/java/io/indigoreach/core/ServedTest.java
@@ -19,10 +19,18 @@
 
     /** Some 1,100 of 1,200 cores' worth until 380, and between 80 and 230 so many times as many urgent jobs. */
     private static Steps flood(int times, Aims aims) {
-        return new Steps(List.of(Kind.of("urgent", Urgency.HIGH, 0.4, 10, 35, 25, 1).between(0, 380),
-                Kind.of("urgent", Urgency.HIGH, 0.4 * (times - 1), 0, 35, 25, 1).between(80, 230),
-                Kind.of("usual", Urgency.STANDARD, 0.35, 10, 80, 18, 1).between(0, 380),
-                Kind.of("slow", Urgency.BEST_EFFORT, 0.04, 3, 25, 70, 4).between(0, 380).saving()), 240, 60, aims);
+        return new Steps(
+                List.of(
+                        Kind.of("urgent", Urgency.HIGH, 0.4, 10, 35, 25, 1).between(0, 380),
+                        Kind.of("urgent", Urgency.HIGH, 0.4 * (times - 1), 0, 35, 25, 1)
+                                .between(80, 230),
+                        Kind.of("usual", Urgency.STANDARD, 0.35, 10, 80, 18, 1).between(0, 380),
+                        Kind.of("slow", Urgency.BEST_EFFORT, 0.04, 3, 25, 70, 4)
+                                .between(0, 380)
+                                .saving()),
+                240,
+                60,
+                aims);
     }
 
     /** Guards against a flood of urgent jobs that leaves the others nothing: usual jobs were served 0.37 within their aim. */
@@ -33,8 +41,9 @@
         s.newLeader();
         s.run(870);
         String served = s.served("urgent", 150) + " " + s.served("usual", 180) + " " + s.served("slow", 300);
-        assertTrue(s.served("urgent", 150) >= urgent && s.served("usual", 180) >= usual
-                && s.served("slow", 300) >= slow, served);
+        assertTrue(
+                s.served("urgent", 150) >= urgent && s.served("usual", 180) >= usual && s.served("slow", 300) >= slow,
+                served);
         assertEquals(1, s.served("usual", 800), "all are served in the end");
     }
 
@@ -42,10 +51,15 @@
     @Test
     void anHourOfGoodServiceDoesNotHideAFlood() {
         int begin = 3600;
-        Steps s = new Steps(List.of(Kind.of("urgent", Urgency.HIGH, 0.4, 0, 35, 25, 1).between(begin, begin + 300),
-                Kind.of("urgent", Urgency.HIGH, 2, 0, 35, 25, 1).between(begin + 50, begin + 200),
-                Kind.of("usual", Urgency.STANDARD, 0.35, 0, 20, 18, 1).between(0, begin),
-                Kind.of("usual", Urgency.STANDARD, 0.35, 0, 80, 18, 1).between(begin, begin + 300)), 240, 60, AIMS);
+        Steps s = new Steps(
+                List.of(
+                        Kind.of("urgent", Urgency.HIGH, 0.4, 0, 35, 25, 1).between(begin, begin + 300),
+                        Kind.of("urgent", Urgency.HIGH, 2, 0, 35, 25, 1).between(begin + 50, begin + 200),
+                        Kind.of("usual", Urgency.STANDARD, 0.35, 0, 20, 18, 1).between(0, begin),
+                        Kind.of("usual", Urgency.STANDARD, 0.35, 0, 80, 18, 1).between(begin, begin + 300)),
+                240,
+                60,
+                AIMS);
         s.run(begin + 800);
         assertTrue(s.served("usual", 180, begin) >= 0.5, "usual " + s.served("usual", 180, begin));
     }
@@ -53,8 +67,13 @@
     /** An endless flood that takes all there is: what nobody has an aim for starts when it is ten minutes old all the same. */
     @Test
     void ageHasABound() {
-        Steps s = new Steps(List.of(Kind.of("urgent", Urgency.HIGH, 2, 10, 35, 25, 1),
-                Kind.of("slow", Urgency.BEST_EFFORT, 0.01, 3, 10, 70, 4).saving()), 240, 60, World.NO_AIMS);
+        Steps s = new Steps(
+                List.of(
+                        Kind.of("urgent", Urgency.HIGH, 2, 10, 35, 25, 1),
+                        Kind.of("slow", Urgency.BEST_EFFORT, 0.01, 3, 10, 70, 4).saving()),
+                240,
+                60,
+                World.NO_AIMS);
         s.run(1500);
         assertTrue(s.longestWait("slow", 0) <= 750, "waits " + s.longestWait("slow", 0));
         assertTrue(s.served("urgent", 800) >= 0.5, "urgent " + s.served("urgent", 800));
@@ -80,13 +99,19 @@
     /** Behind a service and short jobs that start at once, longer ones wait: the top job alone did not say so. */
     @Test
     void waitsFallUnderTheThresholdAfterAChangeOfLeader() {
-        Steps s = new Steps(List.of(Kind.of("short", Urgency.STANDARD, 1.2, 30, 20, 6, 1),
-                Kind.of("long", Urgency.BEST_EFFORT, 0.2, 10, 8, 40, 1),
-                Kind.of("replicas", Urgency.PRODUCTION, 0, 1, 8, 0, 1).service()), 160, 80, World.NO_AIMS);
+        Steps s = new Steps(
+                List.of(
+                        Kind.of("short", Urgency.STANDARD, 1.2, 30, 20, 6, 1),
+                        Kind.of("long", Urgency.BEST_EFFORT, 0.2, 10, 8, 40, 1),
+                        Kind.of("replicas", Urgency.PRODUCTION, 0, 1, 8, 0, 1).service()),
+                160,
+                80,
+                World.NO_AIMS);
         s.run(10);
         s.newLeader();
         s.run(350);
-        assertTrue(s.longestWait("short", 60) <= 45 && s.longestWait("long", 60) <= 45,
+        assertTrue(
+                s.longestWait("short", 60) <= 45 && s.longestWait("long", 60) <= 45,
                 "waits " + s.longestWait("short", 60) + " and " + s.longestWait("long", 60));
     }
 
@@ -101,7 +126,9 @@
         w.hear("a", 1);
         w.submit(World.spec(2, 1, 4, 900), 2);
         w.submit(World.with(World.spec(3, 1, 1, 20), Urgency.HIGH, false, false, true, null, 0), at);
-        assertEquals(machines, w.core.wishes(World.at(at)).stream().mapToInt(RentWish::count).sum());
+        assertEquals(
+                machines,
+                w.core.wishes(World.at(at)).stream().mapToInt(RentWish::count).sum());
     }
 
     /**
@@ -109,12 +136,25 @@
      * The flood is of jobs that go first by urgency; the guests' are large arrays, tasks of a whole machine, or many.
      */
     @ParameterizedTest
-    @CsvSource({"1, 6000, 1, 25, 0", "2, 240, 2, 60, 0.1", "3, 60, 4, 100, 0.05", "1, 100000, 1, 10, 0", "20, 1, 0.25, 150, 2"})
+    @CsvSource({
+        "1, 6000, 1, 25, 0",
+        "2, 240, 2, 60, 0.1",
+        "3, 60, 4, 100, 0.05",
+        "1, 100000, 1, 10, 0",
+        "20, 1, 0.25, 150, 2"
+    })
     void theLargestBeginWithinFourMinutes(int jobs, int tasks, double cores, int run, double perStep) {
-        Steps s = new Steps(List.of(Kind.of("urgent", Urgency.HIGH, 0.5, 10, 35, 25, 1),
-                Kind.of("urgent", Urgency.HIGH, 1.5, 0, 35, 25, 1).between(40, 160),
-                Kind.of("usual", Urgency.STANDARD, 0.4, 10, 80, 18, 1), Kind.of("slow", Urgency.BEST_EFFORT, 0.04, 3, 25, 70, 4).saving(),
-                Kind.of("guest", Urgency.BEST_EFFORT, perStep, jobs, tasks, run, cores).between(0, 120)), 240, 60, AIMS);
+        Steps s = new Steps(
+                List.of(
+                        Kind.of("urgent", Urgency.HIGH, 0.5, 10, 35, 25, 1),
+                        Kind.of("urgent", Urgency.HIGH, 1.5, 0, 35, 25, 1).between(40, 160),
+                        Kind.of("usual", Urgency.STANDARD, 0.4, 10, 80, 18, 1),
+                        Kind.of("slow", Urgency.BEST_EFFORT, 0.04, 3, 25, 70, 4).saving(),
+                        Kind.of("guest", Urgency.BEST_EFFORT, perStep, jobs, tasks, run, cores)
+                                .between(0, 120)),
+                240,
+                60,
+                AIMS);
         s.run(150);
         s.newLeader();
         s.run(310);
@@ -125,9 +165,14 @@
     /** Jobs without an aim go first on an eighth of the machines, whole ones: tasks of a whole machine find the others. */
     @Test
     void whatNobodySaidATimeForDoesNotTakeEveryMachineFromTasksOfAWholeOne() {
-        Steps s = new Steps(List.of(Kind.of("usual", Urgency.STANDARD, 0.4, 10, 80, 18, 1),
-                Kind.of("slow", Urgency.BEST_EFFORT, 0.07, 3, 25, 70, 4).saving(),
-                Kind.of("guest", Urgency.BEST_EFFORT, 0, 5, 2000, 90, 1)), 240, 60, AIMS);
+        Steps s = new Steps(
+                List.of(
+                        Kind.of("usual", Urgency.STANDARD, 0.4, 10, 80, 18, 1),
+                        Kind.of("slow", Urgency.BEST_EFFORT, 0.07, 3, 25, 70, 4).saving(),
+                        Kind.of("guest", Urgency.BEST_EFFORT, 0, 5, 2000, 90, 1)),
+                240,
+                60,
+                AIMS);
         s.run(700);
         assertTrue(s.served("slow", 300) >= 0.5, "slow " + s.served("slow", 300));
         assertTrue(s.latestBegin("guest") <= 240, "guest " + s.latestBegin("guest"));
@@ -136,13 +181,28 @@
     /** A thousand machines, three teams: one floods, one has a guarantee, one a limit; each is served. */
     @Test
     void everyTeamIsServed() {
-        Team[] teams = {new Team("floods", 0, 0, 0, 0), new Team("guaranteed", 1200, 0, 0, 0), new Team("limited", 0, 600, 0, 0)};
-        Steps s = new Steps(List.of(Kind.of("urgent", Urgency.HIGH, 6, 20, 40, 25, 1).between(0, 200).team("floods"),
-                Kind.of("usual", Urgency.STANDARD, 0.5, 10, 80, 18, 1).between(0, 300).team("guaranteed"),
-                Kind.of("slow", Urgency.BEST_EFFORT, 0.05, 3, 25, 70, 4).between(0, 300).saving().team("limited")), 800, 200,
-                new Aims(List.of(aim("urgent", 250), aim("usual", 180), aim("slow", 400))), teams);
+        Team[] teams = {
+            new Team("floods", 0, 0, 0, 0), new Team("guaranteed", 1200, 0, 0, 0), new Team("limited", 0, 600, 0, 0)
+        };
+        Steps s = new Steps(
+                List.of(
+                        Kind.of("urgent", Urgency.HIGH, 6, 20, 40, 25, 1)
+                                .between(0, 200)
+                                .team("floods"),
+                        Kind.of("usual", Urgency.STANDARD, 0.5, 10, 80, 18, 1)
+                                .between(0, 300)
+                                .team("guaranteed"),
+                        Kind.of("slow", Urgency.BEST_EFFORT, 0.05, 3, 25, 70, 4)
+                                .between(0, 300)
+                                .saving()
+                                .team("limited")),
+                800,
+                200,
+                new Aims(List.of(aim("urgent", 250), aim("usual", 180), aim("slow", 400))),
+                teams);
         s.run(700);
-        assertTrue(s.served("floods", 250) >= 0.5 && s.served("guaranteed", 180) >= 0.5 && s.served("limited", 400) >= 0.5,
+        assertTrue(
+                s.served("floods", 250) >= 0.5 && s.served("guaranteed", 180) >= 0.5 && s.served("limited", 400) >= 0.5,
                 s.served("floods", 250) + " " + s.served("guaranteed", 180) + " " + s.served("limited", 400));
     }
 }
--- a/src/test/java/io/indigoreach/core/ServiceTest.java
+++ b/src/test/java/io/indigoreach/core/ServiceTest.java
@@ -32,7 +32,8 @@
         }
         w.hearOrdinary("a", 2, running(w.ordinary("a", 1)));
         w.submit(spec(2, 12, 1, 15), 3);
-        assertEquals(rented, w.core.wishes(at(4)).stream().mapToInt(RentWish::count).sum());
+        assertEquals(
+                rented, w.core.wishes(at(4)).stream().mapToInt(RentWish::count).sum());
     }
 
     /** Each end of a replica but its job's cancellation is followed by another start of it; the job is never done. */
@@ -59,8 +60,18 @@
         w.submit(service(1, 8), 0);
         w.submit(spec(2, 16, 1, 100), 0);
         List<RentWish> wishes = w.core.wishes(at(20));
-        assertEquals(2, wishes.stream().filter(r -> !r.pool().spot()).mapToInt(RentWish::count).sum());
-        assertEquals(4, wishes.stream().filter(r -> r.pool().spot()).mapToInt(RentWish::count).sum());
+        assertEquals(
+                2,
+                wishes.stream()
+                        .filter(r -> !r.pool().spot())
+                        .mapToInt(RentWish::count)
+                        .sum());
+        assertEquals(
+                4,
+                wishes.stream()
+                        .filter(r -> r.pool().spot())
+                        .mapToInt(RentWish::count)
+                        .sum());
     }
 
     /** A machine that holds a replica is paid for in any case, so it is not kept empty beside it. */
@@ -91,8 +102,27 @@
             w.ordinary("a", 1);
         }
         JobSpec s = service(2, 1);
-        w.submit(new JobSpec(s.id(), s.jobClass(), s.team(), s.shape(), s.urgency(), 1, s.demand(), "img-1", 1, null,
-                null, false, false, false, s.estimate(), s.checkpointEvery(), s.checkpointTime(), null), 100);
+        w.submit(
+                new JobSpec(
+                        s.id(),
+                        s.jobClass(),
+                        s.team(),
+                        s.shape(),
+                        s.urgency(),
+                        1,
+                        s.demand(),
+                        "img-1",
+                        1,
+                        null,
+                        null,
+                        false,
+                        false,
+                        false,
+                        s.estimate(),
+                        s.checkpointEvery(),
+                        s.checkpointTime(),
+                        null),
+                100);
         assertEquals(started, starts(w.ordinary("b", 100 + waited)).size());
     }
 
@@ -115,8 +145,11 @@
     private static void lose(World w, String loss, double now) {
         ListedMachine b = listed("b", ListedMachine.Status.RUNNING);
         switch (loss) {
-            case "listed as failed" -> w.core.onList(List.of(listed("a", now < 2.5 ? ListedMachine.Status.RUNNING
-                    : ListedMachine.Status.FAILED), b), at(now), at(now));
+            case "listed as failed" ->
+                w.core.onList(
+                        List.of(listed("a", now < 2.5 ? ListedMachine.Status.RUNNING : ListedMachine.Status.FAILED), b),
+                        at(now),
+                        at(now));
             case "lease run out" -> w.core.expireLeases(at(now));
             default -> w.core.onList(List.of(b), at(now), at(now));
         }
--- a/src/test/java/io/indigoreach/core/ShortQueueTest.java
+++ b/src/test/java/io/indigoreach/core/ShortQueueTest.java
@@ -29,16 +29,26 @@
         for (int id = 2; id < jobs + 2; id++) {
             w.submit(spec(id, 20, 1, 6), 0);
         }
-        assertEquals(machines, w.core.wishes(at(100)).stream().mapToInt(RentWish::count).sum());
+        assertEquals(
+                machines,
+                w.core.wishes(at(100)).stream().mapToInt(RentWish::count).sum());
     }
 
     /** A job a second of 20 tasks of 5 s: 25 machines' work, on top of 120 jobs that came while nothing served. */
     @ParameterizedTest
     @CsvSource({"1, 75", "3, 75", "0.4, 90"})
     void waitsFallUnderTheLimitAndNoMoreIsRentedThanNeeded(double estimates, int mostMachines) {
-        Steps run = new Steps(World.TUNING, List.of(Steps.Kind.of("short", Urgency.STANDARD, 1, 120, 20, 5, 1).estimated(estimates)), 500, 0,
-                World.NO_AIMS).run(400);
-        assertTrue(run.longestWait("short", 200) < World.TUNING.waitLimit().seconds(), "waits " + run.longestWait("short", 200));
+        Steps run = new Steps(
+                        World.TUNING,
+                        List.of(Steps.Kind.of("short", Urgency.STANDARD, 1, 120, 20, 5, 1)
+                                .estimated(estimates)),
+                        500,
+                        0,
+                        World.NO_AIMS)
+                .run(400);
+        assertTrue(
+                run.longestWait("short", 200) < World.TUNING.waitLimit().seconds(),
+                "waits " + run.longestWait("short", 200));
         assertTrue(run.mostUp <= mostMachines && run.mostUp >= 25, "machines " + run.mostUp);
     }
 }
--- a/src/test/java/io/indigoreach/core/SilenceTest.java
+++ b/src/test/java/io/indigoreach/core/SilenceTest.java
@@ -98,11 +98,17 @@
             w.core.expireLeases(at(t));
             w.core.check(at(t));
             if (t == 20 && cut == 8) {
-                assertEquals(Set.of("east"), w.core.wishes(at(t)).stream().map(r -> r.pool().zone())
-                        .collect(Collectors.toSet()), "what is rented behind the cut cannot be reached");
+                assertEquals(
+                        Set.of("east"),
+                        w.core.wishes(at(t)).stream().map(r -> r.pool().zone()).collect(Collectors.toSet()),
+                        "what is rented behind the cut cannot be reached");
             }
         }
-        assertEquals(returned, w.core.leaving(99).stream().filter(id -> id.toString().startsWith("w")).count());
+        assertEquals(
+                returned,
+                w.core.leaving(99).stream()
+                        .filter(id -> id.toString().startsWith("w"))
+                        .count());
     }
 
     /** Machines dead before a take-over held back every inherited job until their lease had surely run out. */
--- a/src/test/java/io/indigoreach/core/SizingTest.java
+++ b/src/test/java/io/indigoreach/core/SizingTest.java
@@ -23,7 +23,8 @@
         "8x100 8x30,          3",
         "8x30 8x30,           1",
         "8x30 8x30 8x100,     3",
-        "1x100,               1"})
+        "1x100,               1"
+    })
     void bestSize(String jobs, int machines) {
         World w = new World();
         w.core.loaded();
@@ -32,7 +33,9 @@
             String[] parts = job.split("x");
             w.submit(spec(++id, Integer.parseInt(parts[0]), 1, Double.parseDouble(parts[1])), 0);
         }
-        assertEquals(machines, w.core.wishes(at(1)).stream().mapToInt(RentWish::count).sum());
+        assertEquals(
+                machines,
+                w.core.wishes(at(1)).stream().mapToInt(RentWish::count).sum());
     }
 
     @Test
@@ -91,11 +94,29 @@
         w.hear("a", 1).forEach(o -> tasks.add(running(o)));
         w.hear("a", 2, tasks.toArray(TaskReport[]::new));
         JobSpec s = spec(2, 4, 1, 20);
-        JobSpec due = new JobSpec(s.id(), s.jobClass(), s.team(), s.shape(), s.urgency(), s.tasks(), s.demand(), s.image(),
-                s.imageGb(), s.types(), s.zone(), s.oneZone(), s.spread(), s.spotAllowed(), s.estimate(), s.checkpointEvery(),
-                s.checkpointTime(), Span.seconds(dueS));
+        JobSpec due = new JobSpec(
+                s.id(),
+                s.jobClass(),
+                s.team(),
+                s.shape(),
+                s.urgency(),
+                s.tasks(),
+                s.demand(),
+                s.image(),
+                s.imageGb(),
+                s.types(),
+                s.zone(),
+                s.oneZone(),
+                s.spread(),
+                s.spotAllowed(),
+                s.estimate(),
+                s.checkpointEvery(),
+                s.checkpointTime(),
+                Span.seconds(dueS));
         w.submit(planned ? due.with("plan", Map.of("name", "p", "day", "2027-03-01")) : due, 3);
-        assertEquals(machines, w.core.wishes(at(4)).stream().mapToInt(RentWish::count).sum());
+        assertEquals(
+                machines,
+                w.core.wishes(at(4)).stream().mapToInt(RentWish::count).sum());
     }
 
     @Test
@@ -124,7 +145,9 @@
         w.submit(spec(1, tasks, 1, 75), 0);
         w.core.refused(new Pool("quad", "east", true), at(1));
         w.core.refused(new Pool("quad", "west", true), at(1));
-        assertEquals(ordinary, w.core.wishes(at(2)).stream().mapToInt(RentWish::count).sum());
+        assertEquals(
+                ordinary,
+                w.core.wishes(at(2)).stream().mapToInt(RentWish::count).sum());
     }
 
     /** A machine rented at 0 with terms of 60 s, checked every 5 s. */
@@ -183,7 +206,11 @@
         w.core.cancelJob(large.id());
         w.submit(spec(2, 8, 1, 20), 3 + later);
         w.core.wishes(at(3 + later));
-        assertEquals(filled, List.of("a", "b").stream()
-                .filter(name -> !World.starts(w.hearOrdinary(name, 3 + later)).isEmpty()).count());
+        assertEquals(
+                filled,
+                List.of("a", "b").stream()
+                        .filter(name ->
+                                !World.starts(w.hearOrdinary(name, 3 + later)).isEmpty())
+                        .count());
     }
 }
--- a/src/test/java/io/indigoreach/core/Steps.java
+++ b/src/test/java/io/indigoreach/core/Steps.java
@@ -14,25 +14,63 @@
  * report every second one, pools run out. Nothing is random: the same classes give the same run.
  */
 final class Steps implements Notes {
-    static final Tuning STANDARD = new Tuning(Span.seconds(10), Span.seconds(15), Span.seconds(60), Span.seconds(15),
-            Span.seconds(2), 2, 4, Span.seconds(600), Span.seconds(15), Span.seconds(350), 1.4, Span.seconds(10));
+    static final Tuning STANDARD = new Tuning(
+            Span.seconds(10),
+            Span.seconds(15),
+            Span.seconds(60),
+            Span.seconds(15),
+            Span.seconds(2),
+            2,
+            4,
+            Span.seconds(600),
+            Span.seconds(15),
+            Span.seconds(350),
+            1.4,
+            Span.seconds(10));
     private static final int BOOT = 20;
     /** Of the clock: the first step is not at its beginning, where nothing could have come before. */
     private static final int BEGIN = 1000;
 
     /** Jobs of a class: {@code atStart} in the first step, {@code perStep} a step from {@code from} to {@code until}. */
-    record Kind(String name, String team, Urgency urgency, double perStep, int atStart, int from, int until, int tasks, int run,
-                double cores, boolean saves, Shape shape, double estimate) {
+    record Kind(
+            String name,
+            String team,
+            Urgency urgency,
+            double perStep,
+            int atStart,
+            int from,
+            int until,
+            int tasks,
+            int run,
+            double cores,
+            boolean saves,
+            Shape shape,
+            double estimate) {
         static Kind of(String name, Urgency urgency, double perStep, int atStart, int tasks, int run, double cores) {
-            return new Kind(name, "t", urgency, perStep, atStart, 0, Integer.MAX_VALUE, tasks, run, cores, false, Shape.ARRAY, 1);
+            return new Kind(
+                    name,
+                    "t",
+                    urgency,
+                    perStep,
+                    atStart,
+                    0,
+                    Integer.MAX_VALUE,
+                    tasks,
+                    run,
+                    cores,
+                    false,
+                    Shape.ARRAY,
+                    1);
         }
 
         Kind team(String other) {
-            return new Kind(name, other, urgency, perStep, atStart, from, until, tasks, run, cores, saves, shape, estimate);
+            return new Kind(
+                    name, other, urgency, perStep, atStart, from, until, tasks, run, cores, saves, shape, estimate);
         }
 
         Kind between(int begin, int end) {
-            return new Kind(name, team, urgency, perStep, atStart, begin, end, tasks, run, cores, saves, shape, estimate);
+            return new Kind(
+                    name, team, urgency, perStep, atStart, begin, end, tasks, run, cores, saves, shape, estimate);
         }
 
         /** Its owners' estimates are so many times what tasks take. */
@@ -41,11 +79,13 @@
         }
 
         Kind saving() {
-            return new Kind(name, team, urgency, perStep, atStart, from, until, tasks, run, cores, true, shape, estimate);
+            return new Kind(
+                    name, team, urgency, perStep, atStart, from, until, tasks, run, cores, true, shape, estimate);
         }
 
         Kind service() {
-            return new Kind(name, team, urgency, 0, atStart, from, until, tasks, run, cores, saves, Shape.SERVICE, estimate);
+            return new Kind(
+                    name, team, urgency, 0, atStart, from, until, tasks, run, cores, saves, Shape.SERVICE, estimate);
         }
     }
 
@@ -64,7 +104,9 @@
         }
 
         int lastStart(int now) {
-            return started.size() < spec.tasks() ? now : started.values().stream().mapToInt(i -> i).max().orElse(now);
+            return started.size() < spec.tasks()
+                    ? now
+                    : started.values().stream().mapToInt(i -> i).max().orElse(now);
         }
     }
 
@@ -108,7 +150,8 @@
         this.kinds = kinds;
         this.aims = aims;
         this.teams = teams.length == 0 ? List.of(World.team(0)) : List.of(teams);
-        this.capacity = new HashMap<>(Map.of(new Pool("quad", "east", true), spot, new Pool("quad", "east", false), ordinary));
+        this.capacity =
+                new HashMap<>(Map.of(new Pool("quad", "east", true), spot, new Pool("quad", "east", false), ordinary));
         newLeader();
     }
 
@@ -116,11 +159,19 @@
     void newLeader() {
         core = new LeaderCore(new Token(++token), World.RULES, tuning, aims, teams, this);
         MachineType t = World.TYPE;
-        core.setTypes(List.of(new MachineType(t.name(), t.capacity(), t.cacheGb(), t.fetchGbPerS(), t.price(),
-                t.spotPrice(), t.boot(), List.of("east"))));
-        boxes.forEach((name, box) -> core.inherit(new MachineId(name), box.pool, at(box.up - BOOT), at(box.up), at(now)));
-        open.replaceAll((id, job) -> new Job(job.spec(), job.submittedMs(), job.arrived, job.stamp(), job.doneTasks(),
-                job.boundToWrite(), true));
+        core.setTypes(List.of(new MachineType(
+                t.name(),
+                t.capacity(),
+                t.cacheGb(),
+                t.fetchGbPerS(),
+                t.price(),
+                t.spotPrice(),
+                t.boot(),
+                List.of("east"))));
+        boxes.forEach(
+                (name, box) -> core.inherit(new MachineId(name), box.pool, at(box.up - BOOT), at(box.up), at(now)));
+        open.replaceAll((id, job) -> new Job(
+                job.spec(), job.submittedMs(), job.arrived, job.stamp(), job.doneTasks(), job.boundToWrite(), true));
         open.values().forEach(core::addJob);
         core.loaded();
     }
@@ -143,27 +194,41 @@
 
     /** The same of those that came from a step on. */
     double served(String name, int within, int from) {
-        List<Fate> all = fates.values().stream().filter(f -> f.spec.shape() == Shape.ARRAY && now - f.came >= within
-                && f.came >= from
-                && (f.spec.jobClass().equals(name) || f.spec.team().equals(name))).toList();
-        return all.stream().filter(f -> f.over >= 0 && f.over - f.came <= within).count() / (double) all.size();
+        List<Fate> all = fates.values().stream()
+                .filter(f -> f.spec.shape() == Shape.ARRAY
+                        && now - f.came >= within
+                        && f.came >= from
+                        && (f.spec.jobClass().equals(name) || f.spec.team().equals(name)))
+                .toList();
+        return all.stream()
+                        .filter(f -> f.over >= 0 && f.over - f.came <= within)
+                        .count()
+                / (double) all.size();
     }
 
     /** The longest that a job which came from this step on has waited until its last task started. */
     int longestWait(String name, int from) {
-        return fates.values().stream().filter(f -> f.came >= from && f.spec.jobClass().equals(name))
-                .mapToInt(f -> f.lastStart(now) - f.came).max().orElse(0);
+        return fates.values().stream()
+                .filter(f -> f.came >= from && f.spec.jobClass().equals(name))
+                .mapToInt(f -> f.lastStart(now) - f.came)
+                .max()
+                .orElse(0);
     }
 
     /** The longest that a job of a class has waited until its first task started. */
     int latestBegin(String name) {
-        return fates.values().stream().filter(f -> f.spec.jobClass().equals(name))
-                .mapToInt(f -> f.started.values().stream().mapToInt(i -> i).min().orElse(now) - f.came).max().orElse(0);
+        return fates.values().stream()
+                .filter(f -> f.spec.jobClass().equals(name))
+                .mapToInt(
+                        f -> f.started.values().stream().mapToInt(i -> i).min().orElse(now) - f.came)
+                .max()
+                .orElse(0);
     }
 
     private void step() {
         for (Kind kind : kinds) {
-            double due = owed.getOrDefault(kind, 0.0) + (now == 0 ? kind.atStart : 0)
+            double due = owed.getOrDefault(kind, 0.0)
+                    + (now == 0 ? kind.atStart : 0)
                     + (now >= kind.from && now < kind.until ? kind.perStep : 0);
             for (; due >= 1; due--) {
                 come(kind);
@@ -183,7 +248,7 @@
                 report(e.getKey(), e.getValue());
             }
         }
-        for (Iterator<Job> i = open.values().iterator(); i.hasNext();) {
+        for (Iterator<Job> i = open.values().iterator(); i.hasNext(); ) {
             Job job = i.next();
             job.recorded(job.doneTasks());
             if (job.isComplete()) {
@@ -196,10 +261,25 @@
     }
 
     private void come(Kind kind) {
-        JobSpec spec = new JobSpec(new JobId("run-" + (fates.size() + 1)), kind.name, kind.team, kind.shape, kind.urgency,
-                kind.tasks, new Demand(kind.cores, 0, kind.cores * 4), "img-" + kind.name, 0.2, null, null, false, false,
-                kind.shape == Shape.ARRAY, Span.seconds(kind.run * kind.estimate), Span.seconds(kind.saves ? 10 : 0),
-                Span.seconds(kind.saves ? 2 : 0), null);
+        JobSpec spec = new JobSpec(
+                new JobId("run-" + (fates.size() + 1)),
+                kind.name,
+                kind.team,
+                kind.shape,
+                kind.urgency,
+                kind.tasks,
+                new Demand(kind.cores, 0, kind.cores * 4),
+                "img-" + kind.name,
+                0.2,
+                null,
+                null,
+                false,
+                false,
+                kind.shape == Shape.ARRAY,
+                Span.seconds(kind.run * kind.estimate),
+                Span.seconds(kind.saves ? 10 : 0),
+                Span.seconds(kind.saves ? 2 : 0),
+                null);
         Job job = new Job(spec, at(now).ms(), at(now), new Stamp(fates.size() + 1), new BitSet(), 0, false);
         fates.put(job.id(), new Fate(spec, now, kind.run));
         open.put(job.id(), job);
@@ -209,8 +289,12 @@
     private void tend() {
         for (RentWish wish : core.wishes(at(now))) {
             asked.add(wish);
-            int got = (int) Math.min(wish.count(), capacity.get(wish.pool()) - boxes.values().stream()
-                    .filter(b -> b.pool.equals(wish.pool())).count());
+            int got = (int) Math.min(
+                    wish.count(),
+                    capacity.get(wish.pool())
+                            - boxes.values().stream()
+                                    .filter(b -> b.pool.equals(wish.pool()))
+                                    .count());
             if (got < wish.count()) {
                 core.refused(wish.pool(), at(now));
             }
@@ -230,21 +314,29 @@
 
     private void report(String name, Box box) {
         List<TaskReport> list = new ArrayList<>();
-        for (Iterator<Map.Entry<Order, Integer>> i = box.tasks.entrySet().iterator(); i.hasNext();) {
+        for (Iterator<Map.Entry<Order, Integer>> i = box.tasks.entrySet().iterator(); i.hasNext(); ) {
             Map.Entry<Order, Integer> e = i.next();
             boolean stopped = box.stopping.remove(e.getKey().task());
             boolean over = now >= e.getValue();
             if (stopped && !over) {
                 left.put(e.getKey().task(), e.getValue() - now);
             }
-            list.add(stopped && !over ? World.exited(e.getKey(), ExitCause.STOPPED)
-                    : over ? World.exited(e.getKey(), ExitCause.DONE) : World.running(e.getKey()));
+            list.add(
+                    stopped && !over
+                            ? World.exited(e.getKey(), ExitCause.STOPPED)
+                            : over ? World.exited(e.getKey(), ExitCause.DONE) : World.running(e.getKey()));
             if (stopped || over) {
                 i.remove();
             }
         }
-        WorkerReport report = new WorkerReport(new MachineId(name), "10.0.0.1:1", box.pool, new ReportNumber(1, ++serial),
-                new Token(token), null, list);
+        WorkerReport report = new WorkerReport(
+                new MachineId(name),
+                "10.0.0.1:1",
+                box.pool,
+                new ReportNumber(1, ++serial),
+                new Token(token),
+                null,
+                list);
         List<Order> orders = new ArrayList<>(core.onReport(report, at(now)));
         if (core.unrecorded(new MachineId(name)) != null) {
             core.recorded(new MachineId(name));
@@ -263,10 +355,8 @@
     }
 
     @Override
-    public void progress(Job job) {
-    }
+    public void progress(Job job) {}
 
     @Override
-    public void say(String line) {
-    }
+    public void say(String line) {}
 }
--- a/src/test/java/io/indigoreach/core/TakeOverTest.java
+++ b/src/test/java/io/indigoreach/core/TakeOverTest.java
@@ -33,7 +33,9 @@
         w.inherited(spec(1, 2, 1, 50));
         w.core.loaded();
         assertEquals(List.of(), starts(w.hear("a", 1)), "b may hold both tasks");
-        assertEquals(List.of(), starts(w.core.onReport(w.report("b", "east", 1, new Token(4)), at(2))),
+        assertEquals(
+                List.of(),
+                starts(w.core.onReport(w.report("b", "east", 1, new Token(4)), at(2))),
                 "a list from before the token was seen can be overtaken by a late order of the old leader");
         assertEquals(List.of("run-1/1"), starts(w.hear("b", 3, foreign("run-1/0", 7))));
     }
@@ -184,8 +186,10 @@
         assertEquals(List.of(), before);
         assertEquals(List.of(job), w.progressed);
         job.recorded(job.doneTasks());
-        assertTrue(w.hear("a", 3, exited(orders.get(0), ExitCause.DONE), running(orders.get(1)))
-                .get(0) instanceof Order.Forget);
+        assertTrue(
+                w.hear("a", 3, exited(orders.get(0), ExitCause.DONE), running(orders.get(1)))
+                                .get(0)
+                        instanceof Order.Forget);
     }
 
     @Test
@@ -221,8 +225,8 @@
         w.inherited(spec(1, 1, 1, 50));
         w.core.loaded();
         w.hear("a", 1);
-        List<ListedMachine> list = List.of(new ListedMachine(new MachineId("a"), new Pool("quad", "east", true),
-                ListedMachine.Status.RUNNING, Span.seconds(100)));
+        List<ListedMachine> list = List.of(new ListedMachine(
+                new MachineId("a"), new Pool("quad", "east", true), ListedMachine.Status.RUNNING, Span.seconds(100)));
         w.core.onList(list, at(2), at(2));
         w.core.onList(list, at(6), at(6));
         assertEquals(List.of(), starts(w.hear("a", 6.5)), "these lists may describe a time before b was rented");
@@ -240,7 +244,8 @@
             w.hear(name, 20);
         }
         assertEquals(false, w.core.isDeaf(at(24)));
-        assertEquals(true, w.core.isDeaf(at(25)), "as soon as one would be called silent: workers' leases run meanwhile");
+        assertEquals(
+                true, w.core.isDeaf(at(25)), "as soon as one would be called silent: workers' leases run meanwhile");
         w.hear("b", 24.5);
         assertEquals(false, w.core.isDeaf(at(25)));
     }
@@ -263,15 +268,26 @@
         w.hear("a", 1);
         w.core.returned(List.of(new MachineId("a")), at(2));
         w.hear("a", 3);
-        w.core.onList(List.of(new ListedMachine(new MachineId("a"), new Pool("quad", "east", true),
-                ListedMachine.Status.RUNNING, Span.seconds(3))), at(3), at(3));
+        w.core.onList(
+                List.of(new ListedMachine(
+                        new MachineId("a"),
+                        new Pool("quad", "east", true),
+                        ListedMachine.Status.RUNNING,
+                        Span.seconds(3))),
+                at(3),
+                at(3));
         assertEquals(0, w.core.machineCount());
     }
 
     /** Of a job of four an earlier leader may have ordered the first two: the rest is on no machine, heard or not. */
     @ParameterizedTest
-    @CsvSource({"2, false, run-1/2 run-1/3", "0, false, run-1/0 run-1/1 run-1/2 run-1/3", "4, false, ''", "2, true, ''",
-        "0, true, run-1/0 run-1/1 run-1/2 run-1/3"})
+    @CsvSource({
+        "2, false, run-1/2 run-1/3",
+        "0, false, run-1/0 run-1/1 run-1/2 run-1/3",
+        "4, false, ''",
+        "2, true, ''",
+        "0, true, run-1/0 run-1/1 run-1/2 run-1/3"
+    })
     void whatNobodyOrderedIsStartedBeforeAllMachinesAreHeard(int bound, boolean oneZone, String started) {
         inheritMachine("a");
         inheritMachine("b");
@@ -303,7 +319,11 @@
     @Test
     void halfAFleetBehindACutDoesNotHoldUpTheOther() {
         for (int i = 0; i < 2000; i++) {
-            w.core.inherit(new MachineId("m" + i), new Pool("quad", i % 2 == 0 ? "east" : "west", true), at(-100), at(-90),
+            w.core.inherit(
+                    new MachineId("m" + i),
+                    new Pool("quad", i % 2 == 0 ? "east" : "west", true),
+                    at(-100),
+                    at(-90),
                     at(0));
         }
         w.inherited(spec(1, 4000, 1, 50), 4000);
@@ -317,7 +337,8 @@
         w.core.check(at(9));
         assertEquals(0, w.core.leaving(9).size());
         for (int i = 1; i < 2000; i += 2) {
-            starts += starts(w.core.onReport(w.report("m" + i, "west", 1, World.TOKEN), at(10 + i / 2000.0))).size();
+            starts += starts(w.core.onReport(w.report("m" + i, "west", 1, World.TOKEN), at(10 + i / 2000.0)))
+                    .size();
         }
         assertEquals(4004, starts, "the last report settles the take-over, and what it asked for can be started");
     }
@@ -329,13 +350,20 @@
     @Test
     void aListOlderThanTheOneBeforeChangesNothing() {
         w.core.loaded();
-        List<MachineId> ids = IntStream.range(0, 2000).mapToObj(i -> new MachineId("m" + (10_000 + i))).toList();
+        List<MachineId> ids = IntStream.range(0, 2000)
+                .mapToObj(i -> new MachineId("m" + (10_000 + i)))
+                .toList();
         w.core.rented(new Pool("quad", "east", true), ids.subList(0, 1500), at(0), at(0));
         w.core.returned(ids.subList(0, 500), at(100));
         w.core.rented(new Pool("quad", "east", true), ids.subList(1500, 2000), at(100), at(100));
         for (double asked : new double[] {101, 102, 103}) {
-            w.core.onList(ids.subList(0, 1500).stream().map(id -> new ListedMachine(id, new Pool("quad", "east", true),
-                    ListedMachine.Status.RUNNING, Span.seconds(99))).toList(), at(asked), at(asked + 0.1));
+            w.core.onList(
+                    ids.subList(0, 1500).stream()
+                            .map(id -> new ListedMachine(
+                                    id, new Pool("quad", "east", true), ListedMachine.Status.RUNNING, Span.seconds(99)))
+                            .toList(),
+                    at(asked),
+                    at(asked + 0.1));
         }
         assertEquals(1500, w.core.machineCount());
         assertTrue(ids.subList(500, 2000).stream().allMatch(w.core::knows));
@@ -356,6 +384,7 @@
         assertEquals(List.of(), starts(w.hearOrdinary("o", 1)), "the replicas may go nowhere else");
         assertEquals(4, starts(w.hear("a", 1)).size(), "here they may not run");
         w.hear("b", 2);
-        assertEquals(List.of("run-1/0", "run-1/1"), starts(w.hearOrdinary("o", 3)).subList(0, 2));
+        assertEquals(
+                List.of("run-1/0", "run-1/1"), starts(w.hearOrdinary("o", 3)).subList(0, 2));
     }
 }
--- a/src/test/java/io/indigoreach/core/TokenClockTest.java
+++ b/src/test/java/io/indigoreach/core/TokenClockTest.java
@@ -59,7 +59,9 @@
         Token next = clock.next(new Token(counted), timeOfDay);
         assertTrue(next.value() > counted && next.value() > seen, next.toString());
         assertTrue(clock.next(new Token(counted), timeOfDay).value() > next.value(), "a try that had no answer counts");
-        assertTrue(next.attempt(0xfffffff).value() > 0 || Math.max(counted, seen) > 1L << 35, "attempts stay in their range");
+        assertTrue(
+                next.attempt(0xfffffff).value() > 0 || Math.max(counted, seen) > 1L << 35,
+                "attempts stay in their range");
     }
 
     @Test
--- a/src/test/java/io/indigoreach/core/ToldCancellationsTest.java
+++ b/src/test/java/io/indigoreach/core/ToldCancellationsTest.java
@@ -13,16 +13,26 @@
 class ToldCancellationsTest {
     /** A process that began at 100 s has told of run-1 at 110 s and run-2 at 120 s; asked at 130 s. */
     @ParameterizedTest
-    @CsvSource({"5, 5, ''", "10, 10, run-2", "12, 12, run-2", "20, 20, run-1 run-2", "30, 30, run-1 run-2", "60, 30, run-1 run-2",
-        "0, 0, ''"})
+    @CsvSource({
+        "5, 5, ''",
+        "10, 10, run-2",
+        "12, 12, run-2",
+        "20, 20, run-1 run-2",
+        "30, 30, run-1 run-2",
+        "60, 30, run-1 run-2",
+        "0, 0, ''"
+    })
     void coversWhatIsAskedForSinceItBegan(double asked, double covered, String jobs) {
         ToldCancellations told = new ToldCancellations(at(100));
         told.add(new JobId("run-1"), at(110));
         told.add(new JobId("run-2"), at(120));
         CancellationWord word = told.word(Span.seconds(asked), at(130));
         assertEquals(Span.seconds(covered), word.covered());
-        assertEquals(Set.of(jobs.split(" ")), word.cancelled().isEmpty() ? Set.of("")
-                : word.cancelled().stream().map(JobId::text).collect(Collectors.toSet()));
+        assertEquals(
+                Set.of(jobs.split(" ")),
+                word.cancelled().isEmpty()
+                        ? Set.of("")
+                        : word.cancelled().stream().map(JobId::text).collect(Collectors.toSet()));
         assertEquals(Span.seconds(10), told.quiet(at(130)));
     }
 
--- a/src/test/java/io/indigoreach/core/WarmMeasure.java
+++ b/src/test/java/io/indigoreach/core/WarmMeasure.java
@@ -15,6 +15,7 @@
     private static final int HOUR = 3600;
     /** The simulated day begins at 00:16:40; the burst comes a minute after its window opens. */
     private static final int BURST = 800 + 60;
+
     private static final int LASTS = 600;
 
     @Test
@@ -35,7 +36,12 @@
         WarmSteps w = new WarmSteps(200, machines / 2);
         if (!way.equals("none")) {
             boolean all = way.equals("all");
-            w.keep(WarmSteps.pool("p", WarmSteps.MODEL, gb, all ? machines : machines / 50, machines,
+            w.keep(WarmSteps.pool(
+                    "p",
+                    WarmSteps.MODEL,
+                    gb,
+                    all ? machines : machines / 50,
+                    machines,
                     all ? new Window[0] : new Window[] {new Window(30, 40, mean)}));
         }
         for (int minute = 0; minute < 60; minute++) {
@@ -49,19 +55,41 @@
                 List<Integer> waits = w.waits(burst, BURST);
                 w.cancel(burst);
                 int n = waits.size();
-                System.out.printf(Locale.ROOT, "%5d %5.0f GB %-5s replicas %4d began %4d: median %4s s, 99th %4s s", machines, gb, way,
-                        replicas, n, n < (replicas + 1) / 2 ? "-" : waits.get((replicas + 1) / 2 - 1),
+                System.out.printf(
+                        Locale.ROOT,
+                        "%5d %5.0f GB %-5s replicas %4d began %4d: median %4s s, 99th %4s s",
+                        machines,
+                        gb,
+                        way,
+                        replicas,
+                        n,
+                        n < (replicas + 1) / 2 ? "-" : waits.get((replicas + 1) / 2 - 1),
                         n < Math.ceil(replicas * 0.99) ? "-" : waits.get((int) Math.ceil(replicas * 0.99) - 1));
             }
             w.run(Math.max(0, (minute + 1) * 60 - w.now));
         }
         w.run(HOUR - w.now);
         Map<Account, Double> sums = w.meter.sums();
-        String hits = w.plan.told().isEmpty() ? "" : String.format(Locale.ROOT, " hits %.3f",
-                w.plan.told().get(0).hits() / Math.max(1.0, w.plan.told().get(0).hits() + w.plan.told().get(0).misses()));
-        System.out.printf(Locale.ROOT, "%s; money %.2f of %.2f charged: pool's %.2f, its team's on others %.2f, guest's %.2f, idle %.2f%n",
-                hits, sums.values().stream().mapToDouble(d -> d).sum(), w.charged(), sum(sums, "p", "t"), sum(sums, "", "t"),
-                sum(sums, "p", "g") + sum(sums, "", "g"), sum(sums, "", ""));
+        String hits = w.plan.told().isEmpty()
+                ? ""
+                : String.format(
+                        Locale.ROOT,
+                        " hits %.3f",
+                        w.plan.told().get(0).hits()
+                                / Math.max(
+                                        1.0,
+                                        w.plan.told().get(0).hits()
+                                                + w.plan.told().get(0).misses()));
+        System.out.printf(
+                Locale.ROOT,
+                "%s; money %.2f of %.2f charged: pool's %.2f, its team's on others %.2f, guest's %.2f, idle %.2f%n",
+                hits,
+                sums.values().stream().mapToDouble(d -> d).sum(),
+                w.charged(),
+                sum(sums, "p", "t"),
+                sum(sums, "", "t"),
+                sum(sums, "p", "g") + sum(sums, "", "g"),
+                sum(sums, "", ""));
     }
 
     private static double sum(Map<Account, Double> sums, String pool, String team) {
--- a/src/test/java/io/indigoreach/core/WarmPoolTest.java
+++ b/src/test/java/io/indigoreach/core/WarmPoolTest.java
@@ -30,7 +30,9 @@
         w.run(20, w::truthful);
         List<Integer> waits = w.waits(burst, from);
         assertEquals(10, waits.size());
-        assertTrue(waits.get(9) <= 5, "whole machines, so each holder gives way in the answer that starts a replica: " + waits);
+        assertTrue(
+                waits.get(9) <= 5,
+                "whole machines, so each holder gives way in the answer that starts a replica: " + waits);
         assertEquals(10, w.plan.told().get(0).hits());
         assertEquals(10, w.rents, "nothing is rented for replicas that a warm machine takes");
     }
@@ -142,12 +144,17 @@
         int[] fewest = {10};
         w.run(1500, () -> {
             w.truthful();
-            long ready = w.core.machines().stream().filter(m -> m.seat() != null && !m.seat().isDropped()
-                    && m.images().holds(m.seat().image())).count();
+            long ready = w.core.machines().stream()
+                    .filter(m -> m.seat() != null
+                            && !m.seat().isDropped()
+                            && m.images().holds(m.seat().image()))
+                    .count();
             fewest[0] = (int) Math.min(fewest[0], ready);
         });
         assertTrue(fewest[0] >= 10, "fewest " + fewest[0]);
-        assertTrue(w.holding("weights-2") >= 8, "those with replicas of the old version keep it: " + w.holding("weights-2"));
+        assertTrue(
+                w.holding("weights-2") >= 8,
+                "those with replicas of the old version keep it: " + w.holding("weights-2"));
         w.cancel(old);
         w.run(200, w::truthful);
         assertTrue(w.machines("p") <= 12);
@@ -162,8 +169,15 @@
         w.run(WARM + 20);
         w.silent = "east";
         w.run(WARM + 40, w::truthful);
-        assertTrue(w.core.machines().stream().filter(m -> m.seat() != null && m.isUsable()
-                && m.pool().zone().equals("west") && m.images().holds(MODEL)).count() >= 10, "the other zone has the number");
+        assertTrue(
+                w.core.machines().stream()
+                                .filter(m -> m.seat() != null
+                                        && m.isUsable()
+                                        && m.pool().zone().equals("west")
+                                        && m.images().holds(MODEL))
+                                .count()
+                        >= 10,
+                "the other zone has the number");
         w.silent = null;
         w.run(200, w::truthful);
         assertEquals(10, w.machines("p"), "and what is too much goes when it comes back");
@@ -171,8 +185,22 @@
 
     private static io.indigoreach.core.warm.PoolSpec wide(WarmSteps w) {
         var p = w.pools.get("p");
-        return new io.indigoreach.core.warm.PoolSpec(p.name(), p.team(), p.image(), p.gb(), p.replica(), p.types(), p.zones(), 1,
-                p.least(), p.most(), p.wanted(), p.windows(), p.learned(), p.budget(), p.spot());
+        return new io.indigoreach.core.warm.PoolSpec(
+                p.name(),
+                p.team(),
+                p.image(),
+                p.gb(),
+                p.replica(),
+                p.types(),
+                p.zones(),
+                1,
+                p.least(),
+                p.most(),
+                p.wanted(),
+                p.windows(),
+                p.learned(),
+                p.budget(),
+                p.spot());
     }
 
     @Test
@@ -203,11 +231,14 @@
             w.truthful();
             assertTrue(w.holding(MODEL) >= 8);
         });
-        long onWarm = w.boxes.values().stream().filter(b -> b.cache.containsKey(MODEL)
-                && b.cache.keySet().stream().anyMatch(i -> i.startsWith("guest"))).count();
+        long onWarm = w.boxes.values().stream()
+                .filter(b ->
+                        b.cache.containsKey(MODEL) && b.cache.keySet().stream().anyMatch(i -> i.startsWith("guest")))
+                .count();
         assertEquals(gb < 60, onWarm > 0, "idle cores serve guests whose image fits beside the weights, and no others");
         w.run(900);
-        assertTrue(w.open.values().stream().noneMatch(j -> j.spec().jobClass().equals("guest")), "all guests are served");
+        assertTrue(
+                w.open.values().stream().noneMatch(j -> j.spec().jobClass().equals("guest")), "all guests are served");
     }
 
     @Test
@@ -221,7 +252,8 @@
         assertEquals(8, w.machines("p"));
         Job due = w.array("other", 170, 2, 8, 60);
         w.run(250, w::truthful);
-        assertTrue(w.began.get(due.id()).size() >= 1, "nothing is to be rented, so an idle machine of the pool is given");
+        assertTrue(
+                w.began.get(due.id()).size() >= 1, "nothing is to be rented, so an idle machine of the pool is given");
         w.run(400, w::truthful);
         assertEquals(2, w.began.get(due.id()).size());
         assertEquals(8, w.machines("p"), "and comes back");
@@ -233,8 +265,10 @@
         w.keep(WarmSteps.budget(WarmSteps.pool("p", MODEL, 40, 4, 4), 1.0));
         w.run(400, w::truthful);
         assertEquals(0, w.boxes.size());
-        double spent = w.meter.sums().entrySet().stream().filter(e -> e.getKey().pool().equals("p"))
-                .mapToDouble(e -> e.getValue()).sum();
+        double spent = w.meter.sums().entrySet().stream()
+                .filter(e -> e.getKey().pool().equals("p"))
+                .mapToDouble(e -> e.getValue())
+                .sum();
         // Four machines for a term and a check more, at 3.6 an hour.
         assertTrue(spent >= 1 && spent <= 1 + 4 * 3.6 * 20 / 3600, "spent " + spent);
         assertTrue(w.said.stream().anyMatch(s -> s.contains("budget is over")));
@@ -266,7 +300,10 @@
         Machine dropped = null;
         for (int n = 0; n < 3 * WARM && dropped == null; n++) {
             w.run(1, w::truthful);
-            dropped = w.core.machines().stream().filter(m -> m.seat() != null && m.seat().isDropped()).findFirst().orElse(null);
+            dropped = w.core.machines().stream()
+                    .filter(m -> m.seat() != null && m.seat().isDropped())
+                    .findFirst()
+                    .orElse(null);
         }
         assertTrue(dropped != null, "the new version is held by one more, so one with the old is let go");
         assertTrue(dropped.isOfKind(other) && !dropped.allows(other));
@@ -291,21 +328,33 @@
                     w.newLeader();
                     ends++;
                 }
-                case 1 -> w.array("guest-" + random.nextInt(5), 10 + random.nextInt(60), 1 + random.nextInt(30),
-                        1 + random.nextInt(8), 5 + random.nextInt(60));
-                case 2 -> served.add(w.serve(random.nextBoolean() ? "weights-a" : "weights-b", random.nextBoolean() ? 60 : 100,
-                        1 + random.nextInt(4)));
+                case 1 ->
+                    w.array(
+                            "guest-" + random.nextInt(5),
+                            10 + random.nextInt(60),
+                            1 + random.nextInt(30),
+                            1 + random.nextInt(8),
+                            5 + random.nextInt(60));
+                case 2 ->
+                    served.add(w.serve(
+                            random.nextBoolean() ? "weights-a" : "weights-b",
+                            random.nextBoolean() ? 60 : 100,
+                            1 + random.nextInt(4)));
                 case 3 -> {
                     if (!served.isEmpty()) {
                         w.cancel(served.remove(0));
                     }
                 }
-                case 4 -> w.boxes.values().stream().filter(b -> b.up <= w.now).findFirst().ifPresent(b -> {
-                    b.session++;
-                    b.tasks.clear();
-                    b.fetching = null;
-                });
-                default -> { }
+                case 4 ->
+                    w.boxes.values().stream()
+                            .filter(b -> b.up <= w.now)
+                            .findFirst()
+                            .ifPresent(b -> {
+                                b.session++;
+                                b.tasks.clear();
+                                b.fetching = null;
+                            });
+                default -> {}
             }
             w.run(5 + random.nextInt(20), w::truthful);
         }
--- a/src/test/java/io/indigoreach/core/WarmSteps.java
+++ b/src/test/java/io/indigoreach/core/WarmSteps.java
@@ -61,6 +61,7 @@
     final List<String> said = new ArrayList<>();
     /** The state service. */
     final Map<Integer, Sheet> sheets = new TreeMap<>();
+
     List<Team> teams = List.of(new Team("t", 0, 0, 0, 0), new Team("g", 0, 0, 0, 0));
     LeaderCore core;
     Plan plan;
@@ -72,6 +73,7 @@
     int writesEvery = 1;
     /** A zone that is cut off. */
     String silent;
+
     private long token;
     private long serial;
     private int names;
@@ -79,7 +81,8 @@
     private final List<RentWish> asked = new ArrayList<>();
 
     WarmSteps(double cacheGb, int perZone) {
-        type = new MachineType("big", new Demand(8, 0, 64), cacheGb, 1.0, 3.6, 1.2, Span.seconds(20), List.of("east", "west"));
+        type = new MachineType(
+                "big", new Demand(8, 0, 64), cacheGb, 1.0, 3.6, 1.2, Span.seconds(20), List.of("east", "west"));
         for (String zone : type.zones()) {
             capacity.put(new Pool("big", zone, true), perZone);
             capacity.put(new Pool("big", zone, false), perZone);
@@ -88,39 +91,132 @@
     }
 
     static PoolSpec pool(String name, String image, double gb, int least, int most, Window... windows) {
-        return new PoolSpec(name, "t", image, gb, new Demand(8, 0, 8), List.of("big"), List.of(), 0.5, least, most, 0.95,
-                List.of(windows), false, 0, false);
+        return new PoolSpec(
+                name,
+                "t",
+                image,
+                gb,
+                new Demand(8, 0, 8),
+                List.of("big"),
+                List.of(),
+                0.5,
+                least,
+                most,
+                0.95,
+                List.of(windows),
+                false,
+                0,
+                false);
     }
 
     static PoolSpec spot(PoolSpec p) {
-        return new PoolSpec(p.name(), p.team(), p.image(), p.gb(), p.replica(), p.types(), p.zones(), p.zonePart(), p.least(),
-                p.most(), p.wanted(), p.windows(), p.learned(), p.budget(), true);
+        return new PoolSpec(
+                p.name(),
+                p.team(),
+                p.image(),
+                p.gb(),
+                p.replica(),
+                p.types(),
+                p.zones(),
+                p.zonePart(),
+                p.least(),
+                p.most(),
+                p.wanted(),
+                p.windows(),
+                p.learned(),
+                p.budget(),
+                true);
     }
 
     static PoolSpec budget(PoolSpec p, double budget) {
-        return new PoolSpec(p.name(), p.team(), p.image(), p.gb(), p.replica(), p.types(), p.zones(), p.zonePart(), p.least(),
-                p.most(), p.wanted(), p.windows(), p.learned(), budget, p.spot());
+        return new PoolSpec(
+                p.name(),
+                p.team(),
+                p.image(),
+                p.gb(),
+                p.replica(),
+                p.types(),
+                p.zones(),
+                p.zonePart(),
+                p.least(),
+                p.most(),
+                p.wanted(),
+                p.windows(),
+                p.learned(),
+                budget,
+                p.spot());
     }
 
     /** A pool and its holder, with a task for each machine. */
     Job keep(PoolSpec p) {
         pools.put(p.name(), p);
         plan.pools(pools.values(), n -> new Seen());
-        return submit(new JobSpec(new JobId("run-" + ++jobs), "hold", p.team(), Shape.SERVICE, Urgency.STANDARD, p.most(),
-                new Demand(0.01, 0, 0.1), p.image(), p.gb(), null, null, false, false, true, Span.ZERO, Span.ZERO, Span.ZERO, null)
+        return submit(new JobSpec(
+                        new JobId("run-" + ++jobs),
+                        "hold",
+                        p.team(),
+                        Shape.SERVICE,
+                        Urgency.STANDARD,
+                        p.most(),
+                        new Demand(0.01, 0, 0.1),
+                        p.image(),
+                        p.gb(),
+                        null,
+                        null,
+                        false,
+                        false,
+                        true,
+                        Span.ZERO,
+                        Span.ZERO,
+                        Span.ZERO,
+                        null)
                 .with(JobSpec.WARM, p.name()));
     }
 
     /** Replicas of a model that take whole machines. */
     Job serve(String image, double gb, int replicas) {
-        return submit(new JobSpec(new JobId("run-" + ++jobs), "serve", "t", Shape.SERVICE, Urgency.PRODUCTION, replicas,
-                new Demand(8, 0, 8), image, gb, null, null, false, false, true, Span.ZERO, Span.ZERO, Span.ZERO, null));
+        return submit(new JobSpec(
+                new JobId("run-" + ++jobs),
+                "serve",
+                "t",
+                Shape.SERVICE,
+                Urgency.PRODUCTION,
+                replicas,
+                new Demand(8, 0, 8),
+                image,
+                gb,
+                null,
+                null,
+                false,
+                false,
+                true,
+                Span.ZERO,
+                Span.ZERO,
+                Span.ZERO,
+                null));
     }
 
     /** A guest's array. */
     Job array(String image, double gb, int tasks, double cores, int run) {
-        return submit(new JobSpec(new JobId("run-" + ++jobs), "guest", "g", Shape.ARRAY, Urgency.BEST_EFFORT, tasks,
-                new Demand(cores, 0, 1), image, gb, null, null, false, false, true, Span.seconds(run), Span.ZERO, Span.ZERO, null));
+        return submit(new JobSpec(
+                new JobId("run-" + ++jobs),
+                "guest",
+                "g",
+                Shape.ARRAY,
+                Urgency.BEST_EFFORT,
+                tasks,
+                new Demand(cores, 0, 1),
+                image,
+                gb,
+                null,
+                null,
+                false,
+                false,
+                true,
+                Span.seconds(run),
+                Span.ZERO,
+                Span.ZERO,
+                null));
     }
 
     private Job submit(JobSpec spec) {
@@ -149,8 +245,8 @@
                 core.inherit(new MachineId(name), box.pool, at(box.rented), at(box.rented), at(now));
             }
         });
-        open.replaceAll((id, job) -> new Job(job.spec(), job.submittedMs(), job.arrived, job.stamp(), job.doneTasks(),
-                job.boundToWrite(), true));
+        open.replaceAll((id, job) -> new Job(
+                job.spec(), job.submittedMs(), job.arrived, job.stamp(), job.doneTasks(), job.boundToWrite(), true));
         open.values().forEach(core::addJob);
         core.loaded();
         plan = new Plan(teams, () -> List.of(type), Steps.STANDARD.term(), Moment::ms, said::add);
@@ -164,8 +260,13 @@
     }
 
     private List<ListedMachine> listed() {
-        return new ArrayList<>(boxes.entrySet().stream().map(e -> new ListedMachine(new MachineId(e.getKey()), e.getValue().pool,
-                ListedMachine.Status.RUNNING, Span.seconds(now - e.getValue().rented))).toList());
+        return new ArrayList<>(boxes.entrySet().stream()
+                .map(e -> new ListedMachine(
+                        new MachineId(e.getKey()),
+                        e.getValue().pool,
+                        ListedMachine.Status.RUNNING,
+                        Span.seconds(now - e.getValue().rented)))
+                .toList());
     }
 
     private double price(Pool where) {
@@ -173,7 +274,7 @@
     }
 
     WarmSteps run(int steps) {
-        return run(steps, () -> { });
+        return run(steps, () -> {});
     }
 
     /** With a check of the test's after each step. */
@@ -202,7 +303,7 @@
                 }
             }
         }
-        for (Iterator<Job> i = open.values().iterator(); i.hasNext();) {
+        for (Iterator<Job> i = open.values().iterator(); i.hasNext(); ) {
             Job job = i.next();
             job.recorded(job.doneTasks());
             if (job.isComplete()) {
@@ -217,15 +318,21 @@
     private void tend() {
         for (RentWish wish : core.wishes(at(now))) {
             asked.add(wish);
-            int got = (int) Math.min(wish.count(), capacity.get(wish.pool()) - boxes.values().stream()
-                    .filter(b -> b.pool.equals(wish.pool())).count());
+            int got = (int) Math.min(
+                    wish.count(),
+                    capacity.get(wish.pool())
+                            - boxes.values().stream()
+                                    .filter(b -> b.pool.equals(wish.pool()))
+                                    .count());
             if (got < wish.count()) {
                 core.refused(wish.pool(), at(now));
             }
             List<MachineId> ids = new ArrayList<>();
             for (int i = 0; i < got; i++) {
                 ids.add(new MachineId(String.format("m%05d", ++names)));
-                boxes.put(ids.get(i).toString(), new Box(wish.pool(), now, now + (int) type.boot().seconds()));
+                boxes.put(
+                        ids.get(i).toString(),
+                        new Box(wish.pool(), now, now + (int) type.boot().seconds()));
                 rents++;
             }
             core.rented(wish.pool(), ids, at(now), at(now));
@@ -246,7 +353,10 @@
 
     /** What the cloud has charged by now. */
     double charged() {
-        return bill + boxes.values().stream().mapToDouble(b -> price(b.pool) * (now - b.rented) / 3600).sum();
+        return bill
+                + boxes.values().stream()
+                        .mapToDouble(b -> price(b.pool) * (now - b.rented) / 3600)
+                        .sum();
     }
 
     /** Spot machines of a pool are taken without notice: every second one. */
@@ -267,10 +377,16 @@
         if (box.fetching != null && now >= box.fetched) {
             String image = box.fetching;
             box.fetching = null;
-            double gb = box.tasks.values().stream().filter(t -> t.spec.image().equals(image)).findFirst().orElseThrow().spec.imageGb();
+            double gb = box.tasks.values().stream()
+                    .filter(t -> t.spec.image().equals(image))
+                    .findFirst()
+                    .orElseThrow()
+                    .spec
+                    .imageGb();
             box.cache.put(image, gb);
-            for (Iterator<Map.Entry<String, Double>> i = box.cache.entrySet().iterator(); i.hasNext()
-                    && box.cache.values().stream().mapToDouble(d -> d).sum() > type.cacheGb();) {
+            for (Iterator<Map.Entry<String, Double>> i = box.cache.entrySet().iterator();
+                    i.hasNext()
+                            && box.cache.values().stream().mapToDouble(d -> d).sum() > type.cacheGb(); ) {
                 if (!i.next().getKey().equals(image)) {
                     i.remove();
                 }
@@ -279,7 +395,9 @@
         for (Task t : box.tasks.values()) {
             if (t.state == TaskState.FETCHING && box.cache.containsKey(t.spec.image())) {
                 t.state = TaskState.RUNNING;
-                t.ends = t.spec.isService() ? Integer.MAX_VALUE : now + (int) t.spec.estimate().seconds();
+                t.ends = t.spec.isService()
+                        ? Integer.MAX_VALUE
+                        : now + (int) t.spec.estimate().seconds();
                 began.get(t.spec.id()).add(now);
             } else if (t.state == TaskState.FETCHING && box.fetching == null) {
                 box.fetching = t.spec.image();
@@ -292,10 +410,20 @@
 
     private void report(String name, Box box) {
         List<TaskReport> list = new ArrayList<>();
-        box.tasks.values().forEach(t -> list.add(t.state == TaskState.EXITED ? World.exited(t.start, ExitCause.DONE)
-                : new TaskReport(t.start.task(), t.start.attempt(), t.state, null, false)));
-        WorkerReport report = new WorkerReport(new MachineId(name), "10.0.0.1:1", box.pool, new ReportNumber(box.session, ++serial),
-                new Token(token), null, list);
+        box.tasks
+                .values()
+                .forEach(t -> list.add(
+                        t.state == TaskState.EXITED
+                                ? World.exited(t.start, ExitCause.DONE)
+                                : new TaskReport(t.start.task(), t.start.attempt(), t.state, null, false)));
+        WorkerReport report = new WorkerReport(
+                new MachineId(name),
+                "10.0.0.1:1",
+                box.pool,
+                new ReportNumber(box.session, ++serial),
+                new Token(token),
+                null,
+                list);
         List<Order> orders = new ArrayList<>(core.onReport(report, at(now)));
         if (core.unrecorded(new MachineId(name)) != null) {
             core.recorded(new MachineId(name));
@@ -304,8 +432,10 @@
         for (Order o : orders) {
             if (o instanceof Order.Start s) {
                 Job job = open.get(o.task().job());
-                double used = box.tasks.values().stream().filter(t -> t.state != TaskState.EXITED)
-                        .mapToDouble(t -> t.spec.demand().cores()).sum();
+                double used = box.tasks.values().stream()
+                        .filter(t -> t.state != TaskState.EXITED)
+                        .mapToDouble(t -> t.spec.demand().cores())
+                        .sum();
                 if (used + job.spec().demand().cores() > type.capacity().cores() + 1e-6) {
                     throw new AssertionError("no room on " + name + " for " + o.task());
                 }
@@ -317,8 +447,10 @@
                 }
             } else {
                 Task gone = box.tasks.remove(o.task());
-                if (gone != null && gone.spec.image().equals(box.fetching) && box.tasks.values().stream()
-                        .noneMatch(t -> t.spec.image().equals(gone.spec.image()))) {
+                if (gone != null
+                        && gone.spec.image().equals(box.fetching)
+                        && box.tasks.values().stream()
+                                .noneMatch(t -> t.spec.image().equals(gone.spec.image()))) {
                     box.fetching = null;
                 }
             }
@@ -329,9 +461,17 @@
         List<Meter.Look> looks = new ArrayList<>();
         for (Machine m : core.machines()) {
             boolean in = m.seat() != null && !m.seat().isDropped();
-            looks.add(new Meter.Look(m.id(), m.pool(), m.rented().ms(), in ? new Account(m.seat().pool(), "t") : new Account("", ""),
-                    in ? m.seat().image() : "", in ? m.seat().gb() : 0,
-                    in && m.images().holds(m.seat().image()) ? m.session() : 0, m.coresByTeam(), 8, price(m.pool()),
+            looks.add(new Meter.Look(
+                    m.id(),
+                    m.pool(),
+                    m.rented().ms(),
+                    in ? new Account(m.seat().pool(), "t") : new Account("", ""),
+                    in ? m.seat().image() : "",
+                    in ? m.seat().gb() : 0,
+                    in && m.images().holds(m.seat().image()) ? m.session() : 0,
+                    m.coresByTeam(),
+                    8,
+                    price(m.pool()),
                     m.phase() == Machine.Phase.LEAVING));
         }
         meter.look(looks, at(now).ms());
@@ -354,16 +494,22 @@
     void truthful() {
         for (Machine m : core.machines()) {
             Box box = boxes.get(m.id().toString());
-            if (box != null && m.seat() != null && m.images().holds(m.seat().image())
+            if (box != null
+                    && m.seat() != null
+                    && m.images().holds(m.seat().image())
                     && !box.cache.containsKey(m.seat().image())) {
-                throw new AssertionError("at " + now + " " + m.id() + " is said to hold " + m.seat().image() + " and has "
-                        + box.cache.keySet());
+                throw new AssertionError("at " + now + " " + m.id() + " is said to hold "
+                        + m.seat().image() + " and has " + box.cache.keySet());
             }
         }
     }
 
     long machines(String pool) {
-        return core.machines().stream().filter(m -> m.seat() != null && !m.seat().isDropped() && m.seat().pool().equals(pool)).count();
+        return core.machines().stream()
+                .filter(m -> m.seat() != null
+                        && !m.seat().isDropped()
+                        && m.seat().pool().equals(pool))
+                .count();
     }
 
     /** Machines that really have an image. */
@@ -381,10 +527,8 @@
     }
 
     @Override
-    public void progress(Job job) {
-    }
+    public void progress(Job job) {}
 
     @Override
-    public void say(String line) {
-    }
+    public void say(String line) {}
 }
--- a/src/test/java/io/indigoreach/core/WithheldTest.java
+++ b/src/test/java/io/indigoreach/core/WithheldTest.java
@@ -11,8 +11,25 @@
 
 /** Tasks that wait for something else than machines. */
 class WithheldTest {
-    private static final JobSpec PLAIN = new JobSpec(new JobId("run-1"), "c", "t", Shape.ARRAY, Urgency.STANDARD, 6,
-            new Demand(1, 0, 1), "i", 0, null, null, false, false, true, Span.seconds(5), Span.ZERO, Span.ZERO, null);
+    private static final JobSpec PLAIN = new JobSpec(
+            new JobId("run-1"),
+            "c",
+            "t",
+            Shape.ARRAY,
+            Urgency.STANDARD,
+            6,
+            new Demand(1, 0, 1),
+            "i",
+            0,
+            null,
+            null,
+            false,
+            false,
+            true,
+            Span.seconds(5),
+            Span.ZERO,
+            Span.ZERO,
+            null);
 
     private static Job job(JobSpec spec) {
         return new Job(spec, 0, new Moment(0), new Stamp(1), new BitSet(), 0, false);
--- a/src/test/java/io/indigoreach/core/World.java
+++ b/src/test/java/io/indigoreach/core/World.java
@@ -6,11 +6,21 @@
 
 /** A small setting for tests of the core: one machine type in two zones, a leader under token 5, jobs and reports. */
 final class World implements Notes {
-    static final MachineType TYPE = new MachineType("quad", new Demand(4, 0, 16), 40, 0.5, 0.2, 0.05,
-            Span.seconds(20), List.of("east", "west"));
+    static final MachineType TYPE = new MachineType(
+            "quad", new Demand(4, 0, 16), 40, 0.5, 0.2, 0.05, Span.seconds(20), List.of("east", "west"));
     static final Rules RULES = new Rules(Span.seconds(12), Span.seconds(2), Span.seconds(32), Span.seconds(3));
-    static final Tuning TUNING = new Tuning(Span.seconds(45), Span.seconds(60), Span.seconds(60), Span.seconds(60),
-            Span.seconds(5), 2, 4, Span.seconds(60), Span.seconds(60), Span.seconds(300), 1,
+    static final Tuning TUNING = new Tuning(
+            Span.seconds(45),
+            Span.seconds(60),
+            Span.seconds(60),
+            Span.seconds(60),
+            Span.seconds(5),
+            2,
+            4,
+            Span.seconds(60),
+            Span.seconds(60),
+            Span.seconds(300),
+            1,
             Span.seconds(10));
     static final Aims NO_AIMS = new Aims(List.of());
     static final Token TOKEN = new Token(5);
@@ -43,28 +53,76 @@
     }
 
     static JobSpec spec(int id, int tasks, double cores, double estimate) {
-        return new JobSpec(new JobId("run-" + id), "c", "t", Shape.ARRAY, Urgency.STANDARD, tasks,
-                new Demand(cores, 0, 1), "img", 0, null, null, false, false, true, Span.seconds(estimate), Span.ZERO,
-                Span.ZERO, null);
+        return new JobSpec(
+                new JobId("run-" + id),
+                "c",
+                "t",
+                Shape.ARRAY,
+                Urgency.STANDARD,
+                tasks,
+                new Demand(cores, 0, 1),
+                "img",
+                0,
+                null,
+                null,
+                false,
+                false,
+                true,
+                Span.seconds(estimate),
+                Span.ZERO,
+                Span.ZERO,
+                null);
     }
 
-    static JobSpec with(JobSpec s, Urgency urgency, boolean oneZone, boolean spread, boolean spot, String zone,
-                        double saveEvery) {
-        return new JobSpec(s.id(), s.jobClass(), s.team(), s.shape(), urgency, s.tasks(), s.demand(), s.image(),
-                s.imageGb(), s.types(), zone, oneZone, spread, spot, s.estimate(), Span.seconds(saveEvery),
-                Span.seconds(saveEvery > 0 ? 2 : 0), s.due());
+    static JobSpec with(
+            JobSpec s, Urgency urgency, boolean oneZone, boolean spread, boolean spot, String zone, double saveEvery) {
+        return new JobSpec(
+                s.id(),
+                s.jobClass(),
+                s.team(),
+                s.shape(),
+                urgency,
+                s.tasks(),
+                s.demand(),
+                s.image(),
+                s.imageGb(),
+                s.types(),
+                zone,
+                oneZone,
+                spread,
+                spot,
+                s.estimate(),
+                Span.seconds(saveEvery),
+                Span.seconds(saveEvery > 0 ? 2 : 0),
+                s.due());
     }
 
     /** A service: replicas of one core on ordinary machines, until it is cancelled. */
     static JobSpec service(int id, int replicas) {
-        return new JobSpec(new JobId("run-" + id), "s", "t", Shape.SERVICE, Urgency.PRODUCTION, replicas,
-                new Demand(1, 0, 1), "img-" + id, 1, null, null, false, false, false, Span.ZERO, Span.ZERO, Span.ZERO,
+        return new JobSpec(
+                new JobId("run-" + id),
+                "s",
+                "t",
+                Shape.SERVICE,
+                Urgency.PRODUCTION,
+                replicas,
+                new Demand(1, 0, 1),
+                "img-" + id,
+                1,
+                null,
+                null,
+                false,
+                false,
+                false,
+                Span.ZERO,
+                Span.ZERO,
+                Span.ZERO,
                 null);
     }
 
     Job submit(JobSpec spec, double at) {
-        Job job = new Job(spec, Math.round(at * 1000) + ++jobs, at(at), new Stamp(100 + jobs), new BitSet(),
-                spec.tasks(), false);
+        Job job = new Job(
+                spec, Math.round(at * 1000) + ++jobs, at(at), new Stamp(100 + jobs), new BitSet(), spec.tasks(), false);
         core.addJob(job);
         return job;
     }
@@ -87,8 +145,14 @@
     }
 
     WorkerReport report(String name, String zone, long session, Token token, TaskReport... tasks) {
-        return new WorkerReport(new MachineId(name), "10.0.0.1:1", new Pool("quad", zone, true),
-                new ReportNumber(session, ++serial), token, null, List.of(tasks));
+        return new WorkerReport(
+                new MachineId(name),
+                "10.0.0.1:1",
+                new Pool("quad", zone, true),
+                new ReportNumber(session, ++serial),
+                token,
+                null,
+                List.of(tasks));
     }
 
     /** An ordinary machine that is rented, recorded, and has made its first report. */
@@ -100,12 +164,23 @@
 
     List<Order> hearOrdinary(String name, double at, TaskReport... tasks) {
         WorkerReport r = report(name, "east", 1, TOKEN, tasks);
-        return core.onReport(new WorkerReport(r.machine(), r.address(), new Pool("quad", "east", false), r.number(),
-                r.token(), null, r.tasks()), at(at));
+        return core.onReport(
+                new WorkerReport(
+                        r.machine(),
+                        r.address(),
+                        new Pool("quad", "east", false),
+                        r.number(),
+                        r.token(),
+                        null,
+                        r.tasks()),
+                at(at));
     }
 
     static TaskReport[] running(List<Order> orders) {
-        return orders.stream().filter(o -> o instanceof Order.Start).map(World::running).toArray(TaskReport[]::new);
+        return orders.stream()
+                .filter(o -> o instanceof Order.Start)
+                .map(World::running)
+                .toArray(TaskReport[]::new);
     }
 
     List<Order> hear(String name, double at, TaskReport... tasks) {
@@ -125,11 +200,17 @@
     }
 
     static List<String> starts(List<Order> orders) {
-        return orders.stream().filter(o -> o instanceof Order.Start).map(o -> o.task().toString()).toList();
+        return orders.stream()
+                .filter(o -> o instanceof Order.Start)
+                .map(o -> o.task().toString())
+                .toList();
     }
 
     static List<String> stops(List<Order> orders) {
-        return orders.stream().filter(o -> o instanceof Order.Stop).map(o -> o.task().toString()).toList();
+        return orders.stream()
+                .filter(o -> o instanceof Order.Stop)
+                .map(o -> o.task().toString())
+                .toList();
     }
 
     @Override
--- a/src/test/java/io/indigoreach/core/accounts/MeterTest.java
+++ b/src/test/java/io/indigoreach/core/accounts/MeterTest.java
@@ -47,8 +47,7 @@
         final List<Late> late = new ArrayList<>();
 
         /** A write in place of the sheet that it was made for, and of no other one. */
-        private record Late(int page, Sheet read, Sheet next) {
-        }
+        private record Late(int page, Sheet read, Sheet next) {}
 
         Run(long seed) {
             random = new SplittableRandom(seed);
@@ -72,8 +71,8 @@
 
         void look() {
             List<Meter.Look> looks = new ArrayList<>();
-            machines.forEach((name, m) -> looks.add(new Meter.Look(new MachineId(name), WHERE, m.at, m.payer, m.payer.pool(), 1, 1,
-                    m.cores, 8, PRICE, true)));
+            machines.forEach((name, m) -> looks.add(new Meter.Look(
+                    new MachineId(name), WHERE, m.at, m.payer, m.payer.pool(), 1, 1, m.cores, 8, PRICE, true)));
             meter.look(looks, nowMs);
         }
 
@@ -117,8 +116,10 @@
             bound += machines.size() * PRICE * 1_000 / 3_600_000;
             nowMs += without;
             // What has ended without a record of it counts until a leader is there again.
-            store.values().forEach(s -> s.lines().keySet().stream().filter(ends::containsKey)
-                    .forEach(id -> bound += PRICE * (nowMs + 1_000 - ends.get(id)) / 3_600_000));
+            store.values()
+                    .forEach(s -> s.lines().keySet().stream()
+                            .filter(ends::containsKey)
+                            .forEach(id -> bound += PRICE * (nowMs + 1_000 - ends.get(id)) / 3_600_000));
             meter = new Meter(LEAST_MS);
             store.forEach((n, sheet) -> meter.recall(n, sheet, where -> PRICE));
         }
@@ -127,17 +128,28 @@
             nowMs += 1000;
             switch (random.nextInt(12)) {
                 case 0, 1 -> rent();
-                case 2 -> machines.keySet().stream().filter(m -> nowMs - machines.get(m).at > LEAST_MS).findFirst().ifPresent(this::end);
-                case 3 -> machines.values().stream().skip(random.nextInt(1 + machines.size())).findFirst()
-                        .ifPresent(m -> m.payer = payer());
-                case 4 -> machines.values().stream().skip(random.nextInt(1 + machines.size())).findFirst()
-                        .ifPresent(m -> m.cores = Map.of("t", (double) random.nextInt(5), "g", (double) random.nextInt(5)));
+                case 2 ->
+                    machines.keySet().stream()
+                            .filter(m -> nowMs - machines.get(m).at > LEAST_MS)
+                            .findFirst()
+                            .ifPresent(this::end);
+                case 3 ->
+                    machines.values().stream()
+                            .skip(random.nextInt(1 + machines.size()))
+                            .findFirst()
+                            .ifPresent(m -> m.payer = payer());
+                case 4 ->
+                    machines.values().stream()
+                            .skip(random.nextInt(1 + machines.size()))
+                            .findFirst()
+                            .ifPresent(m ->
+                                    m.cores = Map.of("t", (double) random.nextInt(5), "g", (double) random.nextInt(5)));
                 case 5 -> {
                     if (random.nextInt(10) == 0) {
                         newLeader();
                     }
                 }
-                default -> { }
+                default -> {}
             }
             look();
             carryOutLate();
@@ -145,7 +157,10 @@
         }
 
         double charged() {
-            return bill + machines.values().stream().mapToDouble(m -> PRICE * (nowMs - m.at) / 3_600_000).sum();
+            return bill
+                    + machines.values().stream()
+                            .mapToDouble(m -> PRICE * (nowMs - m.at) / 3_600_000)
+                            .sum();
         }
 
         double put() {
@@ -183,8 +198,20 @@
         Meter meter = new Meter(LEAST_MS);
         Account payer = new Account("p", "t");
         for (long s = 0; s <= 3600; s += 10) {
-            meter.look(List.of(new Meter.Look(new MachineId("m"), WHERE, 0, payer, "w", 1, 1, s > 1800 ? Map.of("g", 2.0) : Map.of(),
-                    8, PRICE, false)), s * 1000);
+            meter.look(
+                    List.of(new Meter.Look(
+                            new MachineId("m"),
+                            WHERE,
+                            0,
+                            payer,
+                            "w",
+                            1,
+                            1,
+                            s > 1800 ? Map.of("g", 2.0) : Map.of(),
+                            8,
+                            PRICE,
+                            false)),
+                    s * 1000);
         }
         assertEquals(PRICE * 0.5 * 2 / 8, meter.sums().get(new Account("p", "g")), 0.01);
         assertEquals(PRICE, meter.sums().values().stream().mapToDouble(d -> d).sum(), 1e-9);
@@ -193,7 +220,9 @@
     @Test
     void aMachineReturnedEarlyCostsTheLeast() {
         Meter meter = new Meter(LEAST_MS);
-        meter.look(List.of(new Meter.Look(new MachineId("m"), WHERE, 0, new Account("p", "t"), "w", 1, 1, Map.of(), 8, PRICE, true)),
+        meter.look(
+                List.of(new Meter.Look(
+                        new MachineId("m"), WHERE, 0, new Account("p", "t"), "w", 1, 1, Map.of(), 8, PRICE, true)),
                 10_000);
         meter.look(List.of(), 11_000);
         assertEquals(PRICE / 60, meter.sums().get(new Account("p", "t")), 1e-9);
--- a/src/test/java/io/indigoreach/core/calendar/DepotWeeks.java
+++ b/src/test/java/io/indigoreach/core/calendar/DepotWeeks.java
@@ -29,7 +29,9 @@
 
     /** When plans start; the night begins at 20:00, when orders close. */
     private enum Way {
-        CALENDAR, FIXED_HOUR, AT_ONCE
+        CALENDAR,
+        FIXED_HOUR,
+        AT_ONCE
     }
 
     private static final class Work {
@@ -43,18 +45,24 @@
         final List<Integer> ends = new ArrayList<>();
     }
 
-    private DepotWeeks() {
-    }
+    private DepotWeeks() {}
 
     public static void main(String[] args) {
-        System.out.println("way          ready before departure   late, minutes in the mean   cost a night   of it ordinary");
+        System.out.println(
+                "way          ready before departure   late, minutes in the mean   cost a night   of it ordinary");
         for (Way way : Way.values()) {
             double[] sum = new double[5];
             for (int seed = 1; seed <= 10; seed++) {
                 weeks(way, seed, sum);
             }
-            System.out.printf(Locale.ROOT, "%-12s %.4f                   %.1f                         %.1f          %.1f%n", way, sum[0] / sum[1],
-                    sum[2] / Math.max(1, sum[1] - sum[0]), sum[3] / NIGHTS / 10, sum[4] / NIGHTS / 10);
+            System.out.printf(
+                    Locale.ROOT,
+                    "%-12s %.4f                   %.1f                         %.1f          %.1f%n",
+                    way,
+                    sum[0] / sum[1],
+                    sum[2] / Math.max(1, sum[1] - sum[0]),
+                    sum[3] / NIGHTS / 10,
+                    sum[4] / NIGHTS / 10);
         }
     }
 
@@ -101,10 +109,22 @@
     }
 
     private static Forecast.Entry entry(int d, int tasks, int departs) {
-        Plan plan = new Plan("p" + d, "d", null, Samples.ANY, Span.seconds(900), Plan.OnHoliday.RUN, List.of(),
+        Plan plan = new Plan(
+                "p" + d,
+                "d",
+                null,
+                Samples.ANY,
+                Span.seconds(900),
+                Plan.OnHoliday.RUN,
+                List.of(),
                 Samples.job(tasks, 20 * 60));
-        return new Forecast.Entry(new Occurrence(plan, new Day(0), Occurrence.Kind.RUNS, departs * 60_000L, tasks, ""), null, null,
-                null, null, "");
+        return new Forecast.Entry(
+                new Occurrence(plan, new Day(0), Occurrence.Kind.RUNS, departs * 60_000L, tasks, ""),
+                null,
+                null,
+                null,
+                null,
+                "");
     }
 
     /** Of each plan its own history: its class is its own. */
@@ -115,20 +135,24 @@
             // One by one for the history, all at once for what they need of each other: the longer of both.
             List<Double> runs = seen.getOrDefault(d, List.of());
             Means alone = Samples.means(SPOT, 0, runs.size() < 2 ? null : history(runs));
-            Forecast.of(List.of(all.get(d)), alone).forEach(e -> byName.put(e.occurrence().name(), e));
+            Forecast.of(List.of(all.get(d)), alone)
+                    .forEach(e -> byName.put(e.occurrence().name(), e));
         }
         Map<String, Forecast.Entry> shared = new HashMap<>();
-        Forecast.of(all, Samples.means(SPOT, 0, null)).forEach(e -> shared.put(e.occurrence().name(), e));
+        Forecast.of(all, Samples.means(SPOT, 0, null))
+                .forEach(e -> shared.put(e.occurrence().name(), e));
         for (Work w : works) {
             Forecast.Entry own = byName.get(w.entry.occurrence().name());
             Forecast.Entry s = shared.get(w.entry.occurrence().name());
             double crowd = s.needed().seconds() / s.alone().seconds();
-            w.entry = new Forecast.Entry(own.occurrence(), own.needed().times(crowd), own.alone(), own.unlimited(), null, "");
+            w.entry = new Forecast.Entry(
+                    own.occurrence(), own.needed().times(crowd), own.alone(), own.unlimited(), null, "");
         }
     }
 
     private static Means.Runs history(List<Double> runs) {
-        double[] sorted = runs.stream().mapToDouble(Double::doubleValue).sorted().toArray();
+        double[] sorted =
+                runs.stream().mapToDouble(Double::doubleValue).sorted().toArray();
         Means.Runs flat = Samples.runs(Arrays.stream(sorted).average().orElseThrow(), 0);
         return new Means.Runs() {
             @Override
--- a/src/test/java/io/indigoreach/core/calendar/OnceTest.java
+++ b/src/test/java/io/indigoreach/core/calendar/OnceTest.java
@@ -29,7 +29,8 @@
         long revision;
 
         boolean commit(Change change) {
-            if (change.conditions().entrySet().stream().anyMatch(e -> !read(e.getKey()).stamp().equals(e.getValue()))) {
+            if (change.conditions().entrySet().stream()
+                    .anyMatch(e -> !read(e.getKey()).stamp().equals(e.getValue()))) {
                 return false;
             }
             revision++;
@@ -55,8 +56,13 @@
                 } else {
                     Change change = ((Step.Write<R>) step).change();
                     boolean done = commit(change);
-                    seen = new Seen(1, 0, Map.of(), false, done ? new Stamp(revision) : null, done ? List.of()
-                            : List.copyOf(change.conditions().keySet()));
+                    seen = new Seen(
+                            1,
+                            0,
+                            Map.of(),
+                            false,
+                            done ? new Stamp(revision) : null,
+                            done ? List.of() : List.copyOf(change.conditions().keySet()));
                 }
             }
             return null;
@@ -64,8 +70,7 @@
     }
 
     /** An acceptance on its way: it may arrive late, or twice. */
-    private record Submission(JobId id, String plan, Change change) {
-    }
+    private record Submission(JobId id, String plan, Change change) {}
 
     private static final int PLANS = 6;
     private static final Day DAY = Day.of(2027, 3, 1);
@@ -79,8 +84,11 @@
         Store store = new Store();
         Map<JobId, String> jobs = new LinkedHashMap<>();
         List<Submission> under = new ArrayList<>();
-        Register register = Register.EMPTY.forPlans(java.util.stream.IntStream.range(0, PLANS).mapToObj(i ->
-                Samples.plan("p" + i, "d", null, Samples.ANY, Plan.OnHoliday.RUN)).toList(), 0);
+        Register register = Register.EMPTY.forPlans(
+                java.util.stream.IntStream.range(0, PLANS)
+                        .mapToObj(i -> Samples.plan("p" + i, "d", null, Samples.ANY, Plan.OnHoliday.RUN))
+                        .toList(),
+                0);
         jobs.put(register.entries().get("p0").id(DAY, 0), "a user's");
         long[] departs = new long[PLANS];
         java.util.Arrays.fill(departs, 1000);
@@ -90,17 +98,28 @@
             if (random.nextInt(100) == 0 && now < 900) {
                 departs[n] = 950 + random.nextInt(100);
             }
-            Occurrence o = new Occurrence(Samples.plan(plan, "d", null, Samples.ANY, Plan.OnHoliday.RUN), DAY, Occurrence.Kind.RUNS,
-                    departs[n], 8, "");
-            Choice choice = new Choice(new Forecast.Entry(o, Span.ZERO, Span.ZERO, Span.ZERO, null, ""), 1, register.entries().get(plan));
+            Occurrence o = new Occurrence(
+                    Samples.plan(plan, "d", null, Samples.ANY, Plan.OnHoliday.RUN),
+                    DAY,
+                    Occurrence.Kind.RUNS,
+                    departs[n],
+                    8,
+                    "");
+            Choice choice = new Choice(
+                    new Forecast.Entry(o, Span.ZERO, Span.ZERO, Span.ZERO, null, ""),
+                    1,
+                    register.entries().get(plan));
             long at = now;
             if (now > 850 || random.nextInt(3) == 0) {
                 DayPage seen = store.run(PageChange.reading(DAY, plan), 9);
-                boolean taken = seen.mark(plan) != null && "a user's".equals(jobs.get(seen.mark(plan).id()));
-                store.run(new PageChange(DAY, plan, page -> {
-                    Mark mark = choice.mark(page.mark(plan), taken, at);
-                    return mark == null ? List.of() : List.of(mark);
-                }), 1 + random.nextInt(6));
+                boolean taken = seen.mark(plan) != null
+                        && "a user's".equals(jobs.get(seen.mark(plan).id()));
+                store.run(
+                        new PageChange(DAY, plan, page -> {
+                            Mark mark = choice.mark(page.mark(plan), taken, at);
+                            return mark == null ? List.of() : List.of(mark);
+                        }),
+                        1 + random.nextInt(6));
             }
             DayPage page = store.run(PageChange.reading(DAY, plan), 9);
             Mark mark = page.mark(plan);
@@ -109,7 +128,8 @@
                 under.add(new Submission(mark.id(), plan, change));
             }
             if (!under.isEmpty() && random.nextInt(3) == 0) {
-                Submission s = random.nextInt(2) == 0 ? under.get(random.nextInt(under.size()))
+                Submission s = random.nextInt(2) == 0
+                        ? under.get(random.nextInt(under.size()))
                         : under.remove(random.nextInt(under.size()));
                 if (!jobs.containsKey(s.id) && store.commit(marked ? s.change : new Change())) {
                     jobs.put(s.id, s.plan);
@@ -120,8 +140,10 @@
             String plan = "p" + n;
             Mark mark = store.run(PageChange.reading(DAY, plan), 9).mark(plan);
             long count = jobs.values().stream().filter(plan::equals).count();
-            boolean right = mark != null && (mark.state() == Mark.State.ACCEPTED ? count == 1 && plan.equals(jobs.get(mark.id()))
-                    : mark.state() == Mark.State.MISSED && count == 0);
+            boolean right = mark != null
+                    && (mark.state() == Mark.State.ACCEPTED
+                            ? count == 1 && plan.equals(jobs.get(mark.id()))
+                            : mark.state() == Mark.State.MISSED && count == 0);
             if (!right) {
                 return plan + ": " + mark + ", " + count + " jobs";
             }
@@ -152,11 +174,13 @@
             String one = "a".repeat(15_000);
             String two = "b".repeat(20_000);
             Head base = store.run(new Reading(null), 9).head();
-            // The one ends after some of its steps, the other made from the same version does all of its own in between.
+            // The one ends after some of its steps, the other made from the same version does all of its own in
+            // between.
             Publishing first = new Publishing(base, "1", one, 1, "");
             Boolean done = store.run(first, steps);
             boolean second = store.run(new Publishing(base, "2", two, 2, ""), 9);
-            boolean wasIn = Boolean.TRUE.equals(done) || store.run(new Reading("1"), 9).version().digest().equals("1");
+            boolean wasIn = Boolean.TRUE.equals(done)
+                    || store.run(new Reading("1"), 9).version().digest().equals("1");
             assertEquals(!wasIn, second, "after " + steps);
             Reading.Found found = store.run(new Reading(null), 9);
             assertEquals(second ? two : one, found.text());
@@ -168,7 +192,8 @@
     void anOldVersionStaysKnownAndNumbersGoOn() {
         Store store = new Store();
         for (int n = 1; n <= 50; n++) {
-            assertTrue(store.run(new Publishing(store.run(new Reading(null), 9).head(), "d" + n, "text " + n, n, "why"), 9));
+            assertTrue(store.run(
+                    new Publishing(store.run(new Reading(null), 9).head(), "d" + n, "text " + n, n, "why"), 9));
         }
         assertEquals("text 20", store.run(new Reading(null, 20), 9).text());
         assertNull(store.run(new Reading(null, 5), 9).version());
@@ -182,6 +207,8 @@
         DayPage written = store.run(new PageChange(DAY.plus(DayPage.RING), "p", page -> List.of(mark)), 9);
         assertEquals(mark, written.mark("p"));
         assertNull(store.run(new PageChange(DAY, "p", page -> List.of(mark)), 9), "not known, so not free");
-        assertFalse(store.run(PageChange.reading(DAY.plus(2 * DayPage.RING), "p"), 9).marks().contains(mark));
+        assertFalse(store.run(PageChange.reading(DAY.plus(2 * DayPage.RING), "p"), 9)
+                .marks()
+                .contains(mark));
     }
 }
--- a/src/test/java/io/indigoreach/core/calendar/Samples.java
+++ b/src/test/java/io/indigoreach/core/calendar/Samples.java
@@ -16,34 +16,71 @@
 final class Samples {
     static final Zones ZONES = new JavaZones();
     static final Plan.Days ANY = new Plan.Days(List.of(), List.of(), List.of());
-    static final MachineType TYPE = new MachineType("quad", new Demand(4, 0, 16), 100, 0.5, 1, 0.3, Span.seconds(60), List.of("a"));
+    static final MachineType TYPE =
+            new MachineType("quad", new Demand(4, 0, 16), 100, 0.5, 1, 0.3, Span.seconds(60), List.of("a"));
 
-    private Samples() {
-    }
+    private Samples() {}
 
     static JobSpec job(int tasks, double runS) {
-        return new JobSpec(new JobId("run-0"), "tours", "t", Shape.ARRAY, Urgency.HIGH, tasks, new Demand(1, 0, 1), "image", 10,
-                null, null, false, false, true, Span.seconds(runS), Span.ZERO, Span.ZERO, null);
+        return new JobSpec(
+                new JobId("run-0"),
+                "tours",
+                "t",
+                Shape.ARRAY,
+                Urgency.HIGH,
+                tasks,
+                new Demand(1, 0, 1),
+                "image",
+                10,
+                null,
+                null,
+                false,
+                false,
+                true,
+                Span.seconds(runS),
+                Span.ZERO,
+                Span.ZERO,
+                null);
     }
 
-    static Plan plan(String name, String depot, String at, Plan.Days days, Plan.OnHoliday onHoliday, Plan.Boost... boosts) {
-        return new Plan(name, depot, at == null ? null : TimeOfDay.parse(at), days, Span.seconds(900), onHoliday, List.of(boosts),
+    static Plan plan(
+            String name, String depot, String at, Plan.Days days, Plan.OnHoliday onHoliday, Plan.Boost... boosts) {
+        return new Plan(
+                name,
+                depot,
+                at == null ? null : TimeOfDay.parse(at),
+                days,
+                Span.seconds(900),
+                onHoliday,
+                List.of(boosts),
                 job(8, 100));
     }
 
     static Depot depot(String name, String zone, String region, String at, Depot.Exceptional... exceptions) {
-        return new Depot(name, zone, region, at == null ? List.of()
-                : List.of(new Depot.Weekly(List.of(1, 2, 3, 4, 5, 6, 7), TimeOfDay.parse(at))), List.of(exceptions));
+        return new Depot(
+                name,
+                zone,
+                region,
+                at == null ? List.of() : List.of(new Depot.Weekly(List.of(1, 2, 3, 4, 5, 6, 7), TimeOfDay.parse(at))),
+                List.of(exceptions));
     }
 
     static Region region(String name, int year, String... days) {
-        return new Region(name, List.of(year), java.util.Arrays.stream(days)
-                .map(d -> new Region.Holiday(Day.parse(d), "feast")).toList());
+        return new Region(
+                name,
+                List.of(year),
+                java.util.Arrays.stream(days)
+                        .map(d -> new Region.Holiday(Day.parse(d), "feast"))
+                        .toList());
     }
 
     static Season season(String name, String... fromTo) {
-        return new Season(name, java.util.Arrays.stream(fromTo).map(s -> s.split(" "))
-                .map(s -> new Season.Dates(Day.parse(s[0]), Day.parse(s[1]))).toList());
+        return new Season(
+                name,
+                java.util.Arrays.stream(fromTo)
+                        .map(s -> s.split(" "))
+                        .map(s -> new Season.Dates(Day.parse(s[0]), Day.parse(s[1])))
+                        .toList());
     }
 
     static Calendar calendar(List<Region> regions, List<Season> seasons, List<Depot> depots, Plan... plans) {
--- a/src/test/java/io/indigoreach/core/duty/IntentsTest.java
+++ b/src/test/java/io/indigoreach/core/duty/IntentsTest.java
@@ -24,7 +24,9 @@
 
     /** A guard that a run can do without, to see that it then breaks its rule. */
     enum Without {
-        RECORD, SETTLING, CONDEMNATION
+        RECORD,
+        SETTLING,
+        CONDEMNATION
     }
 
     @Test
@@ -35,7 +37,9 @@
         Intents.Page page = intents.page();
         intents.add(new Intents.Rent("t5-2", POOL, 50, 0));
         intents.recorded(page);
-        assertTrue(intents.mayAsk("t5-1") && !intents.mayAsk("t5-2"), "what came while the record was written is not in it");
+        assertTrue(
+                intents.mayAsk("t5-1") && !intents.mayAsk("t5-2"),
+                "what came while the record was written is not in it");
         assertTrue(intents.isUnrecorded());
         intents.settled("t5-1");
         assertFalse(intents.mayAsk("t5-1"), "a settled name is not asked for again");
@@ -100,8 +104,13 @@
         List<String> play() {
             for (int step = 0; step < 600; step++) {
                 switch (random.nextInt(8)) {
-                    case 0 -> intents.add(new Intents.Rent("t" + leader + "-" + ++requests, POOL, 1 + random.nextInt(3), 0));
-                    case 1 -> known.stream().filter(id -> !useless.contains(id)).findAny().ifPresent(this::giveUp);
+                    case 0 ->
+                        intents.add(new Intents.Rent("t" + leader + "-" + ++requests, POOL, 1 + random.nextInt(3), 0));
+                    case 1 ->
+                        known.stream()
+                                .filter(id -> !useless.contains(id))
+                                .findAny()
+                                .ifPresent(this::giveUp);
                     case 2 -> write();
                     case 3, 4 -> ask();
                     case 5 -> giveBack();
@@ -123,7 +132,9 @@
                 giveBack();
                 write();
             }
-            there.stream().filter(id -> !known.contains(id)).forEach(id -> broken.add(id + " is paid for and not known"));
+            there.stream()
+                    .filter(id -> !known.contains(id))
+                    .forEach(id -> broken.add(id + " is paid for and not known"));
             return broken;
         }
 
@@ -141,7 +152,9 @@
         }
 
         private void ask() {
-            intents.page().rents().stream().filter(r -> without == Without.RECORD || intents.mayAsk(r.name())).findAny()
+            intents.page().rents().stream()
+                    .filter(r -> without == Without.RECORD || intents.mayAsk(r.name()))
+                    .findAny()
                     .ifPresent(r -> {
                         if (named.putIfAbsent(r.name(), r.count()) != null && named.get(r.name()) != r.count()) {
                             broken.add(r.name() + " is used twice");
@@ -159,7 +172,9 @@
                         } else {
                             executed.run();
                             if (random.nextInt(3) > 0) {
-                                rented.get(r.name()).stream().filter(there::contains).forEach(known::add);
+                                rented.get(r.name()).stream()
+                                        .filter(there::contains)
+                                        .forEach(known::add);
                                 intents.settled(r.name());
                             }
                         }
@@ -183,7 +198,8 @@
         }
 
         private void use() {
-            known.stream().filter(id -> !useless.contains(id) && asked.contains(id) && there.contains(id))
+            known.stream()
+                    .filter(id -> !useless.contains(id) && asked.contains(id) && there.contains(id))
                     .forEach(id -> broken.add(id + " is used though its return was asked for"));
         }
 
--- a/src/test/java/io/indigoreach/core/loss/LeaderMemoryTest.java
+++ b/src/test/java/io/indigoreach/core/loss/LeaderMemoryTest.java
@@ -19,8 +19,25 @@
     private static final JobId OVER = new JobId("run-2");
 
     private static Remains remains() {
-        JobSpec spec = new JobSpec(OPEN, "c", "t", Shape.ARRAY, Urgency.STANDARD, 2, new Demand(1, 0, 1), "i", 1, null, null, false,
-                false, true, Span.seconds(9), Span.ZERO, Span.ZERO, null);
+        JobSpec spec = new JobSpec(
+                OPEN,
+                "c",
+                "t",
+                Shape.ARRAY,
+                Urgency.STANDARD,
+                2,
+                new Demand(1, 0, 1),
+                "i",
+                1,
+                null,
+                null,
+                false,
+                false,
+                true,
+                Span.seconds(9),
+                Span.ZERO,
+                Span.ZERO,
+                null);
         Remains r = new Remains();
         r.add(new Remains.Open(spec, 1, new BitSet(), 2));
         r.add(OVER, new Remains.Over(JobStatus.DONE, 1));
--- a/src/test/java/io/indigoreach/core/loss/LossTablesTest.java
+++ b/src/test/java/io/indigoreach/core/loss/LossTablesTest.java
@@ -24,9 +24,29 @@
 class LossTablesTest {
     /** Steps: e5 an era confirmed, r9<3 a revision after one that was known, c9<3 a counter, g a record gone, t5 told. */
     @ParameterizedTest
-    @CsvSource({"e0, false", "e5, false", "e5 e5, false", "e5 e0, true", "e5 e3, true", "e5 e0 e6, false", "e5 e0 e5, true",
-        "r9<9, false", "r9<10, false", "r9<3, true", "c9<9, false", "c9<3, true", "c0<0, false", "g, true", "e5 g e6, false",
-        "t5, false", "e5 t5, true", "e5 t4, false", "e5 t0, false", "e5 e0 e6 t5, false", "e5 e0 e6 e0, true"})
+    @CsvSource({
+        "e0, false",
+        "e5, false",
+        "e5 e5, false",
+        "e5 e0, true",
+        "e5 e3, true",
+        "e5 e0 e6, false",
+        "e5 e0 e5, true",
+        "r9<9, false",
+        "r9<10, false",
+        "r9<3, true",
+        "c9<9, false",
+        "c9<3, true",
+        "c0<0, false",
+        "g, true",
+        "e5 g e6, false",
+        "t5, false",
+        "e5 t5, true",
+        "e5 t4, false",
+        "e5 t0, false",
+        "e5 e0 e6 t5, false",
+        "e5 e0 e6 e0, true"
+    })
     void holding(String steps, boolean holding) {
         LossJudge judge = new LossJudge();
         for (String step : steps.split(" ")) {
@@ -48,9 +68,29 @@
         for (char c : done.toCharArray()) {
             bits.set(c - '0');
         }
-        return new Remains.Open(new JobSpec(new JobId("run-" + id), "c", "t", Shape.ARRAY, Urgency.STANDARD, 8,
-                new Demand(1, 0, 1), "img", 0, null, null, false, false, true, Span.seconds(5), Span.ZERO, Span.ZERO, null),
-                100 + id, bits, bound);
+        return new Remains.Open(
+                new JobSpec(
+                        new JobId("run-" + id),
+                        "c",
+                        "t",
+                        Shape.ARRAY,
+                        Urgency.STANDARD,
+                        8,
+                        new Demand(1, 0, 1),
+                        "img",
+                        0,
+                        null,
+                        null,
+                        false,
+                        false,
+                        true,
+                        Span.seconds(5),
+                        Span.ZERO,
+                        Span.ZERO,
+                        null),
+                100 + id,
+                bits,
+                bound);
     }
 
     /** In whatever order copies are heard: over wins, done tasks are joined, the larger bound holds. */
@@ -69,14 +109,26 @@
         Collections.shuffle(copies, new Random(seed));
         Remains all = new Remains();
         copies.forEach(all::add);
-        assertEquals(List.of("run-2"), all.over().keySet().stream().map(JobId::text).toList());
-        assertEquals(List.of("run-1 {0, 1, 3} 5", "run-3 {0} 1"), all.open().stream()
-                .map(j -> j.spec().id() + " " + j.done() + " " + j.bound()).sorted().toList());
+        assertEquals(
+                List.of("run-2"), all.over().keySet().stream().map(JobId::text).toList());
+        assertEquals(
+                List.of("run-1 {0, 1, 3} 5", "run-3 {0} 1"),
+                all.open().stream()
+                        .map(j -> j.spec().id() + " " + j.done() + " " + j.bound())
+                        .sorted()
+                        .toList());
     }
 
     /** What is still there is written only if it says less than what is remembered, and never loses what it says. */
     @ParameterizedTest
-    @CsvSource({"01, 2, 01, 2, ", "0, 2, 01, 2, ", "0, 2, 01, 5, ", "01, 2, 0, 2, 01 2", "0, 5, 0, 2, 0 5", "1, 5, 0, 7, 01 7"})
+    @CsvSource({
+        "01, 2, 01, 2, ",
+        "0, 2, 01, 2, ",
+        "0, 2, 01, 5, ",
+        "01, 2, 0, 2, 01 2",
+        "0, 5, 0, 2, 0 5",
+        "1, 5, 0, 7, 01 7"
+    })
     void whatIsStillThereIsJoined(String remembered, int bound, String kept, int keptBound, String written) {
         Remains.Open merged = Remains.merged(open(1, remembered, bound), open(1, kept, keptBound));
         if (written == null) {
--- a/src/test/java/io/indigoreach/core/loss/SalvageTest.java
+++ b/src/test/java/io/indigoreach/core/loss/SalvageTest.java
@@ -16,19 +16,37 @@
 /** What is written in place of a record that cannot be read; "?" is what it does not say either, "-" what nobody has. */
 class SalvageTest {
     private static final JobId ID = new JobId("run-1");
-    private static final JobSpec SPEC = new JobSpec(ID, "c", "t", Shape.ARRAY, Urgency.STANDARD, 8, new Demand(1, 0, 1), "img", 0,
-            null, null, false, false, true, Span.seconds(5), Span.ZERO, Span.ZERO, null);
+    private static final JobSpec SPEC = new JobSpec(
+            ID,
+            "c",
+            "t",
+            Shape.ARRAY,
+            Urgency.STANDARD,
+            8,
+            new Demand(1, 0, 1),
+            "img",
+            0,
+            null,
+            null,
+            false,
+            false,
+            true,
+            Span.seconds(5),
+            Span.ZERO,
+            Span.ZERO,
+            null);
 
     private static Salvage.Rest rest(String status, String done) {
-        return new Salvage.Rest(status.equals("?") ? null : JobStatus.valueOf(status), done.equals("?") ? null : Long.valueOf(done),
+        return new Salvage.Rest(
+                status.equals("?") ? null : JobStatus.valueOf(status),
+                done.equals("?") ? null : Long.valueOf(done),
                 60L);
     }
 
     private static Remains memory(String remembered) {
         Remains memory = new Remains();
         switch (remembered) {
-            case "-" -> {
-            }
+            case "-" -> {}
             case "open" -> {
                 BitSet two = new BitSet();
                 two.set(3, 5);
@@ -41,21 +59,52 @@
 
     /** Of the record of an open job: its status and count, what is remembered, whether its user submits it again. */
     @ParameterizedTest
-    @CsvSource({"RUNNING, 3, open, false, open 2", "RUNNING, 3, -, true, open 0", "?, ?, -, true, open 0", "?, ?, open, false, open 2",
-        "?, ?, -, false, nothing", "PENDING, 0, -, false, nothing", "?, ?, DONE, true, DONE", "RUNNING, 3, CANCELLED, true, CANCELLED",
-        "DONE, 8, -, false, DONE", "DONE, ?, -, true, DONE", "DONE, 8, open, true, DONE", "?, 8, -, true, DONE", "?, 8, open, false, DONE",
-        "?, 7, open, true, open 2", "?, 8, -, false, nothing", "RUNNING, 8, -, true, open 0"})
+    @CsvSource({
+        "RUNNING, 3, open, false, open 2",
+        "RUNNING, 3, -, true, open 0",
+        "?, ?, -, true, open 0",
+        "?, ?, open, false, open 2",
+        "?, ?, -, false, nothing",
+        "PENDING, 0, -, false, nothing",
+        "?, ?, DONE, true, DONE",
+        "RUNNING, 3, CANCELLED, true, CANCELLED",
+        "DONE, 8, -, false, DONE",
+        "DONE, ?, -, true, DONE",
+        "DONE, 8, open, true, DONE",
+        "?, 8, -, true, DONE",
+        "?, 8, open, false, DONE",
+        "?, 7, open, true, open 2",
+        "?, 8, -, false, nothing",
+        "RUNNING, 8, -, true, open 0"
+    })
     void ofAnOpenJob(String status, String done, String remembered, boolean offered, String written) {
         Remains out = Salvage.open(ID, rest(status, done), memory(remembered), offered ? SPEC : null, 500);
-        assertEquals(written, out.isEmpty() ? "nothing" : out.over().isEmpty() ? "open " + out.open().iterator().next().done()
-                .cardinality() : out.over().get(ID).status().name());
-        out.open().forEach(job -> assertEquals("60 8", job.submittedMs() + " " + job.bound(), "its place in the queue; all may run"));
+        assertEquals(
+                written,
+                out.isEmpty()
+                        ? "nothing"
+                        : out.over().isEmpty()
+                                ? "open " + out.open().iterator().next().done().cardinality()
+                                : out.over().get(ID).status().name());
+        out.open()
+                .forEach(job -> assertEquals(
+                        "60 8", job.submittedMs() + " " + job.bound(), "its place in the queue; all may run"));
     }
 
     @ParameterizedTest
-    @CsvSource({"DONE, ?, -, false, DONE", "CANCELLED, ?, -, true, CANCELLED", "?, ?, DONE, false, DONE", "?, ?, CANCELLED, true, CANCELLED",
-        "?, ?, open, true, nothing", "?, 8, -, true, DONE", "?, 3, -, true, CANCELLED", "?, 8, open, false, DONE", "?, 8, -, false, nothing",
-        "PENDING, 3, -, true, CANCELLED", "DONE, 8, CANCELLED, false, CANCELLED"})
+    @CsvSource({
+        "DONE, ?, -, false, DONE",
+        "CANCELLED, ?, -, true, CANCELLED",
+        "?, ?, DONE, false, DONE",
+        "?, ?, CANCELLED, true, CANCELLED",
+        "?, ?, open, true, nothing",
+        "?, 8, -, true, DONE",
+        "?, 3, -, true, CANCELLED",
+        "?, 8, open, false, DONE",
+        "?, 8, -, false, nothing",
+        "PENDING, 3, -, true, CANCELLED",
+        "DONE, 8, CANCELLED, false, CANCELLED"
+    })
     void ofAJobThatIsOver(String status, String done, String remembered, boolean offered, String written) {
         Remains.Over end = Salvage.end(ID, rest(status, done), memory(remembered), offered ? SPEC : null);
         assertEquals(written, end == null ? "nothing" : end.status().name());
--- a/src/test/java/io/indigoreach/core/ownership/OwnershipTest.java
+++ b/src/test/java/io/indigoreach/core/ownership/OwnershipTest.java
@@ -51,12 +51,16 @@
             if (step instanceof Step.Read<R> read) {
                 read.keys().forEach(k -> found.put(k, store.getOrDefault(k, Kept.absent(k))));
             } else if (step instanceof Step.Scan<R> scan) {
-                store.values().stream().filter(k -> k.key().startsWith(scan.prefix())
-                        && (scan.after() == null || k.key().compareTo(scan.after()) > 0)).limit(scan.most()).forEach(k -> found.put(
-                                k.key(), k));
+                store.values().stream()
+                        .filter(k -> k.key().startsWith(scan.prefix())
+                                && (scan.after() == null || k.key().compareTo(scan.after()) > 0))
+                        .limit(scan.most())
+                        .forEach(k -> found.put(k.key(), k));
             } else {
                 Change change = ((Step.Write<R>) step).change();
-                change.conditions().forEach((k, s) -> assertEquals(s, store.getOrDefault(k, Kept.absent(k)).stamp()));
+                change.conditions()
+                        .forEach((k, s) -> assertEquals(
+                                s, store.getOrDefault(k, Kept.absent(k)).stamp()));
                 Stamp stamp = new Stamp(++revision);
                 change.writes().forEach((k, v) -> store.put(k, new Kept(k, v, stamp)));
                 changes += change.writes().size();
@@ -65,7 +69,12 @@
                 seen = new Seen(era, now, Map.of(), false, stamp, List.of());
                 continue;
             }
-            seen = new Seen(era, now, found, found.size() > 0 && step instanceof Step.Scan<R> s && found.size() == s.most(), null,
+            seen = new Seen(
+                    era,
+                    now,
+                    found,
+                    found.size() > 0 && step instanceof Step.Scan<R> s && found.size() == s.most(),
+                    null,
                     List.of());
         }
         throw new AssertionError("it does not end");
@@ -135,19 +144,26 @@
         assertFalse(run(Edit.release(registry, MOST, "e1", ids("a/1"))).isDone(), "begun");
         assertTrue(billed("e1", "", 1, "a/1", second).isDone());
         assertTrue(billed("e1", "", 1, "a/1", second).isDone(), "a repeat");
-        assertEquals(Entry.State.BILLED, billing("e1", "", 2, "a/1").done().get(new RecordId("a/1")).state());
-        assertFalse(run(Edit.resolve(registry, MOST, Entry.State.DOUBT, "anna: why", ids("a/1"))).isDone(), "final");
+        assertEquals(
+                Entry.State.BILLED,
+                billing("e1", "", 2, "a/1").done().get(new RecordId("a/1")).state());
+        assertFalse(
+                run(Edit.resolve(registry, MOST, Entry.State.DOUBT, "anna: why", ids("a/1")))
+                        .isDone(),
+                "final");
     }
 
     @Test
     void aPersonPutsInDoubtFirst() {
         run(take("e1", true, "a/1", "a/2"));
         long begun = fence(billing("e1", "", 0, "a/1"), "a/1");
-        assertFalse(run(Edit.resolve(registry, MOST, Entry.State.FREE, "anna: gone", ids("a/1"))).isDone());
+        assertFalse(run(Edit.resolve(registry, MOST, Entry.State.FREE, "anna: gone", ids("a/1")))
+                .isDone());
         Outcome doubt = run(Edit.resolve(registry, MOST, Entry.State.DOUBT, "anna: gone", ids("a/1")));
         assertTrue(fence(doubt, "a/1") > begun);
         assertFalse(billing("e1", "", 1, "a/1").isDone(), "nobody goes on");
-        assertTrue(run(Edit.resolve(registry, MOST, Entry.State.FREE, "anna: not in the books", ids("a/1", "a/2"))).isDone());
+        assertTrue(run(Edit.resolve(registry, MOST, Entry.State.FREE, "anna: not in the books", ids("a/1", "a/2")))
+                .isDone());
         assertTrue(run(take("e2", true, "a/1", "a/2")).isDone());
         assertTrue(fence(billing("e2", "", 0, "a/1"), "a/1") > fence(doubt, "a/1"));
     }
@@ -164,16 +180,22 @@
         assertTrue(billing("run-1", "1", 9, "a/3").isDone());
         assertFalse(billing("run-1", "0", 9, "a/2").isDone(), "another task's");
         run(Edit.release(registry, MOST, "e1", ids("a/1")));
-        assertTrue(run(new Grant(registry, MOST, "run-1", wants, new BitSet(), false)).held().isEmpty());
+        assertTrue(run(new Grant(registry, MOST, "run-1", wants, new BitSet(), false))
+                .held()
+                .isEmpty());
         assertTrue(billing("run-1", "0", 9, "a/1").isDone());
-        assertEquals(List.of("a/3 is billing by run-1/1 since 1800000000"),
-                run(new Grant(registry, MOST, "run-2", new JobRecords(ids("a/3"), 1), new BitSet(), true)).against());
+        assertEquals(
+                List.of("a/3 is billing by run-1/1 since 1800000000"),
+                run(new Grant(registry, MOST, "run-2", new JobRecords(ids("a/3"), 1), new BitSet(), true))
+                        .against());
     }
 
     @Test
     void aJobThatIsOverGivesBackWhatItHadNotBegun() {
         JobRecords wants = new JobRecords(ids("a/1", "a/2"), 2);
-        run(new Grant(registry, MOST, "run-1", wants, new BitSet(), true)).commit().writes()
+        run(new Grant(registry, MOST, "run-1", wants, new BitSet(), true))
+                .commit()
+                .writes()
                 .forEach((k, v) -> store.put(k, new Kept(k, v, new Stamp(++revision))));
         billing("run-1", "0", 3, "a/1");
         store.put("f/run-1", new Kept("f/run-1", Map.of("n", 1L), new Stamp(++revision)));
@@ -199,7 +221,8 @@
         assertFalse(run(take("e2", true, "c/1")).isDone());
         assertTrue(billing("e1", "", 0, "a/1").isDone(), "the holder goes on");
         run(Edit.resolve(registry, MOST, Entry.State.DOUBT, "anna: lost", ids("b/1")));
-        assertTrue(run(Edit.resolve(registry, MOST, Entry.State.FREE, "anna: not in the books", ids("b/1"))).isDone());
+        assertTrue(run(Edit.resolve(registry, MOST, Entry.State.FREE, "anna: not in the books", ids("b/1")))
+                .isDone());
         assertEquals("free", state("b/1"));
         assertTrue(run(new Beginning(false, "anna: compared")).isDone());
         assertTrue(run(take("e3", true, "b/1", "c/1")).isDone());
@@ -208,28 +231,39 @@
 
     @Test
     void thousandsOfRecordsInOneClaim() {
-        List<RecordId> all = JobRecords.range("KL-0012/farm-", 1, THOUSANDS).stream().sorted(registry.order()).toList();
+        List<RecordId> all = JobRecords.range("KL-0012/farm-", 1, THOUSANDS).stream()
+                .sorted(registry.order())
+                .toList();
         for (int from = 0; from < all.size(); from += 400) {
-            assertTrue(run(new Take(registry, MOST, "e1", all.subList(from, from + 400), from + 400 == all.size())).isDone());
+            assertTrue(run(new Take(registry, MOST, "e1", all.subList(from, from + 400), from + 400 == all.size()))
+                    .isDone());
         }
-        long pages = store.keySet().stream().filter(k -> k.startsWith(Registry.PAGES)).count();
-        long bytes = store.values().stream().mapToLong(k -> k.value().toString().length()).sum();
-        System.err.println(all.size() + " records: " + changes + " changes in " + transactions + " transactions, " + pages + " pages, "
-                + bytes + " bytes");
+        long pages = store.keySet().stream()
+                .filter(k -> k.startsWith(Registry.PAGES))
+                .count();
+        long bytes = store.values().stream()
+                .mapToLong(k -> k.value().toString().length())
+                .sum();
+        System.err.println(all.size() + " records: " + changes + " changes in " + transactions + " transactions, "
+                + pages + " pages, " + bytes + " bytes");
         assertTrue(changes < all.size() / 5, changes + " changes");
         changes = 0;
         run(new Ending("e1"));
         assertEquals(1, changes);
         assertTrue(store.values().stream().allMatch(k -> k.value().toString().length() < 8_000));
-        Grant.Given given = run(new Grant(registry, MOST, "run-7", new JobRecords(all, all.size()), new BitSet(), true));
+        Grant.Given given =
+                run(new Grant(registry, MOST, "run-7", new JobRecords(all, all.size()), new BitSet(), true));
         assertTrue(given.held().isEmpty());
         System.err.println("claimed anew: " + changes + " changes");
     }
 
     @Test
     void aPageIsReadAsItWasWrittenAndHashesStayAsTheyAre() {
-        Page page = Page.EMPTY.with(Map.of("a/1", new Entry(Entry.State.BILLING, 1L << 50, "run-1", "3", 1L << 60, 1_800_000_000_000L),
-                "a/2", new Entry(Entry.State.FREE, 7, "anna: looked, it is not there", "", 0, 5)));
+        Page page = Page.EMPTY.with(Map.of(
+                "a/1",
+                new Entry(Entry.State.BILLING, 1L << 50, "run-1", "3", 1L << 60, 1_800_000_000_000L),
+                "a/2",
+                new Entry(Entry.State.FREE, 7, "anna: looked, it is not there", "", 0, 5)));
         assertEquals(page, Page.read(page.write()));
         // Records are found by it for ever: another hash, or another version of it, would lose them.
         assertEquals(HASH, Hashing.xxh3_64().hashCharsToLong("KL-0012/farm-1"));
--- a/src/test/java/io/indigoreach/core/ownership/RegistryRun.java
+++ b/src/test/java/io/indigoreach/core/ownership/RegistryRun.java
@@ -28,7 +28,13 @@
  */
 final class RegistryRun {
     /** What is left out, to see that it is missed. */
-    enum Fault { NONE, NO_FENCE, NO_FIRST_STEP, MISSING_MEANS_FREE, CLAIM_NOT_RESOLVED }
+    enum Fault {
+        NONE,
+        NO_FENCE,
+        NO_FIRST_STEP,
+        MISSING_MEANS_FREE,
+        CLAIM_NOT_RESOLVED
+    }
 
     private static final int RECORDS = 70;
     private static final int NODES = 3;
@@ -54,6 +60,7 @@
     private final Map<RecordId, Long> fences = new HashMap<>();
     /** Records of which a person or a loss has had a say: whoever was told that they are its own may be told otherwise. */
     private final Set<RecordId> touched = new HashSet<>();
+
     private boolean lost;
     private final List<Actor> actors = new ArrayList<>();
     private final Map<String, JobActor> jobs = new LinkedHashMap<>();
@@ -74,7 +81,7 @@
 
     /** What went wrong; empty: nothing. */
     List<String> run() {
-        new Call<>(new Beginning(true, "test: begun"), o -> { }, () -> breaches.add("not begun")).finish();
+        new Call<>(new Beginning(true, "test: begun"), o -> {}, () -> breaches.add("not begun")).finish();
         actors.add(new Leader());
         actors.add(new Person());
         for (int i = 0; i < 4; i++) {
@@ -122,13 +129,17 @@
         if (!breaches.isEmpty()) {
             return;
         }
-        new Call<>(Edit.show(registries.get(0), records), shown -> shown.forEach((id, s) -> {
-            String line = lines.get(id);
-            boolean said = s.name().indexOf(' ') >= 0;
-            if (!s.state().equals("billed") || line == null || !said && !line.equals(s.name())) {
-                breaches.add(id + " is " + s + ", its line by " + line);
-            }
-        }), () -> breaches.add("the registry cannot be read")).finish();
+        new Call<>(
+                        Edit.show(registries.get(0), records),
+                        shown -> shown.forEach((id, s) -> {
+                            String line = lines.get(id);
+                            boolean said = s.name().indexOf(' ') >= 0;
+                            if (!s.state().equals("billed") || line == null || !said && !line.equals(s.name())) {
+                                breaches.add(id + " is " + s + ", its line by " + line);
+                            }
+                        }),
+                        () -> breaches.add("the registry cannot be read"))
+                .finish();
     }
 
     /** The books. */
@@ -179,11 +190,15 @@
         era = Math.max(era + 1, Registry.baseOf(now) >> 16);
         if (!store.containsKey(Registry.ROOT)) {
             // Nobody remembers it: a person begins anew, with the books at hand.
-            new Call<>(new Beginning(true, "test: begun anew " + era), o -> { }, () -> { }).finish();
+            new Call<>(new Beginning(true, "test: begun anew " + era), o -> {}, () -> {}).finish();
             Registry.Root root = Registry.Root.read(store.get(Registry.ROOT).value());
             if (fault != Fault.MISSING_MEANS_FREE) {
-                store.put(Registry.ROOT, new Kept(Registry.ROOT, new Registry.Root(era - 1, root.base(), root.reason()).write(),
-                        new Stamp(++revision)));
+                store.put(
+                        Registry.ROOT,
+                        new Kept(
+                                Registry.ROOT,
+                                new Registry.Root(era - 1, root.base(), root.reason()).write(),
+                                new Stamp(++revision)));
             }
         }
         actors.forEach(a -> a.call = null);
@@ -231,12 +246,19 @@
                 seen = new Seen(era, now, found, false, null, List.of());
             } else if (step instanceof Step.Scan<R> scan) {
                 Map<String, Kept> found = new LinkedHashMap<>();
-                store.tailMap(scan.after() == null ? scan.prefix() : scan.after(), scan.after() == null).values().stream()
-                        .filter(k -> k.key().startsWith(scan.prefix())).limit(scan.most() + 1)
+                store
+                        .tailMap(scan.after() == null ? scan.prefix() : scan.after(), scan.after() == null)
+                        .values()
+                        .stream()
+                        .filter(k -> k.key().startsWith(scan.prefix()))
+                        .limit(scan.most() + 1)
                         .forEach(k -> found.put(k.key(), k));
                 boolean more = found.size() > scan.most();
                 if (more) {
-                    found.remove(found.keySet().stream().skip(scan.most()).findFirst().orElseThrow());
+                    found.remove(found.keySet().stream()
+                            .skip(scan.most())
+                            .findFirst()
+                            .orElseThrow());
                 }
                 seen = new Seen(era, now, found, more, null, List.of());
             } else {
@@ -271,7 +293,8 @@
                     }
                 });
             }
-            seen = refused.isEmpty() ? new Seen(era, now, Map.of(), false, new Stamp(revision), List.of())
+            seen = refused.isEmpty()
+                    ? new Seen(era, now, Map.of(), false, new Stamp(revision), List.of())
                     : new Seen(era, now, Map.of(), false, null, refused);
             return false;
         }
@@ -281,9 +304,13 @@
     private Kept shown(Kept k, Routine<?> reader) {
         if (fault == Fault.MISSING_MEANS_FREE && k.key().equals(Registry.ROOT) && k.isThere()) {
             Registry.Root root = Registry.Root.read(k.value());
-            return new Kept(k.key(), new Registry.Root(Long.MAX_VALUE >> 20, root.base(), root.reason()).write(), k.stamp());
+            return new Kept(
+                    k.key(), new Registry.Root(Long.MAX_VALUE >> 20, root.base(), root.reason()).write(), k.stamp());
         }
-        if (fault == Fault.CLAIM_NOT_RESOLVED && reader instanceof Edit && k.key().startsWith(Registry.CLAIMS) && k.isThere()
+        if (fault == Fault.CLAIM_NOT_RESOLVED
+                && reader instanceof Edit
+                && k.key().startsWith(Registry.CLAIMS)
+                && k.isThere()
                 && Claim.read(k.value()).state() == Claim.State.OPEN) {
             Map<String, Object> value = new LinkedHashMap<>(k.value());
             value.put("s", (long) Claim.State.HELD.ordinal());
@@ -297,8 +324,11 @@
             return List.of("era");
         }
         List<String> refused = change.conditions().entrySet().stream()
-                .filter(c -> !store.getOrDefault(c.getKey(), Kept.absent(c.getKey())).stamp().equals(c.getValue()))
-                .map(Map.Entry::getKey).toList();
+                .filter(c -> !store.getOrDefault(c.getKey(), Kept.absent(c.getKey()))
+                        .stamp()
+                        .equals(c.getValue()))
+                .map(Map.Entry::getKey)
+                .toList();
         if (refused.isEmpty()) {
             revision++;
             change.writes().forEach((key, value) -> {
@@ -308,8 +338,9 @@
                     store.put(key, new Kept(key, value, new Stamp(revision)));
                 }
             });
-            if (change.writes().size() > MOST || change.writes().values().stream().anyMatch(v -> v != null
-                    && v.toString().length() > 8_000)) {
+            if (change.writes().size() > MOST
+                    || change.writes().values().stream()
+                            .anyMatch(v -> v != null && v.toString().length() > 8_000)) {
                 breaches.add("too large a transaction");
             }
         }
@@ -501,7 +532,9 @@
                 } else {
                     ask(new Grant(registry, MOST, name, wants, new BitSet(), true), g -> {
                         if (g.never().isEmpty()) {
-                            Change change = new Change().and(g.commit()).when("j/" + name, Stamp.ABSENT)
+                            Change change = new Change()
+                                    .and(g.commit())
+                                    .when("j/" + name, Stamp.ABSENT)
                                     .put("j/" + name, Map.of("n", 1L));
                             if (!calm && random.nextInt(10) == 0) {
                                 long in = era;
@@ -518,8 +551,12 @@
             }
             if (done.cardinality() == wants.tasks() || random.nextInt(calm ? 300 : 150) == 0) {
                 over = true;
-                commit(new Change().when("j/" + name, store.get("j/" + name).stamp()).delete("j/" + name)
-                        .put("f/" + name, Map.of("n", 1L)), era);
+                commit(
+                        new Change()
+                                .when("j/" + name, store.get("j/" + name).stamp())
+                                .delete("j/" + name)
+                                .put("f/" + name, Map.of("n", 1L)),
+                        era);
                 return;
             }
             int task = random.nextInt(wants.tasks());
@@ -577,9 +614,10 @@
 
         @Override
         void act() {
-            List<JobActor> open = jobs.values().stream().filter(j -> j.accepted && !j.over).toList();
+            List<JobActor> open =
+                    jobs.values().stream().filter(j -> j.accepted && !j.over).toList();
             if (open.isEmpty() || random.nextBoolean()) {
-                ask(tidy.round(), wait -> { });
+                ask(tidy.round(), wait -> {});
             } else {
                 JobActor job = open.get(random.nextInt(open.size()));
                 ask(new Grant(registry, 5, job.name, job.wants, job.done, false), g -> {
@@ -599,20 +637,26 @@
                 records.forEach(id -> fences.merge(id, era << 16, Math::max));
                 afterLoss(0);
             } else {
-                ask(Edit.show(registry, records), shown -> shown.entrySet().stream().filter(e -> isAbandoned(e.getValue()))
-                        .findAny().ifPresent(e -> resolve(e.getKey(), e.getValue())));
+                ask(
+                        Edit.show(registry, records),
+                        shown -> shown.entrySet().stream()
+                                .filter(e -> isAbandoned(e.getValue()))
+                                .findAny()
+                                .ifPresent(e -> resolve(e.getKey(), e.getValue())));
             }
         }
 
         /** Every line that the registry does not know any more is entered there, then it is vouched for. */
         private void afterLoss(int from) {
             ask(Edit.show(registry, records), shown -> {
-                var missing = shown.entrySet().stream().filter(e -> lines.containsKey(e.getKey())
-                        && !e.getValue().state().equals("billed")).findFirst();
+                var missing = shown.entrySet().stream()
+                        .filter(e -> lines.containsKey(e.getKey())
+                                && !e.getValue().state().equals("billed"))
+                        .findFirst();
                 if (missing.isPresent()) {
                     resolve(missing.get().getKey(), missing.get().getValue());
                 } else {
-                    ask(new Beginning(false, "anna: compared with the books " + era), o -> { });
+                    ask(new Beginning(false, "anna: compared with the books " + era), o -> {});
                 }
             });
         }
@@ -620,21 +664,35 @@
         /** By a job that is over, or by a run that nobody continues. */
         private boolean isAbandoned(Shown s) {
             String holder = s.name().split("/")[0];
-            boolean begun = s.state().equals("billing") || s.state().equals("in doubt") || s.state().equals("claimed");
-            return begun && (s.name().indexOf(' ') >= 0 || (holder.startsWith("run-") ? jobs.get(holder).over && !s.state().equals(
-                    "claimed") : actors.stream().noneMatch(a -> a instanceof Export x && holder.equals(x.name) && !x.dead)));
+            boolean begun = s.state().equals("billing")
+                    || s.state().equals("in doubt")
+                    || s.state().equals("claimed");
+            return begun
+                    && (s.name().indexOf(' ') >= 0
+                            || (holder.startsWith("run-")
+                                    ? jobs.get(holder).over && !s.state().equals("claimed")
+                                    : actors.stream()
+                                            .noneMatch(
+                                                    a -> a instanceof Export x && holder.equals(x.name) && !x.dead)));
         }
 
         private void resolve(RecordId id, Shown s) {
             touched.add(id);
             boolean mine = s.state().equals("in doubt") && s.name().indexOf(' ') >= 0;
             if (!mine) {
-                ask(Edit.resolve(registry, MOST, Entry.State.DOUBT, "anna: nobody goes on", List.of(id)), o -> o.done()
-                        .forEach((r, e) -> fences.merge(r, e.fence(), Math::max)));
+                ask(
+                        Edit.resolve(registry, MOST, Entry.State.DOUBT, "anna: nobody goes on", List.of(id)),
+                        o -> o.done().forEach((r, e) -> fences.merge(r, e.fence(), Math::max)));
             } else {
                 fences.merge(id, s.fence(), Math::max);
-                ask(Edit.resolve(registry, MOST, lines.containsKey(id) ? Entry.State.BILLED : Entry.State.FREE,
-                        "anna: compared with the books", List.of(id)), o -> { });
+                ask(
+                        Edit.resolve(
+                                registry,
+                                MOST,
+                                lines.containsKey(id) ? Entry.State.BILLED : Entry.State.FREE,
+                                "anna: compared with the books",
+                                List.of(id)),
+                        o -> {});
             }
         }
     }
--- a/src/test/java/io/indigoreach/core/ownership/RegistryRunTest.java
+++ b/src/test/java/io/indigoreach/core/ownership/RegistryRunTest.java
@@ -31,7 +31,10 @@
     @EnumSource(value = RegistryRun.Fault.class, mode = EnumSource.Mode.EXCLUDE, names = "NONE")
     void whatIsLeftOutIsMissed(RegistryRun.Fault fault) {
         int seed = 0;
-        while (seed < PLANTED && new RegistryRun(seed, fault, fault == RegistryRun.Fault.MISSING_MEANS_FREE).run().isEmpty()) {
+        while (seed < PLANTED
+                && new RegistryRun(seed, fault, fault == RegistryRun.Fault.MISSING_MEANS_FREE)
+                        .run()
+                        .isEmpty()) {
             seed++;
         }
         assertTrue(seed < PLANTED, "not found in " + PLANTED + " runs");
--- a/src/test/java/io/indigoreach/core/warm/CacheTest.java
+++ b/src/test/java/io/indigoreach/core/warm/CacheTest.java
@@ -99,8 +99,17 @@
     }
 
     @ParameterizedTest
-    @CsvSource({"480, 540, 470, 10", "480, 540, 500, 0", "480, 540, 540, 1380", "1380, 60, 30, 0", "1380, 60, 60, 1320", "5, 5, 900, 0"})
+    @CsvSource({
+        "480, 540, 470, 10",
+        "480, 540, 500, 0",
+        "480, 540, 540, 1380",
+        "1380, 60, 30, 0",
+        "1380, 60, 60, 1320",
+        "5, 5, 900, 0"
+    })
     void windowsGoOverMidnight(int from, int to, int atMinute, int minutes) {
-        assertEquals(minutes * 60_000L, new Window(from, to, 1).untilOpen(atMinute * 60_000L).ms());
+        assertEquals(
+                minutes * 60_000L,
+                new Window(from, to, 1).untilOpen(atMinute * 60_000L).ms());
     }
 }
--- a/src/test/java/io/indigoreach/emulator/AskedJobs.java
+++ b/src/test/java/io/indigoreach/emulator/AskedJobs.java
@@ -48,7 +48,9 @@
     }
 
     void callers() {
-        nodes = cluster.emulator.nodes().stream().map(c -> new Caller(cluster.vertx, c.listen(), 8)).toList();
+        nodes = cluster.emulator.nodes().stream()
+                .map(c -> new Caller(cluster.vertx, c.listen(), 8))
+                .toList();
     }
 
     Reply submit(int node, JobSpec spec) throws Exception {
@@ -66,7 +68,8 @@
     void jobs() throws Exception {
         for (int n = 1; n <= JOBS; n++) {
             JobSpec spec = LocalCluster.job(n, 2, n == 1 ? 0.2 : 300);
-            LocalCluster.await(cluster.emulator.upload(new DepotCodec.Upload(spec, new Depot.Conduct(spec.estimate(), 0.1, false))));
+            LocalCluster.await(cluster.emulator.upload(
+                    new DepotCodec.Upload(spec, new Depot.Conduct(spec.estimate(), 0.1, false))));
             submit(n % nodes.size(), spec);
             expected.put(spec.id().text(), OPEN);
         }
@@ -79,8 +82,8 @@
     }
 
     static Reply ask(Caller node, String job) throws Exception {
-        return LocalCluster.await(node.get(JobCodec.JOBS + "/" + job, Span.seconds(2))
-                .otherwise(new Reply(0, new Fields(Map.of()))));
+        return LocalCluster.await(
+                node.get(JobCodec.JOBS + "/" + job, Span.seconds(2)).otherwise(new Reply(0, new Fields(Map.of()))));
     }
 
     static String told(Reply r) {
@@ -113,7 +116,11 @@
     }
 
     void until(double s) throws Exception {
-        long ms = cluster.emulator.startedAt().plus(Span.seconds(s)).since(cluster.clock.now()).ms();
+        long ms = cluster.emulator
+                .startedAt()
+                .plus(Span.seconds(s))
+                .since(cluster.clock.now())
+                .ms();
         if (ms > 0) {
             LocalCluster.await(cluster.vertx.timer(ms, TimeUnit.MILLISECONDS));
         }
@@ -121,7 +128,9 @@
 
     void awaitReady(Caller node, int status, double latestS) throws Exception {
         while (LocalCluster.await(node.get(JobCodec.READY, Span.seconds(2))).status() != status) {
-            assertTrue(cluster.clock.now().isBefore(cluster.emulator.startedAt().plus(Span.seconds(latestS))), "not yet " + status);
+            assertTrue(
+                    cluster.clock.now().isBefore(cluster.emulator.startedAt().plus(Span.seconds(latestS))),
+                    "not yet " + status);
             LocalCluster.await(cluster.vertx.timer(100, TimeUnit.MILLISECONDS));
         }
     }
@@ -129,8 +138,10 @@
     /** Passes the leadership on until this node has it; in vain after some tries. */
     void makeLeader(int node) throws Exception {
         for (int tries = 0; tries < 8 && leader() != node; tries++) {
-            LocalCluster.await(state.get(RecordCodec.LEADER).compose(key -> state.commit(new StateClient.Txn()
-                    .when(RecordCodec.LEADER, key.stamp()).delete(RecordCodec.LEADER))));
+            LocalCluster.await(state.get(RecordCodec.LEADER)
+                    .compose(key -> state.commit(new StateClient.Txn()
+                            .when(RecordCodec.LEADER, key.stamp())
+                            .delete(RecordCodec.LEADER))));
             LocalCluster.await(cluster.vertx.timer(500, TimeUnit.MILLISECONDS));
         }
     }
--- a/src/test/java/io/indigoreach/emulator/CalendarClusterTest.java
+++ b/src/test/java/io/indigoreach/emulator/CalendarClusterTest.java
@@ -53,17 +53,30 @@
     private static final long HOUR = 3_600_000;
     /** In the second run the state service is away as well, for as long as seven hours of the calendar. */
     private static final String OUTAGE = "fault { kind: outage at_s: 7 for_s: 5 to: \"state\" }";
+
     private static final JavaZones ZONES = new JavaZones();
 
     private static Calendar calendar(int hoursOn) {
         List<Plan> plans = new ArrayList<>();
         for (int i = 0; i < 8; i++) {
-            plans.add(new Plan("plan-" + i, i % 2 == 0 ? "kochi" : "rosenheim", new TimeOfDay((i * 3 + hoursOn) % 24 * 60),
-                    new Plan.Days(List.of(), List.of(), List.of()), Span.seconds(30 * 3600), Plan.OnHoliday.RUN, List.of(),
+            plans.add(new Plan(
+                    "plan-" + i,
+                    i % 2 == 0 ? "kochi" : "rosenheim",
+                    new TimeOfDay((i * 3 + hoursOn) % 24 * 60),
+                    new Plan.Days(List.of(), List.of(), List.of()),
+                    Span.seconds(30 * 3600),
+                    Plan.OnHoliday.RUN,
+                    List.of(),
                     LocalCluster.job(0, 2, 0.2)));
         }
-        return new Calendar(0, List.of(), List.of(), List.of(new Depot("kochi", "Asia/Kolkata", "", List.of(), List.of()),
-                new Depot("rosenheim", "Europe/Berlin", "", List.of(), List.of())), plans);
+        return new Calendar(
+                0,
+                List.of(),
+                List.of(),
+                List.of(
+                        new Depot("kochi", "Asia/Kolkata", "", List.of(), List.of()),
+                        new Depot("rosenheim", "Europe/Berlin", "", List.of(), List.of())),
+                plans);
     }
 
     private static String packed(Calendar calendar) {
@@ -74,9 +87,11 @@
     private static Map<JobId, Occurrence> wanted(Calendar calendar, long since) {
         Map<JobId, Occurrence> out = new HashMap<>();
         Register register = Register.EMPTY.forPlans(calendar.plans(), since);
-        new Occurrences(calendar, ZONES).between(Day.of(2027, 3, 26), Day.of(2027, 3, 29)).stream()
-                .filter(o -> o.departs() >= BEGIN + 22 * HOUR && o.departs() < BEGIN + 45 * HOUR)
-                .forEach(o -> out.put(register.entries().get(o.plan().name()).id(o.day(), 0), o));
+        new Occurrences(calendar, ZONES)
+                .between(Day.of(2027, 3, 26), Day.of(2027, 3, 29)).stream()
+                        .filter(o -> o.departs() >= BEGIN + 22 * HOUR && o.departs() < BEGIN + 45 * HOUR)
+                        .forEach(o ->
+                                out.put(register.entries().get(o.plan().name()).id(o.day(), 0), o));
         return out;
     }
 
@@ -85,8 +100,10 @@
         Caller caller = new Caller(cluster.vertx, listen, 1);
         for (int tries = 0; ; tries++) {
             try {
-                Reply r = LocalCluster.await(body == null ? caller.get("/api/calendar/outlook?days=2", Span.seconds(5))
-                        : caller.post("/api/calendar", body, Span.seconds(5)));
+                Reply r = LocalCluster.await(
+                        body == null
+                                ? caller.get("/api/calendar/outlook?days=2", Span.seconds(5))
+                                : caller.post("/api/calendar", body, Span.seconds(5)));
                 if (r.status() != 503 || tries > 200) {
                     return r;
                 }
@@ -105,13 +122,15 @@
         Set<String> there = new HashSet<>();
         for (Event e : cluster.history.events()) {
             if (e instanceof Event.Committed c) {
-                c.txn().writes().stream().filter(w -> w.key().startsWith(RecordCodec.OPEN)).forEach(w -> {
-                    if (w.isDelete()) {
-                        there.remove(w.key());
-                    } else if (there.add(w.key())) {
-                        times.merge(RecordCodec.jobOf(w.key()), 1, Integer::sum);
-                    }
-                });
+                c.txn().writes().stream()
+                        .filter(w -> w.key().startsWith(RecordCodec.OPEN))
+                        .forEach(w -> {
+                            if (w.isDelete()) {
+                                there.remove(w.key());
+                            } else if (there.add(w.key())) {
+                                times.merge(RecordCodec.jobOf(w.key()), 1, Integer::sum);
+                            }
+                        });
             }
         }
         return times;
@@ -123,8 +142,8 @@
         SplittableRandom random = new SplittableRandom(seed);
         long zero = System.nanoTime();
         LongSupplier fast = () -> BEGIN + (System.nanoTime() - zero) / 1_000_000 * FASTER;
-        List<Parts.Kind> kinds = List.of(new Parts.Kind(Settings.Knob.CALENDAR, CalendarPart.FAMILIES,
-                g -> new CalendarPart(g, fast)));
+        List<Parts.Kind> kinds =
+                List.of(new Parts.Kind(Settings.Knob.CALENDAR, CalendarPart.FAMILIES, g -> new CalendarPart(g, fast)));
         Calendar calendar = calendar(0);
         Map<JobId, Occurrence> wanted = wanted(calendar, BEGIN);
         assertTrue(wanted.size() >= 6, wanted.size() + " occurrences");
@@ -132,13 +151,17 @@
             for (Map.Entry<JobId, Occurrence> e : wanted.entrySet()) {
                 Mark mark = new Mark(e.getValue().plan().name(), Mark.State.CHOSEN, e.getKey(), 1, 0, 0, 0, 2, "");
                 JobSpec spec = Choice.job(e.getValue(), mark, 0);
-                LocalCluster.await(cluster.emulator.upload(new DepotCodec.Upload(spec, new Conduct(spec.estimate(), 0.1, false))));
+                LocalCluster.await(
+                        cluster.emulator.upload(new DepotCodec.Upload(spec, new Conduct(spec.estimate(), 0.1, false))));
             }
             List<PlatformConfig> configs = cluster.emulator.nodes();
             for (PlatformConfig c : configs) {
                 cluster.start(c, kinds);
             }
-            assertEquals(200, ask(cluster, 0, Wire.map("base", 0, "text", packed(calendar), "note", "first")).status());
+            assertEquals(
+                    200,
+                    ask(cluster, 0, Wire.map("base", 0, "text", packed(calendar), "note", "first"))
+                            .status());
             // Two edits made from the same version, at two nodes: the second is told what stands against it.
             Reply one = ask(cluster, 1, Wire.map("base", 0, "text", packed(calendar(1)), "note", "other"));
             assertEquals(409, one.status());
@@ -147,17 +170,31 @@
             int started = 3;
             for (int end = 0; end < 3; end++) {
                 int most = 2 + end * 3;
-                cluster.awaitEvents(e -> e instanceof Event.Committed c && c.txn().writes().stream().anyMatch(w -> !w.isDelete()
-                        && w.key().startsWith(RecordCodec.OPEN) && RecordCodec.readJob(RecordCodec.jobOf(w.key()),
-                        new Fields(w.value()), io.indigoreach.core.Stamp.ABSENT).status() == io.indigoreach.core.JobStatus.PENDING), most);
+                cluster.awaitEvents(
+                        e -> e instanceof Event.Committed c
+                                && c.txn().writes().stream()
+                                        .anyMatch(w -> !w.isDelete()
+                                                && w.key().startsWith(RecordCodec.OPEN)
+                                                && RecordCodec.readJob(
+                                                                        RecordCodec.jobOf(w.key()),
+                                                                        new Fields(w.value()),
+                                                                        io.indigoreach.core.Stamp.ABSENT)
+                                                                .status()
+                                                        == io.indigoreach.core.JobStatus.PENDING),
+                        most);
                 int node = random.nextInt(3);
                 cluster.stop(running[node]);
                 cluster.start(configs.get(node), kinds);
                 running[node] = started++;
             }
-            cluster.awaitEvents(e -> e instanceof Event.Committed c && c.txn().writes().stream().anyMatch(w -> !w.isDelete()
-                    && w.key().startsWith(RecordCodec.FINAL) && wanted.containsKey(new JobId(w.key().substring(
-                    RecordCodec.FINAL.length())))), wanted.size());
+            cluster.awaitEvents(
+                    e -> e instanceof Event.Committed c
+                            && c.txn().writes().stream()
+                                    .anyMatch(w -> !w.isDelete()
+                                            && w.key().startsWith(RecordCodec.FINAL)
+                                            && wanted.containsKey(
+                                                    new JobId(w.key().substring(RecordCodec.FINAL.length())))),
+                    wanted.size());
             Map<JobId, Integer> accepted = accepted(cluster);
             accepted.forEach((id, times) -> assertEquals(1, times, id + " was accepted more than once"));
             wanted.forEach((id, o) -> assertTrue(accepted.containsKey(id), o.name()));
--- a/src/test/java/io/indigoreach/emulator/CutOffTest.java
+++ b/src/test/java/io/indigoreach/emulator/CutOffTest.java
@@ -11,9 +11,9 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.parallel.Isolated;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
-import org.junit.jupiter.api.parallel.Isolated;
 
 /** Alone in its time: a node that is starved of the processor doubts itself first, and says nothing of the others. */
 @Isolated
@@ -32,18 +32,23 @@
             for (int a = 0; a < controllers; a++) {
                 for (int b = 0; b < controllers; b++) {
                     if (a != b && (a == 0 || b == 0 || who.equals("all"))) {
-                        faults.append("fault { kind: hold at_s: 10 for_s: 15 from: 'node-" + a + "' to: 'node-" + b + "' }\n");
+                        faults.append("fault { kind: hold at_s: 10 for_s: 15 from: 'node-" + a + "' to: 'node-" + b
+                                + "' }\n");
                     }
                 }
             }
-            faults.append(who.equals("all") ? "fault { kind: outage at_s: 10 for_s: 15 to: 'state' }"
-                    : "fault { kind: refuse at_s: 10 for_s: 15 from: 'node-0' to: 'state' }");
+            faults.append(
+                    who.equals("all")
+                            ? "fault { kind: outage at_s: 10 for_s: 15 to: 'state' }"
+                            : "fault { kind: refuse at_s: 10 for_s: 15 from: 'node-0' to: 'state' }");
             open(controllers, faults.toString());
             jobs();
             // node-0 is the one that is cut off: the leadership is passed on until it leads, or does not.
             for (int tries = 0; !who.equals("all") && tries < 4 && (leader() == 0) != who.equals("leader"); tries++) {
-                LocalCluster.await(state.get(RecordCodec.LEADER).compose(key -> state.commit(new StateClient.Txn()
-                        .when(RecordCodec.LEADER, key.stamp()).delete(RecordCodec.LEADER))));
+                LocalCluster.await(state.get(RecordCodec.LEADER)
+                        .compose(key -> state.commit(new StateClient.Txn()
+                                .when(RecordCodec.LEADER, key.stamp())
+                                .delete(RecordCodec.LEADER))));
                 LocalCluster.await(cluster.vertx.timer(500, TimeUnit.MILLISECONDS));
             }
             until(10);
@@ -52,8 +57,12 @@
             awaitReady(cut, controllers > 1 ? 503 : 200, 24);
             Reply sentOn = LocalCluster.await(cut.post(WorkerCodec.REPORT, Map.of(), Span.seconds(2)));
             assertEquals(421, sentOn.status());
-            assertEquals(Map.of(), sentOn.body().map().entrySet().stream().filter(e -> e.getValue() != null)
-                    .collect(java.util.stream.Collectors.toMap(Map.Entry::getKey, Map.Entry::getValue)), "no name that may be wrong");
+            assertEquals(
+                    Map.of(),
+                    sentOn.body().map().entrySet().stream()
+                            .filter(e -> e.getValue() != null)
+                            .collect(java.util.stream.Collectors.toMap(Map.Entry::getKey, Map.Entry::getValue)),
+                    "no name that may be wrong");
             assertEquals(503, ask(cut, "run-5").status());
             if (!who.equals("all")) {
                 allAreAnswered(nodes.subList(1, controllers));
--- a/src/test/java/io/indigoreach/emulator/HandoverDayTest.java
+++ b/src/test/java/io/indigoreach/emulator/HandoverDayTest.java
@@ -33,12 +33,14 @@
 class HandoverDayTest extends AskedJobs {
     /** A leader of 4.5 s goes on for as long; it may have no news of cancellations for 8 s and more, so its lease decides. */
     private static final double CANCEL_S = 16;
+
     private static final double CUT_S = 12;
     /** Longer than a cancelled job's tasks may stay: they are not gone because the cut is over. */
     private static final double CUT_FOR_S = 20;
 
     /** Of each node, which of all the processes started is its last one. */
     private final int[] last = new int[3];
+
     private int started;
 
     @AfterEach
@@ -77,7 +79,8 @@
     }
 
     private static boolean takesLeadership(Event e, String but) {
-        return e instanceof Event.Committed c && !c.node().equals(but)
+        return e instanceof Event.Committed c
+                && !c.node().equals(but)
                 && c.txn().writes().stream().anyMatch(w -> w.key().equals(RecordCodec.LEADER) && !w.isDelete());
     }
 
@@ -93,10 +96,11 @@
      */
     @Test
     void aLeaderThatIsCutOffWhileJobsAreCancelledOnTheOtherSide() throws Exception {
-        StringBuilder faults = new StringBuilder("fault { kind: refuse at_s: " + CUT_S + " for_s: " + CUT_FOR_S
-                + " from: 'node-0' to: 'state' }\n");
+        StringBuilder faults = new StringBuilder(
+                "fault { kind: refuse at_s: " + CUT_S + " for_s: " + CUT_FOR_S + " from: 'node-0' to: 'state' }\n");
         for (int other = 1; other < 3; other++) {
-            for (String way : List.of("from: 'node-0' to: 'node-" + other + "'", "from: 'node-" + other + "' to: 'node-0'")) {
+            for (String way :
+                    List.of("from: 'node-0' to: 'node-" + other + "'", "from: 'node-" + other + "' to: 'node-0'")) {
                 faults.append("fault { kind: hold at_s: " + CUT_S + " for_s: " + CUT_FOR_S + " " + way + " }\n");
             }
         }
@@ -122,7 +126,9 @@
             for (int n = 1; n <= 5; n++) {
                 boolean known = cancelled.get(n - 1).isComplete();
                 String told = told(ask(nodes.get(0), "run-" + n));
-                assertTrue(told == null || told.equals("cancelled") || !known, "run-" + n + " is cancelled and is told to be " + told);
+                assertTrue(
+                        told == null || told.equals("cancelled") || !known,
+                        "run-" + n + " is cancelled and is told to be " + told);
             }
             LocalCluster.await(cluster.vertx.timer(100, TimeUnit.MILLISECONDS));
         }
@@ -166,7 +172,8 @@
         begin(other);
         done.add(cluster.run(LocalCluster.job(6, 4, 5), 0));
         awaitLeader();
-        cluster.awaitEvents(e -> e instanceof Event.Running r && r.task().job().text().equals("run-6"), 2);
+        cluster.awaitEvents(
+                e -> e instanceof Event.Running r && r.task().job().text().equals("run-6"), 2);
         for (int n = 0; n < 3; n++) {
             end(n);
         }
@@ -181,7 +188,9 @@
             assertEquals(JobStatus.CANCELLED, LocalCluster.await(job).status());
         }
         until(9 + 4 * 4 + CANCEL_S + 1);
-        long taken = cluster.history.events().stream().filter(e -> takesLeadership(e, "")).count();
+        long taken = cluster.history.events().stream()
+                .filter(e -> takesLeadership(e, ""))
+                .count();
         assertTrue(taken >= 4, "leadership was taken " + taken + " times");
         assertEquals(List.of(), cluster.breaches());
     }
--- a/src/test/java/io/indigoreach/emulator/LocalCluster.java
+++ b/src/test/java/io/indigoreach/emulator/LocalCluster.java
@@ -127,7 +127,12 @@
 
     Users users() {
         if (users == null) {
-            users = new Users(vertx, clock, emulator.gate(), new SplittableRandom(3), history,
+            users = new Users(
+                    vertx,
+                    clock,
+                    emulator.gate(),
+                    new SplittableRandom(3),
+                    history,
                     emulator.nodes().stream().map(PlatformConfig::node).toList(),
                     emulator.nodes().stream().map(PlatformConfig::listen).toList());
         }
@@ -139,8 +144,24 @@
     }
 
     static JobSpec job(int n, int tasks, double runS, UnaryOperator<JobSpec> change) {
-        return change.apply(new JobSpec(new JobId("run-" + n), "c", "t", Shape.ARRAY, Urgency.STANDARD, tasks,
-                new Demand(1, 0, 1), "image", 0.5, null, null, false, false, true, Span.seconds(runS), Span.ZERO, Span.ZERO,
+        return change.apply(new JobSpec(
+                new JobId("run-" + n),
+                "c",
+                "t",
+                Shape.ARRAY,
+                Urgency.STANDARD,
+                tasks,
+                new Demand(1, 0, 1),
+                "image",
+                0.5,
+                null,
+                null,
+                false,
+                false,
+                true,
+                Span.seconds(runS),
+                Span.ZERO,
+                Span.ZERO,
                 null));
     }
 
@@ -148,8 +169,9 @@
     Future<Users.Mine> run(JobSpec spec, double cancelAfterS) {
         Promise<Users.Mine> over = Promise.promise();
         emulator.upload(new DepotCodec.Upload(spec, new Depot.Conduct(spec.estimate(), 0.1, false)))
-                .onSuccess(v -> vertx.runOnContext(c -> users().run(spec, cancelAfterS <= 0 ? null
-                        : Span.seconds(cancelAfterS), Span.seconds(0.5)).onComplete(over)));
+                .onSuccess(v -> vertx.runOnContext(
+                        c -> users().run(spec, cancelAfterS <= 0 ? null : Span.seconds(cancelAfterS), Span.seconds(0.5))
+                                .onComplete(over)));
         return over.future();
     }
 
@@ -167,14 +189,31 @@
 
     List<Breach> breaches() {
         Deployment d = scenario.deployment();
-        return Checker.check(history, emulator.startedAt(), Span.seconds(d.workers().cancelS()),
+        return Checker.check(
+                history,
+                emulator.startedAt(),
+                Span.seconds(d.workers().cancelS()),
                 d.team().stream().map(Deployment.Team::rules).toList());
     }
 
     /** The same settings with other addresses: where it listens for users and workers, and of its state service. */
     static PlatformConfig with(PlatformConfig c, Endpoint listen, Endpoint state) {
-        return new PlatformConfig(c.node(), c.zone(), listen, c.peerListen(), c.peers(), c.cloud(), state, c.zones(),
-                c.clockOff(), c.teams(), c.objectives(), c.rules(), c.stateLimits(), c.cloudLimits(), c.maxConnections());
+        return new PlatformConfig(
+                c.node(),
+                c.zone(),
+                listen,
+                c.peerListen(),
+                c.peers(),
+                c.cloud(),
+                state,
+                c.zones(),
+                c.clockOff(),
+                c.teams(),
+                c.objectives(),
+                c.rules(),
+                c.stateLimits(),
+                c.cloudLimits(),
+                c.maxConnections());
     }
 
     @Override
--- a/src/test/java/io/indigoreach/emulator/LossTest.java
+++ b/src/test/java/io/indigoreach/emulator/LossTest.java
@@ -65,16 +65,26 @@
             }
             assertEquals(JobStatus.DONE, LocalCluster.await(later).status());
             // The users of what was over before come again: they are told what they were told.
-            assertEquals(JobStatus.DONE, LocalCluster.await(cluster.run(LocalCluster.job(1, 2, 0.5), 0)).status());
-            assertEquals(JobStatus.CANCELLED, LocalCluster.await(cluster.run(LocalCluster.job(2, 2, 30), 0)).status());
+            assertEquals(
+                    JobStatus.DONE,
+                    LocalCluster.await(cluster.run(LocalCluster.job(1, 2, 0.5), 0))
+                            .status());
+            assertEquals(
+                    JobStatus.CANCELLED,
+                    LocalCluster.await(cluster.run(LocalCluster.job(2, 2, 30), 0))
+                            .status());
             assertEquals(List.of(), cluster.breaches());
-            List<Long> tokens = cluster.history.events().stream().filter(e -> e instanceof Event.Committed)
+            List<Long> tokens = cluster.history.events().stream()
+                    .filter(e -> e instanceof Event.Committed)
                     .flatMap(e -> ((Event.Committed) e).txn().writes().stream())
-                    .filter(w -> w.key().equals(RecordCodec.LEADER) && !w.isDelete()).map(w -> RecordCodec.token(w.value()))
+                    .filter(w -> w.key().equals(RecordCodec.LEADER) && !w.isDelete())
+                    .map(w -> RecordCodec.token(w.value()))
                     .toList();
             assertEquals(tokens.stream().sorted().distinct().toList(), tokens, "each token is above all before");
-            List<String> attempts = cluster.history.events().stream().filter(e -> e instanceof Event.Started)
-                    .map(e -> ((Event.Started) e).attempt().toString()).toList();
+            List<String> attempts = cluster.history.events().stream()
+                    .filter(e -> e instanceof Event.Started)
+                    .map(e -> ((Event.Started) e).attempt().toString())
+                    .toList();
             assertEquals(new HashSet<>(attempts).size(), attempts.size(), "no attempt is used twice");
             assertTrue(attempts.size() <= 60, attempts.size() + " starts of 38 tasks");
         }
@@ -82,7 +92,8 @@
 
     private static void lose(LocalCluster cluster, String prefix) throws Exception {
         PlatformConfig any = cluster.emulator.nodes().get(0);
-        StateClient state = new StateClient(new Caller(cluster.vertx, any.state(), 1), new Caller(cluster.vertx, any.state(), 1));
+        StateClient state =
+                new StateClient(new Caller(cluster.vertx, any.state(), 1), new Caller(cluster.vertx, any.state(), 1));
         // What changes between reading and deleting is read again, the transaction being conditional.
         for (int tries = 0; tries < 200; tries++) {
             StateClient.Page page = LocalCluster.await(state.list(prefix, null, 12));
--- a/src/test/java/io/indigoreach/emulator/OneWayDayTest.java
+++ b/src/test/java/io/indigoreach/emulator/OneWayDayTest.java
@@ -29,7 +29,10 @@
             assertEquals(JobStatus.DONE, LocalCluster.await(job).status());
             assertEquals(JobStatus.DONE, LocalCluster.await(second).status());
             cluster.stop(0);
-            assertEquals(JobStatus.DONE, LocalCluster.await(cluster.run(LocalCluster.job(3, 8, 1), 0)).status());
+            assertEquals(
+                    JobStatus.DONE,
+                    LocalCluster.await(cluster.run(LocalCluster.job(3, 8, 1), 0))
+                            .status());
             assertEquals(0, cluster.breaches().size(), cluster.breaches()::toString);
         }
     }
--- a/src/test/java/io/indigoreach/emulator/PlantedTest.java
+++ b/src/test/java/io/indigoreach/emulator/PlantedTest.java
@@ -44,7 +44,11 @@
 class PlantedTest {
     /** What is planted; NOTHING passes everything on through the same proxies. */
     enum Planted {
-        NOTHING, DOUBLE_WRITE, UNCONDITIONAL_LEADERSHIP, TOKEN_REUSED, START_AFTER_REAP
+        NOTHING,
+        DOUBLE_WRITE,
+        UNCONDITIONAL_LEADERSHIP,
+        TOKEN_REUSED,
+        START_AFTER_REAP
     }
 
     /** Passes on requests and answers, changed. */
@@ -53,24 +57,45 @@
         private final UnaryOperator<Map<String, Object>> transactions;
         private final UnaryOperator<Reply> reports;
 
-        Proxy(Vertx vertx, Endpoint target, UnaryOperator<Map<String, Object>> transactions, UnaryOperator<Reply> reports) {
+        Proxy(
+                Vertx vertx,
+                Endpoint target,
+                UnaryOperator<Map<String, Object>> transactions,
+                UnaryOperator<Reply> reports) {
             this.target = new Caller(vertx, target, 200);
             this.transactions = transactions;
             this.reports = reports;
         }
 
         Future<Integer> listen(Vertx vertx, int port) {
-            return vertx.createHttpServer().requestHandler(r -> Body.gather(r, body -> {
-                Map<String, Object> sent = body.length() == 0 ? null : Wire.readMap(body).map();
-                Future<Reply> answer = r.method() == HttpMethod.GET ? target.get(r.uri(), Span.seconds(70))
-                        : r.method() == HttpMethod.DELETE ? target.delete(r.uri(), Span.seconds(5))
-                        : target.post(r.uri(), r.path().equals(StateCodec.TXN) ? transactions.apply(sent)
-                                : sent == null ? Map.of() : sent, Span.seconds(5));
-                answer.onSuccess(a -> {
-                    Reply told = r.path().equals(WorkerCodec.REPORT) ? reports.apply(a) : a;
-                    r.response().setStatusCode(told.status()).end(Wire.write(told.body().map()));
-                }).onFailure(e -> r.connection().close());
-            }, () -> r.connection().close())).listen(port, "127.0.0.1").map(s -> s.actualPort());
+            return vertx.createHttpServer()
+                    .requestHandler(r -> Body.gather(
+                            r,
+                            body -> {
+                                Map<String, Object> sent = body.length() == 0
+                                        ? null
+                                        : Wire.readMap(body).map();
+                                Future<Reply> answer = r.method() == HttpMethod.GET
+                                        ? target.get(r.uri(), Span.seconds(70))
+                                        : r.method() == HttpMethod.DELETE
+                                                ? target.delete(r.uri(), Span.seconds(5))
+                                                : target.post(
+                                                        r.uri(),
+                                                        r.path().equals(StateCodec.TXN)
+                                                                ? transactions.apply(sent)
+                                                                : sent == null ? Map.of() : sent,
+                                                        Span.seconds(5));
+                                answer.onSuccess(a -> {
+                                            Reply told = r.path().equals(WorkerCodec.REPORT) ? reports.apply(a) : a;
+                                            r.response()
+                                                    .setStatusCode(told.status())
+                                                    .end(Wire.write(told.body().map()));
+                                        })
+                                        .onFailure(e -> r.connection().close());
+                            },
+                            () -> r.connection().close()))
+                    .listen(port, "127.0.0.1")
+                    .map(s -> s.actualPort());
         }
     }
 
@@ -119,27 +144,40 @@
     }
 
     @ParameterizedTest
-    @CsvSource({"NOTHING,", "DOUBLE_WRITE, BLIND_WRITE", "UNCONDITIONAL_LEADERSHIP, BLIND_WRITE",
-        "TOKEN_REUSED, TOKEN_REUSED", "START_AFTER_REAP, START_AFTER_REAP"})
+    @CsvSource({
+        "NOTHING,",
+        "DOUBLE_WRITE, BLIND_WRITE",
+        "UNCONDITIONAL_LEADERSHIP, BLIND_WRITE",
+        "TOKEN_REUSED, TOKEN_REUSED",
+        "START_AFTER_REAP, START_AFTER_REAP"
+    })
     void areFound(Planted planted, Rule rule) throws Exception {
         try (LocalCluster cluster = new LocalCluster(2, "")) {
             AtomicReference<Token> first = new AtomicReference<>();
             for (PlatformConfig c : cluster.emulator.nodes()) {
-                Proxy state = new Proxy(cluster.vertx, c.state(), switch (planted) {
-                    case DOUBLE_WRITE -> without(k -> k.startsWith(RecordCodec.OPEN));
-                    case UNCONDITIONAL_LEADERSHIP -> without(k -> k.equals(RecordCodec.LEADER));
-                    default -> UnaryOperator.identity();
-                }, UnaryOperator.identity());
+                Proxy state = new Proxy(
+                        cluster.vertx,
+                        c.state(),
+                        switch (planted) {
+                            case DOUBLE_WRITE -> without(k -> k.startsWith(RecordCodec.OPEN));
+                            case UNCONDITIONAL_LEADERSHIP -> without(k -> k.equals(RecordCodec.LEADER));
+                            default -> UnaryOperator.identity();
+                        },
+                        UnaryOperator.identity());
                 int statePort = LocalCluster.await(state.listen(cluster.vertx, 0));
-                int real = cluster.start(LocalCluster.with(c, new Endpoint("127.0.0.1", 0),
-                        new Endpoint("127.0.0.1", statePort)));
-                Proxy front = new Proxy(cluster.vertx, new Endpoint("127.0.0.1", real), UnaryOperator.identity(),
+                int real = cluster.start(
+                        LocalCluster.with(c, new Endpoint("127.0.0.1", 0), new Endpoint("127.0.0.1", statePort)));
+                Proxy front = new Proxy(
+                        cluster.vertx,
+                        new Endpoint("127.0.0.1", real),
+                        UnaryOperator.identity(),
                         switch (planted) {
                             // Whoever leads, first or second, acts under the first token.
-                            case TOKEN_REUSED -> answers(a -> {
-                                first.compareAndSet(null, a.token());
-                                return new WorkerCodec.Answer(first.get(), a.orders());
-                            });
+                            case TOKEN_REUSED ->
+                                answers(a -> {
+                                    first.compareAndSet(null, a.token());
+                                    return new WorkerCodec.Answer(first.get(), a.orders());
+                                });
                             case START_AFTER_REAP -> answers(PlantedTest::startAgain);
                             default -> UnaryOperator.identity();
                         });
@@ -167,8 +205,11 @@
 
     /** The leader's lease is ended, so that the other node leads; whichever it was. */
     private static void changeLeader(LocalCluster cluster) throws Exception {
-        String leads = cluster.history.events().stream().filter(e -> e instanceof Event.TokenSeen)
-                .map(e -> ((Event.TokenSeen) e).node()).findFirst().orElseThrow();
+        String leads = cluster.history.events().stream()
+                .filter(e -> e instanceof Event.TokenSeen)
+                .map(e -> ((Event.TokenSeen) e).node())
+                .findFirst()
+                .orElseThrow();
         cluster.stop(leads.equals("node-0") ? 0 : 1);
     }
 }
--- a/src/test/java/io/indigoreach/emulator/RecordsClusterTest.java
+++ b/src/test/java/io/indigoreach/emulator/RecordsClusterTest.java
@@ -36,15 +36,27 @@
 
     @Test
     void everyRecordIsBilledOnceWhileControllersAreKilled() throws Exception {
-        try (LocalCluster cluster = new LocalCluster(3, "").with("record_ownership: 1").start()) {
+        try (LocalCluster cluster =
+                new LocalCluster(3, "").with("record_ownership: 1").start()) {
             RecordsContention run = new RecordsContention(cluster, 7, dir.resolve("books.txt"), GROUPS, EACH, PER_RUN);
-            assertEquals(200, LocalCluster.await(run.ask("begin", Wire.map("by", "anna", "reason", "first day"))).status());
+            assertEquals(
+                    200,
+                    LocalCluster.await(run.ask("begin", Wire.map("by", "anna", "reason", "first day")))
+                            .status());
             Map<String, JobSpec> jobs = new HashMap<>();
             for (int n = 0; n < JOBS; n++) {
                 int tasks = TASKS;
                 int from = n * tasks / 2 % Math.max(1, EACH - tasks);
-                JobSpec spec = LocalCluster.job(100 + n, tasks, 1).with(JobSpec.RECORDS, Wire.map("prefix",
-                        "coop-" + n % GROUPS + "/farm/", "from", (long) from, "to", (long) from + tasks - 1));
+                JobSpec spec = LocalCluster.job(100 + n, tasks, 1)
+                        .with(
+                                JobSpec.RECORDS,
+                                Wire.map(
+                                        "prefix",
+                                        "coop-" + n % GROUPS + "/farm/",
+                                        "from",
+                                        (long) from,
+                                        "to",
+                                        (long) from + tasks - 1));
                 jobs.put(spec.id().text(), spec);
             }
             run.followTasks(jobs);
@@ -62,11 +74,13 @@
             }
             exported.toCompletionStage().toCompletableFuture().get(WAIT_S, TimeUnit.SECONDS);
             LocalCluster.await(settled(cluster, run));
-            System.err.println(run.records().size() + " records, " + run.requests + " requests, " + Files.readAllLines(
-                    dir.resolve("books.txt")).size() + " lines in " + (System.nanoTime() - began) / 1_000_000 + " ms");
+            System.err.println(run.records().size() + " records, " + run.requests + " requests, "
+                    + Files.readAllLines(dir.resolve("books.txt")).size() + " lines in "
+                    + (System.nanoTime() - began) / 1_000_000 + " ms");
             assertEquals(List.of(), run.differences());
             List<String> lines = Files.readAllLines(dir.resolve("books.txt"));
-            Set<String> named = new HashSet<>(lines.stream().map(l -> l.split(" ")[0]).toList());
+            Set<String> named =
+                    new HashSet<>(lines.stream().map(l -> l.split(" ")[0]).toList());
             assertEquals(run.records().size(), lines.size());
             assertEquals(run.records().size(), named.size());
             assertEquals(List.of(), cluster.breaches());
@@ -75,18 +89,24 @@
 
     @Test
     void aTaskWhoseRecordAnotherHasWaitsAndNoOther() throws Exception {
-        try (LocalCluster cluster = new LocalCluster(1, "").with("record_ownership: 1").start()) {
+        try (LocalCluster cluster =
+                new LocalCluster(1, "").with("record_ownership: 1").start()) {
             RecordsContention run = new RecordsContention(cluster, 7, dir.resolve("books.txt"), 1, 2, 1);
             LocalCluster.await(run.ask("begin", Wire.map("by", "anna", "reason", "first day")));
             LocalCluster.await(run.ask("claim", Wire.map("run", "e1", "ids", List.of("coop/1"))));
-            JobSpec spec = LocalCluster.job(1, 3, 0.5).with(JobSpec.RECORDS, Wire.map("prefix", "coop/", "from", 0L, "to", 2L));
+            JobSpec spec = LocalCluster.job(1, 3, 0.5)
+                    .with(JobSpec.RECORDS, Wire.map("prefix", "coop/", "from", 0L, "to", 2L));
             Future<Users.Mine> job = cluster.run(spec, 0);
             cluster.awaitEvents(e -> e instanceof Event.Off, 2);
             Reply waits = LocalCluster.await(run.ask("jobs/run-1", null));
             assertEquals(1, waits.body().whole("lacking"));
             assertEquals("e1", waits.body().children("waits_for").get(0).text("by"));
-            assertEquals(List.of(), cluster.history.events().stream().filter(e -> e instanceof Event.Started s
-                    && s.task().index() == 1).toList());
+            assertEquals(
+                    List.of(),
+                    cluster.history.events().stream()
+                            .filter(e ->
+                                    e instanceof Event.Started s && s.task().index() == 1)
+                            .toList());
             LocalCluster.await(run.ask("release", Wire.map("run", "e1")));
             assertEquals(JobStatus.DONE, LocalCluster.await(job).status());
             assertEquals(List.of(), cluster.breaches());
@@ -94,6 +114,8 @@
     }
 
     private static Future<Void> settled(LocalCluster cluster, RecordsContention run) {
-        return run.ask("doubt", null).compose(r -> cluster.vertx.timer(1500, TimeUnit.MILLISECONDS)).mapEmpty();
+        return run.ask("doubt", null)
+                .compose(r -> cluster.vertx.timer(1500, TimeUnit.MILLISECONDS))
+                .mapEmpty();
     }
 }
