--- a/src/test/java/io/indigoreach/emulator/RecordsContention.java
+++ b/src/test/java/io/indigoreach/emulator/RecordsContention.java
@@ -82,11 +82,16 @@
             node = nodes.get(random.nextInt(nodes.size()));
             requests++;
         }
-        return (body == null ? node.get("/api/records/" + what, PATIENCE) : node.post("/api/records/" + what, body, PATIENCE))
+        return (body == null
+                        ? node.get("/api/records/" + what, PATIENCE)
+                        : node.post("/api/records/" + what, body, PATIENCE))
                 .otherwise(new Reply(503, new Fields(Map.of())))
-                .compose(r -> r.status() == 200 || r.status() == 409 ? Future.succeededFuture(r)
-                        : r.status() == 400 || r.status() == 422 ? Future.failedFuture(r.status() + " " + r.body().map())
-                        : pause(200).compose(v -> ask(what, body)));
+                .compose(r -> r.status() == 200 || r.status() == 409
+                        ? Future.succeededFuture(r)
+                        : r.status() == 400 || r.status() == 422
+                                ? Future.failedFuture(
+                                        r.status() + " " + r.body().map())
+                                : pause(200).compose(v -> ask(what, body)));
     }
 
     private Future<Void> pause(long ms) {
@@ -104,7 +109,11 @@
         String before = lines.putIfAbsent(id, name);
         if (before == null) {
             try {
-                Files.writeString(books, id + " " + name + " " + fence + "\n", StandardOpenOption.CREATE, StandardOpenOption.APPEND);
+                Files.writeString(
+                        books,
+                        id + " " + name + " " + fence + "\n",
+                        StandardOpenOption.CREATE,
+                        StandardOpenOption.APPEND);
             } catch (IOException e) {
                 throw new UncheckedIOException(e);
             }
@@ -140,14 +149,23 @@
         cluster.vertx.setPeriodic(100, t -> {
             List<Event> all = cluster.history.events();
             for (; events < all.size(); events++) {
-                if (all.get(events) instanceof Event.Running running && seen.add(running.task() + " " + running.attempt())) {
+                if (all.get(events) instanceof Event.Running running
+                        && seen.add(running.task() + " " + running.attempt())) {
                     TaskId task = running.task();
                     Attempt attempt = running.attempt();
                     JobSpec spec = jobs.get(task.job().text());
                     if (spec != null) {
                         Fields f = new Fields(spec.more()).child(JobSpec.RECORDS);
-                        bill(Wire.map("job", task.job().text(), "task", (long) task.index(), "attempt", attempt.value()),
-                                task.job() + "/" + task.index(), List.of(f.text("prefix") + (f.whole("from") + task.index())));
+                        bill(
+                                Wire.map(
+                                        "job",
+                                        task.job().text(),
+                                        "task",
+                                        (long) task.index(),
+                                        "attempt",
+                                        attempt.value()),
+                                task.job() + "/" + task.index(),
+                                List.of(f.text("prefix") + (f.whole("from") + task.index())));
                     }
                 }
             }
@@ -171,8 +189,9 @@
             }
             run = "export-" + runs++;
         }
-        return ask("claim", Wire.map("run", run, "ids", new ArrayList<Object>(some))).compose(r -> r.status() == 200
-                ? bill(Wire.map("run", run), run, some) : pause(300)).compose(v -> export(until));
+        return ask("claim", Wire.map("run", run, "ids", new ArrayList<Object>(some)))
+                .compose(r -> r.status() == 200 ? bill(Wire.map("run", run), run, some) : pause(300))
+                .compose(v -> export(until));
     }
 
     /** What the registry says of each record that is not billed, or under another name than its line. */
@@ -181,7 +200,9 @@
         Map<String, String> entered = lines();
         for (int from = 0; from < records.size(); from += 12) {
             List<String> some = records.subList(from, Math.min(records.size(), from + 12));
-            for (Fields r : LocalCluster.await(ask("show?id=" + String.join(",", some), null)).body().children("records")) {
+            for (Fields r : LocalCluster.await(ask("show?id=" + String.join(",", some), null))
+                    .body()
+                    .children("records")) {
                 if (!r.text("state").equals("billed") || !r.text("by").equals(entered.get(r.text("id")))) {
                     out.add(r.map() + ", its line by " + entered.get(r.text("id")));
                 }
--- a/src/test/java/io/indigoreach/emulator/SilenceOfJobsTest.java
+++ b/src/test/java/io/indigoreach/emulator/SilenceOfJobsTest.java
@@ -46,7 +46,8 @@
                 }
                 case "in a loss" -> {
                     spoil("j/run-4");
-                    LocalCluster.await(state.commit(new StateClient.Txn().delete("j/run-3").delete("f/run-1")));
+                    LocalCluster.await(
+                            state.commit(new StateClient.Txn().delete("j/run-3").delete("f/run-1")));
                     spoil("j/run-4");
                 }
                 case "all end" -> {
@@ -56,12 +57,15 @@
                     asked = nodes;
                     submit(1, LocalCluster.job(4, 2, 300));
                 }
-                default -> {
-                }
+                default -> {}
             }
             allAreAnswered(asked);
             // The test itself writes blindly.
-            assertEquals(List.of(), cluster.breaches().stream().filter(b -> b.rule() != Breach.Rule.BLIND_WRITE).toList());
+            assertEquals(
+                    List.of(),
+                    cluster.breaches().stream()
+                            .filter(b -> b.rule() != Breach.Rule.BLIND_WRITE)
+                            .toList());
         } finally {
             cluster.close();
         }
@@ -69,13 +73,15 @@
 
     /** Troubles of the ways: at their end every job is answered for, at every node. */
     @ParameterizedTest
-    @ValueSource(strings = {
-        "fault { kind: outage at_s: 8 for_s: 5 to: 'state' }",
-        "fault { kind: refuse at_s: 8 for_s: 5 from: 'node-1' to: 'state' }",
-        "fault { kind: closed at_s: 8 for_s: 5 from: 'node-1' to: 'state' } fault { kind: closed at_s: 8 for_s: 5 from: 'node-0' to: 'node-1' }",
-        "fault { kind: slow at_s: 8 for_s: 5 to: 'state' delay_s: 1.5 }",
-        "fault { kind: stale at_s: 8 for_s: 5 to: 'state' behind: 3 share: 0.5 }",
-        "fault { kind: lose_answer at_s: 8 for_s: 5 to: 'state' share: 0.5 }"})
+    @ValueSource(
+            strings = {
+                "fault { kind: outage at_s: 8 for_s: 5 to: 'state' }",
+                "fault { kind: refuse at_s: 8 for_s: 5 from: 'node-1' to: 'state' }",
+                "fault { kind: closed at_s: 8 for_s: 5 from: 'node-1' to: 'state' } fault { kind: closed at_s: 8 for_s: 5 from: 'node-0' to: 'node-1' }",
+                "fault { kind: slow at_s: 8 for_s: 5 to: 'state' delay_s: 1.5 }",
+                "fault { kind: stale at_s: 8 for_s: 5 to: 'state' behind: 3 share: 0.5 }",
+                "fault { kind: lose_answer at_s: 8 for_s: 5 to: 'state' share: 0.5 }"
+            })
     void afterTheTroubleEveryJobIsAnsweredFor(String faults) throws Exception {
         try {
             open(3, faults);
--- a/src/test/java/io/indigoreach/emulator/StateServerTest.java
+++ b/src/test/java/io/indigoreach/emulator/StateServerTest.java
@@ -47,8 +47,10 @@
     private static final int SILENT = 2000;
     private final Vertx vertx = Vertx.vertx();
     private final SteadyClock clock = new SteadyClock();
+
     @TempDir
     private Path data;
+
     private StateServer server;
     private int port;
 
@@ -62,9 +64,15 @@
         Promise<Integer> listening = Promise.promise();
         vertx.runOnContext(v -> {
             try {
-                server = new StateServer(vertx, clock, new StateLimits(1e6, 1e6, 8192, 16), gate(faults),
-                        new SplittableRandom(1), new History(), directory, e -> {
-                        });
+                server = new StateServer(
+                        vertx,
+                        clock,
+                        new StateLimits(1e6, 1e6, 8192, 16),
+                        gate(faults),
+                        new SplittableRandom(1),
+                        new History(),
+                        directory,
+                        e -> {});
                 server.listen("node-0", "127.0.0.1", at).onComplete(listening);
             } catch (Exception e) {
                 listening.fail(e);
@@ -104,14 +112,24 @@
     void keepsAnyDataAndRefusesWhatIsNoTransaction() throws Exception {
         open(null, 0);
         Caller caller = new Caller(vertx, new Endpoint("127.0.0.1", port), 1);
-        List<Object> values = List.of("text", List.of(1L, "a"), 7L, Map.of("", 1L), Map.of("", List.of()), Map.of("a", 2L));
+        List<Object> values =
+                List.of("text", List.of(1L, "a"), 7L, Map.of("", 1L), Map.of("", List.of()), Map.of("a", 2L));
         for (int i = 0; i < values.size(); i++) {
-            assertTrue(LocalCluster.await(caller.post("/txn", Wire.map("writes", List.of(Wire.map("write", "k/" + i,
-                    "data", values.get(i)))), Span.seconds(5))).isOk());
-            assertEquals(values.get(i), LocalCluster.await(caller.get("/store/k/" + i, Span.seconds(5))).body().map()
-                    .get("data"));
+            assertTrue(LocalCluster.await(caller.post(
+                            "/txn",
+                            Wire.map("writes", List.of(Wire.map("write", "k/" + i, "data", values.get(i)))),
+                            Span.seconds(5)))
+                    .isOk());
+            assertEquals(
+                    values.get(i),
+                    LocalCluster.await(caller.get("/store/k/" + i, Span.seconds(5)))
+                            .body()
+                            .map()
+                            .get("data"));
         }
-        assertEquals(400, LocalCluster.await(caller.post("/txn", null, Span.seconds(5))).status());
+        assertEquals(
+                400,
+                LocalCluster.await(caller.post("/txn", null, Span.seconds(5))).status());
     }
 
     private static StateClient.Txn put(String key, long n) {
@@ -129,7 +147,8 @@
             writes.add(client.commit(put("k/" + i, i)));
         }
         LocalCluster.await(Future.all(writes));
-        LocalCluster.await(client.commit(new StateClient.Txn().put("leased", Wire.map("n", 1), lease).delete("k/0")));
+        LocalCluster.await(client.commit(
+                new StateClient.Txn().put("leased", Wire.map("n", 1), lease).delete("k/0")));
         Future<StateClient.Changes> watch = client.watch("k/", server.model().revision(), Span.seconds(30));
         // What is on the disk at this moment is what a process that is killed now leaves.
         Path copy = data.resolve("copy");
@@ -142,8 +161,11 @@
         LocalCluster.await(server.close());
         assertTrue(fails(watch));
         open(copy, port);
-        assertEquals(149, LocalCluster.await(client.list("k/", null, 1000).recover(e -> client.list("k/", null, 1000)))
-                .items().size());
+        assertEquals(
+                149,
+                LocalCluster.await(client.list("k/", null, 1000).recover(e -> client.list("k/", null, 1000)))
+                        .items()
+                        .size());
         assertTrue(LocalCluster.await(client.renew(lease, Span.seconds(2))));
         assertEquals(1, LocalCluster.await(client.get("leased")).value().whole("n"));
         assertEquals(152, LocalCluster.await(client.commit(put("k/0", 1))).revision());
@@ -155,7 +177,8 @@
         StateClient late = open(null, 0, "kind: late at_s: 0 for_s: 600 from: \"node-0\" writes: true delay_s: 1.9");
         StateClient other = another();
         Future<StateClient.Outcome> first = late.commit(put("a", 1).when("a", Stamp.ABSENT));
-        assertTrue(LocalCluster.await(other.commit(put("a", 2).when("a", Stamp.ABSENT))).done());
+        assertTrue(LocalCluster.await(other.commit(put("a", 2).when("a", Stamp.ABSENT)))
+                .done());
         assertTrue(fails(first), "it got no answer");
         assertEquals(2, LocalCluster.await(other.get("a")).value().whole("n"));
         assertEquals(1, server.model().revision());
@@ -168,9 +191,12 @@
         StateClient client = open(null, 0, "kind: closed at_s: 3 for_s: 1");
         assertTrue(LocalCluster.await(client.commit(put("a", 1))).done());
         boolean refused = false;
-        for (boolean again = false; !again;) {
-            String why = LocalCluster.await(vertx.createNetClient().connect(port, "127.0.0.1").compose(NetSocket::close)
-                    .map("open").otherwise(Throwable::getMessage));
+        for (boolean again = false; !again; ) {
+            String why = LocalCluster.await(vertx.createNetClient()
+                    .connect(port, "127.0.0.1")
+                    .compose(NetSocket::close)
+                    .map("open")
+                    .otherwise(Throwable::getMessage));
             refused |= why.contains("refused");
             again = refused && why.equals("open");
         }
@@ -193,23 +219,27 @@
         StateClient client = open(null, 0, "kind: stale at_s: 0 for_s: 600 behind: 3");
         JobDesk desk = new JobDesk(vertx, client, new JobMender(client, clock), null, List.of(), clock, 8192, 100);
         JobId id = new JobId("run-1");
-        assertTrue(LocalCluster.await(client.commit(new StateClient.Txn().when(RecordCodec.open(id), Stamp.ABSENT)
-                .put(RecordCodec.open(id), RecordCodec.writeJob(LocalCluster.job(1, 1, 1), 1, JobStatus.PENDING,
-                        new BitSet(), 0, 0)))).done());
+        assertTrue(LocalCluster.await(client.commit(new StateClient.Txn()
+                        .when(RecordCodec.open(id), Stamp.ABSENT)
+                        .put(
+                                RecordCodec.open(id),
+                                RecordCodec.writeJob(
+                                        LocalCluster.job(1, 1, 1), 1, JobStatus.PENDING, new BitSet(), 0, 0))))
+                .done());
         assertNull(LocalCluster.await(client.get(RecordCodec.open(id))), "the read comes from before");
         assertTrue(client.isDoubted());
-        assertTrue(fails(desk.query(id.text())),
-                "neither 404 nor anything else is known");
+        assertTrue(fails(desk.query(id.text())), "neither 404 nor anything else is known");
         for (int i = 0; i < 3; i++) {
             LocalCluster.await(client.commit(put("other", i)));
         }
         assertEquals(200, LocalCluster.await(desk.query(id.text())).status(), "three changes later the read is right");
         StateClient.Entry open = LocalCluster.await(client.get(RecordCodec.open(id)));
-        assertTrue(LocalCluster.await(client.commit(new StateClient.Txn().when(RecordCodec.open(id), open.stamp())
-                .delete(RecordCodec.open(id)).put(RecordCodec.over(id), RecordCodec.writeFinal(JobStatus.CANCELLED, 0))))
+        assertTrue(LocalCluster.await(client.commit(new StateClient.Txn()
+                        .when(RecordCodec.open(id), open.stamp())
+                        .delete(RecordCodec.open(id))
+                        .put(RecordCodec.over(id), RecordCodec.writeFinal(JobStatus.CANCELLED, 0))))
                 .done());
-        assertTrue(fails(desk.query(id.text())),
-                "not told that it is open once it is cancelled");
+        assertTrue(fails(desk.query(id.text())), "not told that it is open once it is cancelled");
         for (int i = 0; i < 3; i++) {
             LocalCluster.await(client.commit(put("other", i)));
         }
@@ -226,8 +256,10 @@
         JobId id = new JobId("run-1");
         BitSet done = new BitSet();
         for (int progress = 0; progress < 2; progress++) {
-            LocalCluster.await(client.commit(new StateClient.Txn().put(RecordCodec.open(id),
-                    RecordCodec.writeJob(LocalCluster.job(1, 4, 1), 1, JobStatus.RUNNING, done, 1, 4))));
+            LocalCluster.await(client.commit(new StateClient.Txn()
+                    .put(
+                            RecordCodec.open(id),
+                            RecordCodec.writeJob(LocalCluster.job(1, 4, 1), 1, JobStatus.RUNNING, done, 1, 4))));
             done.set(progress);
         }
         assertEquals(503, status(desk.cancel(id.text())), "three times the version of before");
@@ -254,13 +286,20 @@
             }
         }
         Caller caller = new Caller(vertx, new Endpoint("127.0.0.1", port), 1);
-        Buffer[] nonsense = {Buffer.buffer("hello"), Buffer.buffer(new byte[] {(byte) 0xdf, -1, -1, -1, -1}),
-            Buffer.buffer(new byte[] {(byte) 0xc1}), Buffer.buffer(new byte[] {(byte) 0x91, (byte) 0xa1, 'x'}),
-            Wire.write(Wire.map("writes", "no list")), Wire.write(Wire.map("writes", List.of(1L))),
-            Wire.write(Wire.map("when", List.of(Wire.map("path", "a"))))};
+        Buffer[] nonsense = {
+            Buffer.buffer("hello"),
+            Buffer.buffer(new byte[] {(byte) 0xdf, -1, -1, -1, -1}),
+            Buffer.buffer(new byte[] {(byte) 0xc1}),
+            Buffer.buffer(new byte[] {(byte) 0x91, (byte) 0xa1, 'x'}),
+            Wire.write(Wire.map("writes", "no list")),
+            Wire.write(Wire.map("writes", List.of(1L))),
+            Wire.write(Wire.map("when", List.of(Wire.map("path", "a"))))
+        };
         for (Buffer body : nonsense) {
-            Reply r = LocalCluster.await(vertx.createHttpClient().request(HttpMethod.POST, port, "127.0.0.1", "/txn")
-                    .compose(q -> q.send(body)).map(a -> new Reply(a.statusCode(), null)));
+            Reply r = LocalCluster.await(vertx.createHttpClient()
+                    .request(HttpMethod.POST, port, "127.0.0.1", "/txn")
+                    .compose(q -> q.send(body))
+                    .map(a -> new Reply(a.statusCode(), null)));
             assertEquals(400, r.status());
         }
         for (String path : List.of("/changes?starts=a&since=x", "/changes", "/store", "/grants/x/renew", "/nowhere")) {
--- a/src/test/java/io/indigoreach/emulator/UnheardCancellationTest.java
+++ b/src/test/java/io/indigoreach/emulator/UnheardCancellationTest.java
@@ -45,21 +45,31 @@
             for (int n = 1; n <= RUNNING; n++) {
                 JobSpec spec = LocalCluster.job(n, 2, 300);
                 cluster.history.add(new Event.Submitted(cluster.clock.now(), spec));
-                LocalCluster.await(cluster.emulator.upload(new DepotCodec.Upload(spec, new Depot.Conduct(spec.estimate(), 0.1, false))));
+                LocalCluster.await(cluster.emulator.upload(
+                        new DepotCodec.Upload(spec, new Depot.Conduct(spec.estimate(), 0.1, false))));
                 submit(n % controllers, spec);
             }
             cluster.awaitEvents(e -> e instanceof Event.Running, 2 * RUNNING);
             makeLeader(0);
             until(REFUSED_S + 0.3);
             Moment told = cancel(1, new JobId("run-1"));
-            assertTrue(told.isBefore(cluster.emulator.startedAt().plus(Span.seconds(outageS))), "told before the outage");
+            assertTrue(
+                    told.isBefore(cluster.emulator.startedAt().plus(Span.seconds(outageS))), "told before the outage");
             if (ends) {
                 cluster.stop(1);
             }
             until(OVER_S);
             assertEquals(List.of(), cluster.breaches());
-            List<Event.Off> off = cluster.history.events().stream().filter(e -> e instanceof Event.Off).map(e -> (Event.Off) e).toList();
-            assertEquals(2, off.stream().filter(e -> e.task().job().equals(new JobId("run-1"))).count(), "both are gone");
+            List<Event.Off> off = cluster.history.events().stream()
+                    .filter(e -> e instanceof Event.Off)
+                    .map(e -> (Event.Off) e)
+                    .toList();
+            assertEquals(
+                    2,
+                    off.stream()
+                            .filter(e -> e.task().job().equals(new JobId("run-1")))
+                            .count(),
+                    "both are gone");
             assertEquals(ends ? 2 * RUNNING : 2, off.size(), "what else is lost: " + off);
         } finally {
             cluster.close();
@@ -69,9 +79,16 @@
     private Moment cancel(int node, JobId job) throws Exception {
         Moment asked = cluster.clock.now();
         cluster.history.add(new Event.CancelAsked(asked, job));
-        Reply r = LocalCluster.await(nodes.get(node).post(JobCodec.JOBS + "/" + job + JobCodec.CANCEL, Map.of(), Span.seconds(5)));
+        Reply r = LocalCluster.await(
+                nodes.get(node).post(JobCodec.JOBS + "/" + job + JobCodec.CANCEL, Map.of(), Span.seconds(5)));
         assertEquals("cancelled", told(r));
-        cluster.history.add(new Event.Answered(cluster.clock.now(), asked, Event.Question.CANCEL, job, "node-" + node, r.status(),
+        cluster.history.add(new Event.Answered(
+                cluster.clock.now(),
+                asked,
+                Event.Question.CANCEL,
+                job,
+                "node-" + node,
+                r.status(),
                 JobStatus.CANCELLED));
         return cluster.clock.now();
     }
--- a/src/test/java/io/indigoreach/emulator/WarmPoolsTest.java
+++ b/src/test/java/io/indigoreach/emulator/WarmPoolsTest.java
@@ -32,12 +32,45 @@
     /** A successor, its first reading, and a machine that was on its way. */
     private static final int BACK_S = 15;
 
-    private final Map<String, Object> pool = new HashMap<>(Wire.map("team", "t", "image", "weights", "gb", 4.0, "cores", 4.0,
-            "types", List.of("quad"), "zone_part", 0.5, "least", 6L, "most", 6L));
+    private final Map<String, Object> pool = new HashMap<>(Wire.map(
+            "team",
+            "t",
+            "image",
+            "weights",
+            "gb",
+            4.0,
+            "cores",
+            4.0,
+            "types",
+            List.of("quad"),
+            "zone_part",
+            0.5,
+            "least",
+            6L,
+            "most",
+            6L));
 
     private static JobSpec holder(int n, String team, String name) {
-        return new JobSpec(new JobId("run-" + n), "hold", team, Shape.SERVICE, Urgency.STANDARD, 6, new Demand(0.01, 0, 0.1),
-                "weights", 4, null, null, false, false, true, Span.ZERO, Span.ZERO, Span.ZERO, null).with(JobSpec.WARM, name);
+        return new JobSpec(
+                        new JobId("run-" + n),
+                        "hold",
+                        team,
+                        Shape.SERVICE,
+                        Urgency.STANDARD,
+                        6,
+                        new Demand(0.01, 0, 0.1),
+                        "weights",
+                        4,
+                        null,
+                        null,
+                        false,
+                        false,
+                        true,
+                        Span.ZERO,
+                        Span.ZERO,
+                        Span.ZERO,
+                        null)
+                .with(JobSpec.WARM, name);
     }
 
     /** Asks each node in turn until one answers for good. */
@@ -79,21 +112,30 @@
         try (LocalCluster cluster = new LocalCluster(3, "")) {
             cluster.settings = SettingsFile.parse("s", "warm_pools: 1");
             cluster.start();
-            assertEquals(422, ask(cluster, "/api/pools/p", with("team", "nobody")).status());
+            assertEquals(
+                    422, ask(cluster, "/api/pools/p", with("team", "nobody")).status());
             assertEquals(400, ask(cluster, "/api/pools/p", with("most", "many")).status());
-            assertEquals("gb", ask(cluster, "/api/pools/p", with("gb", 41.0)).body().text("field"), "more than the cache");
+            assertEquals(
+                    "gb", ask(cluster, "/api/pools/p", with("gb", 41.0)).body().text("field"), "more than the cache");
             assertEquals(200, ask(cluster, "/api/pools/p", pool).status());
             Reply conflict = ask(cluster, "/api/pools/p", with("if_version", 0L, "most", 7L));
             assertEquals(409, conflict.status());
             assertEquals(6, conflict.body().child("against").whole("most"));
-            assertEquals(422, ask(cluster, JobCodec.JOBS, JobCodec.write(holder(9, "t", "none"))).status());
-            LocalCluster.await(cluster.emulator.upload(new DepotCodec.Upload(holder(1, "t", "p"),
-                    new Depot.Conduct(Span.ZERO, 0.1, false))));
-            assertEquals(201, ask(cluster, JobCodec.JOBS, JobCodec.write(holder(1, "t", "p"))).status());
+            assertEquals(
+                    422,
+                    ask(cluster, JobCodec.JOBS, JobCodec.write(holder(9, "t", "none")))
+                            .status());
+            LocalCluster.await(cluster.emulator.upload(
+                    new DepotCodec.Upload(holder(1, "t", "p"), new Depot.Conduct(Span.ZERO, 0.1, false))));
+            assertEquals(
+                    201,
+                    ask(cluster, JobCodec.JOBS, JobCodec.write(holder(1, "t", "p")))
+                            .status());
             // The first end while machines boot and fetch.
             List<PlatformConfig> nodes = cluster.emulator.nodes();
             for (int end = 0; end < 3; end++) {
-                LocalCluster.await(cluster.vertx.timer(300 + random.nextInt(1500), java.util.concurrent.TimeUnit.MILLISECONDS));
+                LocalCluster.await(
+                        cluster.vertx.timer(300 + random.nextInt(1500), java.util.concurrent.TimeUnit.MILLISECONDS));
                 cluster.stop(end);
                 cluster.start(nodes.get(end));
             }
@@ -110,11 +152,35 @@
             DepotCodec.Summary there = LocalCluster.await(cluster.emulator.summary());
             assertEquals(6, there.booting() + there.up(), "none is rented twice");
             int before = cluster.history.events().size();
-            JobSpec burst = LocalCluster.job(2, 6, 30, s -> new JobSpec(s.id(), "serve", "t", Shape.SERVICE, Urgency.PRODUCTION, 6,
-                    new Demand(4, 0, 1), "weights", 4, null, null, false, false, true, Span.ZERO, Span.ZERO, Span.ZERO, null));
+            JobSpec burst = LocalCluster.job(
+                    2,
+                    6,
+                    30,
+                    s -> new JobSpec(
+                            s.id(),
+                            "serve",
+                            "t",
+                            Shape.SERVICE,
+                            Urgency.PRODUCTION,
+                            6,
+                            new Demand(4, 0, 1),
+                            "weights",
+                            4,
+                            null,
+                            null,
+                            false,
+                            false,
+                            true,
+                            Span.ZERO,
+                            Span.ZERO,
+                            Span.ZERO,
+                            null));
             LocalCluster.await(cluster.run(burst, 3));
-            long ran = cluster.history.events().stream().skip(before).filter(e -> e instanceof io.indigoreach.checker.Event.Running r
-                    && r.task().job().equals(burst.id())).count();
+            long ran = cluster.history.events().stream()
+                    .skip(before)
+                    .filter(e -> e instanceof io.indigoreach.checker.Event.Running r
+                            && r.task().job().equals(burst.id()))
+                    .count();
             assertEquals(6, ran, "each replica on a machine that held the weights");
             assertEquals(6, LocalCluster.await(cluster.emulator.summary()).up());
             paysOnce(cluster);
@@ -131,9 +197,13 @@
         double charged = LocalCluster.await(cluster.emulator.summary()).spent();
         for (int n = 0; n < 50; n++) {
             Fields f = ask(cluster, "/api/pools?sums=1", null).body();
-            double put = f.lists("sums").stream().mapToDouble(s -> ((Number) s.get(2)).doubleValue()).sum();
-            boolean one = f.lists("sums").stream().filter(s -> ((Number) s.get(2)).doubleValue() > 0)
-                    .allMatch(s -> s.get(0).equals("p") && s.get(1).equals("t") || ((Number) s.get(2)).doubleValue() < 10 * perSecond);
+            double put = f.lists("sums").stream()
+                    .mapToDouble(s -> ((Number) s.get(2)).doubleValue())
+                    .sum();
+            boolean one = f.lists("sums").stream()
+                    .filter(s -> ((Number) s.get(2)).doubleValue() > 0)
+                    .allMatch(s -> s.get(0).equals("p") && s.get(1).equals("t")
+                            || ((Number) s.get(2)).doubleValue() < 10 * perSecond);
             if (put >= charged - 2 * perSecond && one) {
                 double now = LocalCluster.await(cluster.emulator.summary()).spent();
                 assertTrue(put <= now + 3 * perSecond, put + " of " + now);
@@ -142,7 +212,8 @@
             }
             LocalCluster.await(cluster.vertx.timer(500, java.util.concurrent.TimeUnit.MILLISECONDS));
         }
-        throw new AssertionError("the accounts lack money: " + ask(cluster, "/api/pools?sums=1", null).body() + " of " + charged);
+        throw new AssertionError("the accounts lack money: "
+                + ask(cluster, "/api/pools?sums=1", null).body() + " of " + charged);
     }
 
     private Map<String, Object> with(Object... changes) {
--- a/src/test/java/io/indigoreach/emulator/model/CloudModelTest.java
+++ b/src/test/java/io/indigoreach/emulator/model/CloudModelTest.java
@@ -31,7 +31,8 @@
     private static final Pool SPOT = new Pool("m", "z", true);
 
     private static CloudModel cloud(String cloud, String spot) throws ConfigException {
-        return new CloudModel(TextForm.parse("d", """
+        return new CloudModel(
+                TextForm.parse("d", """
                 zones: "z"
                 cloud { rps: 1000 list_lag_s: 3 boot_never: 0 boot_late: 0 %s }
                 spot { per_hour: 0 %s }
@@ -51,7 +52,9 @@
     }
 
     private static List<String> listed(CloudModel cloud, double s) {
-        return cloud.list(at(s), null, 500).body().children("boxes").stream().map(b -> b.text("id")).toList();
+        return cloud.list(at(s), null, 500).body().children("boxes").stream()
+                .map(b -> b.text("id"))
+                .toList();
     }
 
     /** A name that was answered gets the same answer for ever, one that was refused may be used again. */
@@ -61,7 +64,9 @@
         List<MachineId> first = rent(cloud, 0, "r-1", ORDINARY, 4);
         assertEquals(first, rent(cloud, 1, "r-1", ORDINARY, 4));
         assertEquals(1, rent(cloud, 1, "r-2", ORDINARY, 4).size(), "filled in part");
-        assertEquals(503, cloud.rent(at(2), new CloudCodec.Rental("r-3", ORDINARY, 1)).status());
+        assertEquals(
+                503,
+                cloud.rent(at(2), new CloudCodec.Rental("r-3", ORDINARY, 1)).status());
         cloud.giveBack(at(3), first);
         assertEquals(1, rent(cloud, 4, "r-3", ORDINARY, 1).size());
         assertEquals(first, rent(cloud, 5, "r-1", ORDINARY, 4), "though they are gone");
@@ -70,7 +75,11 @@
     @ParameterizedTest
     @CsvSource({"q, z, 1, 400", "m, q, 1, 400", "m, z, 0, 400", "m, z, 51, 400", "m, z, 50, 200"})
     void refusesWhatIsMalformed(String type, String zone, int count, int status) throws ConfigException {
-        assertEquals(status, cloud("", "").rent(T, new CloudCodec.Rental("r", new Pool(type, zone, true), count)).status());
+        assertEquals(
+                status,
+                cloud("", "")
+                        .rent(T, new CloudCodec.Rental("r", new Pool(type, zone, true), count))
+                        .status());
     }
 
     @Test
@@ -107,7 +116,8 @@
         CloudModel cloud = cloud("", "");
         Set<Double> prices = new HashSet<>();
         for (int i = 0; i < 200; i++) {
-            double price = cloud.types(at(i * 10)).body().children("boxkinds").get(0).number("low_price");
+            double price =
+                    cloud.types(at(i * 10)).body().children("boxkinds").get(0).number("low_price");
             assertTrue(price >= 0.6 - 1e-9 && price <= 1.2 + 1e-9, "" + price);
             prices.add(price);
         }
@@ -146,7 +156,9 @@
         rent(cloud, 0, "r-1", SPOT, 50);
         Fields first = cloud.list(at(20), null, 20).body();
         assertTrue(first.flag("truncated", false));
-        Fields rest = cloud.list(at(20), new MachineId(first.children("boxes").get(19).text("id")), 500).body();
+        Fields rest = cloud.list(
+                        at(20), new MachineId(first.children("boxes").get(19).text("id")), 500)
+                .body();
         assertEquals(30, rest.children("boxes").size());
     }
 
@@ -163,11 +175,18 @@
         cloud.advance(at(61));
         assertEquals(1, cloud.drain().size());
         cloud.advance(at(10_000));
-        assertEquals(List.of("running", "starting"), cloud.list(at(10_000), null, 9).body().children("boxes").stream()
-                .map(b -> b.text("status")).toList());
+        assertEquals(
+                List.of("running", "starting"),
+                cloud.list(at(10_000), null, 9).body().children("boxes").stream()
+                        .map(b -> b.text("status"))
+                        .toList());
         cloud.die(at(10_000), 1);
-        assertEquals("running", cloud.list(at(10_020), null, 9).body().children("boxes").get(0).text("status"));
-        assertEquals("failed", cloud.list(at(10_040), null, 9).body().children("boxes").get(0).text("status"));
+        assertEquals(
+                "running",
+                cloud.list(at(10_020), null, 9).body().children("boxes").get(0).text("status"));
+        assertEquals(
+                "failed",
+                cloud.list(at(10_040), null, 9).body().children("boxes").get(0).text("status"));
     }
 
     /** Taken with a notice of the nominal length give or take half, or without; then gone by itself. */
@@ -204,7 +223,9 @@
             StringBuilder run = new StringBuilder();
             for (double s = 0; s < 600; s += 1) {
                 cloud.advance(at(s));
-                cloud.drain().forEach(e -> run.append(e.getClass().getSimpleName()).append(e.machine().id()));
+                cloud.drain()
+                        .forEach(e -> run.append(e.getClass().getSimpleName())
+                                .append(e.machine().id()));
             }
             runs.add(run.append(cloud.spent(at(600))).toString());
         }
--- a/src/test/java/io/indigoreach/emulator/model/GateTest.java
+++ b/src/test/java/io/indigoreach/emulator/model/GateTest.java
@@ -42,12 +42,18 @@
             kind: kill at_s: 0 for_s: 9 to: 'node-1'                 | 5   | users  | node-1 | true | PASS
             """)
     void judges(String fault, double at, String from, String to, boolean writes, Fate fate) throws ConfigException {
-        assertEquals(fate, gate(fault.replace('\'', '"')).judge(T.plus(Span.seconds(at)), from, to, writes).fate());
+        assertEquals(
+                fate,
+                gate(fault.replace('\'', '"'))
+                        .judge(T.plus(Span.seconds(at)), from, to, writes)
+                        .fate());
     }
 
     @Test
     void addsSlownessAndAge() throws ConfigException {
-        Gate gate = gate("kind: slow at_s: 0 for_s: 9 delay_s: 2", "kind: stale at_s: 0 for_s: 9 behind: 4",
+        Gate gate = gate(
+                "kind: slow at_s: 0 for_s: 9 delay_s: 2",
+                "kind: stale at_s: 0 for_s: 9 behind: 4",
                 "kind: slow at_s: 0 for_s: 9 delay_s: 2");
         for (int i = 0; i < 100; i++) {
             Verdict v = gate.judge(T, "a", "b", false);
@@ -69,9 +75,11 @@
     /** A watch stays unanswered while its node is refused or held, not for a refusal of writes or of a part. */
     @Test
     void holdsWatches() throws ConfigException {
-        Gate gate = gate("kind: refuse at_s: 0 for_s: 5 from: \"node-0\" to: \"state\"",
+        Gate gate = gate(
+                "kind: refuse at_s: 0 for_s: 5 from: \"node-0\" to: \"state\"",
                 "kind: outage at_s: 2 for_s: 8 to: \"state\"",
-                "kind: refuse at_s: 20 for_s: 9 writes: true", "kind: refuse at_s: 20 for_s: 9 share: 0.5");
+                "kind: refuse at_s: 20 for_s: 9 writes: true",
+                "kind: refuse at_s: 20 for_s: 9 share: 0.5");
         assertEquals(T.plus(Span.seconds(5)), gate.heldUntil(T, "node-0", "state"));
         assertEquals(T, gate.heldUntil(T, "node-1", "state"));
         assertEquals(T.plus(Span.seconds(10)), gate.heldUntil(T.plus(Span.seconds(3)), "node-1", "state"));
--- a/src/test/java/io/indigoreach/emulator/model/StateModelPropertyTest.java
+++ b/src/test/java/io/indigoreach/emulator/model/StateModelPropertyTest.java
@@ -31,18 +31,30 @@
     /** Something done: to a key, under a guess of its version that is right or so many too low. */
     record Step(Kind kind, int key, int other, int guess, int value) {
         enum Kind {
-            PUT, DELETE, SWAP, GRANT, PUT_LEASED, END_LEASES, OUTAGE, RESTART
+            PUT,
+            DELETE,
+            SWAP,
+            GRANT,
+            PUT_LEASED,
+            END_LEASES,
+            OUTAGE,
+            RESTART
         }
     }
 
-    private record Plain(int value, long stamp, long lease) {
-    }
+    private record Plain(int value, long stamp, long lease) {}
 
     @Provide
     Arbitrary<List<Step>> steps() {
-        return Combinators.combine(Arbitraries.of(Step.Kind.class), Arbitraries.integers().between(0, 3),
-                Arbitraries.integers().between(0, 3), Arbitraries.integers().between(0, 2),
-                Arbitraries.integers().between(0, 99)).as(Step::new).list().ofMaxSize(40);
+        return Combinators.combine(
+                        Arbitraries.of(Step.Kind.class),
+                        Arbitraries.integers().between(0, 3),
+                        Arbitraries.integers().between(0, 3),
+                        Arbitraries.integers().between(0, 2),
+                        Arbitraries.integers().between(0, 99))
+                .as(Step::new)
+                .list()
+                .ofMaxSize(40);
     }
 
     @Property(tries = 400, seed = "42")
@@ -75,7 +87,12 @@
                     now = now.plus(Span.seconds(2));
                     model.advance(now);
                     long revision = history.size() - 1;
-                    for (long l : plain.values().stream().map(Plain::lease).filter(l -> l > 0).distinct().sorted().toList()) {
+                    for (long l : plain.values().stream()
+                            .map(Plain::lease)
+                            .filter(l -> l > 0)
+                            .distinct()
+                            .sorted()
+                            .toList()) {
                         plain.values().removeIf(p -> p.lease == l);
                         history.add(Map.copyOf(plain));
                         revision++;
@@ -131,8 +148,14 @@
             if (w.isDelete()) {
                 plain.remove(w.key());
             } else {
-                plain.put(w.key(), new Plain((int) new Fields(Wire.readMap(Wire.write(w.value())).map()).whole("n"),
-                        history.size(), w.lease()));
+                plain.put(
+                        w.key(),
+                        new Plain(
+                                (int) new Fields(Wire.readMap(Wire.write(w.value()))
+                                                .map())
+                                        .whole("n"),
+                                history.size(),
+                                w.lease()));
             }
         });
         history.add(Map.copyOf(plain));
@@ -145,11 +168,17 @@
             assertEquals(wanted == null ? 404 : 200, reply.status());
             if (wanted != null) {
                 assertEquals(wanted.stamp, reply.body().whole("stamp"));
-                assertEquals(wanted.value, new Fields(Wire.readMap(Wire.write(reply.body().child("data").map())).map())
-                        .whole("n"));
+                assertEquals(
+                        wanted.value,
+                        new Fields(Wire.readMap(Wire.write(
+                                                reply.body().child("data").map()))
+                                        .map())
+                                .whole("n"));
             }
         }
-        assertEquals(plain.size(), model.list(now, "", null, 100, asOf).body().children("items").size());
+        assertEquals(
+                plain.size(),
+                model.list(now, "", null, 100, asOf).body().children("items").size());
     }
 
     /** Whoever starts with the keys of any revision and hears the changes since has the keys of now. */
--- a/src/test/java/io/indigoreach/emulator/model/StateModelTest.java
+++ b/src/test/java/io/indigoreach/emulator/model/StateModelTest.java
@@ -27,8 +27,8 @@
     private static final Moment T = new Moment(1_000_000);
     private static final StateLimits LIMITS = new StateLimits(10, 20, 200, 4);
     private final List<Mutation> kept = new ArrayList<>();
-    private final StateModel model = new StateModel(new StateLimits(1e6, 1e6, 200, 4), new SplittableRandom(1), T,
-            kept::add);
+    private final StateModel model =
+            new StateModel(new StateLimits(1e6, 1e6, 200, 4), new SplittableRandom(1), T, kept::add);
 
     private static Map<String, Object> value(long n) {
         return Wire.map("n", n);
@@ -49,8 +49,14 @@
         }
         return Stream.of(
                 Arguments.of("more changes than allowed", wide, 400),
-                Arguments.of("as many as allowed", new Txn().put("a", value(1)).put("b", value(1)).delete("c")
-                        .delete("d"), 200),
+                Arguments.of(
+                        "as many as allowed",
+                        new Txn()
+                                .put("a", value(1))
+                                .put("b", value(1))
+                                .delete("c")
+                                .delete("d"),
+                        200),
                 Arguments.of("more than four conditions a change", careful, 400),
                 Arguments.of("a key with a space", new Txn().put("a b", value(1)), 400),
                 Arguments.of("a key of 201 bytes", new Txn().put("k".repeat(201), value(1)), 400),
@@ -59,9 +65,14 @@
                 Arguments.of("a value just short enough", new Txn().put("a", Wire.map("v", "x".repeat(192))), 200),
                 Arguments.of("one key twice", new Txn().put("a", value(1)).delete("a"), 400),
                 Arguments.of("a lease that never was", new Txn().put("a", value(1), 99), 400),
-                Arguments.of("a lease that never was, and a condition that fails",
-                        new Txn().when("a", new Stamp(5)).put("a", value(1), 99), 400),
-                Arguments.of("a condition that fails", new Txn().when("a", new Stamp(5)).put("a", value(1)), 409),
+                Arguments.of(
+                        "a lease that never was, and a condition that fails",
+                        new Txn().when("a", new Stamp(5)).put("a", value(1), 99),
+                        400),
+                Arguments.of(
+                        "a condition that fails",
+                        new Txn().when("a", new Stamp(5)).put("a", value(1)),
+                        409),
                 Arguments.of("comparing only", new Txn().when("a", Stamp.ABSENT), 200));
     }
 
@@ -86,8 +97,7 @@
     /** 429 comes at the exact edge of a burst: one second's worth, and then as time brings more. */
     @Test
     void limitsRequestsAndChanges() {
-        StateModel limited = new StateModel(LIMITS, new SplittableRandom(1), T, change -> {
-        });
+        StateModel limited = new StateModel(LIMITS, new SplittableRandom(1), T, change -> {});
         for (int i = 0; i < 10; i++) {
             assertEquals(404, limited.get(T, "a", -1).status());
         }
@@ -97,18 +107,31 @@
         Moment later = T.plus(Span.seconds(10));
         for (int i = 0; i < 5; i++) {
             // Failing conditions count as well.
-            assertEquals(409, limited.commit(later, new Txn().when("a", new Stamp(9)).put("a", value(1)).put("b", value(1))
-                    .put("c", value(1)).put("d", value(1))).status());
+            assertEquals(
+                    409,
+                    limited.commit(
+                                    later,
+                                    new Txn()
+                                            .when("a", new Stamp(9))
+                                            .put("a", value(1))
+                                            .put("b", value(1))
+                                            .put("c", value(1))
+                                            .put("d", value(1)))
+                            .status());
         }
         assertEquals(429, limited.commit(later, new Txn().put("a", value(1))).status());
-        assertEquals(200, limited.commit(later.plus(new Span(50)), new Txn().put("a", value(1))).status());
+        assertEquals(
+                200,
+                limited.commit(later.plus(new Span(50)), new Txn().put("a", value(1)))
+                        .status());
     }
 
     /** A lease never ends early, at most 100 ms late, and takes its keys along in one change. */
     @Test
     void endsLeases() {
         long lease = model.grant(T, Span.seconds(1)).body().whole("permit");
-        model.commit(T, new Txn().put("a", value(1), lease).put("b", value(2), lease).put("c", value(3)));
+        model.commit(
+                T, new Txn().put("a", value(1), lease).put("b", value(2), lease).put("c", value(3)));
         model.advance(T.plus(new Span(999)));
         assertEquals(200, model.get(T, "a", -1).status());
         model.advance(T.plus(new Span(1100)));
@@ -126,7 +149,10 @@
         assertEquals(200, model.renew(T.plus(new Span(900)), lease).status());
         assertEquals(200, model.renew(T.plus(new Span(1899)), lease).status());
         assertEquals(404, model.renew(T.plus(new Span(3000)), lease).status());
-        assertEquals(400, model.commit(T.plus(new Span(3000)), new Txn().put("a", value(1), lease)).status());
+        assertEquals(
+                400,
+                model.commit(T.plus(new Span(3000)), new Txn().put("a", value(1), lease))
+                        .status());
     }
 
     /** A key written without its lease, or with another, is no longer taken along by the first. */
@@ -187,14 +213,14 @@
         model.watch(T, "k", 0, Span.ZERO, heard::add);
         model.watch(T, "k", 1, Span.ZERO, heard::add);
         assertEquals(List.of(410, 200), heard.stream().map(Reply::status).toList());
-        assertEquals(StateModel.CHANGES_KEPT, heard.get(1).body().children("events").size());
+        assertEquals(
+                StateModel.CHANGES_KEPT, heard.get(1).body().children("events").size());
     }
 
     /** Pages are bounded in number and in bytes, and go on after the last key. */
     @Test
     void listsByPages() {
-        StateModel big = new StateModel(new StateLimits(1e6, 1e6, 8192, 4), new SplittableRandom(1), T, change -> {
-        });
+        StateModel big = new StateModel(new StateLimits(1e6, 1e6, 8192, 4), new SplittableRandom(1), T, change -> {});
         for (int i = 0; i < 1100; i++) {
             big.commit(T, new Txn().put(String.format("s/%04d", i), value(i)));
         }
@@ -209,7 +235,8 @@
         assertEquals(false, rest.body().flag("truncated", true));
         int wide = big.list(T, "w/", null, 1000, -1).body().children("items").size();
         assertTrue(wide > 60 && wide < 66, "as many as fit into 512 KiB: " + wide);
-        assertEquals(3, big.list(T, "s/", "s/0000", 3, -1).body().children("items").size());
+        assertEquals(
+                3, big.list(T, "s/", "s/0000", 3, -1).body().children("items").size());
     }
 
     /** A service that answers with an older version than it last gave: every key as it was, deleted ones included. */
@@ -235,8 +262,7 @@
         put("c", 3);
         model.commit(T, new Txn().delete("b"));
         for (Iterable<Mutation> changes : List.of(List.copyOf(kept), model.contents())) {
-            StateModel again = new StateModel(LIMITS, new SplittableRandom(2), T, change -> {
-            });
+            StateModel again = new StateModel(LIMITS, new SplittableRandom(2), T, change -> {});
             changes.forEach(change -> again.restore(change, T));
             assertEquals(model.revision(), again.revision());
             assertEquals(model.list(T, "", null, 10, -1), again.list(T, "", null, 10, -1));
--- a/src/test/java/io/indigoreach/emulator/model/WorkerModelTest.java
+++ b/src/test/java/io/indigoreach/emulator/model/WorkerModelTest.java
@@ -48,9 +48,25 @@
     }
 
     private static JobSpec job(int n, double cores, double saveEvery) {
-        return new JobSpec(new JobId("run-" + n), "c", "t", Shape.ARRAY, Urgency.STANDARD, 4, new Demand(cores, 0, 1),
-                "image-" + n, 1, null, null, false, false, true, Span.seconds(10), Span.seconds(saveEvery),
-                Span.seconds(1), null);
+        return new JobSpec(
+                new JobId("run-" + n),
+                "c",
+                "t",
+                Shape.ARRAY,
+                Urgency.STANDARD,
+                4,
+                new Demand(cores, 0, 1),
+                "image-" + n,
+                1,
+                null,
+                null,
+                false,
+                false,
+                true,
+                Span.seconds(10),
+                Span.seconds(saveEvery),
+                Span.seconds(1),
+                null);
     }
 
     @BeforeEach
@@ -66,11 +82,15 @@
         for (int n = 1; n <= 5; n++) {
             depot.upload(job(n, n == 5 ? 3 : 1, n == 4 ? 2 : 0), new Depot.Conduct(Span.seconds(10), 0, n == 3));
         }
-        worker = new WorkerModel(cloud.machines().get(0), depot, Span.seconds(6), Span.seconds(2),
-                new SplittableRandom(2), new WorkerModel.Listener() {
+        worker = new WorkerModel(
+                cloud.machines().get(0),
+                depot,
+                Span.seconds(6),
+                Span.seconds(2),
+                new SplittableRandom(2),
+                new WorkerModel.Listener() {
                     @Override
-                    public void started(Moment at, MachineId machine, TaskId task, Attempt attempt, Token token) {
-                    }
+                    public void started(Moment at, MachineId machine, TaskId task, Attempt attempt, Token token) {}
 
                     @Override
                     public void running(Moment at, MachineId machine, TaskId task, Attempt attempt) {
@@ -86,7 +106,8 @@
                     public void forgotten(Moment at, MachineId machine, TaskId task, Attempt attempt) {
                         seen.add("forgotten " + task);
                     }
-                }, T);
+                },
+                T);
     }
 
     private static Order start(int job, int index, long attempt) {
@@ -126,9 +147,11 @@
     }
 
     private String states() {
-        return worker.state(now).tasks().stream().map(t -> t.task() + "/" + t.attempt() + " "
-                + (t.state() == TaskState.EXITED ? t.cause() + (t.saved() ? " saved" : "") : t.state()))
-                .reduce((a, b) -> a + ", " + b).orElse("");
+        return worker.state(now).tasks().stream()
+                .map(t -> t.task() + "/" + t.attempt() + " "
+                        + (t.state() == TaskState.EXITED ? t.cause() + (t.saved() ? " saved" : "") : t.state()))
+                .reduce((a, b) -> a + ", " + b)
+                .orElse("");
     }
 
     @Test
@@ -167,8 +190,10 @@
     @Test
     void refusesStarts() {
         go(3, 1, start(1, 0, 7), start(1, 0, 8), start(9, 0, 1), start(1, 4, 2), start(5, 0, 3), start(5, 1, 4));
-        assertEquals("run-1/0/7 RUNNING, run-1/0/8 IN_USE, run-9/0/1 UNKNOWN, run-1/4/2 UNKNOWN, run-5/0/3 RUNNING, "
-                + "run-5/1/4 FULL", states());
+        assertEquals(
+                "run-1/0/7 RUNNING, run-1/0/8 IN_USE, run-9/0/1 UNKNOWN, run-1/4/2 UNKNOWN, run-5/0/3 RUNNING, "
+                        + "run-5/1/4 FULL",
+                states());
     }
 
     /** With time enough a task saves and goes on from there; a second stop without time ends the saving. */
--- a/src/test/java/io/indigoreach/experiment/ProcessesIT.java
+++ b/src/test/java/io/indigoreach/experiment/ProcessesIT.java
@@ -51,11 +51,15 @@
             fault { kind: kill at_s: 15 for_s: 0.1 to: "node-1" }
             fault { kind: kill at_s: 15 for_s: 0.1 to: "node-2" }
             """;
+
     @TempDir
     private Path directory;
 
     private static Set<Long> children() {
-        return ProcessHandle.current().descendants().filter(ProcessHandle::isAlive).map(ProcessHandle::pid)
+        return ProcessHandle.current()
+                .descendants()
+                .filter(ProcessHandle::isAlive)
+                .map(ProcessHandle::pid)
                 .collect(Collectors.toSet());
     }
 
@@ -64,14 +68,19 @@
         Set<Long> before = children();
         Scenario scenario = TextForm.parse("it", SCENARIO, Scenario.class);
         Vertx vertx = Vertx.vertx();
-        Experiment.Outcome outcome = new Experiment(vertx, scenario, Path.of("."), directory, line -> {
-        }).run(Arrivals.of(scenario)).toCompletionStage().toCompletableFuture().get(240, TimeUnit.SECONDS);
+        Experiment.Outcome outcome = new Experiment(vertx, scenario, Path.of("."), directory, line -> {})
+                .run(Arrivals.of(scenario))
+                .toCompletionStage()
+                .toCompletableFuture()
+                .get(240, TimeUnit.SECONDS);
         vertx.close().toCompletionStage().toCompletableFuture().get(20, TimeUnit.SECONDS);
         assertEquals(List.of(), outcome.breaches());
         assertEquals(List.of(), outcome.endedBySelf());
         assertTrue(outcome.jobs().size() >= 4);
         for (Users.Mine job : outcome.jobs()) {
-            assertTrue(job.status() == JobStatus.DONE || job.status() == JobStatus.CANCELLED, job.spec().id().text());
+            assertTrue(
+                    job.status() == JobStatus.DONE || job.status() == JobStatus.CANCELLED,
+                    job.spec().id().text());
         }
         Set<Long> after = children();
         after.removeAll(before);
--- a/src/test/java/io/indigoreach/load/ArrivalsTest.java
+++ b/src/test/java/io/indigoreach/load/ArrivalsTest.java
@@ -43,22 +43,41 @@
                 jobs { name: "s" team: "t" shape: service run_s: 50 at_start: 2 }
                 jobs { name: "ever" team: "t" shape: service at_start: 1 }
                 """);
-        long burst = all.stream().filter(a -> a.at().seconds() >= 300 && a.at().seconds() < 360).count();
-        long usual = all.stream().filter(a -> a.at().seconds() >= 1 && a.at().seconds() < 300).count();
+        long burst = all.stream()
+                .filter(a -> a.at().seconds() >= 300 && a.at().seconds() < 360)
+                .count();
+        long usual = all.stream()
+                .filter(a -> a.at().seconds() >= 1 && a.at().seconds() < 300)
+                .count();
         assertTrue(burst > 90 && burst < 150, "" + burst);
         assertTrue(usual > 115 && usual < 185, "" + usual);
-        assertEquals(9, all.stream().filter(a -> a.at().seconds() <= 1 && !a.at().equals(Span.ZERO)).count(), 2);
+        assertEquals(
+                9,
+                all.stream()
+                        .filter(a -> a.at().seconds() <= 1 && !a.at().equals(Span.ZERO))
+                        .count(),
+                2);
         assertEquals(all.size(), all.stream().map(a -> a.spec().id()).distinct().count());
-        double tasks = all.stream().filter(a -> a.spec().jobClass().equals("a")).mapToInt(a -> a.spec().tasks()).average()
+        double tasks = all.stream()
+                .filter(a -> a.spec().jobClass().equals("a"))
+                .mapToInt(a -> a.spec().tasks())
+                .average()
                 .orElseThrow();
         assertTrue(tasks > 7.5 && tasks < 10, "" + tasks);
         assertTrue(all.stream().allMatch(a -> a.spec().tasks() <= 20 || a.spec().isService()));
-        double mean = all.stream().mapToDouble(a -> a.conduct().run().seconds()).filter(s -> s < 20).average().orElseThrow();
+        double mean = all.stream()
+                .mapToDouble(a -> a.conduct().run().seconds())
+                .filter(s -> s < 20)
+                .average()
+                .orElseThrow();
         assertTrue(mean > 4.5 && mean < 5.5, "" + mean);
-        long cancelled = all.stream().filter(a -> a.cancelAfter() != null && !a.spec().isService()).count();
+        long cancelled = all.stream()
+                .filter(a -> a.cancelAfter() != null && !a.spec().isService())
+                .count();
         assertTrue(Math.abs(cancelled - all.size() / 2.0) < all.size() * 0.1, "" + cancelled);
-        assertTrue(all.stream().filter(a -> a.spec().isService()).allMatch(a ->
-                (a.cancelAfter() == null) == a.spec().jobClass().equals("ever")
-                && a.spec().estimate().equals(Span.ZERO)));
+        assertTrue(all.stream()
+                .filter(a -> a.spec().isService())
+                .allMatch(a -> (a.cancelAfter() == null) == a.spec().jobClass().equals("ever")
+                        && a.spec().estimate().equals(Span.ZERO)));
     }
 }
--- a/src/test/java/io/indigoreach/scenario/TextFormTest.java
+++ b/src/test/java/io/indigoreach/scenario/TextFormTest.java
@@ -53,8 +53,12 @@
             """)
     void namesFileLineAndField(String was, String is, String line, String what) {
         String text = GOOD.replace(was, is);
-        ConfigException e = assertThrows(ConfigException.class, () -> TextForm.parse("f.textproto", text, Scenario.class));
-        assertTrue(e.getMessage().startsWith("f.textproto:" + line) && e.getMessage().contains(what), e.getMessage());
+        ConfigException e =
+                assertThrows(ConfigException.class, () -> TextForm.parse("f.textproto", text, Scenario.class));
+        assertTrue(
+                e.getMessage().startsWith("f.textproto:" + line)
+                        && e.getMessage().contains(what),
+                e.getMessage());
         assertEquals(1, e.getMessage().lines().count(), e.getMessage());
     }
 
--- a/src/test/java/io/indigoreach/state/HandoverTest.java
+++ b/src/test/java/io/indigoreach/state/HandoverTest.java
@@ -64,7 +64,9 @@
             this.random = new SplittableRandom(seed);
             this.life = life;
             service.expiring = true;
-            await(on(() -> Future.all(NODES.stream().map(n -> service.door(vertx, n).onSuccess(d -> doors.put(n, d))).toList())));
+            await(on(() -> Future.all(NODES.stream()
+                    .map(n -> service.door(vertx, n).onSuccess(d -> doors.put(n, d)))
+                    .toList())));
             on(() -> vertx.setPeriodic(2, t -> look()));
         }
 
@@ -94,7 +96,10 @@
 
         private void look() {
             service.expire();
-            List<String> valid = running.values().stream().filter(p -> p.leadership.isValid()).map(p -> p.name).toList();
+            List<String> valid = running.values().stream()
+                    .filter(p -> p.leadership.isValid())
+                    .map(p -> p.name)
+                    .toList();
             if (valid.size() > 1) {
                 breaches.add("more than one leads: " + valid);
             }
@@ -117,7 +122,10 @@
         }
 
         Process leader() {
-            return running.values().stream().filter(p -> p.leadership.isLeading()).findFirst().orElse(null);
+            return running.values().stream()
+                    .filter(p -> p.leadership.isLeading())
+                    .findFirst()
+                    .orElse(null);
         }
 
         /** What all others say, each after a while and as it is then; false if one is not there, or its answer is lost. */
@@ -133,7 +141,8 @@
         }
 
         private Future<Void> delay() {
-            return vertx.timer(1 + random.nextInt(random.nextInt(4) == 0 ? 300 : 20), TimeUnit.MILLISECONDS).mapEmpty();
+            return vertx.timer(1 + random.nextInt(random.nextInt(4) == 0 ? 300 : 20), TimeUnit.MILLISECONDS)
+                    .mapEmpty();
         }
 
         private void after(double s, Runnable then) {
@@ -155,10 +164,20 @@
             this.world = world;
             this.node = node;
             this.name = node + "-" + Math.abs(world.random.nextInt());
-            StateClient client = new StateClient(new Caller(vertx, world.doors.get(node), 4),
-                    new Caller(vertx, world.doors.get(node), 2));
-            this.leadership = new Leadership(vertx, client, vertx, client, clock, node, name, NODES.size() - 1, world.life,
-                    new TokenClock(NODES.indexOf(node), clock.timeOfDay(), Span.seconds(0.1)), new Leadership.Listener() {
+            StateClient client = new StateClient(
+                    new Caller(vertx, world.doors.get(node), 4), new Caller(vertx, world.doors.get(node), 2));
+            this.leadership = new Leadership(
+                    vertx,
+                    client,
+                    vertx,
+                    client,
+                    clock,
+                    node,
+                    name,
+                    NODES.size() - 1,
+                    world.life,
+                    new TokenClock(NODES.indexOf(node), clock.timeOfDay(), Span.seconds(0.1)),
+                    new Leadership.Listener() {
                         @Override
                         public void took(Token token, Stamp key, boolean bounds) {
                             if (!ended) {
@@ -172,11 +191,11 @@
                         }
 
                         @Override
-                        public void lost(String reason) {
-                        }
+                        public void lost(String reason) {}
                     });
             // As Standing does: who was served when it last asked leaves it to the state service.
-            leadership.asking(() -> world.ask(node, other -> other.unserved && other.leadership.pledge()),
+            leadership.asking(
+                    () -> world.ask(node, other -> other.unserved && other.leadership.pledge()),
                     () -> world.ask(node, other -> !other.leadership.isLeading()));
             unserved = false;
             vertx.setPeriodic(1, 500, t -> {
@@ -254,10 +273,12 @@
             }
             case 4 -> refuse(w, any, 0.3 + r.nextDouble(4));
             case 5, 7, 8 -> {
-                // Not an outage: leases end meanwhile, while the leader goes on by pledges; then those who pledged are served
+                // Not an outage: leases end meanwhile, while the leader goes on by pledges; then those who pledged are
+                // served
                 // before the leader is, and one of them may have ended and returned.
                 double least = 3.3 + r.nextDouble(1.5);
-                NODES.forEach(n -> refuse(w, n, least + (leader != null && n.equals(leader.node) ? 3 : r.nextDouble(1.5))));
+                NODES.forEach(
+                        n -> refuse(w, n, least + (leader != null && n.equals(leader.node) ? 3 : r.nextDouble(1.5))));
                 if (r.nextBoolean()) {
                     w.after(least + r.nextDouble(1) - 0.3, () -> endAndReturn(w, NODES.get(r.nextInt(NODES.size()))));
                 }
@@ -329,8 +350,12 @@
         Moment late = w.on(() -> {
             w.service.delaying = (door, path) -> false;
             w.service.letThrough();
-            assertEquals(meanwhile.startsWith("another") ? meanwhile.endsWith("has led") ? "none" : "b" : "a", w.service.has(RecordCodec.LEADER)
-                    ? w.service.value(RecordCodec.LEADER).text("node") : "none", "whose key stands there");
+            assertEquals(
+                    meanwhile.startsWith("another") ? meanwhile.endsWith("has led") ? "none" : "b" : "a",
+                    w.service.has(RecordCodec.LEADER)
+                            ? w.service.value(RecordCodec.LEADER).text("node")
+                            : "none",
+                    "whose key stands there");
             assertFalse(a.leadership.isLeading());
             w.service.refused.clear();
             return clock.now();
@@ -396,10 +421,13 @@
         });
         w.until(() -> clock.now().since(again).compareTo(Span.seconds(1)) > 0 || w.took.size() > 2);
         assertEquals(2, w.took.size(), "the second leadership goes on");
-        // No renewal of the second lease gets through: its time runs from when it was asked for, and not from the first one's renewal.
+        // No renewal of the second lease gets through: its time runs from when it was asked for, and not from the first
+        // one's renewal.
         w.until(() -> !a.leadership.isValid());
         Span valid = clock.now().since(again);
-        assertTrue(valid.compareTo(w.life) < 0 && valid.compareTo(w.life.minus(Span.seconds(0.75))) > 0, valid + " of its own lease");
+        assertTrue(
+                valid.compareTo(w.life) < 0 && valid.compareTo(w.life.minus(Span.seconds(0.75))) > 0,
+                valid + " of its own lease");
     }
 
     /** What a node remembers as open is the newest there is only if nobody has led since, also where it never read who did. */
@@ -425,15 +453,17 @@
                     return w.service.refused.remove("a");
                 });
             }
-            case "nobody" -> w.on(() -> {
-                a.leadership.deposed();
-                return null;
-            });
-            default -> w.on(() -> {
-                w.service.losingAnswers = 1;
-                a.leadership.deposed();
-                return null;
-            });
+            case "nobody" ->
+                w.on(() -> {
+                    a.leadership.deposed();
+                    return null;
+                });
+            default ->
+                w.on(() -> {
+                    w.service.losingAnswers = 1;
+                    a.leadership.deposed();
+                    return null;
+                });
         }
         int before = w.took.size();
         w.until(() -> w.took.size() > before && a.leadership.isValid());
@@ -449,7 +479,8 @@
         Token held = tokens.next(Token.NONE, clock.timeOfDay());
         for (int n = 0; n < 100; n++) {
             Token refused = tokens.next(Token.NONE, clock.timeOfDay());
-            assertTrue(refused.value() > held.value() && held.value() > first.value(), "those may still be carried out");
+            assertTrue(
+                    refused.value() > held.value() && held.value() > first.value(), "those may still be carried out");
             tokens.unused(refused);
         }
         assertEquals(3 << 5, tokens.next(Token.NONE, clock.timeOfDay()).value() - (first.value() - (1 << 5)));
--- a/src/test/java/io/indigoreach/state/LeadershipTest.java
+++ b/src/test/java/io/indigoreach/state/LeadershipTest.java
@@ -37,11 +37,16 @@
     private final AtomicLong highest = new AtomicLong();
     /** How many leaderships there were, each under a token above all before. */
     private final AtomicLong taken = new AtomicLong();
+
     private StateStandIn service;
 
     @BeforeEach
     void listen() throws Exception {
-        service = new StateStandIn().listen(vertx).toCompletionStage().toCompletableFuture().get();
+        service = new StateStandIn()
+                .listen(vertx)
+                .toCompletionStage()
+                .toCompletableFuture()
+                .get();
     }
 
     @AfterEach
@@ -58,14 +63,25 @@
     }
 
     private Leadership node(String node, String process, int peers, Span life, Supplier<Future<Boolean>> unled) {
-        StateClient client = new StateClient(new Caller(vertx, service.endpoint(), 4),
-                new Caller(vertx, service.endpoint(), 2));
-        Leadership leadership = new Leadership(vertx, client, vertx, client, clock, node, process, peers, life,
-                new TokenClock(node.charAt(0) - 'a', clock.timeOfDay(), Span.seconds(0.1)), new Leadership.Listener() {
+        StateClient client =
+                new StateClient(new Caller(vertx, service.endpoint(), 4), new Caller(vertx, service.endpoint(), 2));
+        Leadership leadership = new Leadership(
+                vertx,
+                client,
+                vertx,
+                client,
+                clock,
+                node,
+                process,
+                peers,
+                life,
+                new TokenClock(node.charAt(0) - 'a', clock.timeOfDay(), Span.seconds(0.1)),
+                new Leadership.Listener() {
                     @Override
                     public void took(Token token, Stamp key, boolean bounds) {
                         boolean above = token.value() > highest.getAndSet(token.value());
-                        events.add(process + " took " + (above ? taken.incrementAndGet() : "an old token") + (bounds ? "" : ", bounds in doubt"));
+                        events.add(process + " took " + (above ? taken.incrementAndGet() : "an old token")
+                                + (bounds ? "" : ", bounds in doubt"));
                     }
 
                     @Override
@@ -95,9 +111,17 @@
 
     /** Whether a node that starts waits for a leader before it listens: nobody leads, in a deployment where somebody has. */
     @ParameterizedTest
-    @CsvSource({"-, false, false, false", "-, true, false, true", "a, true, false, true", "b, true, true, false", "b, true, false, true"})
-    void aNodeThatStartsKnowsWhetherAnybodyLeads(String leader, boolean counter, boolean answers, boolean leaderless) throws Exception {
-        StateClient client = new StateClient(new Caller(vertx, service.endpoint(), 4), new Caller(vertx, service.endpoint(), 2));
+    @CsvSource({
+        "-, false, false, false",
+        "-, true, false, true",
+        "a, true, false, true",
+        "b, true, true, false",
+        "b, true, false, true"
+    })
+    void aNodeThatStartsKnowsWhetherAnybodyLeads(String leader, boolean counter, boolean answers, boolean leaderless)
+            throws Exception {
+        StateClient client =
+                new StateClient(new Caller(vertx, service.endpoint(), 4), new Caller(vertx, service.endpoint(), 2));
         StateClient.Txn there = new StateClient.Txn();
         if (counter) {
             there.put(RecordCodec.COUNTER, RecordCodec.writeCounter(new Token(4), true));
@@ -106,10 +130,24 @@
             there.put(RecordCodec.LEADER, LeaderKey.write(leader, "p", new Token(4)));
         }
         client.commit(there).toCompletionStage().toCompletableFuture().get(20, TimeUnit.SECONDS);
-        Leadership a = new Leadership(vertx, client, vertx, client, clock, "a", "a2", 2, Span.seconds(10),
-                new TokenClock(0, clock.timeOfDay(), Span.seconds(0.1)), null);
-        assertEquals(leaderless, a.clear(node -> Future.succeededFuture(answers && node.equals("b"))).toCompletionStage()
-                .toCompletableFuture().get(20, TimeUnit.SECONDS));
+        Leadership a = new Leadership(
+                vertx,
+                client,
+                vertx,
+                client,
+                clock,
+                "a",
+                "a2",
+                2,
+                Span.seconds(10),
+                new TokenClock(0, clock.timeOfDay(), Span.seconds(0.1)),
+                null);
+        assertEquals(
+                leaderless,
+                a.clear(node -> Future.succeededFuture(answers && node.equals("b")))
+                        .toCompletionStage()
+                        .toCompletableFuture()
+                        .get(20, TimeUnit.SECONDS));
     }
 
     /** Guards against waiting a whole lease for a process that surely has ended. */
@@ -180,10 +218,12 @@
      */
     @Test
     void boundsAreNotBelievedAfterAnOlderVersionHasLed() throws Exception {
-        StateClient client = new StateClient(new Caller(vertx, service.endpoint(), 1),
-                new Caller(vertx, service.endpoint(), 1));
-        client.commit(new StateClient.Txn().put(RecordCodec.COUNTER, Wire.map("value", 7L))).toCompletionStage()
-                .toCompletableFuture().get();
+        StateClient client =
+                new StateClient(new Caller(vertx, service.endpoint(), 1), new Caller(vertx, service.endpoint(), 1));
+        client.commit(new StateClient.Txn().put(RecordCodec.COUNTER, Wire.map("value", 7L)))
+                .toCompletionStage()
+                .toCompletableFuture()
+                .get();
         Leadership a = node("a", "a1", 0);
         assertEquals("a1 took 1, bounds in doubt", next());
         vertx.runOnContext(v -> a.deposed());
@@ -201,8 +241,8 @@
     @ParameterizedTest
     @ValueSource(strings = {"leader", "counter", "leader counter"})
     void noTokenIsTakenTwiceWhateverIsDeleted(String keys) throws Exception {
-        StateClient client = new StateClient(new Caller(vertx, service.endpoint(), 1),
-                new Caller(vertx, service.endpoint(), 1));
+        StateClient client =
+                new StateClient(new Caller(vertx, service.endpoint(), 1), new Caller(vertx, service.endpoint(), 1));
         Leadership a = node("a", "a1", 2);
         assertEquals("a1 took 1", next());
         for (int round = 2; round < 4; round++) {
@@ -226,7 +266,8 @@
     void pledgesBridgeAnOutageAndNothingElseDoes(String pledged, boolean valid) throws Exception {
         Leadership a = node("a", "a1", 2, Span.seconds(3));
         AtomicBoolean pledging = new AtomicBoolean("always".equals(pledged));
-        vertx.runOnContext(v -> a.asking(() -> Future.succeededFuture(pledging.get()), () -> Future.succeededFuture(false)));
+        vertx.runOnContext(
+                v -> a.asking(() -> Future.succeededFuture(pledging.get()), () -> Future.succeededFuture(false)));
         assertEquals("a1 took 1", next());
         service.refusing = true;
         Moment over = clock.now().plus(Span.seconds(3.5));
@@ -235,10 +276,12 @@
         }
         pledging.set(!"never".equals(pledged));
         CompletableFuture<Boolean> asked = new CompletableFuture<>();
-        vertx.runOnContext(v -> a.asking(() -> {
-            vertx.setTimer(1, t -> asked.complete(true));
-            return Future.succeededFuture(pledging.get());
-        }, () -> Future.succeededFuture(false)));
+        vertx.runOnContext(v -> a.asking(
+                () -> {
+                    vertx.setTimer(1, t -> asked.complete(true));
+                    return Future.succeededFuture(pledging.get());
+                },
+                () -> Future.succeededFuture(false)));
         if (valid) {
             asked.get(20, TimeUnit.SECONDS);
         }
@@ -275,12 +318,14 @@
         Leadership c = node("c", "c1", 2);
         service.endLeases();
         assertEquals("c1 took 3", next());
-        assertTrue(clock.now().since(began).compareTo(Leadership.PLEDGE) >= 0, "a former process of it may have pledged");
+        assertTrue(
+                clock.now().since(began).compareTo(Leadership.PLEDGE) >= 0, "a former process of it may have pledged");
         service.endLeases();
         assertEquals("c1 lost", next());
         vertx.runOnContext(v -> c.stop());
         AtomicBoolean asked = new AtomicBoolean();
-        Leadership d = node("d", "d1", 2, Span.seconds(10), () -> Future.succeededFuture(asked.compareAndSet(false, true)));
+        Leadership d =
+                node("d", "d1", 2, Span.seconds(10), () -> Future.succeededFuture(asked.compareAndSet(false, true)));
         service.endLeases();
         assertEquals("d1 took 4", next());
         assertTrue(asked.get() && d.isValid(), "not so if nobody leads");
--- a/src/test/java/io/indigoreach/state/RecordCodecTest.java
+++ b/src/test/java/io/indigoreach/state/RecordCodecTest.java
@@ -24,9 +24,25 @@
     private static final int TXN_OPS = 12;
 
     private static JobSpec spec(int tasks) {
-        return new JobSpec(new JobId("run-000000000000000001"), "c".repeat(100), "t", Shape.SERVICE,
-                Urgency.PRODUCTION, tasks, new Demand(1.5, 2, 3.25), "i".repeat(200), 1.5, List.of("k1", "k2"), "z",
-                true, true, true, Span.seconds(12.5), Span.seconds(30), Span.seconds(4), Span.seconds(900));
+        return new JobSpec(
+                new JobId("run-000000000000000001"),
+                "c".repeat(100),
+                "t",
+                Shape.SERVICE,
+                Urgency.PRODUCTION,
+                tasks,
+                new Demand(1.5, 2, 3.25),
+                "i".repeat(200),
+                1.5,
+                List.of("k1", "k2"),
+                "z",
+                true,
+                true,
+                true,
+                Span.seconds(12.5),
+                Span.seconds(30),
+                Span.seconds(4),
+                Span.seconds(900));
     }
 
     @ParameterizedTest
@@ -51,7 +67,7 @@
             RecordCodec.readBlock(key, Wire.readMap(Wire.write(block)), bits);
         }
         assertEquals(done, bits);
-        assertEquals(new JobRecord(spec(tasks), 42, JobStatus.RUNNING, bits, done.cardinality(), 7, 5, new Stamp(9)),
-                back);
+        assertEquals(
+                new JobRecord(spec(tasks), 42, JobStatus.RUNNING, bits, done.cardinality(), 7, 5, new Stamp(9)), back);
     }
 }
--- a/src/test/java/io/indigoreach/state/RecordsTest.java
+++ b/src/test/java/io/indigoreach/state/RecordsTest.java
@@ -112,7 +112,8 @@
 
     @Test
     void aLeaderWhoseKeyIsGoneWritesNothing() throws Exception {
-        Stamp key = await(client.commit(new StateClient.Txn().put(RecordCodec.LEADER, Map.of("t", 1L)))).stamp();
+        Stamp key = await(client.commit(new StateClient.Txn().put(RecordCodec.LEADER, Map.of("t", 1L))))
+                .stamp();
         Records leading = records.leading(RecordCodec.LEADER, key, new Budget(100, clock.now()));
         assertEquals(1, await(leading.run(adding("a/1"))));
         await(client.commit(new StateClient.Txn().delete(RecordCodec.LEADER)));
@@ -122,7 +123,8 @@
 
     @Test
     void familiesDoNotShareAPrefix() {
-        assertThrows(IllegalArgumentException.class,
+        assertThrows(
+                IllegalArgumentException.class,
                 () -> new Copies(List.of(LASTING, new Family("a/b/", 1, true, Family.Mending.NEWER))));
     }
 }
--- a/src/test/java/io/indigoreach/state/StateStandIn.java
+++ b/src/test/java/io/indigoreach/state/StateStandIn.java
@@ -30,12 +30,12 @@
  * and execute them late.
  */
 public final class StateStandIn {
-    private record Item(Map<String, Object> data, long stamp, long lease) {
-    }
+    private record Item(Map<String, Object> data, long stamp, long lease) {}
 
     private final ConcurrentSkipListMap<String, Item> items = new ConcurrentSkipListMap<>();
     /** When each lease ends, by the steady clock in ns; only where they {@link #expiring expire}. */
     private final Map<Long, Long> leases = new HashMap<>();
+
     private final Map<Long, Long> lives = new HashMap<>();
     private final List<Runnable> delayed = new ArrayList<>();
     private final List<Promise<Void>> watchers = new ArrayList<>();
@@ -57,6 +57,7 @@
     public boolean keepingLeases;
     /** Transactions that get no answer, and are executed by {@link #executeLate}. */
     public volatile Predicate<Fields> holding = txn -> false;
+
     private final Queue<Fields> held = new ConcurrentLinkedQueue<>();
     private volatile Context loop;
     public int transactions;
@@ -64,6 +65,7 @@
     public volatile int reads;
     /** Keys that were written or deleted. */
     public volatile int changed;
+
     private Endpoint endpoint;
 
     public Future<StateStandIn> listen(Vertx vertx) {
@@ -75,7 +77,9 @@
 
     /** A way in for one caller, who can be refused alone. */
     public Future<Endpoint> door(Vertx vertx, String name) {
-        return vertx.createHttpServer().requestHandler(r -> handle(r, name)).listen(0, "127.0.0.1")
+        return vertx.createHttpServer()
+                .requestHandler(r -> handle(r, name))
+                .listen(0, "127.0.0.1")
                 .map(s -> new Endpoint("127.0.0.1", s.actualPort()));
     }
 
@@ -120,7 +124,8 @@
     /** Executes what is held back, the oldest first; the statuses that nobody is told. */
     public List<Integer> executeLate() {
         if (Vertx.currentContext() == loop) {
-            List<Integer> statuses = held.stream().map(this::execute).map(Reply::status).toList();
+            List<Integer> statuses =
+                    held.stream().map(this::execute).map(Reply::status).toList();
             held.clear();
             return statuses;
         }
@@ -136,7 +141,10 @@
 
     private void endLease(long lease) {
         leases.remove(lease);
-        List<String> gone = items.entrySet().stream().filter(e -> e.getValue().lease == lease).map(Map.Entry::getKey).toList();
+        List<String> gone = items.entrySet().stream()
+                .filter(e -> e.getValue().lease == lease)
+                .map(Map.Entry::getKey)
+                .toList();
         gone.forEach(this::delete);
         wakeWatchers();
     }
@@ -147,7 +155,9 @@
             return;
         }
         long now = System.nanoTime();
-        List.copyOf(leases.keySet()).stream().filter(l -> leases.get(l) - now < 0).forEach(this::endLease);
+        List.copyOf(leases.keySet()).stream()
+                .filter(l -> leases.get(l) - now < 0)
+                .forEach(this::endLease);
     }
 
     private void handle(HttpServerRequest request, String door) {
@@ -177,8 +187,12 @@
         } else if (path.startsWith("/store/")) {
             reads++;
             Item item = items.get(path.substring(7));
-            reply(request, item == null ? 404 : 200, item == null ? Wire.map("ledger_rev", revision)
-                    : Wire.map("path", path.substring(7), "data", item.data, "stamp", item.stamp));
+            reply(
+                    request,
+                    item == null ? 404 : 200,
+                    item == null
+                            ? Wire.map("ledger_rev", revision)
+                            : Wire.map("path", path.substring(7), "data", item.data, "stamp", item.stamp));
         } else if (path.equals("/grants")) {
             lives.put(++lastLease, Wire.readMap(body).whole("life_ms") * 1_000_000);
             leases.put(lastLease, System.nanoTime() + lives.get(lastLease));
@@ -260,8 +274,16 @@
                 out.add(Wire.map("path", key, "data", item.data, "stamp", item.stamp));
             }
         });
-        reply(request, 200, Wire.map("items", out.subList(0, Math.min(most, out.size())), "truncated", out.size() > most,
-                "ledger_rev", revision));
+        reply(
+                request,
+                200,
+                Wire.map(
+                        "items",
+                        out.subList(0, Math.min(most, out.size())),
+                        "truncated",
+                        out.size() > most,
+                        "ledger_rev",
+                        revision));
     }
 
     private void watch(HttpServerRequest request, String door, String prefix, long since) {
--- a/src/test/java/io/indigoreach/store/RecordStoreTest.java
+++ b/src/test/java/io/indigoreach/store/RecordStoreTest.java
@@ -41,8 +41,7 @@
 
     private Path filled(String... records) throws IOException {
         Path d = directory.resolve("filled");
-        try (RecordStore store = new RecordStore(d, r -> {
-        })) {
+        try (RecordStore store = new RecordStore(d, r -> {})) {
             for (String r : records) {
                 store.append(bytes(r));
                 store.sync();
@@ -100,8 +99,7 @@
     void survivesAnEndWhileChangingBases() throws IOException {
         Path d = directory.resolve("based");
         List<String> found = new ArrayList<>();
-        try (RecordStore store = new RecordStore(d, r -> {
-        })) {
+        try (RecordStore store = new RecordStore(d, r -> {})) {
             store.append(bytes("a=1"));
             store.append(bytes("a=2"));
             long n = store.beginLog();
@@ -116,7 +114,9 @@
         found.addAll(read(d));
         assertEquals(List.of("a=2", "b=1", "c=1"), found);
         try (var files = Files.list(d)) {
-            assertEquals(List.of("base-1", "lock", "log-1"), files.map(p -> p.getFileName().toString()).sorted().toList());
+            assertEquals(
+                    List.of("base-1", "lock", "log-1"),
+                    files.map(p -> p.getFileName().toString()).sorted().toList());
         }
     }
 
@@ -124,8 +124,7 @@
     @Test
     void refusesABaseCutShort() throws IOException {
         Path d = directory.resolve("based");
-        try (RecordStore store = new RecordStore(d, r -> {
-        })) {
+        try (RecordStore store = new RecordStore(d, r -> {})) {
             store.writeBase(store.beginLog(), List.of(bytes("a"), bytes("b")));
         }
         byte[] base = Files.readAllBytes(d.resolve("base-1"));
@@ -135,8 +134,7 @@
 
     @Test
     void servesOneProcessAtATime() throws IOException {
-        try (RecordStore first = new RecordStore(directory, r -> {
-        })) {
+        try (RecordStore first = new RecordStore(directory, r -> {})) {
             IOException e = assertThrows(IOException.class, () -> read(directory));
             assertTrue(e.getMessage().contains("in use"), e.getMessage());
         }
--- a/src/test/java/io/indigoreach/tools/RecordsVerbTest.java
+++ b/src/test/java/io/indigoreach/tools/RecordsVerbTest.java
@@ -45,6 +45,7 @@
 class RecordsVerbTest {
     @TempDir
     private Path dir;
+
     private final Vertx vertx = Vertx.vertx();
     private Parts parts;
     private Caller http;
@@ -54,14 +55,36 @@
     @BeforeEach
     void serve() throws Exception {
         state = await(new StateStandIn().listen(vertx));
-        PlatformConfig config = new PlatformConfig("a", "z", null, null, List.of(), null, null, List.of("z"), Span.ZERO, List.of(),
-                List.of(), null, new PlatformConfig.StateLimits(1000, 1000, 8192, 12), null, 100);
+        PlatformConfig config = new PlatformConfig(
+                "a",
+                "z",
+                null,
+                null,
+                List.of(),
+                null,
+                null,
+                List.of("z"),
+                Span.ZERO,
+                List.of(),
+                List.of(),
+                null,
+                new PlatformConfig.StateLimits(1000, 1000, 8192, 12),
+                null,
+                100);
         Settings settings = SettingsFile.parse("test", "record_ownership: 1");
-        parts = Parts.of(Parts.kinds(settings), vertx, new StateClient(new Caller(vertx, state.endpoint(), 8),
-                new Caller(vertx, state.endpoint(), 1)), new SteadyClock(), null, config, settings);
-        int port = await(new FrontDoor(vertx, new Endpoint("127.0.0.1", 0), null, null, () -> true, parts.resources()).open());
+        parts = Parts.of(
+                Parts.kinds(settings),
+                vertx,
+                new StateClient(new Caller(vertx, state.endpoint(), 8), new Caller(vertx, state.endpoint(), 1)),
+                new SteadyClock(),
+                null,
+                config,
+                settings);
+        int port = await(
+                new FrontDoor(vertx, new Endpoint("127.0.0.1", 0), null, null, () -> true, parts.resources()).open());
         http = new Caller(vertx, new Endpoint("127.0.0.1", port), 2);
-        cluster = Files.writeString(dir.resolve("cluster"), new ClusterFile(List.of("127.0.0.1:" + port), "", "", "").toText())
+        cluster = Files.writeString(
+                        dir.resolve("cluster"), new ClusterFile(List.of("127.0.0.1:" + port), "", "", "").toText())
                 .toString();
     }
 
@@ -97,8 +120,17 @@
     }
 
     @ParameterizedTest
-    @CsvSource({"claim, run, e 1, run", "claim, run, run-1, run", "claim, ids, x, run", "billing, ids, x, run", "billed, run, e1, fences",
-        "resolve, as, gone, as", "begin, by, anna, reason", "release, job, x, run", "billing, job, x, job"})
+    @CsvSource({
+        "claim, run, e 1, run",
+        "claim, run, run-1, run",
+        "claim, ids, x, run",
+        "billing, ids, x, run",
+        "billed, run, e1, fences",
+        "resolve, as, gone, as",
+        "begin, by, anna, reason",
+        "release, job, x, run",
+        "billing, job, x, job"
+    })
     void whatIsMalformedIsToldByItsField(String what, String name, String value, String field) throws Exception {
         begin();
         Reply r = post(what, name, value);
@@ -109,8 +141,13 @@
     @Test
     void anExportsScript() throws Exception {
         assertEquals(0, tell("begin --by anna --reason first-day").code());
-        Path ids = Files.write(dir.resolve("ids"), java.util.stream.IntStream.range(0, 700).mapToObj(n -> "KL-1/farm-" + n).toList());
-        assertEquals("e1 holds 700 records\n", tell("claim --run e1 --file " + ids).out());
+        Path ids = Files.write(
+                dir.resolve("ids"),
+                java.util.stream.IntStream.range(0, 700)
+                        .mapToObj(n -> "KL-1/farm-" + n)
+                        .toList());
+        assertEquals(
+                "e1 holds 700 records\n", tell("claim --run e1 --file " + ids).out());
         assertEquals(5, tell("claim --run e2 KL-1/farm-3 KL-1/other").code());
         assertTrue(tell("claim --run e2 KL-1/farm-3 KL-1/other").err().contains("KL-1/farm-3 is claimed by e1"));
         String fences = tell("billing --run e1 --file " + ids).out();
@@ -120,10 +157,12 @@
         assertEquals(5, tell("billing --run e2 KL-1/farm-3").code());
         assertEquals(0, tell("billed --run e1 --file " + given).code());
         assertEquals(0, tell("billed --run e1 --file " + given).code(), "a repeat");
-        assertEquals("KL-1/farm-3 billed\n", tell("billing --run e1 KL-1/farm-3").out());
+        assertEquals(
+                "KL-1/farm-3 billed\n", tell("billing --run e1 KL-1/farm-3").out());
         assertEquals("     700  e1 billed\n", tell("holders").out());
         assertEquals(0, tell("doubt").code());
-        assertEquals(5, tell("resolve --as free --by anna --reason why KL-1/farm-3").code(), "billed is final");
+        assertEquals(
+                5, tell("resolve --as free --by anna --reason why KL-1/farm-3").code(), "billed is final");
         assertEquals(0, tell("release --run e1").code());
         assertTrue(tell("show KL-1/farm-3 KL-1/new").out().contains("free"));
         assertEquals(2, tell("billing --run e1").code());
@@ -140,7 +179,8 @@
         ToolTest.Told doubt = tell("doubt --group a");
         assertEquals(5, doubt.code());
         assertTrue(doubt.out().contains("anna: gone"));
-        assertEquals(0, tell("resolve --as billed --by anna --reason line-4711 a/1").code());
+        assertEquals(
+                0, tell("resolve --as billed --by anna --reason line-4711 a/1").code());
         assertTrue(tell("show a/1 --json").out().contains("\"state\":\"billed\""));
     }
 
@@ -151,15 +191,36 @@
         tell("billing --run e1 a/1");
         tell("billed --run e1 a/1=" + tell("billing --run e1 a/1").out().trim().split(" ")[1]);
         Joining field = parts.joinings().get(0);
-        JobSpec plain = new JobSpec(new JobId("run-1"), "c", "t", Shape.ARRAY, Urgency.STANDARD, 2, new Demand(1, 0, 1), "i", 0, null,
-                null, false, false, true, Span.seconds(5), Span.ZERO, Span.ZERO, null);
+        JobSpec plain = new JobSpec(
+                new JobId("run-1"),
+                "c",
+                "t",
+                Shape.ARRAY,
+                Urgency.STANDARD,
+                2,
+                new Demand(1, 0, 1),
+                "i",
+                0,
+                null,
+                null,
+                false,
+                false,
+                true,
+                Span.seconds(5),
+                Span.ZERO,
+                Span.ZERO,
+                null);
         JobSpec never = plain.with(JobSpec.RECORDS, Map.of("ids", List.of("a/1", "a/3")));
         ExecutionException refused = assertThrows(ExecutionException.class, () -> await(field.accepting(never)));
-        assertTrue(refused.getCause() instanceof Refusal r && r.answer().status() == 422 && r.getMessage().contains("billed by e1"));
+        assertTrue(refused.getCause() instanceof Refusal r
+                && r.answer().status() == 422
+                && r.getMessage().contains("billed by e1"));
         JobSpec waits = plain.with(JobSpec.RECORDS, Map.of("prefix", "a/", "from", 2L, "to", 3L));
         Change commit = await(field.accepting(waits));
         assertEquals(List.of("own/c/run-1"), List.copyOf(commit.writes().keySet()));
-        assertThrows(WireException.class, () -> field.check(plain.with(JobSpec.RECORDS, Map.of("ids", List.of("a/1", "a/1")))));
+        assertThrows(
+                WireException.class,
+                () -> field.check(plain.with(JobSpec.RECORDS, Map.of("ids", List.of("a/1", "a/1")))));
         assertThrows(WireException.class, () -> field.check(plain.with(JobSpec.RECORDS, List.of("a/1"))));
     }
 
--- a/src/test/java/io/indigoreach/tools/ToolTest.java
+++ b/src/test/java/io/indigoreach/tools/ToolTest.java
@@ -18,8 +18,7 @@
     @TempDir
     private Path directory;
 
-    record Told(int code, String out, String err) {
-    }
+    record Told(int code, String out, String err) {}
 
     static Told tell(String... args) {
         PrintStream out = System.out;
@@ -38,11 +37,20 @@
     }
 
     @ParameterizedTest
-    @CsvSource({"'', 2, a verb is missing", "fly, 2, Unmatched argument", "status, 2, Missing required parameter",
-        "status 412, 2, not a job's id: 412", "serve, 2, Missing required option: '--config=FILE'",
-        "check, 2, nothing to check", "pools, 2, a verb is missing", "pools set /nowhere/x, 1, /nowhere/x: cannot be read", "check --settings /nowhere/x, 1, /nowhere/x: cannot be read",
-        "emulate /nowhere/x, 1, /nowhere/x: cannot be read", "submit --cluster /nowhere/x examples/jobs/gateway.textproto, 1,"
-        + " /nowhere/x: cannot be read", "emulate --port x examples/emulate.textproto, 2, Invalid value for option '--port'"})
+    @CsvSource({
+        "'', 2, a verb is missing",
+        "fly, 2, Unmatched argument",
+        "status, 2, Missing required parameter",
+        "status 412, 2, not a job's id: 412",
+        "serve, 2, Missing required option: '--config=FILE'",
+        "check, 2, nothing to check",
+        "pools, 2, a verb is missing",
+        "pools set /nowhere/x, 1, /nowhere/x: cannot be read",
+        "check --settings /nowhere/x, 1, /nowhere/x: cannot be read",
+        "emulate /nowhere/x, 1, /nowhere/x: cannot be read",
+        "submit --cluster /nowhere/x examples/jobs/gateway.textproto, 1," + " /nowhere/x: cannot be read",
+        "emulate --port x examples/emulate.textproto, 2, Invalid value for option '--port'"
+    })
     void saysWhatIsWrong(String line, int code, String what) {
         Told told = tell(line.isEmpty() ? new String[0] : line.split(" "));
         assertEquals(code, told.code, told.err);
@@ -62,8 +70,22 @@
 
     @Test
     void helpsAndCompletes() {
-        for (String verb : new String[] {"demo", "serve", "check", "emulate", "experiment", "submit", "status", "cancel",
-            "jobs", "machines", "watch", "measure", "records", "pools"}) {
+        for (String verb : new String[] {
+            "demo",
+            "serve",
+            "check",
+            "emulate",
+            "experiment",
+            "submit",
+            "status",
+            "cancel",
+            "jobs",
+            "machines",
+            "watch",
+            "measure",
+            "records",
+            "pools"
+        }) {
             Told told = tell(verb, "--help");
             assertEquals(0, told.code);
             assertTrue(told.out.startsWith("Usage: indigoreach " + verb), told.out);
