A node's end is orderly: no fault in the log for a client that is closed already

Caller promises a failed future where there is no answer, but a client that was closed threw, which routines between two steps logged as a fault. Clusters in tests closed the nodes' Vert.x under them, and left each node's loop for renewals running; they now end the nodes. The catalogue's routine ends with its node as well. CallerTest was seen red without the guard in Caller: IllegalState, Client is closed.

--- a/src/main/java/io/indigoreach/cloud/Catalogue.java
+++ b/src/main/java/io/indigoreach/cloud/Catalogue.java
@@ -33,6 +33,10 @@
         return this;
     }
 
+    public void stop() {
+        duty.cancel();
+    }
+
     public boolean isKnown() {
         return !types.isEmpty();
     }
--- a/src/main/java/io/indigoreach/cluster/Node.java
+++ b/src/main/java/io/indigoreach/cluster/Node.java
@@ -112,6 +112,7 @@
     }
 
     public Future<Void> stop() {
+        catalogue.stop();
         controller.stop();
         pulse.close();
         return standing.stop().eventually(door::close).eventually(own::close);
--- a/src/main/java/io/indigoreach/net/Caller.java
+++ b/src/main/java/io/indigoreach/net/Caller.java
@@ -5,6 +5,7 @@
 import io.vertx.core.Vertx;
 import io.vertx.core.http.HttpClient;
 import io.vertx.core.http.HttpClientOptions;
+import io.vertx.core.http.HttpClientRequest;
 import io.vertx.core.http.HttpMethod;
 import io.vertx.core.http.PoolOptions;
 import io.vertx.core.http.RequestOptions;
@@ -48,7 +49,7 @@
                 .setURI(path)
                 .setConnectTimeout(CONNECT.ms())
                 .setIdleTimeout(timeout.ms());
-        return client.request(options).compose(request -> {
+        return open(options).compose(request -> {
             if (body != null) {
                 request.putHeader("Content-Type", "application/msgpack");
             }
@@ -60,6 +61,15 @@
         });
     }
 
+    /** A client that was closed throws; whoever still asks as the process ends gets no answer, as of any other cause. */
+    private Future<HttpClientRequest> open(RequestOptions options) {
+        try {
+            return client.request(options);
+        } catch (IllegalStateException e) {
+            return Future.failedFuture(e);
+        }
+    }
+
     /** The body of an error may be anything; that of a success must be readable, or it counts as no answer. */
     private static Fields read(int status, io.vertx.core.buffer.Buffer bytes) {
         try {
--- a/src/test/java/io/indigoreach/emulator/LocalCluster.java
+++ b/src/test/java/io/indigoreach/emulator/LocalCluster.java
@@ -27,7 +27,9 @@
 import io.vertx.core.Promise;
 import io.vertx.core.Vertx;
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.List;
+import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Predicate;
@@ -62,6 +64,7 @@
     final Emulator emulator;
     private final List<Node> nodes = new ArrayList<>();
     private final List<Vertx> runtimes = new ArrayList<>();
+    private final Set<Integer> stopped = new HashSet<>();
     private Users users;
     /** The operators' settings of every controller. */
     Settings settings = Settings.standard();
@@ -118,6 +121,9 @@
 
     /** Ends the n-th controller that was started, connections and all. */
     void stop(int n) throws Exception {
+        if (!stopped.add(n)) {
+            return;
+        }
         // Renewals run on a loop of their own, which ends with the process too: else its lease would live on for 10 s.
         Promise<Void> stopped = Promise.promise();
         runtimes.get(n).runOnContext(v -> nodes.get(n).stop().onComplete(stopped));
@@ -218,8 +224,8 @@
 
     @Override
     public void close() throws Exception {
-        for (Vertx runtime : runtimes) {
-            await(runtime.close());
+        for (int n = 0; n < runtimes.size(); n++) {
+            stop(n);
         }
         if (users != null) {
             await(users.close());
