Parts are registered by the node's composition root: parts names nothing that rests on it

parts.Parts named CalendarPart, OwnershipPart and WarmPart, which name it back. cluster.PartRegistry names them now; ArchitectureTest holds that parts names none of them and that they do not name cluster: seen red with a planted use of CalendarPart in Parts. No behaviour changes.

The packages still form a larger circle by way of api.FrontDoor, worker.ReportDesk and cluster.Controller, which is left.

--- a/src/main/java/io/indigoreach/cluster/Node.java
+++ b/src/main/java/io/indigoreach/cluster/Node.java
@@ -37,7 +37,7 @@
     private final FrontDoor door;
 
     public Node(Vertx vertx, PlatformConfig config, Settings settings) throws ConfigException {
-        this(vertx, config, settings, Parts.kinds(settings));
+        this(vertx, config, settings, PartRegistry.switchedOn(settings));
     }
 
     /** With these parts beside the jobs. */
--- a/src/main/java/io/indigoreach/parts/Parts.java
+++ b/src/main/java/io/indigoreach/parts/Parts.java
@@ -2,19 +2,14 @@
 
 import io.indigoreach.api.Joining;
 import io.indigoreach.api.Resource;
-import io.indigoreach.calendar.CalendarPart;
 import io.indigoreach.cloud.Catalogue;
 import io.indigoreach.config.PlatformConfig;
 import io.indigoreach.config.Settings;
-import io.indigoreach.core.ownership.Registry;
 import io.indigoreach.core.records.Copies;
 import io.indigoreach.core.records.Family;
 import io.indigoreach.net.SteadyClock;
-import io.indigoreach.ownership.OwnershipPart;
 import io.indigoreach.state.Records;
 import io.indigoreach.state.StateClient;
-import io.indigoreach.warm.PoolRecords;
-import io.indigoreach.warm.WarmPart;
 import io.vertx.core.Vertx;
 import java.util.List;
 import java.util.Map;
@@ -41,12 +36,6 @@
      */
     public record Kind(Settings.Knob knob, List<Family> families, Function<Ground, Part> maker) {}
 
-    /** Every part there is: each adds itself here, and nowhere else. */
-    private static final List<Kind> KINDS = List.of(
-            new Kind(Settings.Knob.CALENDAR, CalendarPart.FAMILIES, CalendarPart::new),
-            new Kind(Settings.Knob.RECORD_OWNERSHIP, Registry.FAMILIES, OwnershipPart::new),
-            new Kind(Settings.Knob.WARM_POOLS, PoolRecords.FAMILIES, WarmPart::new));
-
     public static final Parts NONE = new Parts(List.of(), new Copies(List.of()), null);
 
     private final List<Part> all;
@@ -59,11 +48,6 @@
         this.records = records;
     }
 
-    /** Those that the settings switch on. */
-    public static List<Kind> kinds(Settings settings) {
-        return KINDS.stream().filter(k -> settings.get(k.knob()) > 0).toList();
-    }
-
     /** Of these kinds. */
     public static Parts of(
             List<Kind> kinds,
--- a/src/test/java/io/indigoreach/ArchitectureTest.java
+++ b/src/test/java/io/indigoreach/ArchitectureTest.java
@@ -147,6 +147,26 @@
         slices().matching("io.indigoreach.core.(*)..").should().beFreeOfCycles().check(classes);
     }
 
+    /** What every part rests on names none of them, and no part names the composition root that does. */
+    @Test
+    void partsAreRegisteredFromOutside() {
+        String[] parts = {"io.indigoreach.calendar..", "io.indigoreach.ownership..", "io.indigoreach.warm.."};
+        noClasses()
+                .that()
+                .resideInAPackage("io.indigoreach.parts..")
+                .should()
+                .dependOnClassesThat()
+                .resideInAnyPackage(parts)
+                .check(classes);
+        noClasses()
+                .that()
+                .resideInAnyPackage(parts)
+                .should()
+                .dependOnClassesThat()
+                .resideInAPackage("io.indigoreach.cluster..")
+                .check(classes);
+    }
+
     /** The emulator's model decides by what it is told: no sockets, files, threads or clocks. */
     @Test
     void theModelIsPure() {
--- a/src/test/java/io/indigoreach/tools/RecordsVerbTest.java
+++ b/src/test/java/io/indigoreach/tools/RecordsVerbTest.java
@@ -7,6 +7,7 @@
 import io.indigoreach.api.FrontDoor;
 import io.indigoreach.api.Joining;
 import io.indigoreach.api.Refusal;
+import io.indigoreach.cluster.PartRegistry;
 import io.indigoreach.config.PlatformConfig;
 import io.indigoreach.config.Settings;
 import io.indigoreach.config.SettingsFile;
@@ -73,7 +74,7 @@
                 100);
         Settings settings = SettingsFile.parse("test", "record_ownership: 1");
         parts = Parts.of(
-                Parts.kinds(settings),
+                PartRegistry.switchedOn(settings),
                 vertx,
                 new StateClient(new Caller(vertx, state.endpoint(), 8), new Caller(vertx, state.endpoint(), 1)),
                 new SteadyClock(),
@@ -226,7 +227,7 @@
 
     @Test
     void whereItIsOffThereIsNothing() throws Exception {
-        assertEquals(List.of(), Parts.kinds(SettingsFile.parse("test", "")));
+        assertEquals(List.of(), PartRegistry.switchedOn(SettingsFile.parse("test", "")));
         assertEquals(0, state.reads + state.transactions);
     }
 }
