The plan of warm pools in parts, by what they decide

TargetSize decides how many machines a pool wants, Membership which join and leave, PoolRental where to rent, SeatRecall what an earlier leader had decided; PoolState counts. No behaviour changes.

--- /dev/null
+++ b/src/main/java/io/indigoreach/core/warm/Membership.java
@@ -0,0 +1,99 @@
+package io.indigoreach.core.warm;
+
+import io.indigoreach.core.Machine;
+import io.indigoreach.core.Moment;
+import io.indigoreach.core.Span;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.function.Predicate;
+
+/** Decides which machines leave a pool and which of those that are there join it. */
+final class Membership {
+    /** So long it takes on machines that boot, whoever asked for them: an earlier leader's requests are not told apart. */
+    private static final Span INHERITS = Span.seconds(30);
+    /** So long a pool takes no idle machine after one was asked of it for a guarantee. */
+    private static final Span YIELDED = Span.seconds(30);
+
+    private final Predicate<Machine> termEnds;
+    private final Moment knownSince;
+    private final Moment now;
+
+    /** {@code termEnds}: whether a machine's paid term ends before the next check; {@code knownSince}: since when this leader plans. */
+    Membership(Predicate<Machine> termEnds, Moment knownSince, Moment now) {
+        this.termEnds = termEnds;
+        this.knownSince = knownSince;
+        this.now = now;
+    }
+
+    /** Machines of an old image as far as the pool may change at once, and those that are too many at their terms' end. */
+    void shrink(PoolState s) {
+        s.live.sort(Comparator.comparing((Machine m) -> m.seat().image().equals(s.spec.image()))
+                .thenComparing(m -> m.images().holds(m.seat().image()))
+                .thenComparing(m -> -s.zone(m.pool().zone())));
+        boolean rolls = s.holders.containsKey(s.spec.image());
+        int ready = s.ready();
+        int under = s.live.size() - ready;
+        int surge = s.surge();
+        int excess = s.live.size() - s.target - surge;
+        for (Machine m : new ArrayList<>(s.live)) {
+            boolean holds = m.images().holds(m.seat().image());
+            boolean old = rolls && !m.seat().image().equals(s.spec.image());
+            boolean mayRoll = old && under < surge && (!holds || ready > Math.min(s.spec.least(), s.target));
+            boolean neededStill = old && holds && ready <= s.spec.least() && s.target > 0;
+            boolean isTooMuch = excess > 0 && termEnds.test(m) && !neededStill;
+            if ((m.isIdle() || s.target == 0) && (mayRoll || isTooMuch)) {
+                m.seat().drop();
+                s.leave(m);
+                excess--;
+                ready -= holds ? 1 : 0;
+                under++;
+            }
+        }
+    }
+
+    /** Takes one machine that the pool may have; false if it wants none or there is none. */
+    boolean takeOne(PoolState s, List<Machine> takeable) {
+        if (s.missing() <= 0) {
+            return false;
+        }
+        for (Machine m : takeable) {
+            if (m.seat() == null
+                    && s.spec.allows(m.pool())
+                    && s.zone(m.pool().zone()) < s.mostOfOneZone()
+                    && take(s, m)) {
+                return true;
+            }
+        }
+        return false;
+    }
+
+    private boolean take(PoolState s, Machine m) {
+        PoolState.Asked asked = s.asked.get(m.pool());
+        // Where it boots within seconds it may be up by now.
+        boolean free = m.phase() == Machine.Phase.BOOTING || (m.isUsable() && m.isIdle());
+        boolean ordered = asked != null && !m.rented().isBefore(asked.since());
+        if (!(free && (ordered || inherits(m))) && !mayTakeIdle(s, m)) {
+            return false;
+        }
+        if (free && ordered) {
+            s.asked.computeIfPresent(
+                    m.pool(),
+                    (p, a) -> a.count() <= 1 ? null : new PoolState.Asked(a.count() - 1, a.since(), a.until()));
+        }
+        m.seat(new Seat(s.spec));
+        s.join(m);
+        return true;
+    }
+
+    private boolean inherits(Machine m) {
+        return now.since(knownSince).compareTo(INHERITS) < 0 && m.rented().isAfter(knownSince.minus(PoolRental.ASKED));
+    }
+
+    private boolean mayTakeIdle(PoolState s, Machine m) {
+        return now.since(s.yielded).compareTo(YIELDED) >= 0
+                && m.isUsable()
+                && m.isIdle()
+                && (m.images().holds(s.spec.image()) || termEnds.test(m));
+    }
+}
--- /dev/null
+++ b/src/main/java/io/indigoreach/core/warm/SeatRecall.java
@@ -0,0 +1,58 @@
+package io.indigoreach.core.warm;
+
+import io.indigoreach.core.Job;
+import io.indigoreach.core.JobSpec;
+import io.indigoreach.core.Machine;
+import io.indigoreach.core.MachineId;
+import io.indigoreach.core.accounts.Line;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Map;
+import java.util.Set;
+
+/** Gives machines the seats that they had under an earlier leader, by the lines that it left or by the holder that runs there. */
+final class SeatRecall {
+    /** Lines of an earlier leader for machines that have not reported to this one. */
+    private final Map<MachineId, Line> recalled = new HashMap<>();
+    /** Machines that left a pool, and whose holder has not yet. */
+    private final Set<MachineId> letGo = new HashSet<>();
+
+    void recall(Collection<Line> lines) {
+        lines.stream().filter(line -> !line.image().isEmpty()).forEach(line -> recalled.put(line.machine(), line));
+    }
+
+    /** It has left its pool, though its holder may still run. */
+    void letGo(MachineId machine) {
+        letGo.add(machine);
+    }
+
+    /** Only these machines are there. */
+    void retain(Set<MachineId> there) {
+        letGo.retainAll(there);
+    }
+
+    void restore(Machine m, Map<String, PoolState> states) {
+        Line line = recalled.get(m.id());
+        Job holder = m.holderJob();
+        if (holder == null) {
+            letGo.remove(m.id());
+        }
+        PoolState s = states.get(line != null ? line.payer().pool() : holder == null ? "" : poolOf(holder));
+        if (m.seat() == null && s != null && line != null) {
+            m.seat(new Seat(s.spec.name(), line.image(), line.gb(), s.spec.replica()));
+        } else if (m.seat() == null && s != null && m.session() > 0 && !letGo.contains(m.id())) {
+            // Its line was lost, or never written: a holder shows whose it is.
+            m.seat(new Seat(s.spec.name(), holder.spec().image(), holder.spec().imageGb(), s.spec.replica()));
+        }
+        if (line != null && m.session() > 0) {
+            m.images().recall(line.image(), line.gb(), line.session() == m.session());
+            recalled.remove(m.id());
+        }
+    }
+
+    /** The pool that a holder names. */
+    static String poolOf(Job job) {
+        return String.valueOf(job.spec().more().get(JobSpec.WARM));
+    }
+}
