--- a/src/main/java/io/indigoreach/calendar/CalendarPart.java
+++ b/src/main/java/io/indigoreach/calendar/CalendarPart.java
@@ -72,6 +72,6 @@
 
     @Override
     public Reigning reigning(LeaderCore core, Records records) {
-        return new Steward(ground.vertx(), core, records, shelf, foresight, desk, ground.clock(), time).start();
+        return new PlanScheduler(ground.vertx(), core, records, shelf, foresight, desk, ground.clock(), time).start();
     }
 }
--- a/src/main/java/io/indigoreach/calendar/Steward.java
+++ b/src/main/java/io/indigoreach/calendar/PlanScheduler.java
@@ -46,8 +46,8 @@
  * to its end, and says what can't be ready. All that it must not do twice is decided on the occurrences' pages; what it remembers
  * only spares reading them. So it may end anywhere, and two of them at once do no harm.
  */
-final class Steward implements Part.Reigning {
-    private static final Logger LOG = LoggerFactory.getLogger(Steward.class);
+final class PlanScheduler implements Part.Reigning {
+    private static final Logger LOG = LoggerFactory.getLogger(PlanScheduler.class);
     private static final Span STEP = Span.seconds(1);
     /** Between two submissions: 500 plans of one minute leave users most of the changes. See {@link Forecast}. */
     private static final Span PACE = Span.seconds(0.5);
@@ -86,7 +86,7 @@
     private final Map<JobId, Integer> failures = new HashMap<>();
     private final Set<String> told = new HashSet<>();
 
-    Steward(
+    PlanScheduler(
             Vertx vertx,
             LeaderCore core,
             Records records,
@@ -106,7 +106,7 @@
         core.onRun(this::ran);
     }
 
-    Steward start() {
+    PlanScheduler start() {
         duty.start();
         return this;
     }
