--- a/src/main/java/io/indigoreach/calendar/CalendarPart.java
+++ b/src/main/java/io/indigoreach/calendar/CalendarPart.java
@@ -25,7 +25,7 @@
     private final Parts.Ground ground;
     private final LongSupplier time;
     private final Shelf shelf = new Shelf();
-    private final Foresight foresight;
+    private final PlanForecasts forecasts;
     private Function<Buffer, Future<Answer>> desk;
 
     public CalendarPart(Parts.Ground ground) {
@@ -36,7 +36,7 @@
     public CalendarPart(Parts.Ground ground, LongSupplier time) {
         this.ground = ground;
         this.time = time;
-        this.foresight = new Foresight(ground.catalogue(), ground.config().teams());
+        this.forecasts = new PlanForecasts(ground.catalogue(), ground.config().teams());
     }
 
     private static LongSupplier sensed(Parts.Ground ground) {
@@ -57,7 +57,7 @@
 
     @Override
     public Resource resource() {
-        return new CalendarResource(ground.records(), shelf, foresight, time);
+        return new CalendarResource(ground.records(), shelf, forecasts, time);
     }
 
     @Override
@@ -72,6 +72,6 @@
 
     @Override
     public Reigning reigning(LeaderCore core, Records records) {
-        return new PlanScheduler(ground.vertx(), core, records, shelf, foresight, desk, ground.clock(), time).start();
+        return new PlanScheduler(ground.vertx(), core, records, shelf, forecasts, desk, ground.clock(), time).start();
     }
 }
--- a/src/main/java/io/indigoreach/calendar/CalendarResource.java
+++ b/src/main/java/io/indigoreach/calendar/CalendarResource.java
@@ -41,14 +41,14 @@
 
     private final Records records;
     private final Shelf shelf;
-    private final Foresight foresight;
+    private final PlanForecasts forecasts;
     private final LongSupplier time;
     private final JavaZones zones = new JavaZones();
 
-    CalendarResource(Records records, Shelf shelf, Foresight foresight, LongSupplier time) {
+    CalendarResource(Records records, Shelf shelf, PlanForecasts forecasts, LongSupplier time) {
         this.records = records;
         this.shelf = shelf;
-        this.foresight = foresight;
+        this.forecasts = forecasts;
         this.time = time;
     }
 
@@ -63,7 +63,7 @@
             return Future.succeededFuture(Answer.error(405, "method not allowed"));
         }
         boolean foresees = "outlook".equals(what) || "explain".equals(what);
-        if (foresees && !foresight.isReady()) {
+        if (foresees && !forecasts.isReady()) {
             return Future.succeededFuture(Answer.later("the machine types are not known yet"));
         }
         return switch (what + path.size()) {
@@ -120,7 +120,7 @@
         CalendarCodec.Stored sent = CalendarCodec.unpack(body.text("text"));
         long now = time.getAsLong();
         List<CalendarCheck.Finding> findings =
-                CalendarCheck.of(sent.calendar(), zones, Foresight.day(now), CalendarCheck.SOON);
+                CalendarCheck.of(sent.calendar(), zones, PlanForecasts.day(now), CalendarCheck.SOON);
         if (!findings.isEmpty()) {
             throw Refusal.of(findings.get(0).field(), findings.get(0).reason());
         }
@@ -156,14 +156,14 @@
     }
 
     private Answer next(Shelf.Current c, Map<String, String> query) {
-        Day today = Foresight.day(time.getAsLong());
+        Day today = PlanForecasts.day(time.getAsLong());
         Day from = query.containsKey("from") ? day(query.get("from"), "from") : today;
         int days = number(query.getOrDefault("days", "30"), "days", 1, MOST_DAYS);
         String plan = query.get("plan");
         List<Object> rows = new ArrayList<>();
         Day day = from;
         for (; day.number() < from.number() + days && rows.size() < MOST_ROWS; day = day.plus(1)) {
-            for (Occurrence o : Foresight.occurrences(c.stored(), plan, day)) {
+            for (Occurrence o : PlanForecasts.occurrences(c.stored(), plan, day)) {
                 rows.add(row(c, o));
             }
         }
@@ -215,11 +215,11 @@
         int days = number(query.getOrDefault("days", "2"), "days", 1, OUTLOOK_DAYS);
         long now = time.getAsLong();
         return seen().compose(runs -> {
-            List<Occurrence> all = Foresight.occurrences(
+            List<Occurrence> all = PlanForecasts.occurrences(
                     c.stored(),
-                    Foresight.day(now).plus(-Foresight.BACK),
-                    Foresight.day(now).plus(days + Foresight.AHEAD));
-            List<Forecast.Entry> entries = foresight.forecast(c.stored().calendar(), all, runs).stream()
+                    PlanForecasts.day(now).plus(-PlanForecasts.BACK),
+                    PlanForecasts.day(now).plus(days + PlanForecasts.AHEAD));
+            List<Forecast.Entry> entries = forecasts.forecast(c.stored().calendar(), all, runs).stream()
                     .filter(e -> e.occurrence().departs() > now - DAY_MS
                             && e.occurrence().departs() <= now + days * DAY_MS)
                     .toList();
@@ -334,9 +334,9 @@
                 return Future.succeededFuture(Answer.ok(row));
             }
             return seen().map(runs -> {
-                List<Occurrence> around =
-                        Foresight.occurrences(c.stored(), day.plus(-Foresight.BACK), day.plus(Foresight.BACK));
-                Forecast.Entry entry = foresight.forecast(calendar, around, runs).stream()
+                List<Occurrence> around = PlanForecasts.occurrences(
+                        c.stored(), day.plus(-PlanForecasts.BACK), day.plus(PlanForecasts.BACK));
+                Forecast.Entry entry = forecasts.forecast(calendar, around, runs).stream()
                         .filter(e -> e.occurrence().name().equals(o.name()))
                         .findFirst()
                         .orElse(null);
--- a/src/main/java/io/indigoreach/calendar/Foresight.java
+++ b/src/main/java/io/indigoreach/calendar/PlanForecasts.java
@@ -13,7 +13,7 @@
 import java.util.List;
 
 /** Occurrences and forecasts of the version in force, for the leader's work and for people's questions alike. */
-final class Foresight {
+final class PlanForecasts {
     /** Days back in which an occurrence that was missed is still told of. */
     static final int BACK = 3;
     /** The earliest start of a later day's occurrence: a holiday moves it by 14 days, margin and run by some more. */
@@ -24,7 +24,7 @@
     private final Catalogue catalogue;
     private final Collection<Team> teams;
 
-    Foresight(Catalogue catalogue, Collection<Team> teams) {
+    PlanForecasts(Catalogue catalogue, Collection<Team> teams) {
         this.catalogue = catalogue;
         this.teams = teams;
     }
--- a/src/main/java/io/indigoreach/calendar/PlanScheduler.java
+++ b/src/main/java/io/indigoreach/calendar/PlanScheduler.java
@@ -65,7 +65,7 @@
     private final LeaderCore core;
     private final Records records;
     private final Shelf shelf;
-    private final Foresight foresight;
+    private final PlanForecasts forecasts;
     private final RunTimes runs = new RunTimes();
     private final Function<Buffer, Future<Answer>> desk;
     private final SteadyClock clock;
@@ -91,14 +91,14 @@
             LeaderCore core,
             Records records,
             Shelf shelf,
-            Foresight foresight,
+            PlanForecasts forecasts,
             Function<Buffer, Future<Answer>> desk,
             SteadyClock clock,
             LongSupplier time) {
         this.core = core;
         this.records = records;
         this.shelf = shelf;
-        this.foresight = foresight;
+        this.forecasts = forecasts;
         this.desk = desk;
         this.clock = clock;
         this.time = time;
@@ -170,11 +170,11 @@
         reckoned = now;
         reckonedFor = current.number();
         long today = time.getAsLong();
-        List<Occurrence> all = Foresight.occurrences(
+        List<Occurrence> all = PlanForecasts.occurrences(
                 current.stored(),
-                Foresight.day(today).plus(-Foresight.BACK),
-                Foresight.day(today).plus(Foresight.AHEAD));
-        entries = foresight.forecast(current.stored().calendar(), all, runs);
+                PlanForecasts.day(today).plus(-PlanForecasts.BACK),
+                PlanForecasts.day(today).plus(PlanForecasts.AHEAD));
+        entries = forecasts.forecast(current.stored().calendar(), all, runs);
         Set<String> names = new HashSet<>();
         all.forEach(o -> names.add(o.name()));
         marks.keySet().retainAll(names);
