--- a/src/main/java/io/indigoreach/calendar/Shelf.java
+++ b/src/main/java/io/indigoreach/calendar/CalendarCache.java
@@ -8,7 +8,7 @@
 import io.vertx.core.Future;
 
 /** The version in force as this node read it last; its text is read and unpacked only when it is another. */
-final class Shelf {
+final class CalendarCache {
     /** The version in force with its head; {@code version} null if no calendar was ever set. */
     record Current(Head head, Head.Version version, CalendarCodec.Stored stored, String text) {
         int number() {
--- a/src/main/java/io/indigoreach/calendar/CalendarPart.java
+++ b/src/main/java/io/indigoreach/calendar/CalendarPart.java
@@ -24,7 +24,7 @@
 
     private final Parts.Ground ground;
     private final LongSupplier time;
-    private final Shelf shelf = new Shelf();
+    private final CalendarCache calendars = new CalendarCache();
     private final PlanForecasts forecasts;
     private Function<Buffer, Future<Answer>> desk;
 
@@ -57,7 +57,7 @@
 
     @Override
     public Resource resource() {
-        return new CalendarResource(ground.records(), shelf, forecasts, time);
+        return new CalendarResource(ground.records(), calendars, forecasts, time);
     }
 
     @Override
@@ -72,6 +72,7 @@
 
     @Override
     public Reigning reigning(LeaderCore core, Records records) {
-        return new PlanScheduler(ground.vertx(), core, records, shelf, forecasts, desk, ground.clock(), time).start();
+        return new PlanScheduler(ground.vertx(), core, records, calendars, forecasts, desk, ground.clock(), time)
+                .start();
     }
 }
--- a/src/main/java/io/indigoreach/calendar/CalendarResource.java
+++ b/src/main/java/io/indigoreach/calendar/CalendarResource.java
@@ -40,14 +40,14 @@
     private static final long DAY_MS = 86_400_000;
 
     private final Records records;
-    private final Shelf shelf;
+    private final CalendarCache calendars;
     private final PlanForecasts forecasts;
     private final LongSupplier time;
     private final JavaZones zones = new JavaZones();
 
-    CalendarResource(Records records, Shelf shelf, PlanForecasts forecasts, LongSupplier time) {
+    CalendarResource(Records records, CalendarCache calendars, PlanForecasts forecasts, LongSupplier time) {
         this.records = records;
-        this.shelf = shelf;
+        this.calendars = calendars;
         this.forecasts = forecasts;
         this.time = time;
     }
@@ -67,13 +67,14 @@
             return Future.succeededFuture(Answer.later("the machine types are not known yet"));
         }
         return switch (what + path.size()) {
-            case "0" -> shelf.read(records).map(this::shown);
+            case "0" -> calendars.read(records).map(this::shown);
             case "versions2" ->
-                shelf.read(records, number(path.get(1), "version", 1, Integer.MAX_VALUE))
+                calendars
+                        .read(records, number(path.get(1), "version", 1, Integer.MAX_VALUE))
                         .map(this::shown);
-            case "next1" -> shelf.read(records).map(c -> next(c, call.query()));
-            case "outlook1" -> shelf.read(records).compose(c -> outlook(c, call.query()));
-            case "explain3" -> shelf.read(records).compose(c -> explain(c, path.get(1), day(path.get(2), "day")));
+            case "next1" -> calendars.read(records).map(c -> next(c, call.query()));
+            case "outlook1" -> calendars.read(records).compose(c -> outlook(c, call.query()));
+            case "explain3" -> calendars.read(records).compose(c -> explain(c, path.get(1), day(path.get(2), "day")));
             default -> throw Refusal.notFound("no such path");
         };
     }
@@ -98,7 +99,7 @@
         }
     }
 
-    private Answer shown(Shelf.Current c) {
+    private Answer shown(CalendarCache.Current c) {
         if (c == null) {
             throw Refusal.notFound("no such version, or none that is still listed");
         }
@@ -124,7 +125,7 @@
         if (!findings.isEmpty()) {
             throw Refusal.of(findings.get(0).field(), findings.get(0).reason());
         }
-        return shelf.read(records).compose(c -> {
+        return calendars.read(records).compose(c -> {
             if (c.number() != base) {
                 throw standing(c);
             }
@@ -138,7 +139,7 @@
                         if (done) {
                             return Future.succeededFuture(Answer.ok(Wire.map("version", base + 1)));
                         }
-                        return shelf.read(records).map(other -> {
+                        return calendars.read(records).map(other -> {
                             if (other.number() == base) {
                                 return Answer.later("try again");
                             }
@@ -148,14 +149,14 @@
         });
     }
 
-    private static Refusal standing(Shelf.Current c) {
+    private static Refusal standing(CalendarCache.Current c) {
         Head.Version v = c.version();
         return Refusal.conflict(
                 "another version is in force",
                 v == null ? Wire.map("version", 0) : Wire.map("version", v.number(), "at", v.at(), "note", v.note()));
     }
 
-    private Answer next(Shelf.Current c, Map<String, String> query) {
+    private Answer next(CalendarCache.Current c, Map<String, String> query) {
         Day today = PlanForecasts.day(time.getAsLong());
         Day from = query.containsKey("from") ? day(query.get("from"), "from") : today;
         int days = number(query.getOrDefault("days", "30"), "days", 1, MOST_DAYS);
@@ -176,7 +177,7 @@
                 day.number() < from.number() + days ? day.toString() : null));
     }
 
-    private Map<String, Object> row(Shelf.Current c, Occurrence o) {
+    private Map<String, Object> row(CalendarCache.Current c, Occurrence o) {
         String zone = c.stored().calendar().depot(o.plan().depot()).zone();
         Register.Entry block = c.stored().register().entries().get(o.plan().name());
         return Wire.map(
@@ -211,7 +212,7 @@
     }
 
     /** What leaves within some days, the bad ones first. */
-    private Future<Answer> outlook(Shelf.Current c, Map<String, String> query) {
+    private Future<Answer> outlook(CalendarCache.Current c, Map<String, String> query) {
         int days = number(query.getOrDefault("days", "2"), "days", 1, OUTLOOK_DAYS);
         long now = time.getAsLong();
         return seen().compose(runs -> {
@@ -276,7 +277,7 @@
         return done.map(marks);
     }
 
-    private Map<String, Object> row(Shelf.Current c, Outlook o) {
+    private Map<String, Object> row(CalendarCache.Current c, Outlook o) {
         Map<String, Object> row = row(c, o.entry().occurrence());
         row.putAll(Wire.map(
                 "verdict",
@@ -317,7 +318,7 @@
                 m.note());
     }
 
-    private Future<Answer> explain(Shelf.Current c, String name, Day day) {
+    private Future<Answer> explain(CalendarCache.Current c, String name, Day day) {
         Calendar calendar = c.stored().calendar();
         Plan plan = calendar.plan(name);
         Occurrence o = plan == null ? null : new Occurrences(calendar, zones).of(plan, day);
--- a/src/main/java/io/indigoreach/calendar/PlanScheduler.java
+++ b/src/main/java/io/indigoreach/calendar/PlanScheduler.java
@@ -64,7 +64,7 @@
 
     private final LeaderCore core;
     private final Records records;
-    private final Shelf shelf;
+    private final CalendarCache calendars;
     private final PlanForecasts forecasts;
     private final RunTimes runs = new RunTimes();
     private final Function<Buffer, Future<Answer>> desk;
@@ -72,7 +72,7 @@
     private final LongSupplier time;
     private final Duty duty;
 
-    private Shelf.Current current;
+    private CalendarCache.Current current;
     private Moment looked = Moment.NEVER;
     private Moment reckoned = Moment.NEVER;
     private Moment kept = Moment.NEVER;
@@ -90,14 +90,14 @@
             Vertx vertx,
             LeaderCore core,
             Records records,
-            Shelf shelf,
+            CalendarCache calendars,
             PlanForecasts forecasts,
             Function<Buffer, Future<Answer>> desk,
             SteadyClock clock,
             LongSupplier time) {
         this.core = core;
         this.records = records;
-        this.shelf = shelf;
+        this.calendars = calendars;
         this.forecasts = forecasts;
         this.desk = desk;
         this.clock = clock;
@@ -134,7 +134,7 @@
         if (current != null && now.since(looked).compareTo(LOOK) < 0) {
             return Future.succeededFuture();
         }
-        return shelf.read(records).map(read -> {
+        return calendars.read(records).map(read -> {
             current = read;
             looked = now;
             return null;
