--- a/src/main/java/io/indigoreach/ownership/OwnershipPart.java
+++ b/src/main/java/io/indigoreach/ownership/OwnershipPart.java
@@ -29,7 +29,7 @@
 
     private final Parts.Ground ground;
     private final Registry registry = registry();
-    private final Desk desk;
+    private final OwnershipService desk;
     private final RecordsField field;
     private final Tidy tidy;
 
@@ -41,7 +41,7 @@
                 / (ground.config().peers().size() + 1);
         Records within = ground.records()
                 .within(new Budget(perS, 2 * most / perS, ground.clock().now()));
-        this.desk = new Desk(within, registry, most, ground.clock());
+        this.desk = new OwnershipService(within, registry, most, ground.clock());
         this.field = new RecordsField(within, registry, most);
         this.tidy = new Tidy(new Tidy.Jobs(
                 JobId::isValid, id -> RecordCodec.open(new JobId(id)), id -> RecordCodec.over(new JobId(id))));
--- a/src/main/java/io/indigoreach/ownership/Desk.java
+++ b/src/main/java/io/indigoreach/ownership/OwnershipService.java
@@ -35,7 +35,7 @@
 import java.util.Set;
 
 /** What people, exports and tasks ask of the registry, at any node: {@code /api/records}. */
-final class Desk implements Resource {
+final class OwnershipService implements Resource {
     /** Requests that work at the same time: each holds the pages of its records. */
     private static final int MOST_AT_ONCE = 4;
 
@@ -49,7 +49,7 @@
     private final SteadyClock clock;
     private int working;
 
-    Desk(Records records, Registry registry, int most, SteadyClock clock) {
+    OwnershipService(Records records, Registry registry, int most, SteadyClock clock) {
         this.clock = clock;
         this.records = records;
         this.registry = registry;
