A cancellation told before its job is heard of keeps the job closed

The word of another node about a job that this leader had not heard of yet was forgotten. A job accepted and cancelled while the leader was refused was then opened by its acceptance as the watch caught up, and a one-task job could be started if its end could not be read. Such a word is now kept with the jobs that are over.

--- a/src/main/java/io/indigoreach/cluster/Ledger.java
+++ b/src/main/java/io/indigoreach/cluster/Ledger.java
@@ -80,7 +80,7 @@
     private final Map<JobId, JobStatus> shown = new HashMap<>();
     /** Open jobs that stand still, as nobody could read or mend their records. */
     private final Set<JobId> unread = new HashSet<>();
-    /** Jobs that are over: a late change of theirs must not open them again. */
+    /** Jobs that are over, also those that were never open here: a late change of theirs must not open them. */
     private final Map<JobId, Remains.Over> closed = new LinkedHashMap<>() {
         @Override
         protected boolean removeEldestEntry(Map.Entry<JobId, Remains.Over> eldest) {
@@ -407,6 +407,11 @@
             LOG.info("job {} is cancelled", id);
             core.cancelJob(id);
             drop(job);
+        } else {
+            // Guards against its acceptance, which the watch may bring only now: it would open the job, and its end may
+            // not be
+            // readable for as long as an outage lasts.
+            closed.putIfAbsent(id, new Remains.Over(JobStatus.CANCELLED, 0));
         }
     }
 
--- a/src/test/java/io/indigoreach/cluster/LedgerTest.java
+++ b/src/test/java/io/indigoreach/cluster/LedgerTest.java
@@ -2,6 +2,7 @@
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertNotNull;
 import static org.junit.jupiter.api.Assertions.assertNull;
 import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
@@ -42,6 +43,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.stream.Collectors;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
@@ -207,13 +209,63 @@
             onLoop(() -> {});
         }
         assertTrue(job.isCancelled());
-        onLoop(() -> ledger.heard(
-                job.id(),
-                new Fields(RecordCodec.writeJob(job.spec(), 1, JobStatus.PENDING, new BitSet(), 0, 2)),
-                new Stamp(99)));
+        onLoop(() -> ledger.heard(job.id(), record(job, 2), new Stamp(99)));
         assertNull(core.job(job.id()), "nothing opens it again");
     }
 
+    /**
+     * Guards against a job that was accepted and cancelled while this leader was refused: told by name before the watch caught up, its
+     * acceptance opened it, and as its end could not be read its one task could be started.
+     */
+    @Test
+    void aCancellationThatIsToldBeforeItsJobIsHeardOfKeepsItClosed() throws Exception {
+        Job job = job(1, 1, 0, 1);
+        onLoop(() -> ledger.cancelled(job.id()));
+        onLoop(() -> ledger.heard(job.id(), record(job, 1), job.stamp()));
+        assertNull(core.job(job.id()), "the acceptance comes after the word that the job is cancelled");
+    }
+
+    /** As a watch brings it. */
+    private static Fields record(Job job, int bound) {
+        return Wire.readMap(Wire.write(RecordCodec.writeJob(job.spec(), 1, JobStatus.PENDING, new BitSet(), 0, bound)));
+    }
+
+    /** The records fill two pages; when the first one was read and the second one not, a job of each is cancelled. */
+    @Test
+    void whatIsCancelledBetweenTwoPagesIsHeardOf() throws Exception {
+        JobSpec spec = job(1, 1, 0, 1).spec();
+        StateClient.Txn jobs = new StateClient.Txn();
+        for (int n = 1000; n < 1600; n++) {
+            jobs.put("j/run-" + n, RecordCodec.writeJob(spec, 1, JobStatus.PENDING, new BitSet(), 0, 1));
+        }
+        await(client.commit(jobs));
+        AtomicInteger listings = new AtomicInteger();
+        // Bits, machines, and the first page of the jobs come before it.
+        state.delaying = (door, path) -> path.equals("/store") && listings.incrementAndGet() == 4;
+        Future<Long> loaded = ledger.load();
+        while (state.delayed() == 0) {
+            Thread.onSpinWait();
+        }
+        for (String id : List.of("run-1000", "run-1599")) {
+            await(client.commit(new StateClient.Txn()
+                    .delete("j/" + id)
+                    .put("f/" + id, RecordCodec.writeFinal(JobStatus.CANCELLED, 0))));
+        }
+        onLoop(state::letThrough);
+        long revision = await(loaded);
+        assertNotNull(core.job(new JobId("run-1000")), "its page had been read");
+        assertNull(core.job(new JobId("run-1599")));
+        JobWatch watch = new JobWatch(env, ledger, horizon);
+        onLoop(() -> watch.start(revision));
+        Moment until = clock.now().plus(Span.seconds(10));
+        while (core.job(new JobId("run-1000")) != null) {
+            assertTrue(clock.now().isBefore(until), "nothing tells of the cancellation");
+            Thread.onSpinWait();
+        }
+        onLoop(watch::cancel);
+        assertEquals(599, core.jobs().size());
+    }
+
     private void onLoop(Runnable what) throws Exception {
         Promise<Void> done = Promise.promise();
         vertx.runOnContext(v -> {
@@ -277,8 +329,7 @@
                 List.of("run-1"), core.jobs().stream().map(j -> j.id().text()).toList());
         ledger.heard(new JobId("run-3"), new Fields(Wire.map("class", 5L)), new Stamp(9));
         assertEquals(1, core.jobs().size(), "nor does it end the watch");
-        Fields mended = Wire.readMap(Wire.write(
-                RecordCodec.writeJob(core.job(new JobId("run-1")).spec(), 1, JobStatus.PENDING, new BitSet(), 0, 1)));
+        Fields mended = record(core.job(new JobId("run-1")), 1);
         ledger.heard(new JobId("run-3"), mended, new Stamp(10));
         ledger.heard(new JobId("run-4"), mended, new Stamp(11));
         assertEquals(
--- a/src/test/java/io/indigoreach/core/LedSite.java
+++ b/src/test/java/io/indigoreach/core/LedSite.java
@@ -121,6 +121,8 @@
         final BitSet done = new BitSet();
         int bound;
         boolean closed;
+        /** When its user was told that it is cancelled. */
+        double cancelled = Double.MAX_VALUE;
 
         Recorded(JobSpec spec) {
             this.spec = spec;
@@ -138,9 +140,14 @@
     private final Set<TaskId> ended = new HashSet<>();
     private final Set<TaskId> reaped = new HashSet<>();
     LeaderCore core;
+    private final List<Team> teams;
     private long token;
     private double begun;
 
+    LedSite(Team... teams) {
+        this.teams = teams.length == 0 ? List.of(World.team(0)) : List.of(teams);
+    }
+
     Box box(String name, double now) {
         return boxes.computeIfAbsent(name, n -> new Box(n, now));
     }
@@ -155,8 +162,7 @@
 
     /** A new leader has taken the key and answers, and has not read the records yet. */
     void begin(double now) {
-        core = new LeaderCore(
-                new Token(++token), World.RULES, World.TUNING, World.NO_AIMS, List.of(World.team(0)), this);
+        core = new LeaderCore(new Token(++token), World.RULES, World.TUNING, World.NO_AIMS, teams, this);
         core.setTypes(List.of(World.TYPE));
         begun = now;
     }
@@ -232,6 +238,37 @@
         }
     }
 
+    /** Its user is told that it is cancelled, whoever leads; the leader hears of it by {@link LeaderCore#cancelJob}. */
+    void cancel(JobId id, double now) {
+        records.get(id).closed = true;
+        records.get(id).cancelled = now;
+    }
+
+    /** Cores that a team's tasks use on the workers, and notes what uses too much or should be gone. */
+    double used(Team team, double now) {
+        double cores = 0;
+        for (TaskId task : running(now)) {
+            Recorded r = records.get(task.job());
+            if (r.spec.team().equals(team.name())) {
+                cores += r.spec.demand().cores();
+                if (now > r.cancelled + World.RULES.cancel().seconds()) {
+                    broken.add(now + ": ran_cancelled " + task);
+                }
+            }
+        }
+        if (!team.allows(cores, 0)) {
+            broken.add(now + ": quota of " + team.name() + " " + cores);
+        }
+        return cores;
+    }
+
+    /** Every task that is on a machine. */
+    List<TaskId> running(double now) {
+        return boxes.values().stream()
+                .flatMap(b -> b.tasks.keySet().stream().filter(t -> b.isOn(t, now)))
+                .toList();
+    }
+
     boolean isClosed(JobId id) {
         return records.get(id).closed;
     }
--- /dev/null
+++ b/src/test/java/io/indigoreach/core/LimitRun.java
@@ -0,0 +1,228 @@
+package io.indigoreach.core;
+
+import static io.indigoreach.core.World.at;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import java.util.ArrayList;
+import java.util.EnumSet;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.Set;
+import java.util.stream.Collectors;
+
+/**
+ * Every team is at its limit as all jobs that run are cancelled and the leader changes, so many times; half of the machines can't be
+ * heard meanwhile. What the teams use is looked at on the workers at every step.
+ */
+final class LimitRun {
+    private static final double STEP_S = 0.25;
+    private static final int MACHINES = 8;
+    private static final double CORES_MAX = 8;
+    /** Neither is taken after this long: whoever leads has heard all machines twice, or their leases are over. */
+    private static final double SETTLED_S = 2 * World.RULES.leaseBound().seconds() + 6;
+
+    /** Longer than a lease. */
+    private static final double AWAY_S = 20;
+    /** From when a leader is cut off until another may lead. */
+    private static final double LEADS_ON_S = 4;
+
+    private static final Team PLAIN = new Team("t", 0, CORES_MAX, 0, 0);
+    private static final Team GUARANTEED = new Team("u", 4, CORES_MAX, 0, 0);
+
+    /** What befalls a machine in the last second of a leader. */
+    enum Trouble {
+        NONE,
+        /** Neither its reports arrive nor answers, for longer than a lease. */
+        CUT,
+        /** Its reports arrive, answers do not. */
+        DEAF,
+        /** It stands still within its lease and goes on with what it ran. */
+        HUNG,
+        /** The old leader's last answer comes just before the worker would drop it. */
+        HELD_UP,
+        /** All controllers are away for longer than a lease. */
+        AWAY,
+        /**
+         * Half of the machines are cut off with the old leader, which answers them, and nobody else, until another may lead; then nobody
+         * does for longer than a lease.
+         */
+        ZONE
+    }
+
+    private static final Set<Trouble> UNANSWERED = EnumSet.of(Trouble.CUT, Trouble.AWAY, Trouble.ZONE);
+
+    private record Late(LedSite.Box box, LedSite.Answer answer, double sent, double arrives) {}
+
+    private record Word(JobId job, double heard) {}
+
+    private final Random random;
+    private final Trouble trouble;
+    final LedSite site = new LedSite(PLAIN, GUARANTEED);
+    private final Map<LedSite.Box, Double> nextReport = new HashMap<>();
+    private final Map<LedSite.Box, Double> troubledUntil = new HashMap<>();
+    private final List<Late> late = new ArrayList<>();
+    private final List<Word> words = new ArrayList<>();
+    private final Set<JobId> cancelled = new HashSet<>();
+    private int jobs;
+    private double loads = Double.MAX_VALUE;
+    /** Steps in which a cancelled task was on a machine that its leader could not hear. */
+    int outOfReach;
+
+    LimitRun(long seed, Trouble trouble) {
+        this.random = new Random(seed);
+        this.trouble = trouble;
+    }
+
+    void play(int changes, double everyS) {
+        for (int i = 0; i < MACHINES; i++) {
+            nextReport.put(site.box("m" + i, 0), random.nextDouble() * 2);
+        }
+        site.lead(0);
+        submitAll(0);
+        double now = run(0, 10);
+        assertEquals(CORES_MAX, site.used(PLAIN, now));
+        assertEquals(CORES_MAX, site.used(GUARANTEED, now));
+        for (int i = 0; i < changes; i++) {
+            double begins = now + (trouble == Trouble.AWAY ? AWAY_S : trouble == Trouble.ZONE ? LEADS_ON_S : 1);
+            befall(now, begins);
+            boolean before = random.nextBoolean();
+            if (before) {
+                cancelAll(now, trouble == Trouble.ZONE ? begins : now);
+            }
+            now = run(now, begins);
+            site.begin(now);
+            for (LedSite.Box box : site.boxes()) {
+                if (trouble == Trouble.ZONE && isInZone(box)) {
+                    troubledUntil.put(box, now + AWAY_S);
+                }
+            }
+            loads = now + random.nextDouble() * 2;
+            if (!before) {
+                now = run(now, now + random.nextInt(8) * STEP_S);
+                cancelAll(now, now);
+            }
+            now = run(now, now + everyS);
+        }
+        now = run(now, now + SETTLED_S);
+        assertEquals(CORES_MAX, site.used(PLAIN, now), "what waits has begun");
+        assertEquals(CORES_MAX, site.used(GUARANTEED, now), "what waits has begun");
+    }
+
+    /** Arrays, gangs and services of both teams, and more than their limits allow. */
+    private void submitAll(double now) {
+        for (Team team : List.of(PLAIN, GUARANTEED)) {
+            submit(team, Shape.SERVICE, 2, false, now);
+            submit(team, Shape.ARRAY, 2, true, now);
+            submit(team, Shape.ARRAY, 12, false, now);
+        }
+    }
+
+    private void submit(Team team, Shape shape, int tasks, boolean oneZone, double now) {
+        JobSpec s = World.spec(++jobs, tasks, 1, shape == Shape.SERVICE ? 0 : 500);
+        site.submit(
+                new JobSpec(
+                        s.id(),
+                        s.jobClass(),
+                        team.name(),
+                        shape,
+                        s.urgency(),
+                        tasks,
+                        s.demand(),
+                        s.image(),
+                        0,
+                        null,
+                        null,
+                        oneZone,
+                        false,
+                        true,
+                        s.estimate(),
+                        Span.ZERO,
+                        Span.ZERO,
+                        null),
+                now);
+    }
+
+    private boolean isInZone(LedSite.Box box) {
+        return box.name.compareTo("m" + MACHINES / 2) < 0;
+    }
+
+    /** Half of the machines, each for its own time; one that hangs goes on within its lease. */
+    private void befall(double now, double begins) {
+        for (LedSite.Box box : site.boxes()) {
+            if (trouble == Trouble.AWAY || trouble == Trouble.ZONE) {
+                troubledUntil.put(box, trouble == Trouble.ZONE && isInZone(box) ? now : begins);
+            } else if (random.nextBoolean()) {
+                troubledUntil.put(
+                        box, now + (trouble == Trouble.HUNG ? 4 + random.nextInt(8) : 3 + random.nextInt(20)));
+            }
+        }
+    }
+
+    /** All jobs of which something runs; whoever leads hears of it within two seconds. New ones come instead. */
+    private void cancelAll(double now, double heardFrom) {
+        for (JobId job : site.running(now).stream().map(TaskId::job).collect(Collectors.toSet())) {
+            if (cancelled.add(job)) {
+                site.cancel(job, now);
+                words.add(new Word(job, heardFrom + random.nextInt(8) * STEP_S));
+            }
+        }
+        submitAll(now);
+    }
+
+    private boolean isTroubled(LedSite.Box box, double now) {
+        return now < troubledUntil.getOrDefault(box, 0.0);
+    }
+
+    private double run(double from, double until) {
+        double now = from;
+        for (; now < until; now += STEP_S) {
+            step(now);
+        }
+        return now;
+    }
+
+    private void step(double now) {
+        if (now >= loads) {
+            loads = Double.MAX_VALUE;
+            site.load();
+        }
+        for (Word word : List.copyOf(words)) {
+            if (now >= word.heard) {
+                site.core.cancelJob(word.job);
+                words.remove(word);
+            }
+        }
+        for (Late l : List.copyOf(late)) {
+            if (now >= l.arrives) {
+                l.box.take(l.answer, l.sent, now);
+                late.remove(l);
+            }
+        }
+        for (LedSite.Box box : site.boxes()) {
+            boolean troubled = isTroubled(box, now);
+            if (now >= nextReport.get(box) && !(troubled && trouble == Trouble.HUNG)) {
+                nextReport.put(box, now + 1.5 + random.nextDouble());
+                report(box, troubled ? trouble : Trouble.NONE, now);
+            }
+            outOfReach += troubled && box.tasks.keySet().stream().anyMatch(t -> cancelled.contains(t.job())) ? 1 : 0;
+        }
+        site.core.expireLeases(at(now));
+        site.used(PLAIN, now);
+        site.used(GUARANTEED, now);
+    }
+
+    private void report(LedSite.Box box, Trouble meets, double now) {
+        box.live(now);
+        WorkerReport report = box.write();
+        LedSite.Answer answer = UNANSWERED.contains(meets) ? null : site.answer(report, now);
+        if (answer != null && meets == Trouble.HELD_UP) {
+            late.add(new Late(box, answer, now, now + LedSite.PATIENCE_S - STEP_S));
+            nextReport.put(box, now + LedSite.PATIENCE_S);
+        } else if (answer != null && meets != Trouble.DEAF) {
+            box.take(answer, now, now);
+        }
+    }
+}
