Cancellations in a hand-over and at the moment of a refusal, by tests; limits under a new leader argued

Swept over the seconds in which another leads, and over the moment at which the leader alone is refused and the service is out a second later, also again before the first round has ended: no fault found.

--- a/src/test/java/io/indigoreach/core/CancellationRunTest.java
+++ b/src/test/java/io/indigoreach/core/CancellationRunTest.java
@@ -1,9 +1,11 @@
 package io.indigoreach.core;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import io.indigoreach.core.CancellationRun.Without;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Random;
 import org.junit.jupiter.api.Test;
@@ -74,6 +76,82 @@
         assertEquals(lost, run.lost > 0, what);
     }
 
+    /**
+     * Cancelled at the very moment at which the leader alone is refused, and the service is out a second later; the same twice more
+     * before the first one's time is over, also just as the service returns to the others.
+     */
+    @ParameterizedTest
+    @CsvSource({
+        "22, 5, 42, 8, 1",
+        "22, 5, 42, 20, -0.5",
+        "12, 2, 32, 8, 0.3",
+        "12, 2, 32, 12, -0.5",
+        "22, 4, 29, 6, 0.5",
+        "22, 5, 42, 60, 0"
+    })
+    void theVeryMomentAndAgainBeforeItHasEnded(
+            double lease, double report, double cancel, double outage, double pause) {
+        for (double offset = -0.2; offset < 1; offset += 0.05) {
+            CancellationRun run = new CancellationRun(rules(lease, report, cancel), 3, JOBS, 7, Without.NOTHING);
+            for (int round = 0; round < 3; round++) {
+                double at = 30 + round * (1 + outage + pause);
+                run.refuse(at, 0, 3);
+                run.outage(at + 1, outage);
+                run.cancel(at + offset, 1, CancellationRun.job(2 * round), 0.01, 0);
+                run.cancel(at + offset, 2, CancellationRun.job(2 * round + 1), 0.4, 0.5);
+            }
+            run.until(30 + 3 * (2 + outage) + 60);
+            assertEquals(List.of(), run.broken, "at " + offset);
+            assertEquals(0, run.lost, "all controllers answer, at " + offset);
+        }
+    }
+
+    /** How the old leader ends at 30 s. */
+    private enum Ending {
+        ANSWERING,
+        REFUSED,
+        PLEDGED,
+        SILENT
+    }
+
+    /**
+     * Cancelled in the seconds in which another leads, by any node, which ends in the same second or not; the service is whole,
+     * or out before the next leader has read the records, or just after.
+     */
+    private static List<String> handover(Ending ending, Without without) {
+        List<String> broken = new ArrayList<>();
+        for (double outageAt : new double[] {200, 29.99, 30.25, 31}) {
+            for (int told = 0; told < 120; told++) {
+                double at = 28.5 + told * 0.025;
+                CancellationRun run = new CancellationRun(rules(12, 2, 32), 3, JOBS, told, without);
+                switch (ending) {
+                    case REFUSED -> run.refuse(27, 0, 20);
+                    case PLEDGED -> run.outage(22, 7.9);
+                    case SILENT -> run.silence(29, 0, 20);
+                    default -> {}
+                }
+                run.lead(30, 1);
+                run.outage(outageAt, 60);
+                run.cancel(at, told % 3, CancellationRun.job(1), 0.05, 0);
+                run.cancel(at, 2, CancellationRun.job(2), 0.05, 0.2);
+                if (told / 3 % 2 == 0) {
+                    run.restart(at + 0.06 + (told % 5) * 0.2, 2, 0.3);
+                }
+                broken.addAll(run.until(140).broken);
+            }
+        }
+        return broken;
+    }
+
+    @ParameterizedTest
+    @EnumSource(Ending.class)
+    void cancelledAsTheLeadershipChangesHands(Ending ending) {
+        assertEquals(List.of(), handover(ending, Without.NOTHING));
+        for (Without guard : List.of(Without.BACKSTOP, Without.NAMES)) {
+            assertFalse(handover(ending, guard).isEmpty(), "without " + guard);
+        }
+    }
+
     /** Troubles of all kinds, one on the other; each guard that is left out is missed in some run. */
     private static CancellationRun random(long seed, Without without) {
         Random r = new Random(seed);
--- a/src/test/java/io/indigoreach/core/LimitRun.java
+++ b/src/test/java/io/indigoreach/core/LimitRun.java
@@ -21,7 +21,7 @@
     private static final double STEP_S = 0.25;
     private static final int MACHINES = 8;
     private static final double CORES_MAX = 8;
-    /** Neither is taken after this long: whoever leads has heard all machines twice, or their leases are over. */
+    /** By then whoever leads has heard each machine and seen strangers go, or its lease is over. */
     private static final double SETTLED_S = 2 * World.RULES.leaseBound().seconds() + 6;
 
     /** Longer than a lease. */
