A field that is there twice is malformed; odd requests as a table over HTTP

A body with two values of one field was read by its last, and accepted. It is 400 now, like any other malformed body. OddRequestsTest: every field absent, of a wrong kind, out of range; what fits no type, zone or limit; what may be null or 0; a repeated submission that would be refused by now; and a flood of requests while the state service answers nobody.

--- a/src/main/java/io/indigoreach/net/Wire.java
+++ b/src/main/java/io/indigoreach/net/Wire.java
@@ -74,7 +74,11 @@
                     if (!in.getNextFormat().getValueType().isStringType()) {
                         throw new WireException("a key that is not text");
                     }
-                    map.put(in.unpackString(), read(in, depth + 1, size));
+                    String key = in.unpackString();
+                    if (map.containsKey(key)) {
+                        throw new WireException("a key that is there twice");
+                    }
+                    map.put(key, read(in, depth + 1, size));
                 }
                 return map;
             }
--- /dev/null
+++ b/src/test/java/io/indigoreach/api/OddRequestsTest.java
@@ -0,0 +1,279 @@
+package io.indigoreach.api;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.indigoreach.cloud.Catalogue;
+import io.indigoreach.cloud.CloudClient;
+import io.indigoreach.core.Demand;
+import io.indigoreach.core.MachineType;
+import io.indigoreach.core.Span;
+import io.indigoreach.core.Stamp;
+import io.indigoreach.core.Team;
+import io.indigoreach.net.Caller;
+import io.indigoreach.net.Endpoint;
+import io.indigoreach.net.Reply;
+import io.indigoreach.net.SteadyClock;
+import io.indigoreach.net.Wire;
+import io.indigoreach.state.JobMender;
+import io.indigoreach.state.RecordCodec;
+import io.indigoreach.state.StateClient;
+import io.indigoreach.state.StateStandIn;
+import io.vertx.core.Future;
+import io.vertx.core.Vertx;
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.http.HttpClient;
+import io.vertx.core.http.HttpMethod;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.junit.jupiter.api.AfterAll;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeAll;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.TestInstance;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.MethodSource;
+
+/** What is answered to requests that are odd, over HTTP, and that nothing of them is stored. */
+@TestInstance(TestInstance.Lifecycle.PER_CLASS)
+class OddRequestsTest {
+    private static final Span WAIT = Span.seconds(10);
+    private static final Set<String> NULLABLE = Set.of("boxkinds", "hall", "due_s");
+    private static final Object ABSENT = new Object();
+
+    private final Vertx vertx = Vertx.vertx();
+    private StateStandIn service;
+    private HttpClient http;
+    private Caller user;
+    private Endpoint node;
+    /** Vert.x closes clients that nothing refers to any more. */
+    private final List<Object> kept = new ArrayList<>();
+
+    @BeforeAll
+    void serve() throws Exception {
+        service = await(new StateStandIn().listen(vertx));
+        StateClient state = new StateClient(caller(4), caller(1));
+        MachineType type = new MachineType("quad", new Demand(4, 1, 16), 40, 1, 1, 1, Span.seconds(20), List.of("a"));
+        MachineType far = new MachineType("far", new Demand(8, 0, 16), 40, 1, 1, 1, Span.seconds(20), List.of("b"));
+        await(state.commit(new StateClient.Txn()
+                .when(RecordCodec.CATALOGUE, Stamp.ABSENT)
+                .put(RecordCodec.CATALOGUE, RecordCodec.writeCatalogue(List.of(type, far)))));
+        Catalogue catalogue = new Catalogue(vertx, state, new CloudClient(caller(1)));
+        SteadyClock clock = new SteadyClock();
+        List<Team> teams =
+                List.of(new Team("t", 0, 64, 0, 0), new Team("small", 0, 2, 0, 0), new Team("cpu", 0, 0, 0, 0.5));
+        JobDesk desk = new JobDesk(vertx, state, new JobMender(state, clock), catalogue, teams, clock, 8192, 1000);
+        FrontDoor door = new FrontDoor(vertx, new Endpoint("127.0.0.1", 0), desk, null, catalogue::isKnown, Map.of());
+        kept.addAll(List.of(state, catalogue, door));
+        node = new Endpoint("127.0.0.1", await(door.open()));
+        user = new Caller(vertx, node, 300);
+        http = vertx.createHttpClient();
+        catalogue.start();
+        while (await(user.get("/ready", WAIT)).status() != 200) {
+            Thread.onSpinWait();
+        }
+    }
+
+    private Caller caller(int connections) {
+        return new Caller(vertx, service.endpoint(), connections);
+    }
+
+    @AfterEach
+    void serveAgain() {
+        service.delaying = (door, path) -> false;
+    }
+
+    @AfterAll
+    void close() throws Exception {
+        await(vertx.close());
+    }
+
+    private static <T> T await(Future<T> future) throws Exception {
+        return future.toCompletionStage().toCompletableFuture().get();
+    }
+
+    private Reply submit(Map<String, Object> job) throws Exception {
+        return await(user.post("/api/jobs", job, WAIT));
+    }
+
+    private static Map<String, Object> with(String id, String field, Object value) {
+        Map<String, Object> job = JobCodecTest.job();
+        job.put("id", id);
+        if (value == ABSENT) {
+            job.remove(field);
+        } else {
+            job.put(field, value);
+        }
+        return job;
+    }
+
+    private static void add(List<Object[]> rows, String field, Object... values) {
+        Arrays.stream(values).forEach(v -> rows.add(new Object[] {field, v}));
+    }
+
+    static List<Object[]> malformed() {
+        List<Object[]> rows = new ArrayList<>();
+        for (String field : JobCodecTest.job().keySet()) {
+            if (!NULLABLE.contains(field) && !field.equals("unheard_of")) {
+                add(rows, field, ABSENT, null);
+            }
+        }
+        for (String amount : List.of(
+                "cores", "gpus", "ram_gb", "pull_gb", "expected_s", "snapshot_every_s", "snapshot_s", "due_s")) {
+            add(rows, amount, Double.NaN, Double.POSITIVE_INFINITY, Double.NEGATIVE_INFINITY, -1.0, -1, -1e-9);
+            add(
+                    rows,
+                    amount,
+                    1.8e16,
+                    Long.MAX_VALUE,
+                    Long.MIN_VALUE,
+                    Double.MAX_VALUE,
+                    "1",
+                    true,
+                    List.of(1),
+                    Map.of());
+        }
+        add(rows, "pieces", 0, 0.0, -1, 100_001, 1.5, Double.NaN, Double.POSITIVE_INFINITY, 1.8e16, Long.MAX_VALUE);
+        add(rows, "pieces", "3", true, List.of(3), Map.of());
+        for (String text : List.of("jobclass", "owner", "bundle")) {
+            add(rows, text, "", "x".repeat(201), 1, 1.5, true, List.of("x"), Map.of());
+        }
+        add(rows, "hall", "", "x".repeat(201), 1, true, List.of("a"));
+        add(rows, "shape", "", "ARRAY", "gang", "job", 1, List.of("array"));
+        add(rows, "urgency", "", "HIGH", "normal", "best-effort", 1, Map.of());
+        add(rows, "id", "", "run-", "run-1x", "run--1", "job-1", "run-1/2", "run-" + "1".repeat(19), 7, List.of());
+        for (String flag : List.of("one_zone", "spread", "loaners")) {
+            add(rows, flag, 0, 1, "true", 1.0, List.of(true));
+        }
+        add(rows, "boxkinds", "quad", 1, Map.of("quad", 1), List.of(1), List.of(""), List.of("x".repeat(201)));
+        add(
+                rows,
+                "boxkinds",
+                Arrays.asList("quad", null),
+                List.of(List.of("quad")),
+                java.util.Collections.nCopies(65, "q"));
+        return rows;
+    }
+
+    @ParameterizedTest
+    @MethodSource("malformed")
+    void malformedIsToldAndNotStored(String field, Object value) throws Exception {
+        Reply reply = submit(with("run-1", field, value));
+        assertEquals(400, reply.status());
+        assertTrue(
+                reply.body().text("error").endsWith(" field " + field),
+                reply.body().text("error"));
+        assertEquals(List.of(), service.keys("j/run-1"));
+    }
+
+    /** Such a body says two things, and whoever reads it may take either. */
+    @ParameterizedTest
+    @CsvSource({"id", "pieces", "unheard_of"})
+    void aFieldThatIsThereTwiceIsMalformed(String field) throws Exception {
+        byte[] once = Wire.write(with("run-1", field, 2)).getBytes();
+        byte[] again = Wire.write(Map.of(field, "run-2")).getBytes();
+        Buffer twice = Buffer.buffer().appendBytes(once).appendBytes(again, 1, again.length - 1);
+        // A map of 21 entries has its number in the third byte.
+        twice.setByte(2, (byte) (once[2] + 1));
+        Future<String> status = http.request(HttpMethod.POST, node.port(), node.host(), "/api/jobs")
+                .compose(r -> r.send(twice))
+                .map(r -> "" + r.statusCode());
+        assertEquals("400", await(status));
+        assertEquals(List.of(), service.keys("j/run-1"));
+    }
+
+    @ParameterizedTest
+    @CsvSource({
+        "cores, 8.5",
+        "gpus, 1.5",
+        "ram_gb, 16.5",
+        "cores, 5",
+        "boxkinds, none",
+        "boxkinds, ''",
+        "hall, nowhere",
+        "hall, b",
+        "owner, nobody",
+        "owner, small",
+        "shape, service",
+        "owner, cpu"
+    })
+    void whatCanNeverRunIsRefusedAndNotStored(String field, String value) throws Exception {
+        Object typed = field.equals("boxkinds")
+                ? value.isEmpty() ? List.of() : List.of(value)
+                : value.matches("[0-9.]+") ? (Object) Double.valueOf(value) : value;
+        Map<String, Object> job = with("run-2", field, typed);
+        if (value.equals("service")) {
+            job.put("pieces", 17);
+        } else if (value.equals("cpu")) {
+            job.put("gpus", 1.0);
+        }
+        assertEquals(422, submit(job).status());
+        assertEquals(List.of(), service.keys("j/run-2"));
+    }
+
+    static List<Object[]> fine() {
+        List<Object[]> rows = new ArrayList<>();
+        NULLABLE.forEach(field -> add(rows, field, ABSENT, null));
+        for (String amount :
+                List.of("gpus", "ram_gb", "pull_gb", "expected_s", "snapshot_every_s", "snapshot_s", "due_s")) {
+            add(rows, amount, 0, 0.0, 0.25);
+        }
+        add(rows, "pieces", 1, 100_000);
+        add(rows, "boxkinds", List.of("quad", "unknown"));
+        add(rows, "unheard_of", 1, "x", List.of(1), Map.of("x", 1));
+        return rows;
+    }
+
+    @ParameterizedTest
+    @MethodSource("fine")
+    void whatMayBeIsAcceptedAndAnsweredAgain(String field, Object value) throws Exception {
+        String id = "run-" + (70_000 + service.keys("j/").size());
+        Map<String, Object> job = with(id, field, value);
+        assertEquals(201, submit(job).status());
+        Reply again = submit(job);
+        assertEquals("200 pending", again.status() + " " + again.body().text("status"));
+        // Whatever it says now, the job was accepted.
+        Reply other = submit(with(id, "hall", "nowhere"));
+        assertEquals("200 pending", other.status() + " " + other.body().text("status"));
+    }
+
+    /** The state service takes every request and answers none: who finds no place is told so at once, all others in time. */
+    @ParameterizedTest
+    @CsvSource({"false", "true"})
+    void aFloodIsToldToComeBack(boolean submissions) throws Exception {
+        service.delaying = (door, path) -> path.startsWith("/store") || path.equals("/txn");
+        Map<Integer, Future<Reply>> answers = new LinkedHashMap<>();
+        int[] refused = {0};
+        long begun = System.nanoTime();
+        for (int n = 0; n < 250; n++) {
+            String id = "run-" + (50_000 + n);
+            answers.put(
+                    n,
+                    (submissions
+                                    ? user.post("/api/jobs", with(id, "unheard_of", 1), WAIT)
+                                    : user.get("/api/jobs/" + id, WAIT))
+                            .onSuccess(r ->
+                                    refused[0] += service.delayed() > 0 && System.nanoTime() - begun < 1.5e9 ? 1 : 0));
+        }
+        for (Reply reply : await(Future.all(List.copyOf(answers.values()))).<Reply>list()) {
+            assertEquals(503, reply.status());
+        }
+        double longest = (System.nanoTime() - begun) / 1e9;
+        assertTrue(refused[0] >= 150, refused[0] + " are refused at once");
+        assertTrue(longest < 6, "the last is answered after " + longest + " s");
+    }
+
+    @Test
+    void whoIsRefusedIsToldWhenToComeBack() throws Exception {
+        service.delaying = (door, path) -> path.startsWith("/store");
+        Future<String> answer = http.request(HttpMethod.GET, node.port(), node.host(), "/api/jobs/run-60000")
+                .compose(r -> r.send())
+                .map(r -> r.statusCode() + " " + r.getHeader("Retry-After"));
+        assertEquals("503 1", await(answer));
+    }
+}
