Memories by class are bounded, and a cancelled job is not shown for ever

Class names are the users' own: each job of a new class left an entry in Estimates and Floors for as long as a leadership lasted. A write that was answered after its job's cancellation had been heard left one in Ledger.shown.

--- a/src/main/java/io/indigoreach/cluster/Ledger.java
+++ b/src/main/java/io/indigoreach/cluster/Ledger.java
@@ -562,7 +562,10 @@
                     core.stamped(job, result.result().stamp());
                     job.recorded(done);
                     job.boundRecorded(bound);
-                    shown.put(id, status);
+                    if (core.job(id) == job) {
+                        // Else cancelled since, as its watch told before this answer came: it would be kept for ever.
+                        shown.put(id, status);
+                    }
                 }
             } else if (result.result().failed().contains(RecordCodec.LEADER)) {
                 deposed.run();
--- a/src/main/java/io/indigoreach/core/Estimates.java
+++ b/src/main/java/io/indigoreach/core/Estimates.java
@@ -1,6 +1,6 @@
 package io.indigoreach.core;
 
-import java.util.HashMap;
+import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.function.BiConsumer;
 
@@ -11,10 +11,18 @@
 final class Estimates {
     private static final double WEIGHT = 0.1;
     private static final int ENOUGH = 3;
+    private static final int CLASSES = 1000;
     /** A replica has no end of its own: longer than anything that is waited for. */
     private static final Span UNTIL_CANCELLED = Span.seconds(1e8);
 
-    private final Map<String, Double> logFactor = new HashMap<>();
+    /** By class, whose names are the users' own: those seen longest ago are forgotten. */
+    private final Map<String, Double> logFactor = new LinkedHashMap<>(16, 0.75f, true) {
+        @Override
+        protected boolean removeEldestEntry(Map.Entry<String, Double> eldest) {
+            return size() > CLASSES;
+        }
+    };
+
     private BiConsumer<Job, Span> listener = (job, run) -> {};
 
     /** Who else learns of each task's run time, without the image's fetch. */
--- a/src/main/java/io/indigoreach/core/Floors.java
+++ b/src/main/java/io/indigoreach/core/Floors.java
@@ -22,6 +22,7 @@
     private static final int REMEMBERED = 4;
 
     private static final int REMEMBERED_LEAST = 20;
+    private static final int CLASSES = 1000;
     /** A job that has waited for this part of its time is not counted on any more: many are lost together. */
     private static final double DANGER = 0.75;
     /** Part of the cores in use up to which owed jobs go before all others. */
@@ -63,6 +64,10 @@
      * @param aged the job has waited for longer than anything should
      */
     void count(List<Job> jobs, double cores, Function<Job, Moment> lastChance, Predicate<Job> aged, Moment now) {
+        if (tallies.size() > CLASSES) {
+            // Their names are the users' own; one with no job open is owed nothing.
+            tallies.values().removeIf(t -> t.open == 0);
+        }
         tallies.values().forEach(t -> {
             int most = Math.max(REMEMBERED_LEAST, REMEMBERED * t.open);
             // What was lost is forgotten in proportion, so that it is made good and then over.
--- /dev/null
+++ b/src/test/java/io/indigoreach/core/FloodMemoryTest.java
@@ -0,0 +1,144 @@
+package io.indigoreach.core;
+
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.lang.reflect.Field;
+import java.lang.reflect.Modifier;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Collections;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.IdentityHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.junit.jupiter.api.Test;
+
+/** One-task jobs, four a second for an hour, each of its own class and image, a quarter of them cancelled while they run. */
+class FloodMemoryTest {
+    private static final int MACHINES = 30;
+    private static final double RUN_S = 15;
+
+    private final World w = new World();
+    private final List<Map<TaskId, TaskReport>> machines = new ArrayList<>();
+    private final Map<TaskId, Double> ends = new HashMap<>();
+    private int finished;
+
+    @Test
+    void anHourOfSingleTasksLeavesNothingBehind() throws Exception {
+        w.core.loaded();
+        for (int m = 0; m < MACHINES; m++) {
+            machines.add(new HashMap<>());
+            w.up("m" + m, "east", 0);
+        }
+        int afterAThird = 0;
+        for (int step = 0; step < 14_400; step++) {
+            double now = step / 4.0;
+            w.submit(single(step), now);
+            if (step % 4 == 0 && step >= 40) {
+                w.core.cancelJob(new JobId("run-" + (step - 40)));
+            }
+            for (int m = step % 8; m < MACHINES; m += 8) {
+                report(m, now);
+            }
+            closeDone();
+            if (step % 20 == 0) {
+                w.core.expireLeases(World.at(now));
+                w.core.wishes(World.at(now));
+                w.core.check(World.at(now));
+            }
+            afterAThird = step == 4800 ? reachable(w.core) : afterAThird;
+        }
+        assertTrue(finished > 10_000, "done: " + finished);
+        int atTheEnd = reachable(w.core);
+        assertTrue(atTheEnd < 1.1 * afterAThird, afterAThird + " objects have become " + atTheEnd);
+    }
+
+    private static JobSpec single(int id) {
+        JobSpec s = World.spec(id, 1, 1, RUN_S);
+        return new JobSpec(
+                s.id(),
+                "class-" + id,
+                s.team(),
+                s.shape(),
+                s.urgency(),
+                1,
+                s.demand(),
+                "image-" + id,
+                0,
+                null,
+                null,
+                false,
+                false,
+                true,
+                s.estimate(),
+                Span.ZERO,
+                Span.ZERO,
+                null);
+    }
+
+    private void report(int m, double now) {
+        Map<TaskId, TaskReport> tasks = machines.get(m);
+        tasks.replaceAll((id, t) -> t.state() != TaskState.EXITED && now >= ends.get(id)
+                ? new TaskReport(id, t.attempt(), TaskState.EXITED, ExitCause.DONE, false)
+                : t);
+        for (Order o : w.hear("m" + m, now, tasks.values().toArray(TaskReport[]::new))) {
+            if (o instanceof Order.Start) {
+                tasks.put(o.task(), World.running(o));
+                ends.put(o.task(), now + RUN_S);
+            } else if (o instanceof Order.Stop) {
+                tasks.put(o.task(), World.exited(o, ExitCause.STOPPED));
+            } else {
+                tasks.remove(o.task());
+            }
+        }
+    }
+
+    private void closeDone() {
+        for (Job job : List.copyOf(w.core.jobs())) {
+            if (job.isComplete()) {
+                job.recorded(job.doneTasks());
+                w.core.closeJob(job.id());
+                finished++;
+            }
+        }
+    }
+
+    /** Our own objects that are reached through fields and collections. */
+    private static int reachable(Object root) throws IllegalAccessException {
+        Set<Object> seen = Collections.newSetFromMap(new IdentityHashMap<>());
+        Deque<Object> left = new ArrayDeque<>(List.of(root));
+        int elements = 0;
+        while (!left.isEmpty()) {
+            Object o = left.pop();
+            if (o instanceof Notes || !seen.add(o)) {
+                continue;
+            }
+            List<Object> inside = new ArrayList<>();
+            if (o instanceof Map<?, ?> map) {
+                inside.addAll(map.keySet());
+                inside.addAll(map.values());
+            } else if (o instanceof Collection<?> all) {
+                inside.addAll(all);
+            } else {
+                addFields(o, inside);
+            }
+            elements += inside.size();
+            inside.stream().filter(i -> i != null).forEach(left::push);
+        }
+        return elements;
+    }
+
+    private static void addFields(Object o, List<Object> inside) throws IllegalAccessException {
+        for (Class<?> c = o.getClass(); c != null && c.getName().startsWith("io.indigoreach"); c = c.getSuperclass()) {
+            for (Field f : c.getDeclaredFields()) {
+                if (!Modifier.isStatic(f.getModifiers()) && !f.getType().isPrimitive()) {
+                    f.setAccessible(true);
+                    inside.add(f.get(o));
+                }
+            }
+        }
+    }
+}
