Every job that waits has a reason by name; four kinds of waits for nothing mended

- A team within its guarantee that wanted nothing kept every machine at work from being filled again by its own share.
- Room on machines of another share, spared or put aside was kept from jobs for any length: 60 s now.
- Machines were asked for of the cheapest type also where that is not in the job's zone, so for ever in vain.
- A first job whose pools all refuse stopped the renting for all others of its type.

--- a/src/main/java/io/indigoreach/core/BestSize.java
+++ b/src/main/java/io/indigoreach/core/BestSize.java
@@ -91,7 +91,7 @@
             TeamUse team = cluster.use(job);
             waiting = Math.min(waiting, team.room(job.spec.demand(), planned.getOrDefault(team, 0.0)));
             planned.merge(team, Math.max(0, waiting) * job.spec.demand().cores(), Double::sum);
-            MachineType type = cheapest(job.spec);
+            MachineType type = cheapest(job);
             if (type == null || waiting <= 0) {
                 continue;
             }
@@ -104,6 +104,12 @@
             }
             double more = machinesFor(job, type, waiting);
             Need need = needs.computeIfAbsent(type.name(), t -> new Need());
+            if (!canBeRented(job, type, now)) {
+                // Not as the first, whose zones the others' machines are asked for in: bound to an empty zone, it
+                // stopped all.
+                need.ordinary += mayTakeOrdinary(job, now) ? more : 0;
+                continue;
+            }
             need.add(job, more, mayTakeOrdinary(job, now));
             need.topShort = isShort ? more : need.topShort;
             need.shortOnOrdinary |= isShort && mayTakeOrdinary(job, now);
@@ -230,7 +236,7 @@
                             flow(share, type, now)));
         }
         for (Job job : dispatcher.queue(share, now)) {
-            MachineType type = cheapest(job.spec);
+            MachineType type = cheapest(job);
             if (type == null || !job.hasWaiting() || job.isSuspect() || job.spec.isService()) {
                 continue;
             }
@@ -253,7 +259,7 @@
     private double flow(Share share, MachineType type, Moment now) {
         return share.inflow()
                 .perSecond(
-                        job -> type.equals(cheapest(job.spec)) && dispatcher.isNear(job, type),
+                        job -> type.equals(cheapest(job)) && dispatcher.isNear(job, type),
                         job -> job.spec.tasks() * run(job, type),
                         tuning.leastPaid(),
                         now);
@@ -373,7 +379,7 @@
      * boot no longer fits before the departure.
      */
     private boolean bootsTooLate(Job job, Moment now) {
-        MachineType type = job.spec.isPlanned() && job.hasStartable() && !job.isSuspect() ? cheapest(job.spec) : null;
+        MachineType type = job.spec.isPlanned() && job.hasStartable() && !job.isSuspect() ? cheapest(job) : null;
         return type != null
                 && !now.plus(type.boot())
                         .plus(estimates.run(job))
@@ -450,12 +456,16 @@
                 || share.jobs().stream().anyMatch(j -> j.hasWaiting() && !j.isSuspect() && !FaultJudge.bars(j, m));
     }
 
-    private MachineType cheapest(JobSpec spec) {
+    /** Of the types that are to be had where the job may be: a cheaper one elsewhere had been asked for in vain for ever. */
+    private MachineType cheapest(Job job) {
+        JobSpec spec = job.spec;
         MachineType best = null;
         double bestPrice = Double.MAX_VALUE;
         for (MachineType type : cluster.types.values()) {
             int fit = spec.demand().timesIn(type.capacity());
-            if (fit == 0 || !spec.allowsType(type.name())) {
+            if (fit == 0
+                    || !spec.allowsType(type.name())
+                    || type.zones().stream().noneMatch(zone -> mayBeIn(job, zone))) {
                 continue;
             }
             double price = (spec.spotAllowed() && type.spotPrice() > 0 ? type.spotPrice() : type.price()) / fit;
@@ -467,16 +477,28 @@
         return best;
     }
 
+    private static boolean mayBeIn(Job job, String zone) {
+        String bound = job.spec.oneZone() ? job.boundZone() : null;
+        return job.spec.allowsZone(zone) && (bound == null || bound.equals(zone));
+    }
+
+    /** Whether a pool that the job may use has not just refused. */
+    private boolean canBeRented(Job job, MachineType type, Moment now) {
+        return type.zones().stream()
+                .filter(zone -> mayBeIn(job, zone))
+                .anyMatch(zone -> (job.spec.spotAllowed() && !isRefused(new Pool(type.name(), zone, true), now))
+                        || !isRefused(new Pool(type.name(), zone, false), now));
+    }
+
     /**
      * Shares the machines out among the zones, a request at a time, the zone with fewer of our machines first; pools
      * that just refused are left alone. False if no pool can be asked.
      */
     private boolean spread(Job job, MachineType type, boolean spot, int count, Moment now, Map<Pool, Integer> wanted) {
         Map<Pool, Integer> have = new LinkedHashMap<>();
-        String bound = job.spec.oneZone() ? job.boundZone() : null;
         for (String zone : type.zones()) {
             Pool pool = new Pool(type.name(), zone, spot);
-            if (job.spec.allowsZone(zone) && (bound == null || bound.equals(zone)) && !isRefused(pool, now)) {
+            if (mayBeIn(job, zone) && !isRefused(pool, now)) {
                 have.put(pool, 0);
             }
         }
--- a/src/main/java/io/indigoreach/core/Cluster.java
+++ b/src/main/java/io/indigoreach/core/Cluster.java
@@ -95,6 +95,7 @@
 
     void place(Placement p) {
         p.job.place(p);
+        p.job.changedAt = p.since;
         p.machine.put(p);
         String image = p.job.spec.image();
         if (!p.machine.images.contains(image)) {
@@ -113,6 +114,7 @@
     /** The task surely is not on its machine any more. */
     void lift(Placement p, Moment now) {
         p.job.remove(p);
+        p.job.changedAt = now;
         p.machine.remove(p);
         share(p.job).used(p.demand(), -1);
         use(p.job).used(p.demand(), -1);
--- a/src/main/java/io/indigoreach/core/Dispatcher.java
+++ b/src/main/java/io/indigoreach/core/Dispatcher.java
@@ -27,6 +27,9 @@
     /** A task that has run for no longer loses little when it is stopped without saving. */
     private static final Span HARDLY_BEGUN = Span.seconds(6);
 
+    /** A job that has waited for so long takes room that it would otherwise be kept from. */
+    static final Span OVERDUE = Span.seconds(60);
+
     /** Holders whose start is recorded ahead at once. */
     private static final int MOST_HOLDERS = 50;
 
@@ -71,7 +74,11 @@
     /** Starts for {@code m}, to be put into the answer to its report {@code number}. */
     List<Order> fill(Machine m, ReportNumber number, Moment now) {
         List<Order> orders = new ArrayList<>();
-        if (!m.isUsable() || m.spare || isAside(m, now)) {
+        if (!m.isUsable()) {
+            return orders;
+        }
+        if (m.spare || isAside(m, now)) {
+            fillWithOverdue(m, number, now, orders);
             return orders;
         }
         for (Share share : candidates(m)) {
@@ -80,10 +87,15 @@
             if (orders.size() > before) {
                 m.share = share.name;
             }
-            if (!m.isIdle() && m.seat == null) {
+            // Not after the first share: one that is due and wants nothing kept the own share from the rest of every
+            // machine.
+            if (!m.isIdle() && m.seat == null && share.name.equals(m.share)) {
                 break;
             }
         }
+        if (!m.isIdle() && m.seat == null) {
+            fillWithOverdue(m, number, now, orders);
+        }
         tendHolder(m, number, now, orders);
         return orders;
     }
@@ -304,6 +316,39 @@
         return places;
     }
 
+    /**
+     * What has waited for long starts wherever a machine has room, of whichever share, and also where only its price or the room
+     * elsewhere speaks against it: nothing is to wait beside free room. It delays the own share's top job nowhere.
+     */
+    private void fillWithOverdue(Machine m, ReportNumber number, Moment now, List<Order> orders) {
+        boolean tried = !m.spare && !isAside(m, now);
+        Share own = cluster.share(m);
+        Job top = own == null ? null : top(own, now);
+        for (Share share : candidates(m)) {
+            if (share == own && tried) {
+                continue;
+            }
+            for (Job job : queue(share, now)) {
+                if (m.free().cores() <= 1e-6 || keepsRoom(job, m)) {
+                    return;
+                }
+                if (isOverdue(job, now) && job.hasStartable() && mayStart(job, now)) {
+                    boolean first = top == null || top == job;
+                    boolean idle = m.isIdle();
+                    start(share, job, m, first ? null : reservation(own, top, now), number, now, orders, false);
+                    m.share = idle && !m.isIdle() ? share.name : m.share;
+                }
+            }
+        }
+    }
+
+    /** Not the rest of a job whose tasks start or end: nor one that was just stopped to empty the machine. */
+    private static boolean isOverdue(Job job, Moment now) {
+        return !job.hadItsTurn()
+                && now.since(job.arrived).compareTo(OVERDUE) >= 0
+                && !now.isBefore(job.changedAt.plus(OVERDUE));
+    }
+
     /** The machine's own share; an idle machine may pass to the share that has the least of what it is due. */
     private List<Share> candidates(Machine m) {
         List<Share> out = new ArrayList<>(cluster.shares());
@@ -351,7 +396,7 @@
      * Before a take-over is settled: a replica that may turn out to be nowhere is not to find its places taken by work that
      * nobody had ordered yet and that it could not push aside.
      */
-    private boolean keepsRoom(Job job, Machine m) {
+    boolean keepsRoom(Job job, Machine m) {
         return !takeOver.isSettled()
                 && job.spec.isService()
                 && job.hasWaiting()
@@ -400,7 +445,7 @@
      * Long tasks that nobody has said a time for, and that nothing of their own urgency may push aside: once on every
      * machine they keep all who have an aim waiting until they end.
      */
-    private boolean isFiller(Job job) {
+    boolean isFiller(Job job) {
         return aims.isWithout(job)
                 && !job.owed
                 && !job.toBegin
@@ -410,7 +455,7 @@
     }
 
     /** Whether what is left beside all fillers is enough for the jobs with an aim: those that are here, and their flow. */
-    private boolean leavesRoom(Share share, Job job, Moment now) {
+    boolean leavesRoom(Share share, Job job, Moment now) {
         Room room = fillerRoom.get(share);
         if (room == null || !now.isBefore(room.counted.plus(RESERVATION_LIFE))) {
             double cores = 0;
@@ -445,7 +490,7 @@
      * Fetching its image here would make the task start too late for an aim that it can still meet on a machine which
      * has the image. Such a machine is waited for until the aim is lost; then any will do.
      */
-    private boolean isLeftToHolders(Job job, Machine m, Moment now) {
+    boolean isLeftToHolders(Job job, Machine m, Moment now) {
         if (now.isBefore(job.leftToHoldersUntil) && !m.images.contains(job.spec.image())) {
             return true;
         }
@@ -540,7 +585,7 @@
         return takeOver.isSettled();
     }
 
-    private boolean placeable(Job job, Machine m) {
+    boolean placeable(Job job, Machine m) {
         String zone = m.pool.zone();
         if (!cluster.use(job).hasRoomFor(job.spec.demand())) {
             return false;
@@ -564,6 +609,15 @@
         return null;
     }
 
+    /** Whether a start of the job on the machine would delay the top job, if that is another. */
+    boolean isReserved(Share share, Job job, Machine m, Moment now) {
+        Job top = top(share, now);
+        return top != null
+                && top != job
+                && !reservation(share, top, now)
+                        .allows(m, job.spec.demand(), estimates.onMachine(job, m), estimates, now);
+    }
+
     Reservation reservation(Share share, Job top, Moment now) {
         Reserved kept = reservations.get(top.id());
         if (kept != null && kept.reservation.top() == top && now.isBefore(kept.made.plus(RESERVATION_LIFE))) {
--- a/src/main/java/io/indigoreach/core/Job.java
+++ b/src/main/java/io/indigoreach/core/Job.java
@@ -46,6 +46,8 @@
     Moment retryAt = Moment.NEVER;
     /** Until then its tasks wait for a machine that has their image: they were moved there. */
     Moment leftToHoldersUntil = Moment.NEVER;
+    /** When one of its tasks last got a place, or lost one: what waits may have waited no longer. */
+    Moment changedAt = Moment.NEVER;
     /** The longest aim of its class is lost to it. */
     boolean late;
     /** Its class is served too little, or it has waited too long: it goes first on a part of the machines. */
@@ -127,6 +129,14 @@
         active.keySet().forEach(busy::set);
     }
 
+    /** Tasks that are neither done nor on a machine wait for something else than machines. */
+    boolean hasWithheld() {
+        BitSet left = (BitSet) withheld.clone();
+        left.andNot(done);
+        active.keySet().forEach(left::clear);
+        return !cancelled && !left.isEmpty();
+    }
+
     /** Every task that an earlier leader may have started is known. */
     void release() {
         heldBelow = 0;
--- a/src/main/java/io/indigoreach/core/LeaderCore.java
+++ b/src/main/java/io/indigoreach/core/LeaderCore.java
@@ -9,6 +9,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import java.util.function.BiConsumer;
 
@@ -39,6 +40,7 @@
     private final ReleaseCheck releaseCheck;
     private final Notes notes;
     private final Newcomers newcomers;
+    private final Waiting waiting;
     /** Returned machines still appear in lists and late reports for a while; they are not taken on again. */
     private final Map<MachineId, Boolean> gone = new LinkedHashMap<>() {
         @Override
@@ -63,6 +65,7 @@
         this.cluster = new Cluster(teams);
         this.takeOver = new TakeOver();
         this.dispatcher = new Dispatcher(cluster, aims, estimates, takeOver, token, tuning.leastPaid());
+        this.waiting = new Waiting(cluster, dispatcher);
         this.reconciler = new Reconciler(cluster, estimates, notes);
         this.consolidation = new Consolidation(cluster, dispatcher, estimates, rules);
         Silence silence = new Silence(cluster, rules);
@@ -147,6 +150,11 @@
         return cluster.jobs.values();
     }
 
+    /** What the open job's next task waits for; empty if none of its tasks waits. */
+    public Optional<WaitReason> waitsFor(Job job, Moment now) {
+        return waiting.reason(job, now);
+    }
+
     /** The job's user has cancelled it: nothing of it may start, and what is on machines is stopped. */
     public void cancelJob(JobId id) {
         Job job = cluster.jobs.get(id);
--- a/src/test/java/io/indigoreach/core/RandomRun.java
+++ b/src/test/java/io/indigoreach/core/RandomRun.java
@@ -113,6 +113,7 @@
     private final Set<String> recorded = new LinkedHashSet<>();
     private final Map<JobId, Stored> store = new TreeMap<>();
     private final List<String> broken = new ArrayList<>();
+    private final WaitCheck waits = new WaitCheck();
     private final List<Runnable> late = new ArrayList<>();
     private double now;
     private long token;
@@ -576,6 +577,7 @@
     }
 
     private void checkRules() {
+        broken.addAll(waits.check(leader, calm, now));
         if (loaded && !leader.isSettled() && now - ledSince > LONGEST_TAKE_OVER_S) {
             broken.add(now + ": the take-over of " + ledSince + " waits");
         }
