--- a/src/test/java/io/indigoreach/ArchitectureTest.java
+++ b/src/test/java/io/indigoreach/ArchitectureTest.java
@@ -217,6 +217,28 @@
                 .check(classes);
     }
 
+    /**
+     * A direct command without an answer may be carried out much later, while answers to reports are dropped after seconds: the rules
+     * rest on no node sending any.
+     */
+    @Test
+    void nodesSendNoDirectCommands() throws IOException {
+        Pattern direct = Pattern.compile("\\b(DIRECT|INSPECT|WorkerCodec\\.Direct)\\b|\"/(do|inspect)\"");
+        List<String> strays = new ArrayList<>();
+        try (var walk = Files.walk(Path.of("src/main/java"))) {
+            for (Path p : walk.filter(f -> f.toString().endsWith(".java")).toList()) {
+                if (direct.matcher(Files.readString(p)).find()) {
+                    strays.add(p.getFileName().toString());
+                }
+            }
+        }
+        strays.sort(null);
+        assertEquals(
+                List.of("WorkerCodec.java", "WorkerModel.java", "WorkerPool.java"),
+                strays,
+                "beside the emulated workers");
+    }
+
     @Test
     void wireWordsStandOnlyInCodecs() throws IOException {
         Pattern literal = Pattern.compile("\"([a-z_]+)\"");
