An acceptance is conditional on the era from a process's first one on

Cause: a process that had not read the era yet accepted without a condition on it, so that an acceptance without an answer could be carried out after a rebuilding that no longer knew of the job's end. Now the era is read first; where that fails the answer is 503. JobDeskTest.aLostAnswerIsNoAcceptanceAndNoSecondJob took the first transaction of a node for its acceptance, which is the era's now: it loses the answer of the transaction that writes the job's record instead, and also asserts that this one was carried out.

--- a/src/main/java/io/indigoreach/api/JobDesk.java
+++ b/src/main/java/io/indigoreach/api/JobDesk.java
@@ -134,11 +134,20 @@
 
     /** Only in an era that is known and whole: a job that was lost may have been over, and must not run once more. */
     private Future<Answer> accept(JobSpec spec, Map<String, Object> record, long now, int attempt) {
+        if (!state.isEraKnown()) {
+            // Without the condition, an acceptance that gets no answer could be carried out after a rebuilding that no
+            // longer
+            // knows of the job's end.
+            return state.check()
+                    .compose(v -> state.isEraKnown()
+                            ? accept(spec, record, now, attempt)
+                            : Future.succeededFuture(Answer.later("the era is not known yet")));
+        }
         StateClient.Txn txn = state.inThisEra()
                 .when(RecordCodec.open(spec.id()), Stamp.ABSENT)
                 .when(RecordCodec.over(spec.id()), Stamp.ABSENT);
         if (state.losses().isHolding()) {
-            return find(spec.id()).map(found -> current(spec.id(), found));
+            return find(spec.id()).map(found -> currentOrLater(spec.id(), found));
         }
         return joined(spec)
                 .compose(
@@ -184,13 +193,15 @@
                     if (outcome.failed().stream().anyMatch(change.conditions()::containsKey) && attempt < MOST_TRIES) {
                         return accept(spec, record, now, attempt + 1);
                     }
-                    return find(spec.id(), this::readOpen, spec, 1)
-                            .map(found -> found.open == null && found.over == null
-                                    ? Answer.later("try again")
-                                    : current(spec.id(), found));
+                    return find(spec.id(), this::readOpen, spec, 1).map(found -> currentOrLater(spec.id(), found));
                 });
     }
 
+    /** A job that is nowhere at the second look was not accepted by this call: its user comes again. */
+    private static Answer currentOrLater(JobId id, Found found) {
+        return found.open == null && found.over == null ? Answer.later("try again") : current(id, found);
+    }
+
     private static Answer current(JobId id, Found found) {
         return Answer.ok(JobCodec.accepted(id, found.open != null ? found.open.status() : found.over.status()));
     }
--- a/src/main/java/io/indigoreach/state/StateClient.java
+++ b/src/main/java/io/indigoreach/state/StateClient.java
@@ -162,6 +162,11 @@
         return losses.era() == 0 ? new Txn() : new Txn().when(RecordCodec.ERA, eraStamp);
     }
 
+    /** Whether {@link #inThisEra} says anything: this process has read the era. */
+    public boolean isEraKnown() {
+        return losses.era() != 0;
+    }
+
     /**
      * Succeeds if the service answers requests of this node. Reads the era, and where it is not the known one, makes sure by
      * comparing. Who asks while another asks gets the same answer: after a change every submission under way comes here.
--- a/src/test/java/io/indigoreach/api/JobDeskTest.java
+++ b/src/test/java/io/indigoreach/api/JobDeskTest.java
@@ -188,13 +188,31 @@
 
     @Test
     void aLostAnswerIsNoAcceptanceAndNoSecondJob() throws Exception {
-        service.losingAnswers = 1;
+        service.losing = txn -> txn.children("writes").stream()
+                .anyMatch(w -> w.has("write") && w.text("write").equals("j/run-000412"));
         assertEquals(
                 503,
                 call(first, HttpMethod.POST, "/api/jobs", JobCodecTest.job()).status());
+        assertEquals(1, service.lost, "it was carried out");
         assertEquals("200 pending", status(call(first, HttpMethod.POST, "/api/jobs", JobCodecTest.job())));
     }
 
+    /** Without the era's condition it would come through a rebuilding, in an era that does not know of the job's end. */
+    @Test
+    void anAcceptanceDependsOnTheEraAlsoOfAProcessThatHasNotReadIt() throws Exception {
+        List<List<String>> conditions = new ArrayList<>();
+        service.holding = txn -> {
+            List<String> keys =
+                    txn.children("when").stream().map(w -> w.text("path")).toList();
+            if (keys.contains("j/run-000412")) {
+                conditions.add(keys);
+            }
+            return false;
+        };
+        assertEquals("201 pending", status(call(first, HttpMethod.POST, "/api/jobs", JobCodecTest.job())));
+        assertEquals(List.of(List.of(RecordCodec.ERA, "j/run-000412", "f/run-000412")), conditions);
+    }
+
     @Test
     void withoutTheStateServiceOnlyWhatIsOverIsAnswered() throws Exception {
         call(first, HttpMethod.POST, "/api/jobs", JobCodecTest.job());
--- a/src/test/java/io/indigoreach/state/StateStandIn.java
+++ b/src/test/java/io/indigoreach/state/StateStandIn.java
@@ -24,6 +24,7 @@
 import java.util.concurrent.ConcurrentSkipListMap;
 import java.util.function.BiPredicate;
 import java.util.function.Predicate;
+import java.util.function.ToIntFunction;
 
 /**
  * A stand-in for the state service that speaks its protocol; it can refuse requests, execute them and not answer, or not answer
@@ -54,6 +55,12 @@
     public boolean expiring;
     /** The answers to the next transactions are lost after these were executed. */
     public int losingAnswers;
+    /** Transactions that are executed at once, and whose answer is lost. */
+    public volatile Predicate<Fields> losing = txn -> false;
+    /** How many of those there were. */
+    public volatile int lost;
+    /** For how many milliseconds an answer is held up on its way, by the path; what it says is as old as its request. */
+    public volatile ToIntFunction<String> lagMs = path -> 0;
     /** Leases are not ended on request: as if it came from a node that is refused. */
     public boolean keepingLeases;
     /** Transactions that get no answer, and are executed by {@link #executeLate}. */
@@ -223,6 +230,11 @@
             request.connection().close();
             return;
         }
+        if (reply.isOk() && losing.test(txn)) {
+            lost++;
+            request.connection().close();
+            return;
+        }
         reply(request, reply.status(), reply.body().map());
     }
 
@@ -313,9 +325,20 @@
         waiting.forEach(Promise::complete);
     }
 
-    private static void reply(HttpServerRequest request, int status, Map<String, Object> body) {
+    private void reply(HttpServerRequest request, int status, Map<String, Object> body) {
+        // As it is now: a listing's values are those of this moment.
+        Buffer written = Wire.write(body);
+        int lag = lagMs.applyAsInt(request.path());
+        if (lag > 0) {
+            Vertx.currentContext().owner().setTimer(lag, t -> send(request, status, written));
+        } else {
+            send(request, status, written);
+        }
+    }
+
+    private static void send(HttpServerRequest request, int status, Buffer body) {
         if (!request.response().ended() && !request.response().closed()) {
-            request.response().setStatusCode(status).end(Wire.write(body));
+            request.response().setStatusCode(status).end(body);
         }
     }
 }
