Transactions without an answer: each is also carried out at once, with only its answer lost

LateTransactionsTest plays each of its cases twice, late and at once; no check is dropped: where the two differ the expectation names both. The case of an intent that was given up also waits until the record is empty, as its neighbour did.

--- a/src/test/java/io/indigoreach/cluster/LateTransactionsTest.java
+++ b/src/test/java/io/indigoreach/cluster/LateTransactionsTest.java
@@ -78,9 +78,10 @@
 import org.junit.jupiter.params.provider.MethodSource;
 
 /**
- * Every kind of transaction that the product writes gets no answer, and is carried out after newer ones: after its successor, after
- * what it wrote is removed again, after a change of leader (docs/notes/late-transactions.md). Then it changes nothing. The writes
- * are the product's own; the state service stands in. Waits are for events, not times.
+ * Every kind of transaction that the product writes gets no answer (docs/notes/late-transactions.md), in two ways. Carried out late,
+ * after newer ones: after its successor, after what it wrote is removed again, after a change of leader; then it changes nothing.
+ * Carried out at once, so that others read what its writer does not know of; then the writer finds it done. The writes are the
+ * product's own; the state service stands in. Waits are for events, not times.
  */
 class LateTransactionsTest {
     private static final Pool POOL = new Pool("quad", "a", true);
@@ -98,6 +99,14 @@
     private Reign.Surroundings env;
     private LeaderCore core;
 
+    /** When a transaction without an answer is carried out. */
+    enum Unanswered {
+        LATE,
+        AT_ONCE
+    }
+
+    private Unanswered mode = Unanswered.LATE;
+
     /** One order of events. */
     private interface Case {
         void play(LateTransactionsTest t) throws Exception;
@@ -178,29 +187,49 @@
                 .anyMatch(w -> (w.has("delete") ? w.text("delete") : w.text("write")).startsWith(key));
     }
 
+    private boolean isAtOnce() {
+        return mode == Unanswered.AT_ONCE;
+    }
+
+    private void leaveUnanswered(Predicate<Fields> which) {
+        if (isAtOnce()) {
+            service.losing = which;
+        } else {
+            service.holding = which;
+        }
+    }
+
     /** The next transaction that writes or deletes such a key gets no answer. */
-    private void holdOne(String key) {
+    private void loseOne(String key) {
         AtomicBoolean first = new AtomicBoolean(true);
-        service.holding = txn -> touches(txn, key) && first.getAndSet(false);
+        leaveUnanswered(txn -> touches(txn, key) && first.getAndSet(false));
     }
 
-    /** All of them do. */
-    private void holdAll(String key) {
-        service.holding = txn -> touches(txn, key);
+    /** All of them get none. */
+    private void loseAll(String key) {
+        leaveUnanswered(txn -> touches(txn, key));
     }
 
     /** From now on all are answered. */
     private void pass() {
-        service.holding = txn -> false;
+        leaveUnanswered(txn -> false);
+    }
+
+    private int unanswered() {
+        return service.held() + service.lost;
     }
 
-    private void untilHeld() throws Exception {
-        until(() -> service.held() > 0);
+    private void untilUnanswered() throws Exception {
+        until(() -> unanswered() > 0);
     }
 
-    /** What was held back is carried out now, and finds that the keys are others. */
-    private void lateIsRefused() {
-        service.holding = txn -> false;
+    /** What was held back is carried out now, and finds that the keys are others; what was carried out at once stays as it was found. */
+    private void changesNothingMore() {
+        pass();
+        if (isAtOnce()) {
+            assertTrue(service.lost > 0, "every answer came");
+            return;
+        }
         List<Integer> statuses = service.executeLate();
         assertFalse(statuses.isEmpty(), "nothing was held back");
         assertFalse(statuses.contains(200), "carried out late: " + statuses);
@@ -250,60 +279,75 @@
         assertEquals(node + " lost", events.poll(20, TimeUnit.SECONDS));
     }
 
+    /** Its node stands no more, and the grants of its campaigns end by themselves. */
+    private void endGrants(Leadership of) throws Exception {
+        CompletableFuture<Void> stopped = new CompletableFuture<>();
+        run(() -> {
+            of.stop();
+            stopped.complete(null);
+        });
+        stopped.get(20, TimeUnit.SECONDS);
+        service.endLeases();
+    }
+
     private static final Map<String, Case> LEADERSHIP = new LinkedHashMap<>();
 
     static {
         LEADERSHIP.put("a campaign, after the next one", t -> {
             Leadership a = t.node("a", 0);
-            t.holdOne(RecordCodec.LEADER);
+            t.loseOne(RecordCodec.LEADER);
             t.run(a::start);
             t.took("a");
-            t.lateIsRefused();
+            t.changesNothingMore();
             assertTrue(a.isValid());
         });
         LEADERSHIP.put("a campaign, after its node led and gave up", t -> {
             Leadership a = t.node("a", 0);
-            t.holdOne(RecordCodec.LEADER);
+            t.loseOne(RecordCodec.LEADER);
             t.run(a::start);
             t.took("a");
             t.run(() -> a.abdicate("test"));
             t.until(() -> !t.service.has(RecordCodec.LEADER));
-            t.lateIsRefused();
+            t.changesNothingMore();
             assertFalse(t.service.has(RecordCodec.LEADER));
         });
         LEADERSHIP.put("a campaign, after another node led and gave up", t -> {
             Leadership a = t.node("a", 0);
-            t.holdAll(RecordCodec.LEADER);
+            t.loseAll(RecordCodec.LEADER);
             t.run(a::start);
-            t.untilHeld();
+            t.untilUnanswered();
             t.run(a::stop);
             t.pass();
+            if (t.isAtOnce()) {
+                // The key stands under the campaign's grant, which ends by itself.
+                t.endGrants(a);
+            }
             Leadership b = t.node("b", 0);
             t.run(b::start);
             t.took("b");
             t.run(() -> b.abdicate("test"));
             t.until(() -> !t.service.has(RecordCodec.LEADER));
-            t.lateIsRefused();
+            t.changesNothingMore();
         });
         LEADERSHIP.put("a campaign, after its grant has ended", t -> {
             Leadership a = t.node("a", 0);
-            t.holdAll(RecordCodec.LEADER);
+            t.loseAll(RecordCodec.LEADER);
             t.run(a::start);
-            t.untilHeld();
-            t.run(a::stop);
-            t.service.endLeases();
-            t.lateIsRefused();
+            t.untilUnanswered();
+            t.endGrants(a);
+            t.changesNothingMore();
+            assertFalse(t.service.has(RecordCodec.LEADER));
         });
         LEADERSHIP.put("the removal of a predecessor's key, after its node took it", t -> {
             t.lead(1);
             await(t.client.commit(new StateClient.Txn()
                     .put(RecordCodec.LEADER, Wire.map("node", "a", "process", "a0", "token", 1L))));
             Leadership a = t.node("a", 2);
-            t.holdOne(RecordCodec.LEADER);
+            t.loseOne(RecordCodec.LEADER);
             await(a.clear(node -> Future.succeededFuture(false)));
             t.run(a::start);
             t.took("a");
-            t.lateIsRefused();
+            t.changesNothingMore();
             assertTrue(t.service.has(RecordCodec.LEADER));
         });
         LEADERSHIP.put("the removal of the key of one that stood aside, after another took it", t -> {
@@ -312,7 +356,7 @@
             t.took("a");
             Leadership b = t.node("b", 0);
             Stamp key = a.key();
-            t.holdOne(RecordCodec.LEADER);
+            t.loseOne(RecordCodec.LEADER);
             assertTrue(b.release(key)
                     .toCompletionStage()
                     .toCompletableFuture()
@@ -323,7 +367,7 @@
             t.lost("a");
             t.run(b::start);
             t.took("b");
-            t.lateIsRefused();
+            t.changesNothingMore();
             assertTrue(t.service.has(RecordCodec.LEADER));
         });
         LEADERSHIP.put("the word for start bounds, after the next leadership", t -> {
@@ -331,17 +375,18 @@
             Leadership a = t.node("a", 0);
             t.run(a::start);
             t.took("a");
-            t.holdAll(RecordCodec.COUNTER);
+            t.loseAll(RecordCodec.COUNTER);
             t.run(a::vouchForBounds);
-            t.untilHeld();
+            t.untilUnanswered();
             t.pass();
             t.run(a::deposed);
             t.lost("a");
             t.took("a");
-            t.lateIsRefused();
-            assertFalse(
+            t.changesNothingMore();
+            assertEquals(
+                    t.isAtOnce(),
                     t.service.value(RecordCodec.COUNTER).flag("bounds", false),
-                    "an older version may have led in between");
+                    "said late, an older version may have led in between");
         });
     }
 
@@ -349,9 +394,9 @@
     @Test
     void aCampaignCarriedOutAfterItsNodeHasPledgedMakesNoLeader() throws Exception {
         Leadership a = node("a", 0);
-        holdAll(RecordCodec.LEADER);
+        loseAll(RecordCodec.LEADER);
         run(a::start);
-        untilHeld();
+        untilUnanswered();
         CompletableFuture<Moment> pledged = new CompletableFuture<>();
         vertx.setPeriodic(1, t -> {
             if (!pledged.isDone() && a.pledge()) {
@@ -419,6 +464,12 @@
         return await(desk.cancel(JOB.text()).map(a -> a.status()).otherwise(503));
     }
 
+    private void isOver(JobStatus how) {
+        assertEquals(
+                how,
+                RecordCodec.readFinal(JOB, service.value(RecordCodec.over(JOB))).status());
+    }
+
     private void untilOver(JobId id) throws Exception {
         until(() -> service.has(RecordCodec.over(id)));
     }
@@ -427,13 +478,15 @@
     private Job job(String id, int tasks, int done, int bound) throws Exception {
         JobSpec spec = spec(id, tasks);
         Predicate<Fields> holding = service.holding;
-        service.holding = txn -> false;
+        Predicate<Fields> losing = service.losing;
+        pass();
         Stamp stamp = await(client.commit(new StateClient.Txn()
                         .put(
                                 RecordCodec.open(spec.id()),
                                 RecordCodec.writeJob(spec, 1, JobStatus.PENDING, new BitSet(), 0, bound))))
                 .stamp();
         service.holding = holding;
+        service.losing = losing;
         BitSet over = new BitSet();
         over.set(0, done);
         Job job = new Job(spec, 1, clock.now(), stamp, over, bound, false);
@@ -453,6 +506,10 @@
                 new CancellationHorizon()));
     }
 
+    private Ledger leading() throws Exception {
+        return ledger(lead(1));
+    }
+
     private void begin(Ledger ledger, Job... jobs) {
         for (Job job : jobs) {
             ledger.touch(job);
@@ -470,62 +527,60 @@
     static {
         JOBS.put("an acceptance, after its repeat", t -> {
             JobDesk desk = t.desk();
-            t.holdOne(OPEN);
+            t.loseOne(OPEN);
             assertEquals(503, t.submit(desk));
-            assertEquals(201, t.submit(desk));
-            t.lateIsRefused();
+            assertEquals(t.isAtOnce() ? 200 : 201, t.submit(desk));
+            t.changesNothingMore();
         });
         JOBS.put("an acceptance, after its job was cancelled", t -> {
             JobDesk desk = t.desk();
-            t.holdOne(OPEN);
+            t.loseOne(OPEN);
             assertEquals(503, t.submit(desk));
-            assertEquals(201, t.submit(desk));
+            assertEquals(t.isAtOnce() ? 200 : 201, t.submit(desk));
             assertEquals(200, t.cancel(desk));
-            t.lateIsRefused();
+            t.changesNothingMore();
             assertFalse(t.service.has(OPEN));
         });
         JOBS.put("an acceptance, after its job was done under another leader", t -> {
             JobDesk desk = t.desk();
-            t.holdOne(OPEN);
+            t.loseOne(OPEN);
             assertEquals(503, t.submit(desk));
             Ledger ledger = t.ledger(t.lead(4));
             t.begin(ledger, t.job(JOB.text(), 4, 4, 4));
-            t.untilOver(JOB);
-            t.lateIsRefused();
+            t.until(() -> t.service.has(RecordCodec.over(JOB)) && t.core.job(JOB) == null);
+            t.changesNothingMore();
             assertFalse(t.service.has(OPEN));
         });
         JOBS.put("a cancellation, after its repeat", t -> {
             JobDesk desk = t.desk();
             t.submit(desk);
-            t.holdOne(OPEN);
+            t.loseOne(OPEN);
             assertEquals(503, t.cancel(desk));
             assertEquals(200, t.cancel(desk));
-            t.lateIsRefused();
+            t.changesNothingMore();
         });
         JOBS.put("a cancellation, after the job's progress, and before it was done", t -> {
             JobDesk desk = t.desk();
-            Ledger ledger = t.ledger(t.lead(1));
+            Ledger ledger = t.leading();
             Job job = t.job(JOB.text(), 4, 2, 4);
-            t.holdOne(OPEN);
+            t.loseOne(OPEN);
             assertEquals(503, t.cancel(desk));
             t.begin(ledger, job);
-            t.until(() -> t.recorded(JOB) == 2);
-            t.lateIsRefused();
-            assertTrue(t.service.has(OPEN), "its user was told nothing, and asks again");
+            t.until(() -> t.isAtOnce() ? t.core.job(JOB) == null : t.recorded(JOB) == 2);
+            t.changesNothingMore();
+            assertEquals(t.isAtOnce(), !t.service.has(OPEN), "its user was told nothing, and asks again");
+            assertEquals(200, t.cancel(desk));
         });
         JOBS.put("a cancellation, after the job was done", t -> {
             JobDesk desk = t.desk();
-            Ledger ledger = t.ledger(t.lead(1));
+            Ledger ledger = t.leading();
             Job job = t.job(JOB.text(), 4, 4, 4);
-            t.holdOne(OPEN);
+            t.loseOne(OPEN);
             assertEquals(503, t.cancel(desk));
             t.begin(ledger, job);
-            t.untilOver(JOB);
-            t.lateIsRefused();
-            assertEquals(
-                    JobStatus.DONE,
-                    RecordCodec.readFinal(JOB, t.service.value(RecordCodec.over(JOB)))
-                            .status());
+            t.until(() -> t.core.job(JOB) == null);
+            t.changesNothingMore();
+            t.isOver(t.isAtOnce() ? JobStatus.CANCELLED : JobStatus.DONE);
         });
         for (boolean ended : new boolean[] {false, true}) {
             JOBS.put("the mending of an open job's record, after another" + (ended ? " and the job's end" : ""), t -> {
@@ -534,14 +589,14 @@
                         await(t.client.commit(new StateClient.Txn().put(OPEN, Wire.map("class", 5L))));
                 StateClient.Entry entry = new StateClient.Entry(OPEN, t.service.value(OPEN), spoilt.stamp(), 0);
                 JobMender mender = new JobMender(t.client, t.clock);
-                t.holdOne(OPEN);
+                t.loseOne(OPEN);
                 assertTrue(await(
                         mender.open(JOB, entry, spec(JOB.text(), 4)).map(false).otherwise(true)));
                 await(mender.open(JOB, entry, spec(JOB.text(), 4)));
                 if (ended) {
                     assertEquals(200, t.cancel(desk));
                 }
-                t.lateIsRefused();
+                t.changesNothingMore();
                 assertEquals(ended, !t.service.has(OPEN));
             });
         }
@@ -551,93 +606,92 @@
                     await(t.client.commit(new StateClient.Txn().put(over, Wire.map("status", "DONE"))));
             StateClient.Entry entry = new StateClient.Entry(over, t.service.value(over), spoilt.stamp(), 0);
             JobMender mender = new JobMender(t.client, t.clock);
-            t.holdOne(over);
+            t.loseOne(over);
             assertTrue(await(mender.over(JOB, entry, null).map(false).otherwise(true)));
             await(mender.over(JOB, entry, null));
-            t.lateIsRefused();
+            t.changesNothingMore();
         });
         JOBS.put("progress, after newer progress", t -> {
-            Ledger ledger = t.ledger(t.lead(1));
-            t.holdOne(OPEN);
-            t.begin(ledger, t.job(JOB.text(), 4, 2, 4));
-            t.until(() -> t.recorded(JOB) == 2);
-            t.lateIsRefused();
+            Ledger ledger = t.leading();
+            t.loseOne(OPEN);
+            Job job = t.job(JOB.text(), 4, 2, 4);
+            t.begin(ledger, job);
+            t.until(() -> t.recorded(JOB) == 2 && job.unrecorded().isEmpty());
+            t.changesNothingMore();
         });
         JOBS.put("progress, after the job was cancelled", t -> {
-            Ledger ledger = t.ledger(t.lead(1));
-            t.holdAll(OPEN);
+            Ledger ledger = t.leading();
+            t.loseAll(OPEN);
             t.begin(ledger, t.job(JOB.text(), 4, 2, 4));
-            t.untilHeld();
+            t.untilUnanswered();
             t.pass();
             t.until(() -> t.recorded(JOB) == 2);
             assertEquals(200, t.cancel(t.desk()));
-            t.lateIsRefused();
+            t.changesNothingMore();
             assertFalse(t.service.has(OPEN));
         });
         JOBS.put("progress, after a change of leader", t -> {
-            Ledger ledger = t.ledger(t.lead(1));
-            t.holdAll(OPEN);
+            Ledger ledger = t.leading();
+            t.loseAll(OPEN);
             t.begin(ledger, t.job(JOB.text(), 4, 2, 4));
-            t.untilHeld();
+            t.untilUnanswered();
             t.run(ledger::cancel);
             t.lead(4);
-            t.lateIsRefused();
-            assertEquals(0, t.recorded(JOB));
+            t.changesNothingMore();
+            assertEquals(t.isAtOnce() ? 2 : 0, t.recorded(JOB));
         });
         JOBS.put("a start bound, after a newer one", t -> {
-            Ledger ledger = t.ledger(t.lead(1));
+            Ledger ledger = t.leading();
             t.core.rented(POOL, List.of(new MachineId("vm-1")), t.clock.now(), t.clock.now());
-            t.holdOne(OPEN);
-            t.begin(ledger, t.job(JOB.text(), 4, 0, 0));
-            t.until(() -> t.service.value(OPEN).whole("bound", 0) > 0);
-            t.lateIsRefused();
+            t.loseOne(OPEN);
+            Job job = t.job(JOB.text(), 4, 0, 0);
+            t.begin(ledger, job);
+            t.until(() -> t.service.value(OPEN).whole("bound", 0) > 0 && !job.wantsBound());
+            t.changesNothingMore();
         });
         JOBS.put("a start bound, after a change of leader: what that one orders by stands", t -> {
-            Ledger ledger = t.ledger(t.lead(1));
+            Ledger ledger = t.leading();
             t.core.rented(POOL, List.of(new MachineId("vm-1")), t.clock.now(), t.clock.now());
-            t.holdAll(OPEN);
+            t.loseAll(OPEN);
             Job job = t.job(JOB.text(), 4, 0, 0);
             t.begin(ledger, job);
-            t.untilHeld();
+            t.untilUnanswered();
             t.run(ledger::cancel);
             t.lead(4);
-            t.lateIsRefused();
+            t.changesNothingMore();
             assertTrue(job.wantsBound(), "not answered: nothing was ordered by it");
         });
         JOBS.put("an end, after its repeat", t -> {
-            Ledger ledger = t.ledger(t.lead(1));
-            t.holdOne(OPEN);
+            Ledger ledger = t.leading();
+            t.loseOne(OPEN);
             t.begin(ledger, t.job(JOB.text(), 4, 4, 4));
-            t.untilOver(JOB);
-            t.lateIsRefused();
+            t.until(() -> t.service.has(RecordCodec.over(JOB)) && t.core.job(JOB) == null);
+            t.changesNothingMore();
         });
         JOBS.put("an end, after a change of leader", t -> {
-            Ledger ledger = t.ledger(t.lead(1));
-            t.holdAll(OPEN);
+            Ledger ledger = t.leading();
+            t.loseAll(OPEN);
             t.begin(ledger, t.job(JOB.text(), 4, 4, 4));
-            t.untilHeld();
+            t.untilUnanswered();
             t.run(ledger::cancel);
             t.lead(4);
-            t.lateIsRefused();
-            assertTrue(t.service.has(OPEN));
+            t.changesNothingMore();
+            assertEquals(t.isAtOnce(), !t.service.has(OPEN));
         });
         JOBS.put("an end, after its user cancelled", t -> {
-            Ledger ledger = t.ledger(t.lead(1));
+            Ledger ledger = t.leading();
             JobDesk desk = t.desk();
-            t.holdAll(OPEN);
+            t.loseAll(OPEN);
             t.begin(ledger, t.job(JOB.text(), 4, 4, 4));
-            t.untilHeld();
+            t.untilUnanswered();
             t.run(ledger::cancel);
             t.pass();
             assertEquals(200, t.cancel(desk));
-            t.lateIsRefused();
-            assertEquals(
-                    JobStatus.CANCELLED,
-                    RecordCodec.readFinal(JOB, t.service.value(RecordCodec.over(JOB)))
-                            .status());
+            t.changesNothingMore();
+            t.isOver(t.isAtOnce() ? JobStatus.DONE : JobStatus.CANCELLED);
         });
         JOBS.put("an end in the open record, and its move, each after its repeat", t -> {
-            Ledger ledger = t.ledger(t.lead(1));
+            Ledger ledger = t.leading();
             Job[] jobs = new Job[8];
             for (int n = 0; n < jobs.length; n++) {
                 jobs[n] = t.job("run-" + (n + 1), 1, 1, 1);
@@ -645,16 +699,16 @@
             AtomicBoolean mark = new AtomicBoolean(true);
             AtomicBoolean move = new AtomicBoolean(true);
             // A mark puts the open record; the first transaction after it that deletes that record moves it.
-            t.service.holding = txn -> touches(txn, OPEN)
+            t.leaveUnanswered(txn -> touches(txn, OPEN)
                     && (touches(txn, RecordCodec.over(JOB))
                             ? !mark.get() && move.getAndSet(false)
-                            : mark.getAndSet(false));
+                            : mark.getAndSet(false)));
             t.begin(ledger, jobs);
             for (Job job : jobs) {
                 t.untilOver(job.id());
             }
-            assertEquals(2, t.service.held());
-            t.lateIsRefused();
+            assertEquals(2, t.unanswered());
+            t.changesNothingMore();
             assertEquals(List.of(), t.service.keys(RecordCodec.OPEN));
         });
     }
@@ -710,37 +764,37 @@
     static {
         CLOUD.put("a page's first write, after its repeat", t -> {
             MachineBook book = t.machines(t.lead(1));
-            t.holdOne(RecordCodec.MACHINES);
+            t.loseOne(RecordCodec.MACHINES);
             assertTrue(t.onLoop(() -> t.report(book, 1)));
             assertTrue(t.onLoop(() -> t.report(book, 2)));
-            t.lateIsRefused();
+            t.changesNothingMore();
             assertEquals(2, t.lines());
         });
         CLOUD.put("a page's first write, after all on it are gone", t -> {
             MachineBook book = t.machines(t.lead(1));
-            t.holdOne(RecordCodec.MACHINES);
+            t.loseOne(RecordCodec.MACHINES);
             assertTrue(t.onLoop(() -> t.report(book, 1)));
             t.run(() -> t.gone(1));
             t.until(() -> t.lines() == 0);
-            t.lateIsRefused();
+            t.changesNothingMore();
             assertEquals(0, t.lines(), "a machine that is gone holds the next leader up");
         });
         CLOUD.put("a page's first write, after a change of leader", t -> {
             MachineBook book = t.machines(t.lead(1));
-            t.holdAll(RecordCodec.MACHINES);
+            t.loseAll(RecordCodec.MACHINES);
             t.run(() -> t.report(book, 1));
-            t.untilHeld();
+            t.untilUnanswered();
             t.run(book::cancel);
             t.lead(4);
-            t.lateIsRefused();
+            t.changesNothingMore();
         });
         CLOUD.put("a page's change, after a newer one", t -> {
             MachineBook book = t.machines(t.lead(1));
             assertTrue(t.onLoop(() -> t.report(book, 1)));
-            t.holdOne(RecordCodec.MACHINES);
+            t.loseOne(RecordCodec.MACHINES);
             assertTrue(t.onLoop(() -> t.report(book, 2)));
             assertTrue(t.onLoop(() -> t.report(book, 3)));
-            t.lateIsRefused();
+            t.changesNothingMore();
             assertEquals(3, t.lines(), "it takes no machine off");
         });
         CLOUD.put("an earlier leader's page is removed, and again", t -> {
@@ -751,53 +805,53 @@
             Stamp key = t.lead(4);
             MachineBook next =
                     new MachineBook(t.env, t.core, new Token(4), key, () -> {}, new Budget(100, t.clock.now()));
-            t.holdOne(RecordCodec.MACHINES);
+            t.loseOne(RecordCodec.MACHINES);
             await(Ledger.pages(
                     t.client,
                     key,
                     RecordCodec.MACHINES,
                     e -> next.inherit(e.key(), e.stamp(), RecordCodec.readMachines(e.value()))));
             t.run(next::start);
-            t.until(() -> t.service.held() == 1
-                    && t.service.keys(RecordCodec.MACHINES).isEmpty());
-            t.lateIsRefused();
+            t.until(() ->
+                    t.unanswered() == 1 && t.service.keys(RecordCodec.MACHINES).isEmpty());
+            t.changesNothingMore();
         });
         CLOUD.put("an intent's first record, after its repeat", t -> {
             IntentBook book = t.intents(t.lead(1));
             book.intents().add(RENT);
-            t.holdOne(RecordCodec.INTENTS);
+            t.loseOne(RecordCodec.INTENTS);
             assertFalse(record(book) || book.intents().mayAsk(RENT.name()), "it may be there or not");
             t.until(() -> record(book) && book.intents().mayAsk(RENT.name()));
-            t.lateIsRefused();
+            t.changesNothingMore();
         });
         CLOUD.put("an intent's first record, after all in it is settled", t -> {
             IntentBook book = t.intents(t.lead(1));
             book.intents().add(RENT);
-            t.holdOne(RecordCodec.INTENTS);
+            t.loseOne(RecordCodec.INTENTS);
             assertFalse(record(book));
             t.until(() -> record(book) && book.intents().mayAsk(RENT.name()));
             book.intents().settled(RENT.name());
             t.until(() -> record(book) && t.intended().isEmpty());
-            t.lateIsRefused();
+            t.changesNothingMore();
             assertTrue(t.intended().isEmpty(), "the next leader would ask once more");
         });
         CLOUD.put("an intent's first record, after it was given up", t -> {
             IntentBook book = t.intents(t.lead(1));
             book.intents().add(RENT);
-            t.holdOne(RecordCodec.INTENTS);
+            t.loseOne(RecordCodec.INTENTS);
             assertFalse(record(book));
             book.intents().settled(RENT.name());
-            t.until(() -> record(book) && t.service.has("i/3"));
-            t.lateIsRefused();
+            t.until(() -> record(book) && t.service.has("i/3") && t.intended().isEmpty());
+            t.changesNothingMore();
             assertTrue(t.intended().isEmpty(), "the next leader would rent what nobody wants");
         });
         CLOUD.put("an intent, after a change of leader", t -> {
             IntentBook book = t.intents(t.lead(1));
             book.intents().add(RENT);
-            t.holdOne(RecordCodec.INTENTS);
+            t.loseOne(RecordCodec.INTENTS);
             assertFalse(record(book));
             t.lead(4);
-            t.lateIsRefused();
+            t.changesNothingMore();
             assertFalse(book.intents().mayAsk(RENT.name()));
         });
         CLOUD.put("an earlier leader's intents are removed, and again", t -> {
@@ -806,12 +860,12 @@
             assertTrue(record(old));
             IntentBook next = new IntentBook(t.env, new Token(4), t.lead(4), () -> {}, new Budget(100, t.clock.now()));
             await(next.load());
-            t.holdOne(RecordCodec.INTENTS);
+            t.loseOne(RecordCodec.INTENTS);
             await(next.forgetEarlier());
-            assertTrue(t.service.has("i/3"));
+            assertEquals(t.isAtOnce(), !t.service.has("i/3"));
             await(next.forgetEarlier());
             assertFalse(t.service.has("i/3"));
-            t.lateIsRefused();
+            t.changesNothingMore();
         });
     }
 
@@ -837,6 +891,10 @@
                 .otherwise(false));
     }
 
+    private int bound() {
+        return RecordCodec.readJob(JOB, service.value(OPEN), Stamp.ABSENT).bound();
+    }
+
     private static final Map<String, Case> LOSS = new LinkedHashMap<>();
 
     static {
@@ -844,24 +902,24 @@
             LOSS.put("a rebuilding's " + key + ", after the next try", t -> {
                 await(t.client.check());
                 Stamp leader = t.lead(1);
-                t.holdOne(key);
+                t.loseOne(key);
                 assertFalse(t.rebuilds(leader));
                 assertTrue(t.rebuilds(leader));
-                t.lateIsRefused();
+                t.changesNothingMore();
             });
             LOSS.put("a rebuilding's " + key + ", after a change of leader", t -> {
                 await(t.client.check());
                 Stamp leader = t.lead(1);
-                t.holdOne(key);
+                t.loseOne(key);
                 assertFalse(t.rebuilds(leader));
                 t.lead(4);
-                t.lateIsRefused();
+                t.changesNothingMore();
             });
         }
         LOSS.put("a rebuilt page, after the next try and all on it are gone", t -> {
             await(t.client.check());
             Stamp leader = t.lead(1);
-            t.holdOne(RecordCodec.MACHINES);
+            t.loseOne(RecordCodec.MACHINES);
             assertFalse(t.rebuilds(leader));
             assertTrue(t.rebuilds(leader));
             MachineBook book =
@@ -873,47 +931,53 @@
                     e -> book.inherit(e.key(), e.stamp(), RecordCodec.readMachines(e.value()))));
             t.run(book::start);
             t.until(() -> t.lines() == 0);
-            t.lateIsRefused();
+            t.changesNothingMore();
             assertEquals(0, t.lines());
         });
         LOSS.put("a rebuilt job with blocks of bits, after the next try and its end", t -> {
             await(t.client.check());
             Stamp leader = t.lead(1);
-            t.holdOne(OPEN);
+            t.loseOne(OPEN);
             assertFalse(t.rebuilds(leader));
             assertTrue(t.rebuilds(leader));
             assertEquals(2, t.service.keys(RecordCodec.BITS).size());
             assertEquals(200, t.cancel(t.desk()));
-            t.lateIsRefused();
+            t.changesNothingMore();
             assertFalse(t.service.has(OPEN));
             assertEquals(List.of(), t.service.keys(RecordCodec.BITS));
         });
         LOSS.put("a rebuilt job, after a next try that no longer knew of it", t -> {
             await(t.client.check());
             Stamp leader = t.lead(1);
-            t.holdOne(OPEN);
+            t.loseOne(OPEN);
             assertFalse(t.rebuilds(leader));
             assertTrue(t.rebuilds(leader, new Remains()));
-            t.lateIsRefused();
-            assertFalse(t.service.has(OPEN), "this leader would take it for a new job, of which nothing runs");
+            t.changesNothingMore();
+            if (t.isAtOnce()) {
+                assertEquals(4, t.bound(), "it counts as ordered in whole");
+            } else {
+                assertFalse(t.service.has(OPEN), "this leader would take it for a new job, of which nothing runs");
+            }
         });
         LOSS.put("an acceptance, after a loss was mended and the job's end was lost", t -> {
             await(t.client.check());
             JobDesk desk = t.desk();
-            t.holdOne(OPEN);
+            t.loseOne(OPEN);
             assertEquals(503, t.submit(desk));
-            assertEquals(201, t.submit(desk));
+            assertEquals(t.isAtOnce() ? 200 : 201, t.submit(desk));
             assertEquals(200, t.cancel(desk));
             await(t.client.commit(new StateClient.Txn().delete(RecordCodec.over(JOB))));
             assertTrue(t.rebuilds(t.lead(1), new Remains()));
-            t.lateIsRefused();
+            t.changesNothingMore();
             assertFalse(t.service.has(OPEN));
         });
         LOSS.put("a deployment's first era, after another process wrote it", t -> {
-            t.holdOne(RecordCodec.ERA);
+            t.loseOne(RecordCodec.ERA);
             assertTrue(await(t.client.check().map(false).otherwise(true)));
             await(t.client().check());
-            t.lateIsRefused();
+            t.changesNothingMore();
+            await(t.client.check());
+            assertTrue(t.client.isEraKnown());
         });
     }
 
@@ -937,10 +1001,10 @@
 
     /** A part's write without an answer, then the same once more, then it comes late. */
     private <R> void twice(String key, Records records, Supplier<Routine<R>> routine) throws Exception {
-        holdOne(key);
+        loseOne(key);
         assertTrue(await(records.run(routine.get()).map(false).otherwise(true)));
         await(records.run(routine.get()));
-        lateIsRefused();
+        changesNothingMore();
     }
 
     private static final Map<String, Case> PARTS = new LinkedHashMap<>();
@@ -956,29 +1020,29 @@
         });
         PARTS.put("a leader's write, after a change of leader", t -> {
             Records records = t.records().leading(RecordCodec.LEADER, t.lead(1), new Budget(100, t.clock.now()));
-            t.holdOne("x/");
+            t.loseOne("x/");
             assertTrue(await(records.run(new Replacing("x/1", Wire.map("n", 1L)))
                     .map(false)
                     .otherwise(true)));
             t.lead(4);
-            t.lateIsRefused();
+            t.changesNothingMore();
         });
         PARTS.put("a record's removal, after it was written anew", t -> {
             Records records = t.records();
             await(records.run(new Replacing("x/1", Wire.map("n", 1L))));
-            t.holdOne("x/");
+            t.loseOne("x/");
             assertTrue(await(records.run(removing("x/1")).map(false).otherwise(true)));
             await(records.run(new Replacing("x/1", Wire.map("n", 2L))));
-            t.lateIsRefused();
+            t.changesNothingMore();
         });
         PARTS.put("a write, after a loss and a new era", t -> {
             Records records = t.records();
-            t.holdOne("x/");
+            t.loseOne("x/");
             assertTrue(await(records.run(new Replacing("x/1", Wire.map("n", 1L)))
                     .map(false)
                     .otherwise(true)));
             assertTrue(t.rebuilds(t.lead(1), new Remains()));
-            t.lateIsRefused();
+            t.changesNothingMore();
         });
         PARTS.put("the registry's beginning", t -> t.twice("own/", t.records(), () -> new Beginning(true, "by test")));
         PARTS.put("a claim's end before it began", t -> t.twice("own/", t.records(), () -> new Ending("export-1")));
@@ -1000,7 +1064,7 @@
     @Test
     void anAcceptanceCarriedOutWhileItsJobIsRebuiltDoesNotTakeItsStartBoundBack() throws Exception {
         JobDesk desk = desk();
-        holdOne(OPEN);
+        loseOne(OPEN);
         assertEquals(503, submit(desk));
         Stamp leader = lead(1);
         List<Integer> late = new ArrayList<>();
@@ -1014,21 +1078,25 @@
         remains.add(new Remains.Open(spec(JOB.text(), 4), 1, new BitSet(), 4));
         until(() -> rebuilds(leader, remains));
         assertEquals(List.of(200), late);
-        assertEquals(
-                4, RecordCodec.readJob(JOB, service.value(OPEN), Stamp.ABSENT).bound());
+        assertEquals(4, bound());
     }
 
     static List<Object[]> cases() {
         List<Object[]> all = new ArrayList<>();
         for (Map<String, Case> table : List.of(LEADERSHIP, JOBS, CLOUD, LOSS, PARTS)) {
-            table.forEach((name, play) -> all.add(new Object[] {name, play}));
+            table.forEach((name, play) -> {
+                for (Unanswered when : Unanswered.values()) {
+                    all.add(new Object[] {when, name, play});
+                }
+            });
         }
         return all;
     }
 
-    @ParameterizedTest(name = "{0}")
+    @ParameterizedTest(name = "{0}: {1}")
     @MethodSource("cases")
-    void aTransactionThatComesLateChangesNothing(String name, Case play) throws Exception {
+    void aTransactionWithoutAnAnswerDoesNoHarm(Unanswered when, String name, Case play) throws Exception {
+        mode = when;
         play.play(this);
     }
 }
