The state service's announced limits: read from settings.state.next, the smaller of each holds from the first start

Everybody who sizes values, transactions or budgets already took them from PlatformConfig.StateLimits, so min(today, next) there reaches all of them. A wrong field is named, an unknown one warned of. The measure of values as JSON moves to net, for the product's own use.

--- a/src/main/java/io/indigoreach/config/PlatformConfig.java
+++ b/src/main/java/io/indigoreach/config/PlatformConfig.java
@@ -16,6 +16,9 @@
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
 import java.util.List;
+import java.util.Set;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /**
  * The platform's file: who this node is, whom it talks to, and the limits it lives under. Unknown fields are ignored.
@@ -36,14 +39,37 @@
         StateLimits stateLimits,
         CloudLimits cloudLimits,
         int maxConnections) {
+    private static final Logger LOG = LoggerFactory.getLogger(PlatformConfig.class);
+    private static final double KIBIBYTE = 1024;
+
     /** Another controller node. */
     public record Peer(String node, String zone, Endpoint endpoint) {}
 
     /** What the users expect of a class of jobs. */
     public record Objective(String kind, String jobClass, Span within, double share) {}
 
-    /** The state service's limits. */
-    public record StateLimits(double requestsPerS, double writesPerS, int valueBytes, int txnOps) {}
+    /** The state service's limits that hold or may come to hold: for each the smaller of today's and the announced one. */
+    public record StateLimits(double requestsPerS, double writesPerS, int valueBytes, int txnOps) {
+        /** A lease's key and the counter, and a job's two keys, change together: with less there is no service. */
+        public static final int LEAST_TXN_OPS = 2;
+
+        /** Part of a value's limit that is filled: a service that counts spaces or escapes takes the rest. */
+        private static final double FILLED = 0.8;
+
+        /** The smaller of each of the two. */
+        public StateLimits atMost(StateLimits other) {
+            return new StateLimits(
+                    Math.min(requestsPerS, other.requestsPerS),
+                    Math.min(writesPerS, other.writesPerS),
+                    Math.min(valueBytes, other.valueBytes),
+                    Math.min(txnOps, other.txnOps));
+        }
+
+        /** How long a value may become, counted by {@link io.indigoreach.net.JsonSize}. */
+        public int room() {
+            return (int) (valueBytes * FILLED);
+        }
+    }
 
     /** The cloud's limits. */
     public record CloudLimits(double requestsPerS, Span listLag) {}
@@ -111,16 +137,40 @@
                 List.copyOf(teams),
                 List.copyOf(objectives),
                 rules,
-                new StateLimits(
-                        state.positive("rps"),
-                        state.positive("write_rps"),
-                        (int) (state.positive("value_kb") * 1024),
-                        (int) state.positive("txn_ops")),
+                stateLimits(state),
                 new CloudLimits(cloud.positive("rps"), Span.seconds(cloud.amount("list_lag_s", 0))),
                 (int) settings.optionalSection("machine_limits").amount("max_connections", 1000));
     }
 
-    /** The file that {@link #parse} reads this from. */
+    /** The limits to come hold from the first start on: nobody says when the service will lower them. */
+    private static StateLimits stateLimits(Section state) throws ConfigException {
+        state.warnOfOthers(Set.of("rps", "write_rps", "value_kb", "txn_ops", "next"));
+        StateLimits today = new StateLimits(
+                state.positive("rps"),
+                state.positive("write_rps"),
+                kibibytes(state.positive("value_kb")),
+                txnOps(state, state.positive("txn_ops")));
+        Section next = state.optionalSection("next");
+        next.warnOfOthers(Set.of("write_rps", "value_kb", "txn_ops"));
+        return today.atMost(new StateLimits(
+                today.requestsPerS,
+                next.positiveOr("write_rps", today.writesPerS),
+                kibibytes(next.positiveOr("value_kb", today.valueBytes / KIBIBYTE)),
+                txnOps(next, next.positiveOr("txn_ops", today.txnOps))));
+    }
+
+    private static int kibibytes(double amount) {
+        return (int) (amount * KIBIBYTE);
+    }
+
+    private static int txnOps(Section section, double amount) throws ConfigException {
+        if (amount < StateLimits.LEAST_TXN_OPS) {
+            throw section.fault("txn_ops", "must be at least " + StateLimits.LEAST_TXN_OPS);
+        }
+        return (int) amount;
+    }
+
+    /** The file that {@link #parse} reads this from; announced limits are written as if they held already. */
     public String toText() {
         Config root = table();
         root.set("node", node);
@@ -172,7 +222,7 @@
                         "write_rps",
                         stateLimits.writesPerS,
                         "value_kb",
-                        stateLimits.valueBytes / 1024.0,
+                        stateLimits.valueBytes / KIBIBYTE,
                         "txn_ops",
                         stateLimits.txnOps));
         settings.set("cloud", table("rps", cloudLimits.requestsPerS, "list_lag_s", cloudLimits.listLag.seconds()));
@@ -268,6 +318,17 @@
             return value;
         }
 
+        double positiveOr(String field, double absent) throws ConfigException {
+            return config.get(List.of(field)) == null ? absent : positive(field);
+        }
+
+        /** A newer platform may say more than this version knows: that is no fault. */
+        void warnOfOthers(Set<String> known) {
+            config.valueMap().keySet().stream()
+                    .filter(field -> !known.contains(field))
+                    .forEach(field -> LOG.warn("{}: {}.{}: not known here, and ignored", file, path, field));
+        }
+
         Span span(String field) throws ConfigException {
             return Span.seconds(positive(field));
         }
--- a/src/main/java/io/indigoreach/emulator/model/StateModel.java
+++ b/src/main/java/io/indigoreach/emulator/model/StateModel.java
@@ -6,6 +6,7 @@
 import io.indigoreach.core.Stamp;
 import io.indigoreach.net.Budget;
 import io.indigoreach.net.Fields;
+import io.indigoreach.net.JsonSize;
 import io.indigoreach.net.Reply;
 import io.indigoreach.net.Wire;
 import io.indigoreach.state.StateClient.Change;
--- a/src/main/java/io/indigoreach/emulator/model/JsonSize.java
+++ b/src/main/java/io/indigoreach/net/JsonSize.java
@@ -1,13 +1,16 @@
-package io.indigoreach.emulator.model;
+package io.indigoreach.net;
 
 import java.util.List;
 import java.util.Map;
 
-/** How long a body would be as JSON: the form in which the protocol counts its limits. */
-final class JsonSize {
+/**
+ * How long a body would be as compact JSON in UTF-8: the form in which the protocol counts its limits, although bodies are sent as
+ * MessagePack. The only measure for whatever is sized by a limit.
+ */
+public final class JsonSize {
     private JsonSize() {}
 
-    static int of(Object value) {
+    public static int of(Object value) {
         if (value instanceof String s) {
             return text(s);
         }
--- a/src/test/java/io/indigoreach/config/ConfigTest.java
+++ b/src/test/java/io/indigoreach/config/ConfigTest.java
@@ -71,6 +71,7 @@
                 "write_rps = 20.0           | write_rps = 0      | f: settings.state.write_rps: must be above 0",
                 "lease_s = 12.0             | lease_s = \"long\" | f: settings.workers.lease_s: not a number of at least 0",
                 "name = \"t\"               | name = 3           | f: settings.teams[0].name: not a text",
+                "txn_ops = 16               | txn_ops = 1        | f: settings.state.txn_ops: must be at least 2",
                 "[settings.cloud]           | [settings.cloudy]  | f: settings.cloud: missing"
             })
     void aWrongPlatformFileNamesItsField(String line, String instead, String message) {
@@ -81,6 +82,35 @@
                         .getMessage());
     }
 
+    /** A field that is absent is today's, a larger one changes nothing, and what is not known is no fault. */
+    @ParameterizedTest
+    @CsvSource({
+        "'', 20, 8192, 16",
+        "'value_kb = 2.0\nwrite_rps = 15.0\ntxn_ops = 5', 15, 2048, 5",
+        "'value_kb = 0.5\nfuture = 3', 20, 512, 16",
+        "'value_kb = 64\nwrite_rps = 70.0\ntxn_ops = 17', 20, 8192, 16"
+    })
+    void theAnnouncedLimitsHoldFromTheFirstStart(String next, double writes, int bytes, int ops)
+            throws ConfigException {
+        PlatformConfig config = PlatformConfig.parse("f", PLATFORM + "\n[settings.state.next]\n" + next);
+        assertEquals(new PlatformConfig.StateLimits(150, writes, bytes, ops), config.stateLimits());
+        assertEquals(config, PlatformConfig.parse("g", config.toText()));
+    }
+
+    @ParameterizedTest
+    @CsvSource({
+        "value_kb = 0, f: settings.state.next.value_kb: must be above 0",
+        "txn_ops = 1, f: settings.state.next.txn_ops: must be at least 2",
+        "write_rps = \"many\", f: settings.state.next.write_rps: not a number of at least 0"
+    })
+    void aWrongAnnouncedLimitIsNamed(String line, String message) {
+        String text = PLATFORM + "\n[settings.state.next]\n" + line;
+        assertEquals(
+                message,
+                assertThrows(ConfigException.class, () -> PlatformConfig.parse("f", text))
+                        .getMessage());
+    }
+
     @Test
     void textThatIsNotTomlIsOneLine() {
         String message = assertThrows(ConfigException.class, () -> PlatformConfig.parse("f", "node = = 3"))
