--- a/src/main/java/io/indigoreach/api/JobDesk.java
+++ b/src/main/java/io/indigoreach/api/JobDesk.java
@@ -13,6 +13,7 @@
 import io.indigoreach.net.SteadyClock;
 import io.indigoreach.net.Wire;
 import io.indigoreach.net.WireException;
+import io.indigoreach.state.DoneBits;
 import io.indigoreach.state.FinalRecord;
 import io.indigoreach.state.JobMender;
 import io.indigoreach.state.JobRecord;
@@ -110,8 +111,10 @@
         long now = clock.timeOfDay();
         Map<String, Object> record =
                 RecordCodec.writeJob(spec, now, JobStatus.PENDING, new BitSet(), 0, firstBound(spec));
-        if (refusal == null && Wire.write(record).length() > valueBytes / 2) {
-            refusal = "the description is too long";
+        int bytes = DoneBits.recordBytes(spec, now);
+        int room = state.limits().room(valueBytes);
+        if (refusal == null && bytes > room) {
+            refusal = "the description is too long: " + bytes + " bytes, of at most " + room;
         }
         if (refusal != null) {
             // Whatever was accepted once stays accepted, even under limits that have become stricter since.
@@ -142,7 +145,8 @@
         }
         return joined(spec)
                 .compose(
-                        change -> commit(spec, record, now, attempt, txn, change),
+                        change ->
+                                commit(spec, record, now, attempt, txn, change).recover(e -> refused(spec, e)),
                         e ->
                                 // Whatever was accepted once stays accepted, also where a part would refuse it by now
                                 // or cannot say.
@@ -154,6 +158,17 @@
                                                         : Future.failedFuture(e)));
     }
 
+    /** What the state service does not take as it is, it never will: a repeat would only fail again. */
+    private Future<Answer> refused(JobSpec spec, Throwable failure) {
+        if (!(failure instanceof StateClient.Unacceptable)) {
+            return Future.failedFuture(failure);
+        }
+        return find(spec.id())
+                .map(found -> found.open == null && found.over == null
+                        ? Answer.error(422, "the state service takes no record of this size")
+                        : current(spec.id(), found));
+    }
+
     /** What the parts beside the jobs have to say to this one; nothing for most. */
     private Future<Change> joined(JobSpec spec) {
         Future<Change> all = Future.succeededFuture(new Change());
@@ -230,9 +245,8 @@
                     .when(RecordCodec.open(id), found.open.stamp())
                     .delete(RecordCodec.open(id))
                     .put(RecordCodec.over(id), RecordCodec.writeFinal(JobStatus.CANCELLED, found.open.doneCount()));
-            for (int n = 0; n < RecordCodec.blocks(found.open.spec().tasks()); n++) {
-                txn.delete(RecordCodec.block(id, n));
-            }
+            // Blocks of done tasks beside the record are removed by the leader: all of them may be more than a
+            // transaction takes.
             return state.commit(txn).compose(outcome -> {
                 if (outcome.done()) {
                     LOG.info("job {} cancelled by its user", id);
--- a/src/main/java/io/indigoreach/cluster/Fleet.java
+++ b/src/main/java/io/indigoreach/cluster/Fleet.java
@@ -127,13 +127,13 @@
         }
         checked = now;
         for (RentWish wish : core.wishes(now)) {
-            if (book.intents().room() <= 0) {
+            Request request = new Request("t" + token + "-" + ++requests, wish, now, 0, now);
+            Intents.Rent rent = new Intents.Rent(
+                    request.name, wish.pool(), wish.count(), env.clock().timeOfDay());
+            if (!book.intents().hasRoomFor(rent)) {
                 break;
             }
-            Request request = new Request("t" + token + "-" + ++requests, wish, now, 0, now);
-            book.intents()
-                    .add(new Intents.Rent(
-                            request.name, wish.pool(), wish.count(), env.clock().timeOfDay()));
+            book.intents().add(rent);
             open.add(request);
         }
     }
--- a/src/main/java/io/indigoreach/cluster/IntentBook.java
+++ b/src/main/java/io/indigoreach/cluster/IntentBook.java
@@ -7,10 +7,12 @@
 import io.indigoreach.core.Token;
 import io.indigoreach.core.duty.Intents;
 import io.indigoreach.net.Budget;
+import io.indigoreach.net.JsonSize;
 import io.indigoreach.state.RecordCodec;
 import io.indigoreach.state.StateClient;
 import io.vertx.core.Future;
 import java.util.ArrayList;
+import java.util.Collection;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -26,6 +28,7 @@
  */
 final class IntentBook {
     private static final Span TIDY = Span.seconds(2);
+    private static final int EMPTY = JsonSize.of(RecordCodec.writeIntents(new Intents.Page(List.of(), List.of())));
 
     private final Reign.Surroundings env;
     private final Stamp key;
@@ -33,7 +36,7 @@
     private boolean cancelled;
     private final Budget budget;
     private final String own;
-    private final Intents intents = new Intents();
+    private final Intents intents = new Intents(new HalfEach());
     /** Earlier leaders' records, with their versions. */
     private final Map<String, Stamp> earlier = new LinkedHashMap<>();
 
@@ -54,6 +57,25 @@
         this.own = RecordCodec.intents(token);
     }
 
+    /** Requests and machines to be returned may fill half of the record's value each. */
+    private final class HalfEach implements Intents.Size {
+        private int half() {
+            return (env.limits().room() - EMPTY) / 2;
+        }
+
+        @Override
+        public boolean hasRoomForRent(Collection<Intents.Rent> rents, Intents.Rent next) {
+            int used = rents.stream().mapToInt(RecordCodec::bytes).sum();
+            return used + RecordCodec.bytes(next) <= half();
+        }
+
+        @Override
+        public boolean hasRoomFor(Collection<MachineId> condemned, MachineId next) {
+            int used = condemned.stream().mapToInt(RecordCodec::bytes).sum();
+            return used + RecordCodec.bytes(next) <= half();
+        }
+    }
+
     /** Guards against a write of this leadership that fails late, when the same node has taken the key anew: that one goes on. */
     void cancel() {
         cancelled = true;
@@ -85,9 +107,8 @@
 
     /** Everything that earlier leaders had under way is settled: their records are of no use any more. */
     Future<Void> forgetEarlier() {
-        List<String> some = earlier.keySet().stream()
-                .limit(env.config().stateLimits().txnOps())
-                .toList();
+        List<String> some =
+                earlier.keySet().stream().limit(env.limits().txnOps()).toList();
         if (some.isEmpty() || !budget.takeSpare(some.size(), env.clock().now())) {
             return Future.succeededFuture();
         }
--- a/src/main/java/io/indigoreach/cluster/Ledger.java
+++ b/src/main/java/io/indigoreach/cluster/Ledger.java
@@ -13,6 +13,7 @@
 import io.indigoreach.net.Duty;
 import io.indigoreach.net.Fields;
 import io.indigoreach.net.WireException;
+import io.indigoreach.state.DoneBits;
 import io.indigoreach.state.JobRecord;
 import io.indigoreach.state.MachineRecord;
 import io.indigoreach.state.RecordCodec;
@@ -29,6 +30,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.function.Consumer;
+import java.util.stream.Collectors;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -70,6 +72,7 @@
      */
     private final Moment took;
 
+    private final BlockBook blocks;
     private final Duty duty;
     private final Set<Job> touched = new LinkedHashSet<>();
     private final Set<JobId> writing = new HashSet<>();
@@ -78,6 +81,9 @@
     private final Map<JobId, Stamp> unmoved = new LinkedHashMap<>();
 
     private final Map<JobId, JobStatus> shown = new HashMap<>();
+    /** Open jobs whose records are longer than what the state service takes; each is said once. */
+    private final Set<JobId> tooLong = new HashSet<>();
+
     /** Open jobs that stand still, as nobody could read or mend their records. */
     private final Set<JobId> unread = new HashSet<>();
     /** Jobs that are over: a late change of theirs must not open them again. */
@@ -107,15 +113,18 @@
         this.boundsKept = boundsKept;
         this.book = book;
         this.took = env.clock().now();
+        this.blocks = new BlockBook(env, key, deposed, budget);
         this.duty = new Duty(env.vertx(), "ledger", PERIOD, this::step);
     }
 
     void start() {
         duty.start();
+        blocks.start();
     }
 
     void cancel() {
         duty.cancel();
+        blocks.cancel();
     }
 
     /** A job has something to be written. */
@@ -131,15 +140,10 @@
         new ArrayList<>(core.jobs()).forEach(job -> core.closeJob(job.id()));
         touched.clear();
         shown.clear();
+        blocks.clear();
         // Blocks first: one that is written between the two readings would otherwise be newer than its job.
-        return pages(
-                        RecordCodec.BITS,
-                        e -> unlessUnreadable(
-                                e.key(),
-                                () -> RecordCodec.readBlock(
-                                        e.key(),
-                                        e.value(),
-                                        bits.computeIfAbsent(RecordCodec.jobOfBlock(e.key()), k -> new BitSet()))))
+        return pages(RecordCodec.BITS, e -> readBlock(e, bits))
+                .compose(r -> pages(DoneBits.SMALL, e -> readBlock(e, bits)))
                 .compose(r -> pages(RecordCodec.MACHINES, e -> {
                     List<MachineRecord> machines = RecordCodec.readMachines(e.value());
                     book.inherit(e.key(), e.stamp(), machines);
@@ -160,7 +164,18 @@
                 }))
                 .compose(revision -> mend(
                                 spoilt.iterator(), bits, env.clock().now().plus(MENDING))
-                        .map(revision));
+                        .map(revision))
+                .onSuccess(revision ->
+                        blocks.loaded(core.jobs().stream().map(Job::id).collect(Collectors.toSet())));
+    }
+
+    private void readBlock(StateClient.Entry block, Map<JobId, BitSet> bits) {
+        unlessUnreadable(block.key(), () -> {
+            BitSet done = new BitSet();
+            DoneBits.readBlock(block.key(), block.value(), done);
+            bits.computeIfAbsent(DoneBits.jobOf(block.key()), k -> new BitSet()).or(done);
+            blocks.inherit(block.key(), done);
+        });
     }
 
     /** What was cancelled before it is asked for is not in it. */
@@ -425,6 +440,8 @@
         touched.remove(job);
         shown.remove(job.id());
         written.remove(job.id());
+        blocks.over(job.id());
+        tooLong.remove(job.id());
         closed.put(
                 job.id(), new Remains.Over(job.isCancelled() ? JobStatus.CANCELLED : JobStatus.DONE, job.doneCount()));
     }
@@ -451,7 +468,7 @@
             if (writing.size() >= MOST_AT_ONCE) {
                 break;
             }
-            if (writing.contains(job.id())) {
+            if (writing.contains(job.id()) || isStuck(job)) {
                 continue;
             }
             StateClient.Txn txn = transaction(job, crowded);
@@ -469,6 +486,24 @@
         return Future.succeededFuture(PERIOD);
     }
 
+    /**
+     * Its record would be refused each time, and others would wait behind it: the tasks that may be ordered by its recorded bound go
+     * on, and its end or cancellation, which are short, are written as ever.
+     */
+    private boolean isStuck(Job job) {
+        if (job.isComplete() || blocks.canBeWritten(job)) {
+            return false;
+        }
+        touched.remove(job);
+        if (tooLong.add(job.id())) {
+            LOG.error(
+                    "the record {} is longer than the state service takes now: no further tasks of this job are started. Cancel it, and "
+                            + "submit it with a shorter description",
+                    RecordCodec.open(job.id()));
+        }
+        return true;
+    }
+
     /** Two ends and a start bound in turn: in a flood of ends machines stood idle, as no job could be begun. */
     private static void merge(List<Job> ends, List<Job> bounds, List<Job> into) {
         int b = 0;
@@ -488,26 +523,16 @@
     private StateClient.Txn transaction(Job job, boolean crowded) {
         JobId id = job.id();
         BitSet done = job.doneTasks();
-        int blocks = RecordCodec.blocks(job.spec().tasks());
         StateClient.Txn txn =
                 new StateClient.Txn().when(RecordCodec.LEADER, key).when(RecordCodec.open(id), job.stamp());
-        if (job.isComplete() && !(crowded && blocks == 0)) {
-            txn.delete(RecordCodec.open(id))
+        // Without the bits, a later leader would not know from the open record that the job is over.
+        if (job.isComplete() && !(crowded && blocks.hasRoomInRecord(job))) {
+            return txn.delete(RecordCodec.open(id))
                     .put(
                             RecordCodec.over(id),
                             RecordCodec.writeFinal(JobStatus.DONE, job.spec().tasks()));
-            for (int n = 0; n < blocks; n++) {
-                txn.delete(RecordCodec.block(id, n));
-            }
-            return txn;
-        }
-        txn.put(
-                RecordCodec.open(id),
-                RecordCodec.writeJob(
-                        job.spec(), job.submittedMs(), job.status(), done, job.running(), job.boundToWrite()));
-        for (int n : RecordCodec.blocksOf(job.spec().tasks(), job.unrecorded())) {
-            txn.put(RecordCodec.block(id, n), RecordCodec.writeBlock(done, n));
         }
+        blocks.progress(txn, job, done);
         return txn;
     }
 
@@ -560,9 +585,12 @@
                     }
                 } else {
                     core.stamped(job, result.result().stamp());
-                    job.recorded(done);
+                    job.recorded(blocks.written(job, done));
                     job.boundRecorded(bound);
                     shown.put(id, status);
+                    if (blocks.isBehind(job)) {
+                        touched.add(job);
+                    }
                 }
             } else if (result.result().failed().contains(RecordCodec.LEADER)) {
                 deposed.run();
--- a/src/main/java/io/indigoreach/cluster/MachineBook.java
+++ b/src/main/java/io/indigoreach/cluster/MachineBook.java
@@ -9,6 +9,7 @@
 import io.indigoreach.core.Token;
 import io.indigoreach.net.Budget;
 import io.indigoreach.net.Duty;
+import io.indigoreach.net.JsonSize;
 import io.indigoreach.state.MachineRecord;
 import io.indigoreach.state.RecordCodec;
 import io.indigoreach.state.StateClient;
@@ -39,8 +40,8 @@
 
     private static final Span TIDY = Span.seconds(2);
     private static final int MOST_PAGES = 4;
-    /** Part of a value's limit that a page may take. */
-    private static final double FULL = 0.8;
+    /** What a page takes besides its lines. */
+    private static final int PAGE_FRAME = JsonSize.of(RecordCodec.writeMachines(List.of()));
 
     private static final class Page {
         final String key;
@@ -50,6 +51,8 @@
         Stamp stamp;
         /** A write of it had no answer: its version is to be read before the next one. */
         boolean unsure;
+        /** Lines of it stand on other pages, and are still to be taken off this one. */
+        boolean isSplit;
 
         final Map<MachineId, MachineRecord> lines = new LinkedHashMap<>();
 
@@ -74,7 +77,6 @@
     private final Stamp key;
     private final Runnable deposed;
     private final Budget budget;
-    private final int pageBytes;
     private final Duty duty;
     private final List<Page> pages = new ArrayList<>();
     private final Map<MachineId, Waiting> waiting = new LinkedHashMap<>();
@@ -88,13 +90,12 @@
         this.key = key;
         this.deposed = deposed;
         this.budget = budget;
-        this.pageBytes = pageBytes(env);
         this.duty = new Duty(env.vertx(), "machine book", PERIOD, this::step);
     }
 
     /** How much a page may hold. */
     static int pageBytes(Reign.Surroundings env) {
-        return (int) (env.config().stateLimits().valueBytes() * FULL);
+        return env.limits().room() - PAGE_FRAME;
     }
 
     void start() {
@@ -186,9 +187,9 @@
             if (page == null) {
                 page = new Page(RecordCodec.machinePage(token, ++pagesMade), Stamp.ABSENT, true);
                 pages.add(page);
-                room.put(page, pageBytes);
+                room.put(page, pageBytes(env));
             }
-            if (additions.size() >= MOST_PAGES && !additions.containsKey(page)) {
+            if (additions.size() >= Math.min(MOST_PAGES, env.limits().txnOps()) && !additions.containsKey(page)) {
                 break;
             }
             additions.computeIfAbsent(page, p -> new ArrayList<>()).add(line);
@@ -202,7 +203,32 @@
         for (MachineRecord line : page.lines.values()) {
             used += core.knows(line.id()) ? RecordCodec.bytes(line) : 0;
         }
-        return pageBytes - used;
+        return pageBytes(env) - used;
+    }
+
+    /**
+     * Of a page that a leader under wider limits wrote, the first lines go to a page of this leadership. They stand on both
+     * until the rest fits into one value; a machine that stands twice is read once.
+     */
+    private Future<Span> split(Page page) {
+        Page part = new Page(RecordCodec.machinePage(token, ++pagesMade), Stamp.ABSENT, true);
+        for (MachineRecord line : page.lines.values()) {
+            part.lines.put(line.id(), line);
+            if (room(part) < 0) {
+                part.lines.remove(line.id());
+                break;
+            }
+        }
+        StateClient.Txn txn = new StateClient.Txn()
+                .when(RecordCodec.LEADER, key)
+                .when(part.key, Stamp.ABSENT)
+                .put(part.key, RecordCodec.writeMachines(part.lines.values()));
+        pages.add(part);
+        return commit(txn, List.of(part), stamp -> {
+            part.stamp = stamp;
+            page.lines.keySet().removeAll(part.lines.keySet());
+            page.isSplit = true;
+        });
     }
 
     private Future<Span> write(Map<Page, List<MachineRecord>> additions, Moment now) {
@@ -233,13 +259,17 @@
             return Future.succeededFuture(PERIOD);
         }
         for (Page page : pages) {
-            if (!page.isLeft() && page.lines.keySet().stream().allMatch(core::knows)) {
+            if (!page.isSplit && !page.isLeft() && page.lines.keySet().stream().allMatch(core::knows)) {
                 continue;
             }
             if (!budget.takeSpare(1, now)) {
                 break;
             }
             page.lines.keySet().removeIf(id -> !core.knows(id));
+            written = now;
+            if (room(page) < 0) {
+                return split(page);
+            }
             StateClient.Txn txn =
                     new StateClient.Txn().when(RecordCodec.LEADER, key).when(page.key, page.stamp);
             if (page.isLeft()) {
@@ -247,9 +277,9 @@
             } else {
                 txn.put(page.key, RecordCodec.writeMachines(page.lines.values()));
             }
-            written = now;
             return commit(txn, List.of(page), stamp -> {
                 page.stamp = stamp;
+                page.isSplit = false;
                 if (page.isLeft()) {
                     pages.remove(page);
                 }
--- a/src/main/java/io/indigoreach/cluster/Node.java
+++ b/src/main/java/io/indigoreach/cluster/Node.java
@@ -47,7 +47,7 @@
                 new StateClient(new Caller(vertx, config.state(), 12), new Caller(vertx, config.state(), 3));
         CloudClient cloud = new CloudClient(new Caller(vertx, config.cloud(), 3));
         this.catalogue = new Catalogue(vertx, state, cloud);
-        JobMender mender = new JobMender(state, clock);
+        JobMender mender = new JobMender(state, clock, config.stateLimits());
         Parts parts = Parts.of(kinds, vertx, state, clock, catalogue, config, settings);
         this.controller = new Controller(
                 new Reign.Surroundings(
--- a/src/main/java/io/indigoreach/cluster/Rebuilder.java
+++ b/src/main/java/io/indigoreach/cluster/Rebuilder.java
@@ -10,8 +10,9 @@
 import io.indigoreach.core.records.Family;
 import io.indigoreach.core.records.Kept;
 import io.indigoreach.net.Budget;
-import io.indigoreach.net.Wire;
+import io.indigoreach.net.JsonSize;
 import io.indigoreach.net.WireException;
+import io.indigoreach.state.DoneBits;
 import io.indigoreach.state.JobRecord;
 import io.indigoreach.state.MachineRecord;
 import io.indigoreach.state.RecordCodec;
@@ -43,13 +44,13 @@
  */
 final class Rebuilder {
     private static final Logger LOG = LoggerFactory.getLogger(Rebuilder.class);
-    /** Of a transaction as it is sent; its limit of 64 KiB is counted as JSON, which is longer. */
-    private static final int MOST_BYTES = 24 * 1024;
+    /** Of a transaction, which may have 64 KiB; the rest is for what conditions repeat. */
+    private static final int MOST_BYTES = 48 * 1024;
 
     /** One record's writes, with their conditions; a failed condition says that something newer is there. */
     private record Step(StateClient.Txn txn) {
         int bytes() {
-            return Wire.write(StateCodec.writeTxn(txn)).length();
+            return JsonSize.of(StateCodec.writeTxn(txn));
         }
     }
 
@@ -88,14 +89,8 @@
         return env.state()
                 .get(RecordCodec.ERA)
                 .map(entry -> era = entry == null ? Stamp.ABSENT : entry.stamp())
-                .compose(v -> read(
-                        RecordCodec.BITS,
-                        e -> Ledger.unlessUnreadable(
-                                e.key(),
-                                () -> RecordCodec.readBlock(
-                                        e.key(),
-                                        e.value(),
-                                        beside.computeIfAbsent(RecordCodec.jobOfBlock(e.key()), k -> new BitSet())))))
+                .compose(v -> read(RecordCodec.BITS, this::readBlock))
+                .compose(v -> read(DoneBits.SMALL, this::readBlock))
                 .compose(v -> read(
                         RecordCodec.OPEN,
                         e -> Ledger.unlessUnreadable(e.key(), () -> {
@@ -171,13 +166,16 @@
     /** Begins an era: what is in the state service from now on is all there is. The evidence stays with it. */
     private Future<Void> begin() {
         StateClient state = env.state();
-        List<String> findings = state.losses().findings().stream()
+        List<String> findings = new ArrayList<>(state.losses().findings().stream()
                 .map(Object::toString)
                 .distinct()
-                .toList();
-        return state.commit(change().put(
-                                RecordCodec.ERA,
-                                RecordCodec.writeEra(token, env.clock().timeOfDay(), findings, written)))
+                .toList());
+        Map<String, Object> next = RecordCodec.writeEra(token, env.clock().timeOfDay(), findings, written);
+        while (JsonSize.of(next) > env.limits().room() && !findings.isEmpty()) {
+            findings.remove(0);
+            next = RecordCodec.writeEra(token, env.clock().timeOfDay(), findings, written);
+        }
+        return state.commit(change().put(RecordCodec.ERA, next))
                 .compose(outcome -> outcome.done()
                         ? state.check()
                         : Future.failedFuture(new WireException("another node leads, or the era is another")));
@@ -192,8 +190,17 @@
         return Ledger.pages(env.state(), key, prefix, each);
     }
 
+    private void readBlock(StateClient.Entry block) {
+        Ledger.unlessUnreadable(
+                block.key(),
+                () -> DoneBits.readBlock(
+                        block.key(),
+                        block.value(),
+                        beside.computeIfAbsent(DoneBits.jobOf(block.key()), k -> new BitSet())));
+    }
+
     private void end(JobId id, Remains.Over end) {
-        JobRecord kept = open.remove(id);
+        open.remove(id);
         Stamp stamp = standing.getOrDefault(id, Stamp.ABSENT);
         StateClient.Txn txn = change().when(RecordCodec.over(id), Stamp.ABSENT)
                 .when(RecordCodec.open(id), stamp)
@@ -201,11 +208,6 @@
         if (!stamp.equals(Stamp.ABSENT)) {
             txn.delete(RecordCodec.open(id));
         }
-        if (kept != null) {
-            for (int n = 0; n < RecordCodec.blocks(kept.spec().tasks()); n++) {
-                txn.delete(RecordCodec.block(id, n));
-            }
-        }
         steps.add(new Step(txn));
     }
 
@@ -224,16 +226,39 @@
                 return;
             }
         }
-        StateClient.Txn txn = change().when(RecordCodec.over(id), Stamp.ABSENT)
-                .when(RecordCodec.open(id), standing.getOrDefault(id, Stamp.ABSENT))
+        blocksBefore(id, whole);
+        steps.add(new Step(openAs(id)
                 .put(
                         RecordCodec.open(id),
-                        RecordCodec.writeJob(
-                                whole.spec(), whole.submittedMs(), JobStatus.PENDING, whole.done(), 0, whole.bound()));
-        for (int n = 0; n < RecordCodec.blocks(whole.spec().tasks()); n++) {
-            txn.put(RecordCodec.block(id, n), RecordCodec.writeBlock(whole.done(), n));
+                        bits().writeJob(
+                                        whole.spec(),
+                                        whole.submittedMs(),
+                                        JobStatus.PENDING,
+                                        whole.done(),
+                                        0,
+                                        whole.bound()))));
+    }
+
+    /** What writes of an open job depend on: that it stands as it was read, and is not over. */
+    private StateClient.Txn openAs(JobId id) {
+        return change().when(RecordCodec.over(id), Stamp.ABSENT)
+                .when(RecordCodec.open(id), standing.getOrDefault(id, Stamp.ABSENT));
+    }
+
+    /** Before the record: a job whose record is there is taken to be whole by the next try. */
+    private void blocksBefore(JobId id, Remains.Open job) {
+        if (bits().areInRecord(job.spec(), job.submittedMs())) {
+            return;
         }
-        steps.add(new Step(txn));
+        BitSet missing = (BitSet) job.done().clone();
+        missing.andNot(beside.getOrDefault(id, new BitSet()));
+        bits().blocksWith(id, missing, job.done(), Integer.MAX_VALUE)
+                .forEach((block, covered) ->
+                        steps.add(new Step(openAs(id).put(block, DoneBits.writeBlock(block, covered)))));
+    }
+
+    private DoneBits bits() {
+        return new DoneBits(env.limits());
     }
 
     /** Machines that no page names, on pages of this leadership: as many to a page as in the machine book. */
@@ -271,7 +296,7 @@
         if (steps.isEmpty()) {
             return Future.succeededFuture();
         }
-        int most = env.config().stateLimits().txnOps();
+        int most = env.limits().txnOps();
         List<Step> batch = new ArrayList<>();
         int size = 0;
         int bytes = 0;
--- a/src/main/java/io/indigoreach/cluster/Reign.java
+++ b/src/main/java/io/indigoreach/cluster/Reign.java
@@ -99,6 +99,11 @@
                     parts,
                     new JobMender(state, clock));
         }
+
+        /** By which values, transactions and budgets are sized. */
+        PlatformConfig.StateLimits limits() {
+            return state.limits().under(config.stateLimits());
+        }
     }
 
     private final Surroundings env;
--- a/src/main/java/io/indigoreach/core/duty/Intents.java
+++ b/src/main/java/io/indigoreach/core/duty/Intents.java
@@ -28,19 +28,46 @@
         }
     }
 
-    /** As many as fit into the smallest record that a state service takes. */
+    /** How much of the record, which is one value, requests and machines take. */
+    public interface Size {
+        boolean hasRoomForRent(Collection<Rent> rents, Rent next);
+
+        boolean hasRoomFor(Collection<MachineId> condemned, MachineId next);
+    }
+
+    private static final Size UNLIMITED = new Size() {
+        @Override
+        public boolean hasRoomForRent(Collection<Rent> rents, Rent next) {
+            return true;
+        }
+
+        @Override
+        public boolean hasRoomFor(Collection<MachineId> condemned, MachineId next) {
+            return true;
+        }
+    };
+
     public static final int MOST_RENTS = 30;
 
     public static final int MOST_CONDEMNED = 100;
 
+    private final Size size;
     private final Map<String, Rent> rents = new LinkedHashMap<>();
     private final Set<MachineId> condemned = new LinkedHashSet<>();
     private final Set<String> recordedRents = new HashSet<>();
     private final Set<MachineId> recordedCondemned = new HashSet<>();
 
-    /** Room for more requests to rent. */
-    public int room() {
-        return MOST_RENTS - rents.size();
+    public Intents() {
+        this(UNLIMITED);
+    }
+
+    public Intents(Size size) {
+        this.size = size;
+    }
+
+    /** Whether there is room for this request to rent. */
+    public boolean hasRoomFor(Rent rent) {
+        return rents.isEmpty() || (rents.size() < MOST_RENTS && size.hasRoomForRent(rents.values(), rent));
     }
 
     public void add(Rent rent) {
@@ -51,7 +78,7 @@
     public List<MachineId> condemn(Collection<MachineId> machines) {
         List<MachineId> now = new ArrayList<>();
         for (MachineId id : machines) {
-            if (condemned.contains(id) || condemned.size() < MOST_CONDEMNED) {
+            if (condemned.contains(id) || (condemned.size() < MOST_CONDEMNED && size.hasRoomFor(condemned, id))) {
                 condemned.add(id);
                 now.add(id);
             }
--- a/src/main/java/io/indigoreach/emulator/Emulator.java
+++ b/src/main/java/io/indigoreach/emulator/Emulator.java
@@ -3,6 +3,7 @@
 import io.indigoreach.checker.Event;
 import io.indigoreach.checker.History;
 import io.indigoreach.config.PlatformConfig;
+import io.indigoreach.config.PlatformConfig.StateLimits;
 import io.indigoreach.core.Moment;
 import io.indigoreach.core.Rules;
 import io.indigoreach.core.Span;
@@ -61,6 +62,7 @@
     private final List<Relay> relays = new ArrayList<>();
     private Context cloudContext;
     private Context stateContext;
+    private StateLimits limits;
     private StateServer state;
     private CloudServer cloud;
     private WorkerPool workers;
@@ -185,11 +187,12 @@
     private Future<List<Integer>> openState(int[] ports) {
         return deploy(context -> {
             stateContext = context;
+            limits = scenario.deployment().state().limits();
             try {
                 state = new StateServer(
                         vertx,
                         clock,
-                        scenario.deployment().state().limits(),
+                        limits,
                         gate,
                         random.split(),
                         history,
@@ -198,6 +201,9 @@
             } catch (IOException e) {
                 throw new UncheckedIOException(e);
             }
+            scenario.fault().stream()
+                    .filter(f -> f.kind() == Fault.Kind.STATE_LIMITS)
+                    .forEach(this::planLimits);
             return each(i -> state.listen(Deployment.node(i), place.host(), ports[2 + 4 * i]));
         });
     }
@@ -287,7 +293,7 @@
                         Span.seconds(d.workers().reportS()),
                         Span.seconds(d.workers().cancelS()),
                         Span.seconds(d.cloud().listLagS())),
-                d.state().limits(),
+                scenario.limitsToCome(),
                 d.cloud().limits(),
                 CONNECTIONS);
     }
@@ -316,6 +322,15 @@
         });
     }
 
+    private void planLimits(Fault f) {
+        Span in = start.plus(Span.seconds(f.atS())).since(clock.now());
+        vertx.setTimer(Math.max(1, in.ms()), t -> {
+            history.add(new Event.Trouble(clock.now(), "state_limits"));
+            limits = f.after(limits);
+            state.model().limit(limits, clock.now());
+        });
+    }
+
     private void serveDepot(GatedListener.Request request, Consumer<Reply> reply) {
         if (request.path().equals(DepotCodec.UPLOAD)) {
             DepotCodec.Upload upload = DepotCodec.read(request.body());
--- a/src/main/java/io/indigoreach/emulator/model/StateModel.java
+++ b/src/main/java/io/indigoreach/emulator/model/StateModel.java
@@ -79,15 +79,15 @@
 
     private static final long RETURNED_LEASE_MS = 5000;
 
-    private final StateLimits limits;
+    private StateLimits limits;
     private final RandomGenerator random;
     private final Consumer<Mutation> sink;
     private final TreeMap<String, Item> items = new TreeMap<>();
     private final TreeMap<Long, Lease> leases = new TreeMap<>();
     private final ArrayDeque<Logged> log = new ArrayDeque<>();
     private final List<Watch> watches = new ArrayList<>();
-    private final Budget requests;
-    private final Budget writes;
+    private Budget requests;
+    private Budget writes;
     private long revision;
     private long lastLease;
     private long forgotten;
@@ -101,6 +101,13 @@
         this.writes = new Budget(limits.writesPerS(), now);
     }
 
+    /** From now on other limits hold; what is stored stays as it is. */
+    public void limit(StateLimits from, Moment now) {
+        limits = from;
+        requests = new Budget(limits.requestsPerS(), now);
+        writes = new Budget(limits.writesPerS(), now);
+    }
+
     /** Takes on a change of before a restart; leases get their full time again. */
     public void restore(Mutation change, Moment now) {
         lastLease = Math.max(lastLease, change.lease());
--- a/src/main/java/io/indigoreach/scenario/Fault.java
+++ b/src/main/java/io/indigoreach/scenario/Fault.java
@@ -1,5 +1,7 @@
 package io.indigoreach.scenario;
 
+import io.indigoreach.config.PlatformConfig.StateLimits;
+
 /** Something that goes wrong for a while. Parties are {@code node-0}…, {@code state}, {@code cloud}, {@code workers}, {@code users}. */
 public record Fault(
         @Setting("what goes wrong") Kind kind,
@@ -28,7 +30,16 @@
         boolean writes,
 
         @Setting(value = "take: notice, s; 0: none", standard = "0")
-        double noticeS) {
+        double noticeS,
+
+        @Setting(value = "state_limits: the largest value, KiB; 0: as before", standard = "0", most = 64)
+        double valueKb,
+
+        @Setting(value = "state_limits: changes in a transaction; 0: as before", standard = "0", most = 1000)
+        int txnOps,
+
+        @Setting(value = "state_limits: changes a second; 0: as before", standard = "0")
+        double writeRps) {
 
     /** The kinds of faults. */
     public enum Kind {
@@ -73,7 +84,9 @@
         /** Machines fail every task that they start. */
         SPOIL,
         /** Machines asked for meanwhile never come up. */
-        NO_BOOT;
+        NO_BOOT,
+        /** The state service's limits shrink, for good; the controllers' settings announce it. */
+        STATE_LIMITS;
 
         boolean isOnMessages() {
             return ordinal() <= RESET.ordinal();
@@ -89,6 +102,18 @@
         }
     }
 
+    /** The state service's limits after it. */
+    public StateLimits after(StateLimits before) {
+        if (kind != Kind.STATE_LIMITS) {
+            return before;
+        }
+        return before.atMost(new StateLimits(
+                before.requestsPerS(),
+                writeRps > 0 ? writeRps : before.writesPerS(),
+                valueKb > 0 ? (int) (valueKb * 1024) : before.valueBytes(),
+                txnOps > 0 ? txnOps : before.txnOps()));
+    }
+
     public double endsS() {
         return atS + forS;
     }
--- a/src/main/java/io/indigoreach/scenario/Scenario.java
+++ b/src/main/java/io/indigoreach/scenario/Scenario.java
@@ -1,5 +1,6 @@
 package io.indigoreach.scenario;
 
+import io.indigoreach.config.PlatformConfig.StateLimits;
 import java.util.List;
 
 /** One file for emulator and experiment: what there is, what comes, what goes wrong, for how long, and the seed. */
@@ -26,4 +27,13 @@
             }
         }
     }
+
+    /** The state service's limits when all faults that shrink them have happened: what controllers' settings announce. */
+    public StateLimits limitsToCome() {
+        StateLimits limits = deployment.state().limits();
+        for (Fault f : fault) {
+            limits = f.after(limits);
+        }
+        return limits;
+    }
 }
--- a/src/main/java/io/indigoreach/state/JobMender.java
+++ b/src/main/java/io/indigoreach/state/JobMender.java
@@ -1,5 +1,6 @@
 package io.indigoreach.state;
 
+import io.indigoreach.config.PlatformConfig.StateLimits;
 import io.indigoreach.core.JobId;
 import io.indigoreach.core.JobSpec;
 import io.indigoreach.core.JobStatus;
@@ -23,11 +24,17 @@
 
     private final StateClient state;
     private final SteadyClock clock;
+    private final StateLimits limits;
     private Function<JobId, Future<Remains>> memory = id -> Future.succeededFuture(new Remains());
 
     public JobMender(StateClient state, SteadyClock clock) {
+        this(state, clock, LimitsInForce.NONE);
+    }
+
+    public JobMender(StateClient state, SteadyClock clock, StateLimits limits) {
         this.state = state;
         this.clock = clock;
+        this.limits = limits;
     }
 
     /** Whom to ask what the controllers remember of a job. */
@@ -51,11 +58,14 @@
                     .values()
                     .forEach(end -> txn.delete(spoilt.key())
                             .put(RecordCodec.over(id), RecordCodec.writeFinal(end.status(), end.done())));
-            // Blocks of bits that stand beside the record are left as they are: what they say is done stays so.
+            // Blocks of bits that stand beside the record are left as they are: what they say is done stays so. What
+            // has no
+            // place in the record either is run again and ends at once.
+            DoneBits bits = new DoneBits(state.limits().under(limits));
             known.open()
                     .forEach(job -> txn.put(
                             spoilt.key(),
-                            RecordCodec.writeJob(
+                            bits.writeJob(
                                     job.spec(), job.submittedMs(), JobStatus.PENDING, job.done(), 0, job.bound())));
             return write(txn, spoilt.key());
         });
--- /dev/null
+++ b/src/main/java/io/indigoreach/state/LimitsInForce.java
@@ -0,0 +1,67 @@
+package io.indigoreach.state;
+
+import io.indigoreach.config.PlatformConfig.StateLimits;
+import io.indigoreach.net.JsonSize;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * The limits that the state service has shown by refusing a transaction as too large. Settings that announce what comes make this
+ * unnecessary; where they don't, a refusal lowers what is written from then on, step by step down to a floor, so that
+ * nothing is repeated for ever as it was.
+ */
+public final class LimitsInForce {
+    private static final Logger LOG = LoggerFactory.getLogger(LimitsInForce.class);
+    private static final int LEAST_VALUE_BYTES = 512;
+
+    /** No limit at all. */
+    static final StateLimits NONE =
+            new StateLimits(Double.MAX_VALUE, Double.MAX_VALUE, Integer.MAX_VALUE, Integer.MAX_VALUE);
+
+    private StateLimits shown = NONE;
+    private int refusals;
+
+    /** What holds under these settings. */
+    public StateLimits under(StateLimits settings) {
+        return settings.atMost(shown);
+    }
+
+    /** How long a value may become where the settings allow {@code valueBytes}. */
+    public int room(int valueBytes) {
+        return under(new StateLimits(NONE.requestsPerS(), NONE.writesPerS(), valueBytes, NONE.txnOps()))
+                .room();
+    }
+
+    /** Transactions that were refused as malformed or too large. */
+    public int refusals() {
+        return refusals;
+    }
+
+    /** The service does not say which limit it was: both are taken to be lower than what was sent. */
+    void refused(StateClient.Txn txn) {
+        refusals++;
+        String key = "";
+        int largest = 0;
+        for (StateClient.Write write : txn.writes()) {
+            int bytes = write.isDelete() ? 0 : JsonSize.of(write.value());
+            if (bytes >= largest) {
+                largest = bytes;
+                key = write.key();
+            }
+        }
+        LOG.error(
+                "the state service takes no transaction of {} changes whose largest value, of {}, has {} bytes: smaller ones are written "
+                        + "from now on. Are its limits lower than the settings say? ({} such refusals so far)",
+                txn.size(),
+                key,
+                largest,
+                refusals);
+        shown = shown.atMost(new StateLimits(
+                shown.requestsPerS(),
+                shown.writesPerS(),
+                largest > LEAST_VALUE_BYTES ? Math.max(LEAST_VALUE_BYTES, largest / 2) : shown.valueBytes(),
+                txn.size() > StateLimits.LEAST_TXN_OPS
+                        ? Math.max(StateLimits.LEAST_TXN_OPS, txn.size() / 2)
+                        : shown.txnOps()));
+    }
+}
--- a/src/main/java/io/indigoreach/state/RecordCodec.java
+++ b/src/main/java/io/indigoreach/state/RecordCodec.java
@@ -15,6 +15,7 @@
 import io.indigoreach.core.duty.Intents;
 import io.indigoreach.core.loss.Salvage;
 import io.indigoreach.net.Fields;
+import io.indigoreach.net.JsonSize;
 import io.indigoreach.net.Wire;
 import io.indigoreach.net.WireException;
 import java.util.ArrayList;
@@ -51,6 +52,8 @@
 
     static final int BLOCK = 32768;
 
+    static final String BITS_FIELD = "bits";
+
     private RecordCodec() {}
 
     public static String open(JobId id) {
@@ -78,7 +81,7 @@
         if (key.startsWith(FINAL)) {
             return OPEN + key.substring(FINAL.length());
         }
-        if (key.startsWith(BITS)) {
+        if (key.startsWith(BITS) || key.startsWith(DoneBits.SMALL)) {
             return open(jobOfBlock(key));
         }
         return key.startsWith(MACHINES) || key.startsWith(INTENTS) ? LEADER : null;
@@ -130,7 +133,7 @@
     }
 
     /** Whatever a spoilt value makes of the reading: said in one way, so that who reads can tell it from a fault of its own. */
-    private static <T> T readable(Supplier<T> reading) {
+    static <T> T readable(Supplier<T> reading) {
         try {
             return reading.get();
         } catch (IllegalArgumentException | ClassCastException | IndexOutOfBoundsException e) {
@@ -161,7 +164,15 @@
     }
 
     public static Map<String, Object> writeBlock(BitSet done, int n) {
-        return Wire.map("bits", bits(done.get(n * BLOCK, (n + 1) * BLOCK)));
+        return writeBits(done.get(n * BLOCK, (n + 1) * BLOCK));
+    }
+
+    static Map<String, Object> writeBits(BitSet block) {
+        return Wire.map(BITS_FIELD, bits(block));
+    }
+
+    static BitSet readBits(Fields block) {
+        return readable(() -> bits(block.optionalText(BITS_FIELD)));
     }
 
     /** Adds a block's bits to {@code into}; returns the job it belongs to by its key. */
@@ -300,12 +311,15 @@
     public static Map<String, Object> writeMachines(Collection<MachineRecord> machines) {
         List<Object> lines = new ArrayList<>(machines.size());
         for (MachineRecord m : machines) {
-            lines.add(List.of(
-                    m.id().text(), m.pool().type(), m.pool().zone(), m.pool().spot(), m.rentedMs(), m.existedMs()));
+            lines.add(line(m));
         }
         return Wire.map("machines", lines);
     }
 
+    private static List<Object> line(MachineRecord m) {
+        return List.of(m.id().text(), m.pool().type(), m.pool().zone(), m.pool().spot(), m.rentedMs(), m.existedMs());
+    }
+
     public static List<MachineRecord> readMachines(Fields f) {
         return readable(() -> machines(f));
     }
@@ -329,9 +343,7 @@
     /** Requests to rent and machines to be returned; lists, as there may be a hundred. */
     public static Map<String, Object> writeIntents(Intents.Page page) {
         List<Object> rents = new ArrayList<>();
-        page.rents()
-                .forEach(r -> rents.add(List.of(
-                        r.name(), r.pool().type(), r.pool().zone(), r.pool().spot(), (long) r.count(), r.askedMs())));
+        page.rents().forEach(r -> rents.add(line(r)));
         return Wire.map(
                 "rents",
                 rents,
@@ -339,6 +351,20 @@
                 page.condemned().stream().map(MachineId::text).toList());
     }
 
+    private static List<Object> line(Intents.Rent r) {
+        return List.of(r.name(), r.pool().type(), r.pool().zone(), r.pool().spot(), (long) r.count(), r.askedMs());
+    }
+
+    /** What a request to rent takes of its record, with the comma after it. */
+    public static int bytes(Intents.Rent rent) {
+        return JsonSize.of(line(rent)) + 1;
+    }
+
+    /** What a machine to be returned takes of its record, with the comma after it. */
+    public static int bytes(MachineId condemned) {
+        return JsonSize.of(condemned.text()) + 1;
+    }
+
     public static Intents.Page readIntents(Fields f) {
         List<Intents.Rent> rents = new ArrayList<>();
         for (List<?> r : f.lists("rents")) {
@@ -354,15 +380,9 @@
                 names == null ? List.of() : names.stream().map(MachineId::new).toList());
     }
 
-    /** What a machine takes of its page's value, counted as JSON. */
+    /** What a machine takes of its page's value, with the comma after it. */
     public static int bytes(MachineRecord m) {
-        int marks = 16;
-        int numbers = 2 * 19 + 5;
-        return m.id().text().length()
-                + m.pool().type().length()
-                + m.pool().zone().length()
-                + marks
-                + numbers;
+        return JsonSize.of(line(m)) + 1;
     }
 
     public static Map<String, Object> writeCatalogue(List<MachineType> types) {
--- a/src/main/java/io/indigoreach/state/StateClient.java
+++ b/src/main/java/io/indigoreach/state/StateClient.java
@@ -23,12 +23,21 @@
     private static final Logger LOG = LoggerFactory.getLogger(StateClient.class);
 
     /** The request was not executed: an outage, or a limit. */
-    public static final class Refused extends RuntimeException {
+    public static class Refused extends RuntimeException {
         Refused(int status) {
             super("the state service answers " + status, null, false, false);
         }
     }
 
+    /** The request was not executed, and never will be as it is: too large, or malformed. */
+    public static final class Unacceptable extends Refused {
+        Unacceptable() {
+            super(MALFORMED);
+        }
+    }
+
+    private static final int MALFORMED = 400;
+
     /** A key with its value, its version and the lease that it is attached to, or 0. */
     public record Entry(String key, Fields value, Stamp stamp, long lease) {}
 
@@ -108,6 +117,7 @@
     private final Caller watcher;
     private final Freshness freshness = new Freshness();
     private final LossJudge losses = new LossJudge();
+    private final LimitsInForce limits = new LimitsInForce();
     /** The era's version as it was last confirmed. */
     private Stamp eraStamp = Stamp.ABSENT;
 
@@ -130,6 +140,11 @@
         onLoss = what;
     }
 
+    /** What the service's refusals have shown of its limits. */
+    public LimitsInForce limits() {
+        return limits;
+    }
+
     private void judge(boolean lost) {
         if (lost) {
             LOG.error(
@@ -279,6 +294,10 @@
             if (r.status() == 400 && StateCodec.NO_SUCH_LEASE.equals(r.body().optionalText("error"))) {
                 return new Outcome(false, 0, List.of(), true);
             }
+            if (r.status() == MALFORMED) {
+                limits.refused(txn);
+                throw new Unacceptable();
+            }
             throw new Refused(r.status());
         });
     }
--- a/src/main/java/io/indigoreach/warm/PoolsResource.java
+++ b/src/main/java/io/indigoreach/warm/PoolsResource.java
@@ -7,6 +7,7 @@
 import io.indigoreach.core.records.Kept;
 import io.indigoreach.core.warm.PoolSpec;
 import io.indigoreach.net.Fields;
+import io.indigoreach.net.JsonSize;
 import io.indigoreach.net.Wire;
 import io.indigoreach.parts.Parts;
 import io.vertx.core.Future;
@@ -126,7 +127,7 @@
             throw Refusal.of(fault.field(), fault.reason());
         }
         Map<String, Object> value = PoolCodec.write(pool);
-        if (Wire.write(value).length() > ground.config().stateLimits().valueBytes() / 2) {
+        if (JsonSize.of(value) > ground.config().stateLimits().room()) {
             throw Refusal.of("windows", "the description is too long");
         }
         long[] version = new long[1];
--- a/src/test/java/io/indigoreach/api/JobDeskTest.java
+++ b/src/test/java/io/indigoreach/api/JobDeskTest.java
@@ -138,6 +138,32 @@
                         .spec());
     }
 
+    /** The end decides; blocks of done tasks, which may be more than a transaction takes, are removed behind it. */
+    @Test
+    void aLargeJobIsCancelledByTwoChanges() throws Exception {
+        Map<String, Object> job = JobCodecTest.job();
+        job.put("pieces", 100_000L);
+        assertEquals("201 pending", status(call(first, HttpMethod.POST, "/api/jobs", job)));
+        service.txnOps = 2;
+        assertEquals("200 cancelled", status(call(second, HttpMethod.POST, "/api/jobs/run-000412/cancel", Map.of())));
+        assertEquals("200 cancelled", status(call(first, HttpMethod.GET, "/api/jobs/run-000412", null)));
+    }
+
+    /** What no record can hold is refused at once, whether the settings say so or only the state service; what is known stays. */
+    @ParameterizedTest
+    @CsvSource({"62, 8192, 422", "20, 8192, 201", "20, 2048, 422"})
+    void aDescriptionThatFitsIntoNoRecordIsRefused(int otherTypes, int valueBytes, int expected) throws Exception {
+        Map<String, Object> job = JobCodecTest.job();
+        List<Object> types = new ArrayList<>((List<?>) job.get("boxkinds"));
+        types.addAll(java.util.Collections.nCopies(otherTypes, "k".repeat(100)));
+        job.put("boxkinds", types);
+        service.valueBytes = valueBytes;
+        assertEquals(expected, call(first, HttpMethod.POST, "/api/jobs", job).status());
+        service.valueBytes = 512;
+        int again = call(second, HttpMethod.POST, "/api/jobs", job).status();
+        assertEquals(expected == 201 ? 200 : 422, again);
+    }
+
     @Test
     void aJobIsTheSameAtEveryNode() throws Exception {
         assertEquals("404 null", status(call(second, HttpMethod.GET, "/api/jobs/run-000412", null)));
--- a/src/test/java/io/indigoreach/cluster/IntentBookTest.java
+++ b/src/test/java/io/indigoreach/cluster/IntentBookTest.java
@@ -22,6 +22,7 @@
 import io.vertx.core.Vertx;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
+import java.util.stream.IntStream;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -96,6 +97,39 @@
         assertEquals(List.of(), state.keys("i/"));
     }
 
+    /** As many as the smallest announced value takes, and one request in any case. */
+    @Test
+    void moreThanTheRecordTakesWaits() throws Exception {
+        env = new Reign.Surroundings(
+                vertx,
+                clock,
+                null,
+                client,
+                null,
+                null,
+                MachineBookTest.config("value_kb = 2.0"),
+                Settings.standard(),
+                Span.seconds(10));
+        state.valueBytes = 2048;
+        IntentBook book = leader(3);
+        int rents = 0;
+        while (book.intents().hasRoomFor(rent(rents))) {
+            book.intents().add(rent(rents++));
+        }
+        List<MachineId> machines = IntStream.range(0, 100)
+                .mapToObj(n -> new MachineId(String.format("vm-%06d", n)))
+                .toList();
+        int condemned = book.intents().condemn(machines).size();
+        assertTrue(rents >= 10 && condemned >= 50, rents + " requests, " + condemned + " machines");
+        assertTrue(await(book.record()));
+        assertEquals(0, state.tooLarge);
+        assertEquals(rents, await(leader(4).load()).rents().size());
+    }
+
+    private static Intents.Rent rent(int n) {
+        return new Intents.Rent("t123-" + n, new Pool("quad", "a-zone-of-usual-length", true), 50, 1_800_000_000_000L);
+    }
+
     /** Planted in the order of events: a holder that was replaced goes on between its condition and its call. */
     @Test
     void aHolderThatWasReplacedRecordsNothingAndMayAskNothing() throws Exception {
--- a/src/test/java/io/indigoreach/cluster/LateTransactionsTest.java
+++ b/src/test/java/io/indigoreach/cluster/LateTransactionsTest.java
@@ -821,7 +821,10 @@
         Remains remains = new Remains();
         Moment now = clock.now();
         remains.add(new Remains.Rented(new MachineId("vm-1"), POOL, now, now));
-        remains.add(new Remains.Open(spec(JOB.text(), 40_000), 1, new BitSet(), 4));
+        BitSet oneInEachBlock = new BitSet();
+        oneInEachBlock.set(0);
+        oneInEachBlock.set(39_999);
+        remains.add(new Remains.Open(spec(JOB.text(), 40_000), 1, oneInEachBlock, 4));
         remains.add(new JobId("run-2"), new Remains.Over(JobStatus.DONE, 1));
         return remains;
     }
@@ -884,6 +887,10 @@
             assertTrue(t.rebuilds(leader));
             assertEquals(2, t.service.keys(RecordCodec.BITS).size());
             assertEquals(200, t.cancel(t.desk()));
+            // As the leader does behind the end.
+            StateClient.Txn removal = new StateClient.Txn();
+            t.service.keys(RecordCodec.BITS).forEach(removal::delete);
+            assertTrue(await(t.client.commit(removal)).done());
             t.lateIsRefused();
             assertFalse(t.service.has(OPEN));
             assertEquals(List.of(), t.service.keys(RecordCodec.BITS));
--- a/src/test/java/io/indigoreach/cluster/LedgerTest.java
+++ b/src/test/java/io/indigoreach/cluster/LedgerTest.java
@@ -223,6 +223,43 @@
         await(done.future());
     }
 
+    /** Accepted under wider limits: it is not refused again and again, and the jobs behind it go on, by few changes. */
+    @Test
+    void aRecordThatIsTooLongNowHoldsUpNobody() throws Exception {
+        env = new Reign.Surroundings(
+                vertx,
+                clock,
+                null,
+                client,
+                null,
+                null,
+                MachineBookTest.config(BlockBookTest.NEXT),
+                Settings.standard(),
+                Span.seconds(10));
+        JobSpec spec = BlockBookTest.spec(4, 3000);
+        Stamp stamp = await(client.commit(new StateClient.Txn()
+                        .put("j/run-1", RecordCodec.writeJob(spec, 1, JobStatus.PENDING, new BitSet(), 0, 0))))
+                .stamp();
+        Job tooLong = new Job(spec, 1, clock.now(), stamp, new BitSet(), 0, false);
+        Stamp leader = await(client.get(RecordCodec.LEADER)).stamp();
+        ledger = new Ledger(env, core, null, leader, () -> {}, new Budget(20, clock.now()), true, horizon);
+        state.valueBytes = 2048;
+        state.txnOps = 4;
+        int before = state.changed;
+        core.addJob(tooLong);
+        ledger.touch(tooLong);
+        Job large = job(2, 100_000, 100_000, 100_000);
+        core.addJob(large);
+        ledger.touch(large);
+        vertx.runOnContext(v -> ledger.start());
+        while (!state.has("f/run-2")) {
+            Thread.onSpinWait();
+        }
+        assertEquals(0, state.tooLarge);
+        assertEquals(3, state.changed - before, "one for the job, two for its end");
+        assertTrue(state.has("j/run-1"));
+    }
+
     /** Its record is spoilt under a leader that has it open: the next write is not left to the next change. */
     @Test
     void aKnownJobsRecordThatIsSpoiltIsWrittenAnew() throws Exception {
--- a/src/test/java/io/indigoreach/cluster/MachineBookTest.java
+++ b/src/test/java/io/indigoreach/cluster/MachineBookTest.java
@@ -30,6 +30,7 @@
 import io.indigoreach.core.WorkerReport;
 import io.indigoreach.net.Budget;
 import io.indigoreach.net.Caller;
+import io.indigoreach.net.JsonSize;
 import io.indigoreach.net.SteadyClock;
 import io.indigoreach.net.Wire;
 import io.indigoreach.state.MachineRecord;
@@ -69,6 +70,11 @@
 
     /** A small node's settings. */
     static PlatformConfig config() throws Exception {
+        return config("");
+    }
+
+    /** The same under limits of the state service that are to come. */
+    static PlatformConfig config(String next) throws Exception {
         return PlatformConfig.parse("test", """
                 node = "a"
                 domain = "z"
@@ -92,7 +98,8 @@
                 txn_ops = 12
                 [settings.cloud]
                 rps = 4.0
-                """);
+                [settings.state.next]
+                """ + next);
     }
 
     @BeforeEach
@@ -174,10 +181,7 @@
         assertEquals(300, written().size());
         assertTrue(state.transactions <= 4, state.transactions + " transactions");
         for (String key : state.keys(RecordCodec.MACHINES)) {
-            // As JSON: the same text with a comma, quotes and brackets in place of MessagePack's marks.
-            List<MachineRecord> page = RecordCodec.readMachines(state.value(key));
-            assertTrue(page.stream().mapToInt(RecordCodec::bytes).sum() <= VALUE_BYTES);
-            assertTrue(Wire.write(state.value(key).map()).length() <= VALUE_BYTES);
+            assertTrue(JsonSize.of(state.value(key).map()) <= VALUE_BYTES);
         }
     }
 
@@ -225,6 +229,50 @@
                 "told as recorded, and is not");
     }
 
+    /** A page from before the limits shrank is divided; whoever leads after any of its writes reads every machine. */
+    @Test
+    void aWiderPageIsDividedAndNoMachineIsMissingMeanwhile() throws Exception {
+        book.cancel();
+        List<MachineRecord> lines = new ArrayList<>();
+        Moment now = clock.now();
+        for (int n = 0; n < 50; n++) {
+            MachineId id = new MachineId(String.format("vm-%06d", n));
+            lines.add(new MachineRecord(id, POOL, clock.timeOfDay(), clock.timeOfDay()));
+            if (n != 7) {
+                core.inherit(id, POOL, now, now, now);
+            }
+        }
+        String wide = RecordCodec.machinePage(new Token(2), 1);
+        Stamp stamp = await(client.commit(new StateClient.Txn().put(wide, RecordCodec.writeMachines(lines))))
+                .stamp();
+        state.valueBytes = 2048;
+        state.txnOps = 4;
+        Reign.Surroundings narrow = new Reign.Surroundings(
+                vertx,
+                clock,
+                null,
+                client,
+                null,
+                null,
+                config("value_kb = 2.0\ntxn_ops = 4"),
+                Settings.standard(),
+                Span.seconds(10));
+        book = new MachineBook(narrow, core, new Token(3), NOBODY, () -> {}, new Budget(12, now));
+        onLoop(() -> {
+            book.inherit(wide, stamp, lines);
+            book.start();
+            return Future.succeededFuture();
+        });
+        while (JsonSize.of(state.value(wide).map()) > 2048) {
+            assertTrue(written().stream().map(MachineRecord::id).distinct().count() >= 49);
+        }
+        assertEquals(49, written().stream().map(MachineRecord::id).distinct().count(), "all but the one that is gone");
+        for (String key : state.keys(RecordCodec.MACHINES)) {
+            assertTrue(JsonSize.of(state.value(key).map()) <= 2048, key);
+        }
+        assertEquals(0, state.tooLarge);
+    }
+
     /** Earlier leaders' leases run from when this leadership began, however long its records take to be read. */
     @Test
     void aSlowReadingPutsNoTakeOverOff() throws Exception {
--- a/src/test/java/io/indigoreach/cluster/RebuilderTest.java
+++ b/src/test/java/io/indigoreach/cluster/RebuilderTest.java
@@ -165,7 +165,10 @@
                 before.put(RecordCodec.over(id), RecordCodec.writeFinal(JobStatus.DONE, 1));
                 remains.add(id, new Remains.Over(JobStatus.DONE, 1));
             }
+            int limit = state.txnOps;
+            state.txnOps = before.size();
             StateClient.Outcome taken = await(client.commit(before));
+            state.txnOps = limit;
             JobSpec spec = new JobSpec(
                     new JobId("run-1"),
                     "c",
--- a/src/test/java/io/indigoreach/emulator/model/StateModelTest.java
+++ b/src/test/java/io/indigoreach/emulator/model/StateModelTest.java
@@ -217,6 +217,26 @@
                 StateModel.CHANGES_KEPT, heard.get(1).body().children("events").size());
     }
 
+    /** Limits shrink while it runs: what is larger then gets 400, what comes faster 429, and what is stored is read. */
+    @Test
+    void limitsShrinkAndWhatIsStoredStays() {
+        StateLimits today = new StateLimits(1e6, 100, 8192, 4);
+        StateModel shrinking = new StateModel(today, new SplittableRandom(1), T, change -> {});
+        Txn large = new Txn().put("a", Wire.map("v", "x".repeat(4000)));
+        Txn many = new Txn().put("b", value(1)).put("c", value(1)).put("d", value(1));
+        assertEquals(200, shrinking.commit(T, large).status());
+        shrinking.limit(today.atMost(new StateLimits(1e6, 2, 2048, 2)), T);
+        assertEquals(400, shrinking.commit(T, large).status());
+        assertEquals(400, shrinking.commit(T, many).status());
+        assertEquals(200, shrinking.get(T, "a", -1).status());
+        Txn two = new Txn().put("b", value(1)).delete("a");
+        assertEquals(
+                List.of(200, 429),
+                List.of(
+                        shrinking.commit(T, two).status(),
+                        shrinking.commit(T, two).status()));
+    }
+
     /** Pages are bounded in number and in bytes, and go on after the last key. */
     @Test
     void listsByPages() {
--- a/src/test/java/io/indigoreach/state/StateStandIn.java
+++ b/src/test/java/io/indigoreach/state/StateStandIn.java
@@ -2,6 +2,7 @@
 
 import io.indigoreach.net.Endpoint;
 import io.indigoreach.net.Fields;
+import io.indigoreach.net.JsonSize;
 import io.indigoreach.net.Reply;
 import io.indigoreach.net.Wire;
 import io.vertx.core.Context;
@@ -64,6 +65,13 @@
     public int transactions;
     /** Records and listings that were read. */
     public volatile int reads;
+    /** Limits of a value, in bytes, and of a transaction, in changes; lowered by some tests at some time. */
+    public volatile int valueBytes = 8 * 1024;
+
+    public volatile int txnOps = 16;
+    private static final int CONDITIONS_PER_CHANGE = 4;
+    /** Transactions that were refused as too large. */
+    public volatile int tooLarge;
     /** Keys that were written or deleted. */
     public volatile int changed;
 
@@ -226,7 +234,19 @@
         reply(request, reply.status(), reply.body().map());
     }
 
+    private boolean isTooLarge(Fields txn) {
+        return txn.children("writes").size() > txnOps
+                || txn.children("when").size() > CONDITIONS_PER_CHANGE * txnOps
+                || txn.children("writes").stream()
+                        .anyMatch(w ->
+                                w.has("write") && JsonSize.of(w.child("data").map()) > valueBytes);
+    }
+
     private Reply execute(Fields txn) {
+        if (isTooLarge(txn)) {
+            tooLarge++;
+            return new Reply(400, new Fields(Wire.map("error", "too large")));
+        }
         List<String> failed = new ArrayList<>();
         for (Fields when : txn.children("when")) {
             Item item = items.get(when.text("path"));
