--- a/src/main/java/io/indigoreach/api/JobCodec.java
+++ b/src/main/java/io/indigoreach/api/JobCodec.java
@@ -7,9 +7,12 @@
 import io.indigoreach.core.Shape;
 import io.indigoreach.core.Span;
 import io.indigoreach.core.Urgency;
+import io.indigoreach.core.chain.Chain;
 import io.indigoreach.net.Fields;
 import io.indigoreach.net.Wire;
 import io.indigoreach.net.WireException;
+import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Locale;
@@ -21,9 +24,14 @@
     private static final int LONGEST_NAME = 200;
     private static final int MOST_TYPES = 64;
     private static final double LARGEST = 1e9;
+    /** Jobs that one may name. Their ids have to fit into its record beside all else, and each is looked up. */
+    public static final int MOST_NAMED = 100;
 
     public static final String JOBS = "/api/jobs";
     public static final String CANCEL = "/cancel";
+    /** The field that names the jobs to be done before this one. */
+    static final String WAITS_ON = "waits_on";
+
     public static final String READY = "/ready";
     /**
      * Further fields, which most users do not send. A node keeps them with the job whether it knows what they mean or not, so
@@ -80,6 +88,9 @@
                 "due_s",
                 s.due() == null ? null : s.due().seconds());
         map.putAll(s.more());
+        if (!s.chain().isEmpty()) {
+            map.put(WAITS_ON, s.chain().needs().stream().map(JobId::text).toList());
+        }
         return map;
     }
 
@@ -135,7 +146,27 @@
                 Span.seconds(amount(f, "snapshot_every_s")),
                 Span.seconds(amount(f, "snapshot_s")),
                 due,
-                more(f));
+                more(f),
+                chain(id, f));
+    }
+
+    private static Chain chain(String own, Fields f) {
+        List<String> names = f.optionalTexts(WAITS_ON);
+        if (names == null) {
+            return Chain.NONE;
+        }
+        // A repeated id is most likely a mistake for another one, which the job would then not wait for.
+        if (names.size() > MOST_NAMED || names.contains(own) || new HashSet<>(names).size() < names.size()) {
+            throw Fields.invalid(WAITS_ON);
+        }
+        List<JobId> needs = new ArrayList<>();
+        for (String name : names) {
+            if (!JobId.isValid(name)) {
+                throw Fields.invalid(WAITS_ON);
+            }
+            needs.add(new JobId(name));
+        }
+        return Chain.of(needs);
     }
 
     private static Map<String, Object> more(Fields f) {
--- a/src/main/java/io/indigoreach/api/JobDesk.java
+++ b/src/main/java/io/indigoreach/api/JobDesk.java
@@ -5,6 +5,7 @@
 import io.indigoreach.core.JobId;
 import io.indigoreach.core.JobSpec;
 import io.indigoreach.core.JobStatus;
+import io.indigoreach.core.Span;
 import io.indigoreach.core.Stamp;
 import io.indigoreach.core.Team;
 import io.indigoreach.core.ToldCancellations;
@@ -27,6 +28,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.function.Function;
+import java.util.function.Supplier;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -48,6 +50,7 @@
     private final OpenReads questions;
     private final JobMender mender;
     private final ToldCancellations told;
+    private final ChainDesk chains;
     private List<Joining> joinings = List.of();
     private Function<JobId, Future<Boolean>> others = id -> Future.succeededFuture(false);
     private final Map<JobId, FinalRecord> over = new LinkedHashMap<>() {
@@ -86,6 +89,9 @@
         this.told = new ToldCancellations(clock.now());
         this.valueBytes = valueBytes;
         this.questions = new OpenReads(vertx, state, clock, questionsPerS);
+        Doubt doubt = new Doubt(clock, state::isDoubted);
+        state.onFailure(doubt::failure);
+        this.chains = new ChainDesk(clock, this::named, doubt);
     }
 
     /** Throws {@link io.indigoreach.net.WireException} if the job is malformed. */
@@ -111,17 +117,24 @@
         Map<String, Object> record =
                 RecordCodec.writeJob(spec, now, JobStatus.PENDING, new BitSet(), 0, firstBound(spec));
         if (refusal == null && Wire.write(record).length() > valueBytes / 2) {
+            if (!spec.chain().isEmpty()) {
+                return ifUnknown(spec.id(), Answer.error(400, "the description with the jobs named is too long"));
+            }
             refusal = "the description is too long";
         }
         if (refusal != null) {
             // Whatever was accepted once stays accepted, even under limits that have become stricter since.
-            String reason = refusal;
-            return find(spec.id())
-                    .map(found -> found.open == null && found.over == null
-                            ? Answer.error(422, reason)
-                            : current(spec.id(), found));
+            return ifUnknown(spec.id(), Answer.error(422, refusal));
         }
-        return accept(spec, record, now, 1);
+        return chains.isBornCancelled(spec.chain())
+                .compose(
+                        cancelled -> accept(spec, record, cancelled, now, 1),
+                        e -> e instanceof Refusal r
+                                ? ifUnknown(spec.id(), r.answer())
+                                : e instanceof ChainDesk.NotYet
+                                        ? ifUnknown(spec.id(), Answer.later(e.getMessage()))
+                                        : ifUnknown(
+                                                spec.id(), Answer.later("a job that this one names cannot be read")));
     }
 
     /**
@@ -129,26 +142,33 @@
      * at once, a later leader starts those that wait only when it has heard all machines.
      */
     private static int firstBound(JobSpec spec) {
-        return spec.tasks() == 1 && !spec.isService() ? 1 : 0;
+        // Nothing of a chained job is ordered before its release, and the write of its bound is what records that.
+        return spec.tasks() == 1 && !spec.isService() && spec.chain().isEmpty() ? 1 : 0;
+    }
+
+    /** Whatever was accepted once stays accepted: its state, or {@code otherwise} if it never was. */
+    private Future<Answer> ifUnknown(JobId id, Answer otherwise) {
+        return find(id).compose(found ->
+                found.open == null && found.over == null ? Future.succeededFuture(otherwise) : current(id, found));
     }
 
     /** Only in an era that is known and whole: a job that was lost may have been over, and must not run once more. */
-    private Future<Answer> accept(JobSpec spec, Map<String, Object> record, long now, int attempt) {
+    private Future<Answer> accept(JobSpec spec, Map<String, Object> record, boolean cancelled, long now, int attempt) {
         StateClient.Txn txn = state.inThisEra()
                 .when(RecordCodec.open(spec.id()), Stamp.ABSENT)
                 .when(RecordCodec.over(spec.id()), Stamp.ABSENT);
         if (state.losses().isHolding()) {
-            return find(spec.id()).map(found -> current(spec.id(), found));
+            return find(spec.id()).compose(found -> current(spec.id(), found));
         }
-        return joined(spec)
+        return (cancelled ? Future.succeededFuture(new Change()) : joined(spec))
                 .compose(
-                        change -> commit(spec, record, now, attempt, txn, change),
+                        change -> commit(spec, record, cancelled, now, attempt, txn, change),
                         e ->
                                 // Whatever was accepted once stays accepted, also where a part would refuse it by now
                                 // or cannot say.
                                 find(spec.id())
                                         .compose(found -> found.open != null || found.over != null
-                                                ? Future.succeededFuture(current(spec.id(), found))
+                                                ? current(spec.id(), found)
                                                 : e instanceof Refusal r
                                                         ? Future.succeededFuture(r.answer())
                                                         : Future.failedFuture(e)));
@@ -166,33 +186,83 @@
     }
 
     private Future<Answer> commit(
-            JobSpec spec, Map<String, Object> record, long now, int attempt, StateClient.Txn txn, Change change) {
-        return state.commit(txn.put(RecordCodec.open(spec.id()), record).and(change))
-                .compose(outcome -> {
-                    if (outcome.done()) {
-                        joinings.stream()
-                                .filter(j -> spec.more().containsKey(j.field()))
-                                .forEach(j -> j.accepted(change, outcome.stamp()));
-                        BitSet none = new BitSet();
-                        accepted.put(spec.id(), new Remains.Open(spec, now, none, spec.tasks()));
-                        return Future.succeededFuture(
-                                new Answer(201, JobCodec.accepted(spec.id(), JobStatus.PENDING), 0));
-                    }
-                    if (outcome.failed().equals(List.of(RecordCodec.ERA)) && attempt < MOST_TRIES) {
-                        return state.check().compose(v -> accept(spec, record, now, attempt + 1));
-                    }
-                    if (outcome.failed().stream().anyMatch(change.conditions()::containsKey) && attempt < MOST_TRIES) {
-                        return accept(spec, record, now, attempt + 1);
-                    }
-                    return find(spec.id(), this::readOpen, spec, 1)
-                            .map(found -> found.open == null && found.over == null
-                                    ? Answer.later("try again")
-                                    : current(spec.id(), found));
-                });
+            JobSpec spec,
+            Map<String, Object> record,
+            boolean cancelled,
+            long now,
+            int attempt,
+            StateClient.Txn txn,
+            Change change) {
+        StateClient.Txn whole = cancelled
+                ? txn.put(RecordCodec.over(spec.id()), RecordCodec.writeFinal(JobStatus.CANCELLED, 0))
+                : txn.put(RecordCodec.open(spec.id()), record);
+        return state.commit(whole.and(change)).compose(outcome -> {
+            if (outcome.done()) {
+                joinings.stream()
+                        .filter(j -> spec.more().containsKey(j.field()))
+                        .forEach(j -> j.accepted(change, outcome.stamp()));
+                if (cancelled) {
+                    remember(new FinalRecord(spec.id(), JobStatus.CANCELLED, 0));
+                } else {
+                    accepted.put(spec.id(), new Remains.Open(spec, now, new BitSet(), spec.tasks()));
+                }
+                return Future.succeededFuture(new Answer(201, JobCodec.accepted(spec.id(), JobStatus.PENDING), 0));
+            }
+            if (outcome.failed().equals(List.of(RecordCodec.ERA)) && attempt < MOST_TRIES) {
+                return state.check().compose(v -> accept(spec, record, cancelled, now, attempt + 1));
+            }
+            if (outcome.failed().stream().anyMatch(change.conditions()::containsKey) && attempt < MOST_TRIES) {
+                return accept(spec, record, cancelled, now, attempt + 1);
+            }
+            return find(spec.id(), this::readOpen, spec, 1)
+                    .compose(found -> found.open == null && found.over == null
+                            ? Future.succeededFuture(Answer.later("try again"))
+                            : current(spec.id(), found));
+        });
+    }
+
+    private Future<Answer> current(JobId id, Found read) {
+        return settled(id, read)
+                .map(found -> Answer.ok(
+                        JobCodec.accepted(id, found.open != null ? found.open.status() : found.over.status())));
+    }
+
+    private Future<NamedJob> named(JobId id) {
+        return find(id, questions::read, null, 1)
+                .map(found -> new NamedJob(
+                        found.open == null ? null : found.open.spec(),
+                        found.over == null ? null : found.over.status()));
     }
 
-    private static Answer current(JobId id, Found found) {
-        return Answer.ok(JobCodec.accepted(id, found.open != null ? found.open.status() : found.over.status()));
+    private boolean isKnownCancelled(JobId id) {
+        return over.containsKey(id) && over.get(id).status() == JobStatus.CANCELLED;
+    }
+
+    /**
+     * An open job below a cancelled one is over, though its own end is not written yet: whoever finds that writes it before
+     * anybody is told, so that nobody is told otherwise later.
+     */
+    private Future<Found> settled(JobId id, Found found) {
+        if (found.open == null) {
+            return Future.succeededFuture(found);
+        }
+        return chains.isBelowCancelled(id, found.open.spec().chain(), this::isKnownCancelled)
+                .compose(below -> below ? cancelBelow(id, found.open) : Future.succeededFuture(found));
+    }
+
+    private Future<Found> cancelBelow(JobId id, JobRecord open) {
+        StateClient.Txn txn = new StateClient.Txn()
+                .when(RecordCodec.open(id), open.stamp())
+                .delete(RecordCodec.open(id))
+                .put(RecordCodec.over(id), RecordCodec.writeFinal(JobStatus.CANCELLED, open.doneCount()));
+        return state.commit(txn).compose(outcome -> {
+            if (!outcome.done()) {
+                return Future.failedFuture(new WireException("the job changes at this moment"));
+            }
+            LOG.info("job {} is cancelled with one that it needs", id);
+            return Future.succeededFuture(
+                    new Found(null, remember(new FinalRecord(id, JobStatus.CANCELLED, open.doneCount()))));
+        });
     }
 
     public Future<Answer> query(String text) {
@@ -200,15 +270,17 @@
             return Future.succeededFuture(Answer.error(404, "no such job"));
         }
         JobId id = new JobId(text);
-        return find(id, questions::read, null, 1).map(found -> {
-            if (found.open != null) {
-                JobRecord r = found.open;
-                return Answer.ok(JobCodec.progress(id, r.status(), r.doneCount(), r.running()));
-            }
-            return found.over == null
-                    ? Answer.error(404, "no such job")
-                    : Answer.ok(JobCodec.progress(id, found.over.status(), found.over.done(), 0));
-        });
+        return find(id, questions::read, null, 1)
+                .compose(read -> settled(id, read))
+                .map(found -> {
+                    if (found.open != null) {
+                        JobRecord r = found.open;
+                        return Answer.ok(JobCodec.progress(id, r.status(), r.doneCount(), r.running()));
+                    }
+                    return found.over == null
+                            ? Answer.error(404, "no such job")
+                            : Answer.ok(JobCodec.progress(id, found.over.status(), found.over.done(), 0));
+                });
     }
 
     public Future<Answer> cancel(String text) {
@@ -337,6 +409,21 @@
         return accepted.containsKey(id) || over.containsKey(id);
     }
 
+    /**
+     * What chained jobs rest on.
+     *
+     * @param within after a cancellation, the time in which the jobs that need the cancelled one are told cancelled too
+     * @param leadership what differs between any two leaderships
+     */
+    public void chaining(Span within, Supplier<Object> leadership) {
+        chains.within(within, leadership);
+    }
+
+    /** Whether chained jobs may be accepted: every node of the deployment knows what they are. */
+    public void chainsUnderstoodByAll(Supplier<Future<Boolean>> all) {
+        chains.understoodByAll(all);
+    }
+
     /** The parts that have a say in acceptances. */
     public void joining(List<Joining> parts) {
         joinings = parts;
--- /dev/null
+++ b/src/main/java/io/indigoreach/api/NamedJobs.java
@@ -0,0 +1,98 @@
+package io.indigoreach.api;
+
+import io.indigoreach.core.JobId;
+import io.indigoreach.core.chain.Chain;
+import io.indigoreach.net.WireException;
+import io.vertx.core.Future;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Deque;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import java.util.function.Function;
+
+/** Looks up the jobs that others name, some at a time. */
+final class NamedJobs {
+    private static final int AT_ONCE = 8;
+    /** One question looks at no more jobs than this; its user comes again, and what was found to be over is remembered. */
+    private static final int MOST = 200;
+
+    private final Function<JobId, Future<NamedJob>> finder;
+
+    NamedJobs(Function<JobId, Future<NamedJob>> finder) {
+        this.finder = finder;
+    }
+
+    /**
+     * At a submission: whether a named job is cancelled, so that the new one is too. Fails with a {@link Refusal} if one was
+     * never accepted or is a service, and otherwise if that cannot be said at this moment.
+     */
+    Future<Boolean> anyCancelled(List<JobId> named) {
+        return someOf(new ArrayDeque<>(named), named, false);
+    }
+
+    private Future<Boolean> someOf(Deque<JobId> left, List<JobId> named, boolean cancelled) {
+        if (left.isEmpty()) {
+            return Future.succeededFuture(cancelled);
+        }
+        List<JobId> batch = take(left);
+        return find(batch).compose(found -> {
+            boolean any = cancelled;
+            for (int n = 0; n < batch.size(); n++) {
+                NamedJob job = found.get(n);
+                if (job.isUnknown()) {
+                    return Future.failedFuture(Refusal.of(JobCodec.WAITS_ON, batch.get(n) + " was never accepted"));
+                }
+                if (job.open() != null && job.open().isService()) {
+                    return Future.failedFuture(
+                            Refusal.of(JobCodec.WAITS_ON, batch.get(n) + " is a service, which is never done"));
+                }
+                any |= job.isCancelled();
+            }
+            return someOf(left, named, any);
+        });
+    }
+
+    /**
+     * Whether a waiting job needs a cancelled one, directly or through others that are still open. Cancelled is said only of what
+     * an end record says.
+     */
+    Future<Boolean> isBelowCancelled(Chain chain) {
+        return walk(new ArrayDeque<>(chain.needs()), new HashSet<>(chain.needs()));
+    }
+
+    private Future<Boolean> walk(Deque<JobId> left, Set<JobId> seen) {
+        if (left.isEmpty()) {
+            return Future.succeededFuture(false);
+        }
+        if (seen.size() > MOST) {
+            return Future.failedFuture(new WireException("too many jobs before this one to look at all of them"));
+        }
+        return find(take(left)).compose(found -> {
+            for (NamedJob job : found) {
+                if (job.isCancelled()) {
+                    return Future.succeededFuture(true);
+                }
+                if (job.open() != null && job.open().chain().isWaiting()) {
+                    job.open().chain().needs().stream().filter(seen::add).forEach(left::add);
+                }
+            }
+            return walk(left, seen);
+        });
+    }
+
+    private static List<JobId> take(Deque<JobId> left) {
+        List<JobId> batch = new ArrayList<>();
+        while (!left.isEmpty() && batch.size() < AT_ONCE) {
+            batch.add(left.poll());
+        }
+        return batch;
+    }
+
+    private Future<List<NamedJob>> find(Collection<JobId> batch) {
+        List<Future<NamedJob>> all = batch.stream().map(finder).toList();
+        return Future.all(all).map(v -> all.stream().map(Future::result).toList());
+    }
+}
--- a/src/main/java/io/indigoreach/cluster/Controller.java
+++ b/src/main/java/io/indigoreach/cluster/Controller.java
@@ -163,6 +163,11 @@
         }
     }
 
+    /** What differs between any two leaderships, as far as this node has heard of them. */
+    Object leadership() {
+        return leadership.key();
+    }
+
     /** Gives leadership up where this node alone is without the state service; null if it does not lead. */
     Stamp standAside() {
         return leadership.standAside("the state service serves others but not this node");
--- a/src/main/java/io/indigoreach/cluster/Ledger.java
+++ b/src/main/java/io/indigoreach/cluster/Ledger.java
@@ -128,7 +128,7 @@
         Map<JobId, BitSet> bits = new HashMap<>();
         List<StateClient.Entry> spoilt = new ArrayList<>();
         // From a reading that something failed after: a job that was cancelled since would never be heard of.
-        new ArrayList<>(core.jobs()).forEach(job -> core.closeJob(job.id()));
+        core.forgetJobs();
         touched.clear();
         shown.clear();
         // Blocks first: one that is written between the two readings would otherwise be newer than its job.
--- a/src/main/java/io/indigoreach/cluster/Node.java
+++ b/src/main/java/io/indigoreach/cluster/Node.java
@@ -78,6 +78,7 @@
         controller.remembering(standing::gather);
         controller.asking(standing::pledges, standing::othersDoNotLead);
         mender.asking(standing::recall);
+        jobs.chaining(config.rules().cancel(), controller::leadership);
         jobs.joining(parts.joinings());
         parts.all().forEach(p -> p.submitting(jobs::submit));
         jobs.asking(standing::know);
--- a/src/main/java/io/indigoreach/cluster/Reign.java
+++ b/src/main/java/io/indigoreach/cluster/Reign.java
@@ -107,6 +107,7 @@
     private final LeaderCore core;
     private final MachineBook book;
     private final Ledger ledger;
+    private final ChainDuty chains;
     private final Fleet fleet;
     private final JobWatch watch;
     private final EndWatch ends;
@@ -149,6 +150,7 @@
                 env.config().stateLimits().writesPerS() * WRITES, env.clock().now());
         this.book = new MachineBook(env, core, token, key, leadership::deposed, budget);
         this.ledger = new Ledger(env, core, book, key, leadership::deposed, budget, boundsKept, horizon);
+        this.chains = new ChainDuty(env, core, ledger, key, leadership::deposed, budget);
         this.boundsKept = boundsKept;
         this.fleet = new Fleet(
                 env, core, token, new IntentBook(env, token, key, leadership::deposed, budget), leadership::isValid);
@@ -176,6 +178,7 @@
         watch.cancel();
         ends.cancel();
         parts.cancel();
+        chains.cancel();
         ledger.cancel();
         book.cancel();
         fleet.cancel();
@@ -251,6 +254,7 @@
                     watch.start(revision);
                     ends.start(revision);
                     ledger.start();
+                    chains.start();
                     book.start();
                     fleet.start();
                     parts.start();
--- a/src/main/java/io/indigoreach/core/Aims.java
+++ b/src/main/java/io/indigoreach/core/Aims.java
@@ -39,8 +39,8 @@
                     job.arrived.plus(aim.start() ? aim.within() : aim.within().minus(run));
             next = earlier(next, latest, aim.start() ? now : lastRound);
         }
-        if (job.spec.due() != null) {
-            next = earlier(next, job.arrived.plus(job.spec.due().minus(run)), now);
+        if (job.dueAt() != null) {
+            next = earlier(next, job.dueAt().minus(run), now);
         }
         return next;
     }
@@ -56,8 +56,10 @@
                     job.arrived.plus(aim.start() ? aim.within() : aim.within().minus(run));
             last = last == null || latest.isAfter(last) ? latest : last;
         }
-        if (job.spec.due() != null) {
-            Moment latest = job.arrived.plus(job.spec.due().minus(run));
+        // A deadline of a job after it makes it more urgent; it is no reason to be late for the aims of its own class.
+        Moment due = last == null ? job.dueAt() : job.ownDueAt();
+        if (due != null) {
+            Moment latest = due.minus(run);
             last = last == null || latest.isAfter(last) ? latest : last;
         }
         return last == null ? job.arrived.plus(WITHOUT) : last;
@@ -75,7 +77,7 @@
 
     /** Nothing says by when it should be served. */
     boolean isWithout(Job job) {
-        return job.spec.due() == null
+        return job.dueAt() == null
                 && byClass.getOrDefault(job.spec.jobClass(), List.of()).isEmpty();
     }
 
--- a/src/main/java/io/indigoreach/core/BestSize.java
+++ b/src/main/java/io/indigoreach/core/BestSize.java
@@ -379,7 +379,7 @@
                         .plus(estimates.run(job))
                         .plus(Estimates.fetch(job, type))
                         .plus(tuning.waitLimit())
-                        .isBefore(job.arrived.plus(job.spec.due()))
+                        .isBefore(job.dueAt())
                 && dispatcher.mayStart(job, now);
     }
 
@@ -389,9 +389,8 @@
      * other over a single ordinary machine.
      */
     private boolean mayTakeOrdinary(Job job, Moment now) {
-        Span patience = job.spec.urgency().isMoreUrgentThan(Urgency.STANDARD)
-                ? tuning.urgentSpotPatience()
-                : tuning.spotPatience();
+        Span patience =
+                job.urgency().isMoreUrgentThan(Urgency.STANDARD) ? tuning.urgentSpotPatience() : tuning.spotPatience();
         if ((dispatcher.isUnderTheRuleAlone(job, now) || job.spec.isPlanned())
                 && tuning.waitLimit().compareTo(patience) < 0) {
             patience = tuning.waitLimit();
--- /dev/null
+++ b/src/main/java/io/indigoreach/core/ChainedJobs.java
@@ -0,0 +1,126 @@
+package io.indigoreach.core;
+
+import io.indigoreach.core.chain.DependencyGraph;
+import io.indigoreach.core.chain.Lookahead;
+import io.indigoreach.core.chain.Target;
+import java.util.HashSet;
+import java.util.Map;
+import java.util.Set;
+
+/**
+ * The chained jobs of one leadership. While a job waits for others it is in no queue, so that it holds nothing and asks for
+ * nothing: it is entered there when the ends of all that it needs are durable, and its times count from then, except its
+ * deadline.
+ */
+public final class ChainedJobs {
+    private static final Span LOOK_AHEAD = Span.seconds(1);
+
+    private final Cluster cluster;
+    private final Estimates estimates;
+    private final DependencyGraph graph = new DependencyGraph();
+    /** Waiting jobs that were there before this leader: an earlier one may have released them. */
+    private final Set<Job> inherited = new HashSet<>();
+    /** Jobs that others wait for, with what those ask of them. */
+    private Set<JobId> targeted = Set.of();
+
+    private Moment lookedAhead = Moment.NEVER;
+
+    ChainedJobs(Cluster cluster, Estimates estimates) {
+        this.cluster = cluster;
+        this.estimates = estimates;
+    }
+
+    void added(Job job) {
+        graph.opened(job.id());
+        if (job.waitsForJobs()) {
+            graph.add(job.id(), job.spec.chain().needs(), cluster.jobs::containsKey);
+            if (job.inherited) {
+                inherited.add(job);
+            }
+        }
+    }
+
+    /** The job is over or not served any more; what became of it is to be read. */
+    void removed(Job job) {
+        inherited.remove(job);
+        graph.ended(job.id());
+    }
+
+    void clear() {
+        graph.clear();
+        inherited.clear();
+        targeted = Set.of();
+    }
+
+    /** The end of a job as done is in the state service. */
+    public void done(JobId id) {
+        graph.done(id);
+    }
+
+    /** The end of a job as cancelled is in the state service. */
+    public void cancelled(JobId id) {
+        graph.cancelled(id);
+    }
+
+    /** Jobs that others wait for and that are not open here: their ends are to be read. */
+    public Set<JobId> lookUps() {
+        return graph.lookUps();
+    }
+
+    /** Jobs below a cancelled one, whose own ends are to be written. */
+    public Set<JobId> doomed() {
+        return graph.doomed();
+    }
+
+    /** Enters the released jobs into the queues, and once a second works back what the ends of chains ask. */
+    public void advance(Moment now, long timeOfDayMs) {
+        graph.takeReleased().forEach(id -> release(id, now, timeOfDayMs));
+        if (now.since(lookedAhead).compareTo(LOOK_AHEAD) >= 0) {
+            lookedAhead = now;
+            // A task of it on a machine, which only a leader that had released it can have ordered: its needs were
+            // done, also
+            // where a loss of data has taken their ends.
+            Set.copyOf(inherited).stream().filter(Job::hasBegun).forEach(job -> {
+                graph.removeWaiting(job.id());
+                release(job.id(), now, timeOfDayMs);
+            });
+            lookAhead();
+        }
+    }
+
+    private void release(JobId id, Moment now, long timeOfDayMs) {
+        Job job = cluster.jobs.get(id);
+        if (job != null && job.waitsForJobs()) {
+            inherited.remove(job);
+            job.releaseFromNeeds(now, timeOfDayMs);
+            cluster.enqueue(job);
+        }
+    }
+
+    private void lookAhead() {
+        if (graph.isEmpty() && targeted.isEmpty()) {
+            return;
+        }
+        Map<JobId, Target> asked =
+                Lookahead.of(graph, id -> cluster.jobs.get(id).ownTarget(), id -> runTime(cluster.jobs.get(id)));
+        for (JobId id : targeted) {
+            if (!asked.containsKey(id)) {
+                target(id, null);
+            }
+        }
+        asked.forEach(this::target);
+        targeted = Set.copyOf(asked.keySet());
+    }
+
+    /** A service has reached what its deadline is for when it starts. */
+    private Span runTime(Job job) {
+        return job.spec.isService() ? Span.ZERO : estimates.run(job);
+    }
+
+    private void target(JobId id, Target target) {
+        Job job = cluster.jobs.get(id);
+        if (job != null) {
+            job.asked = target;
+        }
+    }
+}
--- a/src/main/java/io/indigoreach/core/Cluster.java
+++ b/src/main/java/io/indigoreach/core/Cluster.java
@@ -62,6 +62,14 @@
 
     void add(Job job) {
         jobs.put(job.id(), job);
+        if (!job.waitsForJobs()) {
+            enqueue(job);
+        }
+        version++;
+    }
+
+    /** From now on the job is served in its turn. */
+    void enqueue(Job job) {
         if (job.spec.isHolder()) {
             holderJobs.add(job);
         } else {
--- a/src/main/java/io/indigoreach/core/Dispatcher.java
+++ b/src/main/java/io/indigoreach/core/Dispatcher.java
@@ -158,7 +158,7 @@
             return orders;
         }
         int wanted = wanted(share, top, now);
-        victims.sort(Comparator.comparing((Placement p) -> p.job.spec.urgency()).reversed());
+        victims.sort(Comparator.comparing((Placement p) -> p.job.urgency()).reversed());
         Demand room = m.free();
         for (Placement p : victims) {
             int before = top.spec.demand().timesIn(room);
@@ -177,7 +177,7 @@
 
     /** Urgent jobs, and those whose aim is too near to rent machines for them. */
     private boolean mayAskForRoom(Job top, MachineType type) {
-        return top.spec.urgency().isMoreUrgentThan(Urgency.STANDARD) || isNear(top, type);
+        return top.urgency().isMoreUrgentThan(Urgency.STANDARD) || isNear(top, type);
     }
 
     /** How many places the top job lacks: counted over all machines once in a while, not for every report. */
@@ -258,7 +258,7 @@
         if (p.state != TaskState.RUNNING
                 || p.stopping
                 || p.job.owed
-                || !top.spec.urgency().isMoreUrgentThan(p.job.spec.urgency())) {
+                || !top.urgency().isMoreUrgentThan(p.job.urgency())) {
             return false;
         }
         if (!p.job.spec.savesProgress()) {
@@ -405,7 +405,7 @@
                 && !job.owed
                 && !job.toBegin
                 && !job.spec.isService()
-                && !job.spec.urgency().isMoreUrgentThan(Urgency.STANDARD)
+                && !job.urgency().isMoreUrgentThan(Urgency.STANDARD)
                 && estimates.run(job).compareTo(leastPaid) >= 0;
     }
 
@@ -521,7 +521,7 @@
      * they go first, have room made for them and wait less for spot machines in any case.
      */
     boolean isNear(Job job, MachineType type) {
-        return !job.spec.urgency().isMoreUrgentThan(Urgency.STANDARD)
+        return !job.urgency().isMoreUrgentThan(Urgency.STANDARD)
                 && latestStart(job, job.arrived).isBefore(job.arrived.plus(reach(type)));
     }
 
@@ -594,7 +594,7 @@
                 continue;
             }
             Moment due = aims.startBy(job);
-            if (job.spec.urgency().isMoreUrgentThan(Urgency.STANDARD)
+            if (job.urgency().isMoreUrgentThan(Urgency.STANDARD)
                     || job.spec.isService()
                     || !job.spec.spotAllowed()
                     || job.spec.zone() != null
--- a/src/main/java/io/indigoreach/core/Job.java
+++ b/src/main/java/io/indigoreach/core/Job.java
@@ -1,5 +1,6 @@
 package io.indigoreach.core;
 
+import io.indigoreach.core.chain.Target;
 import java.util.ArrayList;
 import java.util.BitSet;
 import java.util.Collection;
@@ -11,9 +12,12 @@
 
 /** An open job as the leader knows it: which tasks are done, which may be on a machine, which wait. */
 public final class Job {
-    final JobSpec spec;
+    /** As it was submitted; with its release once it waits for no other job. */
+    JobSpec spec;
     /** When it was submitted, on this process's clock. */
-    final Moment arrived;
+    private final Moment submitted;
+    /** Since when it could be served: its submission, or the moment when the last job that it needs was done. */
+    Moment arrived;
     /** Submission by the time of day: the order in the queue, the same for every leader. */
     final long submittedMs;
     /** It was there before this leader took over: tasks below its bound may be on machines that have not reported yet. */
@@ -39,6 +43,10 @@
 
     Stamp stamp;
     boolean cancelled;
+    /** Others have to be done before any task of it starts. */
+    private boolean waitsForJobs;
+    /** What the jobs that need it ask of it; null if none does. */
+    Target asked;
     /** Machines on which one of its tasks has failed since one last completed there. */
     final Set<MachineId> failedOn = new HashSet<>();
 
@@ -68,7 +76,8 @@
     public Job(JobSpec spec, long submittedMs, Moment arrived, Stamp stamp, BitSet done, int bound, boolean inherited) {
         this.spec = spec;
         this.submittedMs = submittedMs;
-        this.arrived = arrived;
+        this.submitted = arrived;
+        this.arrived = arrived.plus(releasedAfter(spec, submittedMs));
         this.stamp = stamp;
         this.inherited = inherited;
         this.done = (BitSet) done.clone();
@@ -81,6 +90,8 @@
         this.doneCount = done.cardinality();
         this.ran = doneCount > 0;
         this.durableCount = doneCount;
+        // A task that is done was started, and so the job was released.
+        this.waitsForJobs = spec.chain().isWaiting() && !ran;
         this.bound = bound;
         this.boundWanted = bound;
         // Where the others of its tasks are decides where one may go, so nothing of it is started before all is known.
@@ -88,6 +99,44 @@
         this.heldBelow = !inherited ? 0 : together && bound > 0 ? spec.tasks() : bound;
     }
 
+    /** From its submission to the release that its record tells of. */
+    private static Span releasedAfter(JobSpec spec, long submittedMs) {
+        // By the clocks of two nodes, which may differ by more than that.
+        return spec.chain().isReleased() ? new Span(Math.max(0, spec.chain().releasedMs() - submittedMs)) : Span.ZERO;
+    }
+
+    /** Jobs that it needs are not known to be done: it is in no queue, and nothing of it may start. */
+    boolean waitsForJobs() {
+        return waitsForJobs;
+    }
+
+    /** All that it needs is done: its times count from now, and its next record says so. */
+    void releaseFromNeeds(Moment now, long timeOfDayMs) {
+        waitsForJobs = false;
+        arrived = now;
+        spec = spec.with(spec.chain().released(timeOfDayMs));
+    }
+
+    /** Its priority: its own, or the higher one of a job that needs it. */
+    Urgency urgency() {
+        return asked == null ? spec.urgency() : ownTarget().and(asked).urgency();
+    }
+
+    /** By when it should be done, for its own deadline or that of a job that needs it; null if nothing says so. */
+    Moment dueAt() {
+        return asked == null ? ownDueAt() : ownTarget().and(asked).due();
+    }
+
+    /** By when it should be done for its own deadline, which counts from its submission; null if it has none. */
+    Moment ownDueAt() {
+        return spec.due() == null ? null : submitted.plus(spec.due());
+    }
+
+    /** What its own user asks of it. */
+    Target ownTarget() {
+        return new Target(spec.urgency(), ownDueAt());
+    }
+
     /** The start bound to be written with the job: at least the one that is recorded. */
     public int boundToWrite() {
         return boundWanted;
@@ -223,12 +272,17 @@
         return JobStatus.PENDING;
     }
 
+    /** Nothing of it may start. */
+    private boolean isHeld() {
+        return cancelled || waitsForJobs;
+    }
+
     int waiting() {
-        return cancelled ? 0 : spec.tasks() - busy.cardinality();
+        return isHeld() ? 0 : spec.tasks() - busy.cardinality();
     }
 
     boolean hasWaiting() {
-        return !cancelled && busy.nextClearBit(0) < spec.tasks();
+        return !isHeld() && busy.nextClearBit(0) < spec.tasks();
     }
 
     /** Waiting tasks that surely are on no machine. */
@@ -236,11 +290,11 @@
         int taken = heldBelow == 0
                 ? busy.cardinality()
                 : heldBelow + busy.get(heldBelow, spec.tasks()).cardinality();
-        return cancelled ? 0 : spec.tasks() - taken;
+        return isHeld() ? 0 : spec.tasks() - taken;
     }
 
     boolean hasStartable() {
-        return !cancelled && nextStartable() < spec.tasks();
+        return !isHeld() && nextStartable() < spec.tasks();
     }
 
     int nextStartable() {
@@ -254,7 +308,7 @@
 
     /** Whether its next task lies below the recorded start bound. */
     boolean hasOrderable() {
-        return !cancelled && nextStartable() < bound;
+        return !isHeld() && nextStartable() < bound;
     }
 
     Collection<Placement> active() {
--- a/src/main/java/io/indigoreach/core/JobSpec.java
+++ b/src/main/java/io/indigoreach/core/JobSpec.java
@@ -1,5 +1,6 @@
 package io.indigoreach.core;
 
+import io.indigoreach.core.chain.Chain;
 import java.util.Collections;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -15,6 +16,7 @@
  * @param checkpointTime what a task needs to save when it is stopped
  * @param due time allowed from submission to completion, or null
  * @param more further fields that the parts beside the jobs read, as they came; empty for most jobs
+ * @param chain the jobs that have to be done before any task of this one starts
  */
 public record JobSpec(
         JobId id,
@@ -35,7 +37,8 @@
         Span checkpointEvery,
         Span checkpointTime,
         Span due,
-        Map<String, Object> more) {
+        Map<String, Object> more,
+        Chain chain) {
     /** The further field that names records; the part that knows them says which tasks may start. */
     public static final String RECORDS = "records";
     /** The further field that names a holder's pool. */
@@ -46,6 +49,50 @@
         more = more.isEmpty() ? Map.of() : Collections.unmodifiableMap(new LinkedHashMap<>(more));
     }
 
+    /** A job that waits for no other. */
+    public JobSpec(
+            JobId id,
+            String jobClass,
+            String team,
+            Shape shape,
+            Urgency urgency,
+            int tasks,
+            Demand demand,
+            String image,
+            double imageGb,
+            List<String> types,
+            String zone,
+            boolean oneZone,
+            boolean spread,
+            boolean spotAllowed,
+            Span estimate,
+            Span checkpointEvery,
+            Span checkpointTime,
+            Span due,
+            Map<String, Object> more) {
+        this(
+                id,
+                jobClass,
+                team,
+                shape,
+                urgency,
+                tasks,
+                demand,
+                image,
+                imageGb,
+                types,
+                zone,
+                oneZone,
+                spread,
+                spotAllowed,
+                estimate,
+                checkpointEvery,
+                checkpointTime,
+                due,
+                more,
+                Chain.NONE);
+    }
+
     /** A job without further fields. */
     public JobSpec(
             JobId id,
@@ -85,7 +132,8 @@
                 checkpointEvery,
                 checkpointTime,
                 due,
-                Map.of());
+                Map.of(),
+                Chain.NONE);
     }
 
     /** The same job with one further field. */
@@ -111,7 +159,33 @@
                 checkpointEvery,
                 checkpointTime,
                 due,
-                all);
+                all,
+                chain);
+    }
+
+    /** The same job, waiting for others or released from them. */
+    public JobSpec with(Chain other) {
+        return new JobSpec(
+                id,
+                jobClass,
+                team,
+                shape,
+                urgency,
+                tasks,
+                demand,
+                image,
+                imageGb,
+                types,
+                zone,
+                oneZone,
+                spread,
+                spotAllowed,
+                estimate,
+                checkpointEvery,
+                checkpointTime,
+                due,
+                more,
+                other);
     }
 
     /** Its tasks run until the job is cancelled. */
--- a/src/main/java/io/indigoreach/core/LeaderCore.java
+++ b/src/main/java/io/indigoreach/core/LeaderCore.java
@@ -31,6 +31,7 @@
     /** Inherited jobs that were read after the records are not released yet. */
     private boolean late;
 
+    private final ChainedJobs chains;
     private final Dispatcher dispatcher;
     private final Reconciler reconciler;
     private final BestSize bestSize;
@@ -62,6 +63,7 @@
         this.newcomers = new Newcomers(rules);
         this.cluster = new Cluster(teams);
         this.takeOver = new TakeOver();
+        this.chains = new ChainedJobs(cluster, estimates);
         this.dispatcher = new Dispatcher(cluster, aims, estimates, takeOver, token, tuning.leastPaid());
         this.reconciler = new Reconciler(cluster, estimates, notes);
         this.consolidation = new Consolidation(cluster, dispatcher, estimates, rules);
@@ -127,6 +129,7 @@
     public void addJob(Job job) {
         if (!cluster.jobs.containsKey(job.id())) {
             cluster.add(job);
+            chains.added(job);
             late |= loaded && job.isInherited();
             releaseLate();
         }
@@ -153,17 +156,31 @@
         if (job != null) {
             job.cancelled = true;
             cluster.remove(job);
+            chains.removed(job);
         }
     }
 
-    /** The job's end is recorded: its workers may forget its tasks. */
+    /** The job's end as done is in the state service: its workers may forget its tasks. */
     public void closeJob(JobId id) {
         Job job = cluster.jobs.get(id);
         if (job != null) {
             cluster.remove(job);
+            chains.removed(job);
+            chains.done(id);
         }
     }
 
+    /** Before the open jobs are read anew: that a job is not known any more says nothing of its end. */
+    public void forgetJobs() {
+        new ArrayList<>(cluster.jobs.values()).forEach(cluster::remove);
+        chains.clear();
+    }
+
+    /** The jobs that wait for others. */
+    public ChainedJobs chains() {
+        return chains;
+    }
+
     /** Only these tasks of an open job wait for something else than machines. */
     public void withhold(JobId id, BitSet tasks) {
         Job job = cluster.jobs.get(id);
--- a/src/main/java/io/indigoreach/core/Share.java
+++ b/src/main/java/io/indigoreach/core/Share.java
@@ -78,7 +78,7 @@
             floors.count(jobs, cores, lastChance, aged, now);
             List<Ranked> ranked = new ArrayList<>(jobs.size());
             for (Job job : jobs) {
-                Urgency urgency = job.spec.urgency() == Urgency.BEST_EFFORT ? Urgency.STANDARD : job.spec.urgency();
+                Urgency urgency = job.urgency() == Urgency.BEST_EFFORT ? Urgency.STANDARD : job.urgency();
                 // A replica that is down is worth more than any job that is late.
                 boolean first = floors.isOwedFirst() && (job.owed || job.spec.isService());
                 int turn = job.toBegin ? 0 : first ? 1 : 2;
--- a/src/main/java/io/indigoreach/core/loss/Remains.java
+++ b/src/main/java/io/indigoreach/core/loss/Remains.java
@@ -23,7 +23,8 @@
         Open with(Open other) {
             BitSet both = (BitSet) done.clone();
             both.or(other.done);
-            return new Open(spec, Math.min(submittedMs, other.submittedMs), both, Math.max(bound, other.bound));
+            JobSpec released = other.spec.chain().isReleased() ? other.spec : spec;
+            return new Open(released, Math.min(submittedMs, other.submittedMs), both, Math.max(bound, other.bound));
         }
 
         /** Whether this copy says nothing that {@code other} does not. */
--- a/src/main/java/io/indigoreach/state/RecordCodec.java
+++ b/src/main/java/io/indigoreach/state/RecordCodec.java
@@ -12,6 +12,7 @@
 import io.indigoreach.core.Stamp;
 import io.indigoreach.core.Token;
 import io.indigoreach.core.Urgency;
+import io.indigoreach.core.chain.Chain;
 import io.indigoreach.core.duty.Intents;
 import io.indigoreach.core.loss.Salvage;
 import io.indigoreach.net.Fields;
@@ -240,7 +241,11 @@
         putIf(map, "save_every", s.checkpointEvery().ms(), s.checkpointEvery().ms() > 0);
         putIf(map, "save", s.checkpointTime().ms(), s.checkpointTime().ms() > 0);
         putIf(map, "due", s.due() == null ? null : s.due().ms(), s.due() != null);
-        putIf(map, "more", s.more(), !s.more().isEmpty());
+        putIf(
+                map,
+                "more",
+                ChainCodec.write(s.more(), s.chain()),
+                !s.more().isEmpty() || !s.chain().isEmpty());
         putIf(map, "bits", s.tasks() <= IN_RECORD ? bits(done) : null, s.tasks() <= IN_RECORD && !done.isEmpty());
         return map;
     }
@@ -295,7 +300,8 @@
                 new Span(f.whole("save_every", 0)),
                 new Span(f.whole("save", 0)),
                 f.has("due") ? new Span(f.whole("due")) : null,
-                f.has("more") ? f.child("more").map() : Map.of());
+                f.has("more") ? ChainCodec.without(f.child("more").map()) : Map.of(),
+                f.has("more") ? ChainCodec.read(f.child("more")) : Chain.NONE);
         return new JobRecord(
                 spec,
                 f.whole("at"),
--- a/src/main/java/io/indigoreach/state/StateClient.java
+++ b/src/main/java/io/indigoreach/state/StateClient.java
@@ -102,6 +102,7 @@
     /** The era of a deployment in which nothing was ever lost: below every leader's token. */
     private static final Token FIRST = new Token(1);
 
+    private static final int OUTAGE = 503;
     private static final Span TIMEOUT = Span.seconds(2);
 
     private final Caller caller;
@@ -112,6 +113,7 @@
     private Stamp eraStamp = Stamp.ABSENT;
 
     private Runnable onLoss = () -> {};
+    private Runnable onFailure = () -> {};
     private Future<Void> checking;
 
     /** Watches stay open, so they have connections of their own. */
@@ -130,6 +132,19 @@
         onLoss = what;
     }
 
+    /** Called when a request gets no answer or is refused as in an outage. */
+    public void onFailure(Runnable what) {
+        onFailure = what;
+    }
+
+    private Future<Reply> noted(Future<Reply> asked) {
+        return asked.onComplete(r -> {
+            if (r.failed() || r.result().status() == OUTAGE) {
+                onFailure.run();
+            }
+        });
+    }
+
     private void judge(boolean lost) {
         if (lost) {
             LOG.error(
@@ -177,23 +192,24 @@
     }
 
     private Future<Void> readEra() {
-        return caller.get(StateCodec.keyPath(RecordCodec.ERA), Span.seconds(1)).compose(r -> {
-            if (r.status() == 429) {
-                return Future.succeededFuture();
-            }
-            Entry entry = r.status() == 404 ? null : StateCodec.readEntry(ok(r));
-            Stamp stamp = entry == null ? Stamp.ABSENT : entry.stamp();
-            long era = entry == null ? 0 : RecordCodec.readEra(entry.value());
-            if (losses.era() == 0) {
-                // Nothing is known to compare with; an answer from the past fails in the first transaction.
-                return entry == null ? firstEra() : adopted(era, stamp);
-            }
-            if (stamp.equals(eraStamp) && era == losses.era()) {
-                return Future.succeededFuture();
-            }
-            return commit(new Txn().when(RecordCodec.ERA, stamp))
-                    .compose(outcome -> outcome.done() ? adopted(era, stamp) : Future.succeededFuture());
-        });
+        return noted(caller.get(StateCodec.keyPath(RecordCodec.ERA), Span.seconds(1)))
+                .compose(r -> {
+                    if (r.status() == 429) {
+                        return Future.succeededFuture();
+                    }
+                    Entry entry = r.status() == 404 ? null : StateCodec.readEntry(ok(r));
+                    Stamp stamp = entry == null ? Stamp.ABSENT : entry.stamp();
+                    long era = entry == null ? 0 : RecordCodec.readEra(entry.value());
+                    if (losses.era() == 0) {
+                        // Nothing is known to compare with; an answer from the past fails in the first transaction.
+                        return entry == null ? firstEra() : adopted(era, stamp);
+                    }
+                    if (stamp.equals(eraStamp) && era == losses.era()) {
+                        return Future.succeededFuture();
+                    }
+                    return commit(new Txn().when(RecordCodec.ERA, stamp))
+                            .compose(outcome -> outcome.done() ? adopted(era, stamp) : Future.succeededFuture());
+                });
     }
 
     private Future<Void> adopted(long era, Stamp stamp) {
@@ -216,7 +232,7 @@
     /** The entry of a key; null if there is none. */
     public Future<Entry> get(String key) {
         long known = freshness.highest();
-        return caller.get(StateCodec.keyPath(key), TIMEOUT).map(r -> {
+        return noted(caller.get(StateCodec.keyPath(key), TIMEOUT)).map(r -> {
             if (r.status() == 404) {
                 freshness.told(known, StateCodec.readRevision(r.body()));
                 return null;
@@ -227,7 +243,7 @@
 
     public Future<Page> list(String prefix, String after, int most) {
         long known = freshness.highest();
-        return caller.get(StateCodec.listPath(prefix, after, most), Span.seconds(4))
+        return noted(caller.get(StateCodec.listPath(prefix, after, most), Span.seconds(4)))
                 .map(r -> {
                     Page page = StateCodec.readPage(ok(r));
                     freshness.told(known, page.revision());
@@ -255,27 +271,29 @@
 
     public Future<Outcome> commit(Txn txn) {
         long known = freshness.highest();
-        return caller.post(StateCodec.TXN, StateCodec.writeTxn(txn), TIMEOUT).map(r -> {
-            if (r.status() == 200) {
-                Outcome done = new Outcome(true, StateCodec.readRevision(r.body()), List.of(), false);
-                boolean lost = losses.revision(known, done.revision());
-                freshness.told(0, done.revision());
-                if (done.revision() < known) {
-                    freshness.beginAnew(done.revision());
-                }
-                judge(lost);
-                return done;
-            }
-            if (r.status() == 409) {
-                Outcome failed = StateCodec.readConflict(r.body());
-                freshness.told(0, failed.revision());
-                return failed;
-            }
-            if (r.status() == 400 && StateCodec.NO_SUCH_LEASE.equals(r.body().optionalText("error"))) {
-                return new Outcome(false, 0, List.of(), true);
-            }
-            throw new Refused(r.status());
-        });
+        return noted(caller.post(StateCodec.TXN, StateCodec.writeTxn(txn), TIMEOUT))
+                .map(r -> {
+                    if (r.status() == 200) {
+                        Outcome done = new Outcome(true, StateCodec.readRevision(r.body()), List.of(), false);
+                        boolean lost = losses.revision(known, done.revision());
+                        freshness.told(0, done.revision());
+                        if (done.revision() < known) {
+                            freshness.beginAnew(done.revision());
+                        }
+                        judge(lost);
+                        return done;
+                    }
+                    if (r.status() == 409) {
+                        Outcome failed = StateCodec.readConflict(r.body());
+                        freshness.told(0, failed.revision());
+                        return failed;
+                    }
+                    if (r.status() == 400
+                            && StateCodec.NO_SUCH_LEASE.equals(r.body().optionalText("error"))) {
+                        return new Outcome(false, 0, List.of(), true);
+                    }
+                    throw new Refused(r.status());
+                });
     }
 
     public Future<Long> grant(Span life) {
--- a/src/test/java/io/indigoreach/CodecsTest.java
+++ b/src/test/java/io/indigoreach/CodecsTest.java
@@ -22,6 +22,7 @@
 import io.indigoreach.core.Token;
 import io.indigoreach.core.Urgency;
 import io.indigoreach.core.WorkerReport;
+import io.indigoreach.core.chain.Chain;
 import io.indigoreach.net.Fields;
 import io.indigoreach.net.Wire;
 import io.indigoreach.net.WireException;
@@ -87,6 +88,8 @@
                 null);
         assertEquals(full, JobCodec.read(sent(JobCodec.write(full))));
         assertEquals(bare, JobCodec.read(sent(JobCodec.write(bare))));
+        JobSpec chained = bare.with(Chain.of(List.of(new JobId("run-007"), new JobId("run-8"))));
+        assertEquals(chained, JobCodec.read(sent(JobCodec.write(chained))));
         assertEquals(
                 List.of(
                         "id",
--- a/src/test/java/io/indigoreach/api/JobCodecTest.java
+++ b/src/test/java/io/indigoreach/api/JobCodecTest.java
@@ -16,6 +16,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.stream.IntStream;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
@@ -94,6 +95,21 @@
         cases.add(new Object[] {"boxkinds", "quad"});
         cases.add(new Object[] {"boxkinds", List.of(1)});
         cases.add(new Object[] {"bundle", "x".repeat(5000)});
+        List<String> tooMany = IntStream.rangeClosed(1, JobCodec.MOST_NAMED + 1)
+                .mapToObj(n -> "run-" + n)
+                .toList();
+        for (Object bad : new Object[] {
+            "run-1",
+            7,
+            Map.of(),
+            List.of(7),
+            List.of("job-1"),
+            List.of("run-000412"),
+            List.of("run-1", "run-1"),
+            tooMany
+        }) {
+            cases.add(new Object[] {"waits_on", bad});
+        }
         return cases;
     }
 
@@ -111,6 +127,7 @@
         Map<String, Object> with = job();
         with.put("boxkinds", null);
         with.put("due_s", null);
+        with.put("waits_on", List.of());
         Map<String, Object> lacking = job();
         lacking.keySet().removeAll(List.of("boxkinds", "due_s", "hall"));
         assertEquals(JobCodec.read(Wire.readMap(Wire.write(with))), JobCodec.read(Wire.readMap(Wire.write(lacking))));
--- a/src/test/java/io/indigoreach/api/JobDeskTest.java
+++ b/src/test/java/io/indigoreach/api/JobDeskTest.java
@@ -30,6 +30,7 @@
 import java.util.ArrayList;
 import java.util.BitSet;
 import java.util.List;
+import java.util.Locale;
 import java.util.Map;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
@@ -44,6 +45,7 @@
     /** Vert.x closes a client that nothing refers to any more, in the middle of a call too: so all are kept. */
     private final List<Object> kept = new ArrayList<>();
 
+    private final List<JobDesk> desks = new ArrayList<>();
     private StateStandIn service;
     private Endpoint first;
     private Endpoint second;
@@ -90,6 +92,7 @@
                 new SteadyClock(),
                 8192,
                 questionsPerS);
+        desks.add(desk);
         Endpoint any = new Endpoint("127.0.0.1", 0);
         Endpoint endpoint = new Endpoint(
                 "127.0.0.1",
@@ -149,6 +152,87 @@
         assertEquals("200 cancelled", status(call(first, HttpMethod.POST, "/api/jobs", JobCodecTest.job())));
     }
 
+    private Map<String, Object> chained(Object... names) {
+        Map<String, Object> job = JobCodecTest.job();
+        job.put("waits_on", List.of(names));
+        return job;
+    }
+
+    private void named(String how) throws Exception {
+        Map<String, Object> job = JobCodecTest.job();
+        job.put("id", "run-1");
+        if (how.equals("service")) {
+            job.put("shape", "service");
+            job.put("pieces", 1);
+        }
+        if (!how.equals("absent")) {
+            call(second, HttpMethod.POST, "/api/jobs", job);
+        }
+        if (how.equals("done") || how.equals("cancelled")) {
+            await(client().commit(new StateClient.Txn()
+                    .delete("j/run-1")
+                    .put("f/run-1", RecordCodec.writeFinal(JobStatus.valueOf(how.toUpperCase(Locale.ROOT)), 0))));
+        }
+        service.refusing = how.equals("refused");
+    }
+
+    /** By what has become of the job that is named: the answer, and what is told later. */
+    @ParameterizedTest
+    @CsvSource({
+        "open, 201 pending, 200 pending",
+        "done, 201 pending, 200 pending",
+        "cancelled, 201 pending, 200 cancelled",
+        "service, 422 null, 404 null",
+        "absent, 422 null, 404 null",
+        "refused, 503 null, 503 null"
+    })
+    void aJobMayNameAnyThatWasAccepted(String how, String answer, String later) throws Exception {
+        named(how);
+        assertEquals(answer, status(call(first, HttpMethod.POST, "/api/jobs", chained("run-1"))));
+        assertEquals(later, status(call(first, HttpMethod.GET, "/api/jobs/run-000412", null)));
+        assertEquals(later, status(call(second, HttpMethod.GET, "/api/jobs/run-000412", null)));
+    }
+
+    /** What a job that was accepted names now is of no account; before all nodes know chains, none is accepted. */
+    @Test
+    void aChainIsThatOfTheFirstAcceptance() throws Exception {
+        named("open");
+        desks.get(0).chainsUnderstoodByAll(() -> Future.succeededFuture(false));
+        assertEquals(
+                503, call(first, HttpMethod.POST, "/api/jobs", chained("run-1")).status());
+        assertEquals("201 pending", status(call(second, HttpMethod.POST, "/api/jobs", chained("run-1"))));
+        for (Endpoint node : List.of(first, second)) {
+            assertEquals("200 pending", status(call(node, HttpMethod.POST, "/api/jobs", chained("run-404"))));
+        }
+        assertEquals(
+                List.of(new JobId("run-1")),
+                RecordCodec.readJob(new JobId("run-000412"), service.value("j/run-000412"), Stamp.ABSENT)
+                        .spec()
+                        .chain()
+                        .needs());
+    }
+
+    /**
+     * The node that told of the cancellation is gone, and no leader has swept: a node in doubt, here as it has just begun, looks for
+     * itself, through a job that is open; one that is not asks for nothing more than the job's record.
+     */
+    @Test
+    void inDoubtANodeLooksUpTheChainBeforeItAnswers() throws Exception {
+        named("open");
+        Map<String, Object> between = chained("run-1");
+        between.put("id", "run-2");
+        call(second, HttpMethod.POST, "/api/jobs", between);
+        call(second, HttpMethod.POST, "/api/jobs", chained("run-2"));
+        named("cancelled");
+        int before = service.reads;
+        assertEquals("200 pending", status(call(first, HttpMethod.GET, "/api/jobs/run-000412", null)));
+        assertEquals(1, service.reads - before);
+        desks.get(0).chaining(Span.seconds(60), () -> "");
+        assertEquals("200 cancelled", status(call(first, HttpMethod.GET, "/api/jobs/run-000412", null)));
+        assertEquals("200 cancelled", status(call(second, HttpMethod.GET, "/api/jobs/run-000412", null)));
+        assertEquals(List.of("j/run-2"), service.keys("j/"));
+    }
+
     /** Six hundred jobs asked about eight times as often took every request that the state service serves, renewals too. */
     @Test
     void questionsBeyondANodesPartAreReadTogether() throws Exception {
--- /dev/null
+++ b/src/test/java/io/indigoreach/cluster/ChainDutyTest.java
@@ -0,0 +1,266 @@
+package io.indigoreach.cluster;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.indigoreach.config.Settings;
+import io.indigoreach.core.Aims;
+import io.indigoreach.core.CancellationHorizon;
+import io.indigoreach.core.Demand;
+import io.indigoreach.core.Job;
+import io.indigoreach.core.JobId;
+import io.indigoreach.core.JobSpec;
+import io.indigoreach.core.JobStatus;
+import io.indigoreach.core.LeaderCore;
+import io.indigoreach.core.Notes;
+import io.indigoreach.core.Shape;
+import io.indigoreach.core.Span;
+import io.indigoreach.core.Stamp;
+import io.indigoreach.core.Team;
+import io.indigoreach.core.Token;
+import io.indigoreach.core.Urgency;
+import io.indigoreach.core.chain.Chain;
+import io.indigoreach.net.Budget;
+import io.indigoreach.net.Caller;
+import io.indigoreach.net.SteadyClock;
+import io.indigoreach.net.Wire;
+import io.indigoreach.state.RecordCodec;
+import io.indigoreach.state.StateClient;
+import io.indigoreach.state.StateStandIn;
+import io.vertx.core.Future;
+import io.vertx.core.Promise;
+import io.vertx.core.Vertx;
+import java.util.ArrayList;
+import java.util.BitSet;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import java.util.stream.IntStream;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+
+/** A leader's writes for chained jobs, and what the next leader makes of those that were cut short. */
+@Timeout(30)
+class ChainDutyTest {
+    private final Vertx vertx = Vertx.vertx();
+    private final SteadyClock clock = new SteadyClock();
+    private final List<Leader> leaders = new ArrayList<>();
+    private StateStandIn state;
+    private StateClient client;
+
+    /** One leadership, as far as it serves jobs. */
+    private final class Leader {
+        final LeaderCore core;
+        final Ledger ledger;
+        final ChainDuty chains;
+
+        Leader(long token) throws Exception {
+            Stamp key = await(client.commit(new StateClient.Txn().put(RecordCodec.LEADER, Wire.map("t", token))))
+                    .stamp();
+            Reign.Surroundings env = new Reign.Surroundings(
+                    vertx,
+                    clock,
+                    null,
+                    client,
+                    null,
+                    null,
+                    MachineBookTest.config(),
+                    Settings.standard(),
+                    Span.seconds(10));
+            core = new LeaderCore(
+                    new Token(token),
+                    MachineBookTest.config().rules(),
+                    Settings.standard().tuning(),
+                    new Aims(List.of()),
+                    List.of(new Team("t", 0, 0, 0, 0)),
+                    new Notes() {
+                        @Override
+                        public void progress(Job job) {}
+
+                        @Override
+                        public void say(String line) {}
+                    });
+            Budget budget = new Budget(200, clock.now());
+            ledger = new Ledger(env, core, null, key, () -> {}, budget, true, new CancellationHorizon());
+            chains = new ChainDuty(env, core, ledger, key, () -> {}, budget);
+            leaders.add(this);
+            Promise<Void> begun = Promise.promise();
+            vertx.runOnContext(v -> ledger.load()
+                    .onSuccess(revision -> {
+                        core.loaded();
+                        ledger.start();
+                        chains.start();
+                    })
+                    .<Void>mapEmpty()
+                    .onComplete(begun));
+            await(begun.future());
+        }
+
+        void stop() {
+            ledger.cancel();
+            chains.cancel();
+        }
+
+        /** No task of any job waits for a machine. */
+        boolean holdsAll() throws Exception {
+            Promise<Boolean> answer = Promise.promise();
+            vertx.runOnContext(v -> answer.complete(core.summary(clock.now()).contains(" 0 tasks waiting")));
+            return await(answer.future());
+        }
+    }
+
+    @BeforeEach
+    void start() throws Exception {
+        state = await(new StateStandIn().listen(vertx));
+        client = new StateClient(new Caller(vertx, state.endpoint(), 8), new Caller(vertx, state.endpoint(), 1));
+    }
+
+    @AfterEach
+    void stop() throws Exception {
+        leaders.forEach(Leader::stop);
+        await(vertx.close());
+    }
+
+    private static <T> T await(Future<T> future) throws Exception {
+        return future.toCompletionStage().toCompletableFuture().get(20, TimeUnit.SECONDS);
+    }
+
+    private static JobId id(int n) {
+        return new JobId("run-" + n);
+    }
+
+    private static JobSpec spec(int id, int... needs) {
+        return new JobSpec(
+                        id(id),
+                        "c",
+                        "t",
+                        Shape.ARRAY,
+                        Urgency.STANDARD,
+                        1,
+                        new Demand(1, 0, 1),
+                        "img",
+                        0,
+                        null,
+                        null,
+                        false,
+                        false,
+                        true,
+                        Span.seconds(10),
+                        Span.ZERO,
+                        Span.ZERO,
+                        null)
+                .with(Chain.of(IntStream.of(needs).mapToObj(ChainDutyTest::id).toList()));
+    }
+
+    private void open(int id, int... needs) throws Exception {
+        open(spec(id, needs), 0);
+    }
+
+    private void open(JobSpec spec, int done) throws Exception {
+        BitSet bits = new BitSet();
+        bits.set(0, done);
+        await(client.commit(new StateClient.Txn()
+                .put(RecordCodec.open(spec.id()), RecordCodec.writeJob(spec, 1, JobStatus.PENDING, bits, 0, 0))));
+    }
+
+    private void over(int id, JobStatus status) throws Exception {
+        await(client.commit(new StateClient.Txn()
+                .delete(RecordCodec.open(id(id)))
+                .put(RecordCodec.over(id(id)), RecordCodec.writeFinal(status, 0))));
+    }
+
+    private void awaitCancelled(int... ids) {
+        for (int id : ids) {
+            while (!state.has(RecordCodec.over(id(id)))) {
+                Thread.onSpinWait();
+            }
+            assertEquals("CANCELLED", state.value(RecordCodec.over(id(id))).text("status"));
+            assertFalse(state.has(RecordCodec.open(id(id))));
+        }
+    }
+
+    /** Two changes each, also where the answer is lost; what waits for another job stays. */
+    @Test
+    void whatIsBelowACancelledJobIsEnded() throws Exception {
+        over(1, JobStatus.CANCELLED);
+        open(2, 1);
+        open(3, 2);
+        open(4, 3, 9);
+        open(5, 9);
+        open(9);
+        Leader leader = new Leader(3);
+        int before = state.changed;
+        state.losingAnswers = 1;
+        awaitCancelled(2, 3, 4);
+        assertEquals(2 * 3, state.changed - before);
+        assertEquals(List.of("j/run-5", "j/run-9"), state.keys("j/"));
+        over(9, JobStatus.CANCELLED);
+        vertx.runOnContext(v -> leader.ledger.heardGone(id(9)));
+        awaitCancelled(5);
+    }
+
+    /** The first leader gets one write through, and others that are executed when it leads no more. */
+    @Test
+    void theNextLeaderGoesOnWithACascade() throws Exception {
+        over(1, JobStatus.CANCELLED);
+        for (int n = 2; n < 8; n++) {
+            open(n, n - 1);
+        }
+        int[] written = {0};
+        state.holding = txn -> written[0]++ > 0;
+        Leader first = new Leader(3);
+        while (state.held() == 0) {
+            Thread.onSpinWait();
+        }
+        Promise<Void> ended = Promise.promise();
+        vertx.runOnContext(v -> {
+            first.stop();
+            ended.complete();
+        });
+        await(ended.future());
+        state.holding = txn -> false;
+        new Leader(4);
+        assertTrue(state.executeLate().stream().allMatch(status -> status == 409));
+        awaitCancelled(2, 3, 4, 5, 6, 7);
+    }
+
+    /** The leader knows that all tasks are done, and the write that says so has not arrived: the job after it waits. */
+    @Test
+    void aJobIsReleasedByAnEndThatIsWritten() throws Exception {
+        state.holding =
+                txn -> txn.children("writes").stream().anyMatch(w -> "j/run-1".equals(w.optionalText("delete")));
+        open(spec(1), 1);
+        open(2, 1);
+        Leader leader = new Leader(3);
+        while (state.held() == 0) {
+            Thread.onSpinWait();
+        }
+        await(vertx.timer(500, TimeUnit.MILLISECONDS));
+        assertTrue(leader.holdsAll());
+        state.holding = txn -> false;
+        state.executeLate();
+        while (leader.holdsAll()) {
+            Thread.onSpinWait();
+        }
+        assertEquals("DONE", state.value("f/run-1").text("status"));
+    }
+
+    /** Neither done nor cancelled may be said of it: as soon as its end is known again, the chain goes on. */
+    @Test
+    void aNeedThatIsInNoRecordHoldsWhatNeedsIt() throws Exception {
+        open(2, 1);
+        Leader leader = new Leader(3);
+        int before = state.transactions;
+        while (state.transactions == before) {
+            Thread.onSpinWait();
+        }
+        assertTrue(leader.holdsAll());
+        assertFalse(client.losses().isHolding());
+        over(1, JobStatus.DONE);
+        while (leader.holdsAll()) {
+            Thread.onSpinWait();
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/io/indigoreach/core/ChainedJobsTest.java
@@ -0,0 +1,137 @@
+package io.indigoreach.core;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.indigoreach.core.chain.Chain;
+import java.util.BitSet;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+
+/** Chained jobs among the others of a leader: what they hold while they wait, and what counts from the release. */
+class ChainedJobsTest {
+    private final World world = new World(World.team(4));
+
+    ChainedJobsTest() {
+        world.core.loaded();
+    }
+
+    private static JobSpec chained(int id, JobSpec... needs) {
+        JobSpec spec = World.spec(id, 2, 1, 20);
+        return spec.with(Chain.of(List.of(needs).stream().map(JobSpec::id).toList()));
+    }
+
+    private static JobSpec due(JobSpec s, Urgency urgency, double dueS) {
+        return new JobSpec(
+                s.id(),
+                s.jobClass(),
+                s.team(),
+                s.shape(),
+                urgency,
+                s.tasks(),
+                s.demand(),
+                s.image(),
+                s.imageGb(),
+                s.types(),
+                s.zone(),
+                s.oneZone(),
+                s.spread(),
+                s.spotAllowed(),
+                s.estimate(),
+                s.checkpointEvery(),
+                s.checkpointTime(),
+                Span.seconds(dueS),
+                s.more(),
+                s.chain());
+    }
+
+    private void advance(double at) {
+        world.core.chains().advance(World.at(at), Math.round(at * 1000));
+    }
+
+    /** Its need's tasks are all done, and the leader knows it: not before that end is recorded does anything of it move. */
+    @Test
+    void itHoldsNothingUntilTheEndIsDurable() {
+        JobSpec need = World.spec(1, 2, 1, 20);
+        Job first = world.submit(need, 0);
+        Job waiting = world.submit(due(chained(2, need), Urgency.HIGH, 300), 0);
+        world.up("vm-1", "east", 0);
+        advance(1);
+        List<Order> started = world.hear("vm-1", 1);
+        assertEquals(List.of("run-1/0", "run-1/1"), World.starts(started));
+        advance(30);
+        TaskReport[] ended =
+                started.stream().map(o -> World.exited(o, ExitCause.DONE)).toArray(TaskReport[]::new);
+        assertEquals(List.of(), World.starts(world.hear("vm-1", 30, ended)));
+        assertTrue(first.isComplete());
+        assertEquals(0, waiting.waiting() + waiting.startable());
+        assertFalse(waiting.hasOrderable() || waiting.hasWaiting());
+        assertEquals(List.of(), world.core.wishes(World.at(31)));
+        assertTrue(world.core.boundsToRaise(World.at(31)).stream().noneMatch(waiting::equals));
+        world.core.closeJob(need.id());
+        advance(40);
+        assertEquals(List.of("run-2/0", "run-2/1"), World.starts(world.hear("vm-1", 41)));
+        assertEquals(World.at(40), waiting.arrived);
+        assertEquals(World.at(300), waiting.dueAt());
+        assertEquals(40_000, waiting.spec().chain().releasedMs(), "its next record tells a later leader");
+    }
+
+    /** Its record says when it was released; or a task of it is done, or seen on a machine. Else its needs are looked up. */
+    @Test
+    void aLaterLeaderKnowsWhatWasReleased() {
+        JobSpec need = World.spec(1, 2, 1, 20);
+        BitSet one = new BitSet();
+        one.set(0);
+        Job marked = new Job(
+                chained(2, need).with(chained(2, need).chain().released(25_000)),
+                5_000,
+                World.at(5),
+                new Stamp(1),
+                new BitSet(),
+                2,
+                true);
+        Job begun = new Job(chained(3, need), 5_000, World.at(5), new Stamp(1), one, 2, true);
+        Job seen = new Job(chained(4, need), 5_000, World.at(5), new Stamp(1), new BitSet(), 2, true);
+        List.of(marked, begun).forEach(world.core::addJob);
+        assertEquals(World.at(25), marked.arrived);
+        assertTrue(marked.hasWaiting() && begun.hasWaiting());
+        assertTrue(world.core.chains().lookUps().isEmpty());
+        world.core.addJob(seen);
+        assertEquals(1, world.core.chains().lookUps().size());
+        world.up("vm-1", "east", 0);
+        world.hear("vm-1", 30, World.foreign("run-4/0", 9));
+        advance(31);
+        assertTrue(seen.hasWaiting() && world.core.chains().lookUps().isEmpty());
+    }
+
+    /** A reading of the records that is repeated says nothing of how any job ended. */
+    @Test
+    void whatIsReadAnewIsNotDone() {
+        JobSpec need = World.spec(1, 2, 1, 20);
+        world.submit(need, 0);
+        Job waiting = world.submit(chained(2, need), 0);
+        world.core.forgetJobs();
+        world.core.addJob(waiting);
+        advance(1);
+        assertFalse(waiting.hasWaiting());
+        assertEquals(1, world.core.chains().lookUps().size());
+    }
+
+    @Test
+    void theJobsBeforeAnUrgentDeadlineAreTreatedAlike() {
+        JobSpec need = World.spec(1, 2, 1, 20);
+        Job first = world.submit(need, 0);
+        JobSpec second = chained(2, need);
+        world.submit(second, 0);
+        JobSpec last = due(chained(3, second), Urgency.HIGH, 100);
+        world.submit(last, 10);
+        advance(11);
+        assertEquals(Urgency.HIGH, first.urgency());
+        assertEquals(World.at(110 - 40), first.dueAt());
+        world.core.cancelJob(last.id());
+        advance(13);
+        assertEquals(Urgency.STANDARD, first.urgency());
+        assertEquals(null, first.dueAt());
+    }
+}
--- /dev/null
+++ b/src/test/java/io/indigoreach/core/chain/DependencyGraphTest.java
@@ -0,0 +1,118 @@
+package io.indigoreach.core.chain;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.indigoreach.core.JobId;
+import io.indigoreach.core.Moment;
+import io.indigoreach.core.Span;
+import io.indigoreach.core.Urgency;
+import java.time.Duration;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.stream.IntStream;
+import org.junit.jupiter.api.Assertions;
+import org.junit.jupiter.api.Test;
+
+/** Releases, cascades and what the ends of chains ask of the jobs before them. */
+class DependencyGraphTest {
+    private static final int MANY = 10_000;
+    private static final Duration SOON = Duration.ofSeconds(2);
+
+    private final DependencyGraph graph = new DependencyGraph();
+
+    private static JobId id(int n) {
+        return new JobId("run-" + n);
+    }
+
+    private void add(int job, int... needs) {
+        graph.opened(id(job));
+        graph.add(id(job), IntStream.of(needs).mapToObj(DependencyGraphTest::id).toList(), need -> true);
+    }
+
+    @Test
+    void theLastNeedThatIsDoneReleases() {
+        add(3, 1, 2);
+        graph.done(id(1));
+        assertEquals(List.of(), graph.takeReleased());
+        assertEquals(Set.of(id(2)), graph.outstanding(id(3)));
+        graph.done(id(2));
+        graph.done(id(2));
+        assertEquals(List.of(id(3)), graph.takeReleased());
+        assertEquals(List.of(), graph.takeReleased());
+        assertTrue(graph.isEmpty());
+    }
+
+    /** Through any depth, also what comes later, and none of it is released by another need that is done. */
+    @Test
+    void whatIsBelowACancelledJobIsDoomed() {
+        add(3, 1, 2);
+        add(4, 3);
+        add(5, 2);
+        graph.cancelled(id(1));
+        add(6, 4);
+        graph.done(id(2));
+        assertEquals(Set.of(id(3), id(4), id(6)), graph.doomed());
+        assertEquals(List.of(id(5)), graph.takeReleased());
+        List.of(4, 3, 6).forEach(n -> graph.cancelled(id(n)));
+        assertTrue(
+                graph.isEmpty() && graph.doomed().isEmpty() && graph.lookUps().isEmpty());
+    }
+
+    @Test
+    void whatIsNotOpenHereIsLookedUpAsLongAsAnybodyWaitsForIt() {
+        graph.add(id(2), List.of(id(1)), need -> false);
+        assertEquals(Set.of(id(1)), graph.lookUps());
+        graph.opened(id(1));
+        assertEquals(Set.of(), graph.lookUps());
+        graph.ended(id(1));
+        assertEquals(Set.of(id(1)), graph.lookUps());
+        graph.ended(id(2));
+        assertEquals(Set.of(), graph.lookUps());
+    }
+
+    /** A line of many, one that many need, and one that needs many: each in a time that grows with its edges alone. */
+    @Test
+    void nothingIsQuadratic() {
+        Assertions.assertTimeoutPreemptively(SOON, () -> {
+            IntStream.range(1, MANY).forEach(n -> add(n, n - 1));
+            IntStream.range(0, MANY).forEach(n -> add(2 * MANY + n, MANY));
+            add(4 * MANY, IntStream.range(0, MANY).toArray());
+            assertEquals(3 * MANY - 1, graph.fromTheEnds().size());
+            graph.cancelled(id(0));
+            graph.done(id(MANY));
+            assertEquals(MANY, graph.doomed().size());
+            assertEquals(MANY, graph.takeReleased().size());
+            IntStream.range(1, MANY).forEach(n -> graph.cancelled(id(n)));
+        });
+    }
+
+    /** 1 and 2 are needed by 3, 3 by 4 and 5. Each runs for as many seconds as its number. */
+    @Test
+    void theEndsOfChainsSayWhatIsAskedOfTheJobsBefore() {
+        add(3, 1, 2);
+        add(4, 3);
+        add(5, 3);
+        Map<JobId, Target> own = Map.of(
+                id(3), new Target(Urgency.BEST_EFFORT, null),
+                id(4), new Target(Urgency.HIGH, new Moment(100_000)),
+                id(5), new Target(Urgency.STANDARD, new Moment(98_000)));
+        Target first = new Target(Urgency.HIGH, new Moment(90_000));
+        assertEquals(
+                Map.of(id(1), first, id(2), first, id(3), new Target(Urgency.HIGH, new Moment(93_000))),
+                Lookahead.of(graph, own::get, DependencyGraphTest::run));
+        graph.cancelled(id(5));
+        assertEquals(
+                new Target(Urgency.HIGH, new Moment(93_000)),
+                Lookahead.of(graph, own::get, DependencyGraphTest::run).get(id(1)));
+        graph.cancelled(id(4));
+        assertEquals(
+                new Target(Urgency.BEST_EFFORT, null),
+                Lookahead.of(graph, own::get, DependencyGraphTest::run).get(id(1)));
+    }
+
+    private static Span run(JobId id) {
+        return Span.seconds(Integer.parseInt(id.text().substring("run-".length())));
+    }
+}
--- a/src/test/java/io/indigoreach/state/RecordCodecTest.java
+++ b/src/test/java/io/indigoreach/state/RecordCodecTest.java
@@ -11,10 +11,12 @@
 import io.indigoreach.core.Span;
 import io.indigoreach.core.Stamp;
 import io.indigoreach.core.Urgency;
+import io.indigoreach.core.chain.Chain;
 import io.indigoreach.net.Wire;
 import java.util.BitSet;
 import java.util.List;
 import java.util.Map;
+import java.util.stream.IntStream;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
 
@@ -70,4 +72,19 @@
         assertEquals(
                 new JobRecord(spec(tasks), 42, JobStatus.RUNNING, bits, done.cardinality(), 7, 5, new Stamp(9)), back);
     }
+
+    /** An older version takes the chain for a further field and writes it back unchanged; with a hundred names it is short. */
+    @ParameterizedTest
+    @ValueSource(longs = {0, 1_790_000_000_000L})
+    void aChainIsAmongTheFurtherFields(long released) {
+        List<JobId> needs = IntStream.range(100_000, 100_100)
+                .mapToObj(n -> new JobId("run-" + n))
+                .toList();
+        JobSpec chained = spec(16).with(new Chain(needs, released)).with("plan", Map.of("day", "d"));
+        Map<String, Object> record = RecordCodec.writeJob(chained, 42, JobStatus.PENDING, new BitSet(), 0, 0);
+        assertTrue(record.get("more").toString().length() < 800);
+        JobRecord back = RecordCodec.readJob(chained.id(), Wire.readMap(Wire.write(record)), new Stamp(9));
+        assertEquals(chained, back.spec());
+        assertEquals(Map.of("plan", Map.of("day", "d")), back.spec().more());
+    }
 }
