--- a/src/main/java/io/indigoreach/api/ChainDesk.java
+++ b/src/main/java/io/indigoreach/api/ChainDesk.java
@@ -22,7 +22,8 @@
     private static final double LOOK_HOLDS = 0.5;
 
     private final SteadyClock clock;
-    private final NamedJobs named;
+    private final NamedJobs atSubmission;
+    private final NamedJobs atQuestions;
     private final Doubt doubt;
     private Span within = Span.ZERO;
     private Supplier<Future<Boolean>> understoodByAll = () -> Future.succeededFuture(true);
@@ -34,9 +35,15 @@
         }
     };
 
-    ChainDesk(SteadyClock clock, Function<JobId, Future<NamedJob>> finder, Doubt doubt) {
+    /** {@code sparing}: finds a job at a cost that does not grow with how many are asked about, and later where that is many. */
+    ChainDesk(
+            SteadyClock clock,
+            Function<JobId, Future<NamedJob>> finder,
+            Function<JobId, Future<NamedJob>> sparing,
+            Doubt doubt) {
         this.clock = clock;
-        this.named = new NamedJobs(finder);
+        this.atSubmission = new NamedJobs(finder);
+        this.atQuestions = new NamedJobs(sparing);
         this.doubt = doubt;
     }
 
@@ -62,7 +69,7 @@
         return understoodByAll
                 .get()
                 .compose(all -> all
-                        ? named.anyCancelled(chain.needs())
+                        ? atSubmission.anyCancelled(chain.needs())
                         : Future.failedFuture(new NotYet("not every controller knows chained jobs yet")));
     }
 
@@ -79,7 +86,7 @@
         if (!doubt.isJustified() || now.since(last).compareTo(within.times(LOOK_HOLDS)) < 0) {
             return Future.succeededFuture(false);
         }
-        return named.isBelowCancelled(chain).onSuccess(below -> {
+        return atQuestions.isBelowCancelled(chain).onSuccess(below -> {
             if (!below) {
                 looks.put(id, now);
             }
--- a/src/main/java/io/indigoreach/api/JobDesk.java
+++ b/src/main/java/io/indigoreach/api/JobDesk.java
@@ -91,7 +91,7 @@
         this.questions = new OpenReads(vertx, state, clock, questionsPerS);
         Doubt doubt = new Doubt(clock, state::isDoubted);
         state.onFailure(doubt::failure);
-        this.chains = new ChainDesk(clock, this::named, doubt);
+        this.chains = new ChainDesk(clock, id -> named(id, this::readOpen), id -> named(id, questions::read), doubt);
     }
 
     /** Throws {@link io.indigoreach.net.WireException} if the job is malformed. */
@@ -227,8 +227,8 @@
                         JobCodec.accepted(id, found.open != null ? found.open.status() : found.over.status())));
     }
 
-    private Future<NamedJob> named(JobId id) {
-        return find(id, questions::read, null, 1)
+    private Future<NamedJob> named(JobId id, Function<JobId, Future<StateClient.Entry>> reader) {
+        return find(id, reader, null, 1)
                 .map(found -> new NamedJob(
                         found.open == null ? null : found.open.spec(),
                         found.over == null ? null : found.over.status()));
