--- a/src/main/java/io/indigoreach/cluster/Node.java
+++ b/src/main/java/io/indigoreach/cluster/Node.java
@@ -78,6 +78,8 @@
         controller.remembering(standing::gather);
         controller.asking(standing::pledges, standing::othersDoNotLead);
         mender.asking(standing::recall);
+        jobs.chaining(config.rules().cancel(), controller::leadership);
+        jobs.chainsUnderstoodByAll(() -> controller.formats().isOpen());
         jobs.joining(parts.joinings());
         parts.all().forEach(p -> p.submitting(jobs::submit));
         jobs.asking(standing::know);
