--- a/src/main/java/io/indigoreach/cluster/JobWatch.java
+++ b/src/main/java/io/indigoreach/cluster/JobWatch.java
@@ -31,8 +31,8 @@
         this.horizon = horizon;
     }
 
-    void start(long revision) {
-        since = revision;
+    /** Goes on from where {@link #catchUp} has come to. */
+    void start() {
         duty.start();
     }
 
@@ -40,7 +40,23 @@
         duty.cancel();
     }
 
+    /**
+     * Hears of what has changed since {@code revision} without waiting for more. Before the first order of a leadership: what
+     * was cancelled after the jobs had been listed, while the rest of the records was read, would else be started.
+     */
+    Future<Void> catchUp(long revision) {
+        since = revision;
+        return step(Span.ZERO)
+                .compose(v -> readAgain ? step(Span.ZERO) : Future.succeededFuture())
+                .mapEmpty();
+    }
+
     private Future<Span> step() {
+        return step(waitFor(env.config().rules().horizonAge()));
+    }
+
+    /** One watch that stays open for {@code longest} at most. */
+    private Future<Span> step(Span longest) {
         Moment sent = env.clock().now();
         if (readAgain) {
             return ledger.readAgain().map(revision -> {
@@ -50,24 +66,22 @@
                 return Span.ZERO;
             });
         }
-        return env.state()
-                .watch(RecordCodec.OPEN, since, waitFor(env.config().rules().horizonAge()))
-                .map(changes -> {
-                    if (duty.isCancelled()) {
-                        return PAUSE;
-                    }
-                    if (changes.tooOld()) {
-                        readAgain = true;
-                        return Span.ZERO;
-                    }
-                    since = Math.max(since, changes.revision());
-                    // First what it brings: a job that is gone holds the horizon until it is known why.
-                    for (StateClient.Change change : changes.changes()) {
-                        Ledger.unlessUnreadable(change.key(), () -> apply(change));
-                    }
-                    horizon.heard(sent);
-                    return Span.ZERO;
-                });
+        return env.state().watch(RecordCodec.OPEN, since, longest).map(changes -> {
+            if (duty.isCancelled()) {
+                return PAUSE;
+            }
+            if (changes.tooOld()) {
+                readAgain = true;
+                return Span.ZERO;
+            }
+            since = Math.max(since, changes.revision());
+            // First what it brings: a job that is gone holds the horizon until it is known why.
+            for (StateClient.Change change : changes.changes()) {
+                Ledger.unlessUnreadable(change.key(), () -> apply(change));
+            }
+            horizon.heard(sent);
+            return Span.ZERO;
+        });
     }
 
     /**
--- a/src/main/java/io/indigoreach/cluster/Reign.java
+++ b/src/main/java/io/indigoreach/cluster/Reign.java
@@ -249,6 +249,7 @@
         core.setTypes(env.catalogue().types());
         return whole().compose(v -> ledger.load())
                 .compose(revision -> fleet.load().map(revision))
+                .compose(revision -> watch.catchUp(revision).map(revision))
                 .map(revision -> {
                     core.loaded();
                     serves = env.clock().now();
@@ -256,7 +257,7 @@
                             "records read: {} open jobs, {} machines",
                             core.jobs().size(),
                             core.machineCount());
-                    watch.start(revision);
+                    watch.start();
                     ends.start(revision);
                     ledger.start();
                     chains.start();
--- a/src/test/java/io/indigoreach/cluster/LedgerTest.java
+++ b/src/test/java/io/indigoreach/cluster/LedgerTest.java
@@ -234,14 +234,16 @@
     @Test
     void whatIsCancelledBetweenTwoPagesIsHeardOf() throws Exception {
         JobSpec spec = job(1, 1, 0, 1).spec();
-        StateClient.Txn jobs = new StateClient.Txn();
-        for (int n = 1000; n < 1600; n++) {
-            jobs.put("j/run-" + n, RecordCodec.writeJob(spec, 1, JobStatus.PENDING, new BitSet(), 0, 1));
+        for (int first = 1000; first < 1600; first += 10) {
+            StateClient.Txn jobs = new StateClient.Txn();
+            for (int n = first; n < first + 10; n++) {
+                jobs.put("j/run-" + n, RecordCodec.writeJob(spec, 1, JobStatus.PENDING, new BitSet(), 0, 1));
+            }
+            assertTrue(await(client.commit(jobs)).done());
         }
-        await(client.commit(jobs));
         AtomicInteger listings = new AtomicInteger();
-        // Bits, machines, and the first page of the jobs come before it.
-        state.delaying = (door, path) -> path.equals("/store") && listings.incrementAndGet() == 4;
+        // Two kinds of blocks of bits, machines, and the first page of the jobs come before it.
+        state.delaying = (door, path) -> path.equals("/store") && listings.incrementAndGet() == 5;
         Future<Long> loaded = ledger.load();
         while (state.delayed() == 0) {
             Thread.onSpinWait();
@@ -256,7 +258,7 @@
         assertNotNull(core.job(new JobId("run-1000")), "its page had been read");
         assertNull(core.job(new JobId("run-1599")));
         JobWatch watch = new JobWatch(env, ledger, horizon);
-        onLoop(() -> watch.start(revision));
+        onLoop(() -> watch.catchUp(revision).onSuccess(v -> watch.start()));
         Moment until = clock.now().plus(Span.seconds(10));
         while (core.job(new JobId("run-1000")) != null) {
             assertTrue(clock.now().isBefore(until), "nothing tells of the cancellation");
@@ -266,6 +268,28 @@
         assertEquals(599, core.jobs().size());
     }
 
+    /** Nothing but what is heard before the first order: no watch is begun. */
+    @Test
+    void whatIsCancelledAfterTheListingIsHeardOfBeforeTheFirstOrder() throws Exception {
+        JobId id = new JobId("run-1000");
+        await(client.commit(new StateClient.Txn()
+                .put(
+                        "j/" + id,
+                        RecordCodec.writeJob(job(1, 1, 0, 1).spec(), 1, JobStatus.PENDING, new BitSet(), 0, 1))));
+        long revision = await(ledger.load());
+        await(client.commit(new StateClient.Txn()
+                .delete("j/" + id)
+                .put("f/" + id, RecordCodec.writeFinal(JobStatus.CANCELLED, 0))));
+        Promise<Void> heard = Promise.promise();
+        onLoop(() -> new JobWatch(env, ledger, horizon).catchUp(revision).onComplete(heard));
+        await(heard.future());
+        Moment until = clock.now().plus(Span.seconds(10));
+        while (core.job(id) != null) {
+            assertTrue(clock.now().isBefore(until), "nothing tells of the cancellation");
+            Thread.onSpinWait();
+        }
+    }
+
     private void onLoop(Runnable what) throws Exception {
         Promise<Void> done = Promise.promise();
         vertx.runOnContext(v -> {
--- a/src/test/java/io/indigoreach/emulator/ChainClusterTest.java
+++ b/src/test/java/io/indigoreach/emulator/ChainClusterTest.java
@@ -54,6 +54,10 @@
                 chained(n, 2, 300, n - 1);
             }
             int leader = leader();
+            // The first job runs by then, so that the checker has seen a task: on a slow machine none had begun yet.
+            while (cluster.history.events().stream().noneMatch(Event.Running.class::isInstance)) {
+                LocalCluster.await(cluster.vertx.timer(20, TimeUnit.MILLISECONDS));
+            }
             LocalCluster.await(
                     nodes.get(leader).post(JobCodec.JOBS + "/run-1" + JobCodec.CANCEL, Map.of(), Span.seconds(5)));
             Moment told = cluster.clock.now();
