--- a/src/test/java/io/indigoreach/cluster/ChainDutyTest.java
+++ b/src/test/java/io/indigoreach/cluster/ChainDutyTest.java
@@ -13,6 +13,7 @@
 import io.indigoreach.core.JobSpec;
 import io.indigoreach.core.JobStatus;
 import io.indigoreach.core.LeaderCore;
+import io.indigoreach.core.Moment;
 import io.indigoreach.core.Notes;
 import io.indigoreach.core.Shape;
 import io.indigoreach.core.Span;
@@ -34,6 +35,7 @@
 import java.util.ArrayList;
 import java.util.BitSet;
 import java.util.List;
+import java.util.concurrent.Callable;
 import java.util.concurrent.TimeUnit;
 import java.util.stream.IntStream;
 import org.junit.jupiter.api.AfterEach;
@@ -171,11 +173,18 @@
                 .put(RecordCodec.over(id(id)), RecordCodec.writeFinal(status, 0))));
     }
 
-    private void awaitCancelled(int... ids) {
+    /** A spinning loop takes no notice of the test's own limit: it is bounded here. */
+    private void until(Callable<Boolean> reached) throws Exception {
+        Moment end = clock.now().plus(Span.seconds(20));
+        while (!reached.call()) {
+            assertTrue(clock.now().isBefore(end), "not reached");
+            Thread.onSpinWait();
+        }
+    }
+
+    private void awaitCancelled(int... ids) throws Exception {
         for (int id : ids) {
-            while (!state.has(RecordCodec.over(id(id)))) {
-                Thread.onSpinWait();
-            }
+            until(() -> state.has(RecordCodec.over(id(id))));
             assertEquals("CANCELLED", state.value(RecordCodec.over(id(id))).text("status"));
             assertFalse(state.has(RecordCodec.open(id(id))));
         }
@@ -211,9 +220,7 @@
         int[] written = {0};
         state.holding = txn -> written[0]++ > 0;
         Leader first = new Leader(3);
-        while (state.held() == 0) {
-            Thread.onSpinWait();
-        }
+        until(() -> state.held() > 0);
         Promise<Void> ended = Promise.promise();
         vertx.runOnContext(v -> {
             first.stop();
@@ -234,16 +241,12 @@
         open(spec(1), 1);
         open(2, 1);
         Leader leader = new Leader(3);
-        while (state.held() == 0) {
-            Thread.onSpinWait();
-        }
+        until(() -> state.held() > 0);
         await(vertx.timer(500, TimeUnit.MILLISECONDS));
         assertTrue(leader.holdsAll());
         state.holding = txn -> false;
         state.executeLate();
-        while (leader.holdsAll()) {
-            Thread.onSpinWait();
-        }
+        until(() -> !leader.holdsAll());
         assertEquals("DONE", state.value("f/run-1").text("status"));
     }
 
@@ -253,14 +256,10 @@
         open(2, 1);
         Leader leader = new Leader(3);
         int before = state.transactions;
-        while (state.transactions == before) {
-            Thread.onSpinWait();
-        }
+        until(() -> state.transactions > before);
         assertTrue(leader.holdsAll());
         assertFalse(client.losses().isHolding());
         over(1, JobStatus.DONE);
-        while (leader.holdsAll()) {
-            Thread.onSpinWait();
-        }
+        until(() -> !leader.holdsAll());
     }
 }
--- a/src/test/java/io/indigoreach/state/StateStandIn.java
+++ b/src/test/java/io/indigoreach/state/StateStandIn.java
@@ -23,6 +23,8 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.ConcurrentSkipListMap;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.TimeUnit;
 import java.util.function.BiPredicate;
 import java.util.function.Predicate;
 import java.util.function.ToIntFunction;
@@ -40,7 +42,7 @@
     private final Map<Long, Long> leases = new HashMap<>();
 
     private final Map<Long, Long> lives = new HashMap<>();
-    private final List<Runnable> delayed = new ArrayList<>();
+    private final List<Runnable> delayed = new CopyOnWriteArrayList<>();
     private final List<Promise<Void>> watchers = new ArrayList<>();
     private final List<Map<String, Object>> changes = new ArrayList<>();
     private long revision = 10;
@@ -69,7 +71,7 @@
 
     private final Queue<Fields> held = new ConcurrentLinkedQueue<>();
     private volatile Context loop;
-    public int transactions;
+    public volatile int transactions;
     /** Records and listings that were read. */
     public volatile int reads;
     /** Limits of a value, in bytes, and of a transaction, in changes; lowered by some tests at some time. */
@@ -77,6 +79,9 @@
 
     public volatile int txnOps = 16;
     private static final int CONDITIONS_PER_CHANGE = 4;
+    /** For how long a test waits for the stand-in, in seconds. */
+    private static final int PATIENCE_S = 20;
+
     /** Transactions that were refused as too large. */
     public volatile int tooLarge;
     /** Keys that were written or deleted. */
@@ -139,15 +144,22 @@
 
     /** Executes what is held back, the oldest first; the statuses that nobody is told. */
     public List<Integer> executeLate() {
-        if (Vertx.currentContext() == loop) {
-            List<Integer> statuses =
-                    held.stream().map(this::execute).map(Reply::status).toList();
-            held.clear();
-            return statuses;
+        Context now = loop;
+        if (Vertx.currentContext() == now) {
+            return executeHeld();
         }
         CompletableFuture<List<Integer>> statuses = new CompletableFuture<>();
-        loop.runOnContext(v -> statuses.complete(executeLate()));
-        return statuses.join();
+        // Not by this method again: another connection may have become the current one, and its loop would wait for
+        // itself.
+        now.runOnContext(v -> statuses.complete(executeHeld()));
+        return statuses.orTimeout(PATIENCE_S, TimeUnit.SECONDS).join();
+    }
+
+    private List<Integer> executeHeld() {
+        List<Integer> statuses =
+                held.stream().map(this::execute).map(Reply::status).toList();
+        held.clear();
+        return statuses;
     }
 
     /** Ends every lease, with the keys attached to it. */
