--- a/src/test/java/io/indigoreach/emulator/CalendarClusterTest.java
+++ b/src/test/java/io/indigoreach/emulator/CalendarClusterTest.java
@@ -38,6 +38,7 @@
 import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.function.LongSupplier;
+import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.parallel.Isolated;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
@@ -47,6 +48,7 @@
  * calendar goes on while a starved machine stands still, and a departure that has passed is told, not started.
  */
 @Isolated
+@Tag("quiet-machine")
 class CalendarClusterTest {
     private static final long FASTER = 5_000;
     private static final long BEGIN = 1_806_105_600_000L; // 2027-03-27T00:00Z
--- a/src/test/java/io/indigoreach/emulator/CutOffTest.java
+++ b/src/test/java/io/indigoreach/emulator/CutOffTest.java
@@ -11,12 +11,14 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.parallel.Isolated;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 
 /** Alone in its time: a node that is starved of the processor doubts itself first, and says nothing of the others. */
 @Isolated
+@Tag("quiet-machine")
 class CutOffTest extends AskedJobs {
     /**
      * A controller without the state service and the others, whose workers still come: the leader, or another one. It is not
--- a/src/test/java/io/indigoreach/emulator/HandoverDayTest.java
+++ b/src/test/java/io/indigoreach/emulator/HandoverDayTest.java
@@ -21,6 +21,7 @@
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.parallel.Isolated;
 
@@ -30,6 +31,7 @@
  * {@link CutOffTest}.
  */
 @Isolated
+@Tag("quiet-machine")
 class HandoverDayTest extends AskedJobs {
     /** A leader of 4.5 s goes on for as long; it may have no news of cancellations for 8 s and more, so its lease decides. */
     private static final double CANCEL_S = 16;
--- a/src/test/java/io/indigoreach/emulator/StateServerTest.java
+++ b/src/test/java/io/indigoreach/emulator/StateServerTest.java
@@ -38,11 +38,13 @@
 import java.util.Map;
 import java.util.SplittableRandom;
 import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.api.io.TempDir;
 
-/** The state service over sockets, as its clients meet it. */
+/** The state service over sockets, as its clients meet it: a hundred requests at once wait at most a second for a connection. */
+@Tag("quiet-machine")
 class StateServerTest {
     private static final int SILENT = 2000;
     private final Vertx vertx = Vertx.vertx();
--- a/src/test/java/io/indigoreach/emulator/UnheardCancellationTest.java
+++ b/src/test/java/io/indigoreach/emulator/UnheardCancellationTest.java
@@ -14,6 +14,7 @@
 import io.indigoreach.net.Reply;
 import java.util.List;
 import java.util.Map;
+import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.parallel.Isolated;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
@@ -23,6 +24,7 @@
  * everybody, longer than {@code cancel_s}, while the workers go on reporting to the old leader. Checked on the workers.
  */
 @Isolated
+@Tag("quiet-machine")
 class UnheardCancellationTest extends AskedJobs {
     private static final int CANCEL_S = 14;
     private static final double REFUSED_S = 12;
