--- a/src/main/java/io/indigoreach/cluster/Node.java
+++ b/src/main/java/io/indigoreach/cluster/Node.java
@@ -47,7 +47,7 @@
                 new StateClient(new Caller(vertx, config.state(), 12), new Caller(vertx, config.state(), 3));
         CloudClient cloud = new CloudClient(new Caller(vertx, config.cloud(), 3));
         this.catalogue = new Catalogue(vertx, state, cloud);
-        JobMender mender = new JobMender(state, clock);
+        JobMender mender = new JobMender(state, clock, config.stateLimits());
         Parts parts = Parts.of(kinds, vertx, state, clock, catalogue, config, settings);
         this.controller = new Controller(
                 new Reign.Surroundings(
@@ -78,6 +78,8 @@
         controller.remembering(standing::gather);
         controller.asking(standing::pledges, standing::othersDoNotLead);
         mender.asking(standing::recall);
+        jobs.chaining(config.rules().cancel(), controller::leadership);
+        jobs.chainsUnderstoodByAll(() -> controller.formats().isOpen());
         jobs.joining(parts.joinings());
         parts.all().forEach(p -> p.submitting(jobs::submit));
         jobs.asking(standing::know);
--- a/src/main/java/io/indigoreach/cluster/Reign.java
+++ b/src/main/java/io/indigoreach/cluster/Reign.java
@@ -99,6 +99,11 @@
                     parts,
                     new JobMender(state, clock));
         }
+
+        /** By which values, transactions and budgets are sized. */
+        PlatformConfig.StateLimits limits() {
+            return state.limits().under(config.stateLimits());
+        }
     }
 
     private final Surroundings env;
@@ -107,6 +112,7 @@
     private final LeaderCore core;
     private final MachineBook book;
     private final Ledger ledger;
+    private final ChainDuty chains;
     private final Fleet fleet;
     private final JobWatch watch;
     private final EndWatch ends;
@@ -149,6 +155,7 @@
                 env.config().stateLimits().writesPerS() * WRITES, env.clock().now());
         this.book = new MachineBook(env, core, token, key, leadership::deposed, budget);
         this.ledger = new Ledger(env, core, book, key, leadership::deposed, budget, boundsKept, horizon);
+        this.chains = new ChainDuty(env, core, ledger, key, leadership::deposed, budget);
         this.boundsKept = boundsKept;
         this.fleet = new Fleet(
                 env, core, token, new IntentBook(env, token, key, leadership::deposed, budget), leadership::isValid);
@@ -176,6 +183,7 @@
         watch.cancel();
         ends.cancel();
         parts.cancel();
+        chains.cancel();
         ledger.cancel();
         book.cancel();
         fleet.cancel();
@@ -251,6 +259,7 @@
                     watch.start(revision);
                     ends.start(revision);
                     ledger.start();
+                    chains.start();
                     book.start();
                     fleet.start();
                     parts.start();
@@ -316,8 +325,10 @@
         }
         if (!boundsKept && core.isLoaded() && core.jobs().stream().noneMatch(Job::isInherited)) {
             // Whatever is open now, this leader has kept to the bounds of: a later one may believe them.
-            boundsKept = true;
-            return leadership.vouchForBounds().map(TICK);
+            return leadership.vouchForBounds().map(done -> {
+                boundsKept = done;
+                return TICK;
+            });
         }
         if (now.since(summarised).compareTo(SUMMARY) >= 0) {
             summarised = now;
--- a/src/main/java/io/indigoreach/core/Cluster.java
+++ b/src/main/java/io/indigoreach/core/Cluster.java
@@ -62,6 +62,14 @@
 
     void add(Job job) {
         jobs.put(job.id(), job);
+        if (!job.waitsForJobs()) {
+            enqueue(job);
+        }
+        version++;
+    }
+
+    /** From now on the job is served in its turn. */
+    void enqueue(Job job) {
         if (job.spec.isHolder()) {
             holderJobs.add(job);
         } else {
@@ -95,6 +103,7 @@
 
     void place(Placement p) {
         p.job.place(p);
+        p.job.changedAt = p.since;
         p.machine.put(p);
         String image = p.job.spec.image();
         if (!p.machine.images.contains(image)) {
@@ -113,6 +122,7 @@
     /** The task surely is not on its machine any more. */
     void lift(Placement p, Moment now) {
         p.job.remove(p);
+        p.job.changedAt = now;
         p.machine.remove(p);
         share(p.job).used(p.demand(), -1);
         use(p.job).used(p.demand(), -1);
--- a/src/main/java/io/indigoreach/core/LeaderCore.java
+++ b/src/main/java/io/indigoreach/core/LeaderCore.java
@@ -9,6 +9,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import java.util.function.BiConsumer;
 
@@ -31,6 +32,7 @@
     /** Inherited jobs that were read after the records are not released yet. */
     private boolean late;
 
+    private final ChainedJobs chains;
     private final Dispatcher dispatcher;
     private final Reconciler reconciler;
     private final BestSize bestSize;
@@ -39,6 +41,7 @@
     private final ReleaseCheck releaseCheck;
     private final Notes notes;
     private final Newcomers newcomers;
+    private final Waiting waiting;
     /** Returned machines still appear in lists and late reports for a while; they are not taken on again. */
     private final Map<MachineId, Boolean> gone = new LinkedHashMap<>() {
         @Override
@@ -62,7 +65,9 @@
         this.newcomers = new Newcomers(rules);
         this.cluster = new Cluster(teams);
         this.takeOver = new TakeOver();
+        this.chains = new ChainedJobs(cluster, estimates);
         this.dispatcher = new Dispatcher(cluster, aims, estimates, takeOver, token, tuning.leastPaid());
+        this.waiting = new Waiting(cluster, dispatcher);
         this.reconciler = new Reconciler(cluster, estimates, notes);
         this.consolidation = new Consolidation(cluster, dispatcher, estimates, rules);
         Silence silence = new Silence(cluster, rules);
@@ -127,6 +132,7 @@
     public void addJob(Job job) {
         if (!cluster.jobs.containsKey(job.id())) {
             cluster.add(job);
+            chains.added(job);
             late |= loaded && job.isInherited();
             releaseLate();
         }
@@ -147,23 +153,42 @@
         return cluster.jobs.values();
     }
 
+    /** What the open job's next task waits for; empty if none of its tasks waits. */
+    public Optional<WaitReason> waitsFor(Job job, Moment now) {
+        return waiting.reason(job, now);
+    }
+
     /** The job's user has cancelled it: nothing of it may start, and what is on machines is stopped. */
     public void cancelJob(JobId id) {
         Job job = cluster.jobs.get(id);
         if (job != null) {
             job.cancelled = true;
             cluster.remove(job);
+            chains.removed(job);
         }
     }
 
-    /** The job's end is recorded: its workers may forget its tasks. */
+    /** The job's end as done is in the state service: its workers may forget its tasks. */
     public void closeJob(JobId id) {
         Job job = cluster.jobs.get(id);
         if (job != null) {
             cluster.remove(job);
+            chains.removed(job);
+            chains.done(id);
         }
     }
 
+    /** Before the open jobs are read anew: that a job is not known any more says nothing of its end. */
+    public void forgetJobs() {
+        new ArrayList<>(cluster.jobs.values()).forEach(cluster::remove);
+        chains.clear();
+    }
+
+    /** The jobs that wait for others. */
+    public ChainedJobs chains() {
+        return chains;
+    }
+
     /** Only these tasks of an open job wait for something else than machines. */
     public void withhold(JobId id, BitSet tasks) {
         Job job = cluster.jobs.get(id);
--- a/src/main/java/io/indigoreach/state/RecordCodec.java
+++ b/src/main/java/io/indigoreach/state/RecordCodec.java
@@ -12,9 +12,11 @@
 import io.indigoreach.core.Stamp;
 import io.indigoreach.core.Token;
 import io.indigoreach.core.Urgency;
+import io.indigoreach.core.chain.Chain;
 import io.indigoreach.core.duty.Intents;
 import io.indigoreach.core.loss.Salvage;
 import io.indigoreach.net.Fields;
+import io.indigoreach.net.JsonSize;
 import io.indigoreach.net.Wire;
 import io.indigoreach.net.WireException;
 import java.util.ArrayList;
@@ -32,6 +34,7 @@
  */
 public final class RecordCodec {
     public static final String LEADER = "leader";
+    /** {@link CounterRecord}. */
     public static final String COUNTER = "counter";
     /** Which contents these are: {@link io.indigoreach.core.loss.LossJudge}. */
     public static final String ERA = "era";
@@ -50,6 +53,8 @@
 
     static final int BLOCK = 32768;
 
+    static final String BITS_FIELD = "bits";
+
     private RecordCodec() {}
 
     public static String open(JobId id) {
@@ -77,7 +82,7 @@
         if (key.startsWith(FINAL)) {
             return OPEN + key.substring(FINAL.length());
         }
-        if (key.startsWith(BITS)) {
+        if (key.startsWith(BITS) || key.startsWith(DoneBits.SMALL)) {
             return open(jobOfBlock(key));
         }
         return key.startsWith(MACHINES) || key.startsWith(INTENTS) ? LEADER : null;
@@ -88,23 +93,6 @@
         return new Fields(leader).whole("token");
     }
 
-    /** The highest token so far, in a value of {@link #COUNTER}. */
-    public static long counted(Map<String, Object> counter) {
-        return new Fields(counter).whole("value");
-    }
-
-    /**
-     * The counter of tokens.
-     *
-     * @param bounds whether every leader that had a part in any open job kept to start bounds: what an older version
-     *     of the program writes here says nothing, and then no bound is believed
-     */
-    public static Map<String, Object> writeCounter(Token token, boolean bounds) {
-        Map<String, Object> map = Wire.map("value", token.value());
-        putIf(map, "bounds", true, bounds);
-        return map;
-    }
-
     /** The era, by the token of the leadership that wrote it. */
     public static Map<String, Object> writeEra(Token token) {
         return Wire.map("token", token.value());
@@ -131,10 +119,6 @@
         return era.whole("token");
     }
 
-    static boolean keepsBounds(Fields counter) {
-        return counter.flag("bounds", false);
-    }
-
     public static JobId jobOf(String key) {
         return readable(() -> new JobId(key.substring(OPEN.length())));
     }
@@ -150,7 +134,7 @@
     }
 
     /** Whatever a spoilt value makes of the reading: said in one way, so that who reads can tell it from a fault of its own. */
-    private static <T> T readable(Supplier<T> reading) {
+    static <T> T readable(Supplier<T> reading) {
         try {
             return reading.get();
         } catch (IllegalArgumentException | ClassCastException | IndexOutOfBoundsException e) {
@@ -181,7 +165,15 @@
     }
 
     public static Map<String, Object> writeBlock(BitSet done, int n) {
-        return Wire.map("bits", bits(done.get(n * BLOCK, (n + 1) * BLOCK)));
+        return writeBits(done.get(n * BLOCK, (n + 1) * BLOCK));
+    }
+
+    static Map<String, Object> writeBits(BitSet block) {
+        return Wire.map(BITS_FIELD, bits(block));
+    }
+
+    static BitSet readBits(Fields block) {
+        return readable(() -> bits(block.optionalText(BITS_FIELD)));
     }
 
     /** Adds a block's bits to {@code into}; returns the job it belongs to by its key. */
@@ -240,7 +232,11 @@
         putIf(map, "save_every", s.checkpointEvery().ms(), s.checkpointEvery().ms() > 0);
         putIf(map, "save", s.checkpointTime().ms(), s.checkpointTime().ms() > 0);
         putIf(map, "due", s.due() == null ? null : s.due().ms(), s.due() != null);
-        putIf(map, "more", s.more(), !s.more().isEmpty());
+        putIf(
+                map,
+                "more",
+                ChainCodec.write(s.more(), s.chain()),
+                !s.more().isEmpty() || !s.chain().isEmpty());
         putIf(map, "bits", s.tasks() <= IN_RECORD ? bits(done) : null, s.tasks() <= IN_RECORD && !done.isEmpty());
         return map;
     }
@@ -295,7 +291,8 @@
                 new Span(f.whole("save_every", 0)),
                 new Span(f.whole("save", 0)),
                 f.has("due") ? new Span(f.whole("due")) : null,
-                f.has("more") ? f.child("more").map() : Map.of());
+                f.has("more") ? ChainCodec.without(f.child("more").map()) : Map.of(),
+                f.has("more") ? ChainCodec.read(f.child("more")) : Chain.NONE);
         return new JobRecord(
                 spec,
                 f.whole("at"),
@@ -320,12 +317,15 @@
     public static Map<String, Object> writeMachines(Collection<MachineRecord> machines) {
         List<Object> lines = new ArrayList<>(machines.size());
         for (MachineRecord m : machines) {
-            lines.add(List.of(
-                    m.id().text(), m.pool().type(), m.pool().zone(), m.pool().spot(), m.rentedMs(), m.existedMs()));
+            lines.add(line(m));
         }
         return Wire.map("machines", lines);
     }
 
+    private static List<Object> line(MachineRecord m) {
+        return List.of(m.id().text(), m.pool().type(), m.pool().zone(), m.pool().spot(), m.rentedMs(), m.existedMs());
+    }
+
     public static List<MachineRecord> readMachines(Fields f) {
         return readable(() -> machines(f));
     }
@@ -349,9 +349,7 @@
     /** Requests to rent and machines to be returned; lists, as there may be a hundred. */
     public static Map<String, Object> writeIntents(Intents.Page page) {
         List<Object> rents = new ArrayList<>();
-        page.rents()
-                .forEach(r -> rents.add(List.of(
-                        r.name(), r.pool().type(), r.pool().zone(), r.pool().spot(), (long) r.count(), r.askedMs())));
+        page.rents().forEach(r -> rents.add(line(r)));
         return Wire.map(
                 "rents",
                 rents,
@@ -359,6 +357,20 @@
                 page.condemned().stream().map(MachineId::text).toList());
     }
 
+    private static List<Object> line(Intents.Rent r) {
+        return List.of(r.name(), r.pool().type(), r.pool().zone(), r.pool().spot(), (long) r.count(), r.askedMs());
+    }
+
+    /** What a request to rent takes of its record, with the comma after it. */
+    public static int bytes(Intents.Rent rent) {
+        return JsonSize.of(line(rent)) + 1;
+    }
+
+    /** What a machine to be returned takes of its record, with the comma after it. */
+    public static int bytes(MachineId condemned) {
+        return JsonSize.of(condemned.text()) + 1;
+    }
+
     public static Intents.Page readIntents(Fields f) {
         List<Intents.Rent> rents = new ArrayList<>();
         for (List<?> r : f.lists("rents")) {
@@ -374,15 +386,9 @@
                 names == null ? List.of() : names.stream().map(MachineId::new).toList());
     }
 
-    /** What a machine takes of its page's value, counted as JSON. */
+    /** What a machine takes of its page's value, with the comma after it. */
     public static int bytes(MachineRecord m) {
-        int marks = 16;
-        int numbers = 2 * 19 + 5;
-        return m.id().text().length()
-                + m.pool().type().length()
-                + m.pool().zone().length()
-                + marks
-                + numbers;
+        return JsonSize.of(line(m)) + 1;
     }
 
     public static Map<String, Object> writeCatalogue(List<MachineType> types) {
--- a/src/main/java/io/indigoreach/state/StateClient.java
+++ b/src/main/java/io/indigoreach/state/StateClient.java
@@ -23,12 +23,21 @@
     private static final Logger LOG = LoggerFactory.getLogger(StateClient.class);
 
     /** The request was not executed: an outage, or a limit. */
-    public static final class Refused extends RuntimeException {
+    public static class Refused extends RuntimeException {
         Refused(int status) {
             super("the state service answers " + status, null, false, false);
         }
     }
 
+    /** The request was not executed, and never will be as it is: too large, or malformed. */
+    public static final class Unacceptable extends Refused {
+        Unacceptable() {
+            super(MALFORMED);
+        }
+    }
+
+    private static final int MALFORMED = 400;
+
     /** A key with its value, its version and the lease that it is attached to, or 0. */
     public record Entry(String key, Fields value, Stamp stamp, long lease) {}
 
@@ -102,16 +111,19 @@
     /** The era of a deployment in which nothing was ever lost: below every leader's token. */
     private static final Token FIRST = new Token(1);
 
+    private static final int OUTAGE = 503;
     private static final Span TIMEOUT = Span.seconds(2);
 
     private final Caller caller;
     private final Caller watcher;
     private final Freshness freshness = new Freshness();
     private final LossJudge losses = new LossJudge();
+    private final LimitsInForce limits = new LimitsInForce();
     /** The era's version as it was last confirmed. */
     private Stamp eraStamp = Stamp.ABSENT;
 
     private Runnable onLoss = () -> {};
+    private Runnable onFailure = () -> {};
     private Future<Void> checking;
 
     /** Watches stay open, so they have connections of their own. */
@@ -130,6 +142,24 @@
         onLoss = what;
     }
 
+    /** What the service's refusals have shown of its limits. */
+    public LimitsInForce limits() {
+        return limits;
+    }
+
+    /** Called when a request gets no answer or is refused as in an outage. */
+    public void onFailure(Runnable what) {
+        onFailure = what;
+    }
+
+    private Future<Reply> noted(Future<Reply> asked) {
+        return asked.onComplete(r -> {
+            if (r.failed() || r.result().status() == OUTAGE) {
+                onFailure.run();
+            }
+        });
+    }
+
     private void judge(boolean lost) {
         if (lost) {
             LOG.error(
@@ -162,6 +192,11 @@
         return losses.era() == 0 ? new Txn() : new Txn().when(RecordCodec.ERA, eraStamp);
     }
 
+    /** Whether {@link #inThisEra} says anything: this process has read the era. */
+    public boolean isEraKnown() {
+        return losses.era() != 0;
+    }
+
     /**
      * Succeeds if the service answers requests of this node. Reads the era, and where it is not the known one, makes sure by
      * comparing. Who asks while another asks gets the same answer: after a change every submission under way comes here.
@@ -177,23 +212,24 @@
     }
 
     private Future<Void> readEra() {
-        return caller.get(StateCodec.keyPath(RecordCodec.ERA), Span.seconds(1)).compose(r -> {
-            if (r.status() == 429) {
-                return Future.succeededFuture();
-            }
-            Entry entry = r.status() == 404 ? null : StateCodec.readEntry(ok(r));
-            Stamp stamp = entry == null ? Stamp.ABSENT : entry.stamp();
-            long era = entry == null ? 0 : RecordCodec.readEra(entry.value());
-            if (losses.era() == 0) {
-                // Nothing is known to compare with; an answer from the past fails in the first transaction.
-                return entry == null ? firstEra() : adopted(era, stamp);
-            }
-            if (stamp.equals(eraStamp) && era == losses.era()) {
-                return Future.succeededFuture();
-            }
-            return commit(new Txn().when(RecordCodec.ERA, stamp))
-                    .compose(outcome -> outcome.done() ? adopted(era, stamp) : Future.succeededFuture());
-        });
+        return noted(caller.get(StateCodec.keyPath(RecordCodec.ERA), Span.seconds(1)))
+                .compose(r -> {
+                    if (r.status() == 429) {
+                        return Future.succeededFuture();
+                    }
+                    Entry entry = r.status() == 404 ? null : StateCodec.readEntry(ok(r));
+                    Stamp stamp = entry == null ? Stamp.ABSENT : entry.stamp();
+                    long era = entry == null ? 0 : RecordCodec.readEra(entry.value());
+                    if (losses.era() == 0) {
+                        // Nothing is known to compare with; an answer from the past fails in the first transaction.
+                        return entry == null ? firstEra() : adopted(era, stamp);
+                    }
+                    if (stamp.equals(eraStamp) && era == losses.era()) {
+                        return Future.succeededFuture();
+                    }
+                    return commit(new Txn().when(RecordCodec.ERA, stamp))
+                            .compose(outcome -> outcome.done() ? adopted(era, stamp) : Future.succeededFuture());
+                });
     }
 
     private Future<Void> adopted(long era, Stamp stamp) {
@@ -213,10 +249,15 @@
                         outcome -> outcome.done() ? adopted(FIRST.value(), outcome.stamp()) : Future.succeededFuture());
     }
 
+    /** The version of what was read; {@link Stamp#ABSENT} if nothing was there. */
+    static Stamp stampOf(Entry entry) {
+        return entry == null ? Stamp.ABSENT : entry.stamp();
+    }
+
     /** The entry of a key; null if there is none. */
     public Future<Entry> get(String key) {
         long known = freshness.highest();
-        return caller.get(StateCodec.keyPath(key), TIMEOUT).map(r -> {
+        return noted(caller.get(StateCodec.keyPath(key), TIMEOUT)).map(r -> {
             if (r.status() == 404) {
                 freshness.told(known, StateCodec.readRevision(r.body()));
                 return null;
@@ -227,7 +268,7 @@
 
     public Future<Page> list(String prefix, String after, int most) {
         long known = freshness.highest();
-        return caller.get(StateCodec.listPath(prefix, after, most), Span.seconds(4))
+        return noted(caller.get(StateCodec.listPath(prefix, after, most), Span.seconds(4)))
                 .map(r -> {
                     Page page = StateCodec.readPage(ok(r));
                     freshness.told(known, page.revision());
@@ -255,27 +296,33 @@
 
     public Future<Outcome> commit(Txn txn) {
         long known = freshness.highest();
-        return caller.post(StateCodec.TXN, StateCodec.writeTxn(txn), TIMEOUT).map(r -> {
-            if (r.status() == 200) {
-                Outcome done = new Outcome(true, StateCodec.readRevision(r.body()), List.of(), false);
-                boolean lost = losses.revision(known, done.revision());
-                freshness.told(0, done.revision());
-                if (done.revision() < known) {
-                    freshness.beginAnew(done.revision());
-                }
-                judge(lost);
-                return done;
-            }
-            if (r.status() == 409) {
-                Outcome failed = StateCodec.readConflict(r.body());
-                freshness.told(0, failed.revision());
-                return failed;
-            }
-            if (r.status() == 400 && StateCodec.NO_SUCH_LEASE.equals(r.body().optionalText("error"))) {
-                return new Outcome(false, 0, List.of(), true);
-            }
-            throw new Refused(r.status());
-        });
+        return noted(caller.post(StateCodec.TXN, StateCodec.writeTxn(txn), TIMEOUT))
+                .map(r -> {
+                    if (r.status() == 200) {
+                        Outcome done = new Outcome(true, StateCodec.readRevision(r.body()), List.of(), false);
+                        boolean lost = losses.revision(known, done.revision());
+                        freshness.told(0, done.revision());
+                        if (done.revision() < known) {
+                            freshness.beginAnew(done.revision());
+                        }
+                        judge(lost);
+                        return done;
+                    }
+                    if (r.status() == 409) {
+                        Outcome failed = StateCodec.readConflict(r.body());
+                        freshness.told(0, failed.revision());
+                        return failed;
+                    }
+                    if (r.status() == 400
+                            && StateCodec.NO_SUCH_LEASE.equals(r.body().optionalText("error"))) {
+                        return new Outcome(false, 0, List.of(), true);
+                    }
+                    if (r.status() == MALFORMED) {
+                        limits.refused(txn);
+                        throw new Unacceptable();
+                    }
+                    throw new Refused(r.status());
+                });
     }
 
     public Future<Long> grant(Span life) {
--- a/src/test/java/io/indigoreach/api/JobDeskTest.java
+++ b/src/test/java/io/indigoreach/api/JobDeskTest.java
@@ -30,6 +30,7 @@
 import java.util.ArrayList;
 import java.util.BitSet;
 import java.util.List;
+import java.util.Locale;
 import java.util.Map;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
@@ -44,6 +45,7 @@
     /** Vert.x closes a client that nothing refers to any more, in the middle of a call too: so all are kept. */
     private final List<Object> kept = new ArrayList<>();
 
+    private final List<JobDesk> desks = new ArrayList<>();
     private StateStandIn service;
     private Endpoint first;
     private Endpoint second;
@@ -90,6 +92,7 @@
                 new SteadyClock(),
                 8192,
                 questionsPerS);
+        desks.add(desk);
         Endpoint any = new Endpoint("127.0.0.1", 0);
         Endpoint endpoint = new Endpoint(
                 "127.0.0.1",
@@ -138,6 +141,32 @@
                         .spec());
     }
 
+    /** The end decides; blocks of done tasks, which may be more than a transaction takes, are removed behind it. */
+    @Test
+    void aLargeJobIsCancelledByTwoChanges() throws Exception {
+        Map<String, Object> job = JobCodecTest.job();
+        job.put("pieces", 100_000L);
+        assertEquals("201 pending", status(call(first, HttpMethod.POST, "/api/jobs", job)));
+        service.txnOps = 2;
+        assertEquals("200 cancelled", status(call(second, HttpMethod.POST, "/api/jobs/run-000412/cancel", Map.of())));
+        assertEquals("200 cancelled", status(call(first, HttpMethod.GET, "/api/jobs/run-000412", null)));
+    }
+
+    /** What no record can hold is refused at once, whether the settings say so or only the state service; what is known stays. */
+    @ParameterizedTest
+    @CsvSource({"62, 8192, 422", "20, 8192, 201", "20, 2048, 422"})
+    void aDescriptionThatFitsIntoNoRecordIsRefused(int otherTypes, int valueBytes, int expected) throws Exception {
+        Map<String, Object> job = JobCodecTest.job();
+        List<Object> types = new ArrayList<>((List<?>) job.get("boxkinds"));
+        types.addAll(java.util.Collections.nCopies(otherTypes, "k".repeat(100)));
+        job.put("boxkinds", types);
+        service.valueBytes = valueBytes;
+        assertEquals(expected, call(first, HttpMethod.POST, "/api/jobs", job).status());
+        service.valueBytes = 512;
+        int again = call(second, HttpMethod.POST, "/api/jobs", job).status();
+        assertEquals(expected == 201 ? 200 : 422, again);
+    }
+
     @Test
     void aJobIsTheSameAtEveryNode() throws Exception {
         assertEquals("404 null", status(call(second, HttpMethod.GET, "/api/jobs/run-000412", null)));
@@ -149,6 +178,87 @@
         assertEquals("200 cancelled", status(call(first, HttpMethod.POST, "/api/jobs", JobCodecTest.job())));
     }
 
+    private Map<String, Object> chained(Object... names) {
+        Map<String, Object> job = JobCodecTest.job();
+        job.put("waits_on", List.of(names));
+        return job;
+    }
+
+    private void named(String how) throws Exception {
+        Map<String, Object> job = JobCodecTest.job();
+        job.put("id", "run-1");
+        if (how.equals("service")) {
+            job.put("shape", "service");
+            job.put("pieces", 1);
+        }
+        if (!how.equals("absent")) {
+            call(second, HttpMethod.POST, "/api/jobs", job);
+        }
+        if (how.equals("done") || how.equals("cancelled")) {
+            await(client().commit(new StateClient.Txn()
+                    .delete("j/run-1")
+                    .put("f/run-1", RecordCodec.writeFinal(JobStatus.valueOf(how.toUpperCase(Locale.ROOT)), 0))));
+        }
+        service.refusing = how.equals("refused");
+    }
+
+    /** By what has become of the job that is named: the answer, and what is told later. */
+    @ParameterizedTest
+    @CsvSource({
+        "open, 201 pending, 200 pending",
+        "done, 201 pending, 200 pending",
+        "cancelled, 201 pending, 200 cancelled",
+        "service, 422 null, 404 null",
+        "absent, 422 null, 404 null",
+        "refused, 503 null, 503 null"
+    })
+    void aJobMayNameAnyThatWasAccepted(String how, String answer, String later) throws Exception {
+        named(how);
+        assertEquals(answer, status(call(first, HttpMethod.POST, "/api/jobs", chained("run-1"))));
+        assertEquals(later, status(call(first, HttpMethod.GET, "/api/jobs/run-000412", null)));
+        assertEquals(later, status(call(second, HttpMethod.GET, "/api/jobs/run-000412", null)));
+    }
+
+    /** What a job that was accepted names now is of no account; before all nodes know chains, none is accepted. */
+    @Test
+    void aChainIsThatOfTheFirstAcceptance() throws Exception {
+        named("open");
+        desks.get(0).chainsUnderstoodByAll(() -> Future.succeededFuture(false));
+        assertEquals(
+                503, call(first, HttpMethod.POST, "/api/jobs", chained("run-1")).status());
+        assertEquals("201 pending", status(call(second, HttpMethod.POST, "/api/jobs", chained("run-1"))));
+        for (Endpoint node : List.of(first, second)) {
+            assertEquals("200 pending", status(call(node, HttpMethod.POST, "/api/jobs", chained("run-404"))));
+        }
+        assertEquals(
+                List.of(new JobId("run-1")),
+                RecordCodec.readJob(new JobId("run-000412"), service.value("j/run-000412"), Stamp.ABSENT)
+                        .spec()
+                        .chain()
+                        .needs());
+    }
+
+    /**
+     * The node that told of the cancellation is gone, and no leader has swept: a node in doubt, here as it has just begun, looks for
+     * itself, through a job that is open; one that is not asks for nothing more than the job's record.
+     */
+    @Test
+    void inDoubtANodeLooksUpTheChainBeforeItAnswers() throws Exception {
+        named("open");
+        Map<String, Object> between = chained("run-1");
+        between.put("id", "run-2");
+        call(second, HttpMethod.POST, "/api/jobs", between);
+        call(second, HttpMethod.POST, "/api/jobs", chained("run-2"));
+        named("cancelled");
+        int before = service.reads;
+        assertEquals("200 pending", status(call(first, HttpMethod.GET, "/api/jobs/run-000412", null)));
+        assertEquals(1, service.reads - before);
+        desks.get(0).chaining(Span.seconds(60), () -> "");
+        assertEquals("200 cancelled", status(call(first, HttpMethod.GET, "/api/jobs/run-000412", null)));
+        assertEquals("200 cancelled", status(call(second, HttpMethod.GET, "/api/jobs/run-000412", null)));
+        assertEquals(List.of("j/run-2"), service.keys("j/"));
+    }
+
     /** Six hundred jobs asked about eight times as often took every request that the state service serves, renewals too. */
     @Test
     void questionsBeyondANodesPartAreReadTogether() throws Exception {
@@ -188,13 +298,31 @@
 
     @Test
     void aLostAnswerIsNoAcceptanceAndNoSecondJob() throws Exception {
-        service.losingAnswers = 1;
+        service.losing = txn -> txn.children("writes").stream()
+                .anyMatch(w -> w.has("write") && w.text("write").equals("j/run-000412"));
         assertEquals(
                 503,
                 call(first, HttpMethod.POST, "/api/jobs", JobCodecTest.job()).status());
+        assertEquals(1, service.lost, "it was carried out");
         assertEquals("200 pending", status(call(first, HttpMethod.POST, "/api/jobs", JobCodecTest.job())));
     }
 
+    /** Without the era's condition it would come through a rebuilding, in an era that does not know of the job's end. */
+    @Test
+    void anAcceptanceDependsOnTheEraAlsoOfAProcessThatHasNotReadIt() throws Exception {
+        List<List<String>> conditions = new ArrayList<>();
+        service.holding = txn -> {
+            List<String> keys =
+                    txn.children("when").stream().map(w -> w.text("path")).toList();
+            if (keys.contains("j/run-000412")) {
+                conditions.add(keys);
+            }
+            return false;
+        };
+        assertEquals("201 pending", status(call(first, HttpMethod.POST, "/api/jobs", JobCodecTest.job())));
+        assertEquals(List.of(List.of(RecordCodec.ERA, "j/run-000412", "f/run-000412")), conditions);
+    }
+
     @Test
     void withoutTheStateServiceOnlyWhatIsOverIsAnswered() throws Exception {
         call(first, HttpMethod.POST, "/api/jobs", JobCodecTest.job());
--- a/src/test/java/io/indigoreach/state/StateStandIn.java
+++ b/src/test/java/io/indigoreach/state/StateStandIn.java
@@ -2,6 +2,7 @@
 
 import io.indigoreach.net.Endpoint;
 import io.indigoreach.net.Fields;
+import io.indigoreach.net.JsonSize;
 import io.indigoreach.net.Reply;
 import io.indigoreach.net.Wire;
 import io.vertx.core.Context;
@@ -24,6 +25,7 @@
 import java.util.concurrent.ConcurrentSkipListMap;
 import java.util.function.BiPredicate;
 import java.util.function.Predicate;
+import java.util.function.ToIntFunction;
 
 /**
  * A stand-in for the state service that speaks its protocol; it can refuse requests, execute them and not answer, or not answer
@@ -54,6 +56,12 @@
     public boolean expiring;
     /** The answers to the next transactions are lost after these were executed. */
     public int losingAnswers;
+    /** Transactions that are executed at once, and whose answer is lost. */
+    public volatile Predicate<Fields> losing = txn -> false;
+    /** How many of those there were. */
+    public volatile int lost;
+    /** For how many milliseconds an answer is held up on its way, by the path; what it says is as old as its request. */
+    public volatile ToIntFunction<String> lagMs = path -> 0;
     /** Leases are not ended on request: as if it came from a node that is refused. */
     public boolean keepingLeases;
     /** Transactions that get no answer, and are executed by {@link #executeLate}. */
@@ -64,6 +72,13 @@
     public int transactions;
     /** Records and listings that were read. */
     public volatile int reads;
+    /** Limits of a value, in bytes, and of a transaction, in changes; lowered by some tests at some time. */
+    public volatile int valueBytes = 8 * 1024;
+
+    public volatile int txnOps = 16;
+    private static final int CONDITIONS_PER_CHANGE = 4;
+    /** Transactions that were refused as too large. */
+    public volatile int tooLarge;
     /** Keys that were written or deleted. */
     public volatile int changed;
 
@@ -223,10 +238,27 @@
             request.connection().close();
             return;
         }
+        if (reply.isOk() && losing.test(txn)) {
+            lost++;
+            request.connection().close();
+            return;
+        }
         reply(request, reply.status(), reply.body().map());
     }
 
+    private boolean isTooLarge(Fields txn) {
+        return txn.children("writes").size() > txnOps
+                || txn.children("when").size() > CONDITIONS_PER_CHANGE * txnOps
+                || txn.children("writes").stream()
+                        .anyMatch(w ->
+                                w.has("write") && JsonSize.of(w.child("data").map()) > valueBytes);
+    }
+
     private Reply execute(Fields txn) {
+        if (isTooLarge(txn)) {
+            tooLarge++;
+            return new Reply(400, new Fields(Wire.map("error", "too large")));
+        }
         List<String> failed = new ArrayList<>();
         for (Fields when : txn.children("when")) {
             Item item = items.get(when.text("path"));
@@ -313,9 +345,20 @@
         waiting.forEach(Promise::complete);
     }
 
-    private static void reply(HttpServerRequest request, int status, Map<String, Object> body) {
+    private void reply(HttpServerRequest request, int status, Map<String, Object> body) {
+        // As it is now: a listing's values are those of this moment.
+        Buffer written = Wire.write(body);
+        int lag = lagMs.applyAsInt(request.path());
+        if (lag > 0) {
+            Vertx.currentContext().owner().setTimer(lag, t -> send(request, status, written));
+        } else {
+            send(request, status, written);
+        }
+    }
+
+    private static void send(HttpServerRequest request, int status, Buffer body) {
         if (!request.response().ended() && !request.response().closed()) {
-            request.response().setStatusCode(status).end(Wire.write(body));
+            request.response().setStatusCode(status).end(body);
         }
     }
 }
