--- a/src/test/java/io/indigoreach/emulator/StateServerTest.java
+++ b/src/test/java/io/indigoreach/emulator/StateServerTest.java
@@ -29,6 +29,7 @@
 import io.vertx.core.Vertx;
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpMethod;
+import io.vertx.core.net.NetClient;
 import io.vertx.core.net.NetSocket;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -281,8 +282,10 @@
     void standsSilenceAndNonsense() throws Exception {
         StateClient client = open(null, 0);
         List<Future<NetSocket>> silent = new ArrayList<>();
+        // One client that is closed at the end: one that nobody refers to any more is closed with the next collection.
+        NetClient connections = vertx.createNetClient();
         for (int i = 0; i < SILENT; i++) {
-            silent.add(vertx.createNetClient().connect(port, "127.0.0.1"));
+            silent.add(connections.connect(port, "127.0.0.1"));
             if (i % 100 == 99) {
                 LocalCluster.await(Future.all(silent));
             }
@@ -310,5 +313,6 @@
         }
         assertTrue(LocalCluster.await(client.commit(put("a", 1))).done());
         assertTrue(silent.stream().allMatch(Future::succeeded));
+        LocalCluster.await(connections.close());
     }
 }
