Every answer to a heartbeat stops the tasks of ended jobs that it shows

An answer of 200 renews the machine's lease. Stops were given only by the reconciliation, to heartbeats with the leader's own token from a machine that it serves. So a leader that knew of a cancellation and ended before a machine's second heartbeat kept its tasks alive for a lease, and so did each one after it; a machine of no record that was being returned kept them for as long as the cloud did not answer. A stop of such a task needs nothing but the heartbeat: not that its list is complete, nor the newest.

--- a/src/main/java/io/indigoreach/core/scheduling/HeartbeatHandler.java
+++ b/src/main/java/io/indigoreach/core/scheduling/HeartbeatHandler.java
@@ -17,8 +17,6 @@
     /** Commands that follow a heartbeat after more than this part of the worker's timeout may not be received any more. */
     private static final double TIMELY_FRACTION = 0.5;
 
-    private static final HeartbeatResult NO_COMMANDS = new HeartbeatResult.Commands(List.of());
-
     private final FencingToken token;
     private final SafetyTimes safetyTimes;
     private final Cluster cluster;
@@ -65,11 +63,14 @@
         }
         if (!release.areRecordsLoaded()) {
             earlyHeartbeats.answered(heartbeat, now);
-            return NO_COMMANDS;
+            return new HeartbeatResult.Commands(List.of());
         }
-        return sender(heartbeat, now)
-                .<HeartbeatResult>map(machine -> new HeartbeatResult.Commands(process(machine, heartbeat, now)))
-                .orElse(NO_COMMANDS);
+        // Every answer renews the machine's lease, so every answer stops what must not go on, whatever else is known of
+        // the machine:
+        // this leader may not live to answer its next heartbeat.
+        List<WorkerCommand> commands = reconciler.stopEndedJobs(heartbeat);
+        sender(heartbeat, now).ifPresent(machine -> process(machine, heartbeat, commands, now));
+        return new HeartbeatResult.Commands(commands);
     }
 
     /** The machine that sent the heartbeat; empty if the heartbeat is to be ignored. */
@@ -91,7 +92,8 @@
                 || (number.incarnation() == machine.lastHeartbeat.incarnation() && machine.leaseExpired);
     }
 
-    private List<WorkerCommand> process(Machine machine, Heartbeat heartbeat, Moment now) {
+    /** Adds the commands that follow from what is known of the machine. */
+    private void process(Machine machine, Heartbeat heartbeat, List<WorkerCommand> commands, Moment now) {
         HeartbeatNumber previous = machine.lastHeartbeat;
         machine.heartbeatReceived(heartbeat.number());
         if (!machine.isReturnedAsUnreachable()) {
@@ -99,18 +101,18 @@
             observePartition(machine, heartbeat, previous, now);
         }
         if (heartbeat.token().value() < token.value()) {
-            return answerOlderToken(machine, now);
+            answerOlderToken(machine, commands, now);
+            return;
         }
         noticeNewIncarnation(machine, previous, now);
         noticeUp(machine, now);
         machine.preemptionAnnounced(
                 heartbeat.preemptionNotice() == null ? null : now.plus(heartbeat.preemptionNotice()));
-        List<WorkerCommand> commands = reconcile(machine, heartbeat, now);
+        reconcile(machine, heartbeat, commands, now);
         addNewWork(machine, heartbeat.number(), commands, now);
         if (!machine.needsRecord() && !machine.isReturnedAsUnreachable()) {
             machine.partition.answerSent(commands, now);
         }
-        return commands;
     }
 
     private void observePartition(Machine machine, Heartbeat heartbeat, HeartbeatNumber previous, Moment now) {
@@ -123,13 +125,15 @@
         }
     }
 
-    /** The worker learns this leader's token by the answer; until its next heartbeat its task list proves nothing. */
-    private List<WorkerCommand> answerOlderToken(Machine machine, Moment now) {
+    /**
+     * The worker learns this leader's token by the answer; until its next heartbeat its task list proves nothing. That is, it may lack a
+     * task, so that nothing may be started or forgotten by it; what it does have may be stopped.
+     */
+    private void answerOlderToken(Machine machine, List<WorkerCommand> commands, Moment now) {
         if (failover.isInheritedLeaseExpired(machine.id, now.minus(safetyTimes.leaseBound()))) {
             release.machineReconciled(machine.id);
         }
-        machine.partition.answerSent(List.of(), now);
-        return List.of();
+        machine.partition.answerSent(commands, now);
     }
 
     private void noticeNewIncarnation(Machine machine, HeartbeatNumber previous, Moment now) {
@@ -146,12 +150,11 @@
         }
     }
 
-    private List<WorkerCommand> reconcile(Machine machine, Heartbeat heartbeat, Moment now) {
+    private void reconcile(Machine machine, Heartbeat heartbeat, List<WorkerCommand> commands, Moment now) {
         machine.markReconciled();
-        List<WorkerCommand> commands = reconciler.reconcile(machine, heartbeat, now);
+        commands.addAll(reconciler.reconcile(machine, heartbeat, now));
         release.machineReconciled(machine.id);
         release.releaseLateJobs();
-        return commands;
     }
 
     private void addNewWork(Machine machine, HeartbeatNumber number, List<WorkerCommand> commands, Moment now) {
--- a/src/main/java/io/indigoreach/core/scheduling/Reconciler.java
+++ b/src/main/java/io/indigoreach/core/scheduling/Reconciler.java
@@ -32,12 +32,33 @@
     private record Pass(
             Machine machine, Heartbeat heartbeat, Moment now, List<WorkerCommand> commands, Set<Placement> confirmed) {}
 
+    /**
+     * Stops the tasks in the heartbeat whose jobs are cancelled or over. Needs no more than the heartbeat, neither that its list is
+     * complete nor that it is the newest: no copy of such a task may go on.
+     */
+    List<WorkerCommand> stopEndedJobs(Heartbeat heartbeat) {
+        List<WorkerCommand> commands = new ArrayList<>();
+        for (TaskStatus status : heartbeat.tasks()) {
+            if (status.state() != TaskState.EXITED && openJobOf(status) == null) {
+                commands.add(stop(status, Span.ZERO));
+            }
+        }
+        return commands;
+    }
+
+    /** The open job that the task belongs to; null if its job is cancelled or over, or never had such a task. */
+    private Job openJobOf(TaskStatus status) {
+        Job job = cluster.jobs.get(status.task().job());
+        return job != null && status.task().index() < job.spec.tasks() ? job : null;
+    }
+
+    /** Takes over what the heartbeat shows; the commands come on top of those of {@link #stopEndedJobs}. */
     List<WorkerCommand> reconcile(Machine machine, Heartbeat heartbeat, Moment now) {
         Pass pass = new Pass(machine, heartbeat, now, new ArrayList<>(), new HashSet<>());
         int orphanTasks = 0;
         for (TaskStatus status : heartbeat.tasks()) {
-            Job job = cluster.jobs.get(status.task().job());
-            if (job == null || status.task().index() >= job.spec.tasks()) {
+            Job job = openJobOf(status);
+            if (job == null) {
                 orphanTasks += reconcileEndedJob(pass, status) ? 1 : 0;
             } else if (status.state() == TaskState.EXITED) {
                 reconcileExited(pass, job, status);
@@ -60,7 +81,8 @@
     }
 
     /**
-     * A task of a job that is cancelled or over: it counts against machine and team until a heartbeat shows it gone.
+     * A task of a job that is cancelled or over: it is stopped by {@link #stopEndedJobs}, and counts against machine and team until a
+     * heartbeat shows it gone.
      *
      * @return whether it is an orphan, alive without a placement
      */
@@ -71,7 +93,9 @@
         if (placed && alive) {
             pass.confirmed.add(placement);
         }
-        pass.commands.add(alive ? stop(status, Span.ZERO) : reap(status));
+        if (!alive) {
+            pass.commands.add(reap(status));
+        }
         return alive && !placed;
     }
 
