Scheduler summary names the longest wait for a first task, its reason and the top job

Cause: with machines idle and jobs waiting, the log could not tell a team's limit from a reservation, a start bound or the cordon. Change: `scheduler summary` has `limited`, the jobs that wait for their team's limit, and `longest`, `waited`, `reason` and `top` for the longest other wait.

--- a/src/main/java/io/indigoreach/cluster/LeadershipTerm.java
+++ b/src/main/java/io/indigoreach/cluster/LeadershipTerm.java
@@ -323,7 +323,7 @@
         }
         if (now.since(lastSummaryLoggedAt).compareTo(SUMMARY_PERIOD) >= 0) {
             lastSummaryLoggedAt = now;
-            LOG.info("{}", core.summary());
+            LOG.info("{}", core.summary(now));
         }
         return Future.succeededFuture(TICK_PERIOD);
     }
--- a/src/main/java/io/indigoreach/core/scheduling/Cluster.java
+++ b/src/main/java/io/indigoreach/core/scheduling/Cluster.java
@@ -63,6 +63,11 @@
         return usageByTeam.computeIfAbsent(job.spec.team(), name -> new TeamUsage(new Team(name, 0, 0, 0, 0)));
     }
 
+    /** Whether the limit of the job's team allows no further task of the job. */
+    boolean isTeamAtLimit(Job job) {
+        return !teamUsage(job).hasRoomFor(job.spec.demand());
+    }
+
     private FairShareQueue queueOf(TeamUsage usage) {
         return queues.computeIfAbsent(
                 usage.hasGuarantee() ? usage.team.name() : FairShareQueue.COMMON_QUEUE_NAME,
--- a/src/main/java/io/indigoreach/core/scheduling/SchedulerCore.java
+++ b/src/main/java/io/indigoreach/core/scheduling/SchedulerCore.java
@@ -39,6 +39,7 @@
     private final ConsolidationPolicy consolidation;
     private final ScaleInPolicy scaleInPolicy;
     private final WaitExplainer waitExplainer;
+    private final LongestWaitFinder longestWaitFinder;
     private final SchedulerListener listener;
 
     /** Creates the core of one leadership term, without jobs, machines or machine types. */
@@ -59,6 +60,7 @@
         Dispatcher dispatcher =
                 new Dispatcher(cluster, objectives, estimates, failover, token, settings.minimumPaidTime());
         this.waitExplainer = new WaitExplainer(cluster, dispatcher.rules());
+        this.longestWaitFinder = new LongestWaitFinder(cluster, dispatcher.rules(), waitExplainer);
         this.consolidation = new ConsolidationPolicy(cluster, dispatcher.rules(), estimates, safetyTimes);
         FailureDetector failureDetector = new FailureDetector(cluster, safetyTimes);
         this.bestSize = new ScaleOutPolicy(cluster, dispatcher.rules(), estimates, settings, failureDetector);
@@ -346,8 +348,8 @@
         return RememberedStateBuilder.of(job);
     }
 
-    /** A log line with the numbers of jobs, tasks and machines. */
-    public String summary() {
-        return SummaryFormatter.of(cluster, failover);
+    /** A log line with the numbers of jobs, tasks and machines, and the longest wait of a job for its first task. */
+    public String summary(Moment now) {
+        return SummaryFormatter.of(cluster, failover, longestWaitFinder.find(now));
     }
 }
--- a/src/main/java/io/indigoreach/core/scheduling/SummaryFormatter.java
+++ b/src/main/java/io/indigoreach/core/scheduling/SummaryFormatter.java
@@ -1,10 +1,14 @@
 package io.indigoreach.core.scheduling;
 
+import io.indigoreach.core.model.JobId;
+import java.util.Locale;
+import java.util.Optional;
+
 /** Formats the state of the scheduler as one log line. */
 final class SummaryFormatter {
     private SummaryFormatter() {}
 
-    static String of(Cluster cluster, FailoverTracker failover) {
+    static String of(Cluster cluster, FailoverTracker failover, Optional<LongestWaitFinder.LongestWait> longestWait) {
         int up = 0;
         int idle = 0;
         int booting = 0;
@@ -16,12 +20,26 @@
             placed += machine.taskCount();
         }
         int waiting = 0;
+        int jobsAtTeamLimit = 0;
         for (Job job : cluster.jobs.values()) {
             waiting += job.waitingCount();
+            jobsAtTeamLimit += job.hasWaiting() && cluster.isTeamAtLimit(job) ? 1 : 0;
         }
         int otherMachineCount = cluster.machines.size() - up - booting;
         return "scheduler summary jobs=" + cluster.jobs.size() + " waiting=" + waiting + " placed=" + placed + " up="
                 + up + " idle=" + idle + " booting=" + booting + " other=" + otherMachineCount
-                + (failover.isComplete() ? "" : " unreconciled=" + failover.unreconciledCount());
+                + (failover.isComplete() ? "" : " unreconciled=" + failover.unreconciledCount())
+                + (jobsAtTeamLimit == 0 ? "" : " limited=" + jobsAtTeamLimit)
+                + longestWait.map(SummaryFormatter::format).orElse("");
+    }
+
+    private static String format(LongestWaitFinder.LongestWait wait) {
+        return String.format(
+                Locale.ROOT,
+                " longest=%s waited=%.1f reason=%s top=%s",
+                wait.job(),
+                wait.waited().seconds(),
+                wait.reason(),
+                wait.topJob().map(JobId::toString).orElse("none"));
     }
 }
--- a/src/main/java/io/indigoreach/core/scheduling/WaitExplainer.java
+++ b/src/main/java/io/indigoreach/core/scheduling/WaitExplainer.java
@@ -40,7 +40,7 @@
         if (job.isStarvationRelieved()) {
             return WaitReason.STARVATION_RELIEVED;
         }
-        if (!cluster.teamUsage(job).hasRoomFor(job.spec.demand())) {
+        if (cluster.isTeamAtLimit(job)) {
             return WaitReason.TEAM_LIMIT;
         }
         return job.spec.isWarmPoolHolder() ? WaitReason.NO_POOL_MEMBERSHIP : null;
--- a/src/test/java/io/indigoreach/cluster/DependencyTaskTest.java
+++ b/src/test/java/io/indigoreach/cluster/DependencyTaskTest.java
@@ -78,7 +78,7 @@
         /** Returns true if no task of any job waits for a machine. */
         boolean hasNoWaitingTasks() throws Exception {
             Promise<Boolean> answer = Promise.promise();
-            vertx.runOnContext(v -> answer.complete(core.summary().contains(" waiting=0 ")));
+            vertx.runOnContext(v -> answer.complete(core.summary(clock.now()).contains(" waiting=0 ")));
             return await(answer.future());
         }
     }
--- a/src/test/java/io/indigoreach/core/scheduling/ConcurrentFaultsTest.java
+++ b/src/test/java/io/indigoreach/core/scheduling/ConcurrentFaultsTest.java
@@ -295,7 +295,8 @@
                 }
             }
             cluster.core.expireLeases(atSeconds(now + 0.6));
-            trace.add(cluster.core.summary() + " expired " + cluster.core.isLeaseExpired(new MachineId("a")));
+            trace.add(cluster.core.summary(atSeconds(now)) + " expired "
+                    + cluster.core.isLeaseExpired(new MachineId("a")));
             cluster.recordResults();
         }
         assertEquals(List.of(), cluster.violations);
--- a/src/test/java/io/indigoreach/core/scheduling/SchedulerFixture.java
+++ b/src/test/java/io/indigoreach/core/scheduling/SchedulerFixture.java
@@ -97,6 +97,31 @@
                 .build();
     }
 
+    /** Returns the same job for another team. */
+    static JobSpec withTeam(JobSpec base, String team) {
+        return copyOf(base, team).urgency(base.urgency()).build();
+    }
+
+    private static JobSpec.Builder copyOf(JobSpec base, String team) {
+        return JobSpec.builder(base.id())
+                .jobClass(base.jobClass())
+                .team(team)
+                .kind(base.kind())
+                .taskCount(base.taskCount())
+                .demand(base.demand())
+                .image(base.image())
+                .imageGb(base.imageGb())
+                .machineTypes(base.machineTypes())
+                .zone(base.zone())
+                .singleZone(base.singleZone())
+                .spreadOverZones(base.spreadOverZones())
+                .spotAllowed(base.spotAllowed())
+                .estimatedRunTime(base.estimatedRunTime())
+                .checkpointInterval(base.checkpointInterval())
+                .checkpointDuration(base.checkpointDuration())
+                .relativeDeadline(base.relativeDeadline());
+    }
+
     static JobSpec withOptions(
             JobSpec base,
             Urgency urgency,
@@ -105,24 +130,14 @@
             boolean spotAllowed,
             String zone,
             double checkpointEvery) {
-        return JobSpec.builder(base.id())
-                .jobClass(base.jobClass())
-                .team(base.team())
-                .kind(base.kind())
+        return copyOf(base, base.team())
                 .urgency(urgency)
-                .taskCount(base.taskCount())
-                .demand(base.demand())
-                .image(base.image())
-                .imageGb(base.imageGb())
-                .machineTypes(base.machineTypes())
                 .zone(zone)
                 .singleZone(oneZone)
                 .spreadOverZones(spread)
                 .spotAllowed(spotAllowed)
-                .estimatedRunTime(base.estimatedRunTime())
                 .checkpointInterval(Span.seconds(checkpointEvery))
                 .checkpointDuration(Span.seconds(checkpointEvery > 0 ? 2 : 0))
-                .relativeDeadline(base.relativeDeadline())
                 .build();
     }
 
--- a/src/test/java/io/indigoreach/core/scheduling/StaleHeartbeatTest.java
+++ b/src/test/java/io/indigoreach/core/scheduling/StaleHeartbeatTest.java
@@ -89,7 +89,7 @@
             assertEquals(
                     List.of(), cluster.core.onHeartbeat(copy, atSeconds(0.4)).commands());
         }
-        List<String> trace = new ArrayList<>(List.of(cluster.core.summary()));
+        List<String> trace = new ArrayList<>(List.of(cluster.core.summary(atSeconds(0.4))));
         for (double now = 1; now < 40; now++) {
             for (SimulatedCluster.Worker box : List.copyOf(cluster.workers())) {
                 if (box != worker || isAlive) {
@@ -97,7 +97,8 @@
                 }
             }
             cluster.core.expireLeases(atSeconds(now));
-            trace.add(cluster.core.summary() + " knows " + cluster.core.isKnownMachine(new MachineId("a")));
+            trace.add(
+                    cluster.core.summary(atSeconds(now)) + " knows " + cluster.core.isKnownMachine(new MachineId("a")));
         }
         assertEquals(List.of(), cluster.violations);
         return trace;
--- a/src/test/java/io/indigoreach/core/scheduling/WaitReasonTest.java
+++ b/src/test/java/io/indigoreach/core/scheduling/WaitReasonTest.java
@@ -5,7 +5,9 @@
 import static io.indigoreach.core.scheduling.SchedulerFixture.runningStatus;
 import static io.indigoreach.core.scheduling.SchedulerFixture.spec;
 import static io.indigoreach.core.scheduling.SchedulerFixture.withOptions;
+import static io.indigoreach.core.scheduling.SchedulerFixture.withTeam;
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import io.indigoreach.core.model.Attempt;
 import io.indigoreach.core.model.ExitCause;
@@ -128,6 +130,21 @@
         assertEquals(Optional.empty(), world.core.waitReason(job, atSeconds(2)));
     }
 
+    /** The log tells apart what may keep jobs waiting: a team's limit, and the reason of the longest other wait. */
+    @Test
+    void summaryNamesTheLongestWaitAndItsReason() {
+        SchedulerFixture world =
+                new SchedulerFixture(SchedulerFixture.teamWithCoreLimit(0), new Team("limited", 0, 4, 0, 0));
+        world.core.onRecordsLoaded();
+        world.addSpotMachine("a", "east", 0);
+        world.submit(withTeam(spec(1, 6, 1, 100), "limited"), 0);
+        world.heartbeat("a", 1);
+        world.submit(spec(2, 1, 1, 100), 2);
+        world.submit(spec(3, 1, 1, 100), 3);
+        String summary = world.core.summary(atSeconds(5));
+        assertTrue(summary.contains(" limited=1 longest=run-2 waited=3.0 reason=NO_FREE_CAPACITY top="), summary);
+    }
+
     /**
      * Guards against a team that neither used nor needed its guarantee but kept other teams from the rest of every
      * machine.
@@ -180,21 +197,6 @@
                 .toArray(TaskStatus[]::new);
     }
 
-    private static JobSpec withTeam(JobSpec spec, String team) {
-        return JobSpec.builder(spec.id())
-                .jobClass(spec.jobClass())
-                .team(team)
-                .kind(spec.kind())
-                .urgency(spec.urgency())
-                .taskCount(spec.taskCount())
-                .demand(spec.demand())
-                .image(spec.image())
-                .imageGb(spec.imageGb())
-                .spotAllowed()
-                .estimatedRunTime(spec.estimatedRunTime())
-                .build();
-    }
-
     /**
      * Machines are rented for a job bound to a zone that the cheapest type does not offer, or whose requests were
      * rejected.
