Machines are not rented for tasks beyond a team's limit on GPUs

Callers saw: nothing yet; read on the path of renting. A team limited to 2 GPUs with 8 waiting tasks of one GPU got 8 machines. Cause: the count of the tasks that a team's limits still allow looked at cores alone. Change: TeamLimitCounter counts the waiting tasks of several jobs by both limits; the sizing of machines uses it in place of its own sum. Evidence: ScaleOutTest.rentsOnlyForTasksWithinTheTeamLimits failed before in the two rows with a limit on GPUs (8 and 3 machines in place of 2).

--- a/src/main/java/io/indigoreach/core/model/Resources.java
+++ b/src/main/java/io/indigoreach/core/model/Resources.java
@@ -16,6 +16,11 @@
         return new Resources(cores - other.cores, gpus - other.gpus, ramGb - other.ramGb);
     }
 
+    /** The resources that {@code count} tasks require together. */
+    public Resources times(int count) {
+        return new Resources(cores * count, gpus * count, ramGb * count);
+    }
+
     /** Whether these resources fit into {@code available}. */
     public boolean fitsIn(Resources available) {
         return cores <= available.cores + ROUNDING_TOLERANCE
--- a/src/main/java/io/indigoreach/core/scheduling/QueueNeed.java
+++ b/src/main/java/io/indigoreach/core/scheduling/QueueNeed.java
@@ -8,8 +8,6 @@
     private final Map<String, MachineTypeNeed> byType = new HashMap<>();
     /** Work of the short jobs per machine type, in machine seconds. */
     private final Map<String, Double> shortWork = new HashMap<>();
-    /** Cores counted so far for each team, compared with its limit. */
-    private final Map<TeamUsage, Double> plannedCores = new HashMap<>();
 
     private boolean hasShortJob;
 
@@ -22,17 +20,6 @@
         return byType.computeIfAbsent(type, name -> new MachineTypeNeed());
     }
 
-    /**
-     * Adds the job's tasks to the planned cores of its team as far as the team's limit allows; returns how many were
-     * added.
-     */
-    int countWithinTeamLimit(Job job, TeamUsage team) {
-        int tasks = Math.min(
-                job.startableCount(), team.remainingTasks(job.spec.demand(), plannedCores.getOrDefault(team, 0.0)));
-        plannedCores.merge(team, Math.max(0, tasks) * job.spec.demand().cores(), Double::sum);
-        return tasks;
-    }
-
     void addShortWork(String type, double machineSeconds) {
         shortWork.merge(type, machineSeconds, Double::sum);
     }
--- a/src/main/java/io/indigoreach/core/scheduling/ScaleOutPolicy.java
+++ b/src/main/java/io/indigoreach/core/scheduling/ScaleOutPolicy.java
@@ -82,10 +82,11 @@
         Map<String, Backlog> backlogs = backlogEstimator.backlogs(queue, now);
         QueueNeed need = new QueueNeed();
         Optional<Job> topJob = rules.reservations().topJob(queue, now);
+        TeamLimitCounter counter = TeamLimitCounter.ofTasksThatMayStartNow(cluster);
         if (topJob.isPresent() && scaleOutTrigger.mustScaleOut(queue, topJob.get(), now)) {
             for (Job job : rules.order().sortedJobs(queue, now)) {
                 if (needsMachines(job, now)) {
-                    addNeed(job, need, now);
+                    addNeed(job, counter.count(job, job.startableCount()), need, now);
                 }
             }
         }
@@ -108,9 +109,8 @@
                 && rules.placement().mayStart(job, now);
     }
 
-    private void addNeed(Job job, QueueNeed queueNeed, Moment now) {
+    private void addNeed(Job job, int waitingTasks, QueueNeed queueNeed, Moment now) {
         boolean isShort = estimates.runTime(job).compareTo(settings.shortJob()) < 0;
-        int waitingTasks = queueNeed.countWithinTeamLimit(job, cluster.teamUsage(job));
         MachineType type = jobSizer.cheapestType(job).orElse(null);
         if (type == null || waitingTasks <= 0) {
             return;
--- a/src/main/java/io/indigoreach/core/scheduling/TeamUsage.java
+++ b/src/main/java/io/indigoreach/core/scheduling/TeamUsage.java
@@ -23,11 +23,30 @@
         return team.isWithinLimits(coresInUse + demand.cores(), gpusInUse + demand.gpus());
     }
 
-    /** How many more tasks with this demand fit within the core limit if {@code plannedCores} are already planned. */
-    int remainingTasks(Resources demand, double plannedCores) {
-        return team.maxCores() > 0 && demand.cores() > 0
-                ? (int) ((team.maxCores() - coresInUse - plannedCores) / demand.cores())
-                : Integer.MAX_VALUE;
+    /** How many more tasks with this demand fit within the limits if {@code planned} is to be used as well. */
+    int remainingTasks(Resources demand, Resources planned) {
+        return tasksWithinLimits(demand, new Resources(coresInUse, gpusInUse, 0).plus(planned));
+    }
+
+    /**
+     * How many tasks with this demand fit within the limits beside {@code planned}, whatever the team uses now.
+     */
+    int concurrentTasks(Resources demand, Resources planned) {
+        return tasksWithinLimits(demand, planned);
+    }
+
+    private int tasksWithinLimits(Resources demand, Resources used) {
+        if (!team.isWithinLimits(used.cores() + demand.cores(), used.gpus() + demand.gpus())) {
+            return 0;
+        }
+        return demand.countFittingIn(new Resources(
+                remaining(team.maxCores(), used.cores()),
+                remaining(team.maxGpus(), used.gpus()),
+                Double.POSITIVE_INFINITY));
+    }
+
+    private static double remaining(double limit, double inUse) {
+        return limit > 0 ? limit - inUse : Double.POSITIVE_INFINITY;
     }
 
     boolean hasGuarantee() {
--- a/src/test/java/io/indigoreach/core/scheduling/ScaleOutTest.java
+++ b/src/test/java/io/indigoreach/core/scheduling/ScaleOutTest.java
@@ -10,8 +10,11 @@
 import io.indigoreach.core.model.JobSpec;
 import io.indigoreach.core.model.MachineId;
 import io.indigoreach.core.model.MachinePool;
+import io.indigoreach.core.model.MachineType;
+import io.indigoreach.core.model.Resources;
 import io.indigoreach.core.model.Span;
 import io.indigoreach.core.model.TaskStatus;
+import io.indigoreach.core.model.Team;
 import io.indigoreach.core.model.Urgency;
 import io.indigoreach.core.model.WorkerCommand;
 import java.util.ArrayList;
@@ -105,6 +108,44 @@
                 "no present machine can ever run the top job");
     }
 
+    /** Guards against renting for tasks beyond the team's limit on GPUs: only its limit on cores was looked at. */
+    @ParameterizedTest
+    @CsvSource({"0, 0, 8", "3, 0, 3", "0, 2, 2", "3, 2, 2"})
+    void rentsOnlyForTasksWithinTheTeamLimits(double coresMax, double gpusMax, int machines) {
+        SchedulerFixture fixture = new SchedulerFixture(new Team("t", 0, coresMax, 0, gpusMax));
+        MachineType type = SchedulerFixture.MACHINE_TYPE;
+        fixture.core.addMachineTypes(List.of(new MachineType(
+                "gpu",
+                new Resources(4, 1, 16),
+                type.imageCacheGb(),
+                type.imageFetchGbPerS(),
+                type.onDemandPrice(),
+                type.spotPrice(),
+                type.bootTime(),
+                type.zones())));
+        fixture.core.onRecordsLoaded();
+        JobSpec spec = spec(1, 8, 1, 100);
+        fixture.submit(
+                JobSpec.builder(spec.id())
+                        .jobClass(spec.jobClass())
+                        .team(spec.team())
+                        .kind(spec.kind())
+                        .urgency(spec.urgency())
+                        .taskCount(spec.taskCount())
+                        .demand(new Resources(1, 1, 1))
+                        .image(spec.image())
+                        .imageGb(0)
+                        .spotAllowed()
+                        .estimatedRunTime(spec.estimatedRunTime())
+                        .build(),
+                0);
+        assertEquals(
+                machines,
+                fixture.core.scaleOutRequests(atSeconds(1)).stream()
+                        .mapToInt(ScaleOutRequest::count)
+                        .sum());
+    }
+
     /**
      * Planned work is submitted as late as its prediction allows. Waiting for the wait limit before scaling out would
      * leave no time for a boot before its deadline.
