A top job reserves no capacity for tasks that its team's limit or its zones keep from starting

Cause: the first job in the order of the queue with waiting tasks was the top job, whether or not one of them might start, and its reservation covered all of them on every machine that it fits, from now on. Nothing that runs on past "now" is backfilled there, overdue jobs included, until a job is starved at 120 s. Change: the top job is the first that only room on machines keeps from starting, for dispatch, preemption and renting alike; a reservation covers as many tasks as the limit allows now, in the zones that the job may use. It works because the order of the queue is unchanged: when one of the team's tasks ends, its next task is still offered the place first.

--- a/src/main/java/io/indigoreach/core/scheduling/Dispatcher.java
+++ b/src/main/java/io/indigoreach/core/scheduling/Dispatcher.java
@@ -151,10 +151,13 @@
                 : Optional.of(rules.reservations().reservationOf(queue, topJob, now));
     }
 
-    /** Excludes a job that is held back in favour of jobs with an objective: its reservation would block those. */
+    /**
+     * Excludes a job that could not start with more room on machines, and one that is held back in favour of jobs with
+     * an objective: its reservation would block others although it cannot start.
+     */
     private boolean holdsReservation(FairShareQueue queue, Job job, Moment now) {
         ObjectiveBudget budget = rules.objectiveBudget();
-        return job.hasStartable()
+        return rules.placement().hasTaskWithinTeamLimit(job)
                 && !job.isStarvationRelieved()
                 && (!budget.isUnboundedFiller(job) || budget.leavesCoresForObjectives(queue, job, now));
     }
--- a/src/main/java/io/indigoreach/core/scheduling/PlacementRules.java
+++ b/src/main/java/io/indigoreach/core/scheduling/PlacementRules.java
@@ -32,19 +32,27 @@
         return true;
     }
 
+    /** How many of the job's startable tasks may start now by the team's limits, regardless of machines. */
+    int countWithinTeamLimit(Job job) {
+        return TeamLimitCounter.ofTasksThatMayStartNow(cluster).count(job, job.startableCount());
+    }
+
+    /** Whether a startable task of the job may start now by the team's limits, regardless of machines. */
+    boolean hasTaskWithinTeamLimit(Job job) {
+        return job.hasStartable() && !cluster.isTeamAtLimit(job);
+    }
+
     /** Whether the team's limit and the job's zone constraints allow one more of its tasks on the machine. */
     boolean isPlaceable(Job job, Machine machine) {
-        String zone = machine.pool.zone();
-        if (!cluster.teamUsage(job).hasRoomFor(job.spec.demand())) {
-            return false;
-        }
-        if (job.spec.singleZone()) {
-            String boundZone = job.zoneOfPlacements();
-            if (boundZone != null && !boundZone.equals(zone)) {
-                return false;
-            }
+        return !cluster.isTeamAtLimit(job) && remainingInZone(job, machine.pool.zone()) > 0;
+    }
+
+    /** How many more of its tasks the job's zone constraints allow in the zone. */
+    static int remainingInZone(Job job, String zone) {
+        if (!JobSizer.mayRunInZone(job, zone)) {
+            return 0;
         }
-        return !job.spec.spreadOverZones() || job.placementsInZone(zone) < job.spec.maxTasksPerZone();
+        return job.spec.maxTasksPerZone() - (job.spec.spreadOverZones() ? job.placementsInZone(zone) : 0);
     }
 
     /** Whether the machine suits the job by its pool, earlier failures and image cache, regardless of free capacity. */
--- a/src/main/java/io/indigoreach/core/scheduling/Reservation.java
+++ b/src/main/java/io/indigoreach/core/scheduling/Reservation.java
@@ -12,7 +12,8 @@
 
 /**
  * The reservation of a queue's top job: the machines on which its waiting tasks are expected to start, and when. Other
- * jobs are backfilled on those machines only if they do not delay the top job.
+ * jobs are backfilled on those machines only if they do not delay the top job. Nothing is reserved for tasks that the
+ * limit of their team or their zone constraints keep from starting.
  */
 final class Reservation {
     /** From {@code from} on, the machine is reserved for {@code taskCount} tasks of the top job. */
@@ -44,27 +45,27 @@
     /** From {@code from} on, {@code taskCount} more tasks of the top job fit on the machine. */
     private record FreeSlots(Machine machine, Moment from, int taskCount) {}
 
-    /** Reserves the earliest available slots for the waiting tasks of the top job. */
-    static Reservation of(Job topJob, Iterable<Machine> machines, Estimates estimates, Moment now) {
-        List<FreeSlots> freeSlots = new ArrayList<>();
-        for (Machine machine : machines) {
-            boolean booting = machine.phase == Machine.Phase.BOOTING;
-            if ((booting || machine.isUsable())
-                    && machine.allows(topJob.spec)
-                    && !FaultTracker.isExcluded(topJob, machine)) {
-                addSlotsOfMachine(topJob, machine, estimates, now, freeSlots);
-            }
-        }
-        freeSlots.sort(Comparator.comparing(FreeSlots::from));
+    /** Reserves the earliest available slots for the waiting tasks of the top job that may start by its team's limit. */
+    static Reservation of(
+            Job topJob, Iterable<Machine> machines, PlacementRules rules, Estimates estimates, Moment now) {
+        List<FreeSlots> freeSlots = earliestFreeSlots(topJob, machines, estimates, now);
         Map<MachineId, ReservedSlots> slotsByMachine = new HashMap<>();
-        int remaining = topJob.startableCount();
+        Map<String, Integer> remainingByZone = new HashMap<>();
+        int remaining = rules.countWithinTeamLimit(topJob);
         Moment lastStart = freeSlots.isEmpty() ? null : now;
         for (FreeSlots slots : freeSlots) {
             if (remaining <= 0) {
                 break;
             }
-            int taskCount = Math.min(remaining, slots.taskCount);
+            String zone = slots.machine.pool.zone();
+            int remainingInZone =
+                    remainingByZone.computeIfAbsent(zone, name -> PlacementRules.remainingInZone(topJob, name));
+            int taskCount = Math.min(Math.min(remaining, remainingInZone), slots.taskCount);
+            if (taskCount <= 0) {
+                continue;
+            }
             remaining -= taskCount;
+            remainingByZone.put(zone, remainingInZone - taskCount);
             lastStart = slots.from;
             slotsByMachine.merge(
                     slots.machine.id,
@@ -80,6 +81,23 @@
         return new Reservation(topJob, slotsByMachine, lastStart);
     }
 
+    /** The slots for the top job on the machines that it may use, the earliest first. */
+    private static List<FreeSlots> earliestFreeSlots(
+            Job topJob, Iterable<Machine> machines, Estimates estimates, Moment now) {
+        List<FreeSlots> freeSlots = new ArrayList<>();
+        for (Machine machine : machines) {
+            boolean booting = machine.phase == Machine.Phase.BOOTING;
+            if ((booting || machine.isUsable())
+                    && machine.allows(topJob.spec)
+                    && PlacementRules.remainingInZone(topJob, machine.pool.zone()) > 0
+                    && !FaultTracker.isExcluded(topJob, machine)) {
+                addSlotsOfMachine(topJob, machine, estimates, now, freeSlots);
+            }
+        }
+        freeSlots.sort(Comparator.comparing(FreeSlots::from));
+        return freeSlots;
+    }
+
     /** Adds the machine's slots for the top job: those free now, and those freed as running tasks end. */
     private static void addSlotsOfMachine(
             Job topJob, Machine machine, Estimates estimates, Moment now, List<FreeSlots> freeSlots) {
--- a/src/main/java/io/indigoreach/core/scheduling/ReservationTable.java
+++ b/src/main/java/io/indigoreach/core/scheduling/ReservationTable.java
@@ -37,19 +37,24 @@
         this.estimates = estimates;
     }
 
-    /** The top job: the first in queue order that has startable tasks and may start. */
+    /** The top job: the first in queue order that could start a task now if a machine had room for it. */
     Optional<Job> topJob(FairShareQueue queue, Moment now) {
         for (Job job : order.sortedJobs(queue, now)) {
-            if (job.hasStartable()
-                    && rules.mayStart(job, now)
-                    && !job.isSuspectedFaulty()
-                    && !job.isStarvationRelieved()) {
+            if (mayHoldReservation(job, now)) {
                 return Optional.of(job);
             }
         }
         return Optional.empty();
     }
 
+    /** Whether only the room on machines keeps a task of the job from starting, so that the room may be reserved. */
+    boolean mayHoldReservation(Job job, Moment now) {
+        return rules.hasTaskWithinTeamLimit(job)
+                && rules.mayStart(job, now)
+                && !job.isSuspectedFaulty()
+                && !job.isStarvationRelieved();
+    }
+
     /** Whether starting the job on the machine would delay the top job, if that is another job. */
     boolean delaysTopJob(FairShareQueue queue, Job job, Machine machine, Moment now) {
         return topJob(queue, now)
@@ -70,7 +75,7 @@
         if (!reservedCapacity.isEligible(topJob, now)) {
             machines.removeIf(machine -> isReservedForAged(machine, queue, order.sortedJobs(queue, now), now));
         }
-        Reservation computed = Reservation.of(topJob, machines, estimates, now);
+        Reservation computed = Reservation.of(topJob, machines, rules, estimates, now);
         reservations.put(topJob.id(), new CachedReservation(computed, now));
         return computed;
     }
