Long tasks are not held back for tasks with an objective that their team's limit keeps from starting

Callers saw: in the model, jobs of long tasks without an objective waited for 122 s beside idle machines while another team was at its limit of 8 cores. ObjectiveBudget kept cores for all waiting tasks with an objective and for the arrival rate of all such jobs, whatever the limits of their teams. Change: it counts tasks within the limits, and no more arriving work of a team than its limit on cores. Evidence: before, PlacementTest.noCapacityIsLeftForObjectivesOfATeamAtItsLimit started nothing, and MinimumServiceTest.arrivalsOfATeamAtItsLimitHoldUpNoOtherTeam waited for 122 s of 90 s; both pass.

--- a/src/main/java/io/indigoreach/core/scheduling/Cluster.java
+++ b/src/main/java/io/indigoreach/core/scheduling/Cluster.java
@@ -63,6 +63,14 @@
         return usageByTeam.computeIfAbsent(job.spec.team(), name -> new TeamUsage(new Team(name, 0, 0, 0, 0)));
     }
 
+    /** The teams whose cores are limited. */
+    List<Team> teamsWithCoreLimit() {
+        return usageByTeam.values().stream()
+                .map(usage -> usage.team)
+                .filter(team -> team.maxCores() > 0)
+                .toList();
+    }
+
     /** Whether the limit of the job's team allows no further task of the job. */
     boolean isTeamAtLimit(Job job) {
         return !teamUsage(job).hasRoomFor(job.spec.demand());
--- a/src/main/java/io/indigoreach/core/scheduling/ObjectiveBudget.java
+++ b/src/main/java/io/indigoreach/core/scheduling/ObjectiveBudget.java
@@ -3,9 +3,11 @@
 import io.indigoreach.core.model.Moment;
 import io.indigoreach.core.model.Resources;
 import io.indigoreach.core.model.Span;
+import io.indigoreach.core.model.Team;
 import io.indigoreach.core.model.Urgency;
 import java.util.HashMap;
 import java.util.Map;
+import java.util.function.Predicate;
 
 /** Limits long tasks without an objective to the cores that jobs with an objective leave free. */
 final class ObjectiveBudget {
@@ -66,24 +68,34 @@
             availableCores += machine.isUsable() ? machine.type.capacity().cores() : 0;
         }
         double presentCores = 0;
+        TeamLimitCounter counter = TeamLimitCounter.ofTasksThatMayStartNow(cluster);
         for (Job job : queue.jobs()) {
             double coresPerTask = job.spec.demand().cores();
             if (isUnboundedFiller(job)) {
                 availableCores -= job.placements().size() * coresPerTask;
             } else if (!objectives.hasNoObjective(job)) {
-                presentCores +=
-                        (job.placements().size() + (job.missedObjectives ? 0 : job.startableCount())) * coresPerTask;
+                int tasksToStart = job.missedObjectives ? 0 : counter.count(job, job.startableCount());
+                presentCores += (job.placements().size() + tasksToStart) * coresPerTask;
             }
         }
         double reservedCores = Math.max(presentCores, arrivingCores(queue, now));
         return new CoreBudget(reservedCores > 0 ? availableCores - reservedCores : Double.MAX_VALUE, now);
     }
 
-    /** The cores that jobs with an objective use on average, by their arrival rate. */
+    /** The cores that jobs with an objective use on average, by their arrival rate and the limits of their teams. */
     private double arrivingCores(FairShareQueue queue, Moment now) {
+        double cores = arrivingCores(queue, job -> true, now);
+        for (Team team : cluster.teamsWithCoreLimit()) {
+            double coresOfTeam = arrivingCores(queue, job -> job.spec.team().equals(team.name()), now);
+            cores -= Math.max(0, coresOfTeam - team.maxCores());
+        }
+        return cores;
+    }
+
+    private double arrivingCores(FairShareQueue queue, Predicate<Job> filter, Moment now) {
         return queue.arrivalRate()
                 .workPerSecond(
-                        job -> !objectives.hasNoObjective(job),
+                        job -> !objectives.hasNoObjective(job) && filter.test(job),
                         job -> job.spec.taskCount()
                                 * estimates.runTime(job).seconds()
                                 * job.spec.demand().cores(),
--- a/src/test/java/io/indigoreach/core/scheduling/MinimumServiceTest.java
+++ b/src/test/java/io/indigoreach/core/scheduling/MinimumServiceTest.java
@@ -78,6 +78,28 @@
                 "usual " + harness.servedFraction("usual", 180, begin));
     }
 
+    /**
+     * Guards against keeping cores for arriving jobs with an objective beyond the limit of their team: long jobs of
+     * another team waited beside idle machines.
+     */
+    @Test
+    void arrivalsOfATeamAtItsLimitHoldUpNoOtherTeam() {
+        CoreHarness harness = new CoreHarness(
+                List.of(
+                        Workload.of("usual", Urgency.STANDARD, 0.5, 10, 4, 30, 1)
+                                .team("guest"),
+                        Workload.of("long", Urgency.STANDARD, 3, 0, 2, 70, 1).activeBetween(60, 61)),
+                12,
+                0,
+                OBJECTIVES,
+                SchedulerFixture.teamWithCoreLimit(0),
+                new Team("guest", 0, 8, 0, 0));
+        harness.run(300);
+        assertTrue(
+                harness.longestWaitForFirstStart("long") <= 90,
+                "waited " + harness.longestWaitForFirstStart("long") + " s");
+    }
+
     /**
      * During an endless overload by urgent jobs, jobs without an objective start once they are about ten minutes old.
      */
--- a/src/test/java/io/indigoreach/core/scheduling/PlacementTest.java
+++ b/src/test/java/io/indigoreach/core/scheduling/PlacementTest.java
@@ -194,6 +194,42 @@
                 reason);
     }
 
+    /**
+     * Guards against keeping cores for waiting tasks with an objective whose team is at its limit: long tasks without an
+     * objective waited beside idle machines.
+     */
+    @Test
+    void noCapacityIsLeftForObjectivesOfATeamAtItsLimit() {
+        SchedulerFixture world = new SchedulerFixture(
+                SchedulerFixture.SETTINGS,
+                new ServiceLevelObjectives(
+                        List.of(new ServiceLevelObjectives.Objective("c", true, Span.seconds(1000)))),
+                SchedulerFixture.teamWithCoreLimit(0),
+                new Team("guest", 0, 4, 0, 0));
+        world.core.onRecordsLoaded();
+        world.addSpotMachine("a", "east", 0);
+        world.submit(SchedulerFixture.withTeam(spec(1, 60, 1, 100), "guest"), 0);
+        List<WorkerCommand> starts = world.heartbeat("a", 1);
+        assertEquals(4, tasksToStart(starts).size());
+        world.addSpotMachine("b", "east", 1);
+        JobSpec filler = spec(2, 1, 1, 300);
+        world.submit(
+                JobSpec.builder(filler.id())
+                        .jobClass("g")
+                        .team(filler.team())
+                        .kind(filler.kind())
+                        .urgency(Urgency.BEST_EFFORT)
+                        .taskCount(1)
+                        .demand(filler.demand())
+                        .image("img")
+                        .imageGb(0)
+                        .spotAllowed()
+                        .estimatedRunTime(filler.estimatedRunTime())
+                        .build(),
+                2);
+        assertEquals(List.of("run-2/0"), tasksToStart(world.heartbeat("b", 3)));
+    }
+
     /** A machine runs one two-core task that ends at 60 s; the top job needs all four cores. */
     @ParameterizedTest
     @CsvSource({"20, 1, short enough to end before the top job's start", "200, 0, would delay the top job"})
