Preemption counts only tasks and places that the team's limit and the zone constraints allow

Callers saw: nothing yet; read on the path of preemption. An urgent job stopped the tasks of others on two machines where its team's limit let it use one, and an urgent one-zone job stopped nothing, as free places in the other zone were counted for it. Cause: the missing places were all waiting tasks less the places of all zones. Change: tasks within the team's limit, less places in the zones that the job may use. A machine of a warm pool is likewise given up only for a job that may use its zone. Evidence: before, PlacementTest.tasksArePreemptedOnlyAsFarAsTheTeamLimitAllows saw a second stop, placesInOtherZonesDoNotReplacePreemption none; both pass. The warm pool's condition has no test of its own.

--- a/src/main/java/io/indigoreach/core/scheduling/GuaranteeEnforcement.java
+++ b/src/main/java/io/indigoreach/core/scheduling/GuaranteeEnforcement.java
@@ -81,6 +81,7 @@
                 && queue.isBelowGuarantee(topJob.spec.demand())
                 && machine.matchesPool(topJob.spec)
                 && !machine.allows(topJob.spec)
+                && rules.placement().isPlaceable(topJob, machine)
                 && topJob.spec.demand().fitsIn(machine.type.capacity())
                 && !shortages.hasEnoughPlacesSoon(queue, topJob, now)) {
             cluster.warmCapacity.releaseForGuarantee(machine, now);
--- a/src/main/java/io/indigoreach/core/scheduling/PlaceShortageTracker.java
+++ b/src/main/java/io/indigoreach/core/scheduling/PlaceShortageTracker.java
@@ -37,8 +37,7 @@
     /** Returns how many places the top job lacks on the machines that serve its queue. */
     int missingPlaces(FairShareQueue queue, Job topJob, Moment now) {
         if (preemptionShortage == null || isOutdated(preemptionShortage, topJob, now)) {
-            preemptionShortage = new Shortage(
-                    topJob, now, topJob.startableCount() - placesFreeSoon(cluster.machinesServing(queue), topJob, now));
+            preemptionShortage = countShortage(cluster.machinesServing(queue), topJob, now);
         }
         return preemptionShortage.missingPlaces;
     }
@@ -52,8 +51,7 @@
     boolean hasEnoughPlacesSoon(FairShareQueue queue, Job topJob, Moment now) {
         Shortage current = guaranteeShortages.get(queue);
         if (current == null || isOutdated(current, topJob, now)) {
-            current = new Shortage(
-                    topJob, now, topJob.startableCount() - placesFreeSoon(cluster.allMachines(), topJob, now));
+            current = countShortage(cluster.allMachines(), topJob, now);
             guaranteeShortages.put(queue, current);
         }
         return current.missingPlaces <= 0;
@@ -65,6 +63,11 @@
                 queue, (key, current) -> new Shortage(topJob, current.countedAt, current.missingPlaces - 1));
     }
 
+    private Shortage countShortage(Iterable<Machine> machines, Job topJob, Moment now) {
+        return new Shortage(
+                topJob, now, placementRules.countWithinTeamLimit(topJob) - placesFreeSoon(machines, topJob, now));
+    }
+
     private static boolean isOutdated(Shortage shortage, Job topJob, Moment now) {
         return shortage.topJob != topJob || !now.isBefore(shortage.countedAt.plus(SHORTAGE_LIFE));
     }
@@ -78,7 +81,7 @@
 
     /** Counts the places for the top job that are free, or come free soon because tasks end or are being stopped. */
     private int placesFreeSoon(Iterable<Machine> machines, Job topJob, Moment now) {
-        int places = 0;
+        Map<String, Integer> placesByZone = new HashMap<>();
         Span timeToObjective = timeToObjective(topJob, now);
         Span horizon = timeToObjective.ms() > 0 ? timeToObjective : WAIT_FOR_FREE_PLACE;
         for (Machine machine : machines) {
@@ -93,7 +96,11 @@
                     free = free.plus(placement.demand());
                 }
             }
-            places += topJob.spec.demand().countFittingIn(free);
+            placesByZone.merge(machine.pool.zone(), topJob.spec.demand().countFittingIn(free), Integer::sum);
+        }
+        int places = 0;
+        for (Map.Entry<String, Integer> zone : placesByZone.entrySet()) {
+            places += Math.min(zone.getValue(), PlacementRules.remainingInZone(topJob, zone.getKey()));
         }
         return places;
     }
--- a/src/test/java/io/indigoreach/core/scheduling/PlacementTest.java
+++ b/src/test/java/io/indigoreach/core/scheduling/PlacementTest.java
@@ -272,6 +272,46 @@
                         "a", 43, new TaskStatus(saving.task(), saving.attempt(), TaskState.SAVING, null, false))));
     }
 
+    /**
+     * Guards against stopping tasks for places that the limit of the urgent job's team does not let it use: two tasks
+     * were stopped where only one could start.
+     */
+    @Test
+    void tasksArePreemptedOnlyAsFarAsTheTeamLimitAllows() {
+        SchedulerFixture world =
+                new SchedulerFixture(SchedulerFixture.teamWithCoreLimit(0), new Team("guest", 0, 4, 0, 0));
+        world.core.onRecordsLoaded();
+        world.addSpotMachine("a", "east", 0);
+        world.addSpotMachine("b", "east", 0);
+        world.submit(withOptions(spec(1, 2, 4, 500), Urgency.BEST_EFFORT, false, false, true, null, 30), 0);
+        TaskStatus onA = runningStatus(world.heartbeat("a", 1).get(0));
+        TaskStatus onB = runningStatus(world.heartbeat("b", 1).get(0));
+        world.heartbeat("a", 2, onA);
+        world.heartbeat("b", 2, onB);
+        JobSpec urgent = withOptions(spec(2, 2, 4, 30), Urgency.HIGH, false, false, true, null, 0);
+        world.submit(SchedulerFixture.withTeam(urgent, "guest"), 40);
+        assertEquals(List.of("run-1/0"), tasksToStop(world.heartbeat("a", 41, onA)));
+        assertEquals(List.of(), tasksToStop(world.heartbeat("b", 41, onB)));
+    }
+
+    /** Guards against counting free places in zones that an urgent one-zone job may not use: it preempted nothing. */
+    @Test
+    void placesInOtherZonesDoNotReplacePreemption() {
+        SchedulerFixture world = new SchedulerFixture();
+        world.core.onRecordsLoaded();
+        world.addSpotMachine("b", "east", 0);
+        world.submit(withOptions(spec(1, 1, 4, 500), Urgency.BEST_EFFORT, false, false, true, null, 30), 0);
+        TaskStatus onB = runningStatus(world.heartbeat("b", 1).get(0));
+        world.heartbeat("b", 2, onB);
+        world.addSpotMachine("a", "east", 2);
+        world.submit(withOptions(spec(2, 2, 4, 300), Urgency.HIGH, true, false, true, null, 0), 2);
+        TaskStatus onA = runningStatus(world.heartbeat("a", 3).get(0));
+        world.heartbeat("a", 4, onA);
+        world.addSpotMachine("c", "west", 4);
+        world.core.onHeartbeat(world.newHeartbeat("c", "west", 1, SchedulerFixture.TOKEN), atSeconds(5));
+        assertEquals(List.of("run-1/0"), tasksToStop(world.heartbeat("b", 41, onB)));
+    }
+
     @ParameterizedTest
     @CsvSource({"4, 1, the borrower is beyond its guarantee of none", "0, 0, nothing is guaranteed"})
     void borrowedMachinesAreReclaimedForGuarantees(double guarantee, int stopped, String reason) {
