The wait of a team at its limit rents no machines

While the job of a team at its limit had waited for longer than the wait limit, machines were rented for every other job at once, also for one that was about to start. The cost is the machine's minimum paid time. Cause: the trigger looked at every waiting job. Change: it looks at those that their team's limit lets start. Evidence: ScaleOutTest.waitForATeamLimitRentsNothing saw a request for one machine before.

--- a/src/main/java/io/indigoreach/core/scheduling/ScaleOutTrigger.java
+++ b/src/main/java/io/indigoreach/core/scheduling/ScaleOutTrigger.java
@@ -38,7 +38,7 @@
      * otherwise wait for ever.
      */
     private boolean hasWaitedTooLong(Job job, Moment now) {
-        return job.hasStartable()
+        return rules.placement().hasTaskWithinTeamLimit(job)
                 && !job.isSuspectedFaulty()
                 && now.since(job.eligibleSince).compareTo(settings.waitLimit()) > 0
                 && rules.placement().mayStart(job, now);
@@ -50,7 +50,7 @@
      * that is served soon, that rule would scale out only when the boot no longer fits before the deadline.
      */
     private boolean wouldBootTooLate(Job job, Moment now) {
-        if (!job.spec.isPlanned() || !job.hasStartable() || job.isSuspectedFaulty()) {
+        if (!job.spec.isPlanned() || !rules.placement().hasTaskWithinTeamLimit(job) || job.isSuspectedFaulty()) {
             return false;
         }
         Optional<MachineType> type = jobSizer.cheapestType(job);
--- a/src/test/java/io/indigoreach/core/scheduling/ScaleOutTest.java
+++ b/src/test/java/io/indigoreach/core/scheduling/ScaleOutTest.java
@@ -146,6 +146,27 @@
                         .sum());
     }
 
+    /**
+     * Guards against scaling out because the tasks of a team at its limit have waited too long: machines were rented
+     * for other jobs that were about to start.
+     */
+    @Test
+    void waitForATeamLimitRentsNothing() {
+        SchedulerFixture fixture =
+                new SchedulerFixture(SchedulerFixture.teamWithCoreLimit(0), new Team("guest", 0, 4, 0, 0));
+        fixture.core.onRecordsLoaded();
+        fixture.addSpotMachine("a", "east", 0);
+        fixture.submit(SchedulerFixture.withTeam(spec(1, 8, 1, 500), "guest"), 0);
+        assertEquals(4, SchedulerFixture.tasksToStart(fixture.heartbeat("a", 1)).size());
+        fixture.addSpotMachine("b", "east", 100);
+        fixture.submit(spec(2, 4, 1, 20), 100);
+        List<WorkerCommand> starts = fixture.heartbeat("b", 101);
+        assertEquals(4, SchedulerFixture.tasksToStart(starts).size());
+        fixture.heartbeat("b", 102, runningStatus(starts));
+        fixture.submit(spec(3, 4, 1, 20), 102);
+        assertEquals(List.of(), fixture.core.scaleOutRequests(atSeconds(103)));
+    }
+
     /**
      * Planned work is submitted as late as its prediction allows. Waiting for the wait limit before scaling out would
      * leave no time for a boot before its deadline.
