On-demand machines are not kept for tasks beyond a team's limit

Callers saw: nothing yet; read on the path of keeping machines. With 400 waiting tasks of a team limited to 4 cores none of three on-demand machines was surplus. Cause: the backlog counted all waiting tasks, and a waiting job that may use on-demand machines only kept all of them. Change: the backlog counts as many tasks as may run at once under the limits, so that the machine that the team uses stays; a team at its limit no longer keeps the others. Evidence: ScaleOutTest.onDemandMachinesAreNotKeptForATeamAtItsLimit failed before in both rows.

--- a/src/main/java/io/indigoreach/core/scheduling/BacklogEstimator.java
+++ b/src/main/java/io/indigoreach/core/scheduling/BacklogEstimator.java
@@ -40,10 +40,19 @@
             CapacityForecast onDemand = capacityForecast(queue, type, false, now);
             backlogs.put(type.name(), new Backlog(spot, onDemand, arrivalLoad(queue, type, now)));
         }
+        TeamLimitCounter counter = TeamLimitCounter.ofTasksThatMayRunAtOnce(cluster);
         for (Job job : queueOrder.sortedJobs(queue, now)) {
             Optional<MachineType> type = jobSizer.cheapestType(job);
             if (type.isPresent() && job.hasWaiting() && !job.isSuspectedFaulty() && !job.spec.isService()) {
-                addJob(job, type.get(), backlogs.get(type.get().name()), now);
+                int waitingTasks = counter.count(job, job.waitingCount());
+                if (waitingTasks > 0) {
+                    addJob(
+                            job,
+                            waitingTasks,
+                            type.get(),
+                            backlogs.get(type.get().name()),
+                            now);
+                }
             }
         }
         for (Backlog backlog : backlogs.values()) {
@@ -52,8 +61,8 @@
         return backlogs;
     }
 
-    private void addJob(Job job, MachineType type, Backlog backlog, Moment now) {
-        backlog.addWork(job.waitingCount() * jobSizer.machineSeconds(job, type));
+    private void addJob(Job job, int waitingTasks, MachineType type, Backlog backlog, Moment now) {
+        backlog.addWork(waitingTasks * jobSizer.machineSeconds(job, type));
         Moment latestStart = queueOrder.latestStart(job, now.plus(queueOrder.shortestRentableObjective(type)));
         backlog.requireStartWithin(
                 latestStart.since(now).seconds() * settings.objectiveFraction(),
--- a/src/main/java/io/indigoreach/core/scheduling/SurplusMarker.java
+++ b/src/main/java/io/indigoreach/core/scheduling/SurplusMarker.java
@@ -26,7 +26,8 @@
     void markSurplus(
             FairShareQueue queue, Map<String, Backlog> backlogs, Map<String, MachineTypeNeed> needs, Moment now) {
         Map<String, List<Machine>> onDemand = onDemandMachines(queue);
-        boolean someNeedOnDemand = queue.jobs().stream().anyMatch(job -> job.hasWaiting() && !job.spec.spotAllowed());
+        boolean someNeedOnDemand = queue.jobs().stream()
+                .anyMatch(job -> job.hasWaiting() && !job.spec.spotAllowed() && !cluster.isTeamAtLimit(job));
         onDemand.forEach((type, machines) -> {
             MachineTypeNeed need = needs.get(type);
             double neededMachines = backlogs.get(type).onDemandNeeded() + (need == null ? 0 : need.onDemandMachines);
--- a/src/test/java/io/indigoreach/core/scheduling/ScaleOutTest.java
+++ b/src/test/java/io/indigoreach/core/scheduling/ScaleOutTest.java
@@ -20,9 +20,11 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.stream.Collectors;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /** Tests how many machines are rented, of which kind, and which machines are returned. */
 class ScaleOutTest {
@@ -167,6 +169,28 @@
         assertEquals(List.of(), fixture.core.scaleOutRequests(atSeconds(103)));
     }
 
+    /** Guards against keeping on-demand machines for tasks of a team at its limit: the machines were never surplus. */
+    @ParameterizedTest
+    @ValueSource(booleans = {true, false})
+    void onDemandMachinesAreNotKeptForATeamAtItsLimit(boolean spotAllowed) {
+        SchedulerFixture fixture =
+                new SchedulerFixture(SchedulerFixture.teamWithCoreLimit(0), new Team("guest", 0, 4, 0, 0));
+        fixture.core.onRecordsLoaded();
+        List.of("a", "b", "c").forEach(name -> fixture.addOnDemandMachine(name, 0));
+        JobSpec spec = withOptions(spec(1, 400, 1, 500), Urgency.STANDARD, false, false, spotAllowed, null, 0);
+        fixture.submit(SchedulerFixture.withTeam(spec, "guest"), 0);
+        TaskStatus[] running = runningStatus(fixture.heartbeatOnDemand("a", 1));
+        fixture.core.scaleOutRequests(atSeconds(2));
+        fixture.heartbeatOnDemand("a", 200, running);
+        fixture.core.scaleOutRequests(atSeconds(201));
+        assertEquals(
+                Map.of("a", false, "b", true),
+                fixture.core.machines().stream()
+                        .filter(machine -> !machine.id().equals(new MachineId("c")))
+                        .collect(Collectors.toMap(machine -> machine.id().toString(), machine -> machine.surplus)),
+                "the busy machine is kept for the tasks that follow, an idle one is not");
+    }
+
     /**
      * Planned work is submitted as late as its prediction allows. Waiting for the wait limit before scaling out would
      * leave no time for a boot before its deadline.
