Idle machines are cordoned while only tasks beyond a team's limit wait

Callers saw: nothing yet; read on the path of keeping machines. Consolidation and the cordon stopped as soon as one team at its limit had work waiting. Cause: all waiting tasks counted as work that needs the cores. Change: those within the limits count. Evidence: ConsolidationPolicyTest.machineIsCordonedWhileTasksOfATeamAtItsLimitWait failed before.

--- a/src/main/java/io/indigoreach/core/scheduling/ConsolidationPolicy.java
+++ b/src/main/java/io/indigoreach/core/scheduling/ConsolidationPolicy.java
@@ -90,8 +90,10 @@
         for (Machine machine : machines) {
             unclaimedCores += freeCores(machine);
         }
+        TeamLimitCounter counter = TeamLimitCounter.ofTasksThatMayStartNow(cluster);
         for (Job job : queue.jobs()) {
-            unclaimedCores -= job.startableCount() * job.spec.demand().cores();
+            unclaimedCores -=
+                    counter.count(job, job.startableCount()) * job.spec.demand().cores();
         }
         int remaining = (int) Math.ceil(machines.size() * MAX_DRAINING_FRACTION);
         for (int i = machines.size() - 1; i > 0 && remaining > 0; i--) {
--- a/src/main/java/io/indigoreach/core/scheduling/CordonRules.java
+++ b/src/main/java/io/indigoreach/core/scheduling/CordonRules.java
@@ -32,23 +32,27 @@
         for (Resources machineFree : freeResources) {
             cores += machineFree.cores();
         }
+        TeamLimitCounter counter = TeamLimitCounter.ofTasksThatMayStartNow(cluster);
         for (Job job : queue.jobs()) {
-            if (!job.hasStartable() || job.isSuspectedFaulty() || !placementRules.mayStart(job, now)) {
+            if (!placementRules.hasTaskWithinTeamLimit(job)
+                    || job.isSuspectedFaulty()
+                    || !placementRules.mayStart(job, now)) {
                 continue;
             }
             if (needsEveryMachine(job, now)) {
                 return false;
             }
-            cores -= job.startableCount() * job.spec.demand().cores();
-            if (cores < 0 || !fitsIn(job, freeResources)) {
+            int tasks = counter.count(job, job.startableCount());
+            cores -= tasks * job.spec.demand().cores();
+            if (cores < 0 || !fitsIn(job, tasks, freeResources)) {
                 return false;
             }
         }
         return true;
     }
 
-    private static boolean fitsIn(Job job, Collection<Resources> freeResources) {
-        int missing = job.startableCount();
+    private static boolean fitsIn(Job job, int tasks, Collection<Resources> freeResources) {
+        int missing = tasks;
         for (Iterator<Resources> freeIterator = freeResources.iterator(); missing > 0 && freeIterator.hasNext(); ) {
             missing -= job.spec.demand().countFittingIn(freeIterator.next());
         }
--- a/src/test/java/io/indigoreach/core/scheduling/ConsolidationPolicyTest.java
+++ b/src/test/java/io/indigoreach/core/scheduling/ConsolidationPolicyTest.java
@@ -7,12 +7,14 @@
 import static io.indigoreach.core.scheduling.SchedulerFixture.tasksToStart;
 import static io.indigoreach.core.scheduling.SchedulerFixture.tasksToStop;
 import static io.indigoreach.core.scheduling.SchedulerFixture.withOptions;
+import static io.indigoreach.core.scheduling.SchedulerFixture.withTeam;
 import static org.junit.jupiter.api.Assertions.assertEquals;
 
 import io.indigoreach.core.model.ExitCause;
 import io.indigoreach.core.model.MachineId;
 import io.indigoreach.core.model.Span;
 import io.indigoreach.core.model.TaskStatus;
+import io.indigoreach.core.model.Team;
 import io.indigoreach.core.model.Urgency;
 import io.indigoreach.core.model.WorkerCommand;
 import java.util.List;
@@ -128,6 +130,26 @@
                 tasksToStart(fixture.heartbeat("a", 7, statusesOnA)).size());
     }
 
+    /** Guards against keeping machines in use for waiting tasks of a team at its limit, which can start on none. */
+    @Test
+    void machineIsCordonedWhileTasksOfATeamAtItsLimitWait() {
+        SchedulerFixture world =
+                new SchedulerFixture(SchedulerFixture.teamWithCoreLimit(0), new Team("guest", 0, 4, 0, 0));
+        world.core.onRecordsLoaded();
+        world.addSpotMachine("c", "east", 0);
+        world.submit(withTeam(spec(1, 10, 1, 300), "guest"), 0);
+        List<WorkerCommand> guests = world.heartbeat("c", 1);
+        assertEquals(4, tasksToStart(guests).size());
+        world.addSpotMachine("a", "east", 2);
+        world.submit(spec(2, 1, 1, 300), 2);
+        assertEquals(List.of("run-2/0"), tasksToStart(world.heartbeat("a", 2)));
+        world.addSpotMachine("b", "east", 3);
+        world.heartbeat("b", 3);
+        world.core.planScaleIn(atSeconds(4));
+        world.submit(spec(3, 1, 1, 300), 5);
+        assertEquals(List.of(), tasksToStart(world.heartbeat("b", 6)), "a has room for it");
+    }
+
     /**
      * Guards against cordoning an idle machine while a service replica waits. Replicas were down longer when the
      * machine was kept cordoned because other machines had free cores, which the replicas were not able to use.
