A one-zone or spread job may use a cordoned machine of its zone

Callers saw: nothing yet; read among what can keep a task from starting. The waiting task of a one-zone job found the only idle machine of its zone cordoned, as there was room in the other zone; only after 60 s without a start or an end of its other tasks might it use the machine. Cause: the cordon asks whether waiting tasks fit on other machines, without their zones. Jobs bound to a zone by the submission were already exempt. Change: so are one-zone and spread jobs. Evidence: ConsolidationPolicyTest.oneZoneJobUsesIdleMachineInItsZone failed before.

--- a/src/main/java/io/indigoreach/core/scheduling/CordonRules.java
+++ b/src/main/java/io/indigoreach/core/scheduling/CordonRules.java
@@ -72,7 +72,11 @@
     }
 
     private static boolean isRestrictedToSomeMachines(Job job) {
-        return !job.spec.spotAllowed() || job.spec.zone() != null || job.spec.machineTypes() != null;
+        return !job.spec.spotAllowed()
+                || job.spec.zone() != null
+                || job.spec.singleZone()
+                || job.spec.spreadOverZones()
+                || job.spec.machineTypes() != null;
     }
 
     /** Returns whether a job that waits in a queue which the machine serves can use the idle machine. */
--- a/src/test/java/io/indigoreach/core/scheduling/ConsolidationPolicyTest.java
+++ b/src/test/java/io/indigoreach/core/scheduling/ConsolidationPolicyTest.java
@@ -150,6 +150,23 @@
         assertEquals(List.of(), tasksToStart(world.heartbeat("b", 6)), "a has room for it");
     }
 
+    /** Guards against cordoning the only machine that a one-zone job may use because there is room in another zone. */
+    @Test
+    void oneZoneJobUsesIdleMachineInItsZone() {
+        SchedulerFixture world = new SchedulerFixture();
+        world.core.onRecordsLoaded();
+        world.submit(spec(1, 1, 1, 300), 0);
+        world.addSpotMachine("a", "west", 0);
+        world.core.onHeartbeat(world.newHeartbeat("a", "west", 1, SchedulerFixture.TOKEN), atSeconds(1));
+        world.addSpotMachine("b", "east", 0);
+        world.addSpotMachine("c", "east", 0);
+        world.heartbeat("b", 1);
+        world.submit(withOptions(spec(2, 5, 1, 300), Urgency.STANDARD, true, false, true, null, 0), 2);
+        assertEquals(4, tasksToStart(world.heartbeat("c", 3)).size());
+        world.core.planScaleIn(atSeconds(4));
+        assertEquals(List.of("run-2/4"), tasksToStart(world.heartbeat("b", 5)));
+    }
+
     /**
      * Guards against cordoning an idle machine while a service replica waits. Replicas were down longer when the
      * machine was kept cordoned because other machines had free cores, which the replicas were not able to use.
