No machine is reserved for starved jobs of a team at its limit

Callers saw: nothing yet; read on the path of the relief of starved jobs. Machines were chosen for starved jobs that could not start and left out of the reservation of the top job, which backfill then delayed. Cause: the starved jobs were chosen by their waiting tasks alone. Change: a job whose team is at its limit is none of them. Evidence: PlacementTest.noMachineIsReservedForStarvedJobsOfATeamAtItsLimit saw a start before that delays the top job.

--- a/src/main/java/io/indigoreach/core/scheduling/ReservedCapacity.java
+++ b/src/main/java/io/indigoreach/core/scheduling/ReservedCapacity.java
@@ -51,7 +51,7 @@
         Selection selection = selectionByQueue.get(queue);
         if (selection == null || !now.isBefore(selection.selectedAt.plus(SELECTION_LIFE))) {
             List<Job> waiting = jobs.stream()
-                    .filter(job -> isEligible(job, now) && job.hasStartable())
+                    .filter(job -> isEligible(job, now) && job.hasStartable() && !cluster.isTeamAtLimit(job))
                     .sorted(Comparator.comparingDouble(this::remainingWork))
                     .toList();
             selection = new Selection(waiting.isEmpty() ? Set.of() : chooseMachines(queue, now), waiting, now);
--- a/src/test/java/io/indigoreach/core/scheduling/PlacementTest.java
+++ b/src/test/java/io/indigoreach/core/scheduling/PlacementTest.java
@@ -401,6 +401,30 @@
         assertTrue(started >= 3, "started: " + started);
     }
 
+    /**
+     * Guards against machines that were reserved for starved jobs whose team is at its limit: they were missing from the
+     * reservation of the top job, which was then delayed.
+     */
+    @Test
+    void noMachineIsReservedForStarvedJobsOfATeamAtItsLimit() {
+        SchedulerFixture world =
+                new SchedulerFixture(SchedulerFixture.teamWithCoreLimit(0), new Team("guest", 0, 2, 0, 0));
+        world.core.onRecordsLoaded();
+        TaskStatus onFirst = null;
+        for (int machine = 1; machine <= 8; machine++) {
+            world.addSpotMachine("m" + machine, "east", 0);
+            JobSpec spec = spec(machine, 1, 2, machine == 1 ? 200 : 1000);
+            world.submit(machine == 2 ? SchedulerFixture.withTeam(spec, "guest") : spec, 0);
+            TaskStatus started = runningStatus(world.heartbeat("m" + machine, 1).get(0));
+            world.heartbeat("m" + machine, 2, started);
+            onFirst = machine == 1 ? started : onFirst;
+        }
+        world.submit(SchedulerFixture.withTeam(spec(9, 1, 2, 100), "guest"), 3);
+        world.submit(withOptions(spec(10, 1, 4, 50), Urgency.HIGH, false, false, true, null, 0), 125);
+        world.submit(spec(11, 1, 2, 500), 126);
+        assertEquals(List.of(), tasksToStart(world.heartbeat("m1", 130, onFirst)));
+    }
+
     @Test
     void spotNoticePreventsStartsAndTriggersCheckpoints() {
         SchedulerFixture world = new SchedulerFixture();
