Start bounds are raised for jobs behind the waiting tasks of a team at its limit

Jobs behind a large array of a team at its limit had no start bound in time and started a heartbeat and a write later. Cause: the bounds cover the head of the queue, and the array filled it with tasks that cannot start. Change: of a team with limits as many tasks are covered as may run at once. Evidence: FailoverTest.startBoundsAreRaisedForJobsBehindATeamAtItsLimit failed before.

--- a/src/main/java/io/indigoreach/core/scheduling/StartBounds.java
+++ b/src/main/java/io/indigoreach/core/scheduling/StartBounds.java
@@ -36,10 +36,11 @@
         List<Job> raised = new ArrayList<>();
         for (FairShareQueue queue : cluster.queues()) {
             double coveredCores = 0;
+            TeamLimitCounter counter = TeamLimitCounter.ofTasksThatMayRunAtOnce(cluster);
             for (Job job : order.sortedJobs(queue, now)) {
                 if (job.hasStartable() && !job.isSuspectedFaulty() && coveredCores < targetCores) {
                     double coresPerTask = Math.max(1e-3, job.spec.demand().cores());
-                    int startable = job.startableCount();
+                    int startable = counter.count(job, job.startableCount());
                     if (coveredCores < targetCores * REFILL_FRACTION
                             && !job.isWithinStartBound(tasksWithin(
                                     targetCores * REFILL_FRACTION - coveredCores, coresPerTask, startable))) {
--- a/src/test/java/io/indigoreach/core/scheduling/FailoverTest.java
+++ b/src/test/java/io/indigoreach/core/scheduling/FailoverTest.java
@@ -13,11 +13,13 @@
 import io.indigoreach.core.model.ExitCause;
 import io.indigoreach.core.model.FencingToken;
 import io.indigoreach.core.model.Heartbeat;
+import io.indigoreach.core.model.JobSpec;
 import io.indigoreach.core.model.ListedMachine;
 import io.indigoreach.core.model.MachineId;
 import io.indigoreach.core.model.MachinePool;
 import io.indigoreach.core.model.Revision;
 import io.indigoreach.core.model.Span;
+import io.indigoreach.core.model.Team;
 import io.indigoreach.core.model.Urgency;
 import io.indigoreach.core.model.WorkerCommand;
 import java.util.List;
@@ -395,6 +397,22 @@
         assertEquals(8, requestedBound, "the tasks that fit on the machine now, and as many again");
     }
 
+    /** Guards against raising bounds only for the waiting tasks of a team at its limit, while other jobs could start. */
+    @Test
+    void startBoundsAreRaisedForJobsBehindATeamAtItsLimit() {
+        SchedulerFixture limited =
+                new SchedulerFixture(SchedulerFixture.teamWithCoreLimit(0), new Team("guest", 0, 2, 0, 0));
+        limited.core.onRecordsLoaded();
+        limited.addSpotMachine("a", "east", 0);
+        limited.heartbeat("a", 1);
+        JobSpec guest = SchedulerFixture.withTeam(spec(1, 60, 1, 50), "guest");
+        Job first = new Job(guest, 1, atSeconds(0), new Revision(1), new java.util.BitSet(), 0, false);
+        Job second = new Job(spec(2, 4, 1, 50), 2, atSeconds(0), new Revision(2), new java.util.BitSet(), 0, false);
+        limited.core.addJob(first);
+        limited.core.addJob(second);
+        assertEquals(List.of(first, second), limited.core.startBoundsToRaise(atSeconds(2)));
+    }
+
     /**
      * Half of 2,000 machines are unreachable until late in the failover. On the other half, tasks that no leader has
      * started start at once.
