A suspected faulty job holds no reservation while it is retried

Callers saw: nothing yet; read among what can keep a task from starting. A job that failed on three machines runs one task at a time; while that task ran, free machines stayed reserved for its other tasks, for as long as the task ran. Cause: the dispatcher had its own copy of the condition of ReservationTable.topJob, without the suspicion. Change: both ask the same method. Evidence: PlacementTest.suspectedFaultyJobHoldsNoReservation started nothing before.

--- a/src/main/java/io/indigoreach/core/scheduling/Dispatcher.java
+++ b/src/main/java/io/indigoreach/core/scheduling/Dispatcher.java
@@ -157,8 +157,7 @@
      */
     private boolean holdsReservation(FairShareQueue queue, Job job, Moment now) {
         ObjectiveBudget budget = rules.objectiveBudget();
-        return rules.placement().hasTaskWithinTeamLimit(job)
-                && !job.isStarvationRelieved()
+        return rules.reservations().mayHoldReservation(job, now)
                 && (!budget.isUnboundedFiller(job) || budget.leavesCoresForObjectives(queue, job, now));
     }
 
--- a/src/test/java/io/indigoreach/core/scheduling/PlacementTest.java
+++ b/src/test/java/io/indigoreach/core/scheduling/PlacementTest.java
@@ -401,6 +401,23 @@
         assertTrue(started >= 3, "started: " + started);
     }
 
+    /**
+     * Guards against a reservation for all tasks of a suspected faulty job: it runs one task at a time, and other jobs
+     * waited beside free machines while that task ran.
+     */
+    @Test
+    void suspectedFaultyJobHoldsNoReservation() {
+        SchedulerFixture world = new SchedulerFixture();
+        world.core.onRecordsLoaded();
+        world.addSpotMachine("a", "east", 0);
+        Job faulty = world.submit(withOptions(spec(1, 9, 4, 300), Urgency.HIGH, false, false, true, null, 0), 0);
+        List.of("x", "y", "z").forEach(machine -> faulty.failedMachines.add(new MachineId(machine)));
+        assertEquals(List.of("run-1/0"), tasksToStart(world.heartbeat("a", 1)));
+        world.addSpotMachine("b", "east", 2);
+        world.submit(spec(2, 1, 1, 50), 2);
+        assertEquals(List.of("run-2/0"), tasksToStart(world.heartbeat("b", 3)));
+    }
+
     /**
      * Guards against machines that were reserved for starved jobs whose team is at its limit: they were missing from the
      * reservation of the top job, which was then delayed.
