An overdue job may use a surplus or cordoned machine that the top job may not use

Callers saw: nothing yet; read among what can keep a task from starting. Surplus and cordoned machines take jobs only that have waited for 60 s; the reservation of a top job that has not, since its tasks come and go elsewhere, kept overdue jobs from them. Cause: the top job of the queue was asked for without the condition for these machines. Change: the first job that may start on the machine is protected. A job that is held back for objectives is none of these either. Evidence: WaitReasonTest.overdueJobUsesSurplusMachineThatTheTopJobMayNotUse started nothing before. That a held-back job is none has no test of its own.

--- a/src/main/java/io/indigoreach/core/scheduling/Dispatcher.java
+++ b/src/main/java/io/indigoreach/core/scheduling/Dispatcher.java
@@ -170,9 +170,7 @@
         Moment now = batch.now();
         boolean machineQueueTried = !takesOverdueJobsOnly(machine, now);
         FairShareQueue machineQueue = cluster.queueOf(machine);
-        Job topJob = machineQueue == null
-                ? null
-                : rules.reservations().topJob(machineQueue, now).orElse(null);
+        Job topJob = machineQueue == null ? null : topJobOn(machine, machineQueue, now);
         for (FairShareQueue queue : queuesFor(machine)) {
             if (queue == machineQueue && machineQueueTried) {
                 continue;
@@ -194,6 +192,15 @@
         }
     }
 
+    /** The first job of the machine's queue that may start on the machine and holds a reservation; null if none. */
+    private Job topJobOn(Machine machine, FairShareQueue machineQueue, Moment now) {
+        boolean overdueOnly = takesOverdueJobsOnly(machine, now);
+        return rules.order().sortedJobs(machineQueue, now).stream()
+                .filter(job -> (!overdueOnly || isOverdue(job, now)) && holdsReservation(machineQueue, job, now))
+                .findFirst()
+                .orElse(null);
+    }
+
     /** Excludes jobs whose placements changed recently: their tasks are starting or ending, or were just preempted. */
     private static boolean isOverdue(Job job, Moment now) {
         return !job.isStarvationRelieved()
--- a/src/test/java/io/indigoreach/core/scheduling/WaitReasonTest.java
+++ b/src/test/java/io/indigoreach/core/scheduling/WaitReasonTest.java
@@ -191,6 +191,31 @@
                 List.of("run-2/0"), SchedulerFixture.tasksToStart(world.heartbeat("a", 62.5, runningTasks(firstJob))));
     }
 
+    /**
+     * Guards against the reservation of a machine on which the top job may not start itself: a surplus machine takes
+     * overdue jobs only, and an overdue job waited beside it while the tasks of the top job came and went elsewhere.
+     */
+    @Test
+    void overdueJobUsesSurplusMachineThatTheTopJobMayNotUse() {
+        SchedulerFixture world = new SchedulerFixture();
+        world.core.onRecordsLoaded();
+        world.addSpotMachine("a", "east", 0);
+        world.addSpotMachine("b", "east", 0);
+        world.submit(spec(1, 1, 1, 500), 0);
+        List<WorkerCommand> onB = world.heartbeat("b", 1);
+        assertEquals(List.of("run-1/0"), SchedulerFixture.tasksToStart(onB));
+        world.core.machines().stream()
+                .filter(machine -> machine.id().equals(new MachineId("b")))
+                .forEach(machine -> machine.setSurplus(true));
+        world.submit(withOptions(spec(2, 100, 1, 60), Urgency.HIGH, false, false, true, null, 0), 2);
+        List<WorkerCommand> onA = world.heartbeat("a", 3);
+        assertEquals(4, SchedulerFixture.tasksToStart(onA).size());
+        world.submit(spec(3, 1, 1, 500), 4);
+        assertEquals(List.of("run-2/4"), SchedulerFixture.tasksToStart(heartbeatWithFirstTaskDone(world, onA, 62)));
+        assertEquals(
+                List.of("run-3/0"), SchedulerFixture.tasksToStart(world.heartbeat("b", 65, runningStatus(onB.get(0)))));
+    }
+
     private static TaskStatus[] runningTasks(Job job) {
         return job.placements().stream()
                 .map(placement -> new TaskStatus(placement.task(), placement.attempt, TaskState.RUNNING, null, false))
