HandoverTest waits until the resigned leader's lease is revoked

Cause: row 2 of delayedCampaignDoesNotCreateAValidLeader looked for the leadership key right after `resign`, whose request to revoke the lease was still under way. Change: the test waits for the future of `resign`, as strict as before: every check stays, and a revocation that does not remove the key fails it.

--- a/src/test/java/io/indigoreach/state/HandoverTest.java
+++ b/src/test/java/io/indigoreach/state/HandoverTest.java
@@ -353,7 +353,8 @@
             TestProcess nodeB = cluster.callOnLoop(() -> cluster.start("b"));
             cluster.waitUntil(nodeB.election::isValid);
             if (meanwhile.endsWith("has led")) {
-                cluster.callOnLoop(() -> nodeB.election.resign("test"));
+                // The request to revoke the lease is carried out before the answer to it arrives.
+                await(cluster.callOnLoop(() -> nodeB.election.resign("test")));
                 cluster.callOnLoop(() -> {
                     cluster.stop("b");
                     return null;
