--- a/src/test/java/io/indigoreach/core/scheduling/PlacementTest.java
+++ b/src/test/java/io/indigoreach/core/scheduling/PlacementTest.java
@@ -1,6 +1,7 @@
 package io.indigoreach.core.scheduling;
 
 import static io.indigoreach.core.scheduling.SchedulerFixture.atSeconds;
+import static io.indigoreach.core.scheduling.SchedulerFixture.bestEffort;
 import static io.indigoreach.core.scheduling.SchedulerFixture.exitedStatus;
 import static io.indigoreach.core.scheduling.SchedulerFixture.runningStatus;
 import static io.indigoreach.core.scheduling.SchedulerFixture.spec;
@@ -81,20 +82,7 @@
         world.core.onRecordsLoaded();
         world.addSpotMachine("a", "east", 0);
         JobSpec batch = spec(1, 8, 1, 300);
-        world.submit(
-                JobSpec.builder(batch.id())
-                        .jobClass("g")
-                        .team("guest")
-                        .kind(batch.kind())
-                        .urgency(Urgency.BEST_EFFORT)
-                        .taskCount(8)
-                        .demand(batch.demand())
-                        .image("img")
-                        .imageGb(0)
-                        .spotAllowed()
-                        .estimatedRunTime(batch.estimatedRunTime())
-                        .build(),
-                0);
+        world.submit(SchedulerFixture.withTeam(bestEffort(batch, "g"), "guest"), 0);
         List<WorkerCommand> guests = world.heartbeat("a", 1);
         assertEquals(List.of("run-1/0", "run-1/1"), tasksToStart(guests), "the team's limit still holds");
         world.submit(withOptions(spec(2, 8, 1, 20), Urgency.HIGH, false, false, true, null, 0), 2);
@@ -127,20 +115,7 @@
                         List.of(new ServiceLevelObjectives.Objective("c", true, Span.seconds(1000)))));
         world.core.onRecordsLoaded();
         JobSpec spec = spec(1, 1, 4, 300);
-        world.submit(
-                JobSpec.builder(spec.id())
-                        .jobClass("g")
-                        .team(spec.team())
-                        .kind(spec.kind())
-                        .urgency(Urgency.BEST_EFFORT)
-                        .taskCount(1)
-                        .demand(spec.demand())
-                        .image("img")
-                        .imageGb(0)
-                        .spotAllowed()
-                        .estimatedRunTime(spec.estimatedRunTime())
-                        .build(),
-                0);
+        world.submit(bestEffort(spec, "g"), 0);
         world.submit(spec(2, 1, 1, 50), 100);
         world.addSpotMachine("a", "east", 100);
         assertEquals(List.of("run-2/0"), tasksToStart(world.heartbeat("a", 101)));
@@ -171,20 +146,7 @@
         world.submit(spec(2, 1, 4, 50), 2);
         world.submit(spec(3, 1, 4, 50), 2);
         JobSpec spec = spec(4, 2, 1, estimate);
-        world.submit(
-                JobSpec.builder(spec.id())
-                        .jobClass(jobClass)
-                        .team(spec.team())
-                        .kind(spec.kind())
-                        .urgency(Urgency.BEST_EFFORT)
-                        .taskCount(2)
-                        .demand(spec.demand())
-                        .image("img")
-                        .imageGb(0)
-                        .spotAllowed()
-                        .estimatedRunTime(spec.estimatedRunTime())
-                        .build(),
-                3);
+        world.submit(bestEffort(spec, jobClass), 3);
         assertEquals(
                 started,
                 tasksToStart(world.heartbeat("a", 3, SchedulerFixture.runningStatus(startsOnA)))
@@ -213,20 +175,7 @@
         assertEquals(4, tasksToStart(starts).size());
         world.addSpotMachine("b", "east", 1);
         JobSpec filler = spec(2, 1, 1, 300);
-        world.submit(
-                JobSpec.builder(filler.id())
-                        .jobClass("g")
-                        .team(filler.team())
-                        .kind(filler.kind())
-                        .urgency(Urgency.BEST_EFFORT)
-                        .taskCount(1)
-                        .demand(filler.demand())
-                        .image("img")
-                        .imageGb(0)
-                        .spotAllowed()
-                        .estimatedRunTime(filler.estimatedRunTime())
-                        .build(),
-                2);
+        world.submit(bestEffort(filler, "g"), 2);
         assertEquals(List.of("run-2/0"), tasksToStart(world.heartbeat("b", 3)));
     }
 
--- a/src/test/java/io/indigoreach/core/scheduling/SchedulerFixture.java
+++ b/src/test/java/io/indigoreach/core/scheduling/SchedulerFixture.java
@@ -102,6 +102,14 @@
         return copyOf(base, team).urgency(base.urgency()).build();
     }
 
+    /** Returns the same job as a best-effort job of another class. */
+    static JobSpec bestEffort(JobSpec base, String jobClass) {
+        return copyOf(base, base.team())
+                .jobClass(jobClass)
+                .urgency(Urgency.BEST_EFFORT)
+                .build();
+    }
+
     private static JobSpec.Builder copyOf(JobSpec base, String team) {
         return JobSpec.builder(base.id())
                 .jobClass(base.jobClass())
