CloseLooksTest uses each client on its own event loop only

FrontDoors used clients from threads that are not theirs: the leader's from the test's thread, and a node's from the event loops of the other nodes, on which the answer of othersKnow arrived. StateClient is bound to its event loop. Used from several threads, the connection pool of Vert.x carries out the tasks of one thread on another; where the timer for a connection comes too late there, it throws "Promise already completed", and the tasks behind it are dropped, so that a request is given a connection and never learns of it.

Change: the leader has a loop of its own, and the other nodes' answers come back on the asking node's loop, as in production.

--- a/src/test/java/io/indigoreach/checker/FrontDoors.java
+++ b/src/test/java/io/indigoreach/checker/FrontDoors.java
@@ -47,6 +47,8 @@
 /**
  * Several front doors over one stand-in for the state service, each with an event loop of its own and a way of its own to the service; and
  * whoever leads, as far as users see it: it writes progress and ends. Every call is recorded with the moments of its begin and end.
+ *
+ * <p>Each client is used on its own event loop only: used from other threads, a request may never be answered.
  */
 final class FrontDoors implements AutoCloseable {
     private static final int TASKS = 2;
@@ -73,18 +75,21 @@
     private final Queue<Object> kept = new ConcurrentLinkedQueue<>();
 
     private final Context serviceLoop = serviceRuntime.getOrCreateContext();
+    private final Vertx leaderRuntime = Vertx.vertx();
+    private final Context leaderLoop = leaderRuntime.getOrCreateContext();
 
     FrontDoors(int count, Function<JobService, Door> planted) throws Exception {
         this.planted = planted;
         this.nodes = new AtomicReferenceArray<>(count);
         await(on(serviceLoop, () -> service.listen(serviceRuntime)));
-        leader = client(serviceRuntime, service.endpoint());
+        leader = await(on(leaderLoop, () -> Future.succeededFuture(client(leaderRuntime, service.endpoint()))));
         MachineType type =
                 new MachineType("quad", new Resources(4, 0, 16), 40, 1, 1, 1, Span.seconds(20), List.of("a"));
-        await(leader.commit(new StateClient.Txn()
+        StateClient.Txn catalogue = new StateClient.Txn()
                 .when(RecordKeys.CATALOGUE, Revision.ABSENT)
-                .put(RecordKeys.CATALOGUE, CatalogueRecordCodec.writeCatalogue(List.of(type)))));
-        await(leader.checkEra());
+                .put(RecordKeys.CATALOGUE, CatalogueRecordCodec.writeCatalogue(List.of(type)));
+        await(on(leaderLoop, () -> leader.commit(catalogue)));
+        await(on(leaderLoop, leader::checkEra));
         for (int n = 0; n < count; n++) {
             String name = name(n);
             ways.add(await(on(serviceLoop, () -> service.addEndpoint(serviceRuntime, name))));
@@ -142,7 +147,9 @@
         nodes.set(n, node);
     }
 
+    /** Asks the other nodes whether they know a job; called on the event loop of a node, and completes there as in production. */
     private Future<Boolean> othersKnow(int asking, JobId id) {
+        Context askingLoop = Vertx.currentContext();
         List<Future<Boolean>> words = new ArrayList<>();
         for (int n = 0; n < nodes.length(); n++) {
             Node other = nodes.get(n);
@@ -150,7 +157,11 @@
                 words.add(on(other.loop, () -> Future.succeededFuture(other.desk.isKnown(id))));
             }
         }
-        return Future.all(words).map(all -> all.<Boolean>list().contains(true));
+        Promise<Boolean> known = Promise.promise();
+        Future.all(words)
+                .<Boolean>map(all -> all.<Boolean>list().contains(true))
+                .onComplete(result -> askingLoop.runOnContext(v -> known.handle(result)));
+        return known.future();
     }
 
     /** Does nothing for a while, as a process that is stopped: what reaches it meanwhile is read later. */
@@ -207,6 +218,10 @@
 
     /** The leader's next write of a job: it runs, it is done, or it is done and moved later. */
     Future<Void> lead(JobId id, boolean ends, boolean moves) {
+        return on(leaderLoop, () -> writeNext(id, ends, moves));
+    }
+
+    private Future<Void> writeNext(JobId id, boolean ends, boolean moves) {
         return leader.get(RecordKeys.openKey(id))
                 .compose(open -> {
                     if (open == null) {
@@ -260,6 +275,7 @@
         for (Vertx runtime : runtimes) {
             await(runtime.close());
         }
+        await(leaderRuntime.close());
         await(serviceRuntime.close());
     }
 }
