Test: a task is moved while tasks of a team at its limit wait

The count of waiting tasks that decides on draining had no test of its own: with this count alone taken back, all tests passed. Now ConsolidationPolicyTest.taskIsMovedWhileTasksOfATeamAtItsLimitWait fails there (nothing is stopped on b), and passes with it. The test of the cordon uses the same four tasks of a team at its limit; it still fails with the count of the cordon taken back.

--- a/src/test/java/io/indigoreach/core/scheduling/ConsolidationPolicyTest.java
+++ b/src/test/java/io/indigoreach/core/scheduling/ConsolidationPolicyTest.java
@@ -27,7 +27,8 @@
  * with one task each, and a fifth of the paid capacity was idle.
  */
 class ConsolidationPolicyTest {
-    private final SchedulerFixture fixture = new SchedulerFixture();
+    private final SchedulerFixture fixture =
+            new SchedulerFixture(SchedulerFixture.teamWithCoreLimit(0), new Team("guest", 0, 4, 0, 0));
     private TaskStatus[] statusesOnA;
     private TaskStatus[] statusesOnB;
 
@@ -133,21 +134,36 @@
     /** Guards against keeping machines in use for waiting tasks of a team at its limit, which can start on none. */
     @Test
     void machineIsCordonedWhileTasksOfATeamAtItsLimitWait() {
-        SchedulerFixture world =
-                new SchedulerFixture(SchedulerFixture.teamWithCoreLimit(0), new Team("guest", 0, 4, 0, 0));
-        world.core.onRecordsLoaded();
-        world.addSpotMachine("c", "east", 0);
-        world.submit(withTeam(spec(1, 10, 1, 300), "guest"), 0);
-        List<WorkerCommand> guests = world.heartbeat("c", 1);
-        assertEquals(4, tasksToStart(guests).size());
-        world.addSpotMachine("a", "east", 2);
-        world.submit(spec(2, 1, 1, 300), 2);
-        assertEquals(List.of("run-2/0"), tasksToStart(world.heartbeat("a", 2)));
-        world.addSpotMachine("b", "east", 3);
-        world.heartbeat("b", 3);
-        world.core.planScaleIn(atSeconds(4));
-        world.submit(spec(3, 1, 1, 300), 5);
-        assertEquals(List.of(), tasksToStart(world.heartbeat("b", 6)), "a has room for it");
+        fixture.core.onRecordsLoaded();
+        fillLimitOfGuests(0);
+        fixture.addSpotMachine("a", "east", 2);
+        fixture.submit(spec(2, 1, 1, 300), 2);
+        assertEquals(List.of("run-2/0"), tasksToStart(fixture.heartbeat("a", 2)));
+        fixture.addSpotMachine("b", "east", 3);
+        fixture.heartbeat("b", 3);
+        fixture.core.planScaleIn(atSeconds(4));
+        fixture.submit(spec(3, 1, 1, 300), 5);
+        assertEquals(List.of(), tasksToStart(fixture.heartbeat("b", 6)), "a has room for it");
+    }
+
+    /** Guards against keeping free cores for waiting tasks of a team at its limit: no machine was drained beside them. */
+    @Test
+    void taskIsMovedWhileTasksOfATeamAtItsLimitWait() {
+        startTasks(3, 300, 10, false);
+        TaskStatus[] guests = fillLimitOfGuests(3);
+        heartbeatBoth(39);
+        fixture.heartbeat("c", 39, guests);
+        fixture.core.planScaleIn(atSeconds(40));
+        assertEquals(List.of("run-2/0"), tasksToStop(fixture.heartbeat("b", 40, statusesOnB)));
+    }
+
+    /** Starts four tasks of a team with a limit of four cores on machine c, while six more wait; returns the four. */
+    private TaskStatus[] fillLimitOfGuests(double seconds) {
+        fixture.addSpotMachine("c", "east", seconds);
+        fixture.submit(withTeam(spec(4, 10, 1, 300), "guest"), seconds);
+        List<WorkerCommand> starts = fixture.heartbeat("c", seconds + 1);
+        assertEquals(4, tasksToStart(starts).size());
+        return runningStatus(starts);
     }
 
     /** Guards against cordoning the only machine that a one-zone job may use because there is room in another zone. */
