GoldenRoutesTest asks for the body as the response arrives

The test adds the step that reads the body from its own thread. Where the response arrives on the event loop before that, the body is discarded, and the test waits for it without end. The node had answered: at the time-out the response's head had been received and its body was being waited for.

Change: the step is added on the event loop, in the one that sends the request. What is asked and compared is the same. ServiceClient adds its step there already.

--- a/src/test/java/io/indigoreach/emulator/GoldenRoutesTest.java
+++ b/src/test/java/io/indigoreach/emulator/GoldenRoutesTest.java
@@ -6,8 +6,10 @@
 import io.indigoreach.net.Fields;
 import io.indigoreach.net.MessagePackFormat;
 import io.indigoreach.state.ProductionSample;
+import io.vertx.core.Future;
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpClient;
+import io.vertx.core.http.HttpClientResponse;
 import io.vertx.core.http.HttpMethod;
 import java.util.LinkedHashMap;
 import java.util.Map;
@@ -49,10 +51,15 @@
     private static String ask(HttpClient client, PlatformConfig config, String path, Map<String, Object> body)
             throws Exception {
         HttpMethod method = body == null ? HttpMethod.GET : HttpMethod.POST;
+        Buffer sent = body == null ? Buffer.buffer() : MessagePackFormat.write(body);
+        // The body is asked for on the event loop as the response arrives: asked for later, it may have been discarded.
         return LocalCluster.await(client.request(
                         method, config.peerListen().port(), config.peerListen().host(), path)
-                .compose(r -> r.send(body == null ? Buffer.buffer() : MessagePackFormat.write(body)))
-                .compose(r -> r.body().map(b -> r.statusCode() + ":" + ProductionSample.hex(b))));
+                .compose(request -> request.send(sent).compose(GoldenRoutesTest::read)));
+    }
+
+    private static Future<String> read(HttpClientResponse response) {
+        return response.body().map(bytes -> response.statusCode() + ":" + ProductionSample.hex(bytes));
     }
 
     /** An answer's status, and its fields with their types: their values are those of the moment. */
